Read and check settings files as a whole

Cause: a process must refuse a wrong settings file at its start, with all faults at once. Change: heatherwalk::settings reads INI into typed settings of a node or a control; unknown keys and sections are faults; each fault names file, section, key, the value found and what is allowed.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,3 @@
 //! The role of a control host: the configuration source, the claims and the registry.
+
+pub mod settings;
--- a/crates/heatherwalk/src/lib.rs
+++ b/crates/heatherwalk/src/lib.rs
@@ -1,1 +1,3 @@
 //! The binary's parts: command line, settings, logs, metrics and the roles.
+
+pub mod settings;
--- /dev/null
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -0,0 +1,285 @@
+//! The settings of each role.
+
+use std::{net, path, time};
+
+use compact_str::{CompactString, format_compact};
+use world::{hosts, mesh};
+
+use super::{Result, ini_reader};
+
+/// The most control hosts that may vote on the configuration.
+const MAX_CONFIG_VOTERS: usize = 5;
+/// The most control hosts of one region that may vote on its claims.
+const MAX_CLAIMS_VOTERS: usize = 3;
+const DEFAULT_STOP_LIMIT_MS: u64 = 30_000;
+const DEFAULT_WORKERS: usize = 2;
+
+/// The checked settings of one process.
+#[derive(Clone, Debug)]
+pub enum Settings {
+    /// A control's.
+    Control(Box<control::settings::Settings>, Identity),
+    /// A node's.
+    Node(Box<node::settings::Settings>, Identity),
+}
+
+/// Files that prove who a process is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The certificate of the mesh's authority.
+    pub authority: path::PathBuf,
+    /// The certificate of this process.
+    pub certificate: path::PathBuf,
+    /// The private key of this process.
+    pub key: path::PathBuf,
+}
+
+/// Reads and checks a settings file.
+pub fn load(file: &str) -> Result<Settings> {
+    let mut reader = ini_reader::Reader::open(file)?;
+    let settings = read(&mut reader);
+    reader.finish()?;
+    Ok(settings.expect("a missing value is a fault, and faults end the reading"))
+}
+
+struct Votes {
+    config: Vec<hosts::HostKey>,
+    claims: Vec<hosts::HostKey>,
+}
+
+struct Common {
+    me: hosts::HostKey,
+    metrics: net::SocketAddr,
+    workers: usize,
+    stop_limit: time::Duration,
+}
+
+fn read(reader: &mut ini_reader::Reader) -> Option<Settings> {
+    let mut mesh = mesh::Mesh::default();
+    let votes = read_controls(reader, &mut mesh);
+    let role = reader.required("host", "role", "node or control", parse_role);
+    let common = read_host(reader, &mut mesh, role);
+    read_links(reader, &mut mesh);
+    let identity = read_identity(reader);
+    match role? {
+        hosts::Role::Control => read_control(reader, mesh, common, votes, identity),
+        hosts::Role::Node => read_node(reader, mesh, common, identity),
+    }
+}
+
+fn read_host(
+    reader: &mut ini_reader::Reader,
+    mesh: &mut mesh::Mesh,
+    role: Option<hosts::Role>,
+) -> Option<Common> {
+    let name = reader.required("host", "name", NAME, parse_name);
+    let region = reader.required("host", "region", NAME, parse_name);
+    let centre = reader.required("host", "data-centre", NAME, parse_name);
+    let addr = reader.required("host", "listen", ADDR, parse_addr);
+    let metrics = reader.required("host", "metrics", ADDR, parse_addr);
+    let workers =
+        reader.optional("host", "workers", "1 to 64", DEFAULT_WORKERS, |it| parse_range(it, 1, 64));
+    let stop_limit =
+        reader.optional("host", "stop-limit-ms", "0 to 600000", DEFAULT_STOP_LIMIT_MS, |it| {
+            parse_range(it, 0, 600_000)
+        });
+    let (name, role, addr) = (name?, role?, addr?);
+    let region = mesh.add_region(&region?);
+    let data_centre = mesh.add_data_centre(&centre?, region);
+    if role == hosts::Role::Control && mesh.find_host(&name).is_none() {
+        let allowed = format_compact!("a section [control.{name}] for this control itself");
+        reader.fault("host", "name", Some(name.clone()), allowed);
+    }
+    let me = mesh.put_host(hosts::Host { name, addr, data_centre, role });
+    let stop_limit = time::Duration::from_millis(stop_limit);
+    Some(Common { me, metrics: metrics?, workers, stop_limit })
+}
+
+fn read_controls(reader: &mut ini_reader::Reader, mesh: &mut mesh::Mesh) -> Votes {
+    let mut votes = Votes { config: Vec::new(), claims: Vec::new() };
+    let names = reader.sections("control");
+    if names.is_empty() {
+        let allowed = "at least one section [control.NAME]".into();
+        reader.fault("control.NAME", "", None, allowed);
+    }
+    for name in names {
+        read_control_host(reader, mesh, &mut votes, name);
+    }
+    if votes.config.is_empty() || votes.config.len() > MAX_CONFIG_VOTERS {
+        let found = format_compact!("{} controls", votes.config.len());
+        let allowed =
+            format_compact!("votes with \"configuration\" in 1 to {MAX_CONFIG_VOTERS} controls");
+        reader.fault("control.NAME", "votes", Some(found), allowed);
+    }
+    check_claims_voters(reader, mesh, &votes);
+    votes
+}
+
+fn read_control_host(
+    reader: &mut ini_reader::Reader,
+    mesh: &mut mesh::Mesh,
+    votes: &mut Votes,
+    name: CompactString,
+) -> Option<()> {
+    let section = format_compact!("control.{name}");
+    let region = reader.required(&section, "region", NAME, parse_name);
+    let centre = reader.required(&section, "data-centre", NAME, parse_name);
+    let addr = reader.required(&section, "address", ADDR, parse_addr);
+    let ballot = reader.required(&section, "votes", VOTES, parse_votes);
+    let region = mesh.add_region(&region?);
+    let data_centre = mesh.add_data_centre(&centre?, region);
+    let host = hosts::Host { name, addr: addr?, data_centre, role: hosts::Role::Control };
+    let key = mesh.put_host(host);
+    let ballot = ballot?;
+    votes.config.extend(ballot.config.then_some(key));
+    votes.claims.extend(ballot.claims.then_some(key));
+    Some(())
+}
+
+fn check_claims_voters(reader: &mut ini_reader::Reader, mesh: &mesh::Mesh, votes: &Votes) {
+    let region = |key: &hosts::HostKey| {
+        let centre = mesh.data_centre(mesh.host(*key)?.data_centre)?;
+        Some(centre.region)
+    };
+    for key in &votes.claims {
+        let voters = votes.claims.iter().filter(|it| region(it) == region(key)).count();
+        let Some(host) = mesh.host(*key) else { continue };
+        if voters > MAX_CLAIMS_VOTERS {
+            let section = format_compact!("control.{}", host.name);
+            let found = format_compact!("{voters} controls of the region");
+            let allowed =
+                format_compact!("votes with \"claims\" in at most {MAX_CLAIMS_VOTERS} per region");
+            reader.fault(&section, "votes", Some(found), allowed);
+            return;
+        }
+    }
+}
+
+fn read_links(reader: &mut ini_reader::Reader, mesh: &mut mesh::Mesh) {
+    let allowed = "one-way latency of DATA-CENTRE/DATA-CENTRE in microseconds, 1 to 10000000";
+    for key in reader.keys("links") {
+        let micros = reader.required("links", &key, allowed, |it| parse_range(it, 1, 10_000_000));
+        let ends = key.split_once('/').and_then(|(a, b)| {
+            Some((mesh.find_data_centre(a.trim())?, mesh.find_data_centre(b.trim())?))
+        });
+        match (ends, micros) {
+            (Some((a, b)), Some(micros)) => {
+                mesh.put_link(a, b, time::Duration::from_micros(micros));
+            }
+            (None, _) => {
+                reader.fault("links", &key, None, "two known data centres as NAME/NAME".into());
+            }
+            (Some(_), None) => {}
+        }
+    }
+}
+
+fn read_identity(reader: &mut ini_reader::Reader) -> Option<Identity> {
+    let mut path = |key| reader.required("identity", key, "the path of a PEM file", parse_path);
+    let authority = path("authority");
+    let certificate = path("certificate");
+    let key = path("key");
+    Some(Identity { authority: authority?, certificate: certificate?, key: key? })
+}
+
+fn read_node(
+    reader: &mut ini_reader::Reader,
+    mesh: mesh::Mesh,
+    common: Option<Common>,
+    identity: Option<Identity>,
+) -> Option<Settings> {
+    let callers = reader.required("node", "callers", ADDR, parse_addr);
+    let announce = reader.required("node", "announce", ADDR, parse_addr);
+    let Common { me, metrics, workers, stop_limit } = common?;
+    let settings = node::settings::Settings {
+        mesh,
+        me,
+        callers: callers?,
+        announce: announce?,
+        metrics,
+        workers,
+        stop_limit,
+    };
+    Some(Settings::Node(Box::new(settings), identity?))
+}
+
+fn read_control(
+    reader: &mut ini_reader::Reader,
+    mesh: mesh::Mesh,
+    common: Option<Common>,
+    votes: Votes,
+    identity: Option<Identity>,
+) -> Option<Settings> {
+    let operators = reader.required("control", "operators", ADDR, parse_addr);
+    let token = reader.required("control", "token", TOKEN, parse_token);
+    let data = reader.required("control", "data", "the path of a folder", parse_path);
+    let Common { me, metrics, workers, stop_limit } = common?;
+    let settings = control::settings::Settings {
+        mesh,
+        me,
+        config_voters: votes.config,
+        claims_voters: votes.claims,
+        operators: operators?,
+        token: token?,
+        metrics,
+        data: data?,
+        workers,
+        stop_limit,
+    };
+    Some(Settings::Control(Box::new(settings), identity?))
+}
+
+const ADDR: &str = "an IP address and a port, as 127.0.0.1:7000";
+const NAME: &str = "1 to 64 letters, digits, '-', '_' or '.'";
+const TOKEN: &str = "at least 16 visible ASCII characters";
+const VOTES: &str = "any of the words configuration, claims; or none";
+
+#[derive(Clone, Copy, Default)]
+struct Ballot {
+    config: bool,
+    claims: bool,
+}
+
+fn parse_name(text: &str) -> Option<CompactString> {
+    let allowed = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
+    let good = (1..=64).contains(&text.len()) && text.chars().all(allowed);
+    good.then(|| text.into())
+}
+
+fn parse_role(text: &str) -> Option<hosts::Role> {
+    match text {
+        "control" => Some(hosts::Role::Control),
+        "node" => Some(hosts::Role::Node),
+        _ => None,
+    }
+}
+
+fn parse_addr(text: &str) -> Option<net::SocketAddr> {
+    text.parse().ok()
+}
+
+fn parse_path(text: &str) -> Option<path::PathBuf> {
+    (!text.is_empty()).then(|| text.into())
+}
+
+fn parse_token(text: &str) -> Option<CompactString> {
+    let good = text.len() >= 16 && text.chars().all(|it| it.is_ascii_graphic());
+    good.then(|| text.into())
+}
+
+fn parse_range<T: Copy + Ord + std::str::FromStr>(text: &str, low: T, high: T) -> Option<T> {
+    text.parse().ok().filter(|it| (low..=high).contains(it))
+}
+
+fn parse_votes(text: &str) -> Option<Ballot> {
+    let mut ballot = Ballot::default();
+    for word in text.split_whitespace() {
+        match word {
+            "claims" => ballot.claims = true,
+            "configuration" => ballot.config = true,
+            "none" => {}
+            _ => return None,
+        }
+    }
+    (!text.trim().is_empty()).then_some(ballot)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,3 @@
 //! The role beside a backend server: takes requests, routes them and admits work.
+
+pub mod settings;
