--- /dev/null
+++ b/crates/protocol/src/forwarding.rs
@@ -0,0 +1,105 @@
+//! Requests that one node passes to another.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use world::requests;
+
+/// A header field of a request or an answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Field {
+    /// The name, in lower case.
+    pub name: CompactString,
+    /// The value, which need not be text.
+    pub value: Vec<u8>,
+}
+
+/// The head of a forwarded request; the body follows as byte frames on the same stream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RequestHead {
+    /// The service that the sender's configuration names for the request.
+    pub service: CompactString,
+    /// The route that the sender chose.
+    pub route: CompactString,
+    /// The incarnation of the backend server that the sender chose.
+    pub incarnation: u64,
+    /// The HTTP method.
+    pub method: CompactString,
+    /// Path and query.
+    pub path: CompactString,
+    /// Header fields, end to end only.
+    pub fields: Vec<Field>,
+    /// Who asked.
+    pub class: requests::Class,
+    /// Share of a crowded target, against other routes.
+    pub weight: u32,
+    /// What is left of the time limit, in microseconds.
+    pub left_micros: u64,
+    /// How deep in a chain of calls this request is.
+    pub depth: u8,
+    /// Sends that may still be made below this request.
+    pub sends: u8,
+    /// Identifies requests that do the same.
+    pub fingerprint: requests::Fingerprint,
+    /// Whether earlier evidence says that this request may crash a backend server.
+    pub suspect: bool,
+}
+
+/// Why a target's node did not run a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum NotRun {
+    /// The backend server is gone, has another incarnation, or runs another service.
+    Absent,
+    /// The backend server is draining.
+    Draining,
+    /// The wait would have taken longer than the time that is left.
+    Late,
+    /// The queue is full.
+    Full,
+    /// A request of this fingerprint crashes backend servers.
+    Quarantined,
+    /// The backend server refused the connection.
+    Refused,
+    /// The node is stopping.
+    Stopping,
+}
+
+/// How a target's load stands when it answers.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests that may run at the same time.
+    pub slots: u32,
+    /// Moving estimate of the time that a request runs, in microseconds.
+    pub service_micros: u32,
+}
+
+/// The head of an answer; for [`AnswerHead::Answered`] the body follows as byte frames.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum AnswerHead {
+    /// The backend server answered.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+        /// Header fields, end to end only.
+        fields: Vec<Field>,
+        /// The target's load.
+        load: Load,
+    },
+    /// The request was certainly not run.
+    NotRun {
+        /// Why.
+        reason: NotRun,
+        /// The target's load.
+        load: Load,
+    },
+    /// The backend server may have run the request, in full or in part.
+    Unknown {
+        /// What was seen.
+        detail: CompactString,
+        /// The target's load.
+        load: Load,
+    },
+}
