Add admission: slots, weight-fair queue, long work, suspects

Cause: the design gives each target a gate that decides what runs, waits or is refused; the crate was empty. Change: the gate with its queue, measured service times, classification of long routes and stragglers, internal share, suspects, drain and cold start.

--- /dev/null
+++ b/crates/admission/src/dispatch.rs
@@ -0,0 +1,155 @@
+//! Which waiting request gets a free slot.
+
+use std::time;
+
+use world::{requests::Class, time::Time};
+
+use crate::{gate, limits, queue, requests, routes, work};
+
+/// How long after the last internal call a slot is kept for the next one. Services that call one
+/// another do so all the time; a target without such calls gives callers every slot.
+const INTERNAL_MEMORY: time::Duration = time::Duration::from_secs(60);
+
+impl gate::Gate {
+    /// Starts waiting work while there are slots, and refuses what waits in vain.
+    pub(crate) fn dispatch(&mut self, now: Time, effects: &mut Vec<work::Effect>) {
+        let slots = self.slots(now);
+        while self.counts.running() < slots {
+            let Some((lane, key)) = self.next(now, slots) else {
+                break;
+            };
+            if self.is_late(now, lane, key) {
+                self.refuse(key, work::Reason::Deadline, effects);
+                continue;
+            }
+            self.start(now, lane, key);
+            effects.push(work::Effect::Start(key));
+        }
+        self.refuse_blocked(now, slots, effects);
+    }
+
+    /// When a slot that is kept for internal calls becomes free for callers.
+    pub(crate) fn memory_end(&self) -> Option<Time> {
+        self.internal_seen.map(|it| it + INTERNAL_MEMORY)
+    }
+
+    /// Slots that callers' work may hold. One is kept free for internal calls: callers' work
+    /// that holds all slots and waits for internal calls to the same target would wait forever.
+    pub(crate) fn caller_slots(&self, now: Time, slots: u32) -> u32 {
+        let recent = self.memory_end().is_some_and(|it| now < it);
+        let kept = self.mechanisms.internal && slots > 1 && recent;
+        slots - u32::from(kept)
+    }
+
+    fn next(&self, now: Time, slots: u32) -> Option<(routes::LaneKey, work::RequestKey)> {
+        let callers = self.caller_slots(now, slots);
+        let long = self.caller_long_slots(now, slots);
+        let caller = || {
+            let free = !self.mechanisms.internal || self.counts.callers < callers;
+            free.then(|| self.next_of(Class::Caller, self.counts.held < long)).flatten()
+        };
+        // The first internal call may be long even if callers' stragglers hold what long work
+        // may hold, since it may be what they wait for.
+        let long = self.counts.internal == 0 || self.counts.held < limits::long_slots(slots);
+        let internal = || self.next_of(Class::Internal, long);
+        if self.mechanisms.internal && self.internal_due(slots) {
+            return internal().or_else(caller);
+        }
+        caller().or_else(internal)
+    }
+
+    /// Slots that callers' long work and stragglers may hold. The slot that is kept for internal
+    /// calls does not count as one left to short work.
+    pub(crate) fn caller_long_slots(&self, now: Time, slots: u32) -> u32 {
+        let kept = slots - self.caller_slots(now, slots);
+        limits::long_slots(slots).saturating_sub(kept).max(1)
+    }
+
+    /// Whether internal calls have less than their minimum share.
+    fn internal_due(&self, slots: u32) -> bool {
+        if slots == 1 {
+            return self.caller_starts >= limits::CALLER_STARTS;
+        }
+        self.counts.internal < limits::internal_slots(slots)
+    }
+
+    fn next_of(&self, class: Class, long: bool) -> Option<(routes::LaneKey, work::RequestKey)> {
+        let open = |lane| !self.mechanisms.long || long || !self.counts_as_long(lane);
+        let ready = |key| {
+            let suspect = self.requests.get(key).is_some_and(|it| it.work.suspect);
+            !self.mechanisms.suspects || self.suspects.allow(suspect)
+        };
+        self.queue(class).next(self.order(), open, ready)
+    }
+
+    /// Whether work of the lane that starts now counts as long. A route without measurements may
+    /// run one request as short work, by which it is measured; more of them could be long.
+    pub(crate) fn counts_as_long(&self, lane: routes::LaneKey) -> bool {
+        match self.routes.length(lane) {
+            routes::Length::Long => true,
+            routes::Length::Short => false,
+            routes::Length::Unmeasured => self.routes.running(lane) > 0,
+        }
+    }
+
+    pub(crate) fn order(&self) -> queue::Order {
+        if self.mechanisms.weights { queue::Order::Weight } else { queue::Order::Arrival }
+    }
+
+    fn is_late(&self, now: Time, lane: routes::LaneKey, key: work::RequestKey) -> bool {
+        let Some(it) = self.requests.get(key) else {
+            return true;
+        };
+        self.mechanisms.deadlines && now > self.routes.latest_start(lane, it.work.deadline)
+    }
+
+    fn start(&mut self, now: Time, lane: routes::LaneKey, key: work::RequestKey) {
+        let long = self.counts_as_long(lane);
+        let mean = self.routes.mean(lane);
+        let Some(it) = self.requests.get_mut(key) else {
+            return;
+        };
+        it.state = requests::State::Running(requests::Run { started: now, long, straggler: false });
+        let work = it.work;
+        self.queue_mut(work.class).start(lane, key, mean);
+        self.counts.start(work.class, long);
+        self.suspects.add(work.suspect);
+        self.routes.start(lane);
+        self.caller_starts = match work.class {
+            Class::Caller => self.caller_starts.saturating_add(1),
+            Class::Internal => 0,
+        };
+        self.arm_straggler(key);
+    }
+
+    /// Sets the point from which a running request is a straggler, when its route is measured.
+    pub(crate) fn arm_straggler(&mut self, key: work::RequestKey) {
+        let Some(it) = self.requests.get(key) else {
+            return;
+        };
+        let requests::State::Running(run) = it.state else {
+            return;
+        };
+        let at = self.routes.median(it.lane).map(|it| {
+            let micros = u64::from(it) * u64::from(routes::LONG_FACTOR);
+            run.started + time::Duration::from_micros(micros + 1)
+        });
+        self.requests.set_timer(key, at);
+    }
+
+    /// When stragglers hold every slot, nothing tells when one becomes free; movable work is
+    /// better off at another target.
+    fn refuse_blocked(&mut self, now: Time, slots: u32, effects: &mut Vec<work::Effect>) {
+        if !self.mechanisms.blocked || self.counts.stragglers < self.caller_slots(now, slots) {
+            return;
+        }
+        let mut keys: Vec<work::RequestKey> = self.callers.keys().collect();
+        if self.counts.stragglers >= slots {
+            keys.extend(self.internal.keys());
+        }
+        keys.retain(|&it| self.requests.get(it).is_some_and(|it| it.work.movable));
+        for key in keys {
+            self.refuse(key, work::Reason::Blocked, effects);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/gate.rs
@@ -0,0 +1,367 @@
+//! Admission of one target: offered work runs, waits or is refused.
+
+use std::time;
+
+use world::{contracts, requests::Class, time::Time};
+
+use crate::{limits, load, queue, requests, routes, service_times, suspects, work};
+
+/// Admission of one target.
+///
+/// Each method first does what has become due. Whoever drives a gate performs the effects in
+/// order, and calls [`Gate::tick`] at [`Gate::next_deadline`].
+#[derive(Debug)]
+pub struct Gate {
+    limits: limits::Limits,
+    ramp: Option<limits::Ramp>,
+    draining: bool,
+    pub(crate) mechanisms: limits::Mechanisms,
+    pub(crate) requests: requests::Requests,
+    pub(crate) routes: routes::Routes,
+    pub(crate) callers: queue::Queue,
+    pub(crate) internal: queue::Queue,
+    pub(crate) counts: Counts,
+    pub(crate) suspects: suspects::Suspects,
+    pub(crate) internal_seen: Option<Time>,
+    /// Callers' starts since the last internal one.
+    pub(crate) caller_starts: u32,
+}
+
+/// Slots in use.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) callers: u32,
+    pub(crate) internal: u32,
+    /// Those with long work or a straggler.
+    pub(crate) held: u32,
+    pub(crate) stragglers: u32,
+}
+
+impl Counts {
+    pub(crate) fn running(self) -> u32 {
+        self.callers + self.internal
+    }
+
+    pub(crate) fn start(&mut self, class: Class, long: bool) {
+        *self.of(class) += 1;
+        self.held += u32::from(long);
+    }
+
+    fn stop(&mut self, class: Class, run: requests::Run) {
+        *self.of(class) -= 1;
+        self.held -= u32::from(run.long || run.straggler);
+        self.stragglers -= u32::from(run.straggler);
+    }
+
+    fn of(&mut self, class: Class) -> &mut u32 {
+        match class {
+            Class::Caller => &mut self.callers,
+            Class::Internal => &mut self.internal,
+        }
+    }
+}
+
+impl Gate {
+    /// A gate without work. A backend server that has just started has a ramp.
+    pub fn new(
+        limits: limits::Limits,
+        ramp: Option<limits::Ramp>,
+        mechanisms: limits::Mechanisms,
+    ) -> Gate {
+        Gate {
+            limits,
+            ramp,
+            draining: false,
+            mechanisms,
+            requests: requests::Requests::default(),
+            routes: routes::Routes::default(),
+            callers: queue::Queue::default(),
+            internal: queue::Queue::default(),
+            counts: Counts::default(),
+            suspects: suspects::Suspects::default(),
+            internal_seen: None,
+            caller_starts: 0,
+        }
+    }
+
+    /// Decides about new work.
+    pub fn offer(&mut self, now: Time, work: work::Work) -> work::Offered {
+        let mut effects = self.advance(now);
+        let answer = self.admit(now, work, &mut effects);
+        work::Offered { answer, effects }
+    }
+
+    /// Frees the slot of a request that ended. An unknown key changes nothing.
+    pub fn finish(
+        &mut self,
+        now: Time,
+        key: work::RequestKey,
+        outcome: work::Outcome,
+    ) -> Vec<work::Effect> {
+        let mut effects = self.advance(now);
+        if let Some((lane, run)) = self.remove(key) {
+            self.measure(lane, now.since(run.started), outcome);
+            self.routes.leave(lane);
+        }
+        // A first median shows stragglers that are to be known before the slot is given on.
+        self.fire_timers(now, &mut effects);
+        self.dispatch(now, &mut effects);
+        effects
+    }
+
+    /// Forgets a request whose caller has gone, whether it runs or waits.
+    pub fn cancel(&mut self, now: Time, key: work::RequestKey) -> Vec<work::Effect> {
+        // The elapsed time is a lower bound, as with a timeout.
+        self.finish(now, key, work::Outcome::TimedOut)
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, now: Time) -> Vec<work::Effect> {
+        self.advance(now)
+    }
+
+    /// When [`Gate::tick`] has something to do next, unless another call comes first.
+    pub fn next_deadline(&self, now: Time) -> Option<Time> {
+        let waits = self.waiting() > 0;
+        let step = self.limits.next_step(self.ramp, now).filter(|_| waits);
+        let memory = self.memory_end().filter(|&it| waits && it > now);
+        [self.requests.next_timer(), step, memory].into_iter().flatten().min()
+    }
+
+    /// Changes the limits. Work that runs is not cut off when there are fewer slots.
+    pub fn set_limits(&mut self, now: Time, limits: limits::Limits) -> Vec<work::Effect> {
+        let mut effects = self.advance(now);
+        self.limits = limits;
+        self.dispatch(now, &mut effects);
+        self.trim(&mut effects);
+        effects
+    }
+
+    /// Refuses all new and waiting work from now on; what runs is finished.
+    pub fn drain(&mut self, now: Time) -> Vec<work::Effect> {
+        let mut effects = self.advance(now);
+        self.draining = true;
+        let keys: Vec<_> = self.callers.keys().chain(self.internal.keys()).collect();
+        for key in keys {
+            self.refuse(key, work::Reason::Draining, &mut effects);
+        }
+        effects
+    }
+
+    /// Marks a request as a suspect or clears it. Of two suspects that already run, both go on.
+    pub fn set_suspect(
+        &mut self,
+        now: Time,
+        key: work::RequestKey,
+        suspect: bool,
+    ) -> Vec<work::Effect> {
+        let mut effects = self.advance(now);
+        if let Some(it) = self.requests.get_mut(key) {
+            if let requests::State::Running(_) = it.state {
+                self.suspects.remove(it.work.suspect);
+                self.suspects.add(suspect);
+            }
+            it.work.suspect = suspect;
+        }
+        self.dispatch(now, &mut effects);
+        effects
+    }
+
+    /// Carries measurements over to a new version of the configuration, in which routes have
+    /// other keys. Called between the last offer of the old version and the first of the new.
+    pub fn rename_routes(
+        &mut self,
+        rename: impl FnMut(contracts::RouteKey) -> Option<contracts::RouteKey>,
+    ) {
+        self.routes.rename(rename);
+    }
+
+    /// The load to report on answers.
+    pub fn load(&self, now: Time) -> load::LoadReport {
+        load::LoadReport {
+            in_flight: self.counts.running(),
+            queued: u32::try_from(self.waiting()).unwrap_or(u32::MAX),
+            slots: if self.draining { 0 } else { self.slots(now) },
+            service_time: time::Duration::from_micros(self.routes.overall_mean()),
+        }
+    }
+
+    /// Slots that long work and stragglers hold.
+    pub fn held_slots(&self) -> u32 {
+        self.counts.held
+    }
+
+    /// Whether nothing runs and nothing waits, which ends a drain.
+    pub fn is_idle(&self) -> bool {
+        self.counts.running() == 0 && self.waiting() == 0
+    }
+
+    pub(crate) fn slots(&self, now: Time) -> u32 {
+        self.limits.slots_at(self.ramp, now)
+    }
+
+    pub(crate) fn queue(&self, class: Class) -> &queue::Queue {
+        match class {
+            Class::Caller => &self.callers,
+            Class::Internal => &self.internal,
+        }
+    }
+
+    pub(crate) fn queue_mut(&mut self, class: Class) -> &mut queue::Queue {
+        match class {
+            Class::Caller => &mut self.callers,
+            Class::Internal => &mut self.internal,
+        }
+    }
+
+    /// Refuses a request that waits.
+    pub(crate) fn refuse(
+        &mut self,
+        key: work::RequestKey,
+        reason: work::Reason,
+        effects: &mut Vec<work::Effect>,
+    ) {
+        self.remove(key);
+        effects.push(work::Effect::Refuse(key, reason));
+    }
+
+    fn admit(
+        &mut self,
+        now: Time,
+        work: work::Work,
+        effects: &mut Vec<work::Effect>,
+    ) -> work::Answer {
+        if self.draining {
+            return work::Answer::Refuse(work::Reason::Draining);
+        }
+        let lane = self.routes.lane(work.route);
+        let latest = self.routes.latest_start(lane, work.deadline);
+        if self.mechanisms.deadlines && now > latest {
+            return work::Answer::Refuse(work::Reason::Deadline);
+        }
+        if work.class == Class::Internal {
+            self.internal_seen = Some(now);
+        }
+        let start = now + self.expected_wait(now, lane, work.class);
+        let key = self.enqueue(work, lane, latest);
+        self.dispatch(now, effects);
+        let mut own = Vec::new();
+        if self.is_waiting(key) && self.mechanisms.deadlines && start > latest {
+            self.refuse(key, work::Reason::Deadline, &mut own);
+        }
+        effects.append(&mut own);
+        self.trim(effects);
+        take_answer(key, effects)
+    }
+
+    fn enqueue(
+        &mut self,
+        work: work::Work,
+        lane: routes::LaneKey,
+        latest: Time,
+    ) -> work::RequestKey {
+        let key = self.requests.insert(work, lane);
+        self.routes.enter(lane);
+        let cost = self.routes.mean(lane);
+        self.queue_mut(work.class).push(lane, work.weight, key, cost);
+        if self.mechanisms.deadlines && work.deadline < Time::MAX {
+            self.requests.set_timer(key, Some(latest));
+        }
+        key
+    }
+
+    fn is_waiting(&self, key: work::RequestKey) -> bool {
+        self.requests.get(key).is_some_and(|it| matches!(it.state, requests::State::Waiting))
+    }
+
+    /// Refuses the work that exceeds the queue's limit. Callers' work comes before internal calls
+    /// beyond their share of the queue.
+    fn trim(&mut self, effects: &mut Vec<work::Effect>) {
+        while self.waiting() > self.limits.queue as usize {
+            let internal = self.internal.len() > self.limits.internal_queue();
+            let (first, second) = match internal {
+                true => (&self.internal, &self.callers),
+                false => (&self.callers, &self.internal),
+            };
+            let order = self.order();
+            let Some(key) = first.last(order).or_else(|| second.last(order)) else {
+                return;
+            };
+            self.refuse(key, work::Reason::QueueFull, effects);
+        }
+    }
+
+    fn advance(&mut self, now: Time) -> Vec<work::Effect> {
+        let mut effects = Vec::new();
+        self.fire_timers(now, &mut effects);
+        if self.waiting() > 0 {
+            self.dispatch(now, &mut effects);
+        }
+        effects
+    }
+
+    /// Marks stragglers and refuses waiting work whose latest start has passed.
+    fn fire_timers(&mut self, now: Time, effects: &mut Vec<work::Effect>) {
+        while let Some(key) = self.requests.pop_timer(now) {
+            if self.is_waiting(key) {
+                self.refuse(key, work::Reason::Deadline, effects);
+                continue;
+            }
+            let Some(it) = self.requests.get_mut(key) else {
+                continue;
+            };
+            if let requests::State::Running(run) = &mut it.state {
+                run.straggler = true;
+                self.counts.stragglers += 1;
+                self.counts.held += u32::from(!run.long);
+            }
+        }
+    }
+
+    fn waiting(&self) -> usize {
+        self.callers.len() + self.internal.len()
+    }
+
+    /// Takes a request out. The lane of one that ran is left to the caller, which measures it.
+    fn remove(&mut self, key: work::RequestKey) -> Option<(routes::LaneKey, requests::Run)> {
+        let it = self.requests.remove(key)?;
+        let requests::State::Running(run) = it.state else {
+            self.queue_mut(it.work.class).remove(it.lane, key);
+            self.routes.leave(it.lane);
+            return None;
+        };
+        self.counts.stop(it.work.class, run);
+        self.suspects.remove(it.work.suspect);
+        self.routes.stop(it.lane);
+        Some((it.lane, run))
+    }
+
+    fn measure(&mut self, lane: routes::LaneKey, elapsed: time::Duration, outcome: work::Outcome) {
+        let micros = service_times::as_micros(elapsed);
+        let counts = match outcome {
+            work::Outcome::Answered => true,
+            work::Outcome::Failed => false,
+            work::Outcome::TimedOut => self.routes.median(lane).is_some_and(|it| micros > it),
+        };
+        if !counts || !self.routes.record(lane, micros) {
+            return;
+        }
+        // Requests that started before the route was measured can be told as stragglers now.
+        let unarmed = self.requests.iter().filter(|(_, it)| it.lane == lane);
+        let keys: Vec<work::RequestKey> = unarmed.map(|(key, _)| key).collect();
+        for key in keys {
+            self.arm_straggler(key);
+        }
+    }
+}
+
+/// Takes the effect about the offered request out of the effects as the offer's answer.
+fn take_answer(key: work::RequestKey, effects: &mut Vec<work::Effect>) -> work::Answer {
+    let Some(index) = effects.iter().position(|it| it.key() == key) else {
+        return work::Answer::Wait(key);
+    };
+    match effects.remove(index) {
+        work::Effect::Start(key) => work::Answer::Run(key),
+        work::Effect::Refuse(_, reason) => work::Answer::Refuse(reason),
+    }
+}
--- /dev/null
+++ b/crates/admission/src/limits.rs
@@ -0,0 +1,103 @@
+//! How much work a target takes.
+
+use std::time;
+
+use world::time::Time;
+
+/// One slot in this many is the minimum share of internal calls.
+const INTERNAL_SHARE: u32 = 8;
+
+/// Limits of one target.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Requests that run at the same time.
+    pub slots: u32,
+    /// Requests that may wait.
+    pub queue: u32,
+}
+
+/// A cold start: the number of slots grows evenly up to the limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Ramp {
+    /// When the backend server started.
+    pub since: Time,
+    /// How long the growth takes.
+    pub length: time::Duration,
+}
+
+/// Which protective mechanisms are in force. For tests, which show that a case fails without one.
+#[derive(Clone, Copy, Debug)]
+pub struct Mechanisms {
+    /// Refuse movable work while stragglers hold every slot.
+    pub blocked: bool,
+    /// Refuse what cannot make its deadline.
+    pub deadlines: bool,
+    /// Give internal calls their minimum share, and callers the rest.
+    pub internal: bool,
+    /// Keep slots free of long work and stragglers.
+    pub long: bool,
+    /// Keep suspects apart.
+    pub suspects: bool,
+    /// Order by weight; otherwise by arrival.
+    pub weights: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Mechanisms {
+        Mechanisms {
+            blocked: true,
+            deadlines: true,
+            internal: true,
+            long: true,
+            suspects: true,
+            weights: true,
+        }
+    }
+}
+
+impl Limits {
+    /// The slots in force at `now`.
+    pub(crate) fn slots_at(self, ramp: Option<Ramp>, now: Time) -> u32 {
+        let Some(ramp) = ramp else {
+            return self.slots;
+        };
+        let gone = now.since(ramp.since).as_micros();
+        let length = ramp.length.as_micros();
+        if gone >= length {
+            return self.slots;
+        }
+        let grown = u128::from(self.slots) * gone / length;
+        u32::try_from(grown).unwrap_or(self.slots).max(1).min(self.slots)
+    }
+
+    /// When the next slot comes into force, if the cold start is not over.
+    pub(crate) fn next_step(self, ramp: Option<Ramp>, now: Time) -> Option<Time> {
+        let ramp = ramp?;
+        let next = self.slots_at(Some(ramp), now) + 1;
+        if next > self.slots {
+            return None;
+        }
+        let micros = (ramp.length.as_micros() * u128::from(next)).div_ceil(self.slots.into());
+        let micros = u64::try_from(micros).unwrap_or(u64::MAX);
+        Some(ramp.since + time::Duration::from_micros(micros))
+    }
+
+    /// Waiting requests that internal calls may always have.
+    pub(crate) fn internal_queue(self) -> usize {
+        self.queue.div_ceil(INTERNAL_SHARE) as usize
+    }
+}
+
+/// Slots that internal calls get before callers' work.
+pub(crate) fn internal_slots(slots: u32) -> u32 {
+    // With a single slot, internal calls get a share of its starts instead.
+    if slots == 1 { 0 } else { slots.div_ceil(INTERNAL_SHARE) }
+}
+
+/// Callers' starts on a single slot after which a waiting internal call is next.
+pub(crate) const CALLER_STARTS: u32 = INTERNAL_SHARE - 1;
+
+/// Slots that long work and stragglers may hold.
+pub(crate) fn long_slots(slots: u32) -> u32 {
+    slots.saturating_sub((slots / 4).max(1)).max(1)
+}
--- /dev/null
+++ b/crates/admission/src/load.rs
@@ -0,0 +1,18 @@
+//! A target's load, as it travels back on answers.
+
+use std::time;
+
+use serde::{Deserialize, Serialize};
+
+/// The load of a target when an answer left it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub in_flight: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Slots in force, fewer than configured during a cold start; zero while the target drains.
+    pub slots: u32,
+    /// Moving mean of the time that a request runs; zero before the first answer.
+    pub service_time: time::Duration,
+}
--- /dev/null
+++ b/crates/admission/src/routes.rs
@@ -0,0 +1,164 @@
+//! What a gate has measured about routes, and which of them are long.
+
+use slotmap::{SecondaryMap, SlotMap};
+use world::{contracts, time::Time};
+
+use crate::service_times;
+
+slotmap::new_key_type! {
+    /// Key of a [`Lane`]. It stays the same when a new version renumbers the routes.
+    pub(crate) struct LaneKey;
+}
+
+/// A route is long from this multiple of the typical short work on; work is a straggler from
+/// this multiple of its route's median on.
+pub(crate) const LONG_FACTOR: u32 = 8;
+/// Answers between two classifications of the routes.
+const REFRESH_ANSWERS: usize = 32;
+
+/// What is known about one route.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lane {
+    times: service_times::ServiceTimes,
+    /// Answers of late, halved at each classification.
+    answers: u32,
+    running: u32,
+    requests: u32,
+    mapped: bool,
+}
+
+/// All routes of one gate.
+#[derive(Debug, Default)]
+pub(crate) struct Routes {
+    lanes: SlotMap<LaneKey, Lane>,
+    index: SecondaryMap<contracts::RouteKey, LaneKey>,
+    /// Median of the typical short work in microseconds.
+    typical: Option<u32>,
+    overall: service_times::MovingMean,
+    answers: usize,
+}
+
+/// How long a route's work is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Length {
+    Long,
+    Short,
+    Unmeasured,
+}
+
+impl Routes {
+    /// The lane of a route, added when it is new.
+    pub(crate) fn lane(&mut self, route: contracts::RouteKey) -> LaneKey {
+        if let Some(&key) = self.index.get(route) {
+            return key;
+        }
+        let key = self.lanes.insert(Lane { mapped: true, ..Lane::default() });
+        self.index.insert(route, key);
+        key
+    }
+
+    /// Moves the lanes to the routes of a new version.
+    pub(crate) fn rename(
+        &mut self,
+        mut rename: impl FnMut(contracts::RouteKey) -> Option<contracts::RouteKey>,
+    ) {
+        let old = std::mem::take(&mut self.index);
+        for (route, lane) in old {
+            let new = rename(route);
+            self.lanes[lane].mapped = new.is_some();
+            if let Some(new) = new {
+                self.index.insert(new, lane);
+            }
+        }
+        self.lanes.retain(|_, it| it.mapped || it.requests > 0);
+    }
+
+    pub(crate) fn length(&self, lane: LaneKey) -> Length {
+        let Some(median) = self.median(lane) else {
+            return Length::Unmeasured;
+        };
+        let long = self.typical.is_some_and(|it| median > it.saturating_mul(LONG_FACTOR));
+        if long { Length::Long } else { Length::Short }
+    }
+
+    pub(crate) fn median(&self, lane: LaneKey) -> Option<u32> {
+        self.lanes[lane].times.median()
+    }
+
+    /// Mean service time of the route in microseconds, or of the target if there is none.
+    pub(crate) fn mean(&self, lane: LaneKey) -> u64 {
+        self.lanes[lane].times.mean().unwrap_or_else(|| self.overall_mean())
+    }
+
+    /// Mean service time on the target in microseconds; zero before the first answer.
+    pub(crate) fn overall_mean(&self) -> u64 {
+        self.overall.get().unwrap_or(0)
+    }
+
+    /// The last point at which work of the route can start and still make `deadline`.
+    pub(crate) fn latest_start(&self, lane: LaneKey, deadline: Time) -> Time {
+        let median = self.median(lane).unwrap_or(0);
+        Time::from_micros(deadline.as_micros().saturating_sub(median.into()))
+    }
+
+    pub(crate) fn running(&self, lane: LaneKey) -> u32 {
+        self.lanes[lane].running
+    }
+
+    pub(crate) fn enter(&mut self, lane: LaneKey) {
+        self.lanes[lane].requests += 1;
+    }
+
+    pub(crate) fn start(&mut self, lane: LaneKey) {
+        self.lanes[lane].running += 1;
+    }
+
+    pub(crate) fn stop(&mut self, lane: LaneKey) {
+        self.lanes[lane].running -= 1;
+    }
+
+    pub(crate) fn leave(&mut self, lane: LaneKey) {
+        let it = &mut self.lanes[lane];
+        it.requests -= 1;
+        if it.requests == 0 && !it.mapped {
+            self.lanes.remove(lane);
+        }
+    }
+
+    /// Adds a measured time. Returns whether the route's median is known from now on.
+    pub(crate) fn record(&mut self, lane: LaneKey, micros: u32) -> bool {
+        let it = &mut self.lanes[lane];
+        it.answers += 1;
+        let known = it.times.record(micros);
+        self.overall.record(micros);
+        self.answers += 1;
+        if known || self.answers >= REFRESH_ANSWERS.max(self.lanes.len()) {
+            self.answers = 0;
+            self.classify();
+        }
+        known
+    }
+
+    /// Finds the median that a quarter of the answers stays at or below. The lowest median would
+    /// let one rare, quick route make all others long; the median of all answers would hide short
+    /// work from long work that is more frequent.
+    fn classify(&mut self) {
+        let mut medians: Vec<(u32, u32)> = Vec::with_capacity(self.lanes.len());
+        for lane in self.lanes.values_mut() {
+            if let Some(median) = lane.times.median() {
+                medians.push((median, lane.answers));
+            }
+            lane.answers = lane.answers.div_ceil(2);
+        }
+        medians.sort_unstable();
+        let total: u32 = medians.iter().map(|it| it.1).sum();
+        let mut sum = 0;
+        self.typical = medians
+            .iter()
+            .find(|it| {
+                sum += it.1;
+                sum * 4 >= total
+            })
+            .map(|it| it.0);
+    }
+}
