--- /dev/null
+++ b/crates/admission/tests/mechanisms.rs
@@ -0,0 +1,215 @@
+//! What each protective mechanism does, and that its case fails without it.
+
+mod support;
+
+use std::fmt::Write as _;
+
+use admission::{limits, work};
+use support::{Event, Target, ms};
+use world::requests::Class;
+
+const ON: limits::Mechanisms = limits::Mechanisms {
+    blocked: true,
+    deadlines: true,
+    internal: true,
+    long: true,
+    suspects: true,
+    weights: true,
+};
+
+/// Offers demand of three times the capacity by routes of weight 10, 20 and 50.
+fn crest(mechanisms: limits::Mechanisms) -> Vec<usize> {
+    let mut target = Target::new(6, 24, mechanisms);
+    for _ in 0..6_000 {
+        for (route, weight) in [10, 20, 50].into_iter().enumerate() {
+            let mut work = target.work(route);
+            work.weight = weight;
+            work.deadline = target.now + ms(1_000);
+            target.offer(work, ms(6));
+        }
+        target.run_until(target.now + ms(1));
+    }
+    (0..3).map(|it| target.finished(it)).collect()
+}
+
+/// Guards against routes that share a crowded target otherwise than by weight.
+#[test]
+fn weight_shares() {
+    let on = crest(ON);
+    let off = crest(limits::Mechanisms { weights: false, ..ON });
+    insta::assert_snapshot!(format!("by weight {on:?}, by arrival {off:?}"));
+    for (route, share) in [1.0, 2.0, 5.0].into_iter().enumerate() {
+        let got = on[route] as f64 / on.iter().sum::<usize>() as f64;
+        assert!((got - share / 8.0).abs() < 0.02, "route {route} has a share of {got}");
+    }
+    let got = off[2] as f64 / off.iter().sum::<usize>() as f64;
+    assert!((got - 1.0 / 3.0).abs() < 0.02, "by arrival, the heavy route has a share of {got}");
+}
+
+/// Counts starts of callers' and internal work while each could fill the target alone.
+fn both_classes(slots: u32, mechanisms: limits::Mechanisms) -> (usize, usize) {
+    let mut target = Target::new(slots, 4 * slots, mechanisms);
+    for _ in 0..400 {
+        for class in [Class::Internal, Class::Caller] {
+            for _ in 0..slots {
+                let mut work = target.work(usize::from(class == Class::Internal));
+                work.class = class;
+                target.offer(work, ms(5));
+            }
+        }
+        target.run_until(target.now + ms(5));
+    }
+    (target.finished(0), target.finished(1))
+}
+
+/// Guards against internal work that crowds out callers' work, and against its starvation.
+#[test]
+fn internal_share() {
+    let mut out = String::new();
+    for slots in [1, 2, 6, 8, 12, 64] {
+        let (callers, internal) = both_classes(slots, ON);
+        let off = both_classes(slots, limits::Mechanisms { internal: false, ..ON });
+        writeln!(out, "{slots} slots: callers {callers}, internal {internal}; off: {off:?}")
+            .expect("text");
+        let share = internal as f64 / (callers + internal) as f64;
+        let most = f64::from(slots.div_ceil(8)) / f64::from(slots);
+        assert!(share >= 0.124, "{slots} slots: internal work has {share}");
+        assert!(share <= most + 0.01, "{slots} slots: internal work has {share}");
+        assert!(off.1 * 20 < off.0, "{slots} slots: not starved without the share: {off:?}");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against callers' work that holds all slots while it waits for internal calls.
+#[test]
+fn internal_call_from_running_work() {
+    for (mechanisms, starts) in [(ON, true), (limits::Mechanisms { internal: false, ..ON }, false)]
+    {
+        let mut target = Target::new(6, 16, mechanisms);
+        let mut call = target.work(1);
+        call.class = Class::Internal;
+        target.offer(call, ms(1));
+        target.run_until(target.now + ms(1));
+        for _ in 0..12 {
+            target.offer(target.work(0), ms(60_000));
+        }
+        let answer = target.offer(call, ms(1));
+        assert_eq!(matches!(answer, work::Answer::Run(_)), starts, "{answer:?}");
+    }
+}
+
+/// Fills a target with long work and returns how much it held at most, and the wait of a short
+/// request that comes then.
+fn long_route(slots: u32, mechanisms: limits::Mechanisms) -> (u32, Option<u64>) {
+    let mut target = Target::new(slots, 32, mechanisms);
+    target.measure(0, ms(5), 40);
+    target.measure(1, ms(250), 10);
+    target.measure(0, ms(5), 40);
+    for _ in 0..2 * slots {
+        target.offer(target.work(1), ms(250));
+    }
+    let offered = target.now;
+    target.offer(target.work(0), ms(5));
+    target.run_until(target.now + ms(1_000));
+    let start = target.jobs.last().and_then(|it| it.at(Event::Start));
+    (target.most_held, start.map(|it| it.since(offered).as_millis() as u64))
+}
+
+/// Guards against long work that holds all slots.
+#[test]
+fn long_work() {
+    for (slots, most) in [(1, 1), (2, 1), (3, 2), (6, 5), (12, 9)] {
+        let (held, wait) = long_route(slots, ON);
+        assert_eq!(held, most, "{slots} slots");
+        let (off, off_wait) = long_route(slots, limits::Mechanisms { long: false, ..ON });
+        assert_eq!(off, slots, "{slots} slots, mechanism off");
+        if slots > 1 {
+            assert_eq!(wait, Some(0), "{slots} slots");
+            assert!(off_wait > Some(100), "{slots} slots: {off_wait:?} with the mechanism off");
+        }
+    }
+}
+
+/// Guards against short work that waits for a straggler which only its elapsed time shows, against
+/// giving the slots that are left to long work, and against refusing what has nowhere to go.
+#[test]
+fn stragglers() {
+    for (mechanisms, refused) in [(ON, true), (limits::Mechanisms { blocked: false, ..ON }, false)]
+    {
+        let mut target = Target::new(3, 8, mechanisms);
+        target.measure(0, ms(5), 10);
+        for _ in 0..3 {
+            target.offer(target.work(0), ms(10_000));
+        }
+        for movable in [true, false] {
+            let mut work = target.work(0);
+            work.movable = movable;
+            target.offer(work, ms(5));
+        }
+        let offered = target.now;
+        target.run_until(offered + ms(100));
+        assert_eq!(target.gate.held_slots(), 3);
+        let [.., moved, kept] = &target.jobs[..] else { panic!("two jobs wait") };
+        let at = moved.at(Event::Refuse(work::Reason::Blocked)).map(|it| it.since(offered));
+        assert_eq!(at.is_some_and(|it| it <= ms(41)), refused, "{at:?}");
+        assert!(kept.events.is_empty());
+    }
+}
+
+/// Guards against work that waits beyond the point from which it can make its deadline, and against
+/// work that is queued although the work before it takes too long.
+#[test]
+fn deadlines() {
+    for (mechanisms, on) in [(ON, true), (limits::Mechanisms { deadlines: false, ..ON }, false)] {
+        let mut target = Target::new(1, 64, mechanisms);
+        target.measure(0, ms(20), 10);
+        target.offer(target.work(0), ms(10_000));
+        let offered = target.now;
+        let mut work = target.work(0);
+        work.deadline = offered + ms(100);
+        target.offer(work, ms(20));
+        target.run_until(offered + ms(200));
+        let refused = target.jobs[11].at(Event::Refuse(work::Reason::Deadline));
+        assert_eq!(refused, on.then_some(offered + ms(80)));
+        for _ in 0..10 {
+            target.offer(target.work(0), ms(20));
+        }
+        work.deadline = target.now + ms(100);
+        let answer = target.offer(work, ms(20));
+        let refused = matches!(answer, work::Answer::Refuse(work::Reason::Deadline));
+        assert_eq!(refused, on, "{answer:?}");
+    }
+}
+
+/// Guards against two suspects side by side, and against a suspect that keeps other work waiting.
+#[test]
+fn suspects() {
+    for (mechanisms, on) in [(ON, true), (limits::Mechanisms { suspects: false, ..ON }, false)] {
+        let mut target = Target::new(3, 8, mechanisms);
+        let mut suspect = target.work(0);
+        suspect.suspect = true;
+        target.offer(suspect, ms(50));
+        target.offer(suspect, ms(50));
+        target.offer(target.work(0), ms(50));
+        target.run_until(target.now + ms(10));
+        let starts: Vec<bool> = target.jobs.iter().map(|it| it.has(Event::Start)).collect();
+        assert_eq!(starts, [true, !on, true]);
+        target.run_until(target.now + ms(200));
+        assert_eq!(target.finished(0), 3);
+    }
+}
+
+/// Guards against measurements that stay with a route's old key in a new version.
+#[test]
+fn renamed_routes() {
+    let mut target = Target::new(4, 8, ON);
+    target.measure(0, ms(5), 40);
+    target.measure(1, ms(250), 10);
+    target.measure(0, ms(5), 40);
+    let [a, b] = [target.routes[0], target.routes[1]];
+    target.gate.rename_routes(|it| Some(if it == a { b } else { a }));
+    for _ in 0..4 {
+        target.offer(target.work(0), ms(250));
+    }
+    assert_eq!(target.gate.load(target.now).in_flight, 3, "the long route is not told apart");
+}
--- /dev/null
+++ b/crates/admission/tests/support/mod.rs
@@ -0,0 +1,153 @@
+//! A fake target in virtual time: it finishes what the gate runs after the work's service time.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use admission::{gate, limits, work};
+use slotmap::SlotMap;
+use world::{contracts, requests::Class, time::Time};
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// What became of a request, and when.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Event {
+    Start,
+    Finish,
+    Refuse(work::Reason),
+    Cancel,
+}
+
+pub struct Job {
+    pub work: work::Work,
+    pub service: Duration,
+    pub events: Vec<(Time, Event)>,
+}
+
+pub struct Target {
+    pub gate: gate::Gate,
+    pub now: Time,
+    pub slots: u32,
+    pub routes: Vec<contracts::RouteKey>,
+    pub jobs: Vec<Job>,
+    /// Requests that run or wait, with the job of each.
+    pub open: BTreeMap<work::RequestKey, usize>,
+    ends: BTreeMap<(Time, work::RequestKey), ()>,
+    pub most_held: u32,
+}
+
+impl Target {
+    pub fn new(slots: u32, queue: u32, mechanisms: limits::Mechanisms) -> Target {
+        let mut arena: SlotMap<contracts::RouteKey, ()> = SlotMap::with_key();
+        let routes = (0..8).map(|_| arena.insert(())).collect();
+        let gate = gate::Gate::new(limits::Limits { slots, queue }, None, mechanisms);
+        let (jobs, open, ends) = Default::default();
+        Target { gate, now: Time::ZERO, slots, routes, jobs, open, ends, most_held: 0 }
+    }
+
+    /// Callers' work by route `route` with weight 10 and no deadline, which has nowhere to go.
+    pub fn work(&self, route: usize) -> work::Work {
+        let (route, deadline, class) = (self.routes[route], Time::MAX, Class::Caller);
+        work::Work { route, weight: 10, class, deadline, movable: false, suspect: false }
+    }
+
+    pub fn offer(&mut self, work: work::Work, service: Duration) -> work::Answer {
+        let offered = self.gate.offer(self.now, work);
+        let job = self.jobs.len();
+        self.jobs.push(Job { work, service, events: Vec::new() });
+        match offered.answer {
+            work::Answer::Run(key) => {
+                self.open.insert(key, job);
+                self.perform(vec![work::Effect::Start(key)]);
+            }
+            work::Answer::Wait(key) => {
+                self.open.insert(key, job);
+            }
+            work::Answer::Refuse(reason) => self.note(job, Event::Refuse(reason)),
+        }
+        self.perform(offered.effects);
+        offered.answer
+    }
+
+    pub fn perform(&mut self, effects: Vec<work::Effect>) {
+        for effect in effects {
+            match effect {
+                work::Effect::Start(key) => {
+                    let job = self.open[&key];
+                    self.ends.insert((self.now + self.jobs[job].service, key), ());
+                    // Runs that go on after the limit was lowered are no fault, a new one is.
+                    assert!(self.ends.len() <= self.slots as usize, "more runs than slots");
+                    self.note(job, Event::Start);
+                }
+                work::Effect::Refuse(key, reason) => {
+                    let job = self.open.remove(&key).expect("only waiting work is refused");
+                    self.note(job, Event::Refuse(reason));
+                }
+            }
+        }
+        self.most_held = self.most_held.max(self.gate.held_slots());
+    }
+
+    pub fn cancel(&mut self, key: work::RequestKey) {
+        let job = self.open.remove(&key).expect("only open work is cancelled");
+        self.ends.retain(|it, ()| it.1 != key);
+        self.note(job, Event::Cancel);
+        let effects = self.gate.cancel(self.now, key);
+        self.perform(effects);
+    }
+
+    /// Lets time pass, with the gate's deadlines and the ends of runs in their order.
+    pub fn run_until(&mut self, until: Time) {
+        loop {
+            let end = self.ends.keys().next().copied();
+            let timer = self.gate.next_deadline(self.now).unwrap_or(Time::MAX);
+            let next = end.map_or(Time::MAX, |it| it.0).min(timer);
+            if next > until {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(next);
+            let effects = match end {
+                Some((at, key)) if at <= timer => {
+                    self.ends.remove(&(at, key));
+                    let job = self.open.remove(&key).expect("it runs");
+                    self.note(job, Event::Finish);
+                    self.gate.finish(self.now, key, work::Outcome::Answered)
+                }
+                _ => self.gate.tick(self.now),
+            };
+            self.perform(effects);
+        }
+    }
+
+    /// Runs `count` requests of a route one after the other, so that the gate has measured it.
+    pub fn measure(&mut self, route: usize, service: Duration, count: usize) {
+        for _ in 0..count {
+            self.offer(self.work(route), service);
+            self.run_until(self.now + service);
+        }
+    }
+
+    /// Jobs of a route that finished.
+    pub fn finished(&self, route: usize) -> usize {
+        let of_route = self.jobs.iter().filter(|it| it.work.route == self.routes[route]);
+        of_route.filter(|it| it.has(Event::Finish)).count()
+    }
+
+    fn note(&mut self, job: usize, event: Event) {
+        self.jobs[job].events.push((self.now, event));
+    }
+}
+
+impl Job {
+    pub fn has(&self, event: Event) -> bool {
+        self.events.iter().any(|it| it.1 == event)
+    }
+
+    pub fn at(&self, event: Event) -> Option<Time> {
+        self.events.iter().find(|it| it.1 == event).map(|it| it.0)
+    }
+}
