Bench admission: crest and head-of-line load models

Cause: the gate had not been measured against queues in order of arrival. Change: a model of one service's targets in virtual time, and the benches crest and head-of-line.

--- a/crates/admission/tests/invariants.rs
+++ b/crates/admission/tests/invariants.rs
@@ -35,7 +35,10 @@
 }
 
 fn random_run(seed: u64) -> Target {
-    println!("seed {seed}");
+    #[expect(clippy::print_stdout, reason = "a failed run is repeated by its seed")]
+    {
+        println!("seed {seed}");
+    }
     let mut rng = rngs::StdRng::seed_from_u64(seed);
     let mut target = Target::new(6, 16, limits::Mechanisms::default());
     for _ in 0..OPERATIONS {
--- /dev/null
+++ b/xtask/src/bench.rs
@@ -0,0 +1,36 @@
+//! Benches: small load models in virtual time, compared with a baseline.
+
+mod admission;
+
+/// Run a bench and print its results.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub(crate) struct Args {
+    #[argh(subcommand)]
+    bench: Bench,
+}
+
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+enum Bench {
+    Crest(CrestArgs),
+    HeadOfLine(HeadOfLineArgs),
+}
+
+/// Service at the peak of a demand swing.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "crest")]
+struct CrestArgs {}
+
+/// How long short work waits behind long work.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "head-of-line")]
+struct HeadOfLineArgs {}
+
+/// Runs the bench that the arguments name.
+pub(crate) fn run(args: &Args) -> eyre::Result<()> {
+    match args.bench {
+        Bench::Crest(CrestArgs {}) => admission::crest(),
+        Bench::HeadOfLine(HeadOfLineArgs {}) => admission::head_of_line(),
+    }
+}
