Keep no retry for waiting work of the baseline queues

Cause: since a movable request keeps its retry while it waits, waiting work of the baselines kept one too, although nothing refuses it. That took retries from the short FIFO and made it look worse. Change: the baselines release the retry when a request is queued.

--- a/xtask/src/bench/admission/model.rs
+++ b/xtask/src/bench/admission/model.rs
@@ -190,6 +190,9 @@
                     return;
                 }
                 fifo.waiting.push_back(job);
+                // Waiting work of a queue in order of arrival is never refused, so it keeps no
+                // retry.
+                self.release(job);
                 self.serve_fifo(now, target);
             }
             Admission::Gate(gate) => {
@@ -273,8 +276,7 @@
     fn start(&mut self, now: Time, job: usize, target: usize, key: Option<work::RequestKey>) {
         self.fates[job].started = Some(now);
         self.running[job] = key;
-        self.retries -= usize::from(self.fates[job].promised);
-        self.fates[job].promised = false;
+        self.release(job);
         self.push(now + self.jobs[job].service, Event::End { job, target });
     }
 
@@ -283,14 +285,18 @@
         self.fates[job].sends < MAX_SENDS && self.retries < budget
     }
 
+    /// Gives back the retry that was kept for a request.
+    fn release(&mut self, job: usize) {
+        self.retries -= usize::from(self.fates[job].promised);
+        self.fates[job].promised = false;
+    }
+
     fn refused(&mut self, now: Time, job: usize, target: usize) {
         let again = now + self.site.hop + self.site.hop;
-        let promised = std::mem::take(&mut self.fates[job].promised);
-        if !promised {
-            return;
-        }
         if again >= self.jobs[job].deadline {
-            self.retries -= 1;
+            self.release(job);
+        }
+        if !std::mem::take(&mut self.fates[job].promised) {
             return;
         }
         self.push(again, Event::Send { job, target: (target + 1) % self.site.targets });
