--- /dev/null
+++ b/xtask/src/bench.rs
@@ -0,0 +1,44 @@
+//! Benches: small load models in virtual time, compared with a baseline.
+
+mod admission;
+
+/// Run a bench and print its results.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub(crate) struct Args {
+    #[argh(subcommand)]
+    bench: Bench,
+}
+
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+enum Bench {
+    Crest(CrestArgs),
+    HeadOfLine(HeadOfLineArgs),
+}
+
+/// Service at the peak of a demand swing.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "crest")]
+struct CrestArgs {
+    /// seed of a run; may be given several times; the default is 1 to 5
+    #[argh(option)]
+    seed: Vec<u64>,
+}
+
+/// How long short work waits behind long work.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "head-of-line")]
+struct HeadOfLineArgs {
+    /// seed of a run; may be given several times; the default is 1 to 5
+    #[argh(option)]
+    seed: Vec<u64>,
+}
+
+/// Runs the bench that the arguments name.
+pub(crate) fn run(args: &Args) -> eyre::Result<()> {
+    match &args.bench {
+        Bench::Crest(CrestArgs { seed }) => admission::crest(seed),
+        Bench::HeadOfLine(HeadOfLineArgs { seed }) => admission::head_of_line(seed),
+    }
+}
