Add the messages of proposals and streams between processes

Cause: the roles need typed messages for the replicated state and the streams. Change: protocol::proposals and protocol::streams.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,3 +5,5 @@
 
 pub mod forwarding;
 pub mod operators;
+pub mod proposals;
+pub mod streams;
