Add the replicated log as a value that is stepped

Cause: the configuration source and the claims need one ordered log that survives the loss of hosts, disks and links.

--- /dev/null
+++ b/crates/agreement/src/election.rs
@@ -0,0 +1,168 @@
+//! Elections: the randomised timeout, the pre-vote and the vote.
+
+use std::mem;
+
+use rand::Rng as _;
+use world::time;
+
+use crate::{entries, events, group, members, messages};
+
+impl group::Group {
+    /// Draws a new election timeout.
+    pub(crate) fn reset_election(&mut self, now: time::Time) {
+        let range = self.settings.election_min..=self.settings.election_max;
+        self.election_at = now + self.rng.random_range(range);
+    }
+
+    /// Begins an election, when this host's disk has a vote.
+    pub(crate) fn campaign(&mut self, now: time::Time) {
+        self.reset_election(now);
+        if !self.is_voter() {
+            return;
+        }
+        self.leader = None;
+        if !self.settings.mechanisms.pre_vote {
+            return self.stand(now);
+        }
+        self.role = events::Role::PreCandidate;
+        self.ask_votes(now, true, self.hard.term.next());
+    }
+
+    /// Raises the term, votes for itself and asks for votes.
+    fn stand(&mut self, now: time::Time) {
+        self.reset_election(now);
+        self.role = events::Role::Candidate;
+        self.hard.term = self.hard.term.next();
+        self.hard.vote = Some(self.members.get(self.me).host.clone());
+        self.keep_hard();
+        self.ask_votes(now, false, self.hard.term);
+    }
+
+    fn ask_votes(&mut self, now: time::Time, pre: bool, term: entries::Term) {
+        self.votes = [self.me].into();
+        if self.has_majority() {
+            return self.win(now, pre);
+        }
+        let last = self.log.last();
+        for key in self.members.others(self.me) {
+            let Some(voter) = self.listed_disk(key) else { continue };
+            let vote = messages::Vote { pre, term, last, voter };
+            self.send(key, messages::Body::Vote(vote));
+        }
+    }
+
+    pub(crate) fn on_vote(
+        &mut self,
+        now: time::Time,
+        sender: group::Sender,
+        vote: &messages::Vote,
+    ) {
+        if !self.disk_counts(self.disk, vote.voter) {
+            log::warn!("vote asked of disk {}, which is lost; no answer", vote.voter);
+            return;
+        }
+        let granted = if self.refuses_votes(now) {
+            false
+        } else if vote.pre {
+            vote.term > self.hard.term && vote.last >= self.log.last()
+        } else {
+            self.give_vote(now, sender, vote)
+        };
+        let reply = messages::Body::VoteReply { pre: vote.pre, asked: vote.term, granted };
+        self.send(sender.key, reply);
+    }
+
+    fn give_vote(&mut self, now: time::Time, sender: group::Sender, vote: &messages::Vote) -> bool {
+        if vote.term < self.hard.term {
+            return false;
+        }
+        if vote.term > self.hard.term {
+            self.step_down(now, vote.term, None);
+        }
+        let candidate = &self.members.get(sender.key).host;
+        let free = self.hard.vote.as_ref().is_none_or(|it| it == candidate);
+        if !free || vote.last < self.log.last() {
+            return false;
+        }
+        self.hard.vote = Some(candidate.clone());
+        self.adopt_cluster(sender);
+        self.keep_hard();
+        self.reset_election(now);
+        true
+    }
+
+    pub(crate) fn on_vote_reply(
+        &mut self,
+        now: time::Time,
+        sender: group::Sender,
+        pre: bool,
+        asked: entries::Term,
+        granted: bool,
+    ) {
+        if sender.term > self.hard.term {
+            return self.step_down(now, sender.term, None);
+        }
+        let awaited = match self.role {
+            events::Role::PreCandidate => pre && asked == self.hard.term.next(),
+            events::Role::Candidate => !pre && asked == self.hard.term,
+            _ => false,
+        };
+        let listed = self.listed_disk(sender.key);
+        let counts = listed.is_some_and(|it| self.disk_counts(sender.disk, it));
+        if !awaited || !granted || !counts {
+            return;
+        }
+        self.votes.insert(sender.key);
+        if self.has_majority() {
+            self.win(now, pre);
+        }
+    }
+
+    fn win(&mut self, now: time::Time, pre: bool) {
+        if pre {
+            return self.stand(now);
+        }
+        self.role = events::Role::Leader;
+        self.leader = Some(self.me);
+        self.led_since = now;
+        self.partial = None;
+        let last = self.log.last().index;
+        for key in self.members.others(self.me) {
+            self.members.get_mut(key).progress = members::Progress::fresh(last);
+        }
+        self.append(entries::Payload::Blank);
+        self.heartbeat(now);
+        self.advance_commit();
+    }
+
+    /// Follows `leader`, or nobody yet, in a term at least as high as the own one.
+    pub(crate) fn step_down(
+        &mut self,
+        now: time::Time,
+        term: entries::Term,
+        leader: Option<members::MemberKey>,
+    ) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.keep_hard();
+        }
+        for token in mem::take(&mut self.pending).into_values() {
+            self.effect(events::Effect::Unknown { token });
+        }
+        if self.role != events::Role::Follower {
+            self.reset_election(now);
+        }
+        self.role = events::Role::Follower;
+        self.leader = leader;
+    }
+
+    /// Binds a blank disk to the sender's cluster.
+    pub(crate) fn adopt_cluster(&mut self, sender: group::Sender) {
+        if self.hard.cluster.is_some() || sender.cluster.is_none() {
+            return;
+        }
+        self.hard.cluster = sender.cluster;
+        self.keep_hard();
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/group.rs
@@ -0,0 +1,360 @@
+//! The group as one host holds it, and the dispatch of events.
+
+use std::{collections, mem};
+
+use compact_str::CompactString;
+use rand::{Rng as _, SeedableRng as _, rngs};
+use world::time;
+
+use crate::{
+    entries, events, formation, lease, members, membership, messages, reads, settings, snapshots,
+};
+
+/// One host's part of a replicated log.
+#[derive(Debug)]
+pub struct Group {
+    pub(crate) settings: settings::Settings,
+    pub(crate) disk: entries::DiskId,
+    pub(crate) rng: rngs::StdRng,
+    pub(crate) me: members::MemberKey,
+    pub(crate) members: members::Members,
+    pub(crate) hard: events::HardState,
+    pub(crate) log: entries::Log,
+    pub(crate) snapshot: Option<events::Snapshot>,
+    pub(crate) partial: Option<snapshots::Partial>,
+    pub(crate) applied: entries::Index,
+    pub(crate) due: entries::Index,
+    pub(crate) configs: membership::Configs,
+    pub(crate) role: events::Role,
+    pub(crate) leader: Option<members::MemberKey>,
+    pub(crate) contact: lease::Contact,
+    pub(crate) election_at: time::Time,
+    pub(crate) heartbeat_at: time::Time,
+    pub(crate) led_since: time::Time,
+    pub(crate) votes: collections::BTreeSet<members::MemberKey>,
+    pub(crate) pending: collections::BTreeMap<entries::Index, events::Token>,
+    pub(crate) reads: reads::Reads,
+    pub(crate) reports: formation::Reports,
+    persist: events::Persist,
+    hard_dirty: bool,
+    effects: Vec<events::Effect>,
+    shown: (events::Role, entries::Term, Option<members::MemberKey>),
+}
+
+impl Group {
+    /// The group as found on the disk with this ID. `seed` decides all random choices.
+    pub fn new(
+        settings: settings::Settings,
+        host: &CompactString,
+        disk: entries::DiskId,
+        restored: events::Restored,
+        seed: u64,
+    ) -> Group {
+        let mut members = members::Members::default();
+        let me = members.add(host);
+        settings.hosts.iter().for_each(|it| _ = members.add(it));
+        let mut rng = rngs::StdRng::seed_from_u64(seed);
+        let reads = reads::Reads::new(rng.random());
+        let events::Restored { mut hard, snapshot, entries } = restored;
+        let base = snapshot.as_ref().map_or(entries::Position::default(), |it| it.last);
+        let configs = membership::Configs::restore(snapshot.as_ref(), &entries);
+        let log = entries::Log::new(base, entries);
+        if log.last().term > hard.term {
+            // A snapshot was installed and the process ended before the term was written, so no
+            // vote was given in this term.
+            hard.term = log.last().term;
+            hard.vote = None;
+        }
+        // The log may hold less than the commit index only if the snapshot covers the rest.
+        hard.commit = hard.commit.max(base.index).min(log.last().index);
+        let mut group = Group {
+            settings,
+            disk,
+            rng,
+            me,
+            members,
+            shown: (events::Role::Follower, hard.term, None),
+            hard,
+            log,
+            snapshot,
+            partial: None,
+            applied: base.index,
+            due: base.index,
+            configs,
+            role: events::Role::Follower,
+            leader: None,
+            contact: lease::Contact::default(),
+            election_at: time::Time::ZERO,
+            heartbeat_at: time::Time::ZERO,
+            led_since: time::Time::ZERO,
+            votes: collections::BTreeSet::new(),
+            pending: collections::BTreeMap::new(),
+            reads,
+            reports: formation::Reports::default(),
+            persist: events::Persist::default(),
+            hard_dirty: false,
+            effects: Vec::new(),
+        };
+        group.refresh_voters();
+        group
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    pub fn step(&mut self, now: time::Time, event: events::Event) -> Vec<events::Effect> {
+        self.start(now);
+        match event {
+            events::Event::Tick => self.tick(now),
+            events::Event::Receive { from, message } => self.receive(now, &from, message),
+            events::Event::Propose(proposals) => self.propose(now, proposals),
+            events::Event::ConfirmRead { token } => self.confirm_read(now, token),
+            events::Event::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
+        }
+        self.apply_committed();
+        self.show_role();
+        self.finish()
+    }
+
+    /// The host's role.
+    pub fn role(&self) -> events::Role {
+        self.role
+    }
+
+    /// The current term.
+    pub fn term(&self) -> entries::Term {
+        self.hard.term
+    }
+
+    /// The leader, as far as known.
+    pub fn leader(&self) -> Option<&CompactString> {
+        self.leader.map(|it| &self.members.get(it).host)
+    }
+
+    /// The last entry that was handed out with `Apply` or needed none.
+    pub fn applied(&self) -> entries::Index {
+        self.applied
+    }
+
+    /// The commit index as this host knows it.
+    pub fn commit(&self) -> entries::Index {
+        self.hard.commit
+    }
+
+    /// The cluster, once the group has formed.
+    pub fn cluster(&self) -> Option<entries::ClusterId> {
+        self.hard.cluster
+    }
+
+    /// The voters, by the newest list in this host's log.
+    pub fn voters(&self) -> &[entries::Voter] {
+        self.configs.latest()
+    }
+
+    /// Whether this host's current disk has a vote.
+    pub fn is_voter(&self) -> bool {
+        let own = &self.members.get(self.me).host;
+        self.voters().iter().any(|it| it.host == *own && self.disk_counts(self.disk, it.disk))
+    }
+
+    /// Whether an acknowledgement from disk `found` counts for a voter listed with `listed`.
+    pub(crate) fn disk_counts(&self, found: entries::DiskId, listed: entries::DiskId) -> bool {
+        found == listed || !self.settings.mechanisms.disk_ids
+    }
+
+    fn start(&mut self, now: time::Time) {
+        if self.contact.started.is_some() {
+            return;
+        }
+        self.contact.started = Some(now);
+        self.reset_election(now);
+    }
+
+    fn tick(&mut self, now: time::Time) {
+        self.expire_reads(now);
+        if self.hard.cluster.is_none() {
+            return self.tick_formation(now);
+        }
+        if self.role == events::Role::Leader {
+            return self.tick_leader(now);
+        }
+        if now >= self.election_at {
+            self.campaign(now);
+        }
+    }
+
+    fn tick_leader(&mut self, now: time::Time) {
+        if self.lost_majority(now) {
+            log::warn!("leader of term {} has lost its majority and steps down", self.hard.term);
+            return self.step_down(now, self.hard.term, None);
+        }
+        self.replace_disks(now);
+        if now >= self.heartbeat_at {
+            self.heartbeat(now);
+        }
+    }
+
+    fn receive(&mut self, now: time::Time, from: &str, message: messages::Message) {
+        let Some(key) = self.members.find(from).filter(|&it| it != self.me) else {
+            log::warn!("message from {from}, which is not a host of the group");
+            return;
+        };
+        let foreign = message.cluster.is_some_and(|it| self.hard.cluster.is_some_and(|c| c != it));
+        if foreign {
+            log::warn!("message from {from} of another cluster; it is not used");
+            return;
+        }
+        let messages::Message { cluster, disk, term, body } = message;
+        let sender = Sender { key, cluster, disk, term };
+        match body {
+            messages::Body::Probe => self.on_probe(sender),
+            messages::Body::Report { asker, blank } => self.on_report(now, sender, asker, blank),
+            messages::Body::Vote(vote) => self.on_vote(now, sender, &vote),
+            messages::Body::VoteReply { pre, asked, granted } => {
+                self.on_vote_reply(now, sender, pre, asked, granted)
+            }
+            messages::Body::Append(append) => self.on_append(now, sender, append),
+            messages::Body::AppendReply { stamp, outcome } => {
+                self.on_append_reply(now, sender, stamp, outcome)
+            }
+            messages::Body::Chunk(chunk) => self.on_chunk(now, sender, chunk),
+            messages::Body::ChunkReply { stamp, index, received } => {
+                self.on_chunk_reply(now, sender, stamp, index, received)
+            }
+            messages::Body::Read(id) => self.on_read(now, sender, id),
+            messages::Body::ReadReply { id, commit } => self.on_read_reply(id, commit),
+        }
+    }
+
+    fn propose(&mut self, now: time::Time, proposals: Vec<events::Proposal>) {
+        for events::Proposal { token, payload } in proposals {
+            if let Some(refusal) = self.refusal(now) {
+                self.effect(events::Effect::Refused { token, refusal });
+                continue;
+            }
+            let index = self.append(entries::Payload::Command(payload));
+            self.pending.insert(index, token);
+        }
+        if self.role == events::Role::Leader {
+            self.replicate(now);
+        }
+    }
+
+    fn refusal(&self, now: time::Time) -> Option<events::Refusal> {
+        if self.role != events::Role::Leader {
+            return Some(events::Refusal::NotLeader { hint: self.leader().cloned() });
+        }
+        if !self.is_current(now) {
+            return Some(events::Refusal::NotCurrent);
+        }
+        (self.pending.len() >= self.settings.backlog).then_some(events::Refusal::Busy)
+    }
+
+    /// Appends an entry of the own term.
+    pub(crate) fn append(&mut self, payload: entries::Payload) -> entries::Index {
+        let index = self.log.last().index.next();
+        let position = entries::Position { term: self.hard.term, index };
+        self.push(entries::Entry { position, payload });
+        index
+    }
+
+    pub(crate) fn push(&mut self, entry: entries::Entry) {
+        self.persist.entries.push(entry.clone());
+        if let entries::Payload::Voters(voters) = &entry.payload {
+            self.configs.push(entry.position.index, voters.clone());
+            self.refresh_voters();
+        }
+        self.log.push(entry);
+    }
+
+    pub(crate) fn truncate(&mut self, from: entries::Index) {
+        debug_assert!(self.persist.entries.is_empty());
+        self.persist.truncate = Some(from);
+        self.log.truncate(from);
+        self.configs.truncate(from);
+        self.refresh_voters();
+    }
+
+    pub(crate) fn effect(&mut self, effect: events::Effect) {
+        self.effects.push(effect);
+    }
+
+    pub(crate) fn send(&mut self, to: members::MemberKey, body: messages::Body) {
+        let message = messages::Message {
+            cluster: self.hard.cluster,
+            disk: self.disk,
+            term: self.hard.term,
+            body,
+        };
+        let to = self.members.get(to).host.clone();
+        self.effect(events::Effect::Send { to, message });
+    }
+
+    /// Has the hard state written at the end of the step.
+    pub(crate) fn keep_hard(&mut self) {
+        self.hard_dirty = true;
+    }
+
+    pub(crate) fn set_commit(&mut self, index: entries::Index) {
+        if index <= self.hard.commit {
+            return;
+        }
+        self.hard.commit = index;
+        self.hard_dirty |= self.settings.keep_commit;
+    }
+
+    fn apply_committed(&mut self) {
+        while self.applied < self.hard.commit {
+            let index = self.applied.next();
+            let Some(entry) = self.log.get(index) else { break };
+            if let entries::Payload::Command(payload) = &entry.payload {
+                let payload = payload.clone();
+                self.effects.push(events::Effect::Apply { index, payload });
+            }
+            self.applied = index;
+            if let Some(token) = self.pending.remove(&index) {
+                self.effects.push(events::Effect::Accepted { token, index });
+            }
+        }
+        if self.applied.0 - self.due.0 >= self.settings.snapshot_entries {
+            self.due = self.applied;
+            self.effects.push(events::Effect::SnapshotDue { index: self.applied });
+        }
+    }
+
+    fn show_role(&mut self) {
+        let shown = (self.role, self.hard.term, self.leader);
+        if shown == self.shown {
+            return;
+        }
+        self.shown = shown;
+        let (role, term, leader) = (self.role, self.hard.term, self.leader().cloned());
+        log::info!("role {role:?} in term {term}, leader {leader:?}");
+        self.effect(events::Effect::RoleChanged { role, term, leader });
+    }
+
+    fn finish(&mut self) -> Vec<events::Effect> {
+        let mut persist = mem::take(&mut self.persist);
+        if mem::take(&mut self.hard_dirty) {
+            persist.hard = Some(self.hard.clone());
+        }
+        let mut effects = mem::take(&mut self.effects);
+        if persist.is_empty() {
+            return effects;
+        }
+        // A snapshot stands before the commit index that it brings: the log under it may hold
+        // other entries at these indexes.
+        let install = |it: &events::Effect| matches!(it, events::Effect::InstallSnapshot(_));
+        let first = effects.iter().position(install).map_or(0, |it| it + 1);
+        let place = if self.settings.mechanisms.sync_first { first } else { effects.len() };
+        effects.insert(place, events::Effect::Persist(persist));
+        effects
+    }
+}
+
+/// Who sent a message, with the facts of its header.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sender {
+    pub(crate) key: members::MemberKey,
+    pub(crate) cluster: Option<entries::ClusterId>,
+    pub(crate) disk: entries::DiskId,
+    pub(crate) term: entries::Term,
+}
--- /dev/null
+++ b/crates/agreement/src/snapshots.rs
@@ -0,0 +1,142 @@
+//! Compaction of the log and transfer of snapshots in chunks.
+
+use bytes::Bytes;
+use world::time;
+
+use crate::{entries, events, group, members, membership, messages};
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(crate) struct Partial {
+    last: entries::Position,
+    data: Vec<u8>,
+}
+
+impl group::Group {
+    pub(crate) fn snapshot_taken(&mut self, index: entries::Index, data: Bytes) {
+        let newest = self.snapshot.as_ref().map_or(entries::Index::default(), |it| it.last.index);
+        if index <= newest || index > self.applied {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else { return };
+        let last = entries::Position { term, index };
+        let voters = self.configs.at(index).to_vec();
+        let snapshot = events::Snapshot { last, voters, data };
+        self.snapshot = Some(snapshot.clone());
+        self.effect(events::Effect::SaveSnapshot(snapshot));
+        let base = entries::Index(index.0.saturating_sub(self.settings.retained));
+        let voters = self.configs.at(base).to_vec();
+        self.configs.install(base, voters);
+        self.log.compact(base);
+    }
+
+    /// Sends the next chunk of the snapshot, which also serves as a heartbeat.
+    pub(crate) fn send_chunk(&mut self, now: time::Time, key: members::MemberKey) {
+        let Some(snapshot) = &self.snapshot else { return };
+        let (last, voters) = (snapshot.last, snapshot.voters.clone());
+        let total = snapshot.data.len();
+        let transfer = self.members.get(key).progress.transfer;
+        let offset = transfer.filter(|it| it.index == last.index).map_or(0, |it| it.offset);
+        let start = usize::try_from(offset).unwrap_or(total).min(total);
+        // A host that does not answer gets heartbeats without data.
+        let size = if self.is_silent(now, key) { 0 } else { self.settings.chunk_bytes };
+        let end = total.min(start + size);
+        let chunk = messages::Chunk {
+            stamp: messages::Stamp(now),
+            leased: self.has_lease(now),
+            last,
+            voters,
+            total: total as u64,
+            offset: start as u64,
+            data: snapshot.data.slice(start..end),
+        };
+        let transfer = members::Transfer { index: last.index, offset: start as u64 };
+        self.members.get_mut(key).progress.transfer = Some(transfer);
+        self.send(key, messages::Body::Chunk(chunk));
+    }
+
+    pub(crate) fn on_chunk_reply(
+        &mut self,
+        now: time::Time,
+        sender: group::Sender,
+        stamp: messages::Stamp,
+        index: entries::Index,
+        received: u64,
+    ) {
+        if !self.acknowledged(now, sender, stamp) {
+            return;
+        }
+        let progress = &mut self.members.get_mut(sender.key).progress;
+        let Some(transfer) = progress.transfer.as_mut().filter(|it| it.index == index) else {
+            return;
+        };
+        // A repeated answer must not start the transfer a second time.
+        if received == transfer.offset {
+            return;
+        }
+        transfer.offset = received;
+        self.send_chunk(now, sender.key);
+    }
+
+    pub(crate) fn on_chunk(
+        &mut self,
+        now: time::Time,
+        sender: group::Sender,
+        chunk: messages::Chunk,
+    ) {
+        let (stamp, last) = (chunk.stamp, chunk.last);
+        let follows = self.follow(now, sender, chunk.leased);
+        if follows && last.index > self.hard.commit && !self.take_chunk(chunk) {
+            let received = self.partial.as_ref().map_or(0, |it| it.data.len() as u64);
+            let reply = messages::Body::ChunkReply { stamp, index: last.index, received };
+            return self.send(sender.key, reply);
+        }
+        // Everything up to the commit index equals the leader's log. A leader whose term is over
+        // reads the term of this answer only.
+        let outcome = messages::Outcome::Matched(self.hard.commit);
+        self.send(sender.key, messages::Body::AppendReply { stamp, outcome });
+    }
+
+    /// Adds a chunk; returns true when the snapshot was completed and installed.
+    fn take_chunk(&mut self, chunk: messages::Chunk) -> bool {
+        if chunk.total > self.settings.snapshot_bytes as u64 {
+            log::error!("snapshot of {} bytes is over the limit; it is not taken", chunk.total);
+            return false;
+        }
+        if self.partial.as_ref().is_none_or(|it| it.last != chunk.last) {
+            self.partial = Some(Partial { last: chunk.last, data: Vec::new() });
+        }
+        let Some(partial) = &mut self.partial else { return false };
+        let received = partial.data.len() as u64;
+        let fits = received + chunk.data.len() as u64 <= chunk.total;
+        if chunk.offset == received && fits {
+            partial.data.extend_from_slice(&chunk.data);
+        }
+        if (partial.data.len() as u64) < chunk.total {
+            return false;
+        }
+        let Some(partial) = self.partial.take() else { return false };
+        let data = Bytes::from(partial.data);
+        self.install(events::Snapshot { last: chunk.last, voters: chunk.voters, data });
+        true
+    }
+
+    fn install(&mut self, snapshot: events::Snapshot) {
+        let last = snapshot.last;
+        log::info!("installing the snapshot at {}", last.index);
+        if self.log.term_at(last.index) == Some(last.term) {
+            self.log.compact(last.index);
+        } else {
+            self.log = entries::Log::new(last, Vec::new());
+            self.configs = membership::Configs::default();
+        }
+        self.configs.install(last.index, snapshot.voters.clone());
+        self.refresh_voters();
+        self.hard.commit = last.index;
+        self.keep_hard();
+        self.applied = last.index;
+        self.due = last.index;
+        self.snapshot = Some(snapshot.clone());
+        self.effect(events::Effect::InstallSnapshot(snapshot));
+    }
+}
