--- /dev/null
+++ b/crates/agreement/tests/cases.rs
@@ -0,0 +1,302 @@
+//! Fault cases of a group of hosts, and what each protective mechanism prevents.
+
+mod sim;
+
+use std::fmt::Write as _;
+
+use agreement::settings;
+use rand::{Rng as _, SeedableRng as _, rngs};
+
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+
+/// A fault case: its name, voters, learners and what happens.
+type Case = (&'static str, usize, usize, fn(&mut sim::Sim));
+
+fn lead(sim: &sim::Sim) -> usize {
+    sim.leader().expect("a leader")
+}
+
+fn follower(sim: &sim::Sim) -> usize {
+    sim.followers()[0]
+}
+
+fn await_leader(sim: &mut sim::Sim) -> usize {
+    assert!(sim.run_until(10_000, |it| it.current().is_some()), "no leader within 10 s");
+    sim.current().expect("a current leader")
+}
+
+/// Guards against loss, divergence and a standstill under the faults named in the design.
+#[test]
+fn faults() {
+    let cases: [Case; 17] = [
+        ("none", 3, 2, |sim| sim.run(4_000)),
+        ("one voter", 1, 0, |sim| sim.run(1_000)),
+        ("leader killed", 3, 0, |sim| {
+            sim.kill(lead(sim));
+            sim.run(4_000);
+        }),
+        ("two of three killed", 3, 0, |sim| {
+            sim.followers().into_iter().for_each(|it| sim.kill(it));
+            sim.run(4_000);
+        }),
+        ("all killed", 5, 1, |sim| {
+            (0..6).for_each(|it| sim.kill(it));
+            sim.run(500);
+        }),
+        ("leader frozen", 3, 0, |sim| {
+            let leader = lead(sim);
+            sim.hosts[leader].frozen = true;
+            sim.run(5_000);
+            sim.thaw(leader);
+            sim.run(1_000);
+        }),
+        ("leader cut off", 5, 0, |sim| {
+            sim.isolate(lead(sim));
+            sim.run(5_000);
+        }),
+        ("leader cannot send", 3, 0, |sim| {
+            let leader = lead(sim);
+            (0..3).for_each(|it| _ = sim.cuts.insert((leader, it)));
+            sim.run(6_000);
+        }),
+        ("leader cannot receive", 3, 0, |sim| {
+            let leader = lead(sim);
+            (0..3).for_each(|it| _ = sim.cuts.insert((it, leader)));
+            sim.run(6_000);
+        }),
+        ("two cut from each other", 3, 1, |sim| {
+            sim.cut(lead(sim), follower(sim));
+            sim.run(6_000);
+        }),
+        ("long isolated leader", 3, 1, |sim| {
+            sim.isolate(lead(sim));
+            sim.run(30_000);
+        }),
+        ("learner long dead", 3, 1, |sim| {
+            sim.kill(3);
+            sim.run(10_000);
+        }),
+        ("follower loses its disk", 3, 0, |sim| sim.lose_disk(follower(sim))),
+        ("leader loses its disk", 3, 0, |sim| sim.lose_disk(lead(sim))),
+        ("second loss after a repair", 3, 1, |sim| {
+            let (leader, first) = (lead(sim), follower(sim));
+            sim.lose_disk(first);
+            assert!(sim.run_until(10_000, sim::Sim::repaired), "no repair within 10 s");
+            sim.lose_disk(leader);
+            sim.run(3_000);
+        }),
+        ("crossed and repeated messages", 5, 0, |sim| {
+            sim.noise = 0.15;
+            sim.run(15_000);
+        }),
+        ("torn writes", 3, 0, |sim| {
+            for _ in 0..4 {
+                let hosts = [lead(sim), follower(sim)];
+                hosts.into_iter().for_each(|it| sim.hosts[it].torn = true);
+                sim.run(1_000);
+                hosts.into_iter().for_each(|it| sim.restart(it));
+                await_leader(sim);
+            }
+        }),
+    ];
+    let mut table = String::new();
+    for (name, voters, learners, script) in cases {
+        for seed in SEEDS {
+            let mut sim = sim::Sim::new(seed, voters, learners, |_| {});
+            await_leader(&mut sim);
+            sim.run(1_000);
+            script(&mut sim);
+            sim.settle();
+            writeln!(table, "{name}, seed {seed}: {:?}", sim.counts).expect("text");
+            assert_eq!(sim.violations, [""; 0], "{name}, seed {seed}");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Guards against faults that only occur together: many runs of random faults.
+#[test]
+fn random_faults() {
+    let mut table = String::new();
+    for seed in 100..125 {
+        let mut sim = sim::Sim::new(seed, 3 + seed as usize % 2 * 2, 1, |_| {});
+        let mut rng = rngs::StdRng::seed_from_u64(seed);
+        for _ in 0..40 {
+            let host = rng.random_range(0..sim.hosts.len());
+            let other = rng.random_range(0..sim.hosts.len());
+            match rng.random_range(0..10) {
+                0 => sim.kill(host),
+                1 => sim.restart(host),
+                2 => sim.hosts[host].frozen = true,
+                3 => sim.thaw(host),
+                4 => sim.cut(host, other),
+                5 => _ = sim.cuts.insert((host, other)),
+                6 => sim.cuts.clear(),
+                7 => sim.hosts[host].torn = true,
+                8 => sim.noise = rng.random_range(0.0..0.2),
+                // More lost disks than a minority would be a loss that no design survives.
+                _ if sim.repaired() => sim.lose_disk(host),
+                _ => sim.heal(),
+            }
+            sim.run(rng.random_range(50..1_500));
+        }
+        sim.settle();
+        writeln!(table, "seed {seed}: {:?}", sim.counts).expect("text");
+        assert_eq!(sim.violations, [""; 0], "seed {seed}");
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Cuts off one follower, accepts commands, then has the other follower forget them.
+fn forget(sim: &mut sim::Sim, forget: fn(&mut sim::Sim, usize)) {
+    let leader = lead(sim);
+    let (behind, forgetful) = (sim.followers()[0], sim.followers()[1]);
+    sim.isolate(behind);
+    // What was under way to it has arrived.
+    sim.run(100);
+    forget(sim, forgetful);
+    sim.run(300);
+    sim.cuts.clear();
+    sim.isolate(leader);
+    sim.restart(forgetful);
+    sim.run(5_000);
+}
+
+/// An entry that reached a majority and is replaced by one of an earlier, later-numbered term.
+fn replace_counted(sim: &mut sim::Sim) {
+    sim.busy = false;
+    sim.run(1_000);
+    let first = lead(sim);
+    let rest = sim.followers();
+    let (keeper, second) = (rest[0], &rest[1..]);
+    second.iter().for_each(|&it| sim.cut(first, it));
+    second.iter().for_each(|&it| sim.cut(keeper, it));
+    let index = sim.hosts[first].group.as_ref().expect("alive").commit().0 + 1;
+    sim.propose(first);
+    sim.run(100);
+    sim.kill(first);
+    sim.kill(keeper);
+    // The second leader writes its first entry at the same index on its own disk only.
+    sim.entry_limit = Some(index - 1);
+    assert!(sim.run_until(10_000, |it| it.leader().is_some()), "no second leader");
+    let rival = lead(sim);
+    sim.run(100);
+    sim.kill(rival);
+    sim.cuts.clear();
+    sim.entry_limit = Some(index);
+    sim.restart(first);
+    sim.restart(keeper);
+    sim.run_until(10_000, |it| it.leader().is_some());
+    sim.run(1_000);
+    sim.kill(first);
+    sim.kill(keeper);
+    sim.entry_limit = None;
+    sim.restart(rival);
+    sim.run(6_000);
+    sim.busy = true;
+}
+
+/// A mechanism: its name, how it is switched off, the voters, the faults, and what the checker
+/// reports without it.
+type Guard = (&'static str, fn(&mut settings::Mechanisms), usize, fn(&mut sim::Sim), &'static str);
+
+/// Guards against a mechanism that does nothing: without it the case must fail, with it it must
+/// not.
+#[test]
+fn mechanisms() {
+    let guards: [Guard; 6] = [
+        (
+            "disk IDs",
+            |it| it.disk_ids = false,
+            3,
+            |sim| {
+                forget(sim, |sim, host| {
+                    sim.run(500);
+                    sim.isolate(lead(sim));
+                    sim.lose_disk(host);
+                })
+            },
+            "lacks a committed command",
+        ),
+        (
+            "lease check",
+            |it| it.lease_check = false,
+            3,
+            |sim| {
+                sim.isolate(lead(sim));
+                sim.run(5_000);
+            },
+            "both claim a valid lease",
+        ),
+        (
+            "pre-vote",
+            |it| it.pre_vote = false,
+            3,
+            |sim| {
+                let leader = lead(sim);
+                sim.stable = sim.hosts[leader].group.as_ref().map(|it| (leader, it.term()));
+                sim.isolate(follower(sim));
+                sim.run(10_000);
+                sim.cuts.clear();
+                sim.run(5_000);
+            },
+            "a healthy leader was deposed",
+        ),
+        (
+            "vote refusal",
+            |it| it.vote_refusal = false,
+            3,
+            |sim| {
+                // One follower's election timeout ends while the leader still has its lease.
+                // All logs are equal, so that its request is refused for no other reason.
+                sim.busy = false;
+                sim.run(500);
+                let leader = lead(sim);
+                sim.cut(leader, follower(sim));
+                sim.run(900);
+                sim.isolate(leader);
+                sim.run(5_000);
+                sim.busy = true;
+            },
+            "both claim a valid lease",
+        ),
+        (
+            "own-term commit",
+            |it| it.own_term = false,
+            5,
+            replace_counted,
+            "lacks a committed command",
+        ),
+        (
+            "sync before answer",
+            |it| it.sync_first = false,
+            3,
+            |sim| {
+                forget(sim, |sim, host| {
+                    sim.hosts[host].doomed = true;
+                })
+            },
+            "lacks a committed command",
+        ),
+    ];
+    let mut table = String::new();
+    for (name, switch_off, voters, script, expected) in guards {
+        for off in [false, true] {
+            let mut sim = sim::Sim::new(7, voters, 0, |it| {
+                (it.batch_entries, it.window) = (1, 1);
+                if off {
+                    switch_off(&mut it.mechanisms);
+                }
+            });
+            await_leader(&mut sim);
+            sim.run(1_000);
+            script(&mut sim);
+            sim.settle();
+            let found = sim.violations.iter().any(|it| it.contains(expected));
+            writeln!(table, "{name}, off {off}, seed 7: {:?}", sim.violations).expect("text");
+            assert_eq!(found, off, "{name}, off {off}: {:?}", sim.violations);
+            assert!(off || sim.violations.is_empty(), "{name}: {:?}", sim.violations);
+        }
+    }
+    insta::assert_snapshot!(table);
+}
--- /dev/null
+++ b/crates/agreement/tests/sim/mod.rs
@@ -0,0 +1,466 @@
+//! A fake network of hosts with disks, a checker of the invariants, and faults to inject.
+
+use std::collections;
+
+use agreement::{entries, events, group, messages, settings};
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use rand::{Rng as _, SeedableRng as _, rngs, seq::IndexedRandom as _};
+use world::time;
+
+const TICK_MS: u64 = 20;
+
+/// What is synced on a host.
+#[derive(Clone, Debug)]
+pub struct Disk {
+    pub id: entries::DiskId,
+    restored: events::Restored,
+}
+
+pub struct Host {
+    pub name: CompactString,
+    pub disk: Disk,
+    pub group: Option<group::Group>,
+    pub machine: collections::BTreeMap<u64, Bytes>,
+    pub frozen: bool,
+    /// The next write is torn by a power loss.
+    pub torn: bool,
+    /// Power is lost before the next write of entries.
+    pub doomed: bool,
+    inbox: Vec<(usize, messages::Message)>,
+    /// The clocks of two hosts are not comparable.
+    skew: u64,
+}
+
+/// Figures of a run, for the table.
+#[derive(Debug, Default)]
+pub struct Counts {
+    pub accepted: u32,
+    pub refused: u32,
+    pub unknown: u32,
+    pub elected: u32,
+    pub installed: u32,
+    pub reads: u32,
+    pub failed_reads: u32,
+}
+
+pub struct Sim {
+    pub hosts: Vec<Host>,
+    pub now: u64,
+    pub settings: settings::Settings,
+    pub cuts: collections::BTreeSet<(usize, usize)>,
+    /// Share of packets lost, and of packets sent twice.
+    pub noise: f64,
+    /// Packets with entries above this index are lost.
+    pub entry_limit: Option<u64>,
+    /// Commands are proposed all the time.
+    pub busy: bool,
+    /// The leader and its term that no event may change.
+    pub stable: Option<(usize, entries::Term)>,
+    pub counts: Counts,
+    pub violations: Vec<String>,
+    packets: collections::BTreeMap<(u64, u64), (usize, usize, messages::Message)>,
+    rng: rngs::StdRng,
+    serial: u64,
+    proposed: collections::BTreeMap<u64, Bytes>,
+    reads: collections::BTreeMap<u64, u64>,
+    committed: collections::BTreeMap<u64, Bytes>,
+    /// The highest index that was accepted.
+    newest: u64,
+    replaced: collections::BTreeSet<entries::DiskId>,
+}
+
+impl Sim {
+    /// `voters` hosts that vote and `learners` that do not.
+    pub fn new(
+        seed: u64,
+        voters: usize,
+        learners: usize,
+        change: impl FnOnce(&mut settings::Settings),
+    ) -> Sim {
+        let names: Vec<_> = (0..voters + learners).map(|it| format_compact!("h{it}")).collect();
+        let mut settings = settings::Settings::new(names.clone(), names[..voters].to_vec());
+        (settings.snapshot_entries, settings.retained, settings.chunk_bytes) = (100, 20, 1_000);
+        change(&mut settings);
+        let mut sim = Sim {
+            hosts: Vec::new(),
+            now: 0,
+            settings,
+            cuts: collections::BTreeSet::new(),
+            noise: 0.0,
+            entry_limit: None,
+            busy: true,
+            stable: None,
+            counts: Counts::default(),
+            violations: Vec::new(),
+            packets: collections::BTreeMap::new(),
+            rng: rngs::StdRng::seed_from_u64(seed),
+            serial: 0,
+            proposed: collections::BTreeMap::new(),
+            reads: collections::BTreeMap::new(),
+            committed: collections::BTreeMap::new(),
+            newest: 0,
+            replaced: collections::BTreeSet::new(),
+        };
+        for name in names {
+            let disk = sim.blank_disk();
+            let skew = sim.rng.random_range(0..1_000_000_000);
+            let machine = collections::BTreeMap::new();
+            let inbox = Vec::new();
+            let host = Host {
+                name,
+                disk,
+                group: None,
+                machine,
+                frozen: false,
+                torn: false,
+                doomed: false,
+                inbox,
+                skew,
+            };
+            sim.hosts.push(host);
+        }
+        (0..sim.hosts.len()).for_each(|it| sim.restart(it));
+        sim
+    }
+
+    fn blank_disk(&mut self) -> Disk {
+        Disk { id: entries::DiskId(self.rng.random()), restored: events::Restored::default() }
+    }
+
+    fn clock(&self, host: usize) -> time::Time {
+        time::Time::from_micros(self.now + self.hosts[host].skew)
+    }
+
+    pub fn kill(&mut self, host: usize) {
+        let it = &mut self.hosts[host];
+        (it.group, it.frozen, it.torn, it.doomed) = (None, false, false, false);
+        it.inbox.clear();
+    }
+
+    pub fn restart(&mut self, host: usize) {
+        if self.hosts[host].group.is_some() {
+            return;
+        }
+        let seed = self.rng.random();
+        let it = &mut self.hosts[host];
+        it.frozen = false;
+        let before = it.machine.last_key_value().map(|it| *it.0);
+        let restored = it.disk.restored.clone();
+        it.machine =
+            restored.snapshot.as_ref().map_or_else(Default::default, |it| decode(&it.data));
+        let settings = self.settings.clone();
+        it.group = Some(group::Group::new(settings, &it.name, it.disk.id, restored, seed));
+        self.step(host, events::Event::Tick);
+        if self.hosts[host].machine.last_key_value().map(|it| *it.0) < before {
+            self.violations.push(format!("h{host}: state moved back at a restart"));
+        }
+    }
+
+    pub fn lose_disk(&mut self, host: usize) {
+        self.kill(host);
+        self.hosts[host].disk = self.blank_disk();
+        self.hosts[host].machine.clear();
+        self.replaced.insert(self.hosts[host].disk.id);
+        self.restart(host);
+    }
+
+    pub fn thaw(&mut self, host: usize) {
+        self.hosts[host].frozen = false;
+        for (from, message) in std::mem::take(&mut self.hosts[host].inbox) {
+            self.receive(from, host, message);
+        }
+    }
+
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.extend([(a, b), (b, a)]);
+    }
+
+    pub fn isolate(&mut self, host: usize) {
+        (0..self.hosts.len()).filter(|&it| it != host).for_each(|it| self.cut(host, it));
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        (self.noise, self.entry_limit, self.stable) = (0.0, None, None);
+        self.cuts.clear();
+        for host in 0..self.hosts.len() {
+            let it = &mut self.hosts[host];
+            (it.torn, it.doomed) = (false, false);
+            self.thaw(host);
+            self.restart(host);
+        }
+    }
+
+    /// The live leader of the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |it: &usize| {
+            let group = self.hosts[*it].group.as_ref();
+            group.is_some_and(|it| it.role() == events::Role::Leader)
+        };
+        let term = |it: &usize| self.hosts[*it].group.as_ref().map(group::Group::term);
+        (0..self.hosts.len()).filter(leads).max_by_key(term)
+    }
+
+    pub fn current(&self) -> Option<usize> {
+        (0..self.hosts.len()).find(|&it| self.is_current(it))
+    }
+
+    fn is_current(&self, host: usize) -> bool {
+        let it = &self.hosts[host];
+        !it.frozen && it.group.as_ref().is_some_and(|it| it.is_current(self.clock(host)))
+    }
+
+    /// Voters that are not the leader.
+    pub fn followers(&self) -> Vec<usize> {
+        let leader = self.leader();
+        (0..self.settings.voters.len()).filter(|&it| Some(it) != leader).collect()
+    }
+
+    /// Whether the current leader's list has the present disk of each voter.
+    pub fn repaired(&self) -> bool {
+        let Some(group) = self.current().and_then(|it| self.hosts[it].group.as_ref()) else {
+            return false;
+        };
+        let listed = |it: &entries::Voter| {
+            self.hosts.iter().any(|host| host.name == it.host && host.disk.id == it.disk)
+        };
+        group.voters().len() == self.settings.voters.len() && group.voters().iter().all(listed)
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        self.run_until(millis, |_| false);
+    }
+
+    /// Runs until `done`; returns false when the time ran out first.
+    pub fn run_until(&mut self, millis: u64, done: impl Fn(&Sim) -> bool) -> bool {
+        let end = self.now + millis * 1_000;
+        while self.now < end {
+            if done(self) {
+                return true;
+            }
+            let slice = self.now + TICK_MS * 1_000;
+            while let Some(entry) = self.packets.first_entry().filter(|it| it.key().0 <= slice) {
+                self.now = self.now.max(entry.key().0);
+                let (from, to, message) = entry.remove();
+                self.receive(from, to, message);
+            }
+            self.now = slice;
+            (0..self.hosts.len()).for_each(|it| self.step(it, events::Event::Tick));
+            if self.busy {
+                self.ask();
+            }
+        }
+        done(self)
+    }
+
+    fn ask(&mut self) {
+        let live: Vec<_> = (0..self.hosts.len()).filter(|&it| self.is_live(it)).collect();
+        let Some(&host) = live.choose(&mut self.rng) else { return };
+        let target = self.leader().filter(|_| self.rng.random_bool(0.8)).unwrap_or(host);
+        self.propose(target);
+        self.serial += 1;
+        self.reads.insert(self.serial, self.newest);
+        self.step(host, events::Event::ConfirmRead { token: events::Token(self.serial) });
+    }
+
+    fn is_live(&self, host: usize) -> bool {
+        self.hosts[host].group.is_some() && !self.hosts[host].frozen
+    }
+
+    pub fn propose(&mut self, host: usize) {
+        if !self.is_live(host) {
+            return;
+        }
+        self.serial += 1;
+        let payload = Bytes::from(format!("value {}", self.serial));
+        self.proposed.insert(self.serial, payload.clone());
+        let token = events::Token(self.serial);
+        let clock = self.clock(host);
+        let isolated = self.hosts[host].group.as_ref().is_some_and(|it| it.is_isolated(clock));
+        let before = self.counts.refused;
+        self.step(host, events::Event::Propose(vec![events::Proposal { token, payload }]));
+        if isolated && self.counts.refused == before {
+            self.violations.push(format!("h{host} took a proposal without a lease"));
+        }
+    }
+
+    fn receive(&mut self, from: usize, to: usize, message: messages::Message) {
+        if self.hosts[to].frozen {
+            return self.hosts[to].inbox.push((from, message));
+        }
+        let from = self.hosts[from].name.clone();
+        self.step(to, events::Event::Receive { from, message });
+    }
+
+    fn step(&mut self, host: usize, event: events::Event) {
+        let clock = self.clock(host);
+        if self.hosts[host].frozen {
+            return;
+        }
+        let Some(group) = &mut self.hosts[host].group else { return };
+        for effect in group.step(clock, event) {
+            if self.hosts[host].group.is_none() {
+                break;
+            }
+            self.perform(host, effect);
+        }
+        let current: Vec<_> = (0..self.hosts.len()).filter(|&it| self.is_current(it)).collect();
+        if current.len() > 1 {
+            self.violations.push(format!("hosts {current:?} both claim a valid lease"));
+        }
+    }
+
+    fn perform(&mut self, host: usize, effect: events::Effect) {
+        match effect {
+            events::Effect::Persist(persist) => self.persist(host, persist),
+            events::Effect::SaveSnapshot(snapshot) => self.save(host, snapshot),
+            events::Effect::InstallSnapshot(snapshot) => {
+                self.counts.installed += 1;
+                self.hosts[host].machine = decode(&snapshot.data);
+                self.save(host, snapshot);
+            }
+            events::Effect::Send { to, message } => self.send(host, &to, message),
+            events::Effect::Apply { index, payload } => self.apply(host, index.0, payload),
+            events::Effect::Accepted { token, index } => {
+                self.counts.accepted += 1;
+                self.newest = self.newest.max(index.0);
+                if self.committed.get(&index.0) != self.proposed.get(&token.0) {
+                    self.violations.push(format!("h{host} accepted what is not committed"));
+                }
+            }
+            events::Effect::Refused { .. } => self.counts.refused += 1,
+            events::Effect::Unknown { .. } => self.counts.unknown += 1,
+            events::Effect::ReadConfirmed { token, index } => {
+                self.counts.reads += 1;
+                if index.0 < self.reads[&token.0] {
+                    self.violations.push(format!("h{host}: a confirmed read is stale"));
+                }
+            }
+            events::Effect::ReadFailed { .. } => self.counts.failed_reads += 1,
+            events::Effect::RoleChanged { role: events::Role::Leader, term, .. } => {
+                self.counts.elected += 1;
+                if self.stable.is_some_and(|it| it != (host, term)) {
+                    self.violations.push("a healthy leader was deposed".into());
+                }
+            }
+            events::Effect::RoleChanged { .. } => {}
+            events::Effect::SnapshotDue { index } => {
+                let data = encode(&self.hosts[host].machine);
+                self.step(host, events::Event::SnapshotTaken { index, data });
+            }
+        }
+    }
+
+    fn persist(&mut self, host: usize, persist: events::Persist) {
+        let it = &mut self.hosts[host];
+        let disk = &mut it.disk.restored;
+        if it.doomed && !persist.entries.is_empty() {
+            return self.kill(host);
+        }
+        if let Some(from) = persist.truncate {
+            disk.entries.retain(|it| it.position.index < from);
+        }
+        if it.torn {
+            let half = persist.entries.len() / 2;
+            disk.entries.extend_from_slice(&persist.entries[..half]);
+            return self.kill(host);
+        }
+        disk.entries.extend(persist.entries);
+        disk.hard = persist.hard.unwrap_or_else(|| disk.hard.clone());
+    }
+
+    fn save(&mut self, host: usize, snapshot: events::Snapshot) {
+        let disk = &mut self.hosts[host].disk.restored;
+        let last = snapshot.last;
+        if disk.entries.iter().any(|it| it.position == last) {
+            disk.entries.retain(|it| it.position.index > last.index);
+        } else {
+            disk.entries.clear();
+        }
+        disk.snapshot = Some(snapshot);
+    }
+
+    fn apply(&mut self, host: usize, index: u64, payload: Bytes) {
+        self.hosts[host].machine.insert(index, payload.clone());
+        let first = self.committed.entry(index).or_insert_with(|| payload.clone());
+        if *first != payload {
+            self.violations.push(format!("h{host} committed another payload at an index"));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: messages::Message) {
+        if let messages::Body::VoteReply { granted: true, .. } = message.body {
+            self.check_vote(from);
+        }
+        let Some(to) = self.hosts.iter().position(|it| it.name == to) else { return };
+        let over = |it: &messages::Append| {
+            let last = it.entries.last().map_or(0, |it| it.position.index.0);
+            self.entry_limit.is_some_and(|limit| last > limit)
+        };
+        let withheld = matches!(&message.body, messages::Body::Append(it) if over(it));
+        if self.cuts.contains(&(from, to)) || withheld {
+            return;
+        }
+        let copies = match self.rng.random::<f64>() {
+            it if it < self.noise => 0,
+            it if it < 2.0 * self.noise => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let slow = self.rng.random_bool(self.noise);
+            let delay = self.rng.random_range(500..if slow { 400_000 } else { 2_000 });
+            self.serial += 1;
+            self.packets.insert((self.now + delay, self.serial), (from, to, message.clone()));
+        }
+    }
+
+    fn check_vote(&mut self, host: usize) {
+        let disk = self.hosts[host].disk.id;
+        let groups = || self.hosts.iter().filter_map(|it| it.group.as_ref());
+        let listed = groups().any(|it| it.voters().iter().any(|it| it.disk == disk));
+        if self.replaced.contains(&disk) && !listed {
+            self.violations.push(format!("h{host} voted with a disk that is not listed"));
+        }
+    }
+
+    /// Ends all faults and checks that every host reaches the same state with all that was
+    /// committed, and that commands are accepted again.
+    pub fn settle(&mut self) {
+        self.heal();
+        if !self.run_until(10_000, Sim::repaired) {
+            self.violations.push("no recovery within 10 s".into());
+        }
+        let before = self.counts.accepted;
+        self.run(3_000);
+        if self.counts.accepted == before {
+            self.violations.push("nothing is accepted after the recovery".into());
+        }
+        self.busy = false;
+        self.run(1_500);
+        for (index, payload) in &self.committed {
+            let lost = |it: &&Host| it.machine.get(index) != Some(payload);
+            for host in self.hosts.iter().filter(lost) {
+                self.violations.push(format!("{} lacks a committed command", host.name));
+            }
+        }
+        self.violations.sort();
+        self.violations.dedup();
+    }
+}
+
+fn encode(machine: &collections::BTreeMap<u64, Bytes>) -> Bytes {
+    let line = |(index, payload): (&u64, &Bytes)| {
+        format!("{index} {}\n", String::from_utf8_lossy(payload))
+    };
+    Bytes::from(machine.iter().map(line).collect::<String>())
+}
+
+fn decode(data: &[u8]) -> collections::BTreeMap<u64, Bytes> {
+    let text = str::from_utf8(data).expect("a snapshot is text");
+    let pair = |line: &str| {
+        let (index, payload) = line.split_once(' ').expect("index and payload");
+        (index.parse().expect("an index"), Bytes::from(payload.to_owned()))
+    };
+    text.lines().map(pair).collect()
+}
