--- a/crates/agreement/tests/cases.rs
+++ b/crates/agreement/tests/cases.rs
@@ -45,7 +45,7 @@
         }),
         ("leader frozen", 3, 0, |sim| {
             let leader = lead(sim);
-            sim.hosts[leader].frozen = true;
+            sim.hosts[leader].faults.frozen = true;
             sim.run(5_000);
             sim.thaw(leader);
             sim.run(1_000);
@@ -69,8 +69,10 @@
             sim.run(6_000);
         }),
         ("long isolated leader", 3, 1, |sim| {
-            sim.isolate(lead(sim));
+            let leader = lead(sim);
+            sim.isolate(leader);
             sim.run(30_000);
+            (0..4).for_each(|it| assert_eq!(sim.is_isolated(it), it == leader, "h{it}"));
         }),
         ("learner long dead", 3, 1, |sim| {
             sim.kill(3);
@@ -92,7 +94,7 @@
         ("torn writes", 3, 0, |sim| {
             for _ in 0..4 {
                 let hosts = [lead(sim), follower(sim)];
-                hosts.into_iter().for_each(|it| sim.hosts[it].torn = true);
+                hosts.into_iter().for_each(|it| sim.hosts[it].faults.torn = true);
                 sim.run(1_000);
                 hosts.into_iter().for_each(|it| sim.restart(it));
                 await_leader(sim);
@@ -127,12 +129,12 @@
             match rng.random_range(0..10) {
                 0 => sim.kill(host),
                 1 => sim.restart(host),
-                2 => sim.hosts[host].frozen = true,
+                2 => sim.hosts[host].faults.frozen = true,
                 3 => sim.thaw(host),
                 4 => sim.cut(host, other),
                 5 => _ = sim.cuts.insert((host, other)),
                 6 => sim.cuts.clear(),
-                7 => sim.hosts[host].torn = true,
+                7 => sim.hosts[host].faults.torn = true,
                 8 => sim.noise = rng.random_range(0.0..0.2),
                 // More lost disks than a minority would be a loss that no design survives.
                 _ if sim.repaired() => sim.lose_disk(host),
@@ -162,7 +164,8 @@
     sim.run(5_000);
 }
 
-/// An entry that reached a majority and is replaced by one of an earlier, later-numbered term.
+/// Has a leader spread an entry of an earlier term to a majority while another host, which holds
+/// an entry of a later term at the same index, can still be elected.
 fn replace_counted(sim: &mut sim::Sim) {
     sim.busy = false;
     sim.run(1_000);
@@ -273,7 +276,7 @@
             3,
             |sim| {
                 forget(sim, |sim, host| {
-                    sim.hosts[host].doomed = true;
+                    sim.hosts[host].faults.doomed = true;
                 })
             },
             "lacks a committed command",
--- a/crates/agreement/tests/sim/mod.rs
+++ b/crates/agreement/tests/sim/mod.rs
@@ -17,16 +17,22 @@
     restored: events::Restored,
 }
 
-pub struct Host {
-    pub name: CompactString,
-    pub disk: Disk,
-    pub group: Option<group::Group>,
-    pub machine: collections::BTreeMap<u64, Bytes>,
+/// Faults of one host.
+#[derive(Debug, Default)]
+pub struct Faults {
     pub frozen: bool,
     /// The next write is torn by a power loss.
     pub torn: bool,
     /// Power is lost before the next write of entries.
     pub doomed: bool,
+}
+
+pub struct Host {
+    pub name: CompactString,
+    pub disk: Disk,
+    pub group: Option<group::Group>,
+    pub machine: collections::BTreeMap<u64, Bytes>,
+    pub faults: Faults,
     inbox: Vec<(usize, messages::Message)>,
     /// The clocks of two hosts are not comparable.
     skew: u64,
@@ -59,9 +65,16 @@
     pub stable: Option<(usize, entries::Term)>,
     pub counts: Counts,
     pub violations: Vec<String>,
+    /// Packets under way by arrival and number.
     packets: collections::BTreeMap<(u64, u64), (usize, usize, messages::Message)>,
     rng: rngs::StdRng,
     serial: u64,
+    seen: Seen,
+}
+
+/// What the checker compares with.
+#[derive(Default)]
+struct Seen {
     proposed: collections::BTreeMap<u64, Bytes>,
     reads: collections::BTreeMap<u64, u64>,
     committed: collections::BTreeMap<u64, Bytes>,
@@ -96,29 +109,13 @@
             packets: collections::BTreeMap::new(),
             rng: rngs::StdRng::seed_from_u64(seed),
             serial: 0,
-            proposed: collections::BTreeMap::new(),
-            reads: collections::BTreeMap::new(),
-            committed: collections::BTreeMap::new(),
-            newest: 0,
-            replaced: collections::BTreeSet::new(),
+            seen: Seen::default(),
         };
         for name in names {
             let disk = sim.blank_disk();
             let skew = sim.rng.random_range(0..1_000_000_000);
-            let machine = collections::BTreeMap::new();
-            let inbox = Vec::new();
-            let host = Host {
-                name,
-                disk,
-                group: None,
-                machine,
-                frozen: false,
-                torn: false,
-                doomed: false,
-                inbox,
-                skew,
-            };
-            sim.hosts.push(host);
+            let (machine, faults, inbox) = Default::default();
+            sim.hosts.push(Host { name, disk, group: None, machine, faults, inbox, skew });
         }
         (0..sim.hosts.len()).for_each(|it| sim.restart(it));
         sim
@@ -134,8 +131,7 @@
 
     pub fn kill(&mut self, host: usize) {
         let it = &mut self.hosts[host];
-        (it.group, it.frozen, it.torn, it.doomed) = (None, false, false, false);
-        it.inbox.clear();
+        (it.group, it.faults, it.inbox) = Default::default();
     }
 
     pub fn restart(&mut self, host: usize) {
@@ -144,7 +140,7 @@
         }
         let seed = self.rng.random();
         let it = &mut self.hosts[host];
-        it.frozen = false;
+        it.faults.frozen = false;
         let before = it.machine.last_key_value().map(|it| *it.0);
         let restored = it.disk.restored.clone();
         it.machine =
@@ -161,12 +157,12 @@
         self.kill(host);
         self.hosts[host].disk = self.blank_disk();
         self.hosts[host].machine.clear();
-        self.replaced.insert(self.hosts[host].disk.id);
+        self.seen.replaced.insert(self.hosts[host].disk.id);
         self.restart(host);
     }
 
     pub fn thaw(&mut self, host: usize) {
-        self.hosts[host].frozen = false;
+        self.hosts[host].faults.frozen = false;
         for (from, message) in std::mem::take(&mut self.hosts[host].inbox) {
             self.receive(from, host, message);
         }
@@ -185,8 +181,7 @@
         (self.noise, self.entry_limit, self.stable) = (0.0, None, None);
         self.cuts.clear();
         for host in 0..self.hosts.len() {
-            let it = &mut self.hosts[host];
-            (it.torn, it.doomed) = (false, false);
+            self.hosts[host].faults = Faults::default();
             self.thaw(host);
             self.restart(host);
         }
@@ -202,13 +197,19 @@
         (0..self.hosts.len()).filter(leads).max_by_key(term)
     }
 
+    /// Whether a live host reports itself isolated.
+    pub fn is_isolated(&self, host: usize) -> bool {
+        let group = self.hosts[host].group.as_ref();
+        group.is_some_and(|it| it.is_isolated(self.clock(host)))
+    }
+
     pub fn current(&self) -> Option<usize> {
         (0..self.hosts.len()).find(|&it| self.is_current(it))
     }
 
     fn is_current(&self, host: usize) -> bool {
         let it = &self.hosts[host];
-        !it.frozen && it.group.as_ref().is_some_and(|it| it.is_current(self.clock(host)))
+        !it.faults.frozen && it.group.as_ref().is_some_and(|it| it.is_current(self.clock(host)))
     }
 
     /// Voters that are not the leader.
@@ -260,12 +261,12 @@
         let target = self.leader().filter(|_| self.rng.random_bool(0.8)).unwrap_or(host);
         self.propose(target);
         self.serial += 1;
-        self.reads.insert(self.serial, self.newest);
+        self.seen.reads.insert(self.serial, self.seen.newest);
         self.step(host, events::Event::ConfirmRead { token: events::Token(self.serial) });
     }
 
     fn is_live(&self, host: usize) -> bool {
-        self.hosts[host].group.is_some() && !self.hosts[host].frozen
+        self.hosts[host].group.is_some() && !self.hosts[host].faults.frozen
     }
 
     pub fn propose(&mut self, host: usize) {
@@ -274,10 +275,9 @@
         }
         self.serial += 1;
         let payload = Bytes::from(format!("value {}", self.serial));
-        self.proposed.insert(self.serial, payload.clone());
+        self.seen.proposed.insert(self.serial, payload.clone());
         let token = events::Token(self.serial);
-        let clock = self.clock(host);
-        let isolated = self.hosts[host].group.as_ref().is_some_and(|it| it.is_isolated(clock));
+        let isolated = self.is_isolated(host);
         let before = self.counts.refused;
         self.step(host, events::Event::Propose(vec![events::Proposal { token, payload }]));
         if isolated && self.counts.refused == before {
@@ -286,7 +286,7 @@
     }
 
     fn receive(&mut self, from: usize, to: usize, message: messages::Message) {
-        if self.hosts[to].frozen {
+        if self.hosts[to].faults.frozen {
             return self.hosts[to].inbox.push((from, message));
         }
         let from = self.hosts[from].name.clone();
@@ -295,7 +295,7 @@
 
     fn step(&mut self, host: usize, event: events::Event) {
         let clock = self.clock(host);
-        if self.hosts[host].frozen {
+        if self.hosts[host].faults.frozen {
             return;
         }
         let Some(group) = &mut self.hosts[host].group else { return };
@@ -324,8 +324,8 @@
             events::Effect::Apply { index, payload } => self.apply(host, index.0, payload),
             events::Effect::Accepted { token, index } => {
                 self.counts.accepted += 1;
-                self.newest = self.newest.max(index.0);
-                if self.committed.get(&index.0) != self.proposed.get(&token.0) {
+                self.seen.newest = self.seen.newest.max(index.0);
+                if self.seen.committed.get(&index.0) != self.seen.proposed.get(&token.0) {
                     self.violations.push(format!("h{host} accepted what is not committed"));
                 }
             }
@@ -333,7 +333,7 @@
             events::Effect::Unknown { .. } => self.counts.unknown += 1,
             events::Effect::ReadConfirmed { token, index } => {
                 self.counts.reads += 1;
-                if index.0 < self.reads[&token.0] {
+                if index.0 < self.seen.reads[&token.0] {
                     self.violations.push(format!("h{host}: a confirmed read is stale"));
                 }
             }
@@ -355,13 +355,13 @@
     fn persist(&mut self, host: usize, persist: events::Persist) {
         let it = &mut self.hosts[host];
         let disk = &mut it.disk.restored;
-        if it.doomed && !persist.entries.is_empty() {
+        if it.faults.doomed && !persist.entries.is_empty() {
             return self.kill(host);
         }
         if let Some(from) = persist.truncate {
             disk.entries.retain(|it| it.position.index < from);
         }
-        if it.torn {
+        if it.faults.torn {
             let half = persist.entries.len() / 2;
             disk.entries.extend_from_slice(&persist.entries[..half]);
             return self.kill(host);
@@ -383,7 +383,7 @@
 
     fn apply(&mut self, host: usize, index: u64, payload: Bytes) {
         self.hosts[host].machine.insert(index, payload.clone());
-        let first = self.committed.entry(index).or_insert_with(|| payload.clone());
+        let first = self.seen.committed.entry(index).or_insert_with(|| payload.clone());
         if *first != payload {
             self.violations.push(format!("h{host} committed another payload at an index"));
         }
@@ -419,7 +419,7 @@
         let disk = self.hosts[host].disk.id;
         let groups = || self.hosts.iter().filter_map(|it| it.group.as_ref());
         let listed = groups().any(|it| it.voters().iter().any(|it| it.disk == disk));
-        if self.replaced.contains(&disk) && !listed {
+        if self.seen.replaced.contains(&disk) && !listed {
             self.violations.push(format!("h{host} voted with a disk that is not listed"));
         }
     }
@@ -438,7 +438,7 @@
         }
         self.busy = false;
         self.run(1_500);
-        for (index, payload) in &self.committed {
+        for (index, payload) in &self.seen.committed {
             let lost = |it: &&Host| it.machine.get(index) != Some(payload);
             for host in self.hosts.iter().filter(lost) {
                 self.violations.push(format!("{} lacks a committed command", host.name));
--- a/crates/storage/src/errors.rs
+++ b/crates/storage/src/errors.rs
@@ -50,8 +50,8 @@
         /// What was opened.
         expected: CompactString,
     },
-    /// A snapshot without its log: votes may be forgotten.
-    #[error("{} is missing beside a snapshot", path.display())]
+    /// One of log and snapshot is there without the other: votes or entries may be forgotten.
+    #[error("{} is missing although other files of the log are there", path.display())]
     Missing {
         /// The file that should be there.
         path: path::PathBuf,
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -54,6 +54,9 @@
         let snapshot = snapshot.map(|it| read_snapshot(folder, &header, &it)).transpose()?;
         let mut replay = replay::Replay::read(&mut reader)?;
         let base = snapshot.as_ref().map_or(entries::Position::default(), |it| it.last);
+        if replay.base > base.index {
+            return Err(errors::Error::Missing { path: folder.join(SNAPSHOT) });
+        }
         let Some(trimmed) = replay.trim(base) else {
             return Err(reader.corrupt("entries between the snapshot and the log are missing"));
         };
@@ -62,7 +65,7 @@
         } else {
             cut_tail(&path, reader.offset(), bytes.len(), &mut faults)?
         };
-        let replay::Replay { hard, entries } = replay;
+        let replay::Replay { hard, entries, .. } = replay;
         let restored = events::Restored { hard, snapshot, entries };
         let folder = folder.to_path_buf();
         Ok(Log { folder, header, file, restored, failed: false, faults, _lock: lock })
@@ -212,6 +215,9 @@
     faults: &mut F,
 ) -> errors::Result<fs::File> {
     let mut bytes = records::begin(records::Kind::Log, header)?;
+    if replay.base > entries::Index::default() {
+        records::encode(&records::Record::Base(replay.base), &mut bytes)?;
+    }
     if replay.hard != events::HardState::default() {
         records::encode(&records::Record::Hard(replay.hard.clone()), &mut bytes)?;
     }
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -52,6 +52,8 @@
     Hard(events::HardState),
     Entry(entries::Entry),
     Truncate(entries::Index),
+    /// Entries up to this index are in a snapshot, without which the log must not be used.
+    Base(entries::Index),
 }
 
 /// Appends a value as a record.
@@ -105,6 +107,13 @@
     Frame::Whole(payload)
 }
 
+/// Whether `bytes` are a whole record of which only the length is damaged.
+fn is_whole_but_length(bytes: &[u8]) -> bool {
+    let Some((frame, payload)) = bytes.split_first_chunk::<FRAME>() else { return false };
+    let Ok(size) = u32::try_from(payload.len()) else { return false };
+    checksum(&size.to_le_bytes(), payload).to_le_bytes() == frame[4..]
+}
+
 /// Reads the records of one file.
 pub(crate) struct Reader<'a> {
     path: &'a path::Path,
@@ -176,9 +185,10 @@
         self.offset
     }
 
-    /// Whether a whole record stands anywhere after the first byte of `rest`.
+    /// Whether a whole record stands anywhere in `rest`, at its start with a wrong length.
     fn holds_record(&self, rest: &[u8]) -> bool {
         (1..rest.len()).any(|at| matches!(frame(&rest[at..]), Frame::Whole(_)))
+            || is_whole_but_length(rest)
     }
 
     fn decode<T: de::DeserializeOwned>(&mut self, payload: &[u8]) -> errors::Result<T> {
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -9,6 +9,8 @@
 pub(crate) struct Replay {
     pub(crate) hard: events::HardState,
     pub(crate) entries: Vec<entries::Entry>,
+    /// The last index that a snapshot must cover.
+    pub(crate) base: entries::Index,
 }
 
 impl Replay {
@@ -26,6 +28,7 @@
     fn take(&mut self, record: records::Record) -> bool {
         match record {
             records::Record::Hard(hard) => self.hard = hard,
+            records::Record::Base(base) => self.base = base,
             records::Record::Truncate(from) => {
                 self.entries.retain(|it| it.position.index < from);
             }
@@ -43,6 +46,7 @@
     /// Drops what a snapshot covers, or everything when the log had other entries there. Returns
     /// whether anything was dropped; none when entries between snapshot and log are missing.
     pub(crate) fn trim(&mut self, last: entries::Position) -> Option<bool> {
+        self.base = last.index;
         let before = self.entries.len();
         let Some(first) = self.entries.first().map(|it| it.position.index) else {
             return Some(false);
