--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -17,3 +17,4 @@
 mod replication;
 pub mod settings;
 mod snapshots;
+pub mod status;
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -49,7 +49,7 @@
             return Log::create(folder, name, faults, lock);
         };
         let (mut reader, header) = records::Reader::open(&path, records::Kind::Log, &bytes)?;
-        let expected = records::Header { name: name.into(), disk: header.disk };
+        let expected = records::Header::new(name, header.disk());
         reader.check(&header, &expected)?;
         let snapshot = snapshot.map(|it| read_snapshot(folder, &header, &it)).transpose()?;
         let mut replay = replay::Replay::read(&mut reader)?;
@@ -77,8 +77,8 @@
         mut faults: F,
         lock: fs::File,
     ) -> errors::Result<Log<F>> {
-        let header = records::Header { name: name.into(), disk: entries::DiskId(rand::random()) };
-        log::info!("new log {name} in {} with disk ID {}", folder.display(), header.disk);
+        let header = records::Header::new(name, entries::DiskId(rand::random()));
+        log::info!("new log {name} in {} with disk ID {}", folder.display(), header.disk());
         let file = rewrite(folder, &header, &replay::Replay::default(), &mut faults)?;
         let restored = events::Restored::default();
         let folder = folder.to_path_buf();
@@ -87,7 +87,7 @@
 
     /// The ID that the disk got when this folder was first written.
     pub fn disk(&self) -> entries::DiskId {
-        self.header.disk
+        self.header.disk()
     }
 
     /// The name of the log.
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -37,12 +37,22 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Header {
     pub(crate) name: CompactString,
-    pub(crate) disk: entries::DiskId,
+    /// Of fixed length, so that the offsets in a file do not depend on the random number.
+    #[serde(with = "postcard::fixint::le")]
+    disk: u64,
 }
 
 impl Header {
+    pub(crate) fn new(name: &str, disk: entries::DiskId) -> Header {
+        Header { name: name.into(), disk: disk.0 }
+    }
+
+    pub(crate) fn disk(&self) -> entries::DiskId {
+        entries::DiskId(self.disk)
+    }
+
     fn describe(&self) -> CompactString {
-        format_compact!("log {} of disk {}", self.name, self.disk)
+        format_compact!("log {} of disk {}", self.name, self.disk())
     }
 }
 
