Add the replicated state machines: versions, claims, quarantine

Cause: the design keeps patches, claims and crash evidence in the replicated log, and only the empty crate existed. Change: three deterministic state machines with apply(index, command), whole state serializable with postcard (a document is stored as JSON text, since it leaves out absent fields), and a local view of evidence for a control without a leader. Each protective mechanism has a switch for tests. Without request memory a resend gets a conflict; without the attempt check or the unknown state a claim is granted to a second attempt. Conclusion: the state machines hold invariants 1, 6 and 9 in these cases.

--- /dev/null
+++ b/crates/replicated/tests/claims.rs
@@ -0,0 +1,254 @@
+//! Claims of non-idempotent requests: sequences of nodes' actions, and who may run the work.
+
+use std::{collections, fmt::Write as _};
+
+use bytes::Bytes;
+use rand::{Rng, SeedableRng, rngs};
+use replicated::{claims, mechanisms};
+use world::requests;
+
+#[derive(Clone, Copy)]
+enum Op {
+    Claim(u128),
+    Other(u128),
+    Complete(u128),
+    Release(u128),
+    Expire,
+}
+
+const LIMIT: u64 = 2_000;
+
+fn name(key: &str) -> claims::ClaimName {
+    claims::ClaimName { service: "logbook".into(), key: key.into() }
+}
+
+fn stored(attempt: u128, body: usize) -> claims::StoredAnswer {
+    let headers = vec![("attempt".into(), Bytes::from(attempt.to_string()))];
+    claims::StoredAnswer { status: 201, headers, body: vec![b'x'; body].into(), cut: false }
+}
+
+fn command(at_ms: u64, key: &str, op: Op) -> claims::Command {
+    let request = |path| requests::Fingerprint::of("logbook", "POST", path, b"");
+    let claim = |path| claims::Action::Claim { fingerprint: request(path), limit_ms: LIMIT };
+    let (attempt, action) = match op {
+        Op::Claim(it) => (it, claim("/logs")),
+        Op::Other(it) => (it, claim("/other")),
+        Op::Complete(it) => (it, claims::Action::Complete(stored(it, 10))),
+        Op::Release(it) => (it, claims::Action::Release),
+        Op::Expire => return claims::Command::Expire { at_ms },
+    };
+    claims::Command::Act { at_ms, name: name(key), attempt: claims::AttemptId(attempt), action }
+}
+
+fn describe(answer: &claims::Answer) -> String {
+    let claims::Answer::Completed(it) = answer else { return format!("{answer:?}") };
+    let text = String::from_utf8_lossy(&it.headers[0].1);
+    format!("Completed by {text}, {} bytes, cut {}", it.body.len(), it.cut)
+}
+
+/// Attempts that may have run the work: granted, and not released by themselves. A second one
+/// breaks invariant 6.
+#[derive(Default)]
+struct Runs(collections::BTreeSet<u128>);
+
+impl Runs {
+    fn note(&mut self, op: Op, answer: &claims::Answer) {
+        match (op, answer) {
+            (Op::Claim(it) | Op::Other(it), claims::Answer::Granted) => self.0.insert(it),
+            // The node releases only work that certainly did not run.
+            (Op::Release(it), _) => self.0.remove(&it),
+            _ => return,
+        };
+    }
+}
+
+const CASES: [(&str, &[(u64, Op)]); 14] = [
+    (
+        "resend gets the stored answer",
+        &[(0, Op::Claim(1)), (5, Op::Complete(1)), (9, Op::Claim(2))],
+    ),
+    ("claim sent twice", &[(0, Op::Claim(1)), (5, Op::Claim(1)), (6, Op::Claim(2))]),
+    (
+        "other request",
+        &[(0, Op::Claim(1)), (5, Op::Other(2)), (6, Op::Complete(1)), (7, Op::Other(2))],
+    ),
+    (
+        "released",
+        &[(0, Op::Claim(1)), (5, Op::Release(1)), (6, Op::Claim(2)), (7, Op::Complete(2))],
+    ),
+    (
+        "stale release by an old attempt",
+        &[
+            (0, Op::Claim(1)),
+            (1, Op::Release(1)),
+            (2, Op::Claim(2)),
+            (3, Op::Release(1)),
+            (4, Op::Claim(3)),
+        ],
+    ),
+    (
+        "stale complete by an old attempt",
+        &[
+            (0, Op::Claim(1)),
+            (1, Op::Release(1)),
+            (2, Op::Claim(2)),
+            (3, Op::Complete(1)),
+            (4, Op::Claim(3)),
+        ],
+    ),
+    (
+        "late duplicate of a claim",
+        &[(0, Op::Claim(1)), (1, Op::Release(1)), (2, Op::Claim(1)), (3, Op::Claim(2))],
+    ),
+    ("release overtakes the claim", &[(0, Op::Release(1)), (1, Op::Claim(1)), (2, Op::Claim(2))]),
+    (
+        "node dies before the answer",
+        &[(0, Op::Claim(1)), (7_000, Op::Claim(2)), (7_001, Op::Claim(3))],
+    ),
+    (
+        "late answer",
+        &[
+            (0, Op::Claim(1)),
+            (7_001, Op::Claim(2)),
+            (8_000, Op::Complete(1)),
+            (8_001, Op::Claim(3)),
+        ],
+    ),
+    ("late release", &[(0, Op::Claim(1)), (7_001, Op::Release(1)), (7_002, Op::Claim(2))]),
+    (
+        "release after complete",
+        &[(0, Op::Claim(1)), (1, Op::Complete(1)), (2, Op::Release(1)), (3, Op::Claim(2))],
+    ),
+    ("clock moves back", &[(9_000, Op::Claim(1)), (16_001, Op::Expire), (3_000, Op::Claim(2))]),
+    (
+        "expiry",
+        &[
+            (0, Op::Claim(1)),
+            (86_399_999, Op::Claim(2)),
+            (86_400_000, Op::Expire),
+            (86_400_001, Op::Claim(3)),
+        ],
+    ),
+];
+
+fn run(steps: &[(u64, Op)], mechanisms: mechanisms::Mechanisms, out: &mut String) -> Runs {
+    let mut runs = Runs::default();
+    let mut state = claims::Claims::default();
+    for (at, &(at_ms, op)) in steps.iter().enumerate() {
+        // Every step is taken by a replica that was restored from a snapshot.
+        let bytes = postcard::to_stdvec(&state).expect("encodes");
+        state = postcard::from_bytes(&bytes).expect("decodes");
+        state.set_mechanisms(mechanisms);
+        let answer = state.apply(at as u64 + 1, &command(at_ms, "k", op));
+        runs.note(op, &answer);
+        write!(out, " {}", describe(&answer)).expect("text");
+        out.push(';');
+    }
+    runs
+}
+
+/// Guards against a second run of a request, for each sequence of a node's and a stranger's
+/// actions.
+#[test]
+fn sequences() {
+    let mut out = String::new();
+    for (title, steps) in CASES {
+        write!(out, "{title}:").expect("text");
+        let runs = run(steps, mechanisms::Mechanisms::default(), &mut out);
+        // After 24 h the node refuses the request by its first-sent time.
+        assert!(runs.0.len() <= 1 || title == "expiry", "{title}: ran as {:?}", runs.0);
+        out.push('\n');
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Shows that each mechanism is needed: without it, some sequence runs work twice or answers with
+/// the answer of another request.
+#[test]
+fn mechanisms_off() {
+    let on = mechanisms::Mechanisms::default();
+    let cases = [
+        ("attempt_check", 4, mechanisms::Mechanisms { attempt_check: false, ..on }),
+        ("unknown_state", 8, mechanisms::Mechanisms { unknown_state: false, ..on }),
+        ("fingerprint_check", 2, mechanisms::Mechanisms { fingerprint_check: false, ..on }),
+    ];
+    let mut out = String::new();
+    for (title, case, off) in cases {
+        write!(out, "{title} off, {}:", CASES[case].0).expect("text");
+        let from = out.len();
+        let runs = run(CASES[case].1, off, &mut out);
+        let foreign = title == "fingerprint_check" && out[from..].contains("Completed by 1");
+        assert!(runs.0.len() > 1 || foreign, "{title} makes no difference: {}", &out[from..]);
+        out.push('\n');
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a second run in sequences that nobody thought of.
+#[test]
+fn random_sequences() {
+    for seed in 0..300 {
+        let mut rng = rngs::StdRng::seed_from_u64(seed);
+        let mut state = claims::Claims::default();
+        let mut runs = Runs::default();
+        let mut at_ms = 0_u64;
+        // A node releases or completes an attempt, never both.
+        let completes: Vec<bool> = (0..8).map(|_| rng.random()).collect();
+        for index in 1..200 {
+            at_ms += rng.random_range(0..1_500);
+            let attempt = rng.random_range(0..8);
+            let op = match rng.random_range(0..4) {
+                0 | 1 => Op::Claim(attempt),
+                2 if completes[attempt as usize] => Op::Complete(attempt),
+                3 if !completes[attempt as usize] => Op::Release(attempt),
+                _ => Op::Expire,
+            };
+            let skewed = at_ms.saturating_sub(rng.random_range(0..3_000));
+            let answer = state.apply(index, &command(skewed, "k", op));
+            runs.note(op, &answer);
+            // A released attempt that was granted again does not run: its node has given up.
+            runs.0.retain(|it| completes[*it as usize] || matches!(op, Op::Claim(a) if a == *it));
+            let ran = runs.0.iter().filter(|it| completes[**it as usize]).count();
+            assert!(ran <= 1, "seed {seed}: {:?} ran", runs.0);
+        }
+    }
+}
+
+/// Guards against a table that grows without bound, and against an unclear refusal when it is full.
+#[test]
+fn bounds() {
+    let limits = claims::Limits { claims: 1_000, bytes: 100_000 };
+    let mut state = claims::Claims::new(limits);
+    let mut index = 0;
+    let mut apply = |state: &mut claims::Claims, at_ms, key: &str, op| {
+        index += 1;
+        state.apply(index, &command(at_ms, key, op))
+    };
+    for key in 0..1_000 {
+        assert_eq!(apply(&mut state, key, &key.to_string(), Op::Claim(1)), claims::Answer::Granted);
+    }
+    assert_eq!(apply(&mut state, 1_000, "one more", Op::Claim(1)), claims::Answer::Full);
+    assert_eq!(apply(&mut state, 1_000, "7", Op::Claim(1)), claims::Answer::Granted);
+    for (key, body) in [("1", 64 * 1024), ("2", 64 * 1024 + 1), ("3", 40_000), ("4", 30)] {
+        index += 1;
+        let action = claims::Action::Complete(stored(1, body));
+        let attempt = claims::AttemptId(1);
+        let complete = claims::Command::Act { at_ms: 1_000, name: name(key), attempt, action };
+        assert_eq!(state.apply(index, &complete), claims::Answer::Stored);
+    }
+    let mut out = String::new();
+    for key in ["1", "2", "3", "4"] {
+        index += 1;
+        let answer = state.apply(index, &command(1_000, key, Op::Claim(2)));
+        writeln!(out, "{key}: {}", describe(&answer)).expect("text");
+    }
+    let mut left = Vec::new();
+    for _ in 0..5 {
+        index += 1;
+        state.apply(index, &command(86_401_000, "", Op::Expire));
+        left.push(state.len());
+    }
+    writeln!(out, "left while expiring: {left:?}").expect("text");
+    assert!(state.is_empty());
+    insta::assert_snapshot!(out);
+}
--- /dev/null
+++ b/crates/replicated/tests/quarantine.rs
@@ -0,0 +1,225 @@
+//! Crashing requests: how many servers they take down, and who else is refused.
+
+use std::{collections, fmt::Write as _};
+
+use rand::{Rng, SeedableRng, rngs, seq::IndexedRandom};
+use replicated::{local, mechanisms, quarantine};
+use world::requests;
+
+fn fingerprint(path: &str) -> requests::Fingerprint {
+    requests::Fingerprint::of("logbook", "POST", path, b"")
+}
+
+fn crash(host: &str, incarnation: u64, paths: &[&str]) -> quarantine::Evidence {
+    quarantine::Evidence::Crashed {
+        crash: quarantine::CrashId { host: host.into(), incarnation },
+        fingerprints: paths.iter().map(|it| fingerprint(it)).collect(),
+    }
+}
+
+fn finished(path: &str) -> quarantine::Evidence {
+    quarantine::Evidence::Finished(fingerprint(path))
+}
+
+fn command(at_ms: u64, evidence: quarantine::Evidence) -> quarantine::Command {
+    quarantine::Command { at_ms, age_ms: 0, evidence }
+}
+
+fn standings(state: &quarantine::Quarantine, now_ms: u64) -> String {
+    let standing = |path: &&str| match state.standing(&fingerprint(path), now_ms) {
+        quarantine::Standing::Free => format!("{path} free"),
+        quarantine::Standing::Suspect => format!("{path} suspect"),
+        quarantine::Standing::Quarantined { until_ms } => format!("{path} until {until_ms}"),
+    };
+    ["bad", "a", "b"].iter().map(standing).collect::<Vec<_>>().join(", ")
+}
+
+type Case = (&'static str, Vec<(u64, quarantine::Evidence)>);
+
+fn cases() -> Vec<Case> {
+    const HOUR: u64 = 3_600_000;
+    let two = |paths| vec![(0, crash("h1", 1, &["bad", "a"])), (9, crash("h2", 1, paths))];
+    let mut renewed = two(&["bad"]);
+    renewed.push((HOUR - 1, crash("h3", 1, &["bad", "a"])));
+    let mut next_day = two(&["bad"]);
+    next_day.extend([(24 * HOUR, crash("h3", 1, &["bad"])), (24 * HOUR + 1, finished("bad"))]);
+    let resent = vec![(0, crash("h1", 1, &["bad"])), (5, crash("h1", 1, &["bad"]))];
+    let cleared = vec![
+        (0, crash("h1", 1, &["bad", "a"])),
+        (5, finished("a")),
+        (9, crash("h2", 1, &["other", "a"])),
+    ];
+    vec![
+        ("singled out", two(&["bad", "b"])),
+        ("two suspects together", two(&["bad", "a"])),
+        ("resent report", resent),
+        ("cleared", cleared),
+        ("renewed", renewed),
+        ("next afternoon", next_day),
+    ]
+}
+
+fn run(steps: &[(u64, quarantine::Evidence)], mechanisms: mechanisms::Mechanisms) -> String {
+    let mut state = quarantine::Quarantine::default();
+    let mut end = 0;
+    for (index, (at_ms, evidence)) in steps.iter().enumerate() {
+        let bytes = postcard::to_stdvec(&state).expect("encodes");
+        state = postcard::from_bytes(&bytes).expect("decodes");
+        state.set_mechanisms(mechanisms);
+        state.apply(index as u64 + 1, &command(*at_ms, evidence.clone()));
+        end = *at_ms;
+    }
+    standings(&state, end)
+}
+
+/// Guards against a crashing request that is not identified, and against an innocent one that is.
+/// Shows with each mechanism switched off that it is needed.
+#[test]
+fn evidence() {
+    let on = mechanisms::Mechanisms::default();
+    let cases = cases();
+    let mut out = String::new();
+    for (title, steps) in &cases {
+        writeln!(out, "{title}: {}", run(steps, on)).expect("text");
+    }
+    let offs = [
+        ("singling_out", 1, mechanisms::Mechanisms { singling_out: false, ..on }),
+        ("report_memory", 2, mechanisms::Mechanisms { report_memory: false, ..on }),
+        ("clearing", 3, mechanisms::Mechanisms { clearing: false, ..on }),
+    ];
+    for (title, case, off) in offs {
+        let text = run(&cases[case].1, off);
+        assert_ne!(text, run(&cases[case].1, on), "{title} makes no difference");
+        writeln!(out, "{title} off, {}: {text}", cases[case].0).expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against counting evidence twice when a partitioned control passes it on, and against
+/// evidence that starts a new hour of quarantine because it arrives late.
+#[test]
+fn partition() {
+    let mut log = quarantine::Quarantine::default();
+    let mut local = local::Local::default();
+    log.apply(1, &command(0, crash("h1", 1, &["bad", "a"])));
+    local.rebase(&log, 0);
+    local.note(10, crash("h2", 1, &["bad"]));
+    local.note(11, crash("h2", 1, &["bad"]));
+    local.note(12, crash("h3", 1, &["b"]));
+    let mut out = format!("log: {}\n", standings(&log, 12));
+    writeln!(out, "local: {}", standings(local.view(), 12)).expect("text");
+    // The node's report also reaches the log through another control, twice.
+    log.apply(2, &command(20, crash("h3", 1, &["b"])));
+    log.apply(3, &command(21, crash("h3", 1, &["b"])));
+    local.rebase(&log, 500_000);
+    writeln!(out, "local, rebased: {}", standings(local.view(), 500_000)).expect("text");
+    let pending: Vec<_> = local.pending(500_000).collect();
+    assert_eq!(pending.len(), 1, "evidence that the log has was kept");
+    for (index, (sequence, command)) in pending.into_iter().enumerate() {
+        log.apply(4 + 2 * index as u64, &command);
+        // The command is committed a second time after a lost answer.
+        log.apply(5 + 2 * index as u64, &command);
+        local.settle(sequence);
+    }
+    local.rebase(&log, 500_001);
+    writeln!(out, "log, merged: {}", standings(&log, 500_001)).expect("text");
+    assert_eq!(standings(&log, 500_001), standings(local.view(), 500_001));
+    insta::assert_snapshot!(out);
+}
+
+/// Nodes hear of evidence only after this time.
+const SPREAD_MS: u64 = 200;
+/// Time between two sends of the crashing request.
+const RESEND_MS: u64 = 40;
+/// A copy that started before the evidence spread crashes its target: one round of copies makes the
+/// request a suspect, and one more puts it into quarantine.
+const MOST_CRASHES: u64 = 2 * (SPREAD_MS / RESEND_MS);
+
+/// The caller sends the crashing request again under a new key through a random node each time,
+/// while innocent requests are in flight everywhere. A companion is a slow innocent request that the
+/// caller sends each time to the same target. Returns crashes and refused innocents.
+fn storm(
+    seed: u64,
+    with_companion: bool,
+    separate: bool,
+    mechanisms: mechanisms::Mechanisms,
+) -> (u64, usize) {
+    const SLOTS: usize = 6;
+    let mut rng = rngs::StdRng::seed_from_u64(seed);
+    let mut state = quarantine::Quarantine::default();
+    state.set_mechanisms(mechanisms);
+    let innocents: Vec<_> = (0..12).map(|it| fingerprint(&it.to_string())).collect();
+    let (bad, slow) = (fingerprint("bad"), fingerprint("slow"));
+    let mut targets = vec![Vec::<(requests::Fingerprint, u64)>::new(); 4];
+    let (mut crashes, mut index) = (0, 0);
+    let mut refused = collections::BTreeSet::new();
+    let mut seen = state.clone();
+    for now in 0..4_000_u64 {
+        if now % SPREAD_MS == 0 {
+            seen = state.clone();
+        }
+        let pick =
+            if now % RESEND_MS == 0 { bad } else { *innocents.choose(&mut rng).expect("some") };
+        let host = rng.random_range(0..targets.len());
+        let mut apply = |evidence| {
+            index += 1;
+            state.apply(index, &command(now, evidence));
+        };
+        let ended: Vec<_> = targets[host].extract_if(.., |it| it.1 <= now).collect();
+        if ended.iter().any(|it| it.0 == bad) {
+            crashes += 1;
+            let in_flight = ended.into_iter().chain(targets[host].drain(..)).map(|it| it.0);
+            let crash = quarantine::CrashId { host: host.to_string().into(), incarnation: crashes };
+            let fingerprints = in_flight.collect();
+            apply(quarantine::Evidence::Crashed { crash, fingerprints });
+        } else {
+            ended.into_iter().for_each(|it| apply(quarantine::Evidence::Finished(it.0)));
+        }
+        let companion = (with_companion && pick == bad).then_some((slow, 400));
+        for (pick, most) in [(pick, 40)].into_iter().chain(companion) {
+            let standing = seen.standing(&pick, now);
+            let quarantined = matches!(standing, quarantine::Standing::Quarantined { .. });
+            if quarantined && pick != bad {
+                refused.insert(pick);
+            }
+            let running = targets[host].iter().map(|it| (it.0, seen.standing(&it.0, now)));
+            let may = quarantine::may_start(pick, standing, running);
+            // The companion has a slot of its own, so that it never misses the crash.
+            let slots = SLOTS + usize::from(pick == slow);
+            if targets[host].len() >= slots || !may && (separate || quarantined) {
+                // The companion is not sent without the crashing request.
+                break;
+            }
+            targets[host].push((pick, now + rng.random_range(most / 8..most)));
+        }
+    }
+    (crashes, refused.len())
+}
+
+/// Guards against a crashing request that takes down server after server, and against innocent
+/// requests that are refused because they were in flight with it.
+#[test]
+fn crash_storms() {
+    let on = mechanisms::Mechanisms::default();
+    let no_singling = mechanisms::Mechanisms { singling_out: false, ..on };
+    let mut out = String::new();
+    let mut blamed = 0;
+    for seed in 0..20 {
+        let (alone, refused) = storm(seed, false, true, on);
+        let (paired, refused_too) = storm(seed, true, true, on);
+        let (_, without) = storm(seed, false, true, no_singling);
+        let (mixed, _) = storm(seed, true, false, on);
+        assert_eq!(refused + refused_too, 0, "seed {seed}: innocent requests were refused");
+        assert!(alone <= MOST_CRASHES && paired <= MOST_CRASHES, "seed {seed}: {alone}, {paired}");
+        assert!(mixed > MOST_CRASHES, "seed {seed}: keeping suspects apart makes no difference");
+        blamed += without;
+        writeln!(
+            out,
+            "seed {seed}: {alone} crashes, {paired} with a companion, {mixed} when suspects run \
+             side by side; {without} innocents refused without singling out"
+        )
+        .expect("text");
+    }
+    assert!(blamed > 0, "singling out makes no difference");
+    insta::assert_snapshot!(out);
+}
