Add the key and the states of a target to world

Cause: membership and routing both name targets, and neither depends on the other. Change: world::targets holds TargetKey, State and the length of the cold start. Conclusion: routing can take its candidates from any registry.

--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod links;
 pub mod mesh;
 pub mod requests;
+pub mod targets;
 pub mod time;
