Add the registry of targets

Cause: routing needs to know which backend servers there are, without a list of them and without a disk on their hosts. Change: the node's side (announcements, leases, restarts, drain), the registry of a control (leases, merging, digests, stale marks, takeover) and the read copy on a node. The incarnation is the backend server's wall clock at its start, raised by the node when a clock was set back; a node that restarts or whose lease ended raises its order above the one that the registry reports. All 120 orders of 5 events, each delivered twice, leave the newest entry; without ordering some do not. The partition case first left two registries different: a part still contained tombstones past their age. They are now left out. Conclusion: a node whose data centre was cut off while it moved to another control is missing for at most one heartbeat after the link is back.

--- /dev/null
+++ b/crates/membership/src/local.rs
@@ -0,0 +1,280 @@
+//! The node's side: it decides what its own backend server is announced as.
+
+use std::{net, time};
+
+use compact_str::CompactString;
+use world::{targets as objects, time::Time};
+
+use crate::{mechanisms, messages, targets};
+
+/// How often a backend server renews its announcement.
+pub const RENEWAL: time::Duration = time::Duration::from_millis(500);
+/// How long an announcement holds without a renewal.
+pub const LEASE: time::Duration = time::Duration::from_secs(2);
+/// How often a node sends a heartbeat to its control.
+pub const HEARTBEAT: time::Duration = time::Duration::from_secs(1);
+
+/// The node's place, as its settings say.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The name of the node's host.
+    pub host: CompactString,
+    /// The name of its data centre.
+    pub data_centre: CompactString,
+    /// Where the node listens for other processes.
+    pub addr: net::SocketAddr,
+}
+
+/// What became of the backend server. The node reports its requests in flight on `Restarted` and
+/// `Lost`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Notice {
+    /// The first announcement.
+    Arrived,
+    /// Another process answers than before: a crash or a restart.
+    Restarted,
+    /// Its connection broke or its lease ended.
+    Lost,
+    /// The same process announces itself again after it was lost.
+    Returned,
+    /// It leaves and gets no new work.
+    Draining,
+    /// It no longer leaves.
+    Resumed,
+    /// Its cold start is over.
+    Warm,
+    /// The announcement came from a process that another has replaced, and was ignored.
+    Outdated,
+}
+
+/// What a call changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Outcome {
+    /// What the node acts on.
+    pub notice: Option<Notice>,
+    /// What the node sends to its control.
+    pub event: Option<messages::Event>,
+}
+
+/// What a node knows of its backend server.
+#[derive(Clone, Debug)]
+pub struct Local {
+    place: Place,
+    registrar: CompactString,
+    backend: Option<Backend>,
+    /// The newest order that the registry has reported for this host.
+    floor: messages::Order,
+    /// Whether the node itself is stopping.
+    stopping: bool,
+    mechanisms: mechanisms::Mechanisms,
+}
+
+#[derive(Clone, Debug)]
+struct Backend {
+    last: messages::Announcement,
+    entry: messages::Entry,
+    /// When the process was first heard of; its cold start counts from here.
+    started: Time,
+    since: Time,
+    heard: Time,
+}
+
+impl Local {
+    /// A node that has heard of no backend server, attached to the control of `registrar`.
+    pub fn new(
+        place: Place,
+        registrar: CompactString,
+        mechanisms: mechanisms::Mechanisms,
+    ) -> Local {
+        let floor = messages::Order::default();
+        Local { place, registrar, backend: None, floor, stopping: false, mechanisms }
+    }
+
+    /// What the node announces; none before the first announcement.
+    pub fn entry(&self) -> Option<&messages::Entry> {
+        self.backend.as_ref().map(|it| &it.entry)
+    }
+
+    /// Whether the backend server may be given new work.
+    pub fn takes_work(&self) -> bool {
+        self.entry().is_some_and(|it| it.state.takes_work())
+    }
+
+    /// Takes an announcement or a renewal.
+    pub fn announce(&mut self, now: Time, announcement: &messages::Announcement) -> Outcome {
+        let Some(backend) = &mut self.backend else {
+            self.start(now, announcement);
+            return self.publish(now, Notice::Arrived);
+        };
+        if announcement.incarnation != backend.last.incarnation {
+            let gone = backend.entry.state == objects::State::Gone;
+            // A renewal can be late and arrive after the next process has announced itself.
+            if announcement.incarnation < backend.last.incarnation && !gone {
+                return Outcome { notice: Some(Notice::Outdated), event: None };
+            }
+            self.start(now, announcement);
+            return self.publish(now, Notice::Restarted);
+        }
+        backend.heard = now;
+        backend.last = announcement.clone();
+        let wanted = wanted_state(now, backend, self.stopping);
+        let before = backend.entry.state;
+        let changed = wanted != before
+            || backend.entry.slots != announcement.slots
+            || backend.entry.service != announcement.service;
+        if !changed {
+            return Outcome::default();
+        }
+        backend.entry.slots = announcement.slots;
+        backend.entry.service = announcement.service.clone();
+        self.enter(now, wanted);
+        let notice = match (before, wanted) {
+            (objects::State::Gone, _) => Some(Notice::Returned),
+            (_, objects::State::Draining) if before != wanted => Some(Notice::Draining),
+            (objects::State::Draining, _) if before != wanted => Some(Notice::Resumed),
+            (objects::State::Starting, objects::State::Serving) => Some(Notice::Warm),
+            _ => None,
+        };
+        Outcome { notice, event: self.event(now) }
+    }
+
+    /// Ends the lease and the cold start when they are due.
+    pub fn tick(&mut self, now: Time) -> Outcome {
+        let Some(backend) = &self.backend else {
+            return Outcome::default();
+        };
+        let silent = now.since(backend.heard) >= LEASE;
+        if silent && self.mechanisms.leases {
+            return self.lose(now);
+        }
+        let warm = backend.entry.state == objects::State::Starting
+            && now.since(backend.started) >= objects::RAMP;
+        if !warm {
+            return Outcome::default();
+        }
+        self.enter(now, objects::State::Serving);
+        Outcome { notice: Some(Notice::Warm), event: self.event(now) }
+    }
+
+    /// The backend server's connections broke, or it left: it gets no new work from here on.
+    pub fn lose(&mut self, now: Time) -> Outcome {
+        if self.entry().is_none_or(|it| it.state == objects::State::Gone) {
+            return Outcome::default();
+        }
+        self.enter(now, objects::State::Gone);
+        Outcome { notice: Some(Notice::Lost), event: self.event(now) }
+    }
+
+    /// The node begins a planned stop. No renewal revokes it.
+    pub fn drain(&mut self, now: Time) -> Outcome {
+        self.stopping = true;
+        if !self.takes_work() {
+            return Outcome::default();
+        }
+        self.enter(now, objects::State::Draining);
+        Outcome { notice: Some(Notice::Draining), event: self.event(now) }
+    }
+
+    /// The node attaches to the control of another data centre, or back to its home's.
+    pub fn attach(&mut self, now: Time, registrar: CompactString) -> Option<messages::Event> {
+        if self.registrar == registrar {
+            return None;
+        }
+        self.registrar = registrar.clone();
+        let backend = self.backend.as_mut()?;
+        backend.entry.registrar = registrar;
+        self.raise();
+        self.event(now)
+    }
+
+    /// The heartbeat to send.
+    pub fn heartbeat(&self) -> messages::Heartbeat {
+        let digest = self.entry().map(messages::Entry::digest);
+        messages::Heartbeat { host: self.place.host.clone(), digest }
+    }
+
+    /// Takes the answer to a heartbeat. The event that it may return replaces what the registry
+    /// holds: a removal after a lease ended, or what this node's former process announced.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        answer: &messages::HeartbeatAnswer,
+    ) -> Option<messages::Event> {
+        if let Some(known) = answer.known
+            && self.mechanisms.floors
+        {
+            self.floor = self.floor.max(known);
+        }
+        if !answer.wanted {
+            return None;
+        }
+        let backend = self.backend.as_ref()?;
+        if backend.entry.order <= self.floor {
+            self.raise();
+        }
+        self.event(now)
+    }
+
+    fn start(&mut self, now: Time, announcement: &messages::Announcement) {
+        let former = self.entry().map_or(0, |it| it.order.incarnation);
+        // The clock of the host may have been set back between two starts.
+        let incarnation = match &self.backend {
+            Some(_) => announcement.incarnation.max(former + 1),
+            None => announcement.incarnation,
+        };
+        let entry = messages::Entry {
+            host: self.place.host.clone(),
+            data_centre: self.place.data_centre.clone(),
+            service: announcement.service.clone(),
+            addr: self.place.addr,
+            order: messages::Order { incarnation, sequence: 0 },
+            slots: announcement.slots,
+            state: objects::State::Starting,
+            registrar: self.registrar.clone(),
+        };
+        let last = announcement.clone();
+        let mut backend = Backend { last, entry, started: now, since: now, heard: now };
+        backend.entry.state = wanted_state(now, &backend, self.stopping);
+        self.backend = Some(backend);
+        self.raise();
+    }
+
+    fn publish(&mut self, now: Time, notice: Notice) -> Outcome {
+        Outcome { notice: Some(notice), event: self.event(now) }
+    }
+
+    fn enter(&mut self, now: Time, state: objects::State) {
+        if let Some(backend) = &mut self.backend {
+            if backend.entry.state != state {
+                backend.entry.state = state;
+                backend.since = now;
+            }
+            self.raise();
+        }
+    }
+
+    /// Gives the entry an order above all that were used for this host.
+    fn raise(&mut self) {
+        let floor = self.floor;
+        let Some(backend) = &mut self.backend else {
+            return;
+        };
+        let order = &mut backend.entry.order;
+        let base = (*order).max(floor);
+        *order = messages::Order { sequence: base.sequence + 1, ..base };
+    }
+
+    fn event(&self, now: Time) -> Option<messages::Event> {
+        self.backend.as_ref().map(|it| targets::event(now, &it.entry, it.since))
+    }
+}
+
+fn wanted_state(now: Time, backend: &Backend, stopping: bool) -> objects::State {
+    if backend.last.drain || stopping {
+        return objects::State::Draining;
+    }
+    if now.since(backend.started) < objects::RAMP {
+        return objects::State::Starting;
+    }
+    objects::State::Serving
+}
--- /dev/null
+++ b/crates/membership/src/registry.rs
@@ -0,0 +1,181 @@
+//! The control's side: leases of the nodes attached to it, and what other controls report.
+
+use std::{collections, time};
+
+use compact_str::CompactString;
+use world::{targets as objects, time::Time};
+
+use crate::{mechanisms, messages, targets};
+
+/// How long a node may be silent before its target is removed.
+pub const LEASE: time::Duration = time::Duration::from_secs(4);
+/// How often controls compare digests.
+pub const EXCHANGE: time::Duration = time::Duration::from_secs(5);
+/// Silence after which a data centre's entries are stale: three exchanges.
+pub const STALE_AFTER: time::Duration = time::Duration::from_secs(15);
+
+/// What became due.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Due {
+    /// Removals of targets whose leases ended, for the other controls and the attached nodes.
+    pub events: Vec<messages::Event>,
+    /// Data centres that fell silent, for the attached nodes.
+    pub silent: Vec<messages::Reachability>,
+    /// The digests to send to the other controls, when an exchange is due.
+    pub digests: Option<Vec<messages::Digest>>,
+}
+
+/// The registry of a data centre, with what it has heard of the others.
+///
+/// It owns the entries of the nodes that are attached to it: those of its own data centre, and of
+/// others whose home control cannot be reached. It keeps nothing on disk; after a restart the
+/// nodes' heartbeats and the other controls' digests fill it again.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    data_centre: CompactString,
+    targets: targets::Targets,
+    /// When the lease of each host's node ends.
+    leases: collections::BTreeMap<CompactString, Time>,
+    /// When each other control was last heard.
+    peers: collections::BTreeMap<CompactString, Peer>,
+    started: Time,
+    exchanged: Time,
+    mechanisms: mechanisms::Mechanisms,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    heard: Time,
+    stale: bool,
+}
+
+impl Registry {
+    /// The empty registry of the data centre's control, which started at `now`.
+    pub fn new(
+        now: Time,
+        data_centre: CompactString,
+        mechanisms: mechanisms::Mechanisms,
+    ) -> Registry {
+        Registry {
+            data_centre,
+            targets: targets::Targets::new(mechanisms),
+            leases: collections::BTreeMap::new(),
+            peers: collections::BTreeMap::new(),
+            started: now,
+            exchanged: now,
+            mechanisms,
+        }
+    }
+
+    /// The targets, for reading.
+    pub fn targets(&self) -> &targets::Targets {
+        &self.targets
+    }
+
+    /// Takes the heartbeat of an attached node and renews its lease.
+    pub fn heartbeat(
+        &mut self,
+        now: Time,
+        heartbeat: &messages::Heartbeat,
+    ) -> messages::HeartbeatAnswer {
+        let held = self.targets.find_host(&heartbeat.host);
+        let known = self.targets.known(&heartbeat.host);
+        let digest = held.map(|it| it.entry.digest());
+        if held.is_some_and(|it| it.entry.registrar == self.data_centre) {
+            self.leases.insert(heartbeat.host.clone(), now + LEASE);
+        }
+        let wanted = heartbeat.digest.is_some() && heartbeat.digest != digest;
+        messages::HeartbeatAnswer { known, wanted }
+    }
+
+    /// Merges an event, from an attached node or another control. A result other than
+    /// [`targets::Merge::Old`] is passed on: a node's to the other controls and the attached
+    /// nodes, another control's to the attached nodes only.
+    pub fn event(&mut self, now: Time, event: &messages::Event) -> targets::Merge {
+        let merge = self.targets.merge(now, event);
+        if merge == targets::Merge::Old {
+            return merge;
+        }
+        let entry = &event.entry;
+        if entry.registrar != self.data_centre || entry.state == objects::State::Gone {
+            self.leases.remove(&entry.host);
+            return merge;
+        }
+        // An entry under this control's lease gets one also when another control reports it: this
+        // control may have restarted, and a node that is gone would otherwise stay for ever.
+        self.leases.insert(entry.host.clone(), now + LEASE);
+        merge
+    }
+
+    /// Notes that a message of another control arrived. Returns what the attached nodes are told
+    /// when the data centre was silent before.
+    pub fn heard(&mut self, now: Time, data_centre: &str) -> Option<messages::Reachability> {
+        let peer = Peer { heard: now, stale: false };
+        let former = self.peers.insert(data_centre.into(), peer);
+        if !former.is_some_and(|it| it.stale) {
+            return None;
+        }
+        self.targets.set_stale(data_centre, false);
+        Some(messages::Reachability { data_centre: data_centre.into(), stale: false })
+    }
+
+    /// The data centres that are silent at present, for a node that attaches.
+    pub fn silent(&self) -> Vec<messages::Reachability> {
+        let stale = self.peers.iter().filter(|(_, it)| it.stale);
+        stale.map(|(name, _)| reachability(name)).collect()
+    }
+
+    /// The entries of a part, for another control or an attached node.
+    pub fn part(&self, now: Time, request: &messages::PartRequest) -> messages::Part {
+        messages::Part {
+            request: request.clone(),
+            events: self.targets.part(now, request),
+            settled: now.since(self.started) >= STALE_AFTER,
+        }
+    }
+
+    /// Ends leases, marks silent data centres as stale, and starts an exchange when it is due.
+    pub fn tick(&mut self, now: Time) -> Due {
+        let mut due = Due::default();
+        if self.mechanisms.leases {
+            due.events = self.expire(now);
+        }
+        for (name, peer) in &mut self.peers {
+            if !peer.stale && now.since(peer.heard) >= STALE_AFTER {
+                peer.stale = true;
+                due.silent.push(reachability(name));
+            }
+        }
+        for silent in &due.silent {
+            self.targets.set_stale(&silent.data_centre, true);
+        }
+        if now.since(self.exchanged) >= EXCHANGE {
+            self.exchanged = now;
+            due.digests = Some(self.targets.digests());
+        }
+        due
+    }
+
+    fn expire(&mut self, now: Time) -> Vec<messages::Event> {
+        let ended: Vec<CompactString> =
+            self.leases.iter().filter(|(_, end)| **end <= now).map(|(it, _)| it.clone()).collect();
+        let mut events = Vec::new();
+        for host in ended {
+            self.leases.remove(&host);
+            let Some(target) = self.targets.find_host(&host) else {
+                continue;
+            };
+            let mut entry = target.entry.clone();
+            entry.state = objects::State::Gone;
+            entry.order.sequence += 1;
+            let event = messages::Event { entry, age_ms: 0 };
+            self.targets.merge(now, &event);
+            events.push(event);
+        }
+        events
+    }
+}
+
+fn reachability(data_centre: &CompactString) -> messages::Reachability {
+    messages::Reachability { data_centre: data_centre.clone(), stale: true }
+}
--- /dev/null
+++ b/crates/membership/src/targets.rs
@@ -0,0 +1,283 @@
+//! The arena of targets, with the indexes from names to keys and the rules of merging.
+
+use std::{collections, time};
+
+use compact_str::CompactString;
+use slotmap::SlotMap;
+use world::{targets as objects, time::Time};
+
+use crate::{mechanisms, messages};
+
+/// Removed entries that are remembered. An ordinary day has 4,100 restarts.
+pub const MAX_TOMBSTONES: usize = 4_096;
+/// How long a removed entry is remembered. An older event can bring an entry back, until the
+/// control that holds its lease removes it again.
+pub const TOMBSTONE_AGE: time::Duration = time::Duration::from_secs(600);
+
+/// A backend server as an object of routing.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What the mesh knows of it.
+    pub entry: messages::Entry,
+    /// When it entered its state, on this process's clock.
+    pub since: Time,
+    /// Whether the control that holds its lease cannot be heard.
+    pub stale: bool,
+}
+
+/// What a merged event did.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Merge {
+    /// A target is new, or runs a new incarnation; then it has a new key too.
+    Added(objects::TargetKey),
+    /// A target's entry changed.
+    Changed(objects::TargetKey),
+    /// A target is gone and its key no longer valid.
+    Removed(objects::TargetKey),
+    /// A removal of a target that was not held; it is remembered.
+    Buried,
+    /// The event is older than what is held, or the same.
+    Old,
+}
+
+/// The targets that a process knows.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    arena: SlotMap<objects::TargetKey, Target>,
+    hosts: collections::HashMap<CompactString, objects::TargetKey>,
+    services: collections::HashMap<CompactString, Vec<objects::TargetKey>>,
+    digests: collections::BTreeMap<CompactString, [u64; messages::PARTS]>,
+    tombstones: collections::HashMap<CompactString, Tombstone>,
+    /// Hosts in the order of their removal; a host may occur more than once.
+    removals: collections::VecDeque<(Time, CompactString)>,
+    stale: collections::BTreeSet<CompactString>,
+    mechanisms: mechanisms::Mechanisms,
+}
+
+#[derive(Clone, Debug)]
+struct Tombstone {
+    entry: messages::Entry,
+    since: Time,
+}
+
+impl Targets {
+    /// No targets.
+    pub fn new(mechanisms: mechanisms::Mechanisms) -> Targets {
+        Targets { mechanisms, ..Targets::default() }
+    }
+
+    /// The target with this key.
+    pub fn get(&self, key: objects::TargetKey) -> Option<&Target> {
+        self.arena.get(key)
+    }
+
+    /// The target on the host called `name`.
+    pub fn find_host(&self, name: &str) -> Option<&Target> {
+        self.hosts.get(name).and_then(|&key| self.arena.get(key))
+    }
+
+    /// The keys of the targets of a service.
+    pub fn of_service(&self, name: &str) -> &[objects::TargetKey] {
+        self.services.get(name).map_or(&[], Vec::as_slice)
+    }
+
+    /// All targets, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (objects::TargetKey, &Target)> {
+        self.arena.iter()
+    }
+
+    /// The newest order seen for a host, from its target or its removal.
+    pub fn known(&self, host: &str) -> Option<messages::Order> {
+        self.held(host).map(|it| it.order)
+    }
+
+    /// Entries removed and still remembered.
+    pub fn tombstones(&self) -> usize {
+        self.tombstones.len()
+    }
+
+    /// Merges an event. Crossed and duplicated events leave the newest entry in place.
+    pub fn merge(&mut self, now: Time, event: &messages::Event) -> Merge {
+        let entry = &event.entry;
+        self.expire_tombstones(now);
+        if self.held(&entry.host).is_some_and(|held| !self.newer(entry, held)) {
+            return Merge::Old;
+        }
+        let since =
+            Time::from_micros(now.as_micros().saturating_sub(event.age_ms.saturating_mul(1_000)));
+        let held = self.hosts.get(&entry.host).copied();
+        if let Some(key) = held {
+            self.unindex(key);
+        }
+        if entry.state == objects::State::Gone {
+            self.bury(now, entry);
+            return match held {
+                Some(key) => {
+                    self.arena.remove(key);
+                    Merge::Removed(key)
+                }
+                None => Merge::Buried,
+            };
+        }
+        self.tombstones.remove(&entry.host);
+        let stale = self.stale.contains(&entry.registrar);
+        let target = Target { entry: entry.clone(), since, stale };
+        if let Some(key) = held {
+            let restarted = self.arena[key].entry.order.incarnation != entry.order.incarnation;
+            if !restarted {
+                self.arena[key] = target;
+                self.index(key);
+                return Merge::Changed(key);
+            }
+            // What was measured of the former process does not hold for a new one.
+            self.arena.remove(key);
+        }
+        let key = self.arena.insert(target);
+        self.index(key);
+        Merge::Added(key)
+    }
+
+    /// Sets whether the entries under this data centre's lease may be out of date. They stay: a
+    /// data centre that is cut off from here may serve in full.
+    pub fn set_stale(&mut self, registrar: &str, stale: bool) {
+        if stale {
+            self.stale.insert(registrar.into());
+        } else {
+            self.stale.remove(registrar);
+        }
+        for target in self.arena.values_mut() {
+            if target.entry.registrar == registrar {
+                target.stale = stale;
+            }
+        }
+    }
+
+    /// The hashes of all live entries, for each data centre.
+    pub fn digests(&self) -> Vec<messages::Digest> {
+        let digest = |(name, parts): (&CompactString, &[u64; messages::PARTS])| messages::Digest {
+            data_centre: name.clone(),
+            parts: *parts,
+        };
+        self.digests.iter().map(digest).collect()
+    }
+
+    /// The parts in which this process's entries differ from those that `theirs` was made of.
+    pub fn compare(&self, theirs: &[messages::Digest]) -> Vec<messages::PartRequest> {
+        let mut all = collections::BTreeMap::new();
+        for digest in theirs {
+            all.insert(&digest.data_centre, digest.parts);
+        }
+        for name in self.digests.keys() {
+            all.entry(name).or_insert([0; messages::PARTS]);
+        }
+        let mut requests = Vec::new();
+        for (name, parts) in all {
+            let own = self.digests.get(name).unwrap_or(&[0; messages::PARTS]);
+            for (part, _) in parts.iter().zip(own).enumerate().filter(|(_, (a, b))| a != b) {
+                requests
+                    .push(messages::PartRequest { data_centre: name.clone(), part: part as u8 });
+            }
+        }
+        requests
+    }
+
+    /// The entries of a part, removals included: absence alone never removes an entry elsewhere.
+    pub fn part(&self, now: Time, request: &messages::PartRequest) -> Vec<messages::Event> {
+        let live = self.arena.values().map(|it| (&it.entry, it.since));
+        let fresh = |it: &&Tombstone| now.since(it.since) < TOMBSTONE_AGE;
+        let removed = self.tombstones.values().filter(fresh).map(|it| (&it.entry, it.since));
+        let mut events: Vec<messages::Event> = live
+            .chain(removed)
+            .filter(|(entry, _)| entry.data_centre == request.data_centre)
+            .filter(|(entry, _)| entry.part() == usize::from(request.part))
+            .map(|(entry, since)| event(now, entry, since))
+            .collect();
+        events.sort_by(|a, b| a.entry.host.cmp(&b.entry.host));
+        events
+    }
+
+    /// Drops the entries of a part that `events` does not have, except for stale ones. No removal
+    /// is remembered, since the registry that lacks an entry may still learn of it.
+    pub fn drop_absent(&mut self, part: &messages::Part) -> Vec<objects::TargetKey> {
+        let listed: collections::HashSet<&str> =
+            part.events.iter().map(|it| it.entry.host.as_str()).collect();
+        let absent = self.arena.iter().filter(|(_, it)| {
+            it.entry.data_centre == part.request.data_centre
+                && it.entry.part() == usize::from(part.request.part)
+                && !it.stale
+                && !listed.contains(it.entry.host.as_str())
+        });
+        let keys: Vec<objects::TargetKey> = absent.map(|(key, _)| key).collect();
+        for &key in &keys {
+            self.unindex(key);
+            self.arena.remove(key);
+        }
+        keys
+    }
+
+    fn held(&self, host: &str) -> Option<&messages::Entry> {
+        let live = self.find_host(host).map(|it| &it.entry);
+        live.or_else(|| self.tombstones.get(host).map(|it| &it.entry))
+    }
+
+    fn newer(&self, entry: &messages::Entry, held: &messages::Entry) -> bool {
+        if self.mechanisms.ordering { entry.replaces(held) } else { entry != held }
+    }
+
+    fn index(&mut self, key: objects::TargetKey) {
+        let entry = &self.arena[key].entry;
+        self.hosts.insert(entry.host.clone(), key);
+        self.services.entry(entry.service.clone()).or_default().push(key);
+        let parts = self.digests.entry(entry.data_centre.clone()).or_default();
+        parts[entry.part()] ^= entry.digest();
+    }
+
+    fn unindex(&mut self, key: objects::TargetKey) {
+        let entry = &self.arena[key].entry;
+        self.hosts.remove(&entry.host);
+        if let Some(keys) = self.services.get_mut(&entry.service) {
+            keys.retain(|&it| it != key);
+            if keys.is_empty() {
+                self.services.remove(&entry.service);
+            }
+        }
+        if let Some(parts) = self.digests.get_mut(&entry.data_centre) {
+            parts[entry.part()] ^= entry.digest();
+        }
+    }
+
+    fn bury(&mut self, now: Time, entry: &messages::Entry) {
+        if !self.mechanisms.tombstones {
+            return;
+        }
+        self.tombstones.insert(entry.host.clone(), Tombstone { entry: entry.clone(), since: now });
+        self.removals.push_back((now, entry.host.clone()));
+        while self.removals.len() > MAX_TOMBSTONES {
+            self.drop_oldest();
+        }
+    }
+
+    fn expire_tombstones(&mut self, now: Time) {
+        while let Some((since, _)) = self.removals.front()
+            && now.since(*since) >= TOMBSTONE_AGE
+        {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((since, host)) = self.removals.pop_front() else {
+            return;
+        };
+        // A host that was removed again since has a newer record further on.
+        if self.tombstones.get(&host).is_some_and(|it| it.since == since) {
+            self.tombstones.remove(&host);
+        }
+    }
+}
+
+/// The event that reports an entry in the state it has had since `since`.
+pub(crate) fn event(now: Time, entry: &messages::Entry, since: Time) -> messages::Event {
+    let age = now.since(since).as_millis();
+    messages::Event { entry: entry.clone(), age_ms: u64::try_from(age).unwrap_or(u64::MAX) }
+}
--- /dev/null
+++ b/crates/membership/tests/node.rs
@@ -0,0 +1,137 @@
+//! What a node announces of its backend server.
+
+use std::fmt::Write as _;
+
+use membership::{local, mechanisms, messages};
+use world::time::Time;
+
+fn place() -> local::Place {
+    local::Place {
+        host: "skulte-1".into(),
+        data_centre: "skulte".into(),
+        addr: "127.0.0.1:9000".parse().expect("an address"),
+    }
+}
+
+fn announcement(incarnation: u64) -> messages::Announcement {
+    messages::Announcement {
+        service: "logbook".into(),
+        addr: "127.0.0.1:8000".parse().expect("an address"),
+        incarnation,
+        slots: 6,
+        drain: false,
+    }
+}
+
+fn node(mechanisms: mechanisms::Mechanisms) -> local::Local {
+    local::Local::new(place(), "skulte".into(), mechanisms)
+}
+
+enum Step {
+    Announce(u64),
+    Drain(u64),
+    Tick,
+    Lose,
+    Stop,
+    Attach(&'static str),
+    Answer(Option<(u64, u64)>, bool),
+}
+
+fn apply(local: &mut local::Local, now: Time, step: &Step) -> local::Outcome {
+    let event = |event| local::Outcome { notice: None, event };
+    match step {
+        Step::Announce(incarnation) => local.announce(now, &announcement(*incarnation)),
+        Step::Drain(incarnation) => {
+            let drain = messages::Announcement { drain: true, ..announcement(*incarnation) };
+            local.announce(now, &drain)
+        }
+        Step::Tick => local.tick(now),
+        Step::Lose => local.lose(now),
+        Step::Stop => local.drain(now),
+        Step::Attach(registrar) => event(local.attach(now, (*registrar).into())),
+        Step::Answer(known, wanted) => {
+            let order = |(incarnation, sequence)| messages::Order { incarnation, sequence };
+            let answer = messages::HeartbeatAnswer { known: known.map(order), wanted: *wanted };
+            event(local.answered(now, &answer))
+        }
+    }
+}
+
+/// Guards against a restart or a silence that goes unnoticed, an order that goes back, and a late
+/// renewal of a replaced process that counts as a restart.
+#[test]
+fn announcements() {
+    use Step::*;
+    let cases: [(&str, &[(u64, Step)]); 7] = [
+        (
+            "cold start",
+            &[(0, Announce(50)), (500, Announce(50)), (9_900, Announce(50)), (10_000, Tick)],
+        ),
+        (
+            "crash and restart",
+            &[(0, Announce(50)), (700, Lose), (900, Announce(90)), (950, Announce(50))],
+        ),
+        (
+            "restart seen by incarnation",
+            &[(0, Announce(50)), (700, Announce(90)), (800, Announce(50))],
+        ),
+        (
+            "clock set back",
+            &[(0, Announce(90)), (2_000, Tick), (3_000, Announce(50)), (3_500, Announce(50))],
+        ),
+        ("stall", &[(0, Announce(50)), (1_999, Tick), (2_000, Tick), (2_600, Announce(50))]),
+        (
+            "drains",
+            &[
+                (0, Announce(50)),
+                (500, Drain(50)),
+                (900, Announce(50)),
+                (950, Stop),
+                (999, Announce(50)),
+            ],
+        ),
+        (
+            "node restarts beside a running backend server, then moves to a foster control",
+            &[
+                (0, Announce(50)),
+                (10, Answer(Some((50, 7)), true)),
+                (20, Answer(Some((50, 8)), false)),
+                (30, Attach("jugla")),
+                (40, Answer(Some((50, 8)), true)),
+                (50, Answer(Some((60, 2)), true)),
+            ],
+        ),
+    ];
+    let mut out = String::new();
+    for (name, steps) in cases {
+        writeln!(out, "{name}").expect("text");
+        let mut local = node(mechanisms::Mechanisms::default());
+        let mut last = messages::Order::default();
+        for (millis, step) in steps {
+            let outcome = apply(&mut local, Time::from_millis(*millis), step);
+            let entry = local.entry().expect("each case begins with an announcement");
+            assert!(entry.order >= last, "{name}: the order went back");
+            last = entry.order;
+            let sent = if outcome.event.is_some() { "event" } else { "-" };
+            let notice = outcome.notice.map(|it| format!("{it:?}")).unwrap_or_default();
+            writeln!(
+                out,
+                "  {millis:>6} ms {notice:<10} {sent:<5} {:?} {}.{} at {}",
+                entry.state, entry.order.incarnation, entry.order.sequence, entry.registrar,
+            )
+            .expect("text");
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a dead backend server that its node still sends work to; without leases it does.
+#[test]
+fn silence_ends_work() {
+    for (leases, takes_work) in [(true, false), (false, true)] {
+        let mut local = node(mechanisms::Mechanisms { leases, ..Default::default() });
+        local.announce(Time::ZERO, &announcement(50));
+        local.tick(Time::ZERO + local::LEASE);
+        assert_eq!(local.takes_work(), takes_work, "leases: {leases}");
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/registries.rs
@@ -0,0 +1,304 @@
+//! Registries of several data centres under faults.
+
+use std::{fmt::Write as _, time};
+
+use membership::{directory, local, mechanisms, messages, registry, targets};
+use world::{targets as objects, time::Time};
+
+fn entry(host: &str, registrar: &str, order: (u64, u64), state: objects::State) -> messages::Entry {
+    let data_centre = host.split('-').next().expect("a part");
+    messages::Entry {
+        host: host.into(),
+        data_centre: data_centre.into(),
+        service: "logbook".into(),
+        addr: "127.0.0.1:9000".parse().expect("an address"),
+        order: messages::Order { incarnation: order.0, sequence: order.1 },
+        slots: 6,
+        state,
+        registrar: registrar.into(),
+    }
+}
+
+fn event(entry: messages::Entry) -> messages::Event {
+    messages::Event { entry, age_ms: 0 }
+}
+
+fn serving(host: &str, order: (u64, u64)) -> messages::Event {
+    let home = host.split('-').next().expect("a part");
+    event(entry(host, home, order, objects::State::Serving))
+}
+
+fn registry(now: Time, name: &str) -> registry::Registry {
+    registry::Registry::new(now, name.into(), mechanisms::Mechanisms::default())
+}
+
+fn heartbeat(event: &messages::Event) -> messages::Heartbeat {
+    let digest = Some(event.entry.digest());
+    messages::Heartbeat { host: event.entry.host.clone(), digest }
+}
+
+fn list(targets: &targets::Targets) -> String {
+    let mut lines: Vec<String> = targets
+        .iter()
+        .map(|(_, it)| {
+            let (entry, stale) = (&it.entry, if it.stale { " stale" } else { "" });
+            let order = entry.order;
+            let (incarnation, sequence) = (order.incarnation, order.sequence);
+            format!("{} {:?} {incarnation}.{sequence}{stale}", entry.host, entry.state)
+        })
+        .collect();
+    lines.sort();
+    format!("[{}]", lines.join(", "))
+}
+
+/// One anti-entropy round: each asks the other for the parts that differ.
+fn exchange(now: Time, a: &mut registry::Registry, b: &mut registry::Registry) {
+    let (for_a, for_b) =
+        (b.targets().compare(&a.targets().digests()), a.targets().compare(&b.targets().digests()));
+    let to_b: Vec<messages::Part> = for_a.iter().map(|it| a.part(now, it)).collect();
+    let to_a: Vec<messages::Part> = for_b.iter().map(|it| b.part(now, it)).collect();
+    for event in to_b.iter().flat_map(|it| &it.events) {
+        b.event(now, event);
+    }
+    for event in to_a.iter().flat_map(|it| &it.events) {
+        a.event(now, event);
+    }
+}
+
+/// Guards against a result that depends on the order or number of deliveries: all orders of five
+/// events, each twice, must leave the newest entry. Without ordering, some do not.
+#[test]
+fn crossed_and_duplicated_events() {
+    let events = [
+        serving("skulte-1", (50, 1)),
+        event(entry("skulte-1", "skulte", (50, 2), objects::State::Draining)),
+        event(entry("skulte-1", "skulte", (50, 3), objects::State::Gone)),
+        serving("skulte-1", (90, 1)),
+        event(entry("skulte-1", "skulte", (90, 2), objects::State::Draining)),
+    ];
+    let mut wrong = [0, 0];
+    for (index, ordering) in [true, false].into_iter().enumerate() {
+        let mechanisms = mechanisms::Mechanisms { ordering, ..Default::default() };
+        for order in permutations(events.len()) {
+            let mut targets = targets::Targets::new(mechanisms);
+            for &it in order.iter().chain(order.iter().rev()) {
+                targets.merge(Time::ZERO, &events[it]);
+            }
+            wrong[index] += usize::from(list(&targets) != "[skulte-1 Draining 90.2]");
+        }
+    }
+    assert_eq!(wrong[0], 0, "orders with a wrong result");
+    assert!(wrong[1] > 0, "the case must fail without ordering");
+}
+
+fn permutations(count: usize) -> Vec<Vec<usize>> {
+    let mut all = vec![vec![]];
+    for _ in 0..count {
+        let extend = |it: &Vec<usize>| {
+            let free = (0..count).filter(|next| !it.contains(next));
+            free.map(|next| [it.as_slice(), &[next]].concat()).collect::<Vec<_>>()
+        };
+        all = all.iter().flat_map(extend).collect();
+    }
+    all
+}
+
+/// Guards against a late event that brings a removed target back, and against tombstones without
+/// a bound.
+#[test]
+fn removed_entries() {
+    for (tombstones, expected) in [(true, "[]"), (false, "[skulte-1 Serving 50.1]")] {
+        let mechanisms = mechanisms::Mechanisms { tombstones, ..Default::default() };
+        let mut targets = targets::Targets::new(mechanisms);
+        let gone = event(entry("skulte-1", "skulte", (50, 2), objects::State::Gone));
+        targets.merge(Time::ZERO, &serving("skulte-1", (50, 1)));
+        targets.merge(Time::ZERO, &gone);
+        targets.merge(Time::ZERO, &serving("skulte-1", (50, 1)));
+        assert_eq!(list(&targets), expected, "tombstones: {tombstones}");
+    }
+    let mut targets = targets::Targets::new(mechanisms::Mechanisms::default());
+    for host in 0..targets::MAX_TOMBSTONES + 100 {
+        let host = format!("skulte-{host}");
+        let gone = event(entry(&host, "skulte", (50, 2), objects::State::Gone));
+        targets.merge(Time::ZERO, &gone);
+    }
+    assert_eq!(targets.tombstones(), targets::MAX_TOMBSTONES);
+    targets.merge(Time::ZERO + targets::TOMBSTONE_AGE, &serving("jugla-1", (50, 1)));
+    assert_eq!(targets.tombstones(), 0, "old tombstones go");
+}
+
+/// Guards against a target of a dead node that stays, against a live one that is removed, and
+/// against a node that cannot get back after its lease ended. Without floors it cannot.
+#[test]
+fn lease_ends_and_node_returns() {
+    let mut out = String::new();
+    for floors in [true, false] {
+        let place = local::Place {
+            host: "skulte-1".into(),
+            data_centre: "skulte".into(),
+            addr: "127.0.0.1:9000".parse().expect("an address"),
+        };
+        let mechanisms = mechanisms::Mechanisms { floors, ..Default::default() };
+        let mut node = local::Local::new(place, "skulte".into(), mechanisms);
+        let mut control = registry(Time::ZERO, "skulte");
+        let announcement = messages::Announcement {
+            service: "logbook".into(),
+            addr: "127.0.0.1:8000".parse().expect("an address"),
+            incarnation: 50,
+            slots: 6,
+            drain: false,
+        };
+        let first = node.announce(Time::ZERO, &announcement).event.expect("an event");
+        control.event(Time::ZERO, &first);
+        writeln!(out, "floors: {floors}").expect("text");
+        // The node is cut off from second 2 to second 8.
+        for second in 1..=12 {
+            let now = Time::from_millis(second * 1_000);
+            let removed = control.tick(now).events.len();
+            if !(2..8).contains(&second) {
+                let answer = control.heartbeat(now, &node.heartbeat());
+                if let Some(event) = node.answered(now, &answer) {
+                    control.event(now, &event);
+                }
+            }
+            writeln!(out, "  {second:>2} s removed {removed} {}", list(control.targets()))
+                .expect("text");
+        }
+        assert_eq!(control.targets().iter().count(), usize::from(floors));
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a control that restarts or takes over and misses a live target, keeps a dead
+/// one, or removes one that another control holds.
+#[test]
+fn takeover_and_restart() {
+    let mut out = String::new();
+    let at = |millis| Time::from_millis(millis);
+    let (live, dead) = (serving("skulte-1", (50, 1)), serving("skulte-2", (50, 1)));
+    let mut home = registry(at(0), "skulte");
+    let mut foster = registry(at(0), "jugla");
+    for it in [&live, &dead] {
+        home.event(at(0), it);
+        foster.event(at(0), it);
+    }
+    writeln!(out, "at first             {}", list(foster.targets())).expect("text");
+
+    // Home's control stops; the first node moves to the foster control, the second one dies too.
+    let moved = event(entry("skulte-1", "jugla", (50, 2), objects::State::Serving));
+    foster.event(at(3_000), &moved);
+    foster.heartbeat(at(6_000), &heartbeat(&moved));
+    let due = foster.tick(at(8_000));
+    assert!(due.events.is_empty(), "the foster control removes only what it holds the lease of");
+    writeln!(out, "after the takeover   {}", list(foster.targets())).expect("text");
+
+    // Home's control restarts empty, and the nodes' entries come from the foster control.
+    let mut home = registry(at(9_000), "skulte");
+    exchange(at(9_000), &mut home, &mut foster);
+    writeln!(out, "restarted, exchanged {}", list(home.targets())).expect("text");
+    let answer = home.heartbeat(at(9_500), &heartbeat(&moved));
+    assert!(!answer.wanted, "the exchange brought the entry");
+    let back = event(entry("skulte-1", "skulte", (50, 3), objects::State::Serving));
+    assert!(home.heartbeat(at(9_600), &heartbeat(&back)).wanted, "a changed entry is asked for");
+    home.event(at(9_700), &back);
+    foster.event(at(9_700), &back);
+    home.heartbeat(at(12_000), &heartbeat(&back));
+    for removal in home.tick(at(13_500)).events {
+        foster.event(at(13_500), &removal);
+    }
+    assert!(foster.tick(at(14_000)).events.is_empty(), "the lease went back to home");
+    writeln!(out, "dead node's lease    {}", list(home.targets())).expect("text");
+    assert_eq!(list(home.targets()), list(foster.targets()));
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a partition that removes the other side's targets, against stale marks that
+/// stay, and against registries that differ after it, also when both sides changed an entry: the
+/// short one ends while the removal is still remembered, the long one after that.
+#[test]
+fn partition() {
+    let mut out = String::new();
+    for seconds in [60, 3_600] {
+        writeln!(out, "cut off for {seconds} s").expect("text");
+        cut_off(time::Duration::from_secs(seconds), &mut out);
+    }
+    insta::assert_snapshot!(out);
+}
+
+fn cut_off(length: time::Duration, out: &mut String) {
+    let mut skulte = registry(Time::ZERO, "skulte");
+    let mut jugla = registry(Time::ZERO, "jugla");
+    let mut copy = directory::Directory::new("skulte".into(), mechanisms::Mechanisms::default());
+    let (a, b) = (serving("skulte-1", (50, 1)), serving("jugla-1", (50, 1)));
+    for it in [&a, &b] {
+        skulte.event(Time::ZERO, it);
+        jugla.event(Time::ZERO, it);
+        copy.event(Time::ZERO, it);
+    }
+    skulte.heard(Time::ZERO, "jugla");
+    let moved = event(entry("jugla-1", "skulte", (50, 2), objects::State::Serving));
+    let mut now = Time::ZERO;
+    while now < Time::ZERO + length {
+        now = now + registry::EXCHANGE / 2;
+        skulte.heartbeat(now, &heartbeat(&a));
+        skulte.heartbeat(now, &heartbeat(&moved));
+        let due = skulte.tick(now);
+        assert!(due.events.is_empty(), "skulte removes nothing");
+        due.silent.iter().for_each(|it| copy.reach(it));
+        jugla.tick(now);
+        if now == Time::from_millis(20_000) {
+            writeln!(out, "  20 s, skulte {}", list(skulte.targets())).expect("text");
+            writeln!(out, "  20 s, a node {}", list(copy.targets())).expect("text");
+            // The node of jugla-1 can reach skulte only.
+            skulte.event(now, &moved);
+            copy.event(now, &moved);
+        }
+    }
+    writeln!(out, "  end, skulte  {}", list(skulte.targets())).expect("text");
+    writeln!(out, "  end, jugla   {}", list(jugla.targets())).expect("text");
+    copy.reach(&skulte.heard(now, "jugla").expect("jugla was silent"));
+    exchange(now, &mut skulte, &mut jugla);
+    writeln!(out, "  healed       {}", list(skulte.targets())).expect("text");
+    if skulte.heartbeat(now, &heartbeat(&moved)).wanted {
+        let again = event(entry("jugla-1", "skulte", (50, 3), objects::State::Serving));
+        skulte.event(now, &again);
+        jugla.event(now, &again);
+    }
+    let parts = copy.missing(&skulte.targets().digests(), 8);
+    parts.iter().for_each(|it| drop(copy.part(now, &skulte.part(now, it))));
+    writeln!(out, "  next second  {}", list(skulte.targets())).expect("text");
+    assert_eq!(list(skulte.targets()), list(jugla.targets()));
+    assert_eq!(list(skulte.targets()), list(copy.targets()));
+    assert_eq!(skulte.targets().iter().count(), 2, "both targets are alive");
+}
+
+/// Guards against a node that keeps a target whose removal it missed, and against one that drops
+/// its targets because its control has just restarted.
+#[test]
+fn missed_removal() {
+    let mut copy = directory::Directory::new("skulte".into(), mechanisms::Mechanisms::default());
+    copy.event(Time::ZERO, &serving("skulte-1", (50, 1)));
+    let control = registry(Time::ZERO, "skulte");
+    for (now, kept) in [(Time::ZERO, 1), (Time::ZERO + registry::STALE_AFTER, 0)] {
+        let parts = copy.missing(&control.targets().digests(), 8);
+        assert_eq!(parts.len(), 1);
+        parts.iter().for_each(|it| drop(copy.part(now, &control.part(now, it))));
+        assert_eq!(copy.targets().iter().count(), kept, "at {now}");
+    }
+}
+
+/// Guards against measurements of a former process that count for the next one, and against keys
+/// that change without a restart.
+#[test]
+fn keys() {
+    let mut targets = targets::Targets::new(mechanisms::Mechanisms::default());
+    let mut key = |state, order| {
+        targets.merge(Time::ZERO, &event(entry("skulte-1", "skulte", order, state)));
+        targets.of_service("logbook").to_vec()
+    };
+    let first = key(objects::State::Starting, (50, 1));
+    assert_eq!(key(objects::State::Serving, (50, 2)), first);
+    assert_eq!(key(objects::State::Draining, (50, 3)), first);
+    assert_ne!(key(objects::State::Starting, (90, 1)), first);
+    assert!(key(objects::State::Gone, (90, 2)).is_empty());
+}
