--- /dev/null
+++ b/crates/transport/src/codec.rs
@@ -0,0 +1,80 @@
+//! Frames: a 4-byte big-endian length, one byte of protocol version, and a postcard payload.
+//!
+//! The length counts the version byte and the payload, not itself.
+
+use bytes::Bytes;
+use serde::{Serialize, de};
+
+/// Bytes of the length that starts a frame.
+pub const PREFIX: usize = 4;
+/// The largest length of a frame, in bytes. A snapshot of the largest document, 4 MiB, fits.
+pub const MAX_LENGTH: usize = 8 * 1024 * 1024;
+/// The version of the protocol that this build speaks.
+pub const VERSION: u8 = 1;
+
+/// Why bytes are not a frame, or a value cannot become one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The payload is not the expected value, or bytes follow it.
+    #[error("the frame's payload is malformed")]
+    Malformed,
+    /// The frame is longer than [`MAX_LENGTH`].
+    #[error("a frame of {length} bytes exceeds the limit of {MAX_LENGTH}")]
+    TooLong {
+        /// The length found.
+        length: usize,
+    },
+    /// The bytes end before the frame does.
+    #[error("the frame is truncated")]
+    Truncated,
+    /// The value has no encoding, such as a sequence of unknown length.
+    #[error("the value cannot be encoded")]
+    Unencodable,
+    /// The frame is of another protocol version.
+    #[error("protocol version {found} instead of {VERSION}")]
+    Version {
+        /// The version found.
+        found: u8,
+    },
+}
+
+/// The result of a conversion between values and frames.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Encodes a value as a frame.
+pub fn encode<T: Serialize>(value: &T) -> Result<Bytes> {
+    let mut frame = vec![0; PREFIX];
+    frame.push(VERSION);
+    let mut frame = postcard::to_extend(value, frame).map_err(|_| Error::Unencodable)?;
+    let length = frame.len() - PREFIX;
+    if length > MAX_LENGTH {
+        return Err(Error::TooLong { length });
+    }
+    let prefix = u32::try_from(length).map_err(|_| Error::TooLong { length })?;
+    frame[..PREFIX].copy_from_slice(&prefix.to_be_bytes());
+    Ok(Bytes::from(frame))
+}
+
+/// Decodes the one frame that `frame` consists of.
+pub fn decode<T: de::DeserializeOwned>(frame: &[u8]) -> Result<T> {
+    let (prefix, body) = frame.split_first_chunk().ok_or(Error::Truncated)?;
+    let length = read_length(*prefix)?;
+    if body.len() < length {
+        return Err(Error::Truncated);
+    }
+    if body.len() > length {
+        return Err(Error::Malformed);
+    }
+    let (&found, payload) = body.split_first().ok_or(Error::Malformed)?;
+    if found != VERSION {
+        return Err(Error::Version { found });
+    }
+    let (value, rest) = postcard::take_from_bytes(payload).map_err(|_| Error::Malformed)?;
+    if rest.is_empty() { Ok(value) } else { Err(Error::Malformed) }
+}
+
+/// The length of the frame that starts with `prefix`, when it is within the limit.
+pub fn read_length(prefix: [u8; PREFIX]) -> Result<usize> {
+    let length = usize::try_from(u32::from_be_bytes(prefix)).unwrap_or(usize::MAX);
+    if length > MAX_LENGTH { Err(Error::TooLong { length }) } else { Ok(length) }
+}
--- /dev/null
+++ b/crates/transport/src/identity.rs
@@ -0,0 +1,225 @@
+//! The mesh's own certificate authority, and the certificates of its processes.
+//!
+//! Certificates do not expire and are not revoked one by one: a mesh that must exclude a process
+//! creates a new authority. A name states host and role: `<host>.<role>.heatherwalk`.
+
+use std::{fs, io, io::Write as _, path};
+
+use compact_str::{CompactString, ToCompactString as _};
+use rustls::pki_types::{self, pem::PemObject as _};
+use world::hosts;
+
+use crate::names;
+
+/// Permissions of a file with a private key: only its owner may read it.
+const KEY_MODE: u32 = 0o600;
+/// The subject of the authority's certificate. The key tells authorities apart.
+const AUTHORITY_NAME: &str = "heatherwalk authority";
+
+/// Why a certificate could not be made, read or accepted.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum Error {
+    /// The certificate could not be made.
+    #[error("cannot issue the certificate: {0}")]
+    Create(CompactString),
+    /// A file could not be read or written.
+    #[error("{path}: {reason}")]
+    File {
+        /// The file.
+        path: CompactString,
+        /// What the system reported.
+        reason: CompactString,
+    },
+    /// The host name is not a DNS name in lower case.
+    #[error("{0:?} is not a host name of lower-case letters, digits, hyphens and dots")]
+    HostName(CompactString),
+    /// The certificate does not name exactly one host and role.
+    #[error("the certificate does not name one host and role")]
+    Names,
+    /// The text is not PEM of the expected kind.
+    #[error("malformed PEM: {0}")]
+    Pem(CompactString),
+}
+
+/// The result of an operation on certificates.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Who a process is, as its certificate states.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// The host name.
+    pub host: CompactString,
+    /// What the process does.
+    pub role: hosts::Role,
+}
+
+/// A certificate and its private key as PEM text.
+#[derive(Clone)]
+pub struct Pem {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key.
+    pub key: String,
+}
+
+/// The authority that issues the certificates of one mesh.
+pub struct Authority {
+    issuer: rcgen::Issuer<'static, rcgen::KeyPair>,
+    pem: Pem,
+}
+
+/// The certificate and key of one process, and the authority that it trusts.
+pub struct Identity {
+    pub(crate) certificate: pki_types::CertificateDer<'static>,
+    pub(crate) key: pki_types::PrivateKeyDer<'static>,
+    pub(crate) authority: pki_types::CertificateDer<'static>,
+    peer: Peer,
+    pem: Pem,
+}
+
+impl Authority {
+    /// Creates an authority with a new key.
+    pub fn create() -> Result<Authority> {
+        let key = rcgen::KeyPair::generate()?;
+        let params = authority_params();
+        let certificate = params.self_signed(&key)?;
+        let pem = Pem { certificate: certificate.pem(), key: key.serialize_pem() };
+        Ok(Authority { issuer: rcgen::Issuer::new(params, key), pem })
+    }
+
+    /// Reads an authority from its PEM text.
+    pub fn from_pem(pem: Pem) -> Result<Authority> {
+        read_certificate(&pem.certificate)?;
+        let key = rcgen::KeyPair::from_pem(&pem.key)?;
+        Ok(Authority { issuer: rcgen::Issuer::new(authority_params(), key), pem })
+    }
+
+    /// Reads an authority from two files.
+    pub fn load(certificate: &path::Path, key: &path::Path) -> Result<Authority> {
+        Authority::from_pem(load_pem(certificate, key)?)
+    }
+
+    /// Writes the authority to two files that must not exist yet.
+    pub fn save(&self, certificate: &path::Path, key: &path::Path) -> Result<()> {
+        save_pem(&self.pem, certificate, key)
+    }
+
+    /// The certificate and key as PEM text.
+    pub fn pem(&self) -> &Pem {
+        &self.pem
+    }
+
+    /// Issues the certificate of a process on `host`.
+    pub fn issue(&self, host: &str, role: hosts::Role) -> Result<Identity> {
+        names::check_host(host)?;
+        let peer = Peer { host: host.into(), role };
+        let alt_names = vec![names::role_name(&peer), names::host_name(host)];
+        let mut params = rcgen::CertificateParams::new(alt_names)?;
+        params.distinguished_name = subject(host);
+        params.key_usages = vec![rcgen::KeyUsagePurpose::DigitalSignature];
+        params.extended_key_usages = vec![
+            rcgen::ExtendedKeyUsagePurpose::ClientAuth,
+            rcgen::ExtendedKeyUsagePurpose::ServerAuth,
+        ];
+        let key = rcgen::KeyPair::generate()?;
+        let certificate = params.signed_by(&key, &self.issuer)?;
+        let pem = Pem { certificate: certificate.pem(), key: key.serialize_pem() };
+        Identity::from_pem(pem, &self.pem.certificate)
+    }
+}
+
+impl Identity {
+    /// Reads an identity from its PEM text and the certificate of the authority to trust.
+    pub fn from_pem(pem: Pem, authority: &str) -> Result<Identity> {
+        let certificate = read_certificate(&pem.certificate)?;
+        let key = pki_types::PrivateKeyDer::from_pem_slice(pem.key.as_bytes())?;
+        let authority = read_certificate(authority)?;
+        let peer = names::read_peer(&certificate)?;
+        Ok(Identity { certificate, key, authority, peer, pem })
+    }
+
+    /// Reads an identity from three files.
+    pub fn load(
+        certificate: &path::Path,
+        key: &path::Path,
+        authority: &path::Path,
+    ) -> Result<Identity> {
+        Identity::from_pem(load_pem(certificate, key)?, &read_file(authority)?)
+    }
+
+    /// Writes the certificate and the key to two files that must not exist yet.
+    pub fn save(&self, certificate: &path::Path, key: &path::Path) -> Result<()> {
+        save_pem(&self.pem, certificate, key)
+    }
+
+    /// The certificate and key as PEM text.
+    pub fn pem(&self) -> &Pem {
+        &self.pem
+    }
+
+    /// The host and role in the certificate.
+    pub fn peer(&self) -> &Peer {
+        &self.peer
+    }
+}
+
+impl From<rcgen::Error> for Error {
+    fn from(error: rcgen::Error) -> Error {
+        Error::Create(error.to_compact_string())
+    }
+}
+
+impl From<pki_types::pem::Error> for Error {
+    fn from(error: pki_types::pem::Error) -> Error {
+        Error::Pem(error.to_compact_string())
+    }
+}
+
+fn authority_params() -> rcgen::CertificateParams {
+    let mut params = rcgen::CertificateParams::default();
+    params.distinguished_name = subject(AUTHORITY_NAME);
+    params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Constrained(0));
+    params.key_usages = vec![rcgen::KeyUsagePurpose::KeyCertSign];
+    params
+}
+
+fn subject(name: &str) -> rcgen::DistinguishedName {
+    let mut subject = rcgen::DistinguishedName::new();
+    subject.push(rcgen::DnType::CommonName, name);
+    subject
+}
+
+fn read_certificate(pem: &str) -> Result<pki_types::CertificateDer<'static>> {
+    Ok(pki_types::CertificateDer::from_pem_slice(pem.as_bytes())?)
+}
+
+fn load_pem(certificate: &path::Path, key: &path::Path) -> Result<Pem> {
+    Ok(Pem { certificate: read_file(certificate)?, key: read_file(key)? })
+}
+
+fn save_pem(pem: &Pem, certificate: &path::Path, key: &path::Path) -> Result<()> {
+    write_key(key, &pem.key).map_err(|it| file_error(key, it))?;
+    write_new(certificate, &pem.certificate).map_err(|it| file_error(certificate, it))
+}
+
+fn read_file(path: &path::Path) -> Result<String> {
+    fs::read_to_string(path).map_err(|it| file_error(path, it))
+}
+
+fn write_key(path: &path::Path, text: &str) -> io::Result<()> {
+    use std::os::unix::fs::OpenOptionsExt as _;
+    let mut options = fs::OpenOptions::new();
+    let mut file = options.write(true).create_new(true).mode(KEY_MODE).open(path)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()
+}
+
+fn write_new(path: &path::Path, text: &str) -> io::Result<()> {
+    let mut file = fs::File::create_new(path)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()
+}
+
+fn file_error(path: &path::Path, error: io::Error) -> Error {
+    Error::File { path: path.display().to_compact_string(), reason: error.to_compact_string() }
+}
