--- /dev/null
+++ b/crates/distribution/src/follower.rs
@@ -0,0 +1,318 @@
+//! A node's side: which version it runs.
+
+use std::{sync, time};
+
+use compact_str::CompactString;
+use rand::Rng;
+use world::{config, document, time::Time};
+
+use crate::{attach, floor, mechanisms, messages};
+
+/// Time between two beats.
+pub const BEAT: time::Duration = time::Duration::from_secs(1);
+/// How long a peer may take to send a snapshot.
+pub const PEER_TIME: time::Duration = time::Duration::from_secs(10);
+/// The longest wait before a node asks again for a snapshot that was unusable.
+pub const RETRY_MS: u64 = 1_000;
+
+/// What a node is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The host of the node.
+    pub node: CompactString,
+    /// Where it stands.
+    pub data_centre: CompactString,
+    /// The highest feature level that it knows.
+    pub level: u32,
+    /// The incarnation of its process.
+    pub epoch: u64,
+}
+
+/// What the process has to do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Open a connection; report `connected` or `failed`.
+    Connect(attach::ControlKey),
+    /// Close the connection, without a report.
+    Close(attach::ControlKey),
+    /// Send a hello.
+    AskHello(attach::ControlKey, messages::Hello),
+    /// Send a request for a snapshot.
+    AskSnapshot(attach::ControlKey, messages::Session),
+    /// Ask the node on this host for a version; report `peer_answer`.
+    AskPeer(CompactString, messages::Numbered),
+    /// Send a beat.
+    Beat(attach::ControlKey, messages::Beat),
+    /// Send word that a version has arrived.
+    Received(attach::ControlKey, messages::Session, document::Version),
+    /// Send a confirmation of what the node runs.
+    Confirm(attach::ControlKey, messages::Session, messages::Numbered),
+    /// Put this token into the answer to the backend server's renewal.
+    OfferToken(CompactString),
+    /// Swap to this version.
+    Run(sync::Arc<config::Config>),
+    /// The document needs this feature level: answer callers "not run".
+    ServeNothing(u32),
+    /// Nothing to do for the version before this time.
+    Wait(Time),
+}
+
+/// A version that the node has, with its origin.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    pub(crate) config: sync::Arc<config::Config>,
+    pub(crate) source: floor::Source,
+}
+
+/// A peer that was asked for a snapshot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerAsk {
+    of: messages::Numbered,
+    proof: messages::Proof,
+    until: Time,
+}
+
+/// A node's state of the distribution.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    pub(crate) settings: Settings,
+    pub(crate) attachment: attach::Attachment,
+    pub(crate) running: Option<Held>,
+    /// A version that the node may not run yet.
+    pub(crate) pending: Option<Held>,
+    /// The version that the offered token was made for.
+    pub(crate) promised: Option<Held>,
+    /// What the backend server held at its last renewal.
+    pub(crate) held: floor::Floor,
+    /// What the last hello said of it.
+    pub(crate) told: floor::Floor,
+    /// The token offered in the answer to that renewal.
+    pub(crate) offered: Option<floor::Token>,
+    /// No version below this was the last one run.
+    pub(crate) least: document::Version,
+    /// When the last acknowledgement came that was echoed to home.
+    pub(crate) echoed: Time,
+    /// When the running version was last known to be the latest.
+    pub(crate) fresh: Option<Time>,
+    pub(crate) next_beat: Time,
+    pub(crate) ask_at: Option<Time>,
+    /// A snapshot was asked for in place of a delta; later deltas do not fit.
+    pub(crate) awaiting: bool,
+    pub(crate) peer: Option<PeerAsk>,
+    pub(crate) mechanisms: mechanisms::Mechanisms,
+}
+
+impl Follower {
+    /// The state of a process that has just started.
+    pub fn new(settings: Settings, attachment: attach::Attachment, now: Time) -> Follower {
+        Follower {
+            settings,
+            attachment,
+            running: None,
+            pending: None,
+            promised: None,
+            held: floor::Floor::Unknown,
+            told: floor::Floor::Unknown,
+            offered: None,
+            least: document::Version(0),
+            // The process before this one may have echoed until now.
+            echoed: now,
+            fresh: None,
+            next_beat: now,
+            ask_at: None,
+            awaiting: false,
+            peer: None,
+            mechanisms: mechanisms::Mechanisms::default(),
+        }
+    }
+
+    /// Switches mechanisms, for tests.
+    pub fn set_mechanisms(&mut self, mechanisms: mechanisms::Mechanisms) {
+        self.mechanisms = mechanisms;
+    }
+
+    /// The running version.
+    pub fn running(&self) -> Option<&sync::Arc<config::Config>> {
+        self.running.as_ref().map(|it| &it.config)
+    }
+
+    /// The control that the node is attached to.
+    pub fn attached(&self) -> Option<attach::ControlKey> {
+        self.attachment.link.map(|it| it.control)
+    }
+
+    /// The controls, for the names behind the keys.
+    pub fn attachment(&self) -> &attach::Attachment {
+        &self.attachment
+    }
+
+    /// Time since the running version was last known to be the latest.
+    pub fn age(&self, now: Time) -> Option<time::Duration> {
+        self.fresh.map(|it| now.since(it))
+    }
+
+    /// Does what is due. To be called at least every 100 ms.
+    pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(control) = self.attachment.end_stale_trial(now) {
+            effects.push(Effect::Close(control));
+            self.attachment.fail(now, control, rng);
+        }
+        if let Some(control) = self.attachment.silent(now) {
+            effects.push(Effect::Close(control));
+            self.lose(now, control, rng);
+        }
+        if let Some(control) = self.attachment.start_trial(now) {
+            effects.push(Effect::Connect(control));
+        }
+        self.try_run(now, &mut effects);
+        self.beat(now, &mut effects);
+        if self.peer.is_some_and(|it| it.until <= now) {
+            self.peer = None;
+            self.ask_at = Some(now);
+        }
+        if self.ask_at.is_some_and(|it| it <= now) {
+            self.ask_at = None;
+            self.ask_snapshot(&mut effects);
+        }
+        effects
+    }
+
+    /// A connection is open.
+    pub fn connected(&mut self, control: attach::ControlKey, rng: &mut impl Rng) -> Vec<Effect> {
+        let session = messages::Session(rng.random());
+        let Some(trial) = &mut self.attachment.trial else { return Vec::new() };
+        if trial.control != control {
+            return Vec::new();
+        }
+        trial.session = Some(session);
+        vec![Effect::AskHello(control, self.hello(control, session))]
+    }
+
+    /// A connection could not be opened, or broke.
+    pub fn failed(&mut self, now: Time, control: attach::ControlKey, rng: &mut impl Rng) {
+        self.lose(now, control, rng);
+    }
+
+    /// A message came from a control.
+    pub fn message(
+        &mut self,
+        now: Time,
+        control: attach::ControlKey,
+        message: messages::Down,
+        rng: &mut impl Rng,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let messages::Down::Ack(ack) = message {
+            self.ack(now, control, ack, &mut effects);
+            self.tell_floor(rng, &mut effects);
+            return effects;
+        }
+        let Some(link) = self.attachment.link.as_mut().filter(|it| it.control == control) else {
+            return effects;
+        };
+        if link.session != session_of(&message) {
+            return effects;
+        }
+        link.heard = now;
+        match message {
+            messages::Down::Ack(_) => {}
+            messages::Down::Delta(_, delta) => self.delta(now, control, &delta, rng, &mut effects),
+            messages::Down::Snapshot(_, proof, snapshot) => {
+                self.snapshot(now, proof, &snapshot, rng, &mut effects);
+            }
+            messages::Down::Wait(_, reason, millis) => {
+                if self.running.is_none() && reason != messages::Reason::Busy {
+                    self.attachment.avoid(now, control);
+                }
+                let until = now + time::Duration::from_millis(millis.into());
+                self.ask_at = Some(until);
+                effects.push(Effect::Wait(until));
+            }
+            messages::Down::Peer { host, proof, of, .. } => {
+                self.peer = Some(PeerAsk { of, proof, until: now + PEER_TIME });
+                effects.push(Effect::AskPeer(host, of));
+            }
+            messages::Down::Refused(_, level) => {
+                self.attachment.avoid(now, control);
+                effects.push(Effect::ServeNothing(level));
+            }
+        }
+        effects
+    }
+
+    /// A peer answered, or could not. Only the version that the control named is taken: the peer
+    /// can have a later one from a foster control, which home does not vouch for.
+    pub fn peer_answer(
+        &mut self,
+        now: Time,
+        answer: Option<&messages::Snapshot>,
+        rng: &mut impl Rng,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Some(ask) = self.peer.take() else { return effects };
+        match answer.filter(|it| it.of == ask.of) {
+            Some(snapshot) => self.snapshot(now, ask.proof, snapshot, rng, &mut effects),
+            None => self.ask_snapshot(&mut effects),
+        }
+        effects
+    }
+
+    /// The backend server renewed its announcement, with the token that it holds.
+    pub fn renewal(&mut self, now: Time, token: Option<&str>, rng: &mut impl Rng) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        // A text that is no token is treated as none, which asks for more proof.
+        self.held = match token.and_then(|it| it.parse().ok()) {
+            Some(token) => floor::Floor::Held(token),
+            None => floor::Floor::Absent,
+        };
+        self.offered = None;
+        self.least = self.least.max(self.held.version());
+        self.tell_floor(rng, &mut effects);
+        self.try_run(now, &mut effects);
+        self.offer(&mut effects);
+        effects
+    }
+
+    /// The node's answer to a peer's question.
+    pub fn serve_peer(&self, of: messages::Numbered) -> Option<messages::Snapshot> {
+        let config = self.running()?;
+        if numbered(config) != of {
+            return None;
+        }
+        let document = document::to_value(config.document()).to_string().into();
+        Some(messages::Snapshot { of, document })
+    }
+
+    /// The latest version that deltas can be applied to.
+    pub(crate) fn head(&self) -> Option<&Held> {
+        self.pending.as_ref().or(self.running.as_ref())
+    }
+
+    pub(crate) fn ask_later(&mut self, now: Time, rng: &mut impl Rng) {
+        let wait = time::Duration::from_millis(rng.random_range(0..=RETRY_MS));
+        self.ask_at = Some(now + wait);
+    }
+
+    pub(crate) fn ask_snapshot(&mut self, effects: &mut Vec<Effect>) {
+        if let Some(link) = self.attachment.link {
+            effects.push(Effect::AskSnapshot(link.control, link.session));
+        }
+    }
+}
+
+/// The number and digest of a version.
+pub fn numbered(config: &config::Config) -> messages::Numbered {
+    messages::Numbered { version: config.version(), digest: config.digest() }
+}
+
+fn session_of(message: &messages::Down) -> messages::Session {
+    match message {
+        messages::Down::Ack(ack) => ack.session,
+        messages::Down::Delta(session, _)
+        | messages::Down::Snapshot(session, _, _)
+        | messages::Down::Wait(session, _, _)
+        | messages::Down::Peer { session, .. }
+        | messages::Down::Refused(session, _) => *session,
+    }
+}
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -1,1 +1,12 @@
 //! Decides which process gets which version of the configuration, and when it may run it.
+
+pub mod attach;
+pub mod floor;
+pub mod follower;
+pub mod mechanisms;
+pub mod messages;
+pub mod relay;
+mod serving;
+mod sessions;
+pub mod subscribers;
+mod swap;
--- /dev/null
+++ b/crates/distribution/src/relay.rs
@@ -0,0 +1,349 @@
+//! A control's side: which node is sent which version.
+
+use std::{collections, sync, time};
+
+use compact_str::CompactString;
+use rand::Rng;
+use world::{document, time::Time};
+
+use crate::{
+    attach, mechanisms, messages,
+    subscribers::{Stage, Subscriber, SubscriberKey, Subscribers, Summary},
+};
+
+/// Deltas kept for nodes that missed some.
+pub const WINDOW: usize = 1_024;
+/// Snapshots sent at the same time.
+pub const SLOTS: usize = 32;
+/// How long a snapshot may take before its slot is free for another node.
+pub const SLOT_TIME: time::Duration = time::Duration::from_secs(60);
+/// Snapshots that a node is asked to serve to peers at the same time: its control work is limited
+/// to 6 KB/s on average.
+pub const MAX_UPLOADS: u32 = 1;
+/// Bounds of the random wait of a node that gets no snapshot, in milliseconds.
+pub const WAIT_MS: (u32, u32) = (500, 5_000);
+/// Silence after which a node is no longer counted as attached.
+pub const GONE: time::Duration = time::Duration::from_secs(10);
+
+/// A version as the control holds it.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// Its number and digest.
+    pub of: messages::Numbered,
+    /// The document as JSON text.
+    pub document: sync::Arc<str>,
+    /// The feature level that a process needs for it.
+    pub level: u32,
+}
+
+/// What the control found out about itself after a node asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Currency {
+    /// The leader confirmed its lease; this was the version then.
+    Current(document::Version),
+    /// The leader cannot be reached.
+    Isolated,
+}
+
+/// What the process has to do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Send a message.
+    Send(SubscriberKey, messages::Down),
+    /// Ask the leader for its version under a lease confirmed from now on; report `confirmed`.
+    ConfirmCurrent(SubscriberKey),
+    /// Close the connection.
+    Close(SubscriberKey),
+}
+
+/// The last echo of a node that ran a version.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    /// When the echoed acknowledgement was sent.
+    at: Time,
+    /// The highest version that the node has run.
+    highest: document::Version,
+}
+
+/// A control's state of the distribution.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    epoch: u64,
+    pub(crate) head: Head,
+    pub(crate) window: collections::VecDeque<messages::Delta>,
+    /// Versions that are committed but not yet synced on this control's disk.
+    unsynced: collections::VecDeque<(messages::Delta, Head)>,
+    pub(crate) ready: bool,
+    isolated: bool,
+    pub(crate) subscribers: Subscribers,
+    heard: collections::BTreeMap<CompactString, Heard>,
+    pub(crate) mechanisms: mechanisms::Mechanisms,
+}
+
+impl Relay {
+    /// The state of a process that has just started with `head` and these deltas up to it on its
+    /// disk. `ready` is false when the disk was lost and the log has not been caught up with.
+    pub fn new(
+        epoch: u64,
+        head: Head,
+        deltas: impl IntoIterator<Item = messages::Delta>,
+        ready: bool,
+    ) -> Relay {
+        Relay {
+            epoch,
+            head,
+            window: deltas.into_iter().collect(),
+            unsynced: collections::VecDeque::new(),
+            ready,
+            isolated: true,
+            subscribers: Subscribers::default(),
+            heard: collections::BTreeMap::new(),
+            mechanisms: mechanisms::Mechanisms::default(),
+        }
+    }
+
+    /// Switches mechanisms, for tests.
+    pub fn set_mechanisms(&mut self, mechanisms: mechanisms::Mechanisms) {
+        self.mechanisms = mechanisms;
+    }
+
+    /// The control lost the leader, or found it again.
+    pub fn set_isolated(&mut self, isolated: bool) {
+        self.isolated = isolated;
+    }
+
+    /// The control has caught up with the log.
+    pub fn set_ready(&mut self) {
+        self.ready = true;
+    }
+
+    /// The version handed out.
+    pub fn version(&self) -> document::Version {
+        self.head.of.version
+    }
+
+    /// The lowest feature level of the attached nodes that are served.
+    pub fn lowest_level(&self) -> Option<u32> {
+        self.subscribers.lowest_level(self.head.level)
+    }
+
+    /// The attached nodes.
+    pub fn subscribers(&self) -> &Subscribers {
+        &self.subscribers
+    }
+
+    /// What the attached nodes run.
+    pub fn summary(&self) -> Summary {
+        self.subscribers.summary()
+    }
+
+    /// Takes in a committed version. It is handed out when it is synced.
+    pub fn learn(
+        &mut self,
+        now: Time,
+        delta: messages::Delta,
+        head: Head,
+        rng: &mut impl Rng,
+    ) -> Vec<Effect> {
+        let version = head.of.version;
+        self.unsynced.push_back((delta, head));
+        if self.mechanisms.synced_only {
+            return Vec::new();
+        }
+        self.synced(now, version, rng)
+    }
+
+    /// Versions up to `version` are synced on the control's disk.
+    pub fn synced(
+        &mut self,
+        now: Time,
+        version: document::Version,
+        rng: &mut impl Rng,
+    ) -> Vec<Effect> {
+        while let Some((delta, head)) =
+            self.unsynced.pop_front_if(|(_, head)| head.of.version <= version)
+        {
+            if head.of.version <= self.head.of.version {
+                continue;
+            }
+            self.window.push_back(delta);
+            self.head = head;
+            if self.window.len() > WINDOW {
+                self.window.pop_front();
+            }
+        }
+        self.publish(now, rng)
+    }
+
+    /// The control's state was replaced by a synced snapshot of the log.
+    pub fn reset(&mut self, now: Time, head: Head, rng: &mut impl Rng) -> Vec<Effect> {
+        if head.of.version <= self.head.of.version {
+            return Vec::new();
+        }
+        self.unsynced.retain(|(_, it)| it.of.version > head.of.version);
+        self.window.clear();
+        self.head = head;
+        self.publish(now, rng)
+    }
+
+    /// A node said hello.
+    pub fn hello(
+        &mut self,
+        now: Time,
+        hello: messages::Hello,
+        rng: &mut impl Rng,
+    ) -> (SubscriberKey, Vec<Effect>) {
+        let latest = self.head.of.version;
+        let behind = hello.running.is_none_or(|it| it.version < latest).then_some(now);
+        let key = self.subscribers.insert(Subscriber {
+            running: hello.running,
+            stage: Stage::Idle,
+            behind,
+            uploads: 0,
+            heard: now,
+            hello,
+        });
+        let mut effects = Vec::new();
+        self.acknowledge(now, key, &mut effects);
+        self.begin(now, key, rng, &mut effects);
+        (key, effects)
+    }
+
+    /// A message came from a node. A message of an ended session changes nothing.
+    pub fn message(
+        &mut self,
+        now: Time,
+        key: SubscriberKey,
+        message: messages::Up,
+        rng: &mut impl Rng,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Some(subscriber) = self.subscribers.get_mut(key) else { return effects };
+        let session = subscriber.hello.session;
+        match message {
+            messages::Up::AskSnapshot(of) if of == session => {
+                subscriber.heard = now;
+                self.asked(now, key, rng, &mut effects);
+            }
+            messages::Up::Received(of, version) if of == session => {
+                subscriber.heard = now;
+                self.subscribers.set_stage(key, Stage::Streaming(version));
+                self.advance(now, key, rng, &mut effects);
+            }
+            messages::Up::Confirm(of, running) if of == session => {
+                subscriber.heard = now;
+                subscriber.running = Some(running);
+                if running.version >= self.head.of.version {
+                    subscriber.behind = None;
+                }
+                if let Some(it) = self.heard.get_mut(&subscriber.hello.node) {
+                    it.highest = it.highest.max(running.version);
+                }
+            }
+            messages::Up::Beat(beat) if beat.session == session => {
+                subscriber.heard = now;
+                self.beat(key, beat);
+                self.acknowledge(now, key, &mut effects);
+            }
+            _ => {}
+        }
+        effects
+    }
+
+    /// The answer to [`Effect::ConfirmCurrent`].
+    pub fn confirmed(
+        &mut self,
+        now: Time,
+        key: SubscriberKey,
+        currency: Currency,
+        rng: &mut impl Rng,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Some(subscriber) = self.subscribers.get(key) else { return effects };
+        if subscriber.stage != Stage::Proving {
+            return effects;
+        }
+        let floor = subscriber.hello.floor.version();
+        let stage = match currency {
+            Currency::Current(version) => {
+                Stage::Behind(messages::Proof::Current, version.max(floor))
+            }
+            Currency::Isolated => match self.heard_version(now, subscriber) {
+                Some(version) => Stage::Behind(messages::Proof::Heard, version.max(floor)),
+                None => Stage::Idle,
+            },
+        };
+        self.subscribers.set_stage(key, stage);
+        if stage == Stage::Idle {
+            self.wait(key, messages::Reason::Unproven, rng, &mut effects);
+        }
+        self.advance(now, key, rng, &mut effects);
+        effects
+    }
+
+    /// The connection of a node is closed.
+    pub fn closed(&mut self, key: SubscriberKey) {
+        self.subscribers.remove(key);
+    }
+
+    /// Frees slots that take too long, and forgets silent nodes. To be called each second.
+    pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let stages: Vec<_> = self.subscribers.iter().map(|(key, it)| (key, it.stage)).collect();
+        for (key, stage) in stages {
+            let (Stage::Snapshot(proof, since) | Stage::Peer(proof, _, since)) = stage else {
+                continue;
+            };
+            if now.since(since) >= SLOT_TIME {
+                self.subscribers.set_stage(key, Stage::Waiting(proof));
+                self.wait(key, messages::Reason::Busy, rng, &mut effects);
+            }
+        }
+        self.heard.retain(|_, it| now.since(it.at) < attach::SILENCE);
+        let silent = |it: &Subscriber| now.since(it.heard) >= GONE;
+        let gone: Vec<_> =
+            self.subscribers.iter().filter(|(_, it)| silent(it)).map(|(key, _)| key).collect();
+        for key in &gone {
+            self.subscribers.remove(*key);
+        }
+        effects.extend(gone.into_iter().map(Effect::Close));
+        effects
+    }
+
+    fn acknowledge(&self, now: Time, key: SubscriberKey, effects: &mut Vec<Effect>) {
+        let Some(subscriber) = self.subscribers.get(key) else { return };
+        let ack = messages::Ack {
+            session: subscriber.hello.session,
+            stamp: messages::Stamp { epoch: self.epoch, at: now },
+            isolated: self.isolated || !self.ready,
+            version: self.head.of.version,
+        };
+        effects.push(Effect::Send(key, messages::Down::Ack(ack)));
+    }
+
+    /// Takes note of an echo. It says nothing when the node runs nothing: what its process before
+    /// ran is then unknown.
+    fn beat(&mut self, key: SubscriberKey, beat: messages::Beat) {
+        let Some(subscriber) = self.subscribers.get(key) else { return };
+        let Some(stamp) = beat.echo.filter(|it| it.epoch == self.epoch) else { return };
+        if !subscriber.hello.home || subscriber.running.is_none() {
+            return;
+        }
+        let new = Heard { at: stamp.at, highest: beat.highest };
+        let it = self.heard.entry(subscriber.hello.node.clone()).or_insert(new);
+        it.at = it.at.max(new.at);
+        it.highest = it.highest.max(new.highest);
+    }
+
+    /// The highest version that a restarted node can have run, if this isolated control knows it.
+    fn heard_version(&self, now: Time, subscriber: &Subscriber) -> Option<document::Version> {
+        if !subscriber.hello.home {
+            return None;
+        }
+        if !self.mechanisms.heard_rule {
+            return Some(document::Version(0));
+        }
+        let heard = self.heard.get(&subscriber.hello.node)?;
+        (now.since(heard.at) < attach::SILENCE).then_some(heard.highest)
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/serving.rs
@@ -0,0 +1,168 @@
+//! What a control sends to a node: deltas, a snapshot, the name of a peer, or a wait.
+
+use rand::Rng;
+use world::{document, time::Time};
+
+use crate::{
+    floor, messages,
+    relay::{self, Effect, Relay},
+    subscribers::{Stage, SubscriberKey},
+};
+
+impl Relay {
+    pub(crate) fn publish(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.subscribers.mark_behind(now, self.head.of.version);
+        let keys: Vec<_> = self.subscribers.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.advance(now, key, rng, &mut effects);
+        }
+        effects
+    }
+
+    /// Decides how a new session starts.
+    pub(crate) fn begin(
+        &mut self,
+        now: Time,
+        key: SubscriberKey,
+        rng: &mut impl Rng,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(subscriber) = self.subscribers.get(key) else { return };
+        let hello = &subscriber.hello;
+        if !self.ready && self.mechanisms.disk_wait {
+            self.wait(key, messages::Reason::CatchingUp, rng, effects);
+            return;
+        }
+        if hello.level < self.head.level {
+            let refused = messages::Down::Refused(hello.session, self.head.level);
+            effects.push(Effect::Send(key, refused));
+            return;
+        }
+        let source = if hello.home { floor::Source::Home } else { floor::Source::Foster };
+        let stage = match (hello.running, hello.floor) {
+            (Some(running), _) => Stage::Streaming(running.version),
+            (None, floor::Floor::Unknown) => Stage::Idle,
+            (None, floor) if floor.needs_proof(source) && self.mechanisms.proof => {
+                effects.push(Effect::ConfirmCurrent(key));
+                Stage::Proving
+            }
+            (None, floor) => Stage::Behind(messages::Proof::None, floor.version()),
+        };
+        self.subscribers.set_stage(key, stage);
+        self.advance(now, key, rng, effects);
+    }
+
+    /// A node asks for a snapshot.
+    pub(crate) fn asked(
+        &mut self,
+        now: Time,
+        key: SubscriberKey,
+        rng: &mut impl Rng,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(subscriber) = self.subscribers.get(key) else { return };
+        match subscriber.stage {
+            Stage::Idle => self.begin(now, key, rng, effects),
+            Stage::Proving => {}
+            Stage::Behind(..) => self.advance(now, key, rng, effects),
+            Stage::Waiting(proof) | Stage::Peer(proof, _, _) | Stage::Snapshot(proof, _) => {
+                self.serve(now, key, proof, rng, effects);
+            }
+            Stage::Streaming(_) => self.serve(now, key, messages::Proof::None, rng, effects),
+        }
+    }
+
+    /// Sends what the node's stage allows now.
+    pub(crate) fn advance(
+        &mut self,
+        now: Time,
+        key: SubscriberKey,
+        rng: &mut impl Rng,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.ready && self.mechanisms.disk_wait {
+            return;
+        }
+        let Some(subscriber) = self.subscribers.get(key) else { return };
+        let latest = self.head.of.version;
+        match subscriber.stage {
+            Stage::Behind(proof, needed) if needed <= latest => {
+                self.serve(now, key, proof, rng, effects);
+            }
+            Stage::Streaming(sent) if sent < latest => self.stream(now, key, sent, rng, effects),
+            _ => {}
+        }
+    }
+
+    /// Sends the deltas after `sent`, or a snapshot when some are no longer kept.
+    fn stream(
+        &mut self,
+        now: Time,
+        key: SubscriberKey,
+        sent: document::Version,
+        rng: &mut impl Rng,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(session) = self.subscribers.get(key).map(|it| it.hello.session) else { return };
+        let first = self.window.front().map(|it| it.to.version);
+        if first.is_none_or(|it| it > sent.next()) {
+            self.serve(now, key, messages::Proof::None, rng, effects);
+            return;
+        }
+        for delta in self.window.iter().filter(|it| it.to.version > sent) {
+            let message = messages::Down::Delta(session, delta.clone());
+            effects.push(Effect::Send(key, message));
+        }
+        self.subscribers.set_stage(key, Stage::Streaming(self.head.of.version));
+    }
+
+    /// Sends a snapshot, or names a peer, or lets the node wait.
+    fn serve(
+        &mut self,
+        now: Time,
+        key: SubscriberKey,
+        proof: messages::Proof,
+        rng: &mut impl Rng,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.subscribers.set_stage(key, Stage::Waiting(proof));
+        let Some(subscriber) = self.subscribers.get(key) else { return };
+        let session = subscriber.hello.session;
+        let of = self.head.of;
+        if self.subscribers.slots_used() < relay::SLOTS {
+            let document = self.head.document.clone();
+            let snapshot = messages::Snapshot { of, document };
+            let message = messages::Down::Snapshot(session, proof, snapshot);
+            effects.push(Effect::Send(key, message));
+            self.subscribers.set_stage(key, Stage::Snapshot(proof, now));
+            return;
+        }
+        let mut peers =
+            self.subscribers.peers(&subscriber.hello.data_centre, of, relay::MAX_UPLOADS);
+        peers.retain(|it| *it != key);
+        if peers.is_empty() {
+            self.wait(key, messages::Reason::Busy, rng, effects);
+            return;
+        }
+        let peer = peers[rng.random_range(0..peers.len())];
+        let Some(it) = self.subscribers.get_mut(peer) else { return };
+        it.uploads += 1;
+        let host = it.hello.node.clone();
+        effects.push(Effect::Send(key, messages::Down::Peer { session, host, proof, of }));
+        self.subscribers.set_stage(key, Stage::Peer(proof, peer, now));
+    }
+
+    pub(crate) fn wait(
+        &self,
+        key: SubscriberKey,
+        reason: messages::Reason,
+        rng: &mut impl Rng,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(subscriber) = self.subscribers.get(key) else { return };
+        let millis = rng.random_range(relay::WAIT_MS.0..=relay::WAIT_MS.1);
+        let message = messages::Down::Wait(subscriber.hello.session, reason, millis);
+        effects.push(Effect::Send(key, message));
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/sessions.rs
@@ -0,0 +1,126 @@
+//! A node's sessions with controls: hello, acknowledgements and beats.
+
+use rand::Rng;
+use world::time::Time;
+
+use crate::{
+    attach, floor,
+    follower::{self, Effect, Follower},
+    messages,
+};
+
+impl Follower {
+    /// Opens a new session on the same connection, with what the node has now.
+    pub(crate) fn hello_again(&mut self, rng: &mut impl Rng, effects: &mut Vec<Effect>) {
+        let Some(mut link) = self.attachment.link else { return };
+        link.session = messages::Session(rng.random());
+        self.attachment.link = Some(link);
+        self.drop_pending();
+        effects.push(Effect::AskHello(link.control, self.hello(link.control, link.session)));
+    }
+
+    /// Says hello again when what a node without a version may take has changed.
+    pub(crate) fn tell_floor(&mut self, rng: &mut impl Rng, effects: &mut Vec<Effect>) {
+        if self.head().is_none() && self.told != self.held {
+            self.hello_again(rng, effects);
+        }
+    }
+
+    pub(crate) fn ack(
+        &mut self,
+        now: Time,
+        control: attach::ControlKey,
+        ack: messages::Ack,
+        effects: &mut Vec<Effect>,
+    ) {
+        let trial = self.attachment.trial.filter(|it| it.session == Some(ack.session));
+        if trial.is_some_and(|it| it.control == control) && !self.adopt(now, control, ack, effects)
+        {
+            return;
+        }
+        let Some(link) = self.attachment.link.as_mut().filter(|it| it.session == ack.session)
+        else {
+            return;
+        };
+        link.heard = now;
+        link.ack = Some((ack, now));
+        if ack.isolated {
+            self.attachment.avoid(now, control);
+            return;
+        }
+        if self.running().is_some_and(|it| it.version() >= ack.version) {
+            self.fresh = Some(now);
+        }
+    }
+
+    /// Attaches to the control of the trial, unless it is isolated and the node has a link.
+    fn adopt(
+        &mut self,
+        now: Time,
+        control: attach::ControlKey,
+        ack: messages::Ack,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        if ack.isolated && self.attachment.link.is_some() && self.running.is_some() {
+            self.attachment.avoid(now, control);
+            self.attachment.trial = None;
+            effects.push(Effect::Close(control));
+            return false;
+        }
+        if let Some(left) = self.attachment.adopt(now, ack.session) {
+            effects.push(Effect::Close(left));
+        }
+        self.drop_pending();
+        self.ask_at = None;
+        self.peer = None;
+        self.next_beat = now;
+        true
+    }
+
+    pub(crate) fn lose(&mut self, now: Time, control: attach::ControlKey, rng: &mut impl Rng) {
+        if self.attachment.fail(now, control, rng) {
+            self.drop_pending();
+            self.ask_at = None;
+            self.peer = None;
+        }
+    }
+
+    /// What came in one session cannot be completed in another.
+    fn drop_pending(&mut self) {
+        self.awaiting = false;
+        self.pending = None;
+        self.promised = None;
+    }
+
+    pub(crate) fn hello(
+        &mut self,
+        control: attach::ControlKey,
+        session: messages::Session,
+    ) -> messages::Hello {
+        self.told = self.held;
+        messages::Hello {
+            session,
+            node: self.settings.node.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            home: self.attachment.source(control) == floor::Source::Home,
+            level: self.settings.level,
+            running: self.running().map(|it| follower::numbered(it)),
+            floor: self.held,
+        }
+    }
+
+    pub(crate) fn beat(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Some(link) = self.attachment.link else { return };
+        if now < self.next_beat {
+            return;
+        }
+        self.next_beat = now + follower::BEAT;
+        if self.attachment.source(link.control) == floor::Source::Home {
+            self.echoed = link.ack.map_or(self.echoed, |(_, at)| at.max(self.echoed));
+        }
+        let highest = self.running().map_or(self.least, |it| it.version().max(self.least));
+        let echo = link.ack.map(|(ack, _)| ack.stamp);
+        let beat = messages::Beat { session: link.session, echo, highest };
+        effects.push(Effect::Beat(link.control, beat));
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/swap.rs
@@ -0,0 +1,188 @@
+//! When a node swaps to a version that it received: rules R2 and R3.
+
+use std::sync;
+
+use rand::Rng;
+use world::{config, document, time::Time};
+
+use crate::{
+    attach, floor,
+    follower::{self, Follower},
+    messages,
+};
+
+impl Follower {
+    pub(crate) fn delta(
+        &mut self,
+        now: Time,
+        control: attach::ControlKey,
+        delta: &messages::Delta,
+        rng: &mut impl Rng,
+        effects: &mut Vec<follower::Effect>,
+    ) {
+        if self.awaiting {
+            return;
+        }
+        let Some(head) = self.head() else { return };
+        let version = head.config.version();
+        if self.mechanisms.higher_only && delta.to.version <= version {
+            return;
+        }
+        if delta.to.version > version.next() {
+            // A delta is missing; the control finds out what the node has from a new hello.
+            self.hello_again(rng, effects);
+            return;
+        }
+        let Some(config) = self.apply(&head.config, delta) else {
+            self.awaiting = true;
+            self.ask_snapshot(effects);
+            return;
+        };
+        let source = self.attachment.source(control);
+        self.take(now, follower::Held { config, source }, effects);
+    }
+
+    pub(crate) fn snapshot(
+        &mut self,
+        now: Time,
+        proof: messages::Proof,
+        snapshot: &messages::Snapshot,
+        rng: &mut impl Rng,
+        effects: &mut Vec<follower::Effect>,
+    ) {
+        let Some(link) = self.attachment.link else { return };
+        self.awaiting = false;
+        let source = self.attachment.source(link.control);
+        if !self.may_take(snapshot.of.version, source, proof) {
+            if let Some(head) = self.head() {
+                let version = head.config.version();
+                effects.push(follower::Effect::Received(link.control, link.session, version));
+                return;
+            }
+            self.ask_later(now, rng);
+            return;
+        }
+        let Some(config) = self.read(snapshot) else {
+            self.ask_later(now, rng);
+            return;
+        };
+        let version = config.version();
+        effects.push(follower::Effect::Received(link.control, link.session, version));
+        self.take(now, follower::Held { config, source }, effects);
+    }
+
+    /// Runs the latest version that rule R2 allows.
+    pub(crate) fn try_run(&mut self, now: Time, effects: &mut Vec<follower::Effect>) {
+        let candidates = [self.pending.clone(), self.promised.clone()];
+        let Some(next) = candidates.into_iter().flatten().find(|it| self.may_run(now, it)) else {
+            return;
+        };
+        let version = next.config.version();
+        let later = |it: &follower::Held| it.config.version() > version;
+        self.pending = self.pending.take().filter(later);
+        self.promised = self.promised.take().filter(later);
+        if self.mechanisms.higher_only && self.running().is_some_and(|it| it.version() >= version) {
+            return;
+        }
+        self.least = self.least.max(version);
+        effects.push(follower::Effect::Run(next.config.clone()));
+        if let Some(link) = self.attachment.link {
+            let running = follower::numbered(&next.config);
+            effects.push(follower::Effect::Confirm(link.control, link.session, running));
+        }
+        self.running = Some(next);
+    }
+
+    /// Offers a token for the latest version that the node has.
+    pub(crate) fn offer(&mut self, effects: &mut Vec<follower::Effect>) {
+        let Some(head) = self.head() else { return };
+        let token = floor::Token {
+            version: head.config.version(),
+            source: head.source,
+            epoch: self.settings.epoch,
+        };
+        effects.push(follower::Effect::OfferToken(token.encode()));
+        self.offered = Some(token);
+        self.promised = self.pending.clone();
+    }
+
+    fn take(&mut self, now: Time, held: follower::Held, effects: &mut Vec<follower::Effect>) {
+        self.pending = Some(held);
+        self.try_run(now, effects);
+    }
+
+    fn may_take(
+        &self,
+        version: document::Version,
+        source: floor::Source,
+        proof: messages::Proof,
+    ) -> bool {
+        if let Some(head) = self.head() {
+            return !self.mechanisms.higher_only || version > head.config.version();
+        }
+        if !self.mechanisms.proof {
+            return self.held != floor::Floor::Unknown && version >= self.least;
+        }
+        version >= self.least && self.held.admits(version, source, proof)
+    }
+
+    fn may_run(&self, now: Time, next: &follower::Held) -> bool {
+        match next.source {
+            floor::Source::Home => !self.mechanisms.source_check || !self.may_hold_foster(),
+            floor::Source::Foster => self.is_promised(next) && self.is_quiet(now),
+        }
+    }
+
+    /// Whether the backend server holds a token that covers this version.
+    fn is_promised(&self, next: &follower::Held) -> bool {
+        if !self.mechanisms.floor_token {
+            return self.held != floor::Floor::Unknown;
+        }
+        let floor::Floor::Held(token) = self.held else { return false };
+        token.source == floor::Source::Foster && token.version >= next.config.version()
+    }
+
+    /// Whether home no longer counts on the node. An isolated home hands its version to a restarted
+    /// node that it heard within the last 3 s, so until then nothing newer may have run.
+    fn is_quiet(&self, now: Time) -> bool {
+        !self.mechanisms.quiet_time || now.since(self.echoed) >= attach::SILENCE
+    }
+
+    /// Whether a restart could find a foster token. It would then take a version from a foster
+    /// control that can be older than what home handed out.
+    fn may_hold_foster(&self) -> bool {
+        let offered = self.offered.is_some_and(|it| it.source == floor::Source::Foster);
+        match self.held {
+            floor::Floor::Unknown => true,
+            floor::Floor::Absent => offered,
+            floor::Floor::Held(token) => offered || token.source == floor::Source::Foster,
+        }
+    }
+
+    fn apply(
+        &self,
+        base: &config::Config,
+        delta: &messages::Delta,
+    ) -> Option<sync::Arc<config::Config>> {
+        let patch = serde_json::from_str(&delta.patch).ok()?;
+        let document = document::merge(base.document(), &patch).ok()?;
+        self.build(delta.to, document)
+    }
+
+    fn read(&self, snapshot: &messages::Snapshot) -> Option<sync::Arc<config::Config>> {
+        let document = serde_json::from_str(&snapshot.document).ok()?;
+        self.build(snapshot.of, document)
+    }
+
+    fn build(
+        &self,
+        of: messages::Numbered,
+        document: document::Document,
+    ) -> Option<sync::Arc<config::Config>> {
+        let config = config::Config::build(of.version, document).ok()?;
+        if self.mechanisms.digest_check && config.digest() != of.digest {
+            return None;
+        }
+        Some(sync::Arc::new(config))
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/relay.rs
@@ -0,0 +1,187 @@
+//! Bounds of a control's relay, and the small rules of a node: tokens, backoff, entry.
+
+use std::{fmt::Write as _, time};
+
+use distribution::{attach, floor, follower, messages, relay, subscribers};
+use rand::{SeedableRng, rngs};
+use world::{document, time::Time};
+
+fn numbered(version: u64) -> messages::Numbered {
+    let digest = document::DocumentDigest([version as u8; 32]);
+    messages::Numbered { version: document::Version(version), digest }
+}
+
+fn delta(version: u64) -> messages::Delta {
+    messages::Delta { to: numbered(version), patch: "{}".into() }
+}
+
+fn head(version: u64, level: u32) -> relay::Head {
+    relay::Head { of: numbered(version), document: "{}".into(), level }
+}
+
+fn hello(node: usize, running: Option<u64>, level: u32) -> messages::Hello {
+    messages::Hello {
+        session: messages::Session(node as u64),
+        node: format!("n{node}").into(),
+        data_centre: "skulte".into(),
+        home: true,
+        level,
+        running: running.map(numbered),
+        floor: floor::Floor::Absent,
+    }
+}
+
+fn count(effects: &[relay::Effect]) -> String {
+    let mut counts = [("ack", 0), ("delta", 0), ("snapshot", 0), ("wait", 0), ("peer", 0)];
+    let mut other = String::new();
+    for effect in effects {
+        let at = match effect {
+            relay::Effect::Send(_, messages::Down::Ack(_)) => 0,
+            relay::Effect::Send(_, messages::Down::Delta(..)) => 1,
+            relay::Effect::Send(_, messages::Down::Snapshot(..)) => 2,
+            relay::Effect::Send(_, messages::Down::Wait(..)) => 3,
+            relay::Effect::Send(_, messages::Down::Peer { .. }) => 4,
+            relay::Effect::Send(_, it @ messages::Down::Refused(..)) => {
+                other = format!(" {it:?}");
+                continue;
+            }
+            relay::Effect::Close(_) | relay::Effect::ConfirmCurrent(_) => {
+                other = format!(" {effect:?}");
+                continue;
+            }
+        };
+        counts[at].1 += 1;
+    }
+    let listed: Vec<_> =
+        counts.iter().filter(|it| it.1 > 0).map(|it| format!("{} {}", it.1, it.0)).collect();
+    listed.join(", ") + &other
+}
+
+/// Guards against deltas outside the window, unbounded snapshots, slots that are never freed, and
+/// a refused node that holds back the feature level.
+#[test]
+fn bounds() {
+    let mut rng = rngs::StdRng::seed_from_u64(3);
+    let rng = &mut rng;
+    let mut now = Time::from_millis(60_000);
+    let mut relay = relay::Relay::new(1, head(1, 0), [delta(1)], true);
+    relay.set_isolated(false);
+    let mut out = String::new();
+    for version in 2..=1_500 {
+        relay.learn(now, delta(version), head(version, 1), rng);
+    }
+    assert_eq!(relay.version(), document::Version(1), "handed out before the sync");
+    relay.synced(now, document::Version(1_500), rng);
+    for (title, running, level) in [
+        ("oldest in the window", Some(476), 1),
+        ("just before the window", Some(475), 1),
+        ("current", Some(1_500), 1),
+        ("ahead", Some(1_501), 1),
+        ("runs nothing", None, 1),
+        ("lower level", Some(1_499), 0),
+    ] {
+        let (_, effects) = relay.hello(now, hello(0, running, level), rng);
+        writeln!(out, "{title}: {}, lowest level {:?}", count(&effects), relay.lowest_level())
+            .expect("text");
+    }
+    let mut keys = Vec::new();
+    let mut effects = Vec::new();
+    for node in 1..=40 {
+        let (key, more) = relay.hello(now, hello(node, Some(3), 1), rng);
+        keys.push(key);
+        effects.extend(more);
+    }
+    writeln!(out, "40 nodes that are far behind: {}", count(&effects)).expect("text");
+    assert_eq!(relay.subscribers().slots_used(), relay::SLOTS);
+    let session = |node: usize| messages::Session(node as u64 + 1);
+    for (node, &key) in keys.iter().enumerate().take(2) {
+        let received = messages::Up::Received(session(node), document::Version(1_500));
+        relay.message(now, key, received, rng);
+        let confirm = messages::Up::Confirm(session(node), numbered(1_500));
+        relay.message(now, key, confirm, rng);
+    }
+    let mut ask = |relay: &mut relay::Relay, now, nodes: std::ops::Range<usize>| {
+        let mut effects = Vec::new();
+        for node in nodes {
+            let message = messages::Up::AskSnapshot(session(node));
+            effects.extend(relay.message(now, keys[node], message, rng));
+        }
+        count(&effects)
+    };
+    writeln!(out, "8 ask again, 2 are done: {}", ask(&mut relay, now, 32..40)).expect("text");
+    now = now + relay::SLOT_TIME;
+    let mut rng = rngs::StdRng::seed_from_u64(4);
+    for (node, &key) in keys.iter().enumerate() {
+        let beat =
+            messages::Beat { session: session(node), echo: None, highest: document::Version(3) };
+        relay.message(now, key, messages::Up::Beat(beat), &mut rng);
+    }
+    let effects = relay.tick(now, &mut rng);
+    writeln!(out, "slots time out: {}", count(&effects)).expect("text");
+    let subscribers::Summary { counts, idle, laggards } = relay.summary();
+    writeln!(out, "counts {counts:?}, {idle} idle, {} behind", laggards.len()).expect("text");
+    writeln!(out, "first behind: {:?}", laggards.first()).expect("text");
+    let effects = relay.tick(now + relay::GONE, &mut rng);
+    assert_eq!(effects.len(), 40, "silent nodes stay attached");
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against tokens that are misread, a wrong entry rule, nodes that reconnect together, and
+/// messages that the wire codec cannot carry.
+#[test]
+fn small_rules() {
+    let mut out = String::new();
+    for text in
+        ["1.f.1f.a", "1.h.0.0", "", "1.f.1f", "1.f.1f.a.b", "2.f.1.1", "1.x.1.1", "1.f.-1.1"]
+    {
+        writeln!(out, "{text:?}: {:?}", text.parse::<floor::Token>()).expect("text");
+    }
+    let token = |source| {
+        floor::Floor::Held(floor::Token { version: document::Version(7), source, epoch: 1 })
+    };
+    let floors = [
+        ("unknown", floor::Floor::Unknown),
+        ("absent", floor::Floor::Absent),
+        ("home 7", token(floor::Source::Home)),
+        ("foster 7", token(floor::Source::Foster)),
+    ];
+    let proofs = [messages::Proof::None, messages::Proof::Heard, messages::Proof::Current];
+    for (title, floor) in floors {
+        for source in [floor::Source::Home, floor::Source::Foster] {
+            let taken = |it: &messages::Proof| floor.admits(document::Version(7), source, *it);
+            let taken: Vec<_> = proofs.iter().copied().filter(taken).collect();
+            writeln!(out, "{title}, from {source:?}: with {taken:?}").expect("text");
+            assert!(proofs.iter().all(|it| {
+                floor.version() == document::Version(0)
+                    || !floor.admits(document::Version(6), source, *it)
+            }));
+        }
+    }
+    for failures in [0, 1, 3, 6, 40] {
+        let waits = |seed| attach::backoff(failures, &mut rngs::StdRng::seed_from_u64(seed));
+        let waits: Vec<_> = (0..1_000).map(waits).collect();
+        let most = attach::BACKOFF_BASE * (1 << failures.min(10));
+        let most = most.min(attach::BACKOFF_CAP);
+        assert!(waits.iter().all(|it| *it <= most), "a wait is too long");
+        let spread = |low: f64| waits.iter().filter(|it| **it < most.mul_f64(low)).count();
+        let mean = waits.iter().sum::<time::Duration>() / 1_000;
+        writeln!(
+            out,
+            "{failures} failures: at most {most:?}, mean {} ms, {} of 1000 below a tenth",
+            mean.as_millis(),
+            spread(0.1)
+        )
+        .expect("text");
+    }
+    let message = messages::Up::Hello(hello(1, Some(4), 1));
+    let bytes = postcard::to_stdvec(&message).expect("encodes");
+    assert_eq!(postcard::from_bytes::<messages::Up>(&bytes).expect("decodes"), message);
+    let snapshot = messages::Snapshot { of: numbered(3), document: "{}".into() };
+    let message = messages::Down::Snapshot(messages::Session(1), messages::Proof::None, snapshot);
+    let bytes = postcard::to_stdvec(&message).expect("encodes");
+    assert_eq!(postcard::from_bytes::<messages::Down>(&bytes).expect("decodes"), message);
+    insta::assert_snapshot!(out);
+    // Tasks call a follower from several workers in turn.
+    fn is_send<T: Send>() {}
+    is_send::<follower::Follower>();
+}
--- /dev/null
+++ b/crates/distribution/tests/sim/mod.rs
@@ -0,0 +1,466 @@
+//! A mesh of controls and nodes in virtual time, with faults. It records each breach of an
+//! invariant.
+
+use std::{collections, time};
+
+use distribution::{attach, follower, mechanisms, messages, relay, subscribers};
+use rand::{SeedableRng, rngs};
+use world::{document, time::Time};
+
+/// Virtual time of one step, in milliseconds.
+pub const STEP_MS: u64 = 50;
+const LATENCY_MS: u64 = 2;
+
+enum Event {
+    Connected { node: usize, control: usize, conn: u64 },
+    Up { node: usize, control: usize, conn: u64, message: messages::Up },
+    Down { node: usize, control: usize, conn: u64, message: messages::Down },
+    Currency { control: usize, epoch: u64, key: subscribers::SubscriberKey },
+    Peer { node: usize, epoch: u64, host: usize, of: messages::Numbered },
+}
+
+pub struct Control {
+    pub relay: relay::Relay,
+    pub leader: bool,
+    pub syncs: bool,
+    epoch: u64,
+    learned: u64,
+    conns: collections::BTreeMap<(usize, u64), subscribers::SubscriberKey>,
+}
+
+pub struct Node {
+    pub follower: follower::Follower,
+    /// The memory of the backend server.
+    pub token: Option<String>,
+    pub cut: collections::BTreeSet<usize>,
+    /// The highest version that any process of this node has run.
+    pub highest: u64,
+    home: usize,
+    epoch: u64,
+    conns: collections::BTreeMap<usize, u64>,
+}
+
+pub struct Sim {
+    pub controls: Vec<Control>,
+    pub nodes: Vec<Node>,
+    pub breaches: Vec<String>,
+    /// Whether each message to a node comes a second time, 400 ms later.
+    pub duplicate: bool,
+    /// Whether deltas are changed on their way.
+    pub corrupt: bool,
+    /// How long a snapshot takes.
+    pub snapshot_ms: u64,
+    pub peers_asked: u32,
+    pub most_slots: usize,
+    pub rng: rngs::StdRng,
+    now_ms: u64,
+    log: Vec<(messages::Delta, relay::Head)>,
+    queue: collections::BTreeMap<(u64, u64), Event>,
+    serial: u64,
+    mechanisms: mechanisms::Mechanisms,
+}
+
+impl Sim {
+    /// Three controls, and nodes with these homes.
+    pub fn new(seed: u64, homes: &[usize], mechanisms: mechanisms::Mechanisms) -> Sim {
+        let mut sim = Sim {
+            controls: Vec::new(),
+            nodes: Vec::new(),
+            breaches: Vec::new(),
+            duplicate: false,
+            corrupt: false,
+            snapshot_ms: LATENCY_MS,
+            peers_asked: 0,
+            most_slots: 0,
+            rng: rngs::StdRng::seed_from_u64(seed),
+            now_ms: 10_000,
+            log: Vec::new(),
+            queue: collections::BTreeMap::new(),
+            serial: 0,
+            mechanisms,
+        };
+        sim.accept(1);
+        for _ in 0..3 {
+            let control = sim.new_control(0, true);
+            sim.controls.push(control);
+        }
+        for &home in homes {
+            let node = sim.new_node(sim.nodes.len(), home);
+            sim.nodes.push(node);
+        }
+        sim
+    }
+
+    pub fn now(&self) -> Time {
+        Time::from_millis(self.now_ms)
+    }
+
+    pub fn latest(&self) -> u64 {
+        self.log.len() as u64
+    }
+
+    /// The leader accepts this many versions.
+    pub fn accept(&mut self, count: u64) {
+        for _ in 0..count {
+            let version = document::Version(self.latest() + 1);
+            // The route moves to a new service, and the old service goes.
+            let text = format!(
+                r#"{{"services":{{"s":{{"slots":{version}}},"t{version}":{{}},"t{}":null}},
+                   "routes":{{"r":{{"prefix":"/r","service":"t{version}"}}}}}}"#,
+                self.latest()
+            );
+            let patch = serde_json::from_str(&text).expect("JSON");
+            let base =
+                self.log.last().map(|it| serde_json::from_str(&it.1.document).expect("JSON"));
+            let document = document::merge(&base.unwrap_or_default(), &patch).expect("valid");
+            let of = messages::Numbered { version, digest: document::digest(&document) };
+            let head = relay::Head {
+                of,
+                document: document::to_value(&document).to_string().into(),
+                level: 0,
+            };
+            self.log.push((messages::Delta { to: of, patch: text.into() }, head));
+        }
+    }
+
+    pub fn isolate(&mut self, control: usize, isolated: bool) {
+        self.controls[control].leader = !isolated;
+    }
+
+    pub fn cut(&mut self, node: usize, controls: &[usize]) {
+        self.nodes[node].cut = controls.iter().copied().collect();
+    }
+
+    /// Restarts a node's process; `backend` says whether its backend server restarts too.
+    pub fn restart(&mut self, node: usize, backend: bool) {
+        for (control, conn) in self.nodes[node].conns.clone() {
+            self.hang_up(node, control, conn);
+        }
+        let old = &self.nodes[node];
+        let (token, cut, highest) = (old.token.clone(), old.cut.clone(), old.highest);
+        let token = token.filter(|_| !backend);
+        self.nodes[node] = Node { token, cut, highest, ..self.new_node(node, old.home) };
+    }
+
+    /// Restarts a control with what is on its disk, or with only `kept` versions of it.
+    pub fn restart_control(&mut self, control: usize, kept: Option<u64>) {
+        let disk = self.controls[control].relay.version().0;
+        let synced = if self.controls[control].syncs { disk } else { disk.min(self.latest() - 1) };
+        let leader = self.controls[control].leader;
+        let new = self.new_control(kept.unwrap_or(synced), kept.is_none());
+        self.controls[control] = Control { leader, ..new };
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].conns.remove(&control).is_some() {
+                let now = self.now();
+                let key = self.key(node, control);
+                self.nodes[node].follower.failed(now, key, &mut self.rng);
+            }
+        }
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now_ms + millis;
+        while self.now_ms < end {
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds; returns whether it did within `millis`.
+    pub fn run_until(&mut self, millis: u64, done: impl Fn(&Sim) -> bool) -> bool {
+        let end = self.now_ms + millis;
+        while self.now_ms < end && !done(self) {
+            self.step();
+        }
+        done(self)
+    }
+
+    pub fn running(&self, node: usize) -> u64 {
+        self.nodes[node].follower.running().map_or(0, |it| it.version().0)
+    }
+
+    pub fn all_run_latest(&self) -> bool {
+        (0..self.nodes.len()).all(|it| self.running(it) == self.latest())
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.controls.iter_mut().for_each(|it| (it.leader, it.syncs) = (true, true));
+        self.nodes.iter_mut().for_each(|it| it.cut.clear());
+        (self.corrupt, self.duplicate) = (false, false);
+    }
+
+    fn new_control(&mut self, kept: u64, ready: bool) -> Control {
+        self.serial += 1;
+        let kept = kept.max(1);
+        let log = &self.log[..kept as usize];
+        let deltas = log.iter().map(|it| it.0.clone());
+        let head = log.last().expect("a version").1.clone();
+        let mut relay = relay::Relay::new(self.serial, head, deltas, ready);
+        relay.set_mechanisms(self.mechanisms);
+        let conns = collections::BTreeMap::new();
+        Control { relay, leader: true, syncs: true, epoch: self.serial, learned: kept, conns }
+    }
+
+    fn new_node(&mut self, index: usize, home: usize) -> Node {
+        self.serial += 1;
+        let name = |it: usize| format!("control-{it}").into();
+        let others = (0..3).filter(|it| *it != home).map(name).collect();
+        let settings = follower::Settings {
+            node: format!("node-{index}").into(),
+            data_centre: format!("dc-{home}").into(),
+            level: 1,
+            epoch: self.serial,
+        };
+        let attachment = attach::Attachment::new(name(home), others);
+        let mut follower = follower::Follower::new(settings, attachment, self.now());
+        follower.set_mechanisms(self.mechanisms);
+        let conns = collections::BTreeMap::new();
+        let cut = collections::BTreeSet::new();
+        Node { follower, token: None, cut, highest: 0, home, epoch: self.serial, conns }
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        while self.queue.first_key_value().is_some_and(|(key, _)| key.0 <= self.now_ms) {
+            let (_, event) = self.queue.pop_first().expect("an event");
+            if self.is_stalled(&event) {
+                // The transport sends it again, until one side closes the connection.
+                self.push(STEP_MS, event);
+            } else {
+                self.deliver(event);
+            }
+        }
+        for control in 0..self.controls.len() {
+            self.step_control(control);
+        }
+        for node in 0..self.nodes.len() {
+            let now = self.now();
+            let effects = self.nodes[node].follower.tick(now, &mut self.rng);
+            self.perform(node, effects);
+            // Versions from a foster control arrive between two renewals with this offset.
+            if (self.now_ms / STEP_MS + node as u64 + 3).is_multiple_of(10) {
+                let it = &mut self.nodes[node];
+                let effects = it.follower.renewal(now, it.token.as_deref(), &mut self.rng);
+                self.perform(node, effects);
+            }
+        }
+    }
+
+    fn step_control(&mut self, index: usize) {
+        let now = self.now();
+        let latest = self.latest();
+        let it = &mut self.controls[index];
+        it.relay.set_isolated(!it.leader);
+        let mut effects = Vec::new();
+        while it.leader && it.learned < latest {
+            let (delta, head) = self.log[it.learned as usize].clone();
+            it.learned += 1;
+            effects.extend(it.relay.learn(now, delta, head, &mut self.rng));
+        }
+        if it.leader && it.syncs {
+            it.relay.set_ready();
+        }
+        if it.syncs {
+            effects.extend(it.relay.synced(now, document::Version(it.learned), &mut self.rng));
+        }
+        self.most_slots = self.most_slots.max(it.relay.subscribers().slots_used());
+        effects.extend(it.relay.tick(now, &mut self.rng));
+        self.answer(index, effects);
+    }
+
+    fn push(&mut self, delay_ms: u64, event: Event) {
+        self.serial += 1;
+        self.queue.insert((self.now_ms + delay_ms, self.serial), event);
+    }
+
+    fn deliver(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Connected { node, control, conn } if self.is_open(node, control, conn) => {
+                let key = self.key(node, control);
+                let effects = self.nodes[node].follower.connected(key, &mut self.rng);
+                self.perform(node, effects);
+            }
+            Event::Up { node, control, conn, message } if self.is_open(node, control, conn) => {
+                let it = &mut self.controls[control];
+                let effects = match (message, it.conns.get(&(node, conn))) {
+                    (messages::Up::Hello(hello), _) => {
+                        let (key, effects) = it.relay.hello(now, hello, &mut self.rng);
+                        it.conns.insert((node, conn), key);
+                        effects
+                    }
+                    (message, Some(&key)) => it.relay.message(now, key, message, &mut self.rng),
+                    (_, None) => Vec::new(),
+                };
+                self.answer(control, effects);
+            }
+            Event::Down { node, control, conn, message } if self.is_open(node, control, conn) => {
+                let key = self.key(node, control);
+                let follower = &mut self.nodes[node].follower;
+                let effects = follower.message(now, key, message, &mut self.rng);
+                self.perform(node, effects);
+            }
+            Event::Currency { control, epoch, key } if self.controls[control].epoch == epoch => {
+                let currency = match self.controls[control].leader {
+                    true => relay::Currency::Current(document::Version(self.latest())),
+                    false => relay::Currency::Isolated,
+                };
+                let relay = &mut self.controls[control].relay;
+                let effects = relay.confirmed(now, key, currency, &mut self.rng);
+                self.answer(control, effects);
+            }
+            Event::Peer { node, epoch, host, of } if self.nodes[node].epoch == epoch => {
+                let answer = self.nodes[host].follower.serve_peer(of);
+                let follower = &mut self.nodes[node].follower;
+                let effects = follower.peer_answer(now, answer.as_ref(), &mut self.rng);
+                self.perform(node, effects);
+            }
+            _ => {}
+        }
+    }
+
+    /// Performs the effects of a control.
+    fn answer(&mut self, control: usize, effects: Vec<relay::Effect>) {
+        for effect in effects {
+            let (key, mut message) = match effect {
+                relay::Effect::Send(key, message) => (key, message),
+                relay::Effect::ConfirmCurrent(key) => {
+                    let epoch = self.controls[control].epoch;
+                    self.push(2 * LATENCY_MS, Event::Currency { control, epoch, key });
+                    continue;
+                }
+                relay::Effect::Close(_) => continue,
+            };
+            let conns = &self.controls[control].conns;
+            let Some(&(node, conn)) = conns.iter().find(|it| *it.1 == key).map(|it| it.0) else {
+                continue;
+            };
+            let mut delay = LATENCY_MS;
+            match &mut message {
+                messages::Down::Delta(_, delta) if self.corrupt => {
+                    delta.patch = delta.patch.replace("slots", "queue").into();
+                }
+                messages::Down::Snapshot(..) => delay = self.snapshot_ms,
+                _ => {}
+            }
+            if self.duplicate {
+                let message = message.clone();
+                self.push(delay + 400, Event::Down { node, control, conn, message });
+            }
+            self.push(delay, Event::Down { node, control, conn, message });
+        }
+    }
+
+    /// Performs the effects of a node.
+    fn perform(&mut self, node: usize, effects: Vec<follower::Effect>) {
+        for effect in effects {
+            match effect {
+                follower::Effect::Connect(key) => {
+                    let control = self.index(node, key);
+                    self.serial += 1;
+                    let conn = self.serial;
+                    self.nodes[node].conns.insert(control, conn);
+                    self.push(2 * LATENCY_MS, Event::Connected { node, control, conn });
+                }
+                follower::Effect::Close(key) => {
+                    let control = self.index(node, key);
+                    if let Some(conn) = self.nodes[node].conns.remove(&control) {
+                        self.hang_up(node, control, conn);
+                    }
+                }
+                follower::Effect::AskHello(key, hello) => {
+                    self.send(node, key, messages::Up::Hello(hello));
+                }
+                follower::Effect::AskSnapshot(key, session) => {
+                    self.send(node, key, messages::Up::AskSnapshot(session));
+                }
+                follower::Effect::Beat(key, beat) => {
+                    self.send(node, key, messages::Up::Beat(beat));
+                }
+                follower::Effect::Received(key, session, version) => {
+                    self.send(node, key, messages::Up::Received(session, version));
+                }
+                follower::Effect::Confirm(key, session, running) => {
+                    self.send(node, key, messages::Up::Confirm(session, running));
+                }
+                follower::Effect::AskPeer(host, of) => {
+                    self.peers_asked += 1;
+                    let host = host.trim_start_matches("node-").parse().expect("a node");
+                    let epoch = self.nodes[node].epoch;
+                    self.push(self.snapshot_ms, Event::Peer { node, epoch, host, of });
+                }
+                follower::Effect::OfferToken(token) => {
+                    self.nodes[node].token = Some(token.to_string());
+                }
+                follower::Effect::Run(config) => self.check(node, &config),
+                follower::Effect::ServeNothing(_) | follower::Effect::Wait(_) => {}
+            }
+        }
+    }
+
+    fn check(&mut self, node: usize, config: &world::config::Config) {
+        let version = config.version().0;
+        let highest = &mut self.nodes[node].highest;
+        if version < *highest {
+            self.breaches.push(format!("node {node} moved back from {highest} to {version}"));
+        }
+        *highest = version.max(*highest);
+        let route = config.find_route("/r").and_then(|it| config.route(it));
+        if route.is_none_or(|it| config.service(it.service).is_none()) {
+            self.breaches.push(format!("node {node} has a route without a service"));
+        }
+        let accepted = self.log.get(version as usize - 1).map(|it| it.0.to.digest);
+        if accepted != Some(config.digest()) {
+            self.breaches.push(format!("node {node} runs a {version} that was never accepted"));
+        }
+    }
+
+    fn send(&mut self, node: usize, key: attach::ControlKey, message: messages::Up) {
+        let control = self.index(node, key);
+        let Some(&conn) = self.nodes[node].conns.get(&control) else { return };
+        self.push(LATENCY_MS, Event::Up { node, control, conn, message });
+    }
+
+    fn hang_up(&mut self, node: usize, control: usize, conn: u64) {
+        let it = &mut self.controls[control];
+        if let Some(key) = it.conns.remove(&(node, conn)) {
+            it.relay.closed(key);
+        }
+    }
+
+    fn is_stalled(&self, event: &Event) -> bool {
+        match *event {
+            Event::Connected { node, control, conn }
+            | Event::Up { node, control, conn, .. }
+            | Event::Down { node, control, conn, .. } => {
+                self.nodes[node].cut.contains(&control) && self.is_open(node, control, conn)
+            }
+            Event::Currency { .. } | Event::Peer { .. } => false,
+        }
+    }
+
+    fn is_open(&self, node: usize, control: usize, conn: u64) -> bool {
+        self.nodes[node].conns.get(&control) == Some(&conn)
+    }
+
+    fn key(&self, node: usize, control: usize) -> attach::ControlKey {
+        let attachment = self.nodes[node].follower.attachment();
+        let name = format!("control-{control}");
+        let is_it = |key: &attach::ControlKey| {
+            attachment.control(*key).is_some_and(|it| it.name == name.as_str())
+        };
+        attachment.keys().find(is_it).expect("a control")
+    }
+
+    fn index(&self, node: usize, key: attach::ControlKey) -> usize {
+        let attachment = self.nodes[node].follower.attachment();
+        let name = &attachment.control(key).expect("a control").name;
+        name.trim_start_matches("control-").parse().expect("a number")
+    }
+}
+
+/// How long the oldest running version has not been known to be the latest.
+pub fn oldest(sim: &Sim) -> time::Duration {
+    let ages = sim.nodes.iter().filter_map(|it| it.follower.age(sim.now()));
+    ages.max().unwrap_or_default()
+}
