Add paths and the progress of a version to the operators' API

Cause: an operator's client had no way to ask whether a version is in force everywhere but to read the list of all nodes, 25,000 records at the target scale, on each question.

Change: a `Progress` with one line for each data centre, paths of single versions, and a `Problem` body for answers without a type of their own. The HTTP status of each answer to a patch is written down.

Conclusion: a wait costs one record for each data centre.

--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -1,13 +1,15 @@
 //! Messages between an operator's client and a control, as JSON over HTTP.
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 use world::{document, faults};
 
 /// The path that takes a [`PatchRequest`] by POST.
 pub const PATCHES_PATH: &str = "/v1/patches";
-/// The path of the list of versions; `/N` after it gives one version, `/current` the newest.
+/// The path of the list of versions, oldest first; `?limit=N` gives the newest N.
 pub const VERSIONS_PATH: &str = "/v1/versions";
+/// The path of the newest version. A control that cannot tell which that is answers 503.
+pub const CURRENT_PATH: &str = "/v1/versions/current";
 /// The path of the list of nodes and the versions that they run.
 pub const NODES_PATH: &str = "/v1/nodes";
 /// The path of the list of targets.
@@ -17,6 +19,16 @@
 /// The path of the control's own state.
 pub const STATUS_PATH: &str = "/v1/status";
 
+/// The path of one version.
+pub fn version_path(version: document::Version) -> CompactString {
+    format_compact!("{VERSIONS_PATH}/{version}")
+}
+
+/// The path of the [`Progress`] of one version.
+pub fn progress_path(version: document::Version) -> CompactString {
+    format_compact!("{VERSIONS_PATH}/{version}/progress")
+}
+
 /// A patch of the configuration.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -31,7 +43,8 @@
     pub patch: serde_json::Value,
 }
 
-/// The answer to a [`PatchRequest`].
+/// The answer to a [`PatchRequest`]. Its HTTP status is 200 when accepted, 409 after a conflict or
+/// a reused request ID, 422 when invalid and 503 when unavailable.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "result")]
 pub enum PatchAnswer {
@@ -83,6 +96,38 @@
     pub document: document::Document,
 }
 
+/// How far a version has come.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Progress {
+    /// Its number.
+    pub version: document::Version,
+    /// Whether each node of each data centre has confirmed it or a later version, by summaries
+    /// that are fresh.
+    pub in_force: bool,
+    /// The data centres, by name.
+    pub data_centres: Vec<CentreProgress>,
+}
+
+/// How far a version has come in one data centre.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CentreProgress {
+    /// The data centre.
+    pub data_centre: CompactString,
+    /// Nodes attached to its control.
+    pub nodes: usize,
+    /// Those that have confirmed the version or a later one.
+    pub confirmed: usize,
+    /// How old its control's summary is, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The body of an answer other than 200 that has no type of its own.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Problem {
+    /// What is wrong, and what to do.
+    pub detail: CompactString,
+}
+
 /// What a node runs.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct NodeRecord {
