Read the section [log] from settings

Cause: the level of the log and the lines of decisions have to be chosen in the settings.

Change: `settings::Log` with `level` and `decisions` stands beside the identity in both variants of `Settings`.

Conclusion: unknown words and keys in [log] are reported like those of the other sections.

--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -18,9 +18,9 @@
 #[derive(Clone, Debug)]
 pub enum Settings {
     /// A control's.
-    Control(Box<control::settings::Settings>, Identity),
+    Control(Box<control::settings::Settings>, Identity, Log),
     /// A node's.
-    Node(Box<node::settings::Settings>, Identity),
+    Node(Box<node::settings::Settings>, Identity, Log),
 }
 
 /// Files that prove who a process is.
@@ -34,6 +34,15 @@
     pub key: path::PathBuf,
 }
 
+/// Which log lines are written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Log {
+    /// The most detailed level that is written.
+    pub level: log::LevelFilter,
+    /// Whether the lines of routing and placement decisions are written.
+    pub decisions: bool,
+}
+
 /// Reads and checks a settings file.
 pub fn load(file: &str) -> Result<Settings> {
     let mut reader = ini_reader::Reader::open(file)?;
@@ -61,9 +70,16 @@
     let common = read_host(reader, &mut mesh, role);
     read_links(reader, &mut mesh);
     let identity = read_identity(reader);
+    let log = read_log(reader);
     match role? {
-        hosts::Role::Control => read_control(reader, mesh, common, votes, identity),
-        hosts::Role::Node => read_node(reader, mesh, common, identity),
+        hosts::Role::Control => {
+            let settings = read_control(reader, mesh, common, votes);
+            Some(Settings::Control(Box::new(settings?), identity?, log))
+        }
+        hosts::Role::Node => {
+            let settings = read_node(reader, mesh, common);
+            Some(Settings::Node(Box::new(settings?), identity?, log))
+        }
     }
 }
 
@@ -182,16 +198,21 @@
     Some(Identity { authority: authority?, certificate: certificate?, key: key? })
 }
 
+fn read_log(reader: &mut ini_reader::Reader) -> Log {
+    let level = reader.optional("log", "level", LEVELS, log::LevelFilter::Info, parse_level);
+    let decisions = reader.optional("log", "decisions", "on or off", true, parse_switch);
+    Log { level, decisions }
+}
+
 fn read_node(
     reader: &mut ini_reader::Reader,
     mesh: mesh::Mesh,
     common: Option<Common>,
-    identity: Option<Identity>,
-) -> Option<Settings> {
+) -> Option<node::settings::Settings> {
     let callers = reader.required("node", "callers", ADDR, parse_addr);
     let announce = reader.required("node", "announce", ADDR, parse_addr);
     let Common { me, metrics, workers, stop_limit } = common?;
-    let settings = node::settings::Settings {
+    Some(node::settings::Settings {
         mesh,
         me,
         callers: callers?,
@@ -199,8 +220,7 @@
         metrics,
         workers,
         stop_limit,
-    };
-    Some(Settings::Node(Box::new(settings), identity?))
+    })
 }
 
 fn read_control(
@@ -208,13 +228,12 @@
     mesh: mesh::Mesh,
     common: Option<Common>,
     votes: Votes,
-    identity: Option<Identity>,
-) -> Option<Settings> {
+) -> Option<control::settings::Settings> {
     let operators = reader.required("control", "operators", ADDR, parse_addr);
     let token = reader.required("control", "token", TOKEN, parse_token);
     let data = reader.required("control", "data", "the path of a folder", parse_path);
     let Common { me, metrics, workers, stop_limit } = common?;
-    let settings = control::settings::Settings {
+    Some(control::settings::Settings {
         mesh,
         me,
         config_voters: votes.config,
@@ -225,11 +244,11 @@
         data: data?,
         workers,
         stop_limit,
-    };
-    Some(Settings::Control(Box::new(settings), identity?))
+    })
 }
 
 const ADDR: &str = "an IP address and a port, as 127.0.0.1:7000";
+const LEVELS: &str = "off, error, warn, info, debug or trace";
 const NAME: &str = "1 to 64 letters, digits, '-', '_' or '.'";
 const TOKEN: &str = "at least 16 visible ASCII characters";
 const VOTES: &str = "any of the words configuration, claims; or none";
@@ -246,6 +265,18 @@
     good.then(|| text.into())
 }
 
+fn parse_level(text: &str) -> Option<log::LevelFilter> {
+    text.parse().ok().filter(|_| text.bytes().all(|it| it.is_ascii_lowercase()))
+}
+
+fn parse_switch(text: &str) -> Option<bool> {
+    match text {
+        "off" => Some(false),
+        "on" => Some(true),
+        _ => None,
+    }
+}
+
 fn parse_role(text: &str) -> Option<hosts::Role> {
     match text {
         "control" => Some(hosts::Role::Control),
--- a/crates/heatherwalk/tests/settings.rs
+++ b/crates/heatherwalk/tests/settings.rs
@@ -49,6 +49,8 @@
         ("bad values", NODE.replace("= node", "= proxy").replace("127.0.0.1:8101", "localhost")),
         ("missing", NODE.replace("listen = 127.0.0.1:7101", "")),
         ("bad link", NODE.replace("skulte/jugla = 1000", "skulte/riga = 0")),
+        ("log", NODE.to_owned() + "[log]\nlevel = debug\ndecisions = off\n"),
+        ("bad log", NODE.to_owned() + "[log]\nlevel = Loud\ndecisions = maybe\nfile = x\n"),
         ("no votes", NODE.replace("votes = configuration claims", "votes = claims")),
         ("no section for itself", NODE.replace("role = node", "role = control")),
         ("not INI", "[host\nname".to_owned()),
@@ -60,8 +62,9 @@
         fs::write(&path, text).expect("writing a settings file");
         let result = settings::load(path.to_str().expect("a path in UTF-8"));
         let summary = match result {
-            Ok(settings::Settings::Node(it, _)) => {
-                format!("node, {} hosts, {} workers", it.mesh.hosts().count(), it.workers)
+            Ok(settings::Settings::Node(it, _, log)) => {
+                let hosts = it.mesh.hosts().count();
+                format!("node, {hosts} hosts, {} workers, {log:?}", it.workers)
             }
             Ok(settings::Settings::Control(..)) => "control".to_owned(),
             Err(err) => err.to_string(),
