Add the instruments of both roles and the metrics page

Cause: requests, refusals, the added time, versions and control bytes have to be read from outside.

Change: a plain struct of instruments in the crates node and control, and `Metrics` in heatherwalk, which gives the meter and writes the page in the Prometheus text format. Bounds of the added time are close together around the goal of 1.5 ms. No metric has a label for routes, hosts or callers, so the number of series is fixed.

--- /dev/null
+++ b/crates/control/src/instruments.rs
@@ -0,0 +1,97 @@
+//! The metrics of a control.
+
+use opentelemetry::{KeyValue, metrics};
+use protocol::operators;
+use world::document;
+
+/// The answer that a claim got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimAnswer {
+    /// The request has run, and its answer is stored.
+    Completed,
+    /// The caller may run the request.
+    Granted,
+    /// Another attempt runs it.
+    InProgress,
+    /// The key belongs to another request.
+    Mismatch,
+    /// No majority of the claims group answered.
+    Unavailable,
+    /// An earlier attempt may have run it.
+    Unknown,
+}
+
+/// The instruments of a control.
+#[derive(Clone, Debug)]
+pub struct Instruments {
+    patches: metrics::Counter<u64>,
+    claims: metrics::Counter<u64>,
+    control_bytes: metrics::Counter<u64>,
+    version: metrics::Gauge<u64>,
+    nodes: metrics::Gauge<u64>,
+    converged: metrics::Gauge<u64>,
+}
+
+impl Instruments {
+    /// Makes the instruments of a control.
+    pub fn new(meter: &metrics::Meter) -> Instruments {
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
+        let sent = meter.u64_counter("control.sent").with_unit("By");
+        Instruments {
+            patches: counter("control.patches", "Operators' patches by result"),
+            claims: counter("control.claims", "Claims of non-idempotent requests by answer"),
+            control_bytes: sent.with_description("Sent to nodes for configuration").build(),
+            version: gauge("control.version", "The version that the control has on its disk"),
+            nodes: gauge("control.nodes", "Nodes attached to the control"),
+            converged: gauge("control.nodes.converged", "Attached nodes that run its version"),
+        }
+    }
+
+    /// Counts the answer to a patch.
+    pub fn count_patch(&self, answer: &operators::PatchAnswer) {
+        self.patches.add(1, &[KeyValue::new("result", patch_result(answer))]);
+    }
+
+    /// Counts the answer to a claim.
+    pub fn count_claim(&self, answer: ClaimAnswer) {
+        self.claims.add(1, &[KeyValue::new("answer", claim_answer(answer))]);
+    }
+
+    /// Counts bytes sent to nodes.
+    pub fn count_sent(&self, bytes: u64) {
+        self.control_bytes.add(bytes, &[]);
+    }
+
+    /// Records the version on the disk.
+    pub fn record_version(&self, version: document::Version) {
+        self.version.record(version.0, &[]);
+    }
+
+    /// Records how many nodes are attached, and how many of them run the control's version.
+    pub fn record_nodes(&self, attached: usize, converged: usize) {
+        self.nodes.record(attached as u64, &[]);
+        self.converged.record(converged as u64, &[]);
+    }
+}
+
+fn patch_result(answer: &operators::PatchAnswer) -> &'static str {
+    match answer {
+        operators::PatchAnswer::Accepted { .. } => "accepted",
+        operators::PatchAnswer::Conflict { .. } => "conflict",
+        operators::PatchAnswer::Invalid { .. } => "invalid",
+        operators::PatchAnswer::RequestReused => "request_reused",
+        operators::PatchAnswer::Unavailable { .. } => "unavailable",
+    }
+}
+
+fn claim_answer(answer: ClaimAnswer) -> &'static str {
+    match answer {
+        ClaimAnswer::Completed => "completed",
+        ClaimAnswer::Granted => "granted",
+        ClaimAnswer::InProgress => "in_progress",
+        ClaimAnswer::Mismatch => "mismatch",
+        ClaimAnswer::Unavailable => "unavailable",
+        ClaimAnswer::Unknown => "unknown",
+    }
+}
--- a/crates/heatherwalk/src/lib.rs
+++ b/crates/heatherwalk/src/lib.rs
@@ -1,3 +1,4 @@
 //! The binary's parts: command line, settings, logs, metrics and the roles.
 
+pub mod metrics;
 pub mod settings;
--- /dev/null
+++ b/crates/heatherwalk/tests/metrics.rs
@@ -0,0 +1,30 @@
+//! The metrics page with the instruments of both roles.
+
+use std::time;
+
+use heatherwalk::metrics;
+use protocol::{forwarding, operators};
+use world::document;
+
+/// Guards against metrics that are counted but not shown, or shown without unit.
+#[test]
+fn metrics_page() {
+    let metrics = metrics::Metrics::open().expect("metrics");
+    let node = node::instruments::Instruments::new(&metrics.meter());
+    let ms = time::Duration::from_millis;
+    node.count_request(node::instruments::Outcome::Answered, ms(30), ms(1));
+    node.count_request(node::instruments::Outcome::NotRun, ms(1), ms(1));
+    node.count_attempt();
+    node.count_refusal(forwarding::NotRun::Full);
+    node.record_version(document::Version(7), ms(250));
+    let control = control::instruments::Instruments::new(&metrics.meter());
+    control.count_patch(&operators::PatchAnswer::Accepted { version: document::Version(7) });
+    control.count_patch(&operators::PatchAnswer::RequestReused);
+    control.count_claim(control::instruments::ClaimAnswer::Granted);
+    control.count_sent(1_024);
+    control.record_version(document::Version(7));
+    control.record_nodes(4, 3);
+    let page = metrics.render().expect("a page");
+    let buckets = |it: &&str| !it.contains("_bucket{") || it.contains("\"0.0015\"");
+    insta::assert_snapshot!(page.lines().filter(buckets).collect::<Vec<_>>().join("\n"));
+}
--- /dev/null
+++ b/crates/node/src/instruments.rs
@@ -0,0 +1,118 @@
+//! The metrics of a node.
+
+use std::time;
+
+use opentelemetry::{KeyValue, metrics};
+use protocol::forwarding;
+use world::document;
+
+/// Upper bounds of request times, in seconds.
+const REQUEST_BOUNDS_S: [f64; 13] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0];
+/// Upper bounds of the time that the system adds, in seconds. The goal is 1.5 ms for 99 requests
+/// in 100, so the bounds are close together around it.
+const ADDED_BOUNDS_S: [f64; 11] =
+    [0.0001, 0.0002, 0.0005, 0.001, 0.00125, 0.0015, 0.002, 0.003, 0.005, 0.01, 0.1];
+
+/// How a caller's request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The backend server's answer was passed on in full.
+    Answered,
+    /// The caller disconnected first.
+    Cancelled,
+    /// The request was refused and certainly not run.
+    NotRun,
+    /// The request may have run, in full or in part.
+    Unknown,
+}
+
+/// The instruments of a node.
+#[derive(Clone, Debug)]
+pub struct Instruments {
+    requests: metrics::Counter<u64>,
+    attempts: metrics::Counter<u64>,
+    refusals: metrics::Counter<u64>,
+    request_time: metrics::Histogram<f64>,
+    added_time: metrics::Histogram<f64>,
+    version: metrics::Gauge<u64>,
+    version_age: metrics::Gauge<f64>,
+}
+
+impl Instruments {
+    /// Makes the instruments of a node.
+    pub fn new(meter: &metrics::Meter) -> Instruments {
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let times = |name, text, bounds: &[f64]| {
+            let builder = meter.f64_histogram(name).with_description(text).with_unit("s");
+            builder.with_boundaries(bounds.to_vec()).build()
+        };
+        let version = meter.u64_gauge("node.version");
+        let age = meter.f64_gauge("node.version.age").with_unit("s");
+        Instruments {
+            requests: counter("node.requests", "Callers' requests by outcome"),
+            attempts: counter("node.attempts", "Sends to targets, retries and hedges included"),
+            refusals: counter("node.refusals", "Requests refused as not run, by reason"),
+            request_time: times(
+                "node.request.time",
+                "From the head of a request to the end of its answer",
+                &REQUEST_BOUNDS_S,
+            ),
+            added_time: times(
+                "node.added.time",
+                "The part of the request time that no backend server took",
+                &ADDED_BOUNDS_S,
+            ),
+            version: version.with_description("The version that the node runs").build(),
+            version_age: age
+                .with_description("Time since a control last confirmed the version as current")
+                .build(),
+        }
+    }
+
+    /// Counts a request that has ended.
+    pub fn count_request(&self, outcome: Outcome, total: time::Duration, added: time::Duration) {
+        let attributes = [KeyValue::new("outcome", outcome_name(outcome))];
+        self.requests.add(1, &attributes);
+        self.request_time.record(total.as_secs_f64(), &attributes);
+        self.added_time.record(added.as_secs_f64(), &[]);
+    }
+
+    /// Counts one send to a target.
+    pub fn count_attempt(&self) {
+        self.attempts.add(1, &[]);
+    }
+
+    /// Counts a refusal by this node's admission.
+    pub fn count_refusal(&self, reason: forwarding::NotRun) {
+        self.refusals.add(1, &[KeyValue::new("reason", refusal_name(reason))]);
+    }
+
+    /// Records the version that the node runs and how old it is. Gauges keep the last value, so
+    /// the age has to be recorded at regular intervals.
+    pub fn record_version(&self, version: document::Version, age: time::Duration) {
+        self.version.record(version.0, &[]);
+        self.version_age.record(age.as_secs_f64(), &[]);
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Cancelled => "cancelled",
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+fn refusal_name(reason: forwarding::NotRun) -> &'static str {
+    match reason {
+        forwarding::NotRun::Absent => "absent",
+        forwarding::NotRun::Draining => "draining",
+        forwarding::NotRun::Full => "full",
+        forwarding::NotRun::Late => "late",
+        forwarding::NotRun::Quarantined => "quarantined",
+        forwarding::NotRun::Refused => "refused",
+        forwarding::NotRun::Stopping => "stopping",
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,3 +1,4 @@
 //! The role beside a backend server: takes requests, routes them and admits work.
 
+pub mod instruments;
 pub mod settings;
