Write the log to a stream with UTC times and a switch for decisions

Cause: simplelog filters by target after it has taken the lock of its writer, and its `enabled` does not tell of the filter. Lines of decisions that are switched off would make all threads queue for that lock.

Change: `logs::Logger` decides by level and target before it passes a record on, and `log_enabled!` gives the same answer. A line writer makes one write of a line, which simplelog writes in pieces.

Conclusion: filtered lines are not formatted and take no lock. Expressions between a macro's parentheses are still evaluated when the level passes, so costly ones have to be guarded by `log_enabled!`.

--- a/crates/heatherwalk/src/lib.rs
+++ b/crates/heatherwalk/src/lib.rs
@@ -1,4 +1,5 @@
 //! The binary's parts: command line, settings, logs, metrics and the roles.
 
+pub mod logs;
 pub mod metrics;
 pub mod settings;
--- /dev/null
+++ b/crates/heatherwalk/src/logs.rs
@@ -0,0 +1,62 @@
+//! The process's log: one line a record, with a UTC timestamp.
+//!
+//! The macros of `log` build a line's text only after the logger has accepted the record's level,
+//! but they evaluate the expressions between their parentheses once the level passes. A decision
+//! whose arguments cost something to compute asks `log::log_enabled!(target: DECISION, ..)` first.
+
+use std::io;
+
+use crate::settings;
+
+/// The log target of the lines of routing and placement decisions.
+pub const DECISION: &str = "decision";
+
+/// A logger that writes to `W`.
+pub struct Logger<W: io::Write + Send + 'static> {
+    lines: Box<simplelog::WriteLogger<io::LineWriter<W>>>,
+    settings: settings::Log,
+}
+
+/// A result of this module.
+pub type Result<T, E = log::SetLoggerError> = std::result::Result<T, E>;
+
+/// Writes the process's log to `out` from now on. Fails when there is a logger already.
+pub fn open<W: io::Write + Send + 'static>(settings: settings::Log, out: W) -> Result<()> {
+    log::set_boxed_logger(Box::new(Logger::new(settings, out)))?;
+    // Set after the logger, so that no record is lost between the two steps.
+    log::set_max_level(settings.level);
+    Ok(())
+}
+
+impl<W: io::Write + Send + 'static> Logger<W> {
+    /// Makes a logger that the process does not use yet.
+    pub fn new(settings: settings::Log, out: W) -> Logger<W> {
+        let config = simplelog::ConfigBuilder::new()
+            .set_time_format_rfc3339()
+            .set_target_level(log::LevelFilter::Error)
+            .set_thread_level(log::LevelFilter::Off)
+            .set_location_level(log::LevelFilter::Off)
+            .build();
+        // simplelog writes a record in several pieces; the line writer makes one call of them.
+        let out = io::LineWriter::new(out);
+        Logger { lines: simplelog::WriteLogger::new(settings.level, config, out), settings }
+    }
+}
+
+impl<W: io::Write + Send + 'static> log::Log for Logger<W> {
+    // simplelog's own filter by target takes its lock first and does not show in `enabled`.
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.level() <= self.settings.level
+            && (self.settings.decisions || metadata.target() != DECISION)
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if self.enabled(record.metadata()) {
+            self.lines.log(record);
+        }
+    }
+
+    fn flush(&self) {
+        self.lines.flush();
+    }
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/logs.rs
@@ -0,0 +1,87 @@
+//! The log: which lines are written, and which are not even formatted.
+
+use std::{cell, fmt, io, sync};
+
+use heatherwalk::{logs, settings};
+use log::Log as _;
+
+#[derive(Clone, Default)]
+struct Sink(sync::Arc<sync::Mutex<Vec<u8>>>);
+
+impl io::Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("the sink").write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Text that counts how often it is formatted.
+struct Counted<'a>(&'a cell::Cell<u32>);
+
+impl fmt::Display for Counted<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.set(self.0.get() + 1);
+        write!(f, "text")
+    }
+}
+
+/// Guards against lines that are formatted though they are filtered out, and against times that are
+/// not in UTC.
+#[test]
+fn log_lines() {
+    let cases = [
+        (log::LevelFilter::Info, true),
+        (log::LevelFilter::Info, false),
+        (log::LevelFilter::Warn, true),
+        (log::LevelFilter::Off, true),
+    ];
+    let mut out = String::new();
+    for (level, decisions) in cases {
+        let sink = Sink::default();
+        let logger = logs::Logger::new(settings::Log { level, decisions }, sink.clone());
+        let formatted = cell::Cell::new(0);
+        let mut written = 0;
+        for (target, level) in [
+            (logs::DECISION, log::Level::Info),
+            ("node", log::Level::Info),
+            ("node", log::Level::Error),
+            ("node", log::Level::Debug),
+        ] {
+            let mut record = log::Record::builder();
+            let record = record.target(target).level(level);
+            logger.log(&record.args(format_args!("{}", Counted(&formatted))).build());
+            let metadata = log::Metadata::builder().target(target).level(level).build();
+            written += u32::from(logger.enabled(&metadata));
+        }
+        assert_eq!(formatted.get(), written, "a line that is filtered out is formatted");
+        logger.flush();
+        let text = String::from_utf8(sink.0.lock().expect("the sink").clone()).expect("text");
+        assert_eq!(text.lines().count(), written as usize);
+        out += &format!("== {level} {decisions}\n");
+        for line in text.lines() {
+            let (time, rest) = line.split_once(' ').expect("a time");
+            assert!(time.ends_with('Z') && time.contains('T'), "{time} is not UTC");
+            out += &format!("{rest}\n");
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against decision lines that slip through `log`'s macros when the process's logger is
+/// set to leave them out.
+#[test]
+fn process_log() {
+    let settings = settings::Log { level: log::LevelFilter::Info, decisions: false };
+    logs::open(settings, io::sink()).expect("the first logger");
+    let formatted = cell::Cell::new(0);
+    log::info!(target: logs::DECISION, "{}", Counted(&formatted));
+    log::debug!("{}", Counted(&formatted));
+    assert_eq!(formatted.get(), 0);
+    assert!(!log::log_enabled!(target: logs::DECISION, log::Level::Info));
+    log::info!("{}", Counted(&formatted));
+    assert_eq!(formatted.get(), 1);
+    assert!(logs::open(settings, io::sink()).is_err(), "a second logger would be ignored");
+}
