Write the files of the authority and of hosts' certificates

Cause: operators make the mesh's certificates themselves; a key that is overwritten or readable by others cannot be taken back.

--- a/crates/heatherwalk/src/lib.rs
+++ b/crates/heatherwalk/src/lib.rs
@@ -1,5 +1,6 @@
 //! The binary's parts: command line, settings, logs, metrics and the roles.
 
+pub mod keys;
 pub mod logs;
 pub mod metrics;
 pub mod settings;
