Parse the command line and name the exit codes

Cause: the binary has no command line yet, and scripts need exit codes that tell a refusal from an outage.

Change: the commands as argh structs, the exit codes as constants that the help of the program lists, help with code 0, wrong usage with code 2. A macro adds the options that all operators' commands have, because argh cannot nest a struct of options.

--- /dev/null
+++ b/crates/heatherwalk/src/args/operators.rs
@@ -0,0 +1,175 @@
+//! The operators' commands. Each has the options that say how to reach a control.
+
+use std::{net, path};
+
+use compact_str::CompactString;
+
+/// How long a wait lasts unless the command line says otherwise, in seconds. An accepted version
+/// is expected to be in force everywhere within 5 s.
+const DEFAULT_TIMEOUT_S: u64 = 30;
+const DEFAULT_LIMIT: usize = 20;
+
+/// How to reach the controls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Access {
+    /// Operator ports, in the order in which they are tried.
+    pub control: Vec<net::SocketAddr>,
+    /// The file that holds the token.
+    pub token_file: Option<path::PathBuf>,
+    /// Whether the output is JSON.
+    pub json: bool,
+}
+
+/// Declares a command's struct and adds the options of [`Access`], since argh cannot nest a struct
+/// of options in another. A type is taken apart into its words, because argh's derive recognises
+/// `Option`, `Vec` and `bool` by them and cannot look into a type that a macro passes on whole.
+macro_rules! operator_command {
+    (
+        $(#[$meta:meta])*
+        pub struct $name:ident { $($(#[$option:meta])* pub $field:ident: $($part:ident)::+ $(<$inner:ident>)?,)* }
+    ) => {
+        #[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+        $(#[$meta])*
+        pub struct $name {
+            $($(#[$option])* pub $field: $($part)::+ $(<$inner>)?,)*
+            /// operator port of a control, as 127.0.0.1:7001; repeat it to name more
+            #[argh(option)]
+            pub control: Vec<net::SocketAddr>,
+            /// file that holds the operators' token; default: HEATHERWALK_TOKEN
+            #[argh(option)]
+            pub token_file: Option<path::PathBuf>,
+            /// print JSON instead of tables
+            #[argh(switch)]
+            pub json: bool,
+        }
+
+        impl $name {
+            /// How to reach the controls.
+            pub fn access(&self) -> Access {
+                let token_file = self.token_file.clone();
+                Access { control: self.control.clone(), token_file, json: self.json }
+            }
+        }
+    };
+}
+
+operator_command! {
+    /// Make version 1 from an empty configuration.
+    #[argh(subcommand, name = "create")]
+    pub struct Create {
+        /// file with the document as JSON; - reads standard input
+        #[argh(option)]
+        pub file: path::PathBuf,
+        /// identifies the patch when it is sent again; by default made at random
+        #[argh(option)]
+        pub request_id: Option<CompactString>,
+        /// who makes the change, for the history; default: the variable USER
+        #[argh(option)]
+        pub operator: Option<CompactString>,
+        /// wait until the version is in force everywhere
+        #[argh(switch)]
+        pub wait: bool,
+        /// how long to wait, in seconds; default 30
+        #[argh(option, default = "DEFAULT_TIMEOUT_S")]
+        pub timeout_s: u64,
+    }
+}
+
+operator_command! {
+    /// Change the configuration with a JSON Merge Patch (RFC 7386) against a stated version.
+    #[argh(subcommand, name = "patch")]
+    pub struct Patch {
+        /// number of the version that the patch was written against
+        #[argh(option)]
+        pub base: u64,
+        /// file with the patch as JSON; - reads standard input
+        #[argh(option)]
+        pub file: path::PathBuf,
+        /// identifies the patch when it is sent again; by default made at random
+        #[argh(option)]
+        pub request_id: Option<CompactString>,
+        /// who makes the change, for the history; default: the variable USER
+        #[argh(option)]
+        pub operator: Option<CompactString>,
+        /// wait until the version is in force everywhere
+        #[argh(switch)]
+        pub wait: bool,
+        /// how long to wait, in seconds; default 30
+        #[argh(option, default = "DEFAULT_TIMEOUT_S")]
+        pub timeout_s: u64,
+    }
+}
+
+operator_command! {
+    /// Print a version's document as JSON.
+    #[argh(subcommand, name = "show")]
+    pub struct Show {
+        /// number of the version; by default the current one
+        #[argh(option)]
+        pub version: Option<u64>,
+    }
+}
+
+operator_command! {
+    /// Print the difference between two versions' documents, line by line.
+    #[argh(subcommand, name = "diff")]
+    pub struct Diff {
+        /// number of the first version; 0 is the empty configuration
+        #[argh(positional)]
+        pub old: u64,
+        /// number of the second version
+        #[argh(positional)]
+        pub new: u64,
+    }
+}
+
+operator_command! {
+    /// List the newest versions, oldest first: who made them and when.
+    #[argh(subcommand, name = "history")]
+    pub struct History {
+        /// how many versions at most; default 20
+        #[argh(option, default = "DEFAULT_LIMIT")]
+        pub limit: usize,
+    }
+}
+
+operator_command! {
+    /// List the nodes and the versions that they run.
+    #[argh(subcommand, name = "nodes")]
+    pub struct Nodes {
+        /// only nodes that do not run the current version
+        #[argh(switch)]
+        pub behind: bool,
+    }
+}
+
+operator_command! {
+    /// List the targets and their states.
+    #[argh(subcommand, name = "targets")]
+    pub struct Targets {}
+}
+
+operator_command! {
+    /// List the requests that crash backend servers and are refused.
+    #[argh(subcommand, name = "quarantine")]
+    pub struct Quarantine {}
+}
+
+operator_command! {
+    /// Show the state of each control named with --control.
+    #[argh(subcommand, name = "status")]
+    pub struct Status {}
+}
+
+operator_command! {
+    /// Wait until a version is in force everywhere; progress goes to standard error.
+    #[argh(subcommand, name = "wait")]
+    pub struct Wait {
+        /// number of the version
+        #[argh(option)]
+        pub version: u64,
+        /// how long to wait, in seconds; default 30
+        #[argh(option, default = "DEFAULT_TIMEOUT_S")]
+        pub timeout_s: u64,
+    }
+}
--- a/crates/heatherwalk/src/lib.rs
+++ b/crates/heatherwalk/src/lib.rs
@@ -1,5 +1,7 @@
 //! The binary's parts: command line, settings, logs, metrics and the roles.
 
+pub mod args;
+pub mod exit_codes;
 pub mod keys;
 pub mod logs;
 pub mod metrics;
