Add the operators' commands

Cause: operators need to change, read and watch the configuration, race with each other, and lose answers.

Change: a function for each command, which asks controls through closures and prints to streams. Errors name the next step, with the exact command where a patch has to be resent.

Conclusion: the commands do not depend on the HTTP client, which is bound in main.

--- a/crates/heatherwalk/src/lib.rs
+++ b/crates/heatherwalk/src/lib.rs
@@ -5,4 +5,6 @@
 pub mod keys;
 pub mod logs;
 pub mod metrics;
+pub mod operators;
+pub mod render;
 pub mod settings;
--- /dev/null
+++ b/crates/heatherwalk/src/operators.rs
@@ -0,0 +1,69 @@
+//! The operators' commands: what each asks a control and what it prints.
+//!
+//! A command is a function of its arguments, a [`Client`] that is made of closures, and streams.
+//! It opens no connection and reads no clock itself.
+
+mod client;
+mod errors;
+pub mod inputs;
+pub mod line_diff;
+mod lists;
+mod patches;
+mod versions;
+mod waiting;
+
+use std::{io, time};
+
+use compact_str::CompactString;
+
+pub use client::{Call, CallError, Client, Reply, Tried};
+pub use errors::{Error, Result};
+
+use crate::args;
+
+/// The streams of a command and the name of the user.
+#[derive(Debug)]
+pub struct Console<I, O, E> {
+    /// Standard input.
+    pub input: I,
+    /// Standard output: the result.
+    pub out: O,
+    /// Standard error: progress and request IDs.
+    pub err: E,
+    /// The operator's name when the command line does not give one.
+    pub user: Option<CompactString>,
+}
+
+/// Runs an operators' command. `client` is made from the command's [`args::Access`].
+pub fn run<C, P, I, O, E>(
+    command: &args::Command,
+    client: &mut Client<C, P>,
+    console: &mut Console<I, O, E>,
+) -> Result<()>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+    I: io::Read,
+    O: io::Write,
+    E: io::Write,
+{
+    let out = &mut console.out;
+    match command {
+        args::Command::Create(it) => patches::create(it, client, console),
+        args::Command::Patch(it) => patches::patch(it, client, console),
+        args::Command::Show(it) => versions::show(it, client, out),
+        args::Command::Diff(it) => versions::diff(it, client, out),
+        args::Command::History(it) => versions::history(it, client, out),
+        args::Command::Nodes(it) => lists::nodes(it, client, out),
+        args::Command::Targets(it) => lists::targets(it, client, out),
+        args::Command::Quarantine(it) => lists::quarantine(it, client, out),
+        args::Command::Status(it) => lists::status(it, client, out),
+        args::Command::Wait(it) => waiting::wait(it, client, console),
+        args::Command::Node(_)
+        | args::Command::Control(_)
+        | args::Command::Check(_)
+        | args::Command::Dev(_)
+        | args::Command::Keys(_)
+        | args::Command::Version(_) => Err(Error::NotForControls),
+    }
+}
--- /dev/null
+++ b/crates/heatherwalk/src/operators/inputs.rs
@@ -0,0 +1,38 @@
+//! What a command reads before it asks: the token, the JSON file and the request ID.
+
+use std::{fs, io, path};
+
+use compact_str::{CompactString, format_compact};
+
+use super::{Error, Result};
+
+/// The token from a file, or else from the environment variable's value.
+pub fn read_token(
+    file: Option<&path::Path>,
+    variable: Option<CompactString>,
+) -> Result<CompactString> {
+    let token = match file {
+        Some(file) => fs::read_to_string(file)
+            .map_err(|source| Error::Read { file: file.to_owned(), source })?
+            .trim()
+            .into(),
+        None => variable.unwrap_or_default(),
+    };
+    if token.is_empty() { Err(Error::NoToken) } else { Ok(token) }
+}
+
+/// The JSON value in a file; the name `-` stands for `input`.
+pub fn read_json(file: &path::Path, input: &mut impl io::Read) -> Result<serde_json::Value> {
+    let text = if file == path::Path::new("-") {
+        io::read_to_string(input)
+    } else {
+        fs::read_to_string(file)
+    };
+    let text = text.map_err(|source| Error::Read { file: file.to_owned(), source })?;
+    serde_json::from_str(&text).map_err(|source| Error::Json { file: file.to_owned(), source })
+}
+
+/// A request ID that no other patch has.
+pub fn make_request_id() -> CompactString {
+    format_compact!("{:032x}", rand::random::<u128>())
+}
--- /dev/null
+++ b/crates/heatherwalk/src/operators/patches.rs
@@ -0,0 +1,174 @@
+//! `create` and `patch`: send a change and say what became of it.
+
+use std::{io, path, time};
+
+use compact_str::{CompactString, format_compact};
+use protocol::operators;
+use world::document;
+
+use super::{Call, CallError, Client, Console, Error, Reply, Result, client, inputs, waiting};
+use crate::{args, render};
+
+const CONFLICT: u16 = 409;
+const INVALID: u16 = 422;
+const OK: u16 = 200;
+/// The operator's name when neither the command line nor the environment gives one.
+const UNKNOWN_USER: &str = "unknown";
+
+/// What `create` and `patch` have in common.
+struct Change<'a> {
+    name: &'a str,
+    base: document::Version,
+    file: &'a path::Path,
+    request_id: Option<&'a CompactString>,
+    operator: Option<&'a CompactString>,
+    wait: Option<time::Duration>,
+    json: bool,
+}
+
+/// Makes version 1: a document is a patch of the empty one.
+pub(super) fn create<C, P, I, O, E>(
+    args: &args::Create,
+    client: &mut Client<C, P>,
+    console: &mut Console<I, O, E>,
+) -> Result<()>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+    I: io::Read,
+    O: io::Write,
+    E: io::Write,
+{
+    let change = Change {
+        name: "create",
+        base: document::Version(0),
+        file: &args.file,
+        request_id: args.request_id.as_ref(),
+        operator: args.operator.as_ref(),
+        wait: args.wait.then_some(time::Duration::from_secs(args.timeout_s)),
+        json: args.json,
+    };
+    send(&change, client, console)
+}
+
+/// Changes the configuration.
+pub(super) fn patch<C, P, I, O, E>(
+    args: &args::Patch,
+    client: &mut Client<C, P>,
+    console: &mut Console<I, O, E>,
+) -> Result<()>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+    I: io::Read,
+    O: io::Write,
+    E: io::Write,
+{
+    let change = Change {
+        name: "patch",
+        base: document::Version(args.base),
+        file: &args.file,
+        request_id: args.request_id.as_ref(),
+        operator: args.operator.as_ref(),
+        wait: args.wait.then_some(time::Duration::from_secs(args.timeout_s)),
+        json: args.json,
+    };
+    send(&change, client, console)
+}
+
+fn send<C, P, I, O, E>(
+    change: &Change<'_>,
+    client: &mut Client<C, P>,
+    console: &mut Console<I, O, E>,
+) -> Result<()>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+    I: io::Read,
+    O: io::Write,
+    E: io::Write,
+{
+    let patch = inputs::read_json(change.file, &mut console.input)?;
+    let request_id = change.request_id.cloned().unwrap_or_else(inputs::make_request_id);
+    // Before the request is sent, so that the operator has it whatever happens then.
+    writeln!(console.err, "request ID {request_id}")?;
+    let user = change.operator.or(console.user.as_ref());
+    let request = operators::PatchRequest {
+        base: change.base,
+        request_id,
+        operator: user.cloned().unwrap_or_else(|| UNKNOWN_USER.into()),
+        patch,
+    };
+    let body = serde_json::to_value(&request).expect("a patch request always serializes");
+    let reply = client.ask(http::Method::POST, operators::PATCHES_PATH, Some(body));
+    let reply = reply.map_err(|err| add_resend(err, change, &request))?;
+    let answer = read_answer(&reply)?;
+    if change.json {
+        render::write_json(&mut console.out, &answer)?;
+    }
+    let version = accept(answer, change, &request)?;
+    if !change.json {
+        writeln!(console.out, "accepted as version {version}")?;
+    }
+    let Some(timeout) = change.wait else { return Ok(()) };
+    waiting::wait_for(version, timeout, client, &mut console.err)?;
+    if !change.json {
+        writeln!(console.out, "version {version} is in force everywhere")?;
+    }
+    Ok(())
+}
+
+fn read_answer(reply: &Reply) -> Result<operators::PatchAnswer> {
+    match reply.status {
+        OK | CONFLICT | INVALID => client::decode(operators::PATCHES_PATH, reply),
+        _ => client::parse(operators::PATCHES_PATH, reply),
+    }
+}
+
+fn accept(
+    answer: operators::PatchAnswer,
+    change: &Change<'_>,
+    request: &operators::PatchRequest,
+) -> Result<document::Version> {
+    match answer {
+        operators::PatchAnswer::Accepted { version } => Ok(version),
+        operators::PatchAnswer::Conflict { current, since } => {
+            Err(Error::Conflict { base: change.base, current, since })
+        }
+        operators::PatchAnswer::Invalid { faults } => Err(Error::Invalid(faults)),
+        operators::PatchAnswer::RequestReused => {
+            Err(Error::RequestReused(request.request_id.clone()))
+        }
+        operators::PatchAnswer::Unavailable { .. } => {
+            let err = Error::Unavailable { tried: Vec::new(), resend: None };
+            Err(add_resend(err, change, request))
+        }
+    }
+}
+
+/// Adds the command that sends the same request once more. It names the operator as well, since a
+/// request ID stands for the whole request.
+fn add_resend(err: Error, change: &Change<'_>, request: &operators::PatchRequest) -> Error {
+    let Error::Unavailable { tried, .. } = err else { return err };
+    let base = match change.name {
+        "create" => CompactString::default(),
+        _ => format_compact!(" --base {}", change.base),
+    };
+    let command = format_compact!(
+        "heatherwalk {}{base} --file {} --request-id {} --operator {}",
+        change.name,
+        quote(&change.file.to_string_lossy()),
+        quote(&request.request_id),
+        quote(&request.operator),
+    );
+    Error::Unavailable { tried, resend: Some(command) }
+}
+
+/// A word as a shell reads it.
+fn quote(word: &str) -> CompactString {
+    let plain = |it: char| it.is_alphanumeric() || "-_./:@".contains(it);
+    if !word.is_empty() && word.chars().all(plain) {
+        return word.into();
+    }
+    format_compact!("'{}'", word.replace('\'', r"'\''"))
+}
--- /dev/null
+++ b/crates/heatherwalk/src/operators/versions.rs
@@ -0,0 +1,84 @@
+//! `show`, `diff` and `history`.
+
+use std::{io, time};
+
+use compact_str::format_compact;
+use protocol::operators;
+use world::document;
+
+use super::{Call, CallError, Client, Reply, Result, line_diff};
+use crate::{args, render};
+
+/// Unchanged lines around a change.
+const CONTEXT: usize = 3;
+
+/// Prints a version's document.
+pub(super) fn show<C, P>(
+    args: &args::Show,
+    client: &mut Client<C, P>,
+    out: &mut impl io::Write,
+) -> Result<()>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+{
+    let path = match args.version {
+        Some(version) => operators::version_path(document::Version(version)),
+        None => operators::CURRENT_PATH.into(),
+    };
+    let version: operators::VersionDocument = client.get(&path)?;
+    if args.json {
+        return Ok(render::write_json(out, &version)?);
+    }
+    writeln!(out, "version {}", version.version)?;
+    Ok(render::write_json(out, &version.document)?)
+}
+
+/// Prints the difference between two versions' documents.
+pub(super) fn diff<C, P>(
+    args: &args::Diff,
+    client: &mut Client<C, P>,
+    out: &mut impl io::Write,
+) -> Result<()>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+{
+    let mut read = |version| {
+        let path = operators::version_path(document::Version(version));
+        client.get::<operators::VersionDocument>(&path)
+    };
+    let (old, new) = (read(args.old)?, read(args.new)?);
+    let old_text = render::pretty(&old.document);
+    let new_text = render::pretty(&new.document);
+    let text = line_diff::unified(
+        &format_compact!("version {}", old.version),
+        &format_compact!("version {}", new.version),
+        &old_text,
+        &new_text,
+        CONTEXT,
+    );
+    if args.json {
+        let diff = render::Diff { old: old.version, new: new.version, diff: text.into() };
+        return Ok(render::write_json(out, &diff)?);
+    }
+    Ok(out.write_all(text.as_bytes())?)
+}
+
+/// Lists versions.
+pub(super) fn history<C, P>(
+    args: &args::History,
+    client: &mut Client<C, P>,
+    out: &mut impl io::Write,
+) -> Result<()>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+{
+    let path = format_compact!("{}?limit={}", operators::VERSIONS_PATH, args.limit);
+    let versions: Vec<operators::VersionRecord> = client.get(&path)?;
+    if args.json {
+        return Ok(render::write_json(out, &versions)?);
+    }
+    Ok(out.write_all(render::versions(&versions).as_bytes())?)
+}
--- /dev/null
+++ b/crates/heatherwalk/src/operators/waiting.rs
@@ -0,0 +1,98 @@
+//! `wait`: asks again and again until a version is in force everywhere.
+
+use std::{io, time};
+
+use compact_str::{CompactString, format_compact};
+use protocol::operators;
+use world::document;
+
+use super::{Call, CallError, Client, Console, Error, Reply, Result, client};
+use crate::{args, render};
+
+/// The pause between two questions. A version is expected everywhere within 5 s.
+const POLL: time::Duration = time::Duration::from_millis(500);
+
+/// Waits until a version is in force everywhere.
+pub(super) fn wait<C, P, I, O, E>(
+    args: &args::Wait,
+    client: &mut Client<C, P>,
+    console: &mut Console<I, O, E>,
+) -> Result<()>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+    O: io::Write,
+    E: io::Write,
+{
+    let version = document::Version(args.version);
+    let timeout = time::Duration::from_secs(args.timeout_s);
+    let progress = wait_for(version, timeout, client, &mut console.err)?;
+    if args.json {
+        return Ok(render::write_json(&mut console.out, &progress)?);
+    }
+    Ok(writeln!(console.out, "version {version} is in force everywhere")?)
+}
+
+/// Waits until `version` is in force everywhere, with a line on `err` whenever something changes.
+pub(super) fn wait_for<C, P>(
+    version: document::Version,
+    timeout: time::Duration,
+    client: &mut Client<C, P>,
+    err: &mut impl io::Write,
+) -> Result<operators::Progress>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+{
+    let started = (client.pause)(time::Duration::ZERO);
+    let mut last = CompactString::default();
+    loop {
+        let detail = match ask(version, client) {
+            Ok(progress) if progress.in_force => return Ok(progress),
+            Ok(progress) => summary(&progress),
+            // A control that has just been asked may be behind the one that took the patch, and
+            // an outage of controls may end before the wait does.
+            Err(Error::Missing { .. }) => {
+                format_compact!("the control does not have version {version} yet")
+            }
+            Err(Error::Unavailable { .. }) => "no control answers as current".into(),
+            Err(err) => return Err(err),
+        };
+        if detail != last {
+            writeln!(err, "version {version}: {detail}")?;
+            last = detail;
+        }
+        let waited = (client.pause)(time::Duration::ZERO).saturating_sub(started);
+        let left = timeout.saturating_sub(waited);
+        if left.is_zero() {
+            return Err(Error::TimedOut { version, timeout, detail: last });
+        }
+        (client.pause)(left.min(POLL));
+    }
+}
+
+fn ask<C, P>(version: document::Version, client: &mut Client<C, P>) -> Result<operators::Progress>
+where
+    C: FnMut(&Call) -> Result<Reply, CallError>,
+    P: FnMut(time::Duration) -> time::Duration,
+{
+    let path = operators::progress_path(version);
+    // One round only: the loop of the caller pauses, and keeps its time limit.
+    let reply = client.ask_each(http::Method::GET, &path, None)?;
+    client::parse(&path, &reply)
+}
+
+fn summary(progress: &operators::Progress) -> CompactString {
+    let centres = &progress.data_centres;
+    let nodes: usize = centres.iter().map(|it| it.nodes).sum();
+    let confirmed: usize = centres.iter().map(|it| it.confirmed).sum();
+    let behind: Vec<_> = centres
+        .iter()
+        .filter(|it| it.confirmed < it.nodes)
+        .map(|it| format!("{} {}/{}", it.data_centre, it.confirmed, it.nodes))
+        .collect();
+    if behind.is_empty() {
+        return format_compact!("{confirmed} of {nodes} nodes; waiting for fresh reports");
+    }
+    format_compact!("{confirmed} of {nodes} nodes; behind: {}", behind.join(", "))
+}
--- /dev/null
+++ b/crates/heatherwalk/src/render/records.rs
@@ -0,0 +1,145 @@
+//! The records of the operators' API as tables.
+
+use std::net;
+
+use compact_str::{CompactString, ToCompactString as _, format_compact};
+use protocol::operators;
+use serde::Serialize;
+
+use super::{Align, Table, duration, utc};
+
+/// Changed places of a patch that a table shows.
+const MAX_PLACES: usize = 4;
+
+/// The state of a control, or why it is not known.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlState {
+    /// The control's operator port.
+    pub control: net::SocketAddr,
+    /// Its state; none when it cannot be reached.
+    pub status: Option<operators::Status>,
+    /// What was seen instead of its state.
+    pub detail: Option<CompactString>,
+}
+
+/// A table of versions.
+pub fn versions(records: &[operators::VersionRecord]) -> String {
+    let mut table = Table::new(&[
+        ("VERSION", Align::Right),
+        ("ACCEPTED", Align::Left),
+        ("OPERATOR", Align::Left),
+        ("CHANGES", Align::Left),
+    ]);
+    for it in records {
+        let version = it.version.to_compact_string();
+        table.push([version, utc(it.accepted_ms), it.operator.clone(), changes(&it.patch)]);
+    }
+    table.render()
+}
+
+/// A table of nodes.
+pub fn nodes(records: &[operators::NodeRecord]) -> String {
+    let mut table = Table::new(&[
+        ("HOST", Align::Left),
+        ("DATA CENTRE", Align::Left),
+        ("VERSION", Align::Right),
+        ("BEHIND FOR", Align::Right),
+        ("HEARD AGO", Align::Right),
+    ]);
+    for it in records {
+        let version = it.version.map(|it| it.to_compact_string()).unwrap_or_default();
+        let behind = it.behind_ms.map(duration).unwrap_or_default();
+        let heard = duration(it.heard_ms);
+        table.push([it.host.clone(), it.data_centre.clone(), version, behind, heard]);
+    }
+    table.render()
+}
+
+/// A table of targets.
+pub fn targets(records: &[operators::TargetRecord]) -> String {
+    let mut table = Table::new(&[
+        ("SERVICE", Align::Left),
+        ("HOST", Align::Left),
+        ("DATA CENTRE", Align::Left),
+        ("STATE", Align::Left),
+        ("SLOTS", Align::Right),
+    ]);
+    for it in records {
+        let slots = it.slots.to_compact_string();
+        let (service, host) = (it.service.clone(), it.host.clone());
+        table.push([service, host, it.data_centre.clone(), it.state.clone(), slots]);
+    }
+    table.render()
+}
+
+/// A table of quarantined requests.
+pub fn quarantine(records: &[operators::QuarantineRecord]) -> String {
+    let mut table = Table::new(&[
+        ("SERVICE", Align::Left),
+        ("FINGERPRINT", Align::Left),
+        ("REFUSED FOR", Align::Right),
+    ]);
+    for it in records {
+        table.push([it.service.clone(), it.fingerprint.clone(), duration(it.left_ms)]);
+    }
+    table.render()
+}
+
+/// A table of controls.
+pub fn controls(records: &[ControlState]) -> String {
+    let mut table = Table::new(&[
+        ("CONTROL", Align::Left),
+        ("HOST", Align::Left),
+        ("DATA CENTRE", Align::Left),
+        ("ROLE", Align::Left),
+        ("LEADER", Align::Left),
+        ("CURRENT", Align::Left),
+        ("VERSION", Align::Right),
+        ("CONVERGED", Align::Right),
+        ("DETAIL", Align::Left),
+    ]);
+    for it in records {
+        let control = it.control.to_compact_string();
+        let detail = it.detail.clone().unwrap_or_default();
+        let Some(status) = &it.status else {
+            let mut cells = vec![CompactString::default(); 9];
+            (cells[0], cells[8]) = (control, detail);
+            table.push(cells);
+            continue;
+        };
+        table.push([
+            control,
+            status.host.clone(),
+            status.data_centre.clone(),
+            status.role.clone(),
+            status.leader.clone().unwrap_or_default(),
+            if status.current { "yes".into() } else { "no".into() },
+            status.version.to_compact_string(),
+            format_compact!("{}/{}", status.converged, status.nodes),
+            detail,
+        ]);
+    }
+    table.render()
+}
+
+/// The places that a patch sets, as `routes.x`, and those that it removes, as `-routes.x`.
+pub fn changes(patch: &serde_json::Value) -> CompactString {
+    let mut places = Vec::new();
+    let members = patch.as_object().into_iter().flatten();
+    for (kind, value) in members {
+        match value.as_object() {
+            Some(names) => places.extend(names.iter().map(|(name, value)| {
+                let sign = if value.is_null() { "-" } else { "" };
+                format!("{sign}{kind}.{name}")
+            })),
+            None if value.is_null() => places.push(format!("-{kind}")),
+            None => places.push(format!("{kind} = {value}")),
+        }
+    }
+    let more = places.len().saturating_sub(MAX_PLACES);
+    places.truncate(MAX_PLACES);
+    if more > 0 {
+        places.push(format!("and {more} more"));
+    }
+    places.join(", ").into()
+}
