--- a/crates/heatherwalk/src/lib.rs
+++ b/crates/heatherwalk/src/lib.rs
@@ -1,3 +1,10 @@
 //! The binary's parts: command line, settings, logs, metrics and the roles.
 
+pub mod args;
+pub mod exit_codes;
+pub mod keys;
+pub mod logs;
+pub mod metrics;
+pub mod operators;
+pub mod render;
 pub mod settings;
