Shorten the tests and the search for changes of a conflict

Change: fault cases and claim sequences are text scripts with the same steps; the stand-in mesh is split in two files; a conflict reads only the changes after its base.

--- a/crates/distribution/tests/faults.rs
+++ b/crates/distribution/tests/faults.rs
@@ -8,7 +8,6 @@
 
 mod sim;
 
-type Script = fn(&mut sim::Sim);
 type Switch = fn(&mut mechanisms::Mechanisms);
 
 /// Node 0 runs version 6 from its home, control 0, and its backend server has the token.
@@ -18,166 +17,60 @@
     assert_eq!(sim.running(0), 6);
 }
 
-fn run_to(sim: &mut sim::Sim, version: u64) {
-    sim.run_until(12_000, |it| it.running(0) == version);
-}
-
-fn foster_then_home(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.isolate(0, true);
-    sim.cut(0, &[0]);
-    sim.accept(2);
-    run_to(sim, 8);
-    sim.restart(0, false);
-    sim.cut(0, &[1, 2]);
-    sim.run(10_000);
-}
-
-fn home_then_isolated_foster(sim: &mut sim::Sim) {
-    sim.accept(4);
-    sim.cut(0, &[0]);
-    sim.run(8_000);
-    sim.accept(1);
-    sim.run(2_000);
-    sim.isolate(2, true);
-    sim.cut(0, &[]);
-    sim.run(8_000);
-    sim.accept(3);
-    run_to(sim, 9);
-    sim.restart(0, false);
-    sim.cut(0, &[0, 1]);
-    sim.run(10_000);
-}
-
-fn leaves_isolated_home_and_dies(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.isolate(0, true);
-    sim.accept(2);
-    run_to(sim, 8);
-    sim.restart(0, true);
-    sim.cut(0, &[1, 2]);
-    sim.run(10_000);
-}
-
-fn loses_token_before_home(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.isolate(0, true);
-    sim.cut(0, &[0]);
-    sim.accept(2);
-    run_to(sim, 8);
-    sim.run(2_000);
-    sim.restart(0, true);
-    sim.cut(0, &[1, 2]);
-    sim.run(10_000);
-}
-
-fn loses_token_before_old_foster(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.isolate(2, true);
-    sim.accept(2);
-    run_to(sim, 8);
-    sim.restart(0, true);
-    sim.cut(0, &[0, 1]);
-    sim.run(10_000);
-}
-
-fn duplicates(sim: &mut sim::Sim) {
-    sim.duplicate = true;
-    sim.accept(5);
-    sim.run_until(3_000, |it| it.running(0) == 6);
-    sim.accept(2);
-    sim.run(3_000);
-}
-
-fn wrong_digest(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.corrupt = true;
-    sim.accept(2);
-    sim.run(5_000);
-    assert_eq!(sim.running(0), 8, "wrong deltas keep the node from running the version");
-}
-
-fn unsynced_home(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.controls[0].syncs = false;
-    sim.accept(1);
-    sim.run_until(2_000, |it| it.running(0) == 7);
-    sim.isolate(0, true);
-    sim.restart_control(0, None);
-    sim.restart(0, false);
-    sim.cut(0, &[1, 2]);
-    sim.run(10_000);
-}
-
-fn home_lost_disk(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.accept(1);
-    sim.run(2_000);
-    sim.accept(1);
-    run_to(sim, 8);
-    sim.isolate(0, true);
-    sim.restart_control(0, Some(7));
-    sim.restart(0, false);
-    sim.cut(0, &[1, 2]);
-    sim.run(10_000);
-}
-
-fn partitioned_herd(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.isolate(0, true);
-    sim.cut(0, &[1, 2]);
-    sim.accept(2);
-    sim.run(5_000);
-    sim.restart_control(0, None);
-    sim.restart(0, false);
-    sim.run(3_000);
-    assert_eq!(sim.running(0), 6, "a partitioned data centre does not serve after a restart");
-}
-
-fn stays_off_home_behind(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.isolate(0, true);
-    sim.cut(0, &[0]);
-    sim.accept(2);
-    run_to(sim, 8);
-    sim.cut(0, &[1, 2]);
-    sim.run(10_000);
-    assert_eq!(sim.running(0), 8, "an isolated home moved the node");
-}
-
-fn home_catches_up(sim: &mut sim::Sim) {
-    settle(sim);
-    sim.cut(0, &[1, 2]);
-    sim.isolate(0, true);
-    sim.restart_control(0, Some(5));
-    sim.accept(2);
-    sim.run(5_000);
-    assert_eq!(sim.running(0), 6, "a control without its disk moved the node");
+/// Runs a script of steps that concern node 0: `to` waits until it runs a version, `expect` checks
+/// that it does, `die` restarts its backend server with it, `reboot` restarts a control, which then
+/// has all or so many of its versions.
+fn play(sim: &mut sim::Sim, script: &str) {
+    for step in script.split("; ") {
+        let mut words = step.split(' ');
+        let verb = words.next().expect("a verb");
+        let numbers: Vec<usize> = words.map(|it| it.parse().expect("a number")).collect();
+        let number = numbers.first().map_or(0, |it| *it as u64);
+        match verb {
+            "settle" => settle(sim),
+            "accept" => sim.accept(number),
+            "run" => sim.run(number),
+            "to" => _ = sim.run_until(12_000, |it| it.running(0) == number),
+            "expect" => assert_eq!(sim.running(0), number, "{script}"),
+            "isolate" => sim.isolate(numbers[0], true),
+            "cut" => sim.cut(0, &numbers),
+            "restart" => sim.restart(0, false),
+            "die" => sim.restart(0, true),
+            "reboot" => sim.restart_control(numbers[0], numbers.get(1).map(|it| *it as u64)),
+            "unsync" => sim.controls[numbers[0]].syncs = false,
+            "duplicate" => sim.duplicate = true,
+            "corrupt" => sim.corrupt = true,
+            _ => panic!("unknown step {step}"),
+        }
+    }
 }
 
-const CASES: [(&str, Script, Switch); 12] = [
-    ("floor_token: foster, restart, isolated home behind", foster_then_home, |it| {
-        it.floor_token = false
-    }),
-    ("source_check: home, restart, isolated foster behind", home_then_isolated_foster, |it| {
-        it.source_check = false
-    }),
-    ("quiet_time: leaves isolated home, loses token", leaves_isolated_home_and_dies, |it| {
-        it.quiet_time = false
-    }),
-    ("heard_rule: foster, loses token, isolated home", loses_token_before_home, |it| {
-        it.heard_rule = false
-    }),
-    ("proof: home, loses token, isolated foster behind", loses_token_before_old_foster, |it| {
-        it.proof = false
-    }),
-    ("higher_only: crossed and duplicated messages", duplicates, |it| it.higher_only = false),
-    ("digest_check: wrong delta", wrong_digest, |it| it.digest_check = false),
-    ("synced_only: home restarts before the sync", unsynced_home, |it| it.synced_only = false),
-    ("disk_wait: home lost its disk", home_lost_disk, |it| it.disk_wait = false),
-    ("partitioned data centre restarts", partitioned_herd, |_| {}),
-    ("foster, then an isolated home behind", stays_off_home_behind, |_| {}),
-    ("node waits for a home that lost its disk", home_catches_up, |_| {}),
+#[rustfmt::skip]
+const CASES: [(&str, &str, Switch); 12] = [
+    ("floor_token: foster, restart, isolated home behind",
+        "settle; isolate 0; cut 0; accept 2; to 8; restart; cut 1 2; run 10000", |it| it.floor_token = false),
+    ("source_check: home, restart, isolated foster behind",
+        "accept 4; cut 0; run 8000; accept 1; run 2000; isolate 2; cut; run 8000; accept 3; to 9; restart; cut 0 1; run 10000",
+        |it| it.source_check = false),
+    ("quiet_time: leaves isolated home, loses token",
+        "settle; isolate 0; accept 2; to 8; die; cut 1 2; run 10000", |it| it.quiet_time = false),
+    ("heard_rule: foster, loses token, isolated home",
+        "settle; isolate 0; cut 0; accept 2; to 8; run 2000; die; cut 1 2; run 10000", |it| it.heard_rule = false),
+    ("proof: home, loses token, isolated foster behind",
+        "settle; isolate 2; accept 2; to 8; die; cut 0 1; run 10000", |it| it.proof = false),
+    ("higher_only: crossed and duplicated messages",
+        "duplicate; accept 5; to 6; accept 2; run 3000", |it| it.higher_only = false),
+    ("digest_check: wrong delta", "settle; corrupt; accept 2; run 5000; expect 8", |it| it.digest_check = false),
+    ("synced_only: home restarts before the sync",
+        "settle; unsync 0; accept 1; run 300; isolate 0; reboot 0; restart; cut 1 2; run 10000", |it| it.synced_only = false),
+    ("disk_wait: home lost its disk",
+        "settle; accept 1; run 2000; accept 1; to 8; isolate 0; reboot 0 7; restart; cut 1 2; run 10000", |it| it.disk_wait = false),
+    ("partitioned data centre restarts",
+        "settle; isolate 0; cut 1 2; accept 2; run 5000; reboot 0; restart; run 3000; expect 6", |_| {}),
+    ("foster, then an isolated home behind",
+        "settle; isolate 0; cut 0; accept 2; to 8; cut 1 2; run 10000; expect 8", |_| {}),
+    ("node waits for a home that lost its disk",
+        "settle; cut 1 2; isolate 0; reboot 0 5; accept 2; run 5000; expect 6", |_| {}),
 ];
 
 /// Guards against a breach in each fault case, against nodes that do not converge afterwards, and
@@ -188,7 +81,7 @@
     let mut out = String::new();
     for (title, script, switch) in CASES {
         let mut with = sim::Sim::new(1, &[0], on);
-        script(&mut with);
+        play(&mut with, script);
         writeln!(out, "{title}\n  runs {}, ran {}", with.running(0), with.nodes[0].highest)
             .expect("text");
         with.heal();
@@ -202,7 +95,7 @@
             continue;
         }
         let mut without = sim::Sim::new(1, &[0], off);
-        script(&mut without);
+        play(&mut without, script);
         let breach = without.breaches.first().unwrap_or_else(|| panic!("{title}: no difference"));
         writeln!(out, "  off: {breach}").expect("text");
     }
--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Bounds of a control's relay, and the small rules of a node: tokens, backoff, entry.
 
-use std::{fmt::Write as _, time};
+use std::{collections, fmt::Write as _, time};
 
 use distribution::{attach, floor, follower, messages, relay, subscribers};
 use rand::{SeedableRng, rngs};
@@ -31,30 +31,18 @@
     }
 }
 
+/// How many effects there are of each kind.
 fn count(effects: &[relay::Effect]) -> String {
-    let mut counts = [("ack", 0), ("delta", 0), ("snapshot", 0), ("wait", 0), ("peer", 0)];
-    let mut other = String::new();
+    let mut counts = collections::BTreeMap::<String, u32>::new();
     for effect in effects {
-        let at = match effect {
-            relay::Effect::Send(_, messages::Down::Ack(_)) => 0,
-            relay::Effect::Send(_, messages::Down::Delta(..)) => 1,
-            relay::Effect::Send(_, messages::Down::Snapshot(..)) => 2,
-            relay::Effect::Send(_, messages::Down::Wait(..)) => 3,
-            relay::Effect::Send(_, messages::Down::Peer { .. }) => 4,
-            relay::Effect::Send(_, it @ messages::Down::Refused(..)) => {
-                other = format!(" {it:?}");
-                continue;
-            }
-            relay::Effect::Close(_) | relay::Effect::ConfirmCurrent(_) => {
-                other = format!(" {effect:?}");
-                continue;
-            }
+        let text = match effect {
+            relay::Effect::Send(_, message) => format!("{message:?}"),
+            other => format!("{other:?}"),
         };
-        counts[at].1 += 1;
+        let kind = text.split(['(', ' ']).next().unwrap_or_default();
+        *counts.entry(kind.into()).or_default() += 1;
     }
-    let listed: Vec<_> =
-        counts.iter().filter(|it| it.1 > 0).map(|it| format!("{} {}", it.1, it.0)).collect();
-    listed.join(", ") + &other
+    format!("{counts:?}")
 }
 
 /// Guards against deltas outside the window, unbounded snapshots, slots that are never freed, and
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -7,18 +7,12 @@
 use rand::{SeedableRng, rngs};
 use world::{document, time::Time};
 
+mod events;
+
 /// Virtual time of one step, in milliseconds.
 pub const STEP_MS: u64 = 50;
 const LATENCY_MS: u64 = 2;
 
-enum Event {
-    Connected { node: usize, control: usize, conn: u64 },
-    Up { node: usize, control: usize, conn: u64, message: messages::Up },
-    Down { node: usize, control: usize, conn: u64, message: messages::Down },
-    Currency { control: usize, epoch: u64, key: subscribers::SubscriberKey },
-    Peer { node: usize, epoch: u64, host: usize, of: messages::Numbered },
-}
-
 pub struct Control {
     pub relay: relay::Relay,
     pub leader: bool,
@@ -55,7 +49,7 @@
     pub rng: rngs::StdRng,
     now_ms: u64,
     log: Vec<(messages::Delta, relay::Head)>,
-    queue: collections::BTreeMap<(u64, u64), Event>,
+    queue: collections::BTreeMap<(u64, u64), events::Event>,
     serial: u64,
     mechanisms: mechanisms::Mechanisms,
 }
@@ -268,136 +262,6 @@
         self.answer(index, effects);
     }
 
-    fn push(&mut self, delay_ms: u64, event: Event) {
-        self.serial += 1;
-        self.queue.insert((self.now_ms + delay_ms, self.serial), event);
-    }
-
-    fn deliver(&mut self, event: Event) {
-        let now = self.now();
-        match event {
-            Event::Connected { node, control, conn } if self.is_open(node, control, conn) => {
-                let key = self.key(node, control);
-                let effects = self.nodes[node].follower.connected(key, &mut self.rng);
-                self.perform(node, effects);
-            }
-            Event::Up { node, control, conn, message } if self.is_open(node, control, conn) => {
-                let it = &mut self.controls[control];
-                let effects = match (message, it.conns.get(&(node, conn))) {
-                    (messages::Up::Hello(hello), _) => {
-                        let (key, effects) = it.relay.hello(now, hello, &mut self.rng);
-                        it.conns.insert((node, conn), key);
-                        effects
-                    }
-                    (message, Some(&key)) => it.relay.message(now, key, message, &mut self.rng),
-                    (_, None) => Vec::new(),
-                };
-                self.answer(control, effects);
-            }
-            Event::Down { node, control, conn, message } if self.is_open(node, control, conn) => {
-                let key = self.key(node, control);
-                let follower = &mut self.nodes[node].follower;
-                let effects = follower.message(now, key, message, &mut self.rng);
-                self.perform(node, effects);
-            }
-            Event::Currency { control, epoch, key } if self.controls[control].epoch == epoch => {
-                let currency = match self.controls[control].leader {
-                    true => relay::Currency::Current(document::Version(self.latest())),
-                    false => relay::Currency::Isolated,
-                };
-                let relay = &mut self.controls[control].relay;
-                let effects = relay.confirmed(now, key, currency, &mut self.rng);
-                self.answer(control, effects);
-            }
-            Event::Peer { node, epoch, host, of } if self.nodes[node].epoch == epoch => {
-                let answer = self.nodes[host].follower.serve_peer(of);
-                let follower = &mut self.nodes[node].follower;
-                let effects = follower.peer_answer(now, answer.as_ref(), &mut self.rng);
-                self.perform(node, effects);
-            }
-            _ => {}
-        }
-    }
-
-    /// Performs the effects of a control.
-    fn answer(&mut self, control: usize, effects: Vec<relay::Effect>) {
-        for effect in effects {
-            let (key, mut message) = match effect {
-                relay::Effect::Send(key, message) => (key, message),
-                relay::Effect::ConfirmCurrent(key) => {
-                    let epoch = self.controls[control].epoch;
-                    self.push(2 * LATENCY_MS, Event::Currency { control, epoch, key });
-                    continue;
-                }
-                relay::Effect::Close(_) => continue,
-            };
-            let conns = &self.controls[control].conns;
-            let Some(&(node, conn)) = conns.iter().find(|it| *it.1 == key).map(|it| it.0) else {
-                continue;
-            };
-            let mut delay = LATENCY_MS;
-            match &mut message {
-                messages::Down::Delta(_, delta) if self.corrupt => {
-                    delta.patch = delta.patch.replace("slots", "queue").into();
-                }
-                messages::Down::Snapshot(..) => delay = self.snapshot_ms,
-                _ => {}
-            }
-            if self.duplicate {
-                let message = message.clone();
-                self.push(delay + 400, Event::Down { node, control, conn, message });
-            }
-            self.push(delay, Event::Down { node, control, conn, message });
-        }
-    }
-
-    /// Performs the effects of a node.
-    fn perform(&mut self, node: usize, effects: Vec<follower::Effect>) {
-        for effect in effects {
-            match effect {
-                follower::Effect::Connect(key) => {
-                    let control = self.index(node, key);
-                    self.serial += 1;
-                    let conn = self.serial;
-                    self.nodes[node].conns.insert(control, conn);
-                    self.push(2 * LATENCY_MS, Event::Connected { node, control, conn });
-                }
-                follower::Effect::Close(key) => {
-                    let control = self.index(node, key);
-                    if let Some(conn) = self.nodes[node].conns.remove(&control) {
-                        self.hang_up(node, control, conn);
-                    }
-                }
-                follower::Effect::AskHello(key, hello) => {
-                    self.send(node, key, messages::Up::Hello(hello));
-                }
-                follower::Effect::AskSnapshot(key, session) => {
-                    self.send(node, key, messages::Up::AskSnapshot(session));
-                }
-                follower::Effect::Beat(key, beat) => {
-                    self.send(node, key, messages::Up::Beat(beat));
-                }
-                follower::Effect::Received(key, session, version) => {
-                    self.send(node, key, messages::Up::Received(session, version));
-                }
-                follower::Effect::Confirm(key, session, running) => {
-                    self.send(node, key, messages::Up::Confirm(session, running));
-                }
-                follower::Effect::AskPeer(host, of) => {
-                    self.peers_asked += 1;
-                    let host = host.trim_start_matches("node-").parse().expect("a node");
-                    let epoch = self.nodes[node].epoch;
-                    self.push(self.snapshot_ms, Event::Peer { node, epoch, host, of });
-                }
-                follower::Effect::OfferToken(token) => {
-                    self.nodes[node].token = Some(token.to_string());
-                }
-                follower::Effect::Run(config) => self.check(node, &config),
-                follower::Effect::ServeNothing(_) | follower::Effect::Wait(_) => {}
-            }
-        }
-    }
-
     fn check(&mut self, node: usize, config: &world::config::Config) {
         let version = config.version().0;
         let highest = &mut self.nodes[node].highest;
@@ -415,12 +279,6 @@
         }
     }
 
-    fn send(&mut self, node: usize, key: attach::ControlKey, message: messages::Up) {
-        let control = self.index(node, key);
-        let Some(&conn) = self.nodes[node].conns.get(&control) else { return };
-        self.push(LATENCY_MS, Event::Up { node, control, conn, message });
-    }
-
     fn hang_up(&mut self, node: usize, control: usize, conn: u64) {
         let it = &mut self.controls[control];
         if let Some(key) = it.conns.remove(&(node, conn)) {
@@ -428,17 +286,6 @@
         }
     }
 
-    fn is_stalled(&self, event: &Event) -> bool {
-        match *event {
-            Event::Connected { node, control, conn }
-            | Event::Up { node, control, conn, .. }
-            | Event::Down { node, control, conn, .. } => {
-                self.nodes[node].cut.contains(&control) && self.is_open(node, control, conn)
-            }
-            Event::Currency { .. } | Event::Peer { .. } => false,
-        }
-    }
-
     fn is_open(&self, node: usize, control: usize, conn: u64) -> bool {
         self.nodes[node].conns.get(&control) == Some(&conn)
     }
--- a/crates/replicated/src/versions.rs
+++ b/crates/replicated/src/versions.rs
@@ -304,9 +304,9 @@
 
     fn since(&self, base: document::Version, current: document::Version) -> Vec<Change> {
         let mut bytes = 0;
-        let between = |it: &&Change| base < it.version && it.version <= current;
         let mut list = Vec::new();
-        for change in self.changes.iter().rev().filter(between) {
+        let later = self.changes.iter().rev().skip_while(|it| it.version > current);
+        for change in later.take_while(|it| it.version > base) {
             bytes += change.text.len();
             if bytes > MAX_CONFLICT_BYTES {
                 break;
--- a/crates/replicated/tests/claims.rs
+++ b/crates/replicated/tests/claims.rs
@@ -62,79 +62,41 @@
     }
 }
 
-const CASES: [(&str, &[(u64, Op)]); 14] = [
-    (
-        "resend gets the stored answer",
-        &[(0, Op::Claim(1)), (5, Op::Complete(1)), (9, Op::Claim(2))],
-    ),
-    ("claim sent twice", &[(0, Op::Claim(1)), (5, Op::Claim(1)), (6, Op::Claim(2))]),
-    (
-        "other request",
-        &[(0, Op::Claim(1)), (5, Op::Other(2)), (6, Op::Complete(1)), (7, Op::Other(2))],
-    ),
-    (
-        "released",
-        &[(0, Op::Claim(1)), (5, Op::Release(1)), (6, Op::Claim(2)), (7, Op::Complete(2))],
-    ),
-    (
-        "stale release by an old attempt",
-        &[
-            (0, Op::Claim(1)),
-            (1, Op::Release(1)),
-            (2, Op::Claim(2)),
-            (3, Op::Release(1)),
-            (4, Op::Claim(3)),
-        ],
-    ),
-    (
-        "stale complete by an old attempt",
-        &[
-            (0, Op::Claim(1)),
-            (1, Op::Release(1)),
-            (2, Op::Claim(2)),
-            (3, Op::Complete(1)),
-            (4, Op::Claim(3)),
-        ],
-    ),
-    (
-        "late duplicate of a claim",
-        &[(0, Op::Claim(1)), (1, Op::Release(1)), (2, Op::Claim(1)), (3, Op::Claim(2))],
-    ),
-    ("release overtakes the claim", &[(0, Op::Release(1)), (1, Op::Claim(1)), (2, Op::Claim(2))]),
-    (
-        "node dies before the answer",
-        &[(0, Op::Claim(1)), (7_000, Op::Claim(2)), (7_001, Op::Claim(3))],
-    ),
-    (
-        "late answer",
-        &[
-            (0, Op::Claim(1)),
-            (7_001, Op::Claim(2)),
-            (8_000, Op::Complete(1)),
-            (8_001, Op::Claim(3)),
-        ],
-    ),
-    ("late release", &[(0, Op::Claim(1)), (7_001, Op::Release(1)), (7_002, Op::Claim(2))]),
-    (
-        "release after complete",
-        &[(0, Op::Claim(1)), (1, Op::Complete(1)), (2, Op::Release(1)), (3, Op::Claim(2))],
-    ),
-    ("clock moves back", &[(9_000, Op::Claim(1)), (16_001, Op::Expire), (3_000, Op::Claim(2))]),
-    (
-        "expiry",
-        &[
-            (0, Op::Claim(1)),
-            (86_399_999, Op::Claim(2)),
-            (86_400_000, Op::Expire),
-            (86_400_001, Op::Claim(3)),
-        ],
-    ),
+#[rustfmt::skip]
+const CASES: [(&str, &str); 14] = [
+    ("resend gets the stored answer", "0 claim 1; 5 complete 1; 9 claim 2"),
+    ("claim sent twice", "0 claim 1; 5 claim 1; 6 claim 2"),
+    ("other request", "0 claim 1; 5 other 2; 6 complete 1; 7 other 2"),
+    ("released", "0 claim 1; 5 release 1; 6 claim 2; 7 complete 2"),
+    ("stale release by an old attempt", "0 claim 1; 1 release 1; 2 claim 2; 3 release 1; 4 claim 3"),
+    ("stale complete by an old attempt", "0 claim 1; 1 release 1; 2 claim 2; 3 complete 1; 4 claim 3"),
+    ("late duplicate of a claim", "0 claim 1; 1 release 1; 2 claim 1; 3 claim 2"),
+    ("release overtakes the claim", "0 release 1; 1 claim 1; 2 claim 2"),
+    ("node dies before the answer", "0 claim 1; 7000 claim 2; 7001 claim 3"),
+    ("late answer", "0 claim 1; 7001 claim 2; 8000 complete 1; 8001 claim 3"),
+    ("late release", "0 claim 1; 7001 release 1; 7002 claim 2"),
+    ("release after complete", "0 claim 1; 1 complete 1; 2 release 1; 3 claim 2"),
+    ("clock moves back", "9000 claim 1; 16001 expire 0; 3000 claim 2"),
+    ("expiry", "0 claim 1; 86399999 claim 2; 86400000 expire 0; 86400001 claim 3"),
 ];
 
-fn run(steps: &[(u64, Op)], mechanisms: mechanisms::Mechanisms, out: &mut String) -> Runs {
+fn parse(step: &str) -> (u64, Op) {
+    let words: Vec<_> = step.split(' ').collect();
+    let attempt = words[2].parse().expect("an attempt");
+    let op = match words[1] {
+        "claim" => Op::Claim(attempt),
+        "other" => Op::Other(attempt),
+        "complete" => Op::Complete(attempt),
+        "release" => Op::Release(attempt),
+        _ => Op::Expire,
+    };
+    (words[0].parse().expect("a time"), op)
+}
+
+fn run(steps: &str, mechanisms: mechanisms::Mechanisms, out: &mut String) -> Runs {
     let mut runs = Runs::default();
     let mut state = claims::Claims::default();
-    for (at, &(at_ms, op)) in steps.iter().enumerate() {
+    for (at, (at_ms, op)) in steps.split("; ").map(parse).enumerate() {
         // Every step is taken by a replica that was restored from a snapshot.
         let bytes = postcard::to_stdvec(&state).expect("encodes");
         state = postcard::from_bytes(&bytes).expect("decodes");
