Keep the end of a received stream; add the web crate

Cause: after a reset was reported once, a second read of the same stream returned a clean end, since quinn reports a reset only once. Change: a receiver remembers how its stream ended.

--- a/crates/transport/src/streams.rs
+++ b/crates/transport/src/streams.rs
@@ -27,7 +27,8 @@
 pub struct Receiver {
     stream: quinn::RecvStream,
     partial: Partial,
-    finished: bool,
+    /// How the stream ended. quinn reports a reset once and an end after it.
+    end: Option<errors::Result<()>>,
     connection: quinn::Connection,
     _flight: Flight,
 }
@@ -127,7 +128,7 @@
         flight: Flight,
     ) -> Receiver {
         let partial = Partial { bytes: BytesMut::new(), total, limit };
-        Receiver { stream, partial, finished: false, connection, _flight: flight }
+        Receiver { stream, partial, end: None, connection, _flight: flight }
     }
 
     /// Receives the next message, or `None` when the sender has finished the stream.
@@ -161,12 +162,15 @@
     }
 
     async fn read(&mut self, limit: usize) -> errors::Result<Option<Bytes>> {
-        if self.finished {
-            return Ok(None);
+        if let Some(end) = &self.end {
+            return end.clone().map(|()| None);
         }
-        let chunk = self.stream.read_chunk(limit, true).await?;
-        self.finished = chunk.is_none();
-        Ok(chunk.map(|it| it.bytes))
+        match self.stream.read_chunk(limit, true).await {
+            Ok(Some(chunk)) => return Ok(Some(chunk.bytes)),
+            Ok(None) => self.end = Some(Ok(())),
+            Err(error) => self.end = Some(Err(error.into())),
+        }
+        self.end.clone().unwrap_or(Ok(())).map(|()| None)
     }
 
     fn close(&self, error: codec::Error) -> errors::Error {
--- /dev/null
+++ b/crates/web/src/server.rs
@@ -0,0 +1,238 @@
+//! The server: an accept loop with limits, and a graceful stop.
+
+use std::{convert, io, net, panic, sync, sync::atomic, time};
+
+use gotham::{helpers::http::Body as GothamBody, router, service, state};
+use hyper::{body, body::Body as _};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo},
+    server::{conn::auto, graceful},
+};
+use tokio::{sync::oneshot, task};
+
+use crate::connection;
+
+/// The shortest pause after accept fails, as it does without free file descriptors.
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(10);
+/// The longest pause after accept fails.
+const LAST_PAUSE: time::Duration = time::Duration::from_secs(1);
+/// What a caller gets when the server has no room for its connection. Nothing was read from it.
+const BUSY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nheatherwalk-not-run: true\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Why a server could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The address could not be bound.
+    #[error("cannot bind {addr}: {source}")]
+    Bind {
+        /// The address.
+        addr: net::SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+}
+
+/// The result of starting a server.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What callers may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections at once; more are refused.
+    pub connections: usize,
+    /// Bytes of a request's head, at least 8 KiB.
+    pub header: usize,
+    /// How long a request's head may take from its first byte, or from the connection's start.
+    pub header_time: time::Duration,
+    /// How long a connection may be without a request, or a caller not read its answer.
+    pub idle: time::Duration,
+}
+
+/// What became of the requests that were in progress when a server stopped.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Stopped {
+    /// Requests that were answered in full.
+    pub finished: usize,
+    /// Requests that were cut off at the limit.
+    pub cut_off: usize,
+}
+
+/// A running server. Dropping it cuts off its connections.
+pub struct Server {
+    addr: net::SocketAddr,
+    stop: oneshot::Sender<time::Duration>,
+    acceptor: task::JoinHandle<Stopped>,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            connections: 4_096,
+            header: 32 * 1024,
+            header_time: time::Duration::from_secs(10),
+            idle: time::Duration::from_secs(60),
+        }
+    }
+}
+
+impl Server {
+    /// Binds a TCP port and serves it with `router`.
+    pub async fn bind(
+        addr: net::SocketAddr,
+        limits: Limits,
+        router: router::Router,
+    ) -> Result<Server> {
+        let bind_error = |source| Error::Bind { addr, source };
+        let listener = tokio::net::TcpListener::bind(addr).await.map_err(bind_error)?;
+        let addr = listener.local_addr().map_err(bind_error)?;
+        let acceptor = Acceptor {
+            listener,
+            limits,
+            router: sync::Arc::new(router),
+            requests: sync::Arc::default(),
+            graceful: graceful::GracefulShutdown::new(),
+            tasks: task::JoinSet::new(),
+            pause: FIRST_PAUSE,
+        };
+        let (stop, stopped) = oneshot::channel();
+        Ok(Server { addr, stop, acceptor: tokio::spawn(acceptor.run(stopped)) })
+    }
+
+    /// The address of the TCP port.
+    pub fn local_addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Takes no more connections, lets the requests in progress finish, at most for `limit`, and
+    /// cuts off the rest.
+    pub async fn stop(self, limit: time::Duration) -> Stopped {
+        let _ = self.stop.send(limit);
+        self.acceptor.await.unwrap_or_default()
+    }
+}
+
+struct Acceptor {
+    listener: tokio::net::TcpListener,
+    limits: Limits,
+    router: sync::Arc<router::Router>,
+    requests: sync::Arc<connection::Requests>,
+    graceful: graceful::GracefulShutdown,
+    tasks: task::JoinSet<()>,
+    pause: time::Duration,
+}
+
+impl Acceptor {
+    async fn run(mut self, mut stop: oneshot::Receiver<time::Duration>) -> Stopped {
+        loop {
+            tokio::select! {
+                limit = &mut stop => return self.stop(limit.unwrap_or_default()).await,
+                Some(_) = self.tasks.join_next() => {}
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, remote)) => self.start(stream, remote),
+                    Err(error) if is_transient(&error) => {}
+                    Err(error) => {
+                        log::warn!("accept failed, pausing {:?}: {error}", self.pause);
+                        let pause = tokio::time::sleep(self.pause);
+                        self.pause = LAST_PAUSE.min(self.pause * 2);
+                        tokio::select! {
+                            limit = &mut stop => return self.stop(limit.unwrap_or_default()).await,
+                            () = pause => {}
+                        }
+                    }
+                },
+            }
+        }
+    }
+
+    fn start(&mut self, stream: tokio::net::TcpStream, remote: net::SocketAddr) {
+        self.pause = FIRST_PAUSE;
+        if self.tasks.len() >= self.limits.connections {
+            log::warn!("refused a connection from {remote}: {} are open", self.tasks.len());
+            // The caller may not see the answer; it is not worth waiting for.
+            let _ = stream.try_write(BUSY);
+            return;
+        }
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("cannot set TCP_NODELAY for {remote}: {error}");
+        }
+        let watcher = self.graceful.watcher();
+        let (limits, router, requests) = (self.limits, self.router.clone(), self.requests.clone());
+        self.tasks.spawn(serve(stream, remote, limits, router, requests, watcher));
+    }
+
+    async fn stop(self, limit: time::Duration) -> Stopped {
+        let Acceptor { listener, requests, graceful, mut tasks, .. } = self;
+        drop(listener);
+        let before = requests.finished.load(atomic::Ordering::Relaxed);
+        let in_time = tokio::time::timeout(limit, graceful.shutdown()).await.is_ok();
+        let cut_off = if in_time { 0 } else { requests.active.load(atomic::Ordering::Relaxed) };
+        let after = requests.finished.load(atomic::Ordering::Relaxed);
+        tasks.shutdown().await;
+        Stopped { finished: after - before, cut_off }
+    }
+}
+
+/// Errors of one connection that say nothing about the next.
+fn is_transient(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::Interrupted
+    )
+}
+
+async fn serve(
+    stream: tokio::net::TcpStream,
+    remote: net::SocketAddr,
+    limits: Limits,
+    router: sync::Arc<router::Router>,
+    requests: sync::Arc<connection::Requests>,
+    watcher: graceful::Watcher,
+) {
+    let watch = sync::Arc::new(connection::Watch::new(requests));
+    let socket = TokioIo::new(connection::Socket::new(stream, watch.clone()));
+    let mut builder = auto::Builder::new(TokioExecutor::new()).http1_only();
+    builder.http1().max_buf_size(limits.header);
+    let handler_watch = watch.clone();
+    let service = hyper::service::service_fn(move |request| {
+        call(request, remote, router.clone(), handler_watch.clone())
+    });
+    let served = watcher.watch(builder.serve_connection(socket, service).into_owned());
+    // Dropping the connection drops the handler's future, which cancels its work.
+    tokio::select! {
+        result = served => if let Err(error) = result {
+            log::debug!("connection from {remote} ended: {error}");
+        },
+        reason = watch.expired(&limits) => log::info!("closed the connection from {remote}: {reason}"),
+    }
+}
+
+async fn call(
+    request: http::Request<body::Incoming>,
+    remote: net::SocketAddr,
+    router: sync::Arc<router::Router>,
+    watch: sync::Arc<connection::Watch>,
+) -> std::result::Result<http::Response<connection::Tracked<GothamBody>>, convert::Infallible> {
+    watch.begin();
+    let is_head = request.method() == http::Method::HEAD;
+    let state = state::State::from_request(request, remote);
+    let response = service::call_handler(router, panic::AssertUnwindSafe(state)).await;
+    let response = response.unwrap_or_else(|error| {
+        log::error!("no handler: {error}");
+        let mut response = http::Response::new(GothamBody::default());
+        *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+        response
+    });
+    let bodyless = is_head
+        || response.status() == http::StatusCode::NO_CONTENT
+        || response.status() == http::StatusCode::NOT_MODIFIED;
+    let declared = response.headers().get(http::header::CONTENT_LENGTH);
+    let declared = declared.and_then(|it| it.to_str().ok()?.parse().ok());
+    Ok(response.map(|body| {
+        let whole = bodyless || body.is_end_stream() && declared.is_none_or(|it| it == 0);
+        connection::Tracked::new(body, watch, declared, whole)
+    }))
+}
