Run a control: logs, registry, relay and the operators' port

Cause: the thin path needs its first role. Change: control::running::Control; proposals find the leader; a patch is always proposed, so that a resend gets the first answer even when it was a refusal; versions keep the oldest document, so that earlier ones can be shown; a service without a home region may get one later. Measured: it compiles; run with the node. Conclusion: none yet.

--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -6,7 +6,7 @@
 use protocol::{proposals, streams};
 use tokio::sync::mpsc;
 
-use crate::{distributing, groups, proposing, registering, state};
+use crate::{distributing, proposing, registering, state};
 
 /// Serves a node's stream until either side ends it.
 pub(crate) async fn serve(
@@ -89,11 +89,7 @@
     sender.finish()
 }
 
-fn take_in(
-    state: &state::State,
-    key: subscribers::SubscriberKey,
-    message: streams::NodeMessage,
-) {
+fn take_in(state: &state::State, key: subscribers::SubscriberKey, message: streams::NodeMessage) {
     match message {
         streams::NodeMessage::Event(event) => registering::node_event(state, &event),
         streams::NodeMessage::Heartbeat(it) => registering::heartbeat(state, key, &it),
@@ -133,10 +129,8 @@
 pub(crate) async fn propose_evidence(state: &sync::Arc<state::State>) {
     let pending: Vec<_> = state.evidence.lock().pending(state::wall_ms()).collect();
     for (sequence, command) in pending {
-        let request = proposals::Request::Evidence {
-            age_ms: command.age_ms,
-            evidence: command.evidence,
-        };
+        let request =
+            proposals::Request::Evidence { age_ms: command.age_ms, evidence: command.evidence };
         let outcome = proposing::propose(state, request).await;
         if !matches!(outcome, proposals::Outcome::Answered(_)) {
             return;
--- a/crates/control/src/distributing.rs
+++ b/crates/control/src/distributing.rs
@@ -87,11 +87,6 @@
         self.relay.closed(key);
     }
 
-    /// Nodes with an open channel.
-    pub(crate) fn attached(&self) -> usize {
-        self.outboxes.len()
-    }
-
     fn take_in(&mut self, now: time::Time, versions: &versions::Versions) -> Vec<relay::Effect> {
         let from = self.relay.version();
         if versions.current() <= from {
@@ -261,8 +256,7 @@
         let mut table = state.relay.lock();
         let table = &mut *table;
         let Some(Some(key)) = table.reads.remove(&token) else { return };
-        let effects =
-            table.relay.confirmed(now, key, relay::Currency::Isolated, &mut table.rng);
+        let effects = table.relay.confirmed(now, key, relay::Currency::Isolated, &mut table.rng);
         perform(table, effects)
     };
     ask(state, reads);
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -15,8 +15,7 @@
 pub(crate) fn step_configuration(state: &state::State, event: events::Event) {
     let (outputs, applied) = {
         let mut replica = state.configuration.lock();
-        let outputs =
-            replica.step(state.now(), event, machines::CONFIGURATION, &state.machine);
+        let outputs = replica.step(state.now(), event, machines::CONFIGURATION, &state.machine);
         (outputs, replica.group().applied())
     };
     pass_on_configuration(state, outputs, applied);
@@ -25,8 +24,7 @@
 /// An event of the claims log of this region.
 pub(crate) fn step_claims(state: &state::State, event: events::Event) {
     let Some(table) = &state.claims else { return };
-    let outputs =
-        table.lock().step(state.now(), event, machines::CLAIMS, &state.claims_machine);
+    let outputs = table.lock().step(state.now(), event, machines::CLAIMS, &state.claims_machine);
     pass_on_claims(state, outputs);
 }
 
@@ -82,8 +80,7 @@
         let token = replica.token();
         distributing::expect_read(state, token, key);
         let event = events::Event::ConfirmRead { token };
-        let outputs =
-            replica.step(state.now(), event, machines::CONFIGURATION, &state.machine);
+        let outputs = replica.step(state.now(), event, machines::CONFIGURATION, &state.machine);
         (outputs, replica.group().applied())
     };
     pass_on_configuration(state, outputs, applied);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,11 +3,14 @@
 mod attaching;
 mod distributing;
 mod groups;
+mod http;
 pub mod instruments;
 mod machines;
+mod operators;
 mod peers;
 mod proposing;
 mod registering;
 mod replica;
+pub mod running;
 pub mod settings;
 mod state;
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -56,9 +56,7 @@
     payload: &[u8],
 ) -> replica::Result<proposals::Answer> {
     Ok(match postcard::from_bytes(payload)? {
-        Command::Evidence(it) => {
-            proposals::Answer::Evidence(state.quarantine.apply(index.0, &it))
-        }
+        Command::Evidence(it) => proposals::Answer::Evidence(state.quarantine.apply(index.0, &it)),
         Command::Patch(it) => proposals::Answer::Patch(state.versions.apply(index.0, &it)),
     })
 }
--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -8,6 +8,8 @@
 
 /// Laggards in one report to the other controls, so that its size has a bound.
 const MAX_BEHIND: usize = 64;
+/// Versions counted in one report.
+const MAX_COUNTS: usize = 16;
 
 /// A change from an attached node.
 pub(crate) fn node_event(state: &state::State, event: &messages::Event) {
@@ -137,6 +139,7 @@
     let version = table.relay.version();
     let level = table.relay.lowest_level();
     drop(table);
+    let nodes = summary.counts.values().sum::<u32>() + summary.idle;
     let mut behind: Vec<_> = summary
         .laggards
         .iter()
@@ -152,8 +155,8 @@
         data_centre: state.place.data_centre.clone(),
         level,
         version,
-        nodes: summary.counts.values().sum::<u32>() + summary.idle,
-        converged: summary.counts.get(&version).copied().unwrap_or(0),
+        nodes,
+        counts: summary.counts.into_iter().rev().take(MAX_COUNTS).collect(),
         behind,
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -198,9 +198,7 @@
     Some(group)
 }
 
-fn controls(
-    settings: &settings::Settings,
-) -> impl Iterator<Item = (hosts::HostKey, &hosts::Host)> {
+fn controls(settings: &settings::Settings) -> impl Iterator<Item = (hosts::HostKey, &hosts::Host)> {
     settings.mesh.hosts().filter(|(_, it)| it.role == hosts::Role::Control)
 }
 
--- a/crates/heatherwalk/src/render/records.rs
+++ b/crates/heatherwalk/src/render/records.rs
@@ -75,12 +75,11 @@
 /// A table of quarantined requests.
 pub fn quarantine(records: &[operators::QuarantineRecord]) -> String {
     let mut table = Table::new(&[
-        ("SERVICE", Align::Left),
         ("FINGERPRINT", Align::Left),
         ("REFUSED FOR", Align::Right),
     ]);
     for it in records {
-        table.push([it.service.clone(), it.fingerprint.clone(), duration(it.left_ms)]);
+        table.push([it.fingerprint.clone(), duration(it.left_ms)]);
     }
     table.render()
 }
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -163,8 +163,6 @@
 pub struct QuarantineRecord {
     /// The fingerprint, in hexadecimal.
     pub fingerprint: CompactString,
-    /// The service that it crashed.
-    pub service: CompactString,
     /// How long it is still refused, in milliseconds.
     pub left_ms: u64,
 }
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -111,8 +111,8 @@
     pub version: document::Version,
     /// Nodes attached.
     pub nodes: u32,
-    /// Nodes that run that version.
-    pub converged: u32,
+    /// How many nodes run each of the newest versions, the newest first, up to a limit.
+    pub counts: Vec<(document::Version, u32)>,
     /// Nodes that do not, the longest behind first, up to a limit.
     pub behind: Vec<Behind>,
 }
--- a/crates/replicated/src/versions.rs
+++ b/crates/replicated/src/versions.rs
@@ -120,6 +120,9 @@
     digest: document::DocumentDigest,
     #[serde(with = "as_text")]
     document: document::Document,
+    /// The document before the first of `changes`.
+    #[serde(with = "as_text")]
+    oldest: document::Document,
     changes: collections::VecDeque<Change>,
     changes_bytes: usize,
     answers: collections::BTreeMap<CompactString, Kept>,
@@ -155,8 +158,8 @@
         answer
     }
 
-    /// The answer that `patch` would get now. The leader proposes only what would be accepted, so
-    /// a patch with faults takes no room in the log.
+    /// The answer that `patch` would get now. A leader proposes refused patches as well: only what
+    /// is in the log gives a resend the first answer.
     pub fn check(&self, patch: &Patch, level: u32) -> Answer {
         if let Some(answer) = self.remembered(patch) {
             return answer;
@@ -194,6 +197,16 @@
         &self.document
     }
 
+    /// The document of a version, while the history reaches back to it.
+    pub fn document_at(&self, version: document::Version) -> Option<document::Document> {
+        let first = self.changes.front().map_or(self.current.next(), |it| it.version);
+        if version > self.current || version.next() < first {
+            return None;
+        }
+        let earlier = self.changes.iter().take_while(|it| it.version <= version);
+        document::replay(&self.oldest, earlier.map(|it| &*it.text)).ok()
+    }
+
     /// The changes that are kept, oldest first.
     pub fn changes(&self) -> impl DoubleEndedIterator<Item = &Change> {
         self.changes.iter()
@@ -238,7 +251,8 @@
                 count += 1;
                 continue;
             };
-            if *home == spec.home {
+            // A service without a home has no claims yet, so it can still get one.
+            if home.is_none() || *home == spec.home {
                 continue;
             }
             let path = format_compact!("services.{name}.home");
@@ -254,7 +268,10 @@
 
     fn accept(&mut self, patch: &Patch, candidate: document::Document, at_ms: u64) -> Verdict {
         for (name, spec) in &candidate.services {
-            self.homes.entry(name.clone()).or_insert_with(|| spec.home.clone());
+            let home = self.homes.entry(name.clone()).or_default();
+            if home.is_none() {
+                home.clone_from(&spec.home);
+            }
         }
         self.current = self.current.next();
         self.digest = document::digest(&candidate);
@@ -270,6 +287,8 @@
         while self.changes.len() > MAX_CHANGES || self.changes_bytes > MAX_CHANGES_BYTES {
             let Some(oldest) = self.changes.pop_front() else { break };
             self.changes_bytes -= oldest.text.len();
+            self.oldest = document::replay(&self.oldest, [&*oldest.text])
+                .expect("an accepted patch fits the document before it");
         }
         Verdict::Accepted { version: self.current, digest: self.digest }
     }
