Add the choice of target, retries and hedges

Cause: a node must choose among targets of which some are slowed, cold or gone, and must not multiply load by retrying. Change: estimates with ejection and trials, four policies, the choice with its typed reason or refusal, the budget that travels with a request, the node's share of extra sends, the decision after an outcome, and the percentile for hedges. Reading found that with all targets cold most work went to the last one; shares now count against the largest.

--- /dev/null
+++ b/crates/routing/src/choose.rs
@@ -0,0 +1,354 @@
+//! The choice of a target for one send of a request.
+
+use std::{fmt, time};
+
+use rand::{Rng as _, rngs};
+use world::{targets, time::Time};
+
+use crate::{estimates, mechanisms, policy};
+
+/// Targets compared in one choice at most. They are held on the stack, so that a choice allocates
+/// nothing; of a larger service, each choice takes a window that begins at a random place.
+pub const MAX_OPTIONS: usize = 64;
+/// Age at which an estimate without new answers has lost half of its distance from the mean.
+pub const ESTIMATE_AGE: time::Duration = time::Duration::from_secs(5);
+/// Expected time of a target when none of the service has answered yet, in microseconds.
+const UNKNOWN_LATENCY: f32 = 10_000.0;
+/// Share of work that a target gets at the very beginning of its cold start.
+const FIRST_SHARE: f32 = 0.1;
+
+/// A target of the request's service, as the directory has it.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Its key.
+    pub key: targets::TargetKey,
+    /// What it may be given.
+    pub state: targets::State,
+    /// When it entered the state.
+    pub since: Time,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// One-way latency from here.
+    pub link: time::Duration,
+}
+
+/// What a target is chosen for.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The targets of the service.
+    pub candidates: &'a [Candidate],
+    /// Targets that had this request already, or must not run it beside a suspect.
+    pub excluded: &'a [targets::TargetKey],
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+    /// When its caller stops waiting.
+    pub deadline: Time,
+}
+
+/// The chosen target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Its key.
+    pub target: targets::TargetKey,
+    /// Why it was chosen.
+    pub reason: Reason,
+}
+
+/// The reason of a choice, for the log line of the decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reason {
+    /// What decided.
+    pub kind: Kind,
+    /// The policy's name.
+    pub policy: &'static str,
+    /// Targets compared.
+    pub considered: u16,
+    /// Targets left out because they are ejected.
+    pub ejected: u16,
+    /// Expected time of the request, in microseconds.
+    pub expected: f32,
+}
+
+/// What decided a choice.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// No other target could be used.
+    Only,
+    /// The policy preferred it.
+    Preferred,
+    /// The policy preferred it to a nearer one.
+    Spill,
+    /// It is ejected and is tried again.
+    Trial,
+    /// All targets that could be used are ejected.
+    Fallback,
+}
+
+/// Why no target was chosen. The request was not sent. Of several reasons the last one counts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, thiserror::Error)]
+pub enum Refusal {
+    /// The service has no targets.
+    #[error("the service has no targets")]
+    NoTargets,
+    /// Each target is leaving.
+    #[error("all targets of the service are leaving")]
+    Leaving,
+    /// Each target that takes work had the request, or is barred from it.
+    #[error("all targets of the service are excluded for this request")]
+    Excluded,
+    /// No target can be reached and answer before the deadline.
+    #[error("no target can answer before the deadline")]
+    TooLate,
+}
+
+/// The result of a choice.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Chooses targets by a policy and by what has been measured.
+#[derive(Clone, Debug)]
+pub struct Router {
+    /// What has been measured; the node reports sends and outcomes here.
+    pub estimates: estimates::Estimates,
+    policy: policy::Policy,
+    turn: usize,
+    mechanisms: mechanisms::Mechanisms,
+}
+
+/// The usable targets of one choice, on the stack.
+struct Options {
+    facts: [policy::Facts; MAX_OPTIONS],
+    usable: usize,
+    ejected: usize,
+    /// How much each latency counts: one when just measured, none when never.
+    weights: [f32; MAX_OPTIONS],
+    /// The share of its slots that each target may be given.
+    shares: [f32; MAX_OPTIONS],
+    best_ejected: Option<policy::Facts>,
+    trial: Option<policy::Facts>,
+    refusal: Refusal,
+}
+
+impl Router {
+    /// A router that has measured nothing.
+    pub fn new(policy: policy::Policy, mechanisms: mechanisms::Mechanisms) -> Router {
+        let estimates = estimates::Estimates::new(mechanisms);
+        Router { estimates, policy, turn: 0, mechanisms }
+    }
+
+    /// Chooses a target. The caller reports the send to the estimates.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        request: &Request<'_>,
+        rng: &mut rngs::SmallRng,
+    ) -> Result<Choice> {
+        self.turn = self.turn.wrapping_add(1);
+        if request.candidates.is_empty() {
+            return Err(Refusal::NoTargets);
+        }
+        let mut options = self.collect(now, request, rng);
+        if let Some(facts) = options.trial {
+            return Ok(self.choice(request, &options, &facts, Kind::Trial));
+        }
+        if options.usable == 0 {
+            let facts = options.best_ejected.ok_or(options.refusal)?;
+            return Ok(self.choice(request, &options, &facts, Kind::Fallback));
+        }
+        options.blend();
+        let facts = &options.facts[..options.usable];
+        let view = policy::View { options: facts, turn: self.turn };
+        let chosen = facts[(self.policy.pick)(&self.policy, &view, rng)];
+        let nearest = facts.iter().map(|it| it.round_trip).fold(f32::INFINITY, f32::min);
+        let kind = match options.usable {
+            1 => Kind::Only,
+            _ if chosen.round_trip > nearest => Kind::Spill,
+            _ => Kind::Preferred,
+        };
+        Ok(self.choice(request, &options, &chosen, kind))
+    }
+
+    fn collect(&self, now: Time, request: &Request<'_>, rng: &mut rngs::SmallRng) -> Options {
+        let mut options = Options {
+            facts: [policy::Facts::default(); MAX_OPTIONS],
+            usable: 0,
+            ejected: 0,
+            weights: [0.0; MAX_OPTIONS],
+            shares: [1.0; MAX_OPTIONS],
+            best_ejected: None,
+            trial: None,
+            refusal: Refusal::Leaving,
+        };
+        let count = request.candidates.len();
+        let start = if count > MAX_OPTIONS { rng.random_range(0..count) } else { 0 };
+        let remaining = request.deadline.since(now);
+        for step in 0..count {
+            if options.usable == MAX_OPTIONS {
+                break;
+            }
+            let index = (start + step) % count;
+            let candidate = &request.candidates[index];
+            if let Some(refusal) = refuse(candidate, request, remaining) {
+                options.refusal = options.refusal.max(refusal);
+                continue;
+            }
+            let share = self.share(now, candidate);
+            let (facts, estimate) = self.facts(now, index, candidate, share);
+            if let Some(estimate) = estimate.filter(|it| it.is_ejected()) {
+                options.add_ejected(now, request, facts, estimate, self.mechanisms.trials);
+                continue;
+            }
+            options.add(facts, share, estimate.map_or(0.0, |it| weight(now, it)));
+        }
+        options.thin_out(rng);
+        options
+    }
+
+    /// The share of its slots that a target may be given, which grows during a cold start.
+    fn share(&self, now: Time, candidate: &Candidate) -> f32 {
+        if candidate.state != targets::State::Starting || !self.mechanisms.ramp {
+            return 1.0;
+        }
+        let age = now.since(candidate.since).as_secs_f32() / targets::RAMP.as_secs_f32();
+        (FIRST_SHARE + (1.0 - FIRST_SHARE) * age).min(1.0)
+    }
+
+    fn facts(
+        &self,
+        now: Time,
+        index: usize,
+        candidate: &Candidate,
+        share: f32,
+    ) -> (policy::Facts, Option<&estimates::Estimate>) {
+        let estimate = self.estimates.get(candidate.key);
+        let facts = policy::Facts {
+            index: index as u32,
+            in_flight: estimate.map_or(0.0, |it| it.in_flight as f32),
+            others: estimate.map_or(0.0, |it| it.others(now)),
+            slots: (candidate.slots as f32 * share).max(1.0),
+            latency: estimate.map_or(UNKNOWN_LATENCY, |it| it.latency),
+            round_trip: 2.0 * candidate.link.as_secs_f32() * 1e6,
+        };
+        (facts, estimate)
+    }
+
+    fn choice(
+        &self,
+        request: &Request<'_>,
+        options: &Options,
+        facts: &policy::Facts,
+        kind: Kind,
+    ) -> Choice {
+        let reason = Reason {
+            kind,
+            policy: self.policy.name,
+            considered: options.usable as u16,
+            ejected: options.ejected as u16,
+            expected: self.policy.expected(facts),
+        };
+        Choice { target: request.candidates[facts.index as usize].key, reason }
+    }
+}
+
+impl Options {
+    fn add(&mut self, facts: policy::Facts, share: f32, weight: f32) {
+        self.facts[self.usable] = facts;
+        self.shares[self.usable] = share;
+        self.weights[self.usable] = weight;
+        self.usable += 1;
+    }
+
+    /// Leaves out cold targets, the more often the smaller their share is against the largest one.
+    /// When all are equally cold, as after a restart of the whole service, all stay.
+    fn thin_out(&mut self, rng: &mut rngs::SmallRng) {
+        let largest = self.shares[..self.usable].iter().copied().fold(0.0, f32::max);
+        let mut kept = 0;
+        for index in 0..self.usable {
+            let share = self.shares[index];
+            if share < largest && rng.random::<f32>() * largest >= share {
+                continue;
+            }
+            self.facts[kept] = self.facts[index];
+            self.weights[kept] = self.weights[index];
+            kept += 1;
+        }
+        self.usable = kept;
+    }
+
+    fn add_ejected(
+        &mut self,
+        now: Time,
+        request: &Request<'_>,
+        facts: policy::Facts,
+        estimate: &estimates::Estimate,
+        trials: bool,
+    ) {
+        self.ejected += 1;
+        if trials && self.trial.is_none() && estimate.trial_due(now, request.idempotent) {
+            self.trial = Some(facts);
+        }
+        let busy = |it: &policy::Facts| it.in_flight;
+        if self.best_ejected.is_none_or(|best| busy(&facts) < busy(&best)) {
+            self.best_ejected = Some(facts);
+        }
+    }
+
+    /// Moves each latency towards the mean, the more the older it is. A target without answers, or
+    /// whose answers are forgotten, gets the mean, so that it is tried. The lowest latency instead
+    /// was measured to raise the 99th percentile: it is low by chance, and draws work to targets
+    /// of which nothing is known.
+    fn blend(&mut self) {
+        let facts = &mut self.facts[..self.usable];
+        let weights = &self.weights[..self.usable];
+        let total: f32 = weights.iter().sum();
+        let sum: f32 = facts.iter().zip(weights).map(|(it, weight)| it.latency * weight).sum();
+        let mean = if total > 0.0 { sum / total } else { UNKNOWN_LATENCY };
+        for (it, weight) in facts.iter_mut().zip(weights) {
+            it.latency = mean + (it.latency - mean) * weight;
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = match self.kind {
+            Kind::Only => "the only usable target",
+            Kind::Preferred => "preferred",
+            Kind::Spill => "preferred to a nearer target",
+            Kind::Trial => "trial of an ejected target",
+            Kind::Fallback => "all usable targets are ejected",
+        };
+        write!(
+            f,
+            "{kind}; policy {}, {} compared, {} ejected, expected {:.1} ms",
+            self.policy,
+            self.considered,
+            self.ejected,
+            self.expected / 1e3,
+        )
+    }
+}
+
+fn refuse(
+    candidate: &Candidate,
+    request: &Request<'_>,
+    remaining: time::Duration,
+) -> Option<Refusal> {
+    if !candidate.state.takes_work() {
+        return Some(Refusal::Leaving);
+    }
+    if request.excluded.contains(&candidate.key) {
+        return Some(Refusal::Excluded);
+    }
+    (2 * candidate.link >= remaining).then_some(Refusal::TooLate)
+}
+
+fn weight(now: Time, estimate: &estimates::Estimate) -> f32 {
+    if estimate.answers == 0 {
+        return 0.0;
+    }
+    if now.since(estimate.at) >= estimates::FORGET_AGE {
+        return 0.0;
+    }
+    let age = now.since(estimate.at).as_secs_f32() / ESTIMATE_AGE.as_secs_f32();
+    1.0 / (1.0 + age)
+}
--- /dev/null
+++ b/crates/routing/src/policy.rs
@@ -0,0 +1,119 @@
+//! Policies for the choice of target: a function and its parameters.
+
+use rand::{Rng as _, rngs};
+
+/// How a target is picked among those that may be used.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// The name in settings and tables.
+    pub name: &'static str,
+    /// Picks an index of the view's options, which are never empty.
+    pub pick: fn(&Policy, &View<'_>, &mut rngs::SmallRng) -> usize,
+    /// What others' work at the target adds to its expected time, in proportion to its slots.
+    pub load_weight: f32,
+    /// Largest random addition to an expected time, as a share of it. Nodes that see the same
+    /// reports would otherwise choose the same target.
+    pub jitter: f32,
+}
+
+/// A target that may be used, in numbers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Facts {
+    /// The position among the candidates.
+    pub index: u32,
+    /// Requests sent from here and not answered yet.
+    pub in_flight: f32,
+    /// Work at the target that others sent.
+    pub others: f32,
+    /// Requests that the target runs at the same time, less during a cold start.
+    pub slots: f32,
+    /// Expected time at the target, in microseconds.
+    pub latency: f32,
+    /// The way there and back, in microseconds.
+    pub round_trip: f32,
+}
+
+/// What a policy chooses from.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The targets that may be used.
+    pub options: &'a [Facts],
+    /// Grows by one with each choice of this node.
+    pub turn: usize,
+}
+
+/// Takes the targets in turn.
+pub const ROUND_ROBIN: Policy =
+    Policy { name: "round-robin", pick: pick_next, load_weight: 0.0, jitter: 0.0 };
+
+/// Takes any target.
+pub const RANDOM: Policy = Policy { name: "random", pick: pick_any, load_weight: 0.0, jitter: 0.0 };
+
+/// Compares two random targets by requests in flight from here times measured latency.
+pub const TWO_CHOICES: Policy =
+    Policy { name: "two-choices", pick: pick_of_two, load_weight: 0.0, jitter: 0.0 };
+
+/// Takes the least expected time over all targets: link, measured latency and load.
+pub const LEAST_TIME: Policy =
+    Policy { name: "least-time", pick: pick_least_time, load_weight: 1.0, jitter: 0.1 };
+
+/// The policy with the best measured tail; the table is in docs/measurements.md under "Choice of
+/// target".
+pub const DEFAULT: Policy = LEAST_TIME;
+
+/// All policies, by name.
+pub const ALL: [&Policy; 4] = [&ROUND_ROBIN, &RANDOM, &TWO_CHOICES, &LEAST_TIME];
+
+/// The policy called `name`.
+pub fn find(name: &str) -> Option<&'static Policy> {
+    ALL.into_iter().find(|it| it.name == name)
+}
+
+impl Policy {
+    /// The time that a request to this target is expected to take, in microseconds.
+    ///
+    /// The measured latency contains the waiting that others cause. What was sent from here and
+    /// not answered is not in it yet, so each such request counts as one more.
+    pub fn expected(&self, facts: &Facts) -> f32 {
+        let others = self.load_weight * facts.others / facts.slots;
+        facts.round_trip + facts.latency * (1.0 + facts.in_flight + others)
+    }
+}
+
+fn pick_next(_: &Policy, view: &View<'_>, _: &mut rngs::SmallRng) -> usize {
+    view.turn % view.options.len()
+}
+
+fn pick_any(_: &Policy, view: &View<'_>, rng: &mut rngs::SmallRng) -> usize {
+    rng.random_range(0..view.options.len())
+}
+
+fn pick_of_two(_: &Policy, view: &View<'_>, rng: &mut rngs::SmallRng) -> usize {
+    let cost = |it: &Facts| (it.in_flight + 1.0) * (it.latency + it.round_trip);
+    let (a, b) = two_of(view.options.len(), rng);
+    if cost(&view.options[a]) <= cost(&view.options[b]) { a } else { b }
+}
+
+fn pick_least_time(policy: &Policy, view: &View<'_>, rng: &mut rngs::SmallRng) -> usize {
+    let count = view.options.len();
+    let start = rng.random_range(0..count);
+    let mut best = (start, f32::INFINITY);
+    for step in 0..count {
+        let index = (start + step) % count;
+        let noise = 1.0 + policy.jitter * rng.random::<f32>();
+        let cost = policy.expected(&view.options[index]) * noise;
+        if cost < best.1 {
+            best = (index, cost);
+        }
+    }
+    best.0
+}
+
+fn two_of(count: usize, rng: &mut rngs::SmallRng) -> (usize, usize) {
+    let a = rng.random_range(0..count);
+    if count == 1 {
+        return (a, a);
+    }
+    let b = (a + rng.random_range(1..count)) % count;
+    (a, b)
+}
--- /dev/null
+++ b/crates/routing/tests/choices.rs
@@ -0,0 +1,269 @@
+//! Choices among targets that slow down, fail, start and fill up.
+
+use std::{cmp, collections, fmt::Write as _, time};
+
+use rand::{SeedableRng as _, rngs};
+use routing::{choose, estimates, mechanisms, policy};
+use slotmap::SlotMap;
+use world::{targets, time::Time};
+
+const SEED: u64 = 7;
+const WORK: time::Duration = time::Duration::from_millis(5);
+/// Time between two requests of the drive below.
+const GAP: time::Duration = time::Duration::from_millis(10);
+
+fn candidates(links_micros: &[u64]) -> Vec<choose::Candidate> {
+    let mut keys = SlotMap::<targets::TargetKey, ()>::with_key();
+    let candidate = |&link| choose::Candidate {
+        key: keys.insert(()),
+        state: targets::State::Serving,
+        since: Time::ZERO,
+        slots: 6,
+        link: time::Duration::from_micros(link),
+    };
+    links_micros.iter().map(candidate).collect()
+}
+
+fn request(candidates: &[choose::Candidate], now: Time) -> choose::Request<'_> {
+    let deadline = now + time::Duration::from_secs(1);
+    choose::Request { candidates, excluded: &[], idempotent: true, deadline }
+}
+
+/// One node that sends a request each 10 ms. `work` gives the time at a target, none for a refused
+/// connection. Returns how many requests each target got in each second.
+struct Drive {
+    router: choose::Router,
+    candidates: Vec<choose::Candidate>,
+    seconds: u64,
+    work: fn(usize, Time) -> Option<time::Duration>,
+}
+
+struct Driven {
+    counts: Vec<Vec<u32>>,
+    most_ejected: usize,
+    router: choose::Router,
+}
+
+impl Drive {
+    fn run(mut self) -> Driven {
+        let mut rng = rngs::SmallRng::seed_from_u64(SEED);
+        let mut pending = collections::BinaryHeap::new();
+        let mut counts = vec![vec![0; self.candidates.len()]; self.seconds as usize];
+        let (mut now, mut most_ejected) = (Time::ZERO, 0);
+        while now < Time::from_millis(self.seconds * 1_000) {
+            while let Some(&cmp::Reverse((end, sent, index, trial))) = pending.peek()
+                && end <= now
+            {
+                pending.pop();
+                self.finish(end, sent, index, trial);
+            }
+            let is_ejected = |it: &&choose::Candidate| {
+                self.router.estimates.get(it.key).is_some_and(estimates::Estimate::is_ejected)
+            };
+            most_ejected = most_ejected.max(self.candidates.iter().filter(is_ejected).count());
+            let choice = self.router.choose(now, &request(&self.candidates, now), &mut rng);
+            let choice = choice.expect("targets are there");
+            let index = self.candidates.iter().position(|it| it.key == choice.target);
+            let index = index.expect("a candidate is chosen");
+            let trial = choice.reason.kind == choose::Kind::Trial;
+            self.router.estimates.sent(choice.target, trial);
+            counts[(now.as_micros() / 1_000_000) as usize][index] += 1;
+            let took = (self.work)(index, now).unwrap_or(time::Duration::from_millis(1));
+            pending.push(cmp::Reverse((now + took, now, index, trial)));
+            now = now + GAP;
+        }
+        Driven { counts, most_ejected, router: self.router }
+    }
+
+    fn finish(&mut self, end: Time, sent: Time, index: usize, trial: bool) {
+        let key = self.candidates[index].key;
+        let peers = self.candidates.iter().map(|it| it.key);
+        if (self.work)(index, sent).is_none() {
+            let failure = estimates::Failure::Unreachable;
+            self.router.estimates.failed(end, key, failure, trial, peers);
+            return;
+        }
+        let link = self.candidates[index].link;
+        let sample = estimates::Sample { elapsed: end.since(sent), link, load: None, trial };
+        self.router.estimates.answered(end, key, &sample, peers);
+    }
+}
+
+fn drive(
+    policy: policy::Policy,
+    mechanisms: mechanisms::Mechanisms,
+    targets: usize,
+    work: fn(usize, Time) -> Option<time::Duration>,
+) -> Driven {
+    let router = choose::Router::new(policy, mechanisms);
+    Drive { router, candidates: candidates(&vec![100; targets]), seconds: 40, work }.run()
+}
+
+/// The first target is slowed ten times from second 10 to second 20.
+fn slowed(index: usize, now: Time) -> Option<time::Duration> {
+    let slow = index == 0 && (10_000..20_000).contains(&(now.as_micros() / 1_000));
+    Some(if slow { 10 * WORK } else { WORK })
+}
+
+/// Guards against a slowed target that keeps its work, and against one that never gets work again.
+/// Without ejection the first fails under round robin, without trials the second.
+#[test]
+fn slowed_target() {
+    let off = |ejection, trials| mechanisms::Mechanisms { ejection, trials, ..Default::default() };
+    let cases = [
+        ("least-time", policy::LEAST_TIME, off(true, true)),
+        ("two-choices", policy::TWO_CHOICES, off(true, true)),
+        ("round-robin", policy::ROUND_ROBIN, off(true, true)),
+        ("round-robin, no ejection", policy::ROUND_ROBIN, off(false, true)),
+        ("round-robin, no trials", policy::ROUND_ROBIN, off(true, false)),
+    ];
+    let mut out = format!("requests to the slowed target of 5 in each second, seed {SEED}\n");
+    for (name, policy, mechanisms) in cases {
+        let counts = drive(policy, mechanisms, 5, slowed).counts;
+        let first: Vec<u32> = counts.iter().map(|it| it[0]).collect();
+        writeln!(out, "{name:<25} {first:?}").expect("text");
+        let (slow, after): (u32, u32) = (first[10..20].iter().sum(), first[35..].iter().sum());
+        let avoided = slow <= 8;
+        let returned = after >= 50;
+        assert_eq!(avoided, mechanisms.ejection, "{name}: {slow} requests while slowed");
+        assert_eq!(returned, mechanisms.trials, "{name}: {after} requests afterwards");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against an ejection that leaves too few targets: most of them fail or are slow at once.
+/// Without the limit, more than half are ejected.
+#[test]
+fn ejection_limit() {
+    let failing = |index, now: Time| {
+        let fails = now.as_micros() > 5_000_000 && index < 4;
+        if fails { None } else { Some(WORK) }
+    };
+    let mut out =
+        format!("most targets ejected at once, of those that all but one fail, seed {SEED}\n");
+    for ejection_limit in [true, false] {
+        for count in 1..=5 {
+            let mechanisms = mechanisms::Mechanisms { ejection_limit, ..Default::default() };
+            let most = drive(policy::LEAST_TIME, mechanisms, count, failing).most_ejected;
+            writeln!(out, "limit {ejection_limit}: {most} of {count}").expect("text");
+            assert_eq!(most <= count / 2, ejection_limit, "{most} of {count}");
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a straggler that ejects its target: a few tasks run many times longer.
+#[test]
+fn single_straggler() {
+    let work = |index, now: Time| {
+        let long = index == 0 && now == Time::from_millis(10_000);
+        Some(if long { 100 * WORK } else { WORK })
+    };
+    let driven = drive(policy::ROUND_ROBIN, mechanisms::Mechanisms::default(), 5, work);
+    assert_eq!(driven.most_ejected, 0);
+    let key = candidates(&[100; 5])[0].key;
+    assert!(driven.router.estimates.get(key).is_some_and(|it| it.in_flight <= 1));
+}
+
+/// Guards against a cold target that gets a full share at once, and against one that gets none.
+#[test]
+fn cold_start() {
+    let mut out = format!("requests to the cold target of 4 in each second, seed {SEED}\n");
+    for ramp in [true, false] {
+        for policy in policy::ALL {
+            let mechanisms = mechanisms::Mechanisms { ramp, ..Default::default() };
+            let router = choose::Router::new(*policy, mechanisms);
+            let mut candidates = candidates(&[100; 4]);
+            candidates[3].state = targets::State::Starting;
+            let drive = Drive { router, candidates, seconds: 12, work: |_, _| Some(WORK) };
+            let cold: Vec<u32> = drive.run().counts.iter().map(|it| it[3]).collect();
+            writeln!(out, "ramp {ramp:<5} {:<12} {cold:?}", policy.name).expect("text");
+            let (early, late) = (cold[0] + cold[1], cold[10] + cold[11]);
+            assert!(late >= 30, "{}: {late} of 200 when warm", policy.name);
+            assert_eq!(early <= 20, ramp, "{}: {early} of 200 at first", policy.name);
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a service that has restarted as a whole and gets all its work on one target.
+#[test]
+fn all_cold() {
+    for policy in policy::ALL {
+        let router = choose::Router::new(*policy, mechanisms::Mechanisms::default());
+        let mut candidates = candidates(&[100; 4]);
+        candidates.iter_mut().for_each(|it| it.state = targets::State::Starting);
+        let drive = Drive { router, candidates, seconds: 5, work: |_, _| Some(WORK) };
+        let counts = drive.run().counts;
+        let sums: Vec<u32> =
+            (0..4).map(|it| counts.iter().map(|second| second[it]).sum()).collect();
+        assert!(sums.iter().all(|&it| it >= 90), "{}, seed {SEED}: {sums:?} of 500", policy.name);
+    }
+}
+
+/// Guards against work that waits in its data centre for longer than the way to another one takes,
+/// and against work that leaves it for nothing.
+#[test]
+fn spill() {
+    let mut out = String::from("in flight at the near target: chosen\n");
+    // The far target is 2 ms there and back, and work takes 5 ms.
+    let candidates = candidates(&[100, 1_100]);
+    let mut router = choose::Router::new(policy::LEAST_TIME, mechanisms::Mechanisms::default());
+    for it in &candidates {
+        router.estimates.sent(it.key, false);
+        let elapsed = WORK + 2 * it.link;
+        let sample = estimates::Sample { elapsed, link: it.link, load: None, trial: false };
+        let peers = candidates.iter().map(|it| it.key);
+        router.estimates.answered(Time::ZERO, it.key, &sample, peers);
+    }
+    let mut rng = rngs::SmallRng::seed_from_u64(SEED);
+    for in_flight in 0..4 {
+        let choice = router.choose(Time::ZERO, &request(&candidates, Time::ZERO), &mut rng);
+        let reason = choice.expect("targets are there").reason;
+        writeln!(out, "{in_flight}: {reason}").expect("text");
+        assert_eq!(reason.kind == choose::Kind::Spill, in_flight > 0);
+        router.estimates.sent(candidates[0].key, false);
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a send to a target that must not get it, and against a wrong reason in the log.
+#[test]
+fn refusals() {
+    use targets::State::{Draining, Serving, Starting};
+    let cases: [(&str, &[targets::State], usize, u64); 8] = [
+        ("no targets", &[], 0, 1_000),
+        ("all leave", &[Draining, Draining], 0, 1_000),
+        ("one leaves", &[Draining, Serving], 0, 1_000),
+        ("only a cold one", &[Draining, Starting], 0, 1_000),
+        ("first had it", &[Serving, Serving], 1, 1_000),
+        ("all had it", &[Serving, Serving], 2, 1_000),
+        ("too late", &[Serving, Serving], 0, 2),
+        ("one too far", &[Serving, Serving], 0, 3),
+    ];
+    let mut out = String::new();
+    for (name, states, tried, left) in cases {
+        let mut all = candidates(&[1_000, 2_000]);
+        all.truncate(states.len());
+        all.iter_mut().zip(states).for_each(|(it, &state)| it.state = state);
+        let excluded: Vec<targets::TargetKey> = all.iter().take(tried).map(|it| it.key).collect();
+        let mut router = choose::Router::new(policy::DEFAULT, mechanisms::Mechanisms::default());
+        let request = choose::Request {
+            candidates: &all,
+            excluded: &excluded,
+            idempotent: true,
+            deadline: Time::from_millis(left),
+        };
+        let mut rng = rngs::SmallRng::seed_from_u64(SEED);
+        let text = match router.choose(Time::ZERO, &request, &mut rng) {
+            Ok(it) => {
+                let index = all.iter().position(|other| other.key == it.target);
+                assert!(!excluded.contains(&it.target), "{name}");
+                format!("target {index:?}: {}", it.reason)
+            }
+            Err(refusal) => refusal.to_string(),
+        };
+        writeln!(out, "{name}: {text}").expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
--- /dev/null
+++ b/crates/routing/tests/sends.rs
@@ -0,0 +1,220 @@
+//! How often a request is sent: retries, budgets and hedges.
+
+use std::{fmt::Write as _, time};
+
+use rand::{Rng as _, SeedableRng as _, rngs};
+use routing::{budget, hedge, mechanisms, retry};
+use world::{contracts, requests, time::Time};
+
+const OUTCOMES: [retry::Outcome; 4] = [
+    retry::Outcome::Answered,
+    retry::Outcome::NotRun,
+    retry::Outcome::Unknown,
+    retry::Outcome::Failed,
+];
+
+fn request(idempotent: bool) -> retry::Request {
+    retry::Request { idempotent, deadline: Time::from_millis(1_000) }
+}
+
+/// Guards against a wrong decision for any outcome, and against a refused retry that is counted.
+#[test]
+fn decisions() {
+    let mechanisms = mechanisms::Mechanisms::default();
+    let mut out = String::new();
+    for outcome in OUTCOMES {
+        for idempotent in [true, false] {
+            for (attempts, millis) in [(2, 0), (0, 0), (2, 1_000)] {
+                let mut budget = budget::Budget { attempts, depth: 1, remaining_ms: 1_000 };
+                let mut share = budget::Share::default();
+                let now = Time::from_millis(millis);
+                let request = request(idempotent);
+                let decision =
+                    retry::decide(now, outcome, &request, &mut budget, &mut share, &mechanisms);
+                let spent = attempts - budget.attempts;
+                assert_eq!(spent == 1, decision == retry::Decision::Elsewhere);
+                let kind = if idempotent { "idempotent" } else { "once only" };
+                let case = format!("{outcome:?}, {kind}, {attempts} left, at {millis} ms");
+                writeln!(out, "{case}: {decision:?}").expect("text");
+            }
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a second run of a non-idempotent request, over random outcomes. Without the
+/// guard, some requests run twice.
+#[test]
+fn at_most_one_run() {
+    for run_guard in [true, false] {
+        let mechanisms = mechanisms::Mechanisms { run_guard, share: false, ..Default::default() };
+        let mut most = 0;
+        for seed in 0..2_000 {
+            let mut rng = rngs::SmallRng::seed_from_u64(seed);
+            let mut budget = budget::Budget::first(time::Duration::from_secs(1));
+            let mut share = budget::Share::default();
+            let mut runs = 0;
+            loop {
+                let outcome = OUTCOMES[rng.random_range(0..OUTCOMES.len())];
+                runs += u32::from(outcome != retry::Outcome::NotRun);
+                let request = request(false);
+                let next = retry::decide(
+                    Time::ZERO,
+                    outcome,
+                    &request,
+                    &mut budget,
+                    &mut share,
+                    &mechanisms,
+                );
+                if next != retry::Decision::Elsewhere {
+                    break;
+                }
+            }
+            assert!(!run_guard || runs <= 1, "seed {seed}: {runs} runs");
+            most = most.max(runs);
+        }
+        assert_eq!(most > 1, !run_guard);
+    }
+}
+
+/// A chain of calls in which each level sends to all of its two targets, and the last one fails.
+/// Returns whether the call succeeded, and counts sends by level.
+fn call(
+    held: &mut budget::Budget,
+    sends: &mut [u64],
+    mechanisms: &mechanisms::Mechanisms,
+) -> budget::Result<()> {
+    let left = time::Duration::from_secs(1);
+    held.check()?;
+    let mut share = budget::Share::default();
+    for target in 0..2 {
+        sends[usize::from(held.depth) - 1] += 1;
+        let mut passed = held.pass_on(left);
+        let mut deeper = passed.call(left);
+        // The failure of the deeper call is this level's failure, and its answer is lost.
+        let _ = call(&mut deeper, sends, mechanisms);
+        let outcome = retry::Outcome::Failed;
+        let next = retry::decide(Time::ZERO, outcome, &request(true), held, &mut share, mechanisms);
+        if next != retry::Decision::Elsewhere || target == 1 {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Guards against retries that multiply over the levels of calls.
+#[test]
+fn depth_of_fifteen() {
+    let levels = usize::from(requests::MAX_DEPTH);
+    let mut out = String::from("sends at each level when the deepest call fails\n");
+    for budget in [true, false] {
+        let mechanisms = mechanisms::Mechanisms { budget, share: false, ..Default::default() };
+        let mut sends = vec![0; levels];
+        let mut first = budget::Budget::first(time::Duration::from_secs(1));
+        call(&mut first, &mut sends, &mechanisms).expect("the first level is allowed");
+        let total: u64 = sends.iter().sum();
+        writeln!(out, "budget {budget}: {sends:?}, {total} in total").expect("text");
+        let bound = u64::from(budget::EXTRA_SENDS) + 1;
+        assert_eq!(sends.iter().all(|&it| it <= bound), budget);
+        assert_eq!(total <= bound * levels as u64, budget);
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against attempts that come from nowhere while requests pass them down and get them back.
+#[test]
+fn attempts_are_conserved() {
+    for seed in 0..500 {
+        let mut rng = rngs::SmallRng::seed_from_u64(seed);
+        let mut held = vec![budget::Budget::first(time::Duration::from_secs(1))];
+        for _ in 0..30 {
+            let before: u8 = held.iter().map(|it| it.attempts).sum();
+            let left = time::Duration::from_millis(500);
+            let last = held.len() - 1;
+            match rng.random_range(0..4) {
+                0 => {
+                    let passed = held[last].pass_on(left);
+                    held.push(passed);
+                }
+                1 => {
+                    let call = held[last].call(left);
+                    held.push(call);
+                }
+                2 if last > 0 => {
+                    let unused = held.pop().map_or(0, |it| it.attempts);
+                    held[last - 1].settle(unused);
+                }
+                _ => drop(held[last].spend(&mechanisms::Mechanisms::default())),
+            }
+            let after: u8 = held.iter().map(|it| it.attempts).sum();
+            assert!(after <= before, "seed {seed}: {before} attempts became {after}");
+        }
+    }
+}
+
+/// Guards against a node whose retries and hedges grow beyond their share of its load, also after
+/// a pause, and against one that can never retry.
+#[test]
+fn share_of_extra_sends() {
+    let mut out = String::from("extra sends allowed when all requests fail, by requests in 10 s\n");
+    for share_on in [true, false] {
+        let mechanisms = mechanisms::Mechanisms { share: share_on, ..Default::default() };
+        for count in [0_u64, 5, 50, 1_000] {
+            let mut share = budget::Share::default();
+            let mut extra = 0_u64;
+            for index in 0..count {
+                let now = Time::from_micros(index * 10_000_000 / count);
+                share.first(now);
+                extra += u64::from(share.extra(now, &mechanisms));
+            }
+            let later = Time::from_millis(60_000);
+            let paused = (0..100).filter(|_| share.extra(later, &mechanisms)).count();
+            writeln!(out, "share {share_on}: {count} -> {extra}, then {paused}").expect("text");
+            let bound = (count / 10).max(budget::SHARE_FLOOR.into());
+            assert!(!share_on || extra <= bound, "{extra} of {count}");
+            assert_eq!(paused as u32 <= budget::SHARE_FLOOR, share_on);
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+fn route(hedge: bool) -> contracts::Route {
+    contracts::Route {
+        name: "listen".into(),
+        prefix: "/listen".into(),
+        service: contracts::ServiceKey::default(),
+        timeout: time::Duration::from_secs(1),
+        weight: 1,
+        idempotency: contracts::Idempotency::ByMethod,
+        keyless: false,
+        hedge,
+    }
+}
+
+/// Guards against a wrong percentile, and against a hedge for a route or a request that must not
+/// have one.
+#[test]
+fn hedges() {
+    let mut out = String::new();
+    for count in [19, 20, 100, 2_000] {
+        let mut times = hedge::Times::default();
+        for index in 0..count {
+            times.record(Time::ZERO, time::Duration::from_micros(1_000 + 10 * (index % 100)));
+        }
+        let at = times.percentile();
+        writeln!(out, "{count} times up to 2 ms: {at:?}").expect("text");
+        let exact = time::Duration::from_micros(1_940);
+        assert!(count < 100 || at.is_some_and(|it| it >= exact && it <= exact * 5 / 4));
+        let due = |hedge, idempotent| times.due(&route(hedge), &request(idempotent), Time::ZERO);
+        assert_eq!(due(true, true).is_some(), count >= 20);
+        assert_eq!(due(true, false), None, "a second run could do harm");
+        assert_eq!(due(false, true), None, "the route does not ask for it");
+        let mut old = times.clone();
+        old.record(Time::from_millis(30_000), time::Duration::from_millis(1));
+        assert_eq!(old.percentile(), None, "old times do not count");
+    }
+    let mut extremes = hedge::Times::default();
+    (0..20).for_each(|_| extremes.record(Time::ZERO, time::Duration::MAX));
+    writeln!(out, "longest: {:?}", extremes.percentile()).expect("text");
+    insta::assert_snapshot!(out);
+}
