--- /dev/null
+++ b/xtask/src/bench/routing.rs
@@ -0,0 +1,119 @@
+//! Compares policies for the choice of target on fake targets in virtual time.
+//!
+//! The model has slots, queues, links and slowed targets, and nothing else of a cluster. Each
+//! policy meets the same arrivals and the same service times.
+
+mod model;
+mod shapes;
+
+use std::time;
+
+use rand::{SeedableRng as _, rngs};
+use routing::{choose, estimates, mechanisms, policy};
+use world::{targets, time::Time};
+
+/// Measured choices of one size.
+const CHOICES: u32 = 200_000;
+
+/// Compare policies for the choice of target, on load shapes with slowed targets.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "routing")]
+pub struct Args {
+    /// seeds, separated by commas (default 1,2,3)
+    #[argh(option, default = "String::from(\"1,2,3\")")]
+    seeds: String,
+    /// load as a percentage of all slots (default 70)
+    #[argh(option, default = "70")]
+    load: u32,
+    /// virtual seconds of a run (default 60)
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// how late load reports are, in milliseconds (default 1000)
+    #[argh(option, default = "1_000")]
+    lag_ms: u64,
+    /// switch ejection off
+    #[argh(switch)]
+    no_ejection: bool,
+    /// leave out the time that one choice takes
+    #[argh(switch)]
+    no_cost: bool,
+}
+
+/// Runs the comparison and prints its tables.
+#[expect(clippy::print_stdout, reason = "the tables are the bench's output")]
+pub fn run(args: &Args) -> eyre::Result<()> {
+    let seeds: Vec<u64> =
+        args.seeds.split(',').map(|it| it.trim().parse()).collect::<Result<_, _>>()?;
+    println!(
+        "| shape | seed | policy | p50 ms | p99 ms | p99.9 ms | in time | sends | ejections |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for shape in &shapes::ALL {
+        for &seed in &seeds {
+            for policy in policy::ALL {
+                let run = model::Run {
+                    shape,
+                    policy,
+                    seed,
+                    load: args.load,
+                    seconds: args.seconds,
+                    lag: time::Duration::from_millis(args.lag_ms),
+                    ejection: !args.no_ejection,
+                };
+                let result = run.measure()?;
+                println!("| {} | {seed} | {} | {result} |", shape.name, policy.name);
+            }
+        }
+    }
+    if !args.no_cost {
+        println!();
+        println!("| targets | policy | ns per choice |");
+        println!("| --- | --- | --- |");
+        for count in [11, 50] {
+            for policy in policy::ALL {
+                println!("| {count} | {} | {} |", policy.name, choice_cost(count, *policy));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Nanoseconds of a choice, a counted send and a counted answer among `count` targets.
+fn choice_cost(count: usize, policy: policy::Policy) -> u128 {
+    let mut keys = slotmap::SlotMap::<targets::TargetKey, ()>::with_key();
+    let candidates: Vec<choose::Candidate> = (0..count)
+        .map(|index| choose::Candidate {
+            key: keys.insert(()),
+            state: targets::State::Serving,
+            since: Time::ZERO,
+            slots: 12,
+            link: time::Duration::from_micros(100 + 300 * (index as u64 % 7)),
+        })
+        .collect();
+    let mut router = choose::Router::new(policy, mechanisms::Mechanisms::default());
+    let mut rng = rngs::SmallRng::seed_from_u64(1);
+    let begun = time::Instant::now();
+    for step in 0..CHOICES {
+        let now = Time::from_micros(u64::from(step) * 100);
+        let request = choose::Request {
+            candidates: &candidates,
+            excluded: &[],
+            idempotent: true,
+            deadline: now + time::Duration::from_secs(1),
+        };
+        let Ok(choice) = router.choose(now, &request, &mut rng) else {
+            continue;
+        };
+        let trial = choice.reason.kind == choose::Kind::Trial;
+        router.estimates.sent(choice.target, trial);
+        let sample = estimates::Sample {
+            elapsed: time::Duration::from_micros(9_000 + u64::from(step % 100) * 20),
+            link: time::Duration::from_micros(100),
+            load: Some(estimates::Load { busy: step % 12, queued: 0 }),
+            trial,
+        };
+        let peers = candidates.iter().map(|it| it.key);
+        router.estimates.answered(now, choice.target, &sample, peers);
+    }
+    begun.elapsed().as_nanos() / u128::from(CHOICES)
+}
--- /dev/null
+++ b/xtask/src/bench/routing/model.rs
@@ -0,0 +1,389 @@
+//! Fake targets and nodes in virtual time.
+
+use std::{cmp, collections, fmt, time};
+
+use rand::{Rng as _, SeedableRng as _, rngs};
+use routing::{budget, choose, estimates, mechanisms, policy, retry};
+use world::{targets, time::Time};
+
+use super::shapes;
+
+/// One run of the model.
+#[derive(Clone, Copy, Debug)]
+pub struct Run<'a> {
+    /// The load shape.
+    pub shape: &'a shapes::Shape,
+    /// The policy of all nodes.
+    pub policy: &'a policy::Policy,
+    /// The seed of arrivals and service times; the nodes' generators derive from it.
+    pub seed: u64,
+    /// Load as a percentage of all slots.
+    pub load: u32,
+    /// Virtual seconds.
+    pub seconds: u64,
+    /// How late load reports are.
+    pub lag: time::Duration,
+    /// Whether slow targets are ejected.
+    pub ejection: bool,
+}
+
+/// What a run measured. Requests without an answer count with the timeout as their time.
+#[derive(Clone, Debug)]
+pub struct Measured {
+    times: hdrhistogram::Histogram<u64>,
+    in_time: u64,
+    sends: u64,
+    ejections: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive,
+    Reach { request: usize, send: u32 },
+    Finish { request: usize, send: u32 },
+    Answer { request: usize, send: u32, refused: bool },
+    GiveUp { request: usize, send: u32 },
+}
+
+struct Request {
+    node: usize,
+    arrived: Time,
+    sent: Time,
+    work: time::Duration,
+    idempotent: bool,
+    send: u32,
+    target: usize,
+    trial: bool,
+    done: bool,
+    budget: budget::Budget,
+    tried: Vec<targets::TargetKey>,
+}
+
+struct Node {
+    router: choose::Router,
+    share: budget::Share,
+    candidates: Vec<choose::Candidate>,
+    rng: rngs::SmallRng,
+}
+
+#[derive(Default)]
+struct Target {
+    busy: usize,
+    queue: collections::VecDeque<(usize, u32)>,
+    /// Work at the target after each change, for reports that lag.
+    history: collections::VecDeque<(Time, estimates::Load)>,
+}
+
+struct World<'a> {
+    run: &'a Run<'a>,
+    now: Time,
+    events: collections::BinaryHeap<cmp::Reverse<(Time, u64, Event)>>,
+    count: u64,
+    nodes: Vec<Node>,
+    keys: Vec<targets::TargetKey>,
+    targets: Vec<Target>,
+    requests: Vec<Request>,
+    rng: rngs::SmallRng,
+    mean_gap: f64,
+    slowed: Vec<Vec<usize>>,
+    measured: Measured,
+    mechanisms: mechanisms::Mechanisms,
+}
+
+impl Run<'_> {
+    /// Runs the model.
+    pub fn measure(&self) -> eyre::Result<Measured> {
+        let mut world = World::new(self)?;
+        world.push(Time::ZERO, Event::Arrive);
+        while let Some(cmp::Reverse((at, _, event))) = world.events.pop() {
+            world.now = at;
+            world.step(event)?;
+        }
+        Ok(world.measured)
+    }
+}
+
+impl<'a> World<'a> {
+    fn new(run: &'a Run<'a>) -> eyre::Result<World<'a>> {
+        let shape = run.shape;
+        let mechanisms =
+            mechanisms::Mechanisms { ejection: run.ejection, ..mechanisms::Mechanisms::default() };
+        let mut rng = rngs::SmallRng::seed_from_u64(run.seed);
+        let mut arena = slotmap::SlotMap::<targets::TargetKey, ()>::with_key();
+        let keys: Vec<_> = (0..shape.targets).map(|_| arena.insert(())).collect();
+        let node = |index: usize| Node {
+            router: choose::Router::new(*run.policy, mechanisms),
+            share: budget::Share::default(),
+            candidates: candidates(shape, &keys, index),
+            rng: rngs::SmallRng::seed_from_u64(run.seed * 1_000 + index as u64),
+        };
+        let periods = run.seconds / shapes::PERIOD.as_secs() + 1;
+        let mut pick =
+            || rand::seq::index::sample(&mut rng, shape.targets, shape.slowed()).into_vec();
+        let slowed = (0..periods).map(|_| pick()).collect();
+        let (share, factor) = shapes::STRAGGLERS;
+        let mean_work = shape.work.as_secs_f64() * (1.0 + share * (factor - 1.0));
+        let rate = f64::from(run.load) / 100.0 * (shape.targets * shape.slots) as f64 / mean_work;
+        Ok(World {
+            run,
+            now: Time::ZERO,
+            events: collections::BinaryHeap::new(),
+            count: 0,
+            nodes: (0..shape.nodes).map(node).collect(),
+            targets: (0..shape.targets).map(|_| Target::default()).collect(),
+            keys,
+            requests: Vec::new(),
+            rng,
+            mean_gap: 1.0 / rate,
+            slowed,
+            measured: Measured {
+                times: hdrhistogram::Histogram::new_with_bounds(1, 10_000_000, 3)?,
+                in_time: 0,
+                sends: 0,
+                ejections: 0,
+            },
+            mechanisms,
+        })
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.count += 1;
+        self.events.push(cmp::Reverse((at, self.count, event)));
+    }
+
+    fn step(&mut self, event: Event) -> eyre::Result<()> {
+        match event {
+            Event::Arrive => self.arrive()?,
+            Event::Reach { request, send } => self.reach(request, send),
+            Event::Finish { request, send } => self.finish(request, send),
+            Event::Answer { request, send, refused } => self.answer(request, send, refused)?,
+            Event::GiveUp { request, send } => self.give_up(request, send)?,
+        }
+        Ok(())
+    }
+
+    /// A request arrives at a node. All random draws of the workload happen here, in the same
+    /// order for each policy.
+    fn arrive(&mut self) -> eyre::Result<()> {
+        let gap = self.mean_gap * exponential(&mut self.rng);
+        let next = self.now + time::Duration::from_secs_f64(gap);
+        if next < Time::from_millis(self.run.seconds * 1_000) {
+            self.push(next, Event::Arrive);
+        }
+        let (share, factor) = shapes::STRAGGLERS;
+        let long = if self.rng.random_bool(share) { factor } else { 1.0 };
+        let spread = 0.5 + 0.5 * exponential(&mut self.rng);
+        self.requests.push(Request {
+            node: self.rng.random_range(0..self.nodes.len()),
+            arrived: self.now,
+            sent: self.now,
+            work: self.run.shape.work.mul_f64(long * spread),
+            idempotent: self.rng.random_bool(0.8),
+            send: 0,
+            target: 0,
+            trial: false,
+            done: false,
+            budget: budget::Budget::first(shapes::TIMEOUT),
+            tried: Vec::new(),
+        });
+        let request = self.requests.len() - 1;
+        let node = self.requests[request].node;
+        self.nodes[node].share.first(self.now);
+        self.send(request)
+    }
+
+    fn send(&mut self, index: usize) -> eyre::Result<()> {
+        let request = &mut self.requests[index];
+        let node = &mut self.nodes[request.node];
+        let wanted = choose::Request {
+            candidates: &node.candidates,
+            excluded: &request.tried,
+            idempotent: request.idempotent,
+            deadline: request.arrived + shapes::TIMEOUT,
+        };
+        let Ok(choice) = node.router.choose(self.now, &wanted, &mut node.rng) else {
+            return self.end(index, shapes::TIMEOUT);
+        };
+        let trial = choice.reason.kind == choose::Kind::Trial;
+        node.router.estimates.sent(choice.target, trial);
+        request.target = self.keys.iter().position(|&it| it == choice.target).unwrap_or(0);
+        request.trial = trial;
+        request.sent = self.now;
+        request.send += 1;
+        request.tried.push(choice.target);
+        self.measured.sends += 1;
+        let (send, deadline) = (request.send, request.arrived + shapes::TIMEOUT);
+        let link = self.link(index);
+        self.push(self.now + link, Event::Reach { request: index, send });
+        self.push(deadline, Event::GiveUp { request: index, send });
+        Ok(())
+    }
+
+    fn reach(&mut self, request: usize, send: u32) {
+        let target = &mut self.targets[self.requests[request].target];
+        if target.busy >= self.run.shape.slots && target.queue.len() >= self.run.shape.queue {
+            let at = self.now + self.link(request);
+            self.push(at, Event::Answer { request, send, refused: true });
+            return;
+        }
+        target.queue.push_back((request, send));
+        self.start_work(self.requests[request].target);
+    }
+
+    fn start_work(&mut self, index: usize) {
+        while self.targets[index].busy < self.run.shape.slots {
+            let Some((request, send)) = self.targets[index].queue.pop_front() else {
+                break;
+            };
+            if self.requests[request].done {
+                continue;
+            }
+            self.targets[index].busy += 1;
+            let factor = if self.is_slow(index) { shapes::SLOWED } else { 1.0 };
+            let end = self.now + self.requests[request].work.mul_f64(factor);
+            self.push(end, Event::Finish { request, send });
+        }
+        self.targets[index].note(self.now);
+    }
+
+    fn finish(&mut self, request: usize, send: u32) {
+        let target = self.requests[request].target;
+        self.targets[target].busy -= 1;
+        let at = self.now + self.link(request);
+        self.push(at, Event::Answer { request, send, refused: false });
+        self.start_work(target);
+    }
+
+    fn answer(&mut self, index: usize, send: u32, refused: bool) -> eyre::Result<()> {
+        if self.requests[index].done || self.requests[index].send != send {
+            return Ok(());
+        }
+        let load = self.targets[self.requests[index].target].report(self.now, self.run.lag);
+        let link = self.link(index);
+        let request = &mut self.requests[index];
+        let node = &mut self.nodes[request.node];
+        let key = self.keys[request.target];
+        if refused {
+            node.router.estimates.refused(self.now, key, load, request.trial);
+            let limits = retry::Request {
+                idempotent: request.idempotent,
+                deadline: request.arrived + shapes::TIMEOUT,
+            };
+            let decision = retry::decide(
+                self.now,
+                retry::Outcome::NotRun,
+                &limits,
+                &mut request.budget,
+                &mut node.share,
+                &self.mechanisms,
+            );
+            if decision == retry::Decision::Elsewhere {
+                return self.send(index);
+            }
+            return self.end(index, shapes::TIMEOUT);
+        }
+        let sample = estimates::Sample {
+            elapsed: self.now.since(request.sent),
+            link,
+            load: Some(load),
+            trial: request.trial,
+        };
+        let peers = self.keys.iter().copied();
+        let change = node.router.estimates.answered(self.now, key, &sample, peers);
+        self.count_ejection(change);
+        let elapsed = self.now.since(self.requests[index].arrived);
+        self.end(index, elapsed)
+    }
+
+    fn give_up(&mut self, index: usize, send: u32) -> eyre::Result<()> {
+        let request = &self.requests[index];
+        if request.done || request.send != send {
+            return Ok(());
+        }
+        let key = self.keys[request.target];
+        let peers = self.keys.iter().copied();
+        let estimates = &mut self.nodes[request.node].router.estimates;
+        let failure = estimates::Failure::TimedOut;
+        let change = estimates.failed(self.now, key, failure, request.trial, peers);
+        self.count_ejection(change);
+        self.end(index, shapes::TIMEOUT)
+    }
+
+    fn end(&mut self, index: usize, elapsed: time::Duration) -> eyre::Result<()> {
+        self.requests[index].done = true;
+        let micros = u64::try_from(elapsed.as_micros())?;
+        self.measured.times.record(micros.max(1))?;
+        self.measured.in_time += u64::from(elapsed <= self.run.shape.limit);
+        Ok(())
+    }
+
+    fn count_ejection(&mut self, change: Option<estimates::Change>) {
+        let ejected = change.is_some_and(|it| it != estimates::Change::Readmitted);
+        self.measured.ejections += u64::from(ejected);
+    }
+
+    fn link(&self, index: usize) -> time::Duration {
+        let request = &self.requests[index];
+        let shape = self.run.shape;
+        shape.link(shape.place(request.node), shape.place(request.target))
+    }
+
+    fn is_slow(&self, target: usize) -> bool {
+        let period = shapes::PERIOD.as_micros() as u64;
+        let (number, within) = (self.now.as_micros() / period, self.now.as_micros() % period);
+        let slow = time::Duration::from_micros(period - within) <= shapes::SLOW_TIME;
+        slow && self.slowed.get(number as usize).is_some_and(|it| it.contains(&target))
+    }
+}
+
+impl Target {
+    fn note(&mut self, now: Time) {
+        let load = estimates::Load { busy: self.busy as u32, queued: self.queue.len() as u32 };
+        self.history.push_back((now, load));
+    }
+
+    fn report(&mut self, now: Time, lag: time::Duration) -> estimates::Load {
+        // The last change before the lag is what the report shows.
+        while self.history.get(1).is_some_and(|(at, _)| *at + lag <= now) {
+            self.history.pop_front();
+        }
+        let old = self.history.front().filter(|(at, _)| *at + lag <= now);
+        old.map_or(estimates::Load { busy: 0, queued: 0 }, |(_, load)| *load)
+    }
+}
+
+impl fmt::Display for Measured {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let millis = |quantile| self.times.value_at_quantile(quantile) as f64 / 1e3;
+        let count = self.times.len().max(1) as f64;
+        write!(
+            f,
+            "{:.1} | {:.1} | {:.1} | {:.2}% | {:.3} | {}",
+            millis(0.5),
+            millis(0.99),
+            millis(0.999),
+            100.0 * self.in_time as f64 / count,
+            self.sends as f64 / count,
+            self.ejections,
+        )
+    }
+}
+
+fn candidates(
+    shape: &shapes::Shape,
+    keys: &[targets::TargetKey],
+    node: usize,
+) -> Vec<choose::Candidate> {
+    let candidate = |(index, &key): (usize, &targets::TargetKey)| choose::Candidate {
+        key,
+        state: targets::State::Serving,
+        since: Time::ZERO,
+        slots: shape.slots as u32,
+        link: shape.link(shape.place(node), shape.place(index)),
+    };
+    keys.iter().enumerate().map(candidate).collect()
+}
+
+fn exponential(rng: &mut rngs::SmallRng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Development tasks: the test run with its list of known failures, and the benches.
 
+mod bench;
 mod known_red;
 
 use std::process;
@@ -16,6 +17,7 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum Task {
+    Bench(bench::Args),
     Test(TestArgs),
 }
 
@@ -27,6 +29,7 @@
 fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
     match args.task {
+        Task::Bench(args) => bench::run(&args),
         Task::Test(TestArgs {}) => run_tests(),
     }
 }
