Test that the target of a dead node leaves the registry

Cause: the lease of the registry had a test for a node that returns, and none that fails when leases are off. Change: a test with leases on and off. Measured: it passes; with leases off the target stays. Conclusion: each switch of membership now has a case that fails without it.

--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -169,6 +169,18 @@
     insta::assert_snapshot!(out);
 }
 
+/// Guards against a target of a node that died and stays in the registry. Without leases it does.
+#[test]
+fn dead_node() {
+    for (leases, left) in [(true, 0), (false, 1)] {
+        let mechanisms = mechanisms::Mechanisms { leases, ..Default::default() };
+        let mut control = registry::Registry::new(Time::ZERO, "skulte".into(), mechanisms);
+        control.event(Time::ZERO, &serving("skulte-1", (50, 1)));
+        control.tick(Time::ZERO + registry::LEASE);
+        assert_eq!(control.targets().iter().count(), left, "leases: {leases}");
+    }
+}
+
 /// Guards against a control that restarts or takes over and misses a live target, keeps a dead
 /// one, or removes one that another control holds.
 #[test]
