--- a/crates/heatherwalk/src/render/records.rs
+++ b/crates/heatherwalk/src/render/records.rs
@@ -74,10 +74,7 @@
 
 /// A table of quarantined requests.
 pub fn quarantine(records: &[operators::QuarantineRecord]) -> String {
-    let mut table = Table::new(&[
-        ("FINGERPRINT", Align::Left),
-        ("REFUSED FOR", Align::Right),
-    ]);
+    let mut table = Table::new(&[("FINGERPRINT", Align::Left), ("REFUSED FOR", Align::Right)]);
     for it in records {
         table.push([it.fingerprint.clone(), duration(it.left_ms)]);
     }
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -1,6 +1,7 @@
-//! Benches: small load models in virtual time, compared with a baseline.
+//! Benches: small load models in virtual time, compared with baselines.
 
 mod admission;
+mod routing;
 
 /// Run a bench and print its results.
 #[derive(argh::FromArgs)]
@@ -15,6 +16,7 @@
 enum Bench {
     Crest(CrestArgs),
     HeadOfLine(HeadOfLineArgs),
+    Routing(routing::Args),
 }
 
 /// Service at the peak of a demand swing.
@@ -40,5 +42,6 @@
     match &args.bench {
         Bench::Crest(CrestArgs { seed }) => admission::crest(seed),
         Bench::HeadOfLine(HeadOfLineArgs { seed }) => admission::head_of_line(seed),
+        Bench::Routing(args) => routing::run(args),
     }
 }
