--- /dev/null
+++ b/crates/node/src/flights.rs
@@ -0,0 +1,83 @@
+//! Requests that the backend server of this host works on.
+
+use compact_str::{CompactString, format_compact};
+use routing::budget;
+use slotmap::{Key as _, KeyData, SlotMap};
+use world::{requests, time};
+
+slotmap::new_key_type! {
+    /// Key of a [`Flight`].
+    pub(crate) struct FlightKey;
+}
+
+/// A request that the backend server works on.
+#[derive(Clone, Debug)]
+pub(crate) struct Flight {
+    /// Identifies requests that do the same.
+    pub(crate) fingerprint: requests::Fingerprint,
+    /// What its calls may spend.
+    pub(crate) budget: budget::Budget,
+    /// When its caller stops waiting.
+    pub(crate) deadline: time::Time,
+    /// Method and path, for the log line after a crash.
+    pub(crate) title: CompactString,
+}
+
+/// The requests in flight, and those that broke a moment ago.
+#[derive(Debug, Default)]
+pub(crate) struct Flights {
+    arena: SlotMap<FlightKey, Flight>,
+    /// Requests whose connection broke. A crash breaks connections before it is noticed.
+    broken: Vec<(time::Time, Flight)>,
+}
+
+/// How long a broken request counts as in flight when the backend server is found dead: the lease
+/// of its announcement and one renewal.
+const BROKEN_AGE: std::time::Duration = std::time::Duration::from_millis(2_500);
+
+impl Flights {
+    /// Adds a request. The key goes to the backend server as the parent of its calls.
+    pub(crate) fn start(&mut self, flight: Flight) -> FlightKey {
+        self.arena.insert(flight)
+    }
+
+    /// The request with this key.
+    pub(crate) fn get_mut(&mut self, key: FlightKey) -> Option<&mut Flight> {
+        self.arena.get_mut(key)
+    }
+
+    /// Ends a request.
+    pub(crate) fn finish(&mut self, key: FlightKey) -> Option<Flight> {
+        self.arena.remove(key)
+    }
+
+    /// Ends a request whose connection broke.
+    pub(crate) fn break_off(&mut self, now: time::Time, key: FlightKey) -> Option<Flight> {
+        let flight = self.arena.remove(key)?;
+        self.broken.retain(|it| now.since(it.0) < BROKEN_AGE);
+        self.broken.push((now, flight.clone()));
+        Some(flight)
+    }
+
+    /// The requests that were in flight when the backend server died. Each is returned once.
+    pub(crate) fn take_suspects(&mut self, now: time::Time) -> Vec<Flight> {
+        let broken = std::mem::take(&mut self.broken);
+        let recent = broken.into_iter().filter(|it| now.since(it.0) < BROKEN_AGE).map(|it| it.1);
+        recent.chain(self.arena.values().cloned()).collect()
+    }
+
+    /// Requests in flight.
+    pub(crate) fn len(&self) -> usize {
+        self.arena.len()
+    }
+}
+
+/// A key as text, for the header that names a parent.
+pub(crate) fn encode(key: FlightKey) -> CompactString {
+    format_compact!("{:x}", key.data().as_ffi())
+}
+
+/// The key in a header.
+pub(crate) fn decode(text: &str) -> Option<FlightKey> {
+    u64::from_str_radix(text, 16).ok().map(|it| KeyData::from_ffi(it).into())
+}
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,223 @@
+//! The tables of a node and the order in which they are locked.
+
+use std::{collections, net, sync, time as std_time};
+
+use compact_str::CompactString;
+use distribution::{attach, follower};
+use membership::{directory, local};
+use protocol::{forwarding, streams};
+use rand::{SeedableRng as _, rngs};
+use routing::{budget, choose, hedge};
+use tables::{pool, rank, table};
+use tokio::sync::mpsc;
+use world::{config, contracts, document, hosts, requests, time};
+
+use crate::{flights, gates, instruments, settings, suspicion};
+
+const CONFIGURATION: rank::Rank = rank::Rank(10);
+const DIRECTORY: rank::Rank = rank::Rank(20);
+const BACKEND: rank::Rank = rank::Rank(25);
+const ROUTING: rank::Rank = rank::Rank(30);
+const ADMISSION: rank::Rank = rank::Rank(40);
+const FLIGHTS: rank::Rank = rank::Rank(50);
+const SUSPICION: rank::Rank = rank::Rank(60);
+const SESSIONS: rank::Rank = rank::Rank(70);
+
+/// Everything that a node's tasks and workers share.
+pub(crate) struct State {
+    pub(crate) settings: settings::Settings,
+    pub(crate) place: Place,
+    pub(crate) pool: pool::Pool,
+    pub(crate) links: transport::pool::Links,
+    pub(crate) client: web::client::Client,
+    pub(crate) instruments: instruments::Instruments,
+    pub(crate) configuration: table::Table<Configuration>,
+    pub(crate) directory: table::Table<directory::Directory>,
+    pub(crate) backend: table::Table<Backend>,
+    pub(crate) routing: table::Table<Routing>,
+    pub(crate) admission: table::Table<gates::Gates>,
+    pub(crate) flights: table::Table<flights::Flights>,
+    pub(crate) suspicion: table::Table<suspicion::Suspicion>,
+    pub(crate) sessions: table::Table<Sessions>,
+    pub(crate) started: std_time::Instant,
+}
+
+/// Where the node stands, by name.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) host: CompactString,
+    pub(crate) data_centre: CompactString,
+    pub(crate) centre: world::data_centres::DataCentreKey,
+}
+
+/// The versions: what the node runs and how it gets the next one.
+pub(crate) struct Configuration {
+    pub(crate) follower: follower::Follower,
+    pub(crate) running: Option<sync::Arc<config::Config>>,
+    /// The token to put into the next answer to an announcement.
+    pub(crate) token: Option<CompactString>,
+    pub(crate) rng: rngs::StdRng,
+}
+
+/// The backend server of this host.
+pub(crate) struct Backend {
+    pub(crate) local: local::Local,
+    /// Where it listens; none before the first announcement.
+    pub(crate) addr: Option<net::SocketAddr>,
+    /// The node is stopping and takes no new work.
+    pub(crate) stopping: bool,
+}
+
+/// The choice of targets.
+pub(crate) struct Routing {
+    pub(crate) router: choose::Router,
+    pub(crate) share: budget::Share,
+    pub(crate) times: collections::HashMap<contracts::RouteKey, hedge::Times>,
+    pub(crate) rng: rngs::SmallRng,
+}
+
+/// The streams to controls.
+#[derive(Default)]
+pub(crate) struct Sessions {
+    pub(crate) outboxes:
+        collections::BTreeMap<attach::ControlKey, mpsc::Sender<streams::NodeMessage>>,
+    /// The control that the node is attached to.
+    pub(crate) attached: Option<attach::ControlKey>,
+}
+
+impl State {
+    /// The state of a node that has just started.
+    pub(crate) fn new(
+        settings: settings::Settings,
+        links: transport::pool::Links,
+        instruments: instruments::Instruments,
+    ) -> State {
+        let place = Place::of(&settings);
+        let follower = follower::Follower::new(
+            follower::Settings {
+                node: place.host.clone(),
+                data_centre: place.data_centre.clone(),
+                level: document::LEVEL,
+                epoch: rand::random(),
+            },
+            attachment(&settings, &place),
+            time::Time::ZERO,
+        );
+        let configuration = Configuration {
+            follower,
+            running: None,
+            token: None,
+            rng: rngs::StdRng::from_os_rng(),
+        };
+        let mechanisms = membership::mechanisms::Mechanisms::default();
+        let directory = directory::Directory::new(place.data_centre.clone(), mechanisms);
+        let addr = settings.mesh.host(settings.me).map(|it| it.addr);
+        let at = local::Place {
+            host: place.host.clone(),
+            data_centre: place.data_centre.clone(),
+            addr: addr.expect("the settings contain this host"),
+        };
+        let local = local::Local::new(at, place.data_centre.clone(), mechanisms);
+        let policy = routing::policy::DEFAULT;
+        let routing = Routing {
+            router: choose::Router::new(policy, routing::mechanisms::Mechanisms::default()),
+            share: budget::Share::default(),
+            times: collections::HashMap::new(),
+            rng: rngs::SmallRng::from_os_rng(),
+        };
+        let backend = Backend { local, addr: None, stopping: false };
+        let suspicion = suspicion::Suspicion::default();
+        State {
+            pool: pool::Pool::spawn(settings.workers, 16_384),
+            links,
+            client: web::client::Client::new(web::client::Limits::default()),
+            instruments,
+            configuration: table::Table::new(CONFIGURATION, "configuration", configuration),
+            directory: table::Table::new(DIRECTORY, "directory", directory),
+            backend: table::Table::new(BACKEND, "backend server", backend),
+            routing: table::Table::new(ROUTING, "routing", routing),
+            admission: table::Table::new(ADMISSION, "admission", gates::Gates::default()),
+            flights: table::Table::new(FLIGHTS, "requests in flight", flights::Flights::default()),
+            suspicion: table::Table::new(SUSPICION, "suspicion", suspicion),
+            sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
+            started: std_time::Instant::now(),
+            settings,
+            place,
+        }
+    }
+
+    /// The process's monotonic clock.
+    pub(crate) fn now(&self) -> time::Time {
+        time::Time::ZERO + self.started.elapsed()
+    }
+
+    /// A point of the process's clock as tokio's timers take it.
+    pub(crate) fn instant(&self, at: time::Time) -> tokio::time::Instant {
+        let since = at.since(time::Time::ZERO);
+        tokio::time::Instant::from_std(self.started + since)
+    }
+
+    /// The running version.
+    pub(crate) fn running(&self) -> Option<sync::Arc<config::Config>> {
+        self.configuration.lock().running.clone()
+    }
+
+    /// Sends a message to the control that the node is attached to. Returns whether it was queued.
+    pub(crate) fn send_control(&self, message: streams::NodeMessage) -> bool {
+        let sessions = self.sessions.lock();
+        let Some(control) = sessions.attached else { return false };
+        let Some(outbox) = sessions.outboxes.get(&control) else { return false };
+        outbox.try_send(message).is_ok()
+    }
+}
+
+impl Place {
+    fn of(settings: &settings::Settings) -> Place {
+        let mesh = &settings.mesh;
+        let host = mesh.host(settings.me).expect("the settings contain this host");
+        let centre = mesh.data_centre(host.data_centre).expect("a host has a data centre");
+        Place {
+            host: host.name.clone(),
+            data_centre: centre.name.clone(),
+            centre: host.data_centre,
+        }
+    }
+}
+
+/// The controls: the one of this data centre first, then the others by distance.
+fn attachment(settings: &settings::Settings, place: &Place) -> attach::Attachment {
+    let mesh = &settings.mesh;
+    let mut controls: Vec<_> = mesh
+        .hosts()
+        .filter(|(_, it)| it.role == hosts::Role::Control)
+        .map(|(_, it)| (mesh.latency(place.centre, it.data_centre), it))
+        .map(|(latency, it)| (it.data_centre != place.centre, latency, it.name.clone()))
+        .collect();
+    controls.sort();
+    let mut names = controls.into_iter().map(|it| it.2);
+    let home = names.next().unwrap_or_default();
+    attach::Attachment::new(home, names.collect())
+}
+
+/// A request's way through the node, as the log lines of decisions name it.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) head: forwarding::RequestHead,
+    pub(crate) deadline: time::Time,
+    pub(crate) body: bytes::Bytes,
+    pub(crate) route: contracts::RouteKey,
+    /// The version that the request is handled by, from start to end.
+    pub(crate) config: sync::Arc<config::Config>,
+}
+
+impl Job {
+    /// What the retry rules need to know.
+    pub(crate) fn retry(&self) -> routing::retry::Request {
+        routing::retry::Request { idempotent: self.head.idempotent, deadline: self.deadline }
+    }
+
+    /// Identifies requests that do the same.
+    pub(crate) fn fingerprint(&self) -> requests::Fingerprint {
+        self.head.fingerprint
+    }
+}
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -32,12 +32,12 @@
     pub class: requests::Class,
     /// Share of a crowded target, against other routes.
     pub weight: u32,
-    /// What is left of the time limit, in microseconds.
-    pub left_micros: u64,
-    /// How deep in a chain of calls this request is.
-    pub depth: u8,
-    /// Sends that may still be made below this request.
-    pub sends: u8,
+    /// Extra sends, depth and time that are left.
+    pub budget: routing::budget::Budget,
+    /// Whether the sender can try another target after a refusal.
+    pub movable: bool,
+    /// Whether running the request twice is harmless.
+    pub idempotent: bool,
     /// Identifies requests that do the same.
     pub fingerprint: requests::Fingerprint,
     /// Whether earlier evidence says that this request may crash a backend server.
@@ -49,6 +49,8 @@
 pub enum NotRun {
     /// The backend server is gone, has another incarnation, or runs another service.
     Absent,
+    /// Long work holds the slots, and another target may be free.
+    Blocked,
     /// The backend server is draining.
     Draining,
     /// The wait would have taken longer than the time that is left.
@@ -63,17 +65,13 @@
     Stopping,
 }
 
-/// How a target's load stands when it answers.
+/// How things stand at the target's node when an answer leaves it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub queued: u32,
-    /// Requests that may run at the same time.
-    pub slots: u32,
-    /// Moving estimate of the time that a request runs, in microseconds.
-    pub service_micros: u32,
+pub struct Standing {
+    /// The target's load.
+    pub load: admission::load::LoadReport,
+    /// Extra sends that were passed on and not used.
+    pub attempts: u8,
 }
 
 /// The head of an answer; for [`AnswerHead::Answered`] the body follows as byte frames.
@@ -85,21 +83,21 @@
         status: u16,
         /// Header fields, end to end only.
         fields: Vec<Field>,
-        /// The target's load.
-        load: Load,
+        /// How things stand there.
+        standing: Standing,
     },
     /// The request was certainly not run.
     NotRun {
         /// Why.
         reason: NotRun,
-        /// The target's load.
-        load: Load,
+        /// How things stand there.
+        standing: Standing,
     },
     /// The backend server may have run the request, in full or in part.
     Unknown {
         /// What was seen.
         detail: CompactString,
-        /// The target's load.
-        load: Load,
+        /// How things stand there.
+        standing: Standing,
     },
 }
