--- a/crates/agreement/src/members.rs
+++ b/crates/agreement/src/members.rs
@@ -6,7 +6,7 @@
 use slotmap::SlotMap;
 use world::time;
 
-use crate::entries;
+use crate::{entries, events};
 
 slotmap::new_key_type! {
     /// Key of a [`Member`] in a group's arena.
@@ -45,10 +45,11 @@
     }
 }
 
-/// A snapshot that is being sent.
-#[derive(Clone, Copy, Debug)]
+/// A snapshot that is being sent. It is kept until the member has it: with each newer snapshot
+/// the transfer would start again, and on a slow link never end.
+#[derive(Clone, Debug)]
 pub(crate) struct Transfer {
-    pub(crate) index: entries::Index,
+    pub(crate) snapshot: events::Snapshot,
     pub(crate) offset: u64,
 }
 
--- a/crates/agreement/src/replication.rs
+++ b/crates/agreement/src/replication.rs
@@ -16,6 +16,9 @@
             let progress = &mut self.members.get_mut(key).progress;
             // What was in flight for a whole heartbeat counts as lost.
             progress.inflight = 0;
+            if silent {
+                progress.transfer = None;
+            }
             if silent && !progress.probing {
                 progress.probing = true;
                 progress.next = progress.matched.next();
@@ -47,6 +50,7 @@
             }
             return;
         }
+        self.members.get_mut(key).progress.transfer = None;
         let mut owed = beat;
         loop {
             let progress = &self.members.get(key).progress;
@@ -183,7 +187,8 @@
                 progress.next = progress.next.max(progress.matched.next());
                 progress.inflight = progress.inflight.saturating_sub(1);
                 progress.probing = false;
-                progress.transfer = progress.transfer.filter(|it| it.index > index);
+                progress.transfer =
+                    progress.transfer.take().filter(|it| it.snapshot.last.index > index);
             }
             messages::Outcome::Conflict(index) => {
                 let next = index.max(progress.matched.next());
--- a/crates/agreement/src/snapshots.rs
+++ b/crates/agreement/src/snapshots.rs
@@ -13,7 +13,7 @@
 }
 
 impl group::Group {
-    pub(crate) fn snapshot_taken(&mut self, index: entries::Index, data: Bytes) {
+    pub(crate) fn snapshot_taken(&mut self, now: time::Time, index: entries::Index, data: Bytes) {
         let newest = self.snapshot.as_ref().map_or(entries::Index::default(), |it| it.last.index);
         if index <= newest || index > self.applied {
             return;
@@ -24,34 +24,46 @@
         let snapshot = events::Snapshot { last, voters, data };
         self.snapshot = Some(snapshot.clone());
         self.effect(events::Effect::SaveSnapshot(snapshot));
-        let base = entries::Index(index.0.saturating_sub(self.settings.retained));
+        let base = self.next_base(now, index).max(self.log.base());
         let voters = self.configs.at(base).to_vec();
         self.configs.install(base, voters);
         self.log.compact(base);
     }
 
+    /// Where the log in memory may begin after a snapshot at `index`. The entries after a snapshot
+    /// that is being sent are kept, so that its receiver does not need another one; a host that
+    /// does not answer keeps nothing.
+    fn next_base(&self, now: time::Time, index: entries::Index) -> entries::Index {
+        let base = entries::Index(index.0.saturating_sub(self.settings.retained));
+        let others =
+            self.members.others(self.me).into_iter().filter(|&it| !self.is_silent(now, it));
+        let sent = others.filter_map(|it| {
+            self.members.get(it).progress.transfer.as_ref().map(|it| it.snapshot.last.index)
+        });
+        sent.fold(base, entries::Index::min)
+    }
+
     /// Sends the next chunk of the snapshot, which also serves as a heartbeat.
     pub(crate) fn send_chunk(&mut self, now: time::Time, key: members::MemberKey) {
-        let Some(snapshot) = &self.snapshot else { return };
-        let (last, voters) = (snapshot.last, snapshot.voters.clone());
-        let total = snapshot.data.len();
-        let transfer = self.members.get(key).progress.transfer;
-        let offset = transfer.filter(|it| it.index == last.index).map_or(0, |it| it.offset);
-        let start = usize::try_from(offset).unwrap_or(total).min(total);
         // A host that does not answer gets heartbeats without data.
         let size = if self.is_silent(now, key) { 0 } else { self.settings.chunk_bytes };
+        let leased = self.has_lease(now);
+        let Some(newest) = &self.snapshot else { return };
+        let progress = &mut self.members.get_mut(key).progress;
+        let fresh = || members::Transfer { snapshot: newest.clone(), offset: 0 };
+        let members::Transfer { snapshot, offset } = progress.transfer.get_or_insert_with(fresh);
+        let total = snapshot.data.len();
+        let start = usize::try_from(*offset).unwrap_or(total).min(total);
         let end = total.min(start + size);
         let chunk = messages::Chunk {
             stamp: messages::Stamp(now),
-            leased: self.has_lease(now),
-            last,
-            voters,
+            leased,
+            last: snapshot.last,
+            voters: snapshot.voters.clone(),
             total: total as u64,
             offset: start as u64,
             data: snapshot.data.slice(start..end),
         };
-        let transfer = members::Transfer { index: last.index, offset: start as u64 };
-        self.members.get_mut(key).progress.transfer = Some(transfer);
         self.send(key, messages::Body::Chunk(chunk));
     }
 
@@ -67,9 +79,8 @@
             return;
         }
         let progress = &mut self.members.get_mut(sender.key).progress;
-        let Some(transfer) = progress.transfer.as_mut().filter(|it| it.index == index) else {
-            return;
-        };
+        let transfer = progress.transfer.as_mut();
+        let Some(transfer) = transfer.filter(|it| it.snapshot.last.index == index) else { return };
         // A repeated answer must not start the transfer a second time.
         if received == transfer.offset {
             return;
--- a/crates/agreement/tests/cases.rs
+++ b/crates/agreement/tests/cases.rs
@@ -27,7 +27,7 @@
 /// Guards against loss, divergence and a standstill under the faults named in the design.
 #[test]
 fn faults() {
-    let cases: [Case; 17] = [
+    let cases: [Case; 18] = [
         ("none", 3, 2, |sim| sim.run(4_000)),
         ("one voter", 1, 0, |sim| sim.run(1_000)),
         ("leader killed", 3, 0, |sim| {
@@ -50,6 +50,7 @@
             sim.run(1_000);
         }),
         ("leader cut off", 5, 0, cut_leader),
+        ("voter restarts in a lease", 3, 0, |sim| early_candidate(sim, true)),
         ("leader cannot send", 3, 0, |sim| {
             sim.cut_way(lead(sim), true);
             sim.run(6_000);
@@ -224,14 +225,22 @@
 }
 
 /// Has one follower's election timeout end while the leader still has its lease. All logs are
-/// equal, so that its request is refused for no other reason.
-fn early_candidate(sim: &mut sim::Sim) {
+/// equal, so that its request is refused for no other reason. The host that it asks may have
+/// restarted and forgotten the heartbeat that it acknowledged.
+fn early_candidate(sim: &mut sim::Sim, restart: bool) {
     sim.busy = false;
     sim.run(500);
     let leader = lead(sim);
     sim.cut(leader, follower(sim));
-    sim.run(900);
+    sim.run(800);
     sim.isolate(leader);
+    // What was under way has arrived.
+    sim.run(20);
+    if restart {
+        let voter = sim.followers()[1];
+        sim.kill(voter);
+        sim.restart(voter);
+    }
     sim.run(5_000);
     sim.busy = true;
 }
@@ -248,7 +257,7 @@
         ("disk IDs", |it| it.disk_ids = false, 3, blank_voter, lost),
         ("lease check", |it| it.lease_check = false, 3, cut_leader, both),
         ("pre-vote", |it| it.pre_vote = false, 3, return_follower, "a healthy leader was deposed"),
-        ("vote refusal", |it| it.vote_refusal = false, 3, early_candidate, both),
+        ("vote refusal", |it| it.vote_refusal = false, 3, |sim| early_candidate(sim, false), both),
         ("own-term commit", |it| it.own_term = false, 5, replace_counted, lost),
         ("sync before answer", |it| it.sync_first = false, 3, power_loss, lost),
     ];
--- a/crates/storage/src/files.rs
+++ b/crates/storage/src/files.rs
@@ -4,6 +4,34 @@
 
 use crate::{errors, faults};
 
+const LOCK: &str = "lock";
+
+/// Held so that no second process opens the folder.
+#[derive(Debug)]
+pub(crate) struct Lock(fs::File);
+
+impl Lock {
+    pub(crate) fn take(folder: &path::Path) -> errors::Result<Lock> {
+        let path = folder.join(LOCK);
+        let file = fs::File::create(&path).map_err(failed("create", &path))?;
+        match file.try_lock() {
+            Ok(()) => Ok(Lock(file)),
+            Err(fs::TryLockError::WouldBlock) => Err(errors::Error::Locked { path }),
+            Err(fs::TryLockError::Error(error)) => Err(failed("lock", &path)(error)),
+        }
+    }
+}
+
+impl Drop for Lock {
+    /// Closing the file is not enough: a child process that was forked meanwhile holds a copy of
+    /// the descriptor, and the lock with it, until it runs its own program.
+    fn drop(&mut self) {
+        if let Err(error) = self.0.unlock() {
+            log::warn!("cannot release a lock file: {error}");
+        }
+    }
+}
+
 /// Turns a report of the operating system into an error with its place.
 pub(crate) fn failed(
     action: &'static str,
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -9,7 +9,6 @@
 
 const LOG: &str = "log";
 const SNAPSHOT: &str = "snapshot";
-const LOCK: &str = "lock";
 
 /// A running handle to a log on disk. Every change is synced before its function returns.
 ///
@@ -23,8 +22,7 @@
     restored: events::Restored,
     failed: bool,
     faults: F,
-    /// Held so that no second process opens the folder.
-    _lock: fs::File,
+    _lock: files::Lock,
 }
 
 impl Log {
@@ -39,7 +37,7 @@
     /// As [`Log::open`], with a function that injects faults, for tests.
     pub fn open_with(folder: &path::Path, name: &str, mut faults: F) -> errors::Result<Log<F>> {
         create_folder(folder, &mut faults)?;
-        let lock = lock(folder)?;
+        let lock = files::Lock::take(folder)?;
         let path = folder.join(LOG);
         let snapshot = files::read(&folder.join(SNAPSHOT))?;
         let Some(bytes) = files::read(&path)? else {
@@ -75,7 +73,7 @@
         folder: &path::Path,
         name: &str,
         mut faults: F,
-        lock: fs::File,
+        lock: files::Lock,
     ) -> errors::Result<Log<F>> {
         let header = records::Header::new(name, entries::DiskId(rand::random()));
         log::info!("new log {name} in {} with disk ID {}", folder.display(), header.disk());
@@ -186,16 +184,6 @@
     Ok(())
 }
 
-fn lock(folder: &path::Path) -> errors::Result<fs::File> {
-    let path = folder.join(LOCK);
-    let file = fs::File::create(&path).map_err(files::failed("create", &path))?;
-    match file.try_lock() {
-        Ok(()) => Ok(file),
-        Err(fs::TryLockError::WouldBlock) => Err(errors::Error::Locked { path }),
-        Err(fs::TryLockError::Error(error)) => Err(files::failed("lock", &path)(error)),
-    }
-}
-
 fn read_snapshot(
     folder: &path::Path,
     expected: &records::Header,
