Run the whole path: caller, node, backend server, operator, control

Cause: the roles existed only as core crates. Change: the node (callers' requests, admission, forwarding, claims, crash evidence, announcements, links to controls), the binary's commands, `dev` with an example backend server, the metrics page. The first run stopped at a lock-order violation (configuration under relay), which the debug check reported; fixed.

--- a/crates/control/src/distributing.rs
+++ b/crates/control/src/distributing.rs
@@ -123,8 +123,6 @@
     outbox: mpsc::Sender<streams::ControlMessage>,
 ) -> subscribers::SubscriberKey {
     let now = state.now();
-    let mut table = state.relay.lock();
-    let table = &mut *table;
     log::info!(
         target: "decision",
         "node {} attached, running {:?}, floor {:?}",
@@ -132,11 +130,15 @@
         hello.running.map(|it| it.version),
         hello.floor,
     );
-    let (key, effects) = table.relay.hello(now, hello, &mut table.rng);
-    table.outboxes.insert(key, outbox);
-    let standings = streams::ControlMessage::Standings(table.standings.clone());
-    table.send(key, standings);
-    let reads = perform(table, effects);
+    let (key, reads) = {
+        let mut table = state.relay.lock();
+        let table = &mut *table;
+        let (key, effects) = table.relay.hello(now, hello, &mut table.rng);
+        table.outboxes.insert(key, outbox);
+        let standings = streams::ControlMessage::Standings(table.standings.clone());
+        table.send(key, standings);
+        (key, perform(table, effects))
+    };
     ask(state, reads);
     key
 }
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -34,6 +34,7 @@
                 .into(),
         },
     };
+    state.instruments.count_patch(&answer);
     log::info!(target: "decision", "patch of {operator} on version {}: {answer:?}", request.base);
     answer
 }
--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -131,6 +131,14 @@
     state.send_peers(&streams::PeerMessage::Report(report));
 }
 
+/// Records the version and the nodes for the metrics page.
+pub(crate) fn measure(state: &state::State) {
+    let report = own_report(state);
+    let converged = report.counts.iter().find(|it| it.0 == report.version);
+    state.instruments.record_version(report.version);
+    state.instruments.record_nodes(report.nodes as usize, converged.map_or(0, |it| it.1 as usize));
+}
+
 /// What the nodes attached to this control run.
 pub(crate) fn own_report(state: &state::State) -> streams::Report {
     let now = state.now();
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -8,7 +8,8 @@
 use world::hosts;
 
 use crate::{
-    attaching, distributing, groups, http, peers, proposing, registering, replica, settings, state,
+    attaching, distributing, groups, http, instruments, peers, proposing, registering, replica,
+    settings, state,
 };
 
 /// How often the logs are stepped. It is well below the heartbeat of 200 ms.
@@ -54,6 +55,7 @@
     pub async fn spawn(
         settings: settings::Settings,
         identity: &transport::identity::Identity,
+        instruments: instruments::Instruments,
     ) -> Result<Control> {
         let folder = settings.data.clone();
         std::fs::create_dir_all(&folder).map_err(|source| Error::Folder { folder, source })?;
@@ -63,7 +65,7 @@
         let endpoint = endpoint::Endpoint::bind(listen, identity, limits)?;
         let (outboxes, queues) = peer_queues(&settings);
         let links = pool::Links::new(endpoint.clone());
-        let state = sync::Arc::new(state::State::open(settings, links, outboxes)?);
+        let state = sync::Arc::new(state::State::open(settings, links, outboxes, instruments)?);
         let operators = bind_operators(&state).await?;
         let mut tasks = task::JoinSet::new();
         for (host, queue) in queues {
@@ -77,6 +79,11 @@
         Ok(Control { state, endpoint, operators, tasks })
     }
 
+    /// Where other processes connect.
+    pub fn listen(&self) -> Result<net::SocketAddr> {
+        Ok(self.endpoint.local_addr()?)
+    }
+
     /// Where operators' requests arrive.
     pub fn operators(&self) -> net::SocketAddr {
         self.operators.local_addr()
@@ -231,6 +238,7 @@
         let job = move || {
             registering::tick(&shared);
             registering::report(&shared);
+            registering::measure(&shared);
             distributing::tick(&shared);
             distributing::publish_standings(&shared);
             groups::expire_claims(&shared);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use world::{hosts, time};
 
-use crate::{distributing, machines, replica, settings};
+use crate::{distributing, instruments, machines, replica, settings};
 
 /// Messages that may wait for a link to another control; more are dropped, which every protocol
 /// between controls tolerates.
@@ -37,6 +37,7 @@
     pub(crate) pool: pool::Pool,
     pub(crate) links: transport::pool::Links,
     pub(crate) peers: collections::BTreeMap<CompactString, mpsc::Sender<streams::PeerMessage>>,
+    pub(crate) instruments: instruments::Instruments,
     pub(crate) configuration: table::Table<replica::Replica>,
     pub(crate) configuration_queue: table::Table<Vec<Queued>>,
     pub(crate) claims: Option<table::Table<replica::Replica>>,
@@ -63,6 +64,7 @@
         settings: settings::Settings,
         links: transport::pool::Links,
         peers: collections::BTreeMap<CompactString, mpsc::Sender<streams::PeerMessage>>,
+        instruments: instruments::Instruments,
     ) -> replica::Result<State> {
         let place = Place::of(&settings);
         let mut machine = machines::Configuration::default();
@@ -100,6 +102,7 @@
             pool: pool::Pool::spawn(settings.workers, 16_384),
             links,
             peers,
+            instruments,
             configuration: table::Table::new(CONFIGURATION, "configuration", configuration),
             configuration_queue: table::Table::new(
                 CONFIGURATION_QUEUE,
--- /dev/null
+++ b/crates/heatherwalk/src/example.rs
@@ -0,0 +1,121 @@
+//! An example backend server, for `dev` and for tests. It is what an operator's own server does
+//! towards its node: it answers HTTP and announces itself.
+
+use std::{net, sync, time};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use node::backend;
+use tokio::task;
+
+/// Pause before an announcement is tried again after a failure.
+const RETRY: time::Duration = time::Duration::from_millis(100);
+/// How long an announcement may take.
+const LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// A result of this module.
+pub type Result<T, E = web::server::Error> = std::result::Result<T, E>;
+
+/// What the server is.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its service.
+    pub service: CompactString,
+    /// Its name in answers.
+    pub name: CompactString,
+    /// Where its node takes announcements.
+    pub announce: net::SocketAddr,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+}
+
+/// A running example server. Dropping it ends it at once, as a crash does.
+pub struct Server {
+    web: web::server::Server,
+    /// Aborted when it is dropped.
+    announcing: task::JoinSet<()>,
+}
+
+impl Server {
+    /// Binds a port, answers requests with `handler` and announces itself until it is dropped.
+    pub async fn spawn<H, F>(settings: Settings, handler: H) -> Result<Server>
+    where
+        H: Fn(web::exchange::Request) -> F + Send + Sync + 'static,
+        F: Future<Output = web::exchange::Answer> + Send + 'static,
+    {
+        let addr = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let router = web::routers::every(handler);
+        let limits = web::server::Limits::default();
+        let web = web::server::Server::bind(addr, limits, router).await?;
+        let mut announcing = task::JoinSet::new();
+        announcing.spawn(announce(settings, web.local_addr()));
+        Ok(Server { web, announcing })
+    }
+
+    /// Where it listens.
+    pub fn local_addr(&self) -> net::SocketAddr {
+        self.web.local_addr()
+    }
+
+    /// Ends the server as planned.
+    pub async fn stop(mut self, limit: time::Duration) {
+        self.announcing.shutdown().await;
+        self.web.stop(limit).await;
+    }
+}
+
+/// Answers with the server's name and the request's method and path.
+pub fn greet(
+    name: CompactString,
+) -> impl Fn(web::exchange::Request) -> std::future::Ready<web::exchange::Answer> {
+    let name = sync::Arc::new(name);
+    move |request| {
+        let text = format!("{name} answers {} {}\n", request.method, request.path);
+        std::future::ready(web::exchange::Answer::text(http::StatusCode::OK, &text))
+    }
+}
+
+async fn announce(settings: Settings, addr: net::SocketAddr) {
+    let client = web::client::Client::new(web::client::Limits::default());
+    let started = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    let mut announcement = backend::Announcement {
+        service: settings.service,
+        addr,
+        incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+        slots: settings.slots,
+        drain: false,
+        token: None,
+    };
+    loop {
+        match send(&client, settings.announce, &announcement).await {
+            Some(answer) => {
+                announcement.token = answer.token;
+                tokio::time::sleep(time::Duration::from_millis(answer.renew_ms)).await;
+            }
+            None => tokio::time::sleep(RETRY).await,
+        }
+    }
+}
+
+async fn send(
+    client: &web::client::Client,
+    to: net::SocketAddr,
+    announcement: &backend::Announcement,
+) -> Option<backend::AnnounceAnswer> {
+    let body = serde_json::to_vec(announcement).ok()?;
+    let call = web::client::Call {
+        addr: to,
+        method: http::Method::POST,
+        path: "/announce".into(),
+        headers: http::HeaderMap::new(),
+        body: web::body::Body::full(Bytes::from(body)),
+        deadline: tokio::time::Instant::now() + LIMIT,
+        reuse: web::client::Reuse::Pooled,
+    };
+    let answer = client.send(call).await.ok()?;
+    if answer.status != http::StatusCode::OK {
+        return None;
+    }
+    let body = answer.body.whole(64 * 1024).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
--- a/crates/heatherwalk/src/main.rs
+++ b/crates/heatherwalk/src/main.rs
@@ -1,3 +1,149 @@
 //! The heatherwalk binary.
 
-fn main() {}
+use std::{env, io, io::Write as _, process, time};
+
+use eyre::WrapErr as _;
+use heatherwalk::{args, calls, dev, exit_codes, keys, logs, operators, roles, settings};
+use tokio::{runtime, signal};
+
+fn main() -> process::ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let code = match args::parse(&arguments) {
+        Ok(command) => run(&command),
+        Err(exit) => {
+            say(exit.code == exit_codes::DONE, &exit.text);
+            exit.code
+        }
+    };
+    code.into()
+}
+
+fn run(command: &args::Command) -> u8 {
+    let result = match command {
+        args::Command::Check(it) => settings::load(&it.settings).map(drop).map_err(Into::into),
+        args::Command::Control(it) => run_role(&it.settings, "control"),
+        args::Command::Dev(it) => run_dev(it.port),
+        args::Command::Keys(it) => run_keys(&it.command),
+        args::Command::Node(it) => run_role(&it.settings, "node"),
+        args::Command::Version(_) => {
+            say(true, &args::version());
+            Ok(())
+        }
+        _ => return run_operator(command),
+    };
+    match result {
+        Ok(()) => exit_codes::DONE,
+        Err(err) => {
+            say(false, &format!("{err:#}"));
+            exit_codes::FAILED
+        }
+    }
+}
+
+/// Prints a line. A reader that has gone away is not an error.
+fn say(result: bool, text: &str) {
+    let _ = match result {
+        true => writeln!(io::stdout(), "{text}"),
+        false => writeln!(io::stderr(), "{text}"),
+    };
+}
+
+fn start_runtime() -> eyre::Result<runtime::Runtime> {
+    let mut builder = runtime::Builder::new_multi_thread();
+    builder.enable_all().build().wrap_err("cannot start the runtime")
+}
+
+fn run_role(file: &str, name: &str) -> eyre::Result<()> {
+    let settings = settings::load(file)?;
+    let runtime = start_runtime()?;
+    match settings {
+        settings::Settings::Control(settings, files, log) if name == "control" => {
+            logs::open(log, io::stderr())?;
+            let identity = roles::load_identity(&files)?;
+            runtime.block_on(roles::run_control(*settings, &identity, stopped()))?;
+        }
+        settings::Settings::Node(settings, files, log) if name == "node" => {
+            logs::open(log, io::stderr())?;
+            let identity = roles::load_identity(&files)?;
+            runtime.block_on(roles::run_node(*settings, &identity, stopped()))?;
+        }
+        _ => eyre::bail!("{file}: [host] role is not {name}; run the command of that role"),
+    }
+    Ok(())
+}
+
+fn run_dev(port: Option<u16>) -> eyre::Result<()> {
+    let log = settings::Log { level: log::LevelFilter::Info, decisions: true };
+    logs::open(log, io::stderr())?;
+    start_runtime()?.block_on(async {
+        let dev = dev::Dev::spawn(port).await?;
+        say(true, &dev.guide());
+        stopped().await;
+        dev.stop().await;
+        Ok(())
+    })
+}
+
+/// Completes when the process is asked to stop.
+async fn stopped() {
+    let terminated = async {
+        match signal::unix::signal(signal::unix::SignalKind::terminate()) {
+            Ok(mut signals) => _ = signals.recv().await,
+            Err(_) => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        _ = signal::ctrl_c() => {}
+        () = terminated => {}
+    }
+    log::info!("asked to stop");
+}
+
+fn run_keys(command: &args::KeysCommand) -> eyre::Result<()> {
+    let files = match command {
+        args::KeysCommand::Authority(it) => keys::write_authority(&it.out)?,
+        args::KeysCommand::Issue(it) => {
+            keys::write_host(&it.authority, &it.host, it.role, &it.out)?
+        }
+    };
+    say(true, &format!("{}\n{}", files.certificate.display(), files.key.display()));
+    Ok(())
+}
+
+fn run_operator(command: &args::Command) -> u8 {
+    match operate(command) {
+        Ok(()) => exit_codes::DONE,
+        Err(err) => {
+            say(false, &err.to_string());
+            err.exit_code()
+        }
+    }
+}
+
+fn operate(command: &args::Command) -> operators::Result<()> {
+    let Some(access) = command.access() else { return Ok(()) };
+    let variable = env::var(args::TOKEN_VARIABLE).ok().map(Into::into);
+    let token = operators::inputs::read_token(access.token_file.as_deref(), variable)?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a process can start a runtime on its own thread");
+    let http = web::client::Client::new(web::client::Limits::default());
+    let begun = time::Instant::now();
+    let mut client = operators::Client {
+        controls: access.control,
+        call: |call: &operators::Call| runtime.block_on(calls::send(&http, &token, call)),
+        pause: |pause: time::Duration| {
+            runtime.block_on(async { tokio::time::sleep(pause).await });
+            begun.elapsed()
+        },
+    };
+    let mut console = operators::Console {
+        input: io::stdin(),
+        out: io::stdout(),
+        err: io::stderr(),
+        user: env::var("USER").ok().map(Into::into),
+    };
+    operators::run(command, &mut client, &mut console)
+}
--- /dev/null
+++ b/crates/node/src/answers.rs
@@ -0,0 +1,211 @@
+//! Answers that the node gives itself, and what they say about whether the request ran.
+
+use compact_str::{CompactString, format_compact};
+use replicated::claims;
+
+use crate::{headers, sending};
+
+/// A result of this module: the answer of a backend server, or the node's own.
+pub(crate) type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// What is known about a request that a backend server did not answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Run {
+    /// It was certainly not run.
+    Not,
+    /// It may have run.
+    Unknown,
+}
+
+/// An answer that the node gives itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// The HTTP status.
+    pub(crate) status: http::StatusCode,
+    /// What is known about the request.
+    pub(crate) run: Run,
+    /// The reason in one word.
+    pub(crate) reason: &'static str,
+    /// The reason in a sentence, with what the caller can do.
+    pub(crate) detail: CompactString,
+}
+
+impl Refusal {
+    fn not_run(status: http::StatusCode, reason: &'static str, detail: &str) -> Refusal {
+        Refusal { status, run: Run::Not, reason, detail: detail.into() }
+    }
+
+    /// The refusal as an answer.
+    pub(crate) fn into_answer(self) -> web::exchange::Answer {
+        let mut answer = web::exchange::Answer::text(self.status, &format!("{}\n", self.detail));
+        let (name, value) = match self.run {
+            Run::Not => (headers::NOT_RUN, "true"),
+            Run::Unknown => (headers::OUTCOME, "unknown"),
+        };
+        headers::set(&mut answer.headers, name, value);
+        headers::set(&mut answer.headers, headers::REASON, self.reason);
+        answer
+    }
+}
+
+pub(crate) fn overloaded() -> Refusal {
+    let detail = "this node has too much work; send the request again";
+    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "overloaded", detail)
+}
+
+pub(crate) fn stopping() -> Refusal {
+    let detail = "this node is stopping; send the request to another";
+    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "stopping", detail)
+}
+
+pub(crate) fn no_version() -> Refusal {
+    let detail = "this node has no configuration yet; send the request again";
+    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-version", detail)
+}
+
+pub(crate) fn no_route() -> Refusal {
+    Refusal::not_run(http::StatusCode::NOT_FOUND, "no-route", "no route has this path")
+}
+
+pub(crate) fn bad_deadline() -> Refusal {
+    let detail = "heatherwalk-deadline-ms must be a whole number of milliseconds";
+    Refusal::not_run(http::StatusCode::BAD_REQUEST, "bad-deadline", detail)
+}
+
+pub(crate) fn bad_first_sent() -> Refusal {
+    let detail = "heatherwalk-first-sent must be a whole number of seconds since the Unix epoch";
+    Refusal::not_run(http::StatusCode::BAD_REQUEST, "bad-first-sent", detail)
+}
+
+pub(crate) fn bad_parent() -> Refusal {
+    let detail = "heatherwalk-parent names no request that this node's backend server works on";
+    Refusal::not_run(http::StatusCode::BAD_REQUEST, "bad-parent", detail)
+}
+
+pub(crate) fn out_of_budget(error: &routing::budget::Error) -> Refusal {
+    let detail = format_compact!("{error}");
+    Refusal::not_run(http::StatusCode::GATEWAY_TIMEOUT, "budget", &detail)
+}
+
+pub(crate) fn unreadable(error: &web::body::Error) -> Refusal {
+    let detail = format_compact!("the request's body cannot be used: {error}");
+    let status = match error {
+        web::body::Error::TooLarge { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
+        _ => http::StatusCode::BAD_REQUEST,
+    };
+    Refusal::not_run(status, "bad-body", &detail)
+}
+
+pub(crate) fn too_old() -> Refusal {
+    let detail = "the request was first sent longer ago than claims are kept, so it cannot be \
+                  told whether it ran before; this resend was not run";
+    Refusal::not_run(http::StatusCode::GONE, "too-old", detail)
+}
+
+pub(crate) fn key_required() -> Refusal {
+    let detail = "a non-idempotent request needs the header idempotency-key";
+    Refusal::not_run(http::StatusCode::PRECONDITION_REQUIRED, "key-required", detail)
+}
+
+pub(crate) fn no_home() -> Refusal {
+    let detail = "the service has no home region that keeps claims; an operator has to set one";
+    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-home", detail)
+}
+
+pub(crate) fn no_claim() -> Refusal {
+    let detail = "the request cannot be claimed at present; send it again with the same key";
+    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-claim", detail)
+}
+
+pub(crate) fn quarantined() -> Refusal {
+    let detail = "requests like this one crash backend servers and are refused for a time";
+    Refusal::not_run(http::StatusCode::UNPROCESSABLE_ENTITY, "quarantined", detail)
+}
+
+pub(crate) fn broken() -> Refusal {
+    Refusal {
+        status: http::StatusCode::BAD_GATEWAY,
+        run: Run::Unknown,
+        reason: "broken",
+        detail: "the answer of the backend server ended early".into(),
+    }
+}
+
+/// The answer after the last send of a request failed.
+pub(crate) fn from_failure(failure: sending::Failure) -> Refusal {
+    match failure {
+        sending::Failure::NotRun(reason) => {
+            let detail = format_compact!("no target ran the request: {reason}");
+            Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-target", &detail)
+        }
+        sending::Failure::Quarantined => quarantined(),
+        sending::Failure::Unknown(detail) => Refusal {
+            status: http::StatusCode::BAD_GATEWAY,
+            run: Run::Unknown,
+            reason: "unknown",
+            detail: format_compact!("the request may have run: {detail}"),
+        },
+    }
+}
+
+/// The answer when the claims forbid to run a request.
+pub(crate) fn from_claim(answer: claims::Answer) -> Result<web::exchange::Answer> {
+    let conflict = http::StatusCode::CONFLICT;
+    match answer {
+        claims::Answer::Completed(stored) => Ok(replay(stored)),
+        claims::Answer::InProgress => Err(Refusal {
+            status: conflict,
+            run: Run::Unknown,
+            reason: "in-progress",
+            detail: "a request with this key is in progress; ask again later".into(),
+        }),
+        claims::Answer::Mismatch => {
+            let detail = "the idempotency key belongs to another request; this one was not run";
+            let status = http::StatusCode::UNPROCESSABLE_ENTITY;
+            Err(Refusal::not_run(status, "key-mismatch", detail))
+        }
+        claims::Answer::Full => {
+            let detail = "the table of claims is full; send the request again later";
+            Err(Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "claims-full", detail))
+        }
+        claims::Answer::Malformed => {
+            let detail = "the idempotency key must have 1 to 256 bytes";
+            Err(Refusal::not_run(http::StatusCode::BAD_REQUEST, "bad-key", detail))
+        }
+        claims::Answer::Unknown
+        | claims::Answer::Granted
+        | claims::Answer::Released
+        | claims::Answer::Stored
+        | claims::Answer::NotHolder
+        | claims::Answer::Expired
+        | claims::Answer::AlreadyApplied => Err(Refusal {
+            status: conflict,
+            run: Run::Unknown,
+            reason: "unknown",
+            detail: "a request with this key may have run, and its answer is not known; it is \
+                     not run again"
+                .into(),
+        }),
+    }
+}
+
+/// The stored answer of a request that ran.
+fn replay(stored: claims::StoredAnswer) -> web::exchange::Answer {
+    let fields: Vec<_> = stored
+        .headers
+        .iter()
+        .map(|(name, value)| protocol::forwarding::Field {
+            name: name.clone(),
+            value: value.to_vec(),
+        })
+        .collect();
+    let mut headers = headers::decode(&fields);
+    // The length is that of the answer as it was; a body that was cut has another.
+    headers.remove(http::header::CONTENT_LENGTH);
+    headers::set(&mut headers, headers::STORED, if stored.cut { "cut" } else { "whole" });
+    web::exchange::Answer {
+        status: http::StatusCode::from_u16(stored.status).unwrap_or(http::StatusCode::OK),
+        headers,
+        body: web::body::Body::full(stored.body),
+    }
+}
--- a/crates/node/src/gates.rs
+++ b/crates/node/src/gates.rs
@@ -136,13 +136,13 @@
                 work::Effect::Refuse(_, reason) => Err(convert(reason)),
             };
             // A task that has gone cancels its request itself.
-            drop(waiting.send(verdict));
+            let _ = waiting.send(verdict);
         }
     }
 
     fn refuse_waiting(&mut self, reason: forwarding::NotRun) {
         for (_, waiting) in self.waiting.drain() {
-            drop(waiting.send(Err(reason)));
+            let _ = waiting.send(Err(reason));
         }
     }
 }
@@ -163,8 +163,11 @@
     /// Frees the slot.
     pub(crate) fn finish(mut self, outcome: work::Outcome) {
         self.done = true;
-        let now = self.state.now();
-        self.state.admission.lock().finish(now, self.key, outcome);
+        let (state, key) = (sync::Arc::clone(&self.state), self.key);
+        self.state.pool.submit_or_run(move || {
+            let now = state.now();
+            state.admission.lock().finish(now, key, outcome);
+        });
     }
 
     /// The gate has refused the work itself.
@@ -175,10 +178,14 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        if !self.done {
-            let now = self.state.now();
-            self.state.admission.lock().cancel(now, self.key);
+        if self.done {
+            return;
         }
+        let (state, key) = (sync::Arc::clone(&self.state), self.key);
+        self.state.pool.submit_or_run(move || {
+            let now = state.now();
+            state.admission.lock().cancel(now, key);
+        });
     }
 }
 
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -108,11 +108,13 @@
 fn refusal_name(reason: forwarding::NotRun) -> &'static str {
     match reason {
         forwarding::NotRun::Absent => "absent",
+        forwarding::NotRun::Blocked => "blocked",
         forwarding::NotRun::Draining => "draining",
         forwarding::NotRun::Full => "full",
         forwarding::NotRun::Late => "late",
         forwarding::NotRun::Quarantined => "quarantined",
         forwarding::NotRun::Refused => "refused",
+        forwarding::NotRun::Shed => "shed",
         forwarding::NotRun::Stopping => "stopping",
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -22,3 +22,13 @@
     /// How long a planned stop waits for requests in flight.
     pub stop_limit: time::Duration,
 }
+
+impl Settings {
+    /// Replaces the address for other processes by the one that was bound.
+    pub(crate) fn listen(&mut self, addr: net::SocketAddr) {
+        if let Some(host) = self.mesh.host(self.me) {
+            let host = hosts::Host { addr, ..host.clone() };
+            self.mesh.put_host(host);
+        }
+    }
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -171,6 +171,17 @@
     }
 }
 
+impl Routing {
+    /// Carries measurements over to a new version, in which routes have other keys.
+    pub(crate) fn rename_routes(
+        &mut self,
+        rename: impl Fn(contracts::RouteKey) -> Option<contracts::RouteKey>,
+    ) {
+        let times = std::mem::take(&mut self.times);
+        self.times = times.into_iter().filter_map(|(key, it)| Some((rename(key)?, it))).collect();
+    }
+}
+
 impl Place {
     fn of(settings: &settings::Settings) -> Place {
         let mesh = &settings.mesh;
@@ -205,9 +216,6 @@
     pub(crate) head: forwarding::RequestHead,
     pub(crate) deadline: time::Time,
     pub(crate) body: bytes::Bytes,
-    pub(crate) route: contracts::RouteKey,
-    /// The version that the request is handled by, from start to end.
-    pub(crate) config: sync::Arc<config::Config>,
 }
 
 impl Job {
--- /dev/null
+++ b/crates/node/src/working.rs
@@ -0,0 +1,289 @@
+//! Running a request on the backend server of this host.
+
+use std::{sync, time as std_time};
+
+use admission::work;
+use compact_str::{CompactString, format_compact};
+use protocol::forwarding;
+use world::{contracts, time};
+
+use crate::{backend, flights, gates, headers, state, suspicion};
+
+/// How long the check for a dead process may take after a connection broke.
+const PROBE_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// A request for this host's backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Order {
+    pub(crate) head: forwarding::RequestHead,
+    pub(crate) body: bytes::Bytes,
+    pub(crate) deadline: time::Time,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Debug)]
+pub(crate) enum Failure {
+    /// The request was certainly not run.
+    NotRun(forwarding::NotRun),
+    /// The request may have run, in full or in part.
+    Unknown(CompactString),
+}
+
+/// An answer whose body is still on its way. The slot is held until the body has ended.
+pub(crate) struct Answered {
+    pub(crate) status: http::StatusCode,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: web::body::Body,
+    pub(crate) running: Running,
+}
+
+/// A request that the backend server works on. Dropping it counts as an abandoned request.
+pub(crate) struct Running {
+    state: sync::Arc<state::State>,
+    held: Option<gates::Held>,
+    flight: flights::FlightKey,
+    suspect: bool,
+    done: bool,
+}
+
+/// Admits a request, sends it to the backend server and waits for the head of the answer.
+pub(crate) async fn run(
+    state: &sync::Arc<state::State>,
+    order: Order,
+) -> Result<Answered, Failure> {
+    let job = {
+        let state = sync::Arc::clone(state);
+        let order = order.clone();
+        move || offer(&state, &order)
+    };
+    let offered = state.pool.run(job).await;
+    // A full queue of jobs means that nothing was decided, let alone sent.
+    let offered = offered.unwrap_or(gates::Offer::Refuse(forwarding::NotRun::Full));
+    let held = admit(state, offered).await.map_err(Failure::NotRun)?;
+    let Some(addr) = state.backend.lock().addr else {
+        return Err(Failure::NotRun(forwarding::NotRun::Absent));
+    };
+    let running = start(state, &order, held);
+    let result = state.client.send(call(state, &order, addr, running.flight)).await;
+    match result {
+        Ok(answer) if headers::text(&answer.headers, headers::NOT_RUN) == Some("true") => {
+            running.finish(work::Outcome::Failed);
+            Err(Failure::NotRun(forwarding::NotRun::Shed))
+        }
+        Ok(answer) => Ok(Answered {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+            running,
+        }),
+        Err(web::client::Error::NotSent(reason)) => {
+            log::info!(target: "decision", "backend server {addr} refused: {reason}");
+            running.finish(work::Outcome::Failed);
+            probe(state, addr).await;
+            Err(Failure::NotRun(forwarding::NotRun::Refused))
+        }
+        Err(web::client::Error::MaybeSent(reason)) => {
+            let timed_out = state.now() >= order.deadline;
+            running.break_off(timed_out);
+            if !timed_out {
+                probe(state, addr).await;
+            }
+            Err(Failure::Unknown(reason))
+        }
+    }
+}
+
+impl Running {
+    /// Extra sends that the request's calls have left.
+    pub(crate) fn attempts(&self) -> u8 {
+        self.state.flights.lock().get_mut(self.flight).map_or(0, |it| it.budget.attempts)
+    }
+
+    /// The request ran to its end.
+    pub(crate) fn finish(mut self, outcome: work::Outcome) {
+        self.done = true;
+        if let Some(held) = self.held.take() {
+            held.finish(outcome);
+        }
+        let state = sync::Arc::clone(&self.state);
+        let cleared = self.suspect && outcome == work::Outcome::Answered;
+        let key = self.flight;
+        self.state.pool.submit_or_run(move || {
+            let flight = state.flights.lock().finish(key);
+            if let Some(flight) = flight.filter(|_| cleared) {
+                backend::clear(&state, &flight);
+            }
+        });
+    }
+
+    /// The connection broke, or the time was up, before the answer was complete.
+    pub(crate) fn break_off(mut self, timed_out: bool) {
+        self.done = true;
+        if let Some(held) = self.held.take() {
+            let outcome = if timed_out { work::Outcome::TimedOut } else { work::Outcome::Failed };
+            held.finish(outcome);
+        }
+        self.end(timed_out);
+    }
+
+    fn end(&self, harmless: bool) {
+        let state = sync::Arc::clone(&self.state);
+        let key = self.flight;
+        self.state.pool.submit_or_run(move || {
+            let now = state.now();
+            let mut flights = state.flights.lock();
+            if harmless {
+                flights.finish(key);
+            } else {
+                flights.break_off(now, key);
+            }
+        });
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.done {
+            // The caller left. Its request may still crash the backend server.
+            self.end(false);
+        }
+    }
+}
+
+/// How things stand at this host's target.
+pub(crate) fn standing(state: &state::State, attempts: u8) -> forwarding::Standing {
+    let now = state.now();
+    forwarding::Standing { load: state.admission.lock().load(now), attempts }
+}
+
+fn offer(state: &state::State, order: &Order) -> gates::Offer {
+    let now = state.now();
+    let head = &order.head;
+    if let Some(reason) = check_backend(state, head) {
+        return gates::Offer::Refuse(reason);
+    }
+    let standing = state.suspicion.lock().standing(now, &head.fingerprint);
+    if standing == suspicion::Standing::Quarantined {
+        return gates::Offer::Refuse(forwarding::NotRun::Quarantined);
+    }
+    let work = work::Work {
+        route: route_key(state, head),
+        weight: head.weight,
+        class: head.class,
+        deadline: order.deadline,
+        movable: head.movable,
+        suspect: head.suspect || standing == suspicion::Standing::Suspect,
+    };
+    let offer = state.admission.lock().offer(now, work);
+    let name = match &offer {
+        gates::Offer::Run(_) => "run",
+        gates::Offer::Wait(..) => "wait",
+        gates::Offer::Refuse(_) => "refuse",
+    };
+    log::info!(
+        target: "decision",
+        "admission: {name} {} {} of route {}, class {:?}, {offer:?}",
+        head.method,
+        head.path,
+        head.route,
+        head.class,
+    );
+    offer
+}
+
+fn check_backend(
+    state: &state::State,
+    head: &forwarding::RequestHead,
+) -> Option<forwarding::NotRun> {
+    let backend = state.backend.lock();
+    if backend.stopping {
+        return Some(forwarding::NotRun::Stopping);
+    }
+    let Some(entry) = backend.local.entry() else { return Some(forwarding::NotRun::Absent) };
+    if entry.state == world::targets::State::Draining {
+        return Some(forwarding::NotRun::Draining);
+    }
+    if !entry.state.takes_work() || entry.service != head.service {
+        return Some(forwarding::NotRun::Absent);
+    }
+    None
+}
+
+/// The key of the sender's route in the version that runs here. A route that this node does not
+/// have yet shares the measurements of all unknown routes.
+fn route_key(state: &state::State, head: &forwarding::RequestHead) -> contracts::RouteKey {
+    let config = state.running();
+    let path = head.path.split('?').next().unwrap_or_default();
+    config.and_then(|it| it.find_route(path)).unwrap_or_default()
+}
+
+async fn admit(
+    state: &sync::Arc<state::State>,
+    offered: gates::Offer,
+) -> Result<gates::Held, forwarding::NotRun> {
+    match offered {
+        gates::Offer::Refuse(reason) => Err(reason),
+        gates::Offer::Run(key) => Ok(gates::Held::new(sync::Arc::clone(state), key)),
+        gates::Offer::Wait(key, verdict) => {
+            let held = gates::Held::new(sync::Arc::clone(state), key);
+            match verdict.await {
+                Ok(Ok(())) => Ok(held),
+                Ok(Err(reason)) => {
+                    held.forget();
+                    Err(reason)
+                }
+                Err(_) => Err(forwarding::NotRun::Absent),
+            }
+        }
+    }
+}
+
+fn start(state: &sync::Arc<state::State>, order: &Order, held: gates::Held) -> Running {
+    let head = &order.head;
+    let flight = flights::Flight {
+        fingerprint: head.fingerprint,
+        budget: head.budget,
+        deadline: order.deadline,
+        title: format_compact!("{} {} of {}", head.method, head.path, head.service),
+    };
+    let flight = state.flights.lock().start(flight);
+    let now = state.now();
+    let standing = state.suspicion.lock().standing(now, &head.fingerprint);
+    let suspect = head.suspect || standing == suspicion::Standing::Suspect;
+    Running { state: sync::Arc::clone(state), held: Some(held), flight, suspect, done: false }
+}
+
+fn call(
+    state: &state::State,
+    order: &Order,
+    addr: std::net::SocketAddr,
+    flight: flights::FlightKey,
+) -> web::client::Call {
+    let head = &order.head;
+    let mut fields = headers::decode(&head.fields);
+    headers::set(&mut fields, headers::PARENT, &flights::encode(flight));
+    let left = order.deadline.since(state.now()).as_millis();
+    headers::set(&mut fields, headers::DEADLINE, &format_compact!("{left}"));
+    let reuse =
+        if head.idempotent { web::client::Reuse::Pooled } else { web::client::Reuse::Fresh };
+    web::client::Call {
+        addr,
+        method: head.method.parse().unwrap_or(http::Method::GET),
+        path: head.path.clone(),
+        headers: fields,
+        body: web::body::Body::full(order.body.clone()),
+        deadline: state.instant(order.deadline),
+        reuse,
+    }
+}
+
+/// Finds out at once whether a broken connection was a crash, instead of after the lease.
+async fn probe(state: &sync::Arc<state::State>, addr: std::net::SocketAddr) {
+    let connect = tokio::time::timeout(PROBE_LIMIT, tokio::net::TcpStream::connect(addr)).await;
+    if matches!(connect, Ok(Err(_))) {
+        let shared = sync::Arc::clone(state);
+        if state.pool.run(move || backend::lose(&shared, addr)).await.is_err() {
+            log::warn!("too much work; the loss of the backend server waits for its lease");
+        }
+    }
+}
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -20,8 +20,6 @@
     pub service: CompactString,
     /// The route that the sender chose.
     pub route: CompactString,
-    /// The incarnation of the backend server that the sender chose.
-    pub incarnation: u64,
     /// The HTTP method.
     pub method: CompactString,
     /// Path and query.
@@ -47,7 +45,7 @@
 /// Why a target's node did not run a request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum NotRun {
-    /// The backend server is gone, has another incarnation, or runs another service.
+    /// The backend server is gone or runs another service.
     Absent,
     /// Long work holds the slots, and another target may be free.
     Blocked,
@@ -61,6 +59,8 @@
     Quarantined,
     /// The backend server refused the connection.
     Refused,
+    /// The backend server marked its answer as not run, as it does when it sheds load.
+    Shed,
     /// The node is stopping.
     Stopping,
 }
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -18,8 +18,14 @@
     PeerVersion(distribution::messages::Numbered),
     /// One change of the replicated state; a [`proposals::Outcome`] comes back.
     Propose(proposals::Request),
-    /// A request for a node's backend server; its body and then the answer follow.
-    Request(forwarding::RequestHead),
+    /// A request for a node's backend server; a [`forwarding::AnswerHead`] and then the bytes of
+    /// the answer's body come back. The sender gives up by no longer reading.
+    Request {
+        /// The head.
+        head: forwarding::RequestHead,
+        /// The whole body.
+        body: bytes::Bytes,
+    },
 }
 
 /// From a node to the control that it is attached to.
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -45,6 +45,16 @@
         })
     }
 
+    /// Queues a job that must not be lost, since it frees something. Runs it on the calling thread
+    /// when the queue is full.
+    pub fn submit_or_run(&self, job: impl FnOnce() + Send + 'static) {
+        let job: Job = Box::new(job);
+        let Some(jobs) = &self.jobs else { return run_job(job) };
+        if let Err(err) = jobs.try_send(job) {
+            run_job(err.into_inner());
+        }
+    }
+
     /// Runs a job on a worker and waits, without blocking the caller's thread, for its result.
     pub async fn run<T: Send + 'static>(
         &self,
