Serve streams in one place, and bind a node's messages to its certificate

Cause: control and node had the same loop over links and streams, and the two roles the same frame around their metrics page. A node with a valid certificate could say hello, announce and report in the name of another host. Change: transport::serving::serve; heatherwalk::roles::with_metrics; a control closes the stream of a node that names another host. The evidence is copied only when it has changed. Conclusion: one loop, and a node speaks for itself only.

--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -4,21 +4,28 @@
 
 use distribution::{messages, subscribers};
 use protocol::{proposals, streams};
+use replicated::quarantine;
 use tokio::sync::mpsc;
 
 use crate::{distributing, proposing, registering, state};
 
-/// Serves a node's stream until either side ends it.
+/// Serves the stream of the node on `host` until either side ends it. The name comes from the
+/// node's certificate; what it says in the name of another host is not taken.
 pub(crate) async fn serve(
     state: &sync::Arc<state::State>,
+    host: &str,
     sender: transport::streams::Sender,
     mut receiver: transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
     let Some(hello) = first_hello(&mut receiver).await? else { return Ok(()) };
+    if hello.node != host {
+        log::warn!("node {host} said hello as {}; its stream is closed", hello.node);
+        return Ok(());
+    }
     let (outbox, queue) = mpsc::channel(distributing::NODE_QUEUE);
     let Some(key) = attach(state, hello, outbox).await else { return Ok(()) };
     let result = tokio::select! {
-        it = receive(state, key, &mut receiver) => it,
+        it = receive(state, host, key, &mut receiver) => it,
         it = send(sender, queue) => it,
     };
     let job = {
@@ -58,10 +65,15 @@
 
 async fn receive(
     state: &sync::Arc<state::State>,
+    host: &str,
     key: subscribers::SubscriberKey,
     receiver: &mut transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
     while let Some(message) = receiver.recv::<streams::NodeMessage>().await? {
+        if !is_own(host, &message) {
+            log::warn!("node {host} sent a message in the name of another; its stream is closed");
+            return Ok(());
+        }
         if let streams::NodeMessage::Evidence { sequence, age_ms, evidence } = message {
             tokio::spawn(take_evidence(sync::Arc::clone(state), key, sequence, age_ms, evidence));
             continue;
@@ -79,6 +91,19 @@
     Ok(())
 }
 
+fn is_own(host: &str, message: &streams::NodeMessage) -> bool {
+    match message {
+        streams::NodeMessage::Event(it) => it.entry.host == host,
+        streams::NodeMessage::Heartbeat(it) => it.host == host,
+        streams::NodeMessage::Version(messages::Up::Hello(it)) => it.node == host,
+        streams::NodeMessage::Evidence { evidence, .. } => match evidence {
+            quarantine::Evidence::Crashed { crash, .. } => crash.host == host,
+            quarantine::Evidence::Finished(_) => true,
+        },
+        streams::NodeMessage::Parts(_) | streams::NodeMessage::Version(_) => true,
+    }
+}
+
 async fn send(
     mut sender: transport::streams::Sender,
     mut queue: mpsc::Receiver<streams::ControlMessage>,
@@ -106,7 +131,7 @@
     key: subscribers::SubscriberKey,
     sequence: u64,
     age_ms: u64,
-    evidence: replicated::quarantine::Evidence,
+    evidence: quarantine::Evidence,
 ) {
     let job = {
         let state = sync::Arc::clone(&state);
--- a/crates/control/src/distributing.rs
+++ b/crates/control/src/distributing.rs
@@ -30,6 +30,8 @@
     standings: Vec<streams::Standing>,
     /// The last entry of the log that the state has applied.
     applied: entries::Index,
+    /// The last entry whose evidence was taken over.
+    rebased: u64,
     ready: bool,
 }
 
@@ -51,6 +53,7 @@
             confirmed: Vec::new(),
             standings: Vec::new(),
             applied: entries::Index::default(),
+            rebased: 0,
             ready,
         }
     }
@@ -164,9 +167,15 @@
     let now = state.now();
     let reads = {
         let machine = state.machine.lock();
-        state.evidence.lock().rebase(&machine.quarantine, state::wall_ms());
+        let mut evidence = state.evidence.lock();
         let mut table = state.relay.lock();
         let table = &mut *table;
+        // Rebasing copies the evidence, so it is left out when only a version has changed.
+        if table.rebased != machine.quarantine.applied() {
+            table.rebased = machine.quarantine.applied();
+            evidence.rebase(&machine.quarantine, state::wall_ms());
+        }
+        drop(evidence);
         // Two workers may get here in the other order than they stepped the log.
         table.applied = table.applied.max(applied);
         let mut effects = table.take_in(now, &machine.versions);
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -4,7 +4,7 @@
 
 use protocol::{proposals, streams};
 use tokio::{sync::mpsc, task, time};
-use transport::{endpoint, errors, links, pool};
+use transport::{endpoint, errors, links, pool, serving};
 use world::hosts;
 
 use crate::{
@@ -71,7 +71,10 @@
         for (host, queue) in queues {
             tasks.spawn(peers::send(sync::Arc::clone(&state), host, queue));
         }
-        tasks.spawn(accept(sync::Arc::clone(&state), endpoint.clone()));
+        let shared = sync::Arc::clone(&state);
+        tasks.spawn(serving::serve(endpoint.clone(), move |link, sender, receiver| {
+            serve_stream(sync::Arc::clone(&shared), link, sender, receiver)
+        }));
         tasks.spawn(tick_groups(sync::Arc::clone(&state)));
         tasks.spawn(tick_slowly(sync::Arc::clone(&state)));
         let place = &state.place;
@@ -134,35 +137,6 @@
     Ok(web::server::Server::bind(state.settings.operators, limits, router).await?)
 }
 
-/// Takes links until the endpoint closes. Each link has its own task, which ends with the link.
-async fn accept(state: sync::Arc<state::State>, endpoint: endpoint::Endpoint) {
-    let mut tasks = task::JoinSet::new();
-    while let Some(link) = endpoint.accept().await {
-        tasks.spawn(serve_link(sync::Arc::clone(&state), link));
-        while tasks.try_join_next().is_some() {}
-    }
-}
-
-async fn serve_link(state: sync::Arc<state::State>, link: links::Link) {
-    let mut tasks = task::JoinSet::new();
-    loop {
-        let stream = tokio::select! {
-            it = link.accept_stream() => it,
-            Some(_) = tasks.join_next() => continue,
-        };
-        match stream {
-            Ok(Some((sender, receiver))) => {
-                tasks.spawn(serve_stream(sync::Arc::clone(&state), link.clone(), sender, receiver));
-            }
-            Ok(None) => return,
-            Err(err) => {
-                log::debug!("link of {} ended: {err}", link.host());
-                return;
-            }
-        }
-    }
-}
-
 async fn serve_stream(
     state: sync::Arc<state::State>,
     link: links::Link,
@@ -188,7 +162,7 @@
 ) -> errors::Result<()> {
     match (open, link.role()) {
         (streams::Open::Attach, hosts::Role::Node) => {
-            attaching::serve(state, sender, receiver).await
+            attaching::serve(state, link.host(), sender, receiver).await
         }
         (streams::Open::Peer, hosts::Role::Control) => {
             peers::receive(state, link.host(), &mut receiver).await
--- a/crates/heatherwalk/src/roles.rs
+++ b/crates/heatherwalk/src/roles.rs
@@ -1,6 +1,6 @@
 //! Running a role from its settings, with its metrics page, until the process is told to stop.
 
-use std::{net, sync};
+use std::{net, sync, time};
 
 use transport::identity;
 
@@ -40,15 +40,15 @@
     identity: &identity::Identity,
     stop: impl Future<Output = ()>,
 ) -> Result<()> {
-    let metrics = sync::Arc::new(metrics::Metrics::open()?);
-    let page = bind_metrics(settings.metrics, sync::Arc::clone(&metrics)).await?;
-    let limit = settings.stop_limit;
-    let instruments = control::instruments::Instruments::new(&metrics.meter());
-    let control = control::running::Control::spawn(settings, identity, instruments).await?;
-    stop.await;
-    control.stop().await;
-    page.stop(limit).await;
-    Ok(())
+    let (addr, limit) = (settings.metrics, settings.stop_limit);
+    with_metrics(addr, limit, async |meter| {
+        let instruments = control::instruments::Instruments::new(meter);
+        let control = control::running::Control::spawn(settings, identity, instruments).await?;
+        stop.await;
+        control.stop().await;
+        Ok(())
+    })
+    .await
 }
 
 /// Runs a node until `stop` completes, and ends it as planned.
@@ -56,20 +56,33 @@
     settings: node::settings::Settings,
     identity: &identity::Identity,
     stop: impl Future<Output = ()>,
+) -> Result<()> {
+    let (addr, limit) = (settings.metrics, settings.stop_limit);
+    with_metrics(addr, limit, async |meter| {
+        let instruments = node::instruments::Instruments::new(meter);
+        let node = node::running::Node::spawn(settings, identity, instruments).await?;
+        stop.await;
+        node.stop().await;
+        Ok(())
+    })
+    .await
+}
+
+/// Serves the metrics page while `role` runs.
+async fn with_metrics(
+    addr: net::SocketAddr,
+    limit: time::Duration,
+    role: impl AsyncFnOnce(&opentelemetry::metrics::Meter) -> Result<()>,
 ) -> Result<()> {
     let metrics = sync::Arc::new(metrics::Metrics::open()?);
-    let page = bind_metrics(settings.metrics, sync::Arc::clone(&metrics)).await?;
-    let limit = settings.stop_limit;
-    let instruments = node::instruments::Instruments::new(&metrics.meter());
-    let node = node::running::Node::spawn(settings, identity, instruments).await?;
-    stop.await;
-    node.stop().await;
+    let page = bind_metrics(addr, sync::Arc::clone(&metrics)).await?;
+    role(&metrics.meter()).await?;
     page.stop(limit).await;
     Ok(())
 }
 
 /// Serves the metrics page.
-pub async fn bind_metrics(
+async fn bind_metrics(
     addr: net::SocketAddr,
     metrics: sync::Arc<metrics::Metrics>,
 ) -> Result<web::server::Server> {
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -59,7 +59,10 @@
         let callers = bind_callers(&state).await?;
         let announce = bind_announce(&state).await?;
         let mut tasks = task::JoinSet::new();
-        tasks.spawn(accept(sync::Arc::clone(&state), endpoint.clone()));
+        let shared = sync::Arc::clone(&state);
+        tasks.spawn(transport::serving::serve(endpoint.clone(), move |link, sender, receiver| {
+            serve_stream(sync::Arc::clone(&shared), link, sender, receiver)
+        }));
         tasks.spawn(tick(sync::Arc::clone(&state)));
         tasks.spawn(tick_gate(sync::Arc::clone(&state)));
         log::info!(
@@ -126,37 +129,9 @@
     Ok(web::server::Server::bind(state.settings.announce, limits, router).await?)
 }
 
-/// Takes links until the endpoint closes. Each link has its own task, which ends with the link.
-async fn accept(state: sync::Arc<state::State>, endpoint: endpoint::Endpoint) {
-    let mut tasks = task::JoinSet::new();
-    while let Some(link) = endpoint.accept().await {
-        tasks.spawn(serve_link(sync::Arc::clone(&state), link));
-        while tasks.try_join_next().is_some() {}
-    }
-}
-
-async fn serve_link(state: sync::Arc<state::State>, link: links::Link) {
-    let mut tasks = task::JoinSet::new();
-    loop {
-        let stream = tokio::select! {
-            it = link.accept_stream() => it,
-            Some(_) = tasks.join_next() => continue,
-        };
-        match stream {
-            Ok(Some((sender, receiver))) => {
-                tasks.spawn(serve_stream(sync::Arc::clone(&state), sender, receiver));
-            }
-            Ok(None) => return,
-            Err(err) => {
-                log::debug!("link of {} ended: {err}", link.host());
-                return;
-            }
-        }
-    }
-}
-
 async fn serve_stream(
     state: sync::Arc<state::State>,
+    link: links::Link,
     sender: transport::streams::Sender,
     mut receiver: transport::streams::Receiver,
 ) {
@@ -166,7 +141,7 @@
         Err(err) => Err(err),
     };
     if let Err(err) = result {
-        log::debug!("a stream of another node ended: {err}");
+        log::debug!("stream of {} ended: {err}", link.host());
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod links;
 mod names;
 pub mod pool;
+pub mod serving;
 pub mod streams;
 mod tls;
--- /dev/null
+++ b/crates/transport/src/serving.rs
@@ -0,0 +1,43 @@
+//! Serving the links and streams that peers open, each stream in its own task.
+
+use tokio::task;
+
+use crate::{endpoint, links, streams};
+
+/// Takes links until the endpoint closes, and calls `handler` for each stream that a peer opens.
+/// A stream's task ends with its link, and all of them with the returned future.
+pub async fn serve<H, F>(endpoint: endpoint::Endpoint, handler: H)
+where
+    H: Fn(links::Link, streams::Sender, streams::Receiver) -> F + Clone + Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut tasks = task::JoinSet::new();
+    while let Some(link) = endpoint.accept().await {
+        tasks.spawn(serve_link(link, handler.clone()));
+        while tasks.try_join_next().is_some() {}
+    }
+}
+
+async fn serve_link<H, F>(link: links::Link, handler: H)
+where
+    H: Fn(links::Link, streams::Sender, streams::Receiver) -> F,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut tasks = task::JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            it = link.accept_stream() => it,
+            Some(_) = tasks.join_next() => continue,
+        };
+        match stream {
+            Ok(Some((sender, receiver))) => {
+                _ = tasks.spawn(handler(link.clone(), sender, receiver))
+            }
+            Ok(None) => return,
+            Err(err) => {
+                log::debug!("link of {} ended: {err}", link.host());
+                return;
+            }
+        }
+    }
+}
