Let a node start without its backend server's announcement

A restarted node whose backend server never announces itself kept its floor unknown and ran nothing for ever. It now counts the floor as absent 5 s after its start and takes a version with a proof.

A silent backend server can come back with an old token. Therefore a restarted node asks a foster control for a proof whatever its token (foster_proof), and the token is only a floor against home. The token's source and the mechanism source_check are no longer needed and are removed; its fault case is now that of foster_proof. R2 stays without an exception: a foster version that ran without a token would be lost to an older one of an isolated home.

The fault cases also showed an older fault: a lower token that was offered after the held one did not stop a foster version from running, and a restart then moved back from 7 to 6. Both tokens now have to cover (offer_check).

The random faults gain silent backend servers, lost connections, lone isolated controls and repairs.

--- a/crates/distribution/src/floor.rs
+++ b/crates/distribution/src/floor.rs
@@ -1,6 +1,6 @@
 //! What a restarted node knows of the versions that it ran, and what it may take then.
 
-use std::{fmt, str};
+use std::{fmt, str, time};
 
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
@@ -8,6 +8,11 @@
 
 use crate::messages;
 
+/// How long a started node waits for its backend server's announcement before it counts its floor
+/// as absent. Longer than the lease of an announcement (2 s), so that a backend server that is
+/// there is not overlooked.
+pub const ANNOUNCEMENT_WAIT: time::Duration = time::Duration::from_secs(5);
+
 /// The kind of control that a version came from.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Source {
@@ -19,14 +24,12 @@
 
 /// What a backend server keeps for its node over a restart of the node's process.
 ///
-/// A foster token means that the node ran nothing above `version`. A home token means that it ran
-/// nothing above what its home control has handed out, which can be more than `version`.
+/// It means that each version that the node ran is at most `version` or was handed out by its home
+/// control, which can be above `version`.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Token {
     /// The version that the node was about to run.
     pub version: document::Version,
-    /// Where it came from.
-    pub source: Source,
     /// The incarnation of the node's process that made the token.
     pub epoch: u64,
 }
@@ -34,10 +37,10 @@
 /// What a node knows of the token that its backend server holds.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Floor {
-    /// The backend server has not renewed its announcement yet.
+    /// The backend server has not renewed its announcement yet, and may still do so.
     #[default]
     Unknown,
-    /// It holds no token.
+    /// It holds no token, or has not announced itself within [`ANNOUNCEMENT_WAIT`].
     Absent,
     /// It holds this token.
     Held(Token),
@@ -60,11 +63,7 @@
 
 impl fmt::Display for Token {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let source = match self.source {
-            Source::Home => 'h',
-            Source::Foster => 'f',
-        };
-        write!(f, "1.{source}.{:x}.{:x}", self.version.0, self.epoch)
+        write!(f, "1.{:x}.{:x}", self.version.0, self.epoch)
     }
 }
 
@@ -77,18 +76,13 @@
         if next()? != "1" {
             return Err(TokenError);
         }
-        let source = match next()? {
-            "h" => Source::Home,
-            "f" => Source::Foster,
-            _ => return Err(TokenError),
-        };
         let number = |it: &str| u64::from_str_radix(it, 16).map_err(|_| TokenError);
         let version = document::Version(number(next()?)?);
         let epoch = number(next()?)?;
         if next().is_ok() {
             return Err(TokenError);
         }
-        Ok(Token { version, source, epoch })
+        Ok(Token { version, epoch })
     }
 }
 
@@ -103,13 +97,10 @@
 
     /// Whether a restarted node needs a proof for a version from `source`.
     ///
-    /// A home token says nothing about the versions that home handed out after it, so a version
-    /// from a foster control that is not current could be older than the last one run.
+    /// A token says nothing about the versions that home handed out after it, so a version from a
+    /// foster control that is not current could be older than the last one run.
     pub fn needs_proof(&self, source: Source) -> bool {
-        match self {
-            Floor::Absent | Floor::Unknown => true,
-            Floor::Held(token) => source == Source::Foster && token.source == Source::Home,
-        }
+        source == Source::Foster || !matches!(self, Floor::Held(_))
     }
 
     /// Whether a restarted node may take `version` from `source`: the rule R3.
--- a/crates/distribution/src/follower.rs
+++ b/crates/distribution/src/follower.rs
@@ -82,6 +82,8 @@
     pub(crate) pending: Option<Held>,
     /// The version that the offered token was made for.
     pub(crate) promised: Option<Held>,
+    /// When the process started.
+    pub(crate) started: Time,
     /// What the backend server held at its last renewal.
     pub(crate) held: floor::Floor,
     /// What the last hello said of it.
@@ -111,6 +113,7 @@
             running: None,
             pending: None,
             promised: None,
+            started: now,
             held: floor::Floor::Unknown,
             told: floor::Floor::Unknown,
             offered: None,
@@ -165,6 +168,7 @@
         if let Some(control) = self.attachment.start_trial(now) {
             effects.push(Effect::Connect(control));
         }
+        self.end_announcement_wait(now, rng, &mut effects);
         self.try_run(now, &mut effects);
         self.beat(now, &mut effects);
         if self.peer.is_some_and(|it| it.until <= now) {
--- a/crates/distribution/src/serving.rs
+++ b/crates/distribution/src/serving.rs
@@ -39,7 +39,10 @@
             effects.push(Effect::Send(key, refused));
             return;
         }
-        let source = if hello.home { floor::Source::Home } else { floor::Source::Foster };
+        let source = match hello.home || !self.mechanisms.foster_proof {
+            true => floor::Source::Home,
+            false => floor::Source::Foster,
+        };
         let stage = match (hello.running, hello.floor) {
             (Some(running), _) => Stage::Streaming(running.version),
             (None, floor::Floor::Unknown) => Stage::Idle,
--- a/crates/distribution/src/swap.rs
+++ b/crates/distribution/src/swap.rs
@@ -96,11 +96,7 @@
     /// Offers a token for the latest version that the node has.
     pub(crate) fn offer(&mut self, effects: &mut Vec<follower::Effect>) {
         let Some(head) = self.head() else { return };
-        let token = floor::Token {
-            version: head.config.version(),
-            source: head.source,
-            epoch: self.settings.epoch,
-        };
+        let token = floor::Token { version: head.config.version(), epoch: self.settings.epoch };
         effects.push(follower::Effect::OfferToken(token.encode()));
         self.offered = Some(token);
         self.promised = self.pending.clone();
@@ -123,23 +119,30 @@
         if !self.mechanisms.proof {
             return self.held != floor::Floor::Unknown && version >= self.least;
         }
+        let source = if self.mechanisms.foster_proof { source } else { floor::Source::Home };
         version >= self.least && self.held.admits(version, source, proof)
     }
 
     fn may_run(&self, now: Time, next: &follower::Held) -> bool {
         match next.source {
-            floor::Source::Home => !self.mechanisms.source_check || !self.may_hold_foster(),
+            floor::Source::Home => true,
             floor::Source::Foster => self.is_promised(next) && self.is_quiet(now),
         }
     }
 
-    /// Whether the backend server holds a token that covers this version.
+    /// Whether the backend server holds a token that covers this version, and goes on holding one
+    /// when the last answer reaches it.
+    ///
+    /// A version that came with proof is no exception. Otherwise a backend server that was silent
+    /// meanwhile could come back with an older token, and home would vouch for an older version.
     fn is_promised(&self, next: &follower::Held) -> bool {
         if !self.mechanisms.floor_token {
             return self.held != floor::Floor::Unknown;
         }
         let floor::Floor::Held(token) = self.held else { return false };
-        token.source == floor::Source::Foster && token.version >= next.config.version()
+        let covers = |it: &floor::Token| it.version >= next.config.version();
+        let offer = self.offered.as_ref().filter(|_| self.mechanisms.offer_check);
+        covers(&token) && offer.is_none_or(covers)
     }
 
     /// Whether home no longer counts on the node. An isolated home hands its version to a restarted
@@ -148,17 +151,6 @@
         !self.mechanisms.quiet_time || now.since(self.echoed) >= attach::SILENCE
     }
 
-    /// Whether a restart could find a foster token. It would then take a version from a foster
-    /// control that can be older than what home handed out.
-    fn may_hold_foster(&self) -> bool {
-        let offered = self.offered.is_some_and(|it| it.source == floor::Source::Foster);
-        match self.held {
-            floor::Floor::Unknown => true,
-            floor::Floor::Absent => offered,
-            floor::Floor::Held(token) => offered || token.source == floor::Source::Foster,
-        }
-    }
-
     fn apply(
         &self,
         base: &config::Config,
--- a/crates/distribution/tests/faults.rs
+++ b/crates/distribution/tests/faults.rs
@@ -18,8 +18,10 @@
 }
 
 /// Runs a script of steps that concern node 0: `to` waits until it runs a version, `expect` checks
-/// that it does, `die` restarts its backend server with it, `reboot` restarts a control, which then
-/// has all or so many of its versions.
+/// that it does, `die` restarts its backend server with it, `hush` makes its backend server silent
+/// and `speak` ends that, `reboot` restarts a control, which then
+/// has all or so many of its versions, `isolate` isolates a control, or with a 0 ends that, and
+/// `lose` breaks its connections.
 fn play(sim: &mut sim::Sim, script: &str) {
     for step in script.split("; ") {
         let mut words = step.split(' ');
@@ -32,11 +34,14 @@
             "run" => sim.run(number),
             "to" => _ = sim.run_until(12_000, |it| it.running(0) == number),
             "expect" => assert_eq!(sim.running(0), number, "{script}"),
-            "isolate" => sim.isolate(numbers[0], true),
+            "isolate" => sim.isolate(numbers[0], numbers.get(1) != Some(&0)),
             "cut" => sim.cut(0, &numbers),
             "restart" => sim.restart(0, false),
+            "hush" => sim.nodes[0].silent = true,
+            "speak" => sim.nodes[0].silent = false,
             "die" => sim.restart(0, true),
             "reboot" => sim.restart_control(numbers[0], numbers.get(1).map(|it| *it as u64)),
+            "lose" => sim.disconnect(0),
             "unsync" => sim.controls[numbers[0]].syncs = false,
             "duplicate" => sim.duplicate = true,
             "corrupt" => sim.corrupt = true,
@@ -46,12 +51,24 @@
 }
 
 #[rustfmt::skip]
-const CASES: [(&str, &str, Switch); 12] = [
+const CASES: [(&str, &str, Switch); 17] = [
     ("floor_token: foster, restart, isolated home behind",
         "settle; isolate 0; cut 0; accept 2; to 8; restart; cut 1 2; run 10000", |it| it.floor_token = false),
-    ("source_check: home, restart, isolated foster behind",
+    ("offer_check: loses foster between offer and renewal, then gets the version again",
+        "settle; isolate 0; cut 0; run 6000; accept 1; run 550; cut 0 1 2; lose; run 600; cut 0; to 7; restart; cut 1 2; run 10000",
+        |it| it.offer_check = false),
+    ("floor_token: silent backend server, foster, old token, isolated home behind",
+        "settle; hush; isolate 0; cut 0; restart; accept 2; run 10000; restart; speak; cut 1 2; run 10000",
+        |it| it.floor_token = false),
+    ("foster_proof: home, restart, isolated foster behind",
         "accept 4; cut 0; run 8000; accept 1; run 2000; isolate 2; cut; run 8000; accept 3; to 9; restart; cut 0 1; run 10000",
-        |it| it.source_check = false),
+        |it| it.foster_proof = false),
+    ("foster_proof: foster, silent backend server, home, old token, isolated foster behind",
+        "settle; isolate 0; cut 0; accept 2; to 8; isolate 2; hush; cut; restart; isolate 0 0; accept 2; to 10; restart; speak; cut 0 1; run 10000",
+        |it| it.foster_proof = false),
+    ("announcement_wait: no announcement", "settle; hush; restart; accept 1; run 4900; expect 0; to 7", |it| it.announcement_wait = false),
+    ("silent backend server, isolated home",
+        "settle; hush; restart; isolate 0; accept 1; run 10000; expect 0; speak; to 7", |_| {}),
     ("quiet_time: leaves isolated home, loses token",
         "settle; isolate 0; accept 2; to 8; die; cut 1 2; run 10000", |it| it.quiet_time = false),
     ("heard_rule: foster, loses token, isolated home",
@@ -96,8 +113,14 @@
         }
         let mut without = sim::Sim::new(1, &[0], off);
         play(&mut without, script);
-        let breach = without.breaches.first().unwrap_or_else(|| panic!("{title}: no difference"));
-        writeln!(out, "  off: {breach}").expect("text");
+        let mut seen = without.breaches.first().cloned();
+        if seen.is_none() {
+            without.heal();
+            let converged = without.run_until(15_000, sim::Sim::all_run_latest);
+            seen = (!converged).then(|| format!("node 0 stays at {}", without.running(0)));
+        }
+        let seen = seen.unwrap_or_else(|| panic!("{title}: no difference"));
+        writeln!(out, "  off: {seen}").expect("text");
     }
     insta::assert_snapshot!(out);
 }
@@ -140,32 +163,65 @@
     }
 }
 
+/// The home controls of the nodes of a random mesh.
+const HOMES: [usize; 3] = [0, 0, 1];
+
+/// Enough seeds that each of the switches of `random_faults_without` makes a difference.
+const SEEDS: u64 = 90;
+
+/// A mesh of three nodes and three controls after 100 random faults.
+fn random_sim(seed: u64, mechanisms: mechanisms::Mechanisms) -> sim::Sim {
+    let mut sim = sim::Sim::new(seed, &HOMES, mechanisms);
+    sim.duplicate = seed.is_multiple_of(2);
+    for _ in 0..100 {
+        let node = sim.rng.random_range(0..3);
+        let control = sim.rng.random_range(0..3);
+        let home = HOMES[node];
+        let others: Vec<_> = (0..3).filter(|it| *it != control).collect();
+        let flag = sim.rng.random_bool(0.4);
+        match sim.rng.random_range(0..17) {
+            0..3 => sim.accept(1),
+            3 => sim.isolate(control, flag),
+            4 => sim.cut(node, &[control]),
+            5 => sim.cut(node, if flag { &[] } else { &[1, 2] }),
+            6 => sim.restart(node, flag),
+            7 => sim.controls[control].syncs = !flag,
+            8 => sim.restart_control(control, None),
+            9 | 10 => sim.nodes[node].silent = flag,
+            11 => sim.disconnect(node),
+            // Home is behind, and the node gets newer versions from the others.
+            12 => {
+                sim.isolate(home, true);
+                sim.cut(node, &[home]);
+            }
+            // Only an isolated control is left after a restart.
+            13 => {
+                sim.isolate(control, true);
+                sim.cut(node, &others);
+                sim.restart(node, flag);
+            }
+            // Otherwise most controls would be isolated most of the time.
+            14 | 15 => {
+                sim.heal();
+                sim.duplicate = seed.is_multiple_of(2);
+            }
+            _ => {
+                let kept = sim.controls[control].relay.version().0 - 1;
+                sim.restart_control(control, Some(kept));
+            }
+        }
+        let long = sim.rng.random_bool(0.1);
+        let millis = sim.rng.random_range(0..if long { 8_000 } else { 1_500 });
+        sim.run(millis);
+    }
+    sim
+}
+
 /// Guards against breaches in combinations of faults that nobody thought of.
 #[test]
 fn random_faults() {
-    for seed in 0..60 {
-        let mut sim = sim::Sim::new(seed, &[0, 0, 1], mechanisms::Mechanisms::default());
-        sim.duplicate = seed % 2 == 0;
-        for _ in 0..100 {
-            let node = sim.rng.random_range(0..3);
-            let control = sim.rng.random_range(0..3);
-            let flag = sim.rng.random_bool(0.4);
-            match sim.rng.random_range(0..10) {
-                0..3 => sim.accept(1),
-                3 => sim.isolate(control, flag),
-                4 => sim.cut(node, &[control]),
-                5 => sim.cut(node, if flag { &[] } else { &[1, 2] }),
-                6 => sim.restart(node, flag),
-                7 => sim.controls[control].syncs = !flag,
-                8 => sim.restart_control(control, None),
-                _ => {
-                    let kept = sim.controls[control].relay.version().0 - 1;
-                    sim.restart_control(control, Some(kept));
-                }
-            }
-            let millis = sim.rng.random_range(0..1_500);
-            sim.run(millis);
-        }
+    for seed in 0..SEEDS {
+        let mut sim = random_sim(seed, mechanisms::Mechanisms::default());
         assert_eq!(sim.breaches, Vec::<String>::new(), "seed {seed}");
         sim.heal();
         let converged = sim.run_until(20_000, sim::Sim::all_run_latest);
@@ -175,6 +231,33 @@
     }
 }
 
+/// Guards against random faults that are too tame to find a missing mechanism.
+#[test]
+fn random_faults_without() {
+    let mut out = String::new();
+    let switches: [(&str, Switch); 3] = [
+        ("announcement_wait", |it| it.announcement_wait = false),
+        ("floor_token", |it| it.floor_token = false),
+        ("foster_proof", |it| it.foster_proof = false),
+    ];
+    for (title, switch) in switches {
+        let mut off = mechanisms::Mechanisms::default();
+        switch(&mut off);
+        let seen = (0..SEEDS).find_map(|seed| {
+            let mut sim = random_sim(seed, off);
+            if let Some(breach) = sim.breaches.first() {
+                return Some(format!("seed {seed}: {breach}"));
+            }
+            sim.heal();
+            let converged = sim.run_until(20_000, sim::Sim::all_run_latest);
+            (!converged).then(|| format!("seed {seed}: does not converge"))
+        });
+        writeln!(out, "{title}: {}", seen.unwrap_or_else(|| panic!("{title}: no difference")))
+            .expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
+
 /// Guards against more snapshots at once than there are slots, and against nodes that are never
 /// served, when all nodes of a partitioned data centre restart together.
 #[test]
--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -119,19 +119,15 @@
 #[test]
 fn small_rules() {
     let mut out = String::new();
-    for text in
-        ["1.f.1f.a", "1.h.0.0", "", "1.f.1f", "1.f.1f.a.b", "2.f.1.1", "1.x.1.1", "1.f.-1.1"]
+    for text in ["1.1f.a", "1.0.0", "", "1.1f", "1.1f.a.b", "2.1.1", "1.x.1", "1.-1.1", "1.f.1f.a"]
     {
         writeln!(out, "{text:?}: {:?}", text.parse::<floor::Token>()).expect("text");
     }
-    let token = |source| {
-        floor::Floor::Held(floor::Token { version: document::Version(7), source, epoch: 1 })
-    };
+    let token = floor::Token { version: document::Version(7), epoch: 1 };
     let floors = [
         ("unknown", floor::Floor::Unknown),
         ("absent", floor::Floor::Absent),
-        ("home 7", token(floor::Source::Home)),
-        ("foster 7", token(floor::Source::Foster)),
+        ("token 7", floor::Floor::Held(token)),
     ];
     let proofs = [messages::Proof::None, messages::Proof::Heard, messages::Proof::Current];
     for (title, floor) in floors {
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -17,6 +17,8 @@
     pub relay: relay::Relay,
     pub leader: bool,
     pub syncs: bool,
+    /// Whether it has caught up with the log since it lost its disk.
+    ready: bool,
     epoch: u64,
     learned: u64,
     conns: collections::BTreeMap<(usize, u64), subscribers::SubscriberKey>,
@@ -26,6 +28,8 @@
     pub follower: follower::Follower,
     /// The memory of the backend server.
     pub token: Option<String>,
+    /// Whether the backend server does not renew its announcement, but keeps its memory.
+    pub silent: bool,
     pub cut: collections::BTreeSet<usize>,
     /// The highest version that any process of this node has run.
     pub highest: u64,
@@ -133,15 +137,18 @@
         let old = &self.nodes[node];
         let (token, cut, highest) = (old.token.clone(), old.cut.clone(), old.highest);
         let token = token.filter(|_| !backend);
-        self.nodes[node] = Node { token, cut, highest, ..self.new_node(node, old.home) };
+        let silent = old.silent;
+        self.nodes[node] = Node { token, silent, cut, highest, ..self.new_node(node, old.home) };
     }
 
-    /// Restarts a control with what is on its disk, or with only `kept` versions of it.
+    /// Restarts a control with what is on its disk, or with only `kept` versions of it. A control
+    /// that restarts before it has caught up after the loss of its disk still has to.
     pub fn restart_control(&mut self, control: usize, kept: Option<u64>) {
         let disk = self.controls[control].relay.version().0;
         let synced = if self.controls[control].syncs { disk } else { disk.min(self.latest() - 1) };
         let leader = self.controls[control].leader;
-        let new = self.new_control(kept.unwrap_or(synced), kept.is_none());
+        let ready = kept.is_none() && self.controls[control].ready;
+        let new = self.new_control(kept.unwrap_or(synced), ready);
         self.controls[control] = Control { leader, ..new };
         for node in 0..self.nodes.len() {
             if self.nodes[node].conns.remove(&control).is_some() {
@@ -152,6 +159,16 @@
         }
     }
 
+    /// Breaks the connections of a node.
+    pub fn disconnect(&mut self, node: usize) {
+        let now = self.now();
+        for (control, conn) in std::mem::take(&mut self.nodes[node].conns) {
+            self.hang_up(node, control, conn);
+            let key = self.key(node, control);
+            self.nodes[node].follower.failed(now, key, &mut self.rng);
+        }
+    }
+
     pub fn run(&mut self, millis: u64) {
         let end = self.now_ms + millis;
         while self.now_ms < end {
@@ -176,7 +193,7 @@
         (0..self.nodes.len()).all(|it| self.running(it) == self.latest())
     }
 
-    /// Ends all faults.
+    /// Ends all faults. Backend servers stay silent: a node must run the latest version without.
     pub fn heal(&mut self) {
         self.controls.iter_mut().for_each(|it| (it.leader, it.syncs) = (true, true));
         self.nodes.iter_mut().for_each(|it| it.cut.clear());
@@ -192,7 +209,15 @@
         let mut relay = relay::Relay::new(self.serial, head, deltas, ready);
         relay.set_mechanisms(self.mechanisms);
         let conns = collections::BTreeMap::new();
-        Control { relay, leader: true, syncs: true, epoch: self.serial, learned: kept, conns }
+        Control {
+            relay,
+            leader: true,
+            syncs: true,
+            ready,
+            epoch: self.serial,
+            learned: kept,
+            conns,
+        }
     }
 
     fn new_node(&mut self, index: usize, home: usize) -> Node {
@@ -210,7 +235,16 @@
         follower.set_mechanisms(self.mechanisms);
         let conns = collections::BTreeMap::new();
         let cut = collections::BTreeSet::new();
-        Node { follower, token: None, cut, highest: 0, home, epoch: self.serial, conns }
+        Node {
+            follower,
+            token: None,
+            silent: false,
+            cut,
+            highest: 0,
+            home,
+            epoch: self.serial,
+            conns,
+        }
     }
 
     fn step(&mut self) {
@@ -232,7 +266,8 @@
             let effects = self.nodes[node].follower.tick(now, &mut self.rng);
             self.perform(node, effects);
             // Versions from a foster control arrive between two renewals with this offset.
-            if (self.now_ms / STEP_MS + node as u64 + 3).is_multiple_of(10) {
+            let due = (self.now_ms / STEP_MS + node as u64 + 3).is_multiple_of(10);
+            if due && !self.nodes[node].silent {
                 let it = &mut self.nodes[node];
                 let effects = it.follower.renewal(now, it.token.as_deref(), &mut self.rng);
                 self.perform(node, effects);
@@ -252,6 +287,7 @@
             effects.extend(it.relay.learn(now, delta, head, &mut self.rng));
         }
         if it.leader && it.syncs {
+            it.ready = true;
             it.relay.set_ready();
         }
         if it.syncs {
