Add a bench for the distribution of versions

Time to converge and control bytes had no measurement. The bench drives one relay and its followers in virtual time and prints each value with its bound and baselines; a second table has the processor time of relay and node.

--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -1,6 +1,7 @@
 //! Benches: small load models in virtual time, compared with baselines.
 
 mod admission;
+mod distribution;
 mod routing;
 
 /// Run a bench and print its results.
@@ -15,6 +16,7 @@
 #[argh(subcommand)]
 enum Bench {
     Crest(CrestArgs),
+    Distribution(distribution::Args),
     HeadOfLine(HeadOfLineArgs),
     Routing(routing::Args),
 }
@@ -41,6 +43,7 @@
 pub(crate) fn run(args: &Args) -> eyre::Result<()> {
     match &args.bench {
         Bench::Crest(CrestArgs { seed }) => admission::crest(seed),
+        Bench::Distribution(args) => distribution::run(args),
         Bench::HeadOfLine(HeadOfLineArgs { seed }) => admission::head_of_line(seed),
         Bench::Routing(args) => routing::run(args),
     }
