Make the cost of a change follow the patch, not the document

Ruled out: the swap itself; building the tables is a small part. A test compares the merge with that of the whole document, and the kept digest with a fresh one.

--- a/crates/distribution/src/swap.rs
+++ b/crates/distribution/src/swap.rs
@@ -157,21 +157,20 @@
         delta: &messages::Delta,
     ) -> Option<sync::Arc<config::Config>> {
         let patch = serde_json::from_str(&delta.patch).ok()?;
-        let document = document::merge(base.document(), &patch).ok()?;
-        self.build(delta.to, document)
+        let applied = document::apply(base.document(), base.digest(), &patch).ok()?;
+        self.check(delta.to, config::Config::build_applied(delta.to.version, applied))
     }
 
     fn read(&self, snapshot: &messages::Snapshot) -> Option<sync::Arc<config::Config>> {
         let document = serde_json::from_str(&snapshot.document).ok()?;
-        self.build(snapshot.of, document)
+        self.check(snapshot.of, config::Config::build(snapshot.of.version, document).ok()?)
     }
 
-    fn build(
+    fn check(
         &self,
         of: messages::Numbered,
-        document: document::Document,
+        config: config::Config,
     ) -> Option<sync::Arc<config::Config>> {
-        let config = config::Config::build(of.version, document).ok()?;
         if self.mechanisms.digest_check && config.digest() != of.digest {
             return None;
         }
--- a/crates/replicated/src/versions.rs
+++ b/crates/replicated/src/versions.rs
@@ -165,10 +165,9 @@
             return answer;
         }
         let verdict = match self.judge(patch, level) {
-            Ok(candidate) => Verdict::Accepted {
-                version: self.current.next(),
-                digest: document::digest(&candidate),
-            },
+            Ok(candidate) => {
+                Verdict::Accepted { version: self.current.next(), digest: candidate.digest() }
+            }
             Err(verdict) => verdict,
         };
         self.answer(&verdict)
@@ -223,7 +222,7 @@
         Some(self.answer(&kept.verdict))
     }
 
-    fn judge(&self, patch: &Patch, level: u32) -> Result<document::Document, Verdict> {
+    fn judge(&self, patch: &Patch, level: u32) -> Result<document::Applied, Verdict> {
         check_form(patch)?;
         if patch.base != self.current {
             return Err(Verdict::Conflict { base: patch.base, current: self.current });
@@ -231,13 +230,14 @@
         let value = serde_json::from_str(&patch.text).map_err(|err| {
             invalid(vec![fault("patch", faults::FaultKind::Shape, format_compact!("{err}"))])
         })?;
-        let candidate = document::merge(&self.document, &value).map_err(invalid)?;
-        let mut faults = self.check_homes(&candidate);
+        let applied = document::apply(&self.document, self.digest(), &value).map_err(invalid)?;
+        let candidate = applied.document();
+        let mut faults = self.check_homes(candidate);
         if candidate.level > level {
             let detail = format_compact!("some process knows only level {level}");
             faults.push(fault("level", faults::FaultKind::Level, detail));
         }
-        if faults.is_empty() { Ok(candidate) } else { Err(invalid(faults)) }
+        if faults.is_empty() { Ok(applied) } else { Err(invalid(faults)) }
     }
 
     fn check_homes(&self, candidate: &document::Document) -> Vec<faults::Fault> {
@@ -266,7 +266,8 @@
         faults
     }
 
-    fn accept(&mut self, patch: &Patch, candidate: document::Document, at_ms: u64) -> Verdict {
+    fn accept(&mut self, patch: &Patch, applied: document::Applied, at_ms: u64) -> Verdict {
+        let (candidate, digest) = applied.into_parts();
         for (name, spec) in &candidate.services {
             let home = self.homes.entry(name.clone()).or_default();
             if home.is_none() {
@@ -274,7 +275,7 @@
             }
         }
         self.current = self.current.next();
-        self.digest = document::digest(&candidate);
+        self.digest = digest;
         self.document = candidate;
         self.changes_bytes += patch.text.len();
         self.changes.push_back(Change {
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -30,6 +30,20 @@
             return Err(faults);
         }
         let digest = document::digest(&source);
+        Ok(Config::assemble(version, source, digest))
+    }
+
+    /// Builds the tables of a document that a patch has made.
+    pub fn build_applied(version: document::Version, applied: document::Applied) -> Config {
+        let (source, digest) = applied.into_parts();
+        Config::assemble(version, source, digest)
+    }
+
+    fn assemble(
+        version: document::Version,
+        source: document::Document,
+        digest: document::DocumentDigest,
+    ) -> Config {
         let mut config = Config { version, digest, ..Config::default() };
         for (name, spec) in &source.services {
             let key = config.services.insert(build_service(name, spec));
@@ -43,7 +57,7 @@
             config.prefixes.insert(spec.prefix.clone(), key);
         }
         config.source = source;
-        Ok(config)
+        config
     }
 
     /// The number of this version.
--- a/crates/world/src/document.rs
+++ b/crates/world/src/document.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
 
-use crate::faults;
+use crate::{faults, patches};
 
 /// The feature level of documents that this build can apply.
 pub const LEVEL: u32 = 1;
@@ -23,6 +23,11 @@
 /// The longest path prefix of a route, in bytes.
 pub const MAX_PREFIX: usize = 1_024;
 
+/// Bytes of an entry's field names, numbers and punctuation in JSON, at most.
+const ENTRY_BYTES: usize = 160;
+const LEVEL_KEY: &str = "level";
+const ROUTES_KEY: &str = "routes";
+const SERVICES_KEY: &str = "services";
 const DEFAULT_QUEUE: u32 = 16;
 const DEFAULT_SLOTS: u32 = 6;
 const DEFAULT_TIMEOUT_MS: u32 = 2_000;
@@ -49,16 +54,58 @@
     }
 }
 
-/// The SHA-256 of a document's canonical JSON.
+/// Tells documents apart: the exclusive-or of the SHA-256 of each entry.
+///
+/// It changes with the entries that a patch touches, so its cost does not grow with the document.
+/// It guards against replicas that differ by a fault, not against forgery, which the links prevent.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct DocumentDigest(pub [u8; 32]);
 
+impl DocumentDigest {
+    /// Adds an entry, or takes it out again.
+    fn toggle(&mut self, kind: &str, name: &str, entry: &impl Serialize) {
+        let mut sha = sha2::Sha256::new();
+        for part in [kind, name] {
+            sha.update((part.len() as u64).to_le_bytes());
+            sha.update(part);
+        }
+        let json = serde_json::to_vec(entry).expect("entries have text keys only");
+        sha.update(json);
+        let hash: [u8; 32] = sha.finalize().into();
+        self.0.iter_mut().zip(hash).for_each(|(own, other)| *own ^= other);
+    }
+}
+
 impl fmt::Display for DocumentDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().take(8).try_for_each(|it| write!(f, "{it:02x}"))
     }
 }
 
+/// A valid document with its digest, as [`apply`] makes it.
+#[derive(Clone, Debug)]
+pub struct Applied {
+    document: Document,
+    digest: DocumentDigest,
+}
+
+impl Applied {
+    /// The document.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Its digest.
+    pub fn digest(&self) -> DocumentDigest {
+        self.digest
+    }
+
+    /// The document and its digest.
+    pub fn into_parts(self) -> (Document, DocumentDigest) {
+        (self.document, self.digest)
+    }
+}
+
 /// The whole configuration as operators see it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -125,17 +172,22 @@
 
 /// Merges a JSON Merge Patch (RFC 7386) into `base` and validates the candidate as a whole.
 pub fn merge(base: &Document, patch: &serde_json::Value) -> Result<Document> {
-    if !patch.is_object() {
-        // A merge patch that is not an object would replace the whole document.
-        return Err(shape("patch", &"a patch must be a JSON object"));
-    }
-    let mut value = to_value(base);
-    json_patch::merge(&mut value, patch);
-    let candidate = parse(&value)?;
+    let candidate = patches::merge(base, patch)?;
     let faults = validate(base, &candidate);
     if faults.is_empty() { Ok(candidate) } else { Err(faults) }
 }
 
+/// As [`merge`], for a base whose digest is known.
+pub fn apply(
+    base: &Document,
+    digest: DocumentDigest,
+    patch: &serde_json::Value,
+) -> Result<Applied> {
+    let document = merge(base, patch)?;
+    let digest = digest_after(base, digest, patch, &document);
+    Ok(Applied { document, digest })
+}
+
 /// Merges patches that were accepted one after the other. Each step was validated when it was
 /// accepted, so only the result is parsed.
 pub fn replay<'a>(base: &Document, patches: impl IntoIterator<Item = &'a str>) -> Result<Document> {
@@ -147,9 +199,13 @@
     parse(&value)
 }
 
-/// The digest of a document. Two documents are equal exactly when their digests are.
+/// The digest of a document.
 pub fn digest(document: &Document) -> DocumentDigest {
-    DocumentDigest(sha2::Sha256::digest(to_value(document).to_string()).into())
+    let mut digest = DocumentDigest::default();
+    digest.toggle(LEVEL_KEY, "", &document.level);
+    document.routes.iter().for_each(|(name, it)| digest.toggle(ROUTES_KEY, name, it));
+    document.services.iter().for_each(|(name, it)| digest.toggle(SERVICES_KEY, name, it));
+    digest
 }
 
 /// The document as a JSON value.
@@ -171,9 +227,32 @@
     faults.list
 }
 
+/// The digest of `candidate`, which `patch` has made of `base`.
+fn digest_after(
+    base: &Document,
+    mut digest: DocumentDigest,
+    patch: &serde_json::Value,
+    candidate: &Document,
+) -> DocumentDigest {
+    if base.level != candidate.level {
+        digest.toggle(LEVEL_KEY, "", &base.level);
+        digest.toggle(LEVEL_KEY, "", &candidate.level);
+    }
+    for name in patches::touched(patch, ROUTES_KEY, base.routes.keys()) {
+        for it in [base.routes.get(name), candidate.routes.get(name)].into_iter().flatten() {
+            digest.toggle(ROUTES_KEY, name, it);
+        }
+    }
+    for name in patches::touched(patch, SERVICES_KEY, base.services.keys()) {
+        for it in [base.services.get(name), candidate.services.get(name)].into_iter().flatten() {
+            digest.toggle(SERVICES_KEY, name, it);
+        }
+    }
+    digest
+}
+
 fn shape(path: &str, detail: &dyn fmt::Display) -> Vec<faults::Fault> {
-    let kind = faults::FaultKind::Shape;
-    vec![faults::Fault { path: path.into(), kind, detail: format_compact!("{detail}") }]
+    vec![patches::fault(path, detail)]
 }
 
 #[derive(Default)]
@@ -214,7 +293,7 @@
     let counts = [
         ("services", candidate.services.len(), MAX_SERVICES),
         ("routes", candidate.routes.len(), MAX_ROUTES),
-        ("document", to_value(candidate).to_string().len(), MAX_BYTES),
+        ("document", size(candidate), MAX_BYTES),
     ];
     for (path, count, most) in counts {
         if count > most {
@@ -224,6 +303,17 @@
     }
 }
 
+/// The size of a document in bytes of JSON, at most: counted, since writing a large document takes
+/// longer than all other checks.
+fn size(document: &Document) -> usize {
+    let home = |it: &ServiceSpec| it.home.as_ref().map_or(0, |it| it.len());
+    let services = document.services.iter().map(|(name, it)| ENTRY_BYTES + name.len() + home(it));
+    let routes = document.routes.iter();
+    let routes =
+        routes.map(|(name, it)| ENTRY_BYTES + name.len() + it.prefix.len() + it.service.len());
+    services.chain(routes).sum()
+}
+
 fn check_service(name: &str, spec: &ServiceSpec, old: Option<&ServiceSpec>, faults: &mut Faults) {
     let path = |field: &str| format_compact!("services.{name}.{field}");
     faults.check_name(format_compact!("services.{name}"), name);
--- a/crates/world/tests/documents.rs
+++ b/crates/world/tests/documents.rs
@@ -55,3 +55,30 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against a digest kept up by patches that differs from that of the document, and against
+/// a merge by entries that differs from the merge of the whole document by RFC 7386.
+#[test]
+fn patched_digests() {
+    let patches = [
+        r#"{"services":{"sondelab":{"slots":3}},"level":1}"#,
+        r#"{"routes":{"certify":{"weight":7,"timeout_ms":50},"root":null}}"#,
+        r#"{"routes":{"certify":{"timeout_ms":null,"service":"logbook"}}}"#,
+        r#"{"services":{"x":{}},"routes":{"x":{"prefix":"/x","service":"x"},"none":null}}"#,
+        r#"{"routes":null,"level":null,"other":null}"#,
+        r#"{"services":null}"#,
+        r#"{}"#,
+    ];
+    let mut document = base();
+    let mut digest = document::digest(&document);
+    for patch in patches {
+        let value = serde_json::from_str(patch).expect("test data is JSON");
+        let mut whole = document::to_value(&document);
+        json_patch::merge(&mut whole, &value);
+        let applied = document::apply(&document, digest, &value).expect(patch);
+        assert_eq!(*applied.document(), document::parse(&whole).expect(patch), "{patch}");
+        (document, digest) = applied.into_parts();
+        assert_eq!(digest, document::digest(&document), "{patch}");
+    }
+    assert_eq!(document, document::Document::default());
+}
