Serve no node from a disk that never caught up, and wait less for an election

Cause 1: a control that lost its disk, joined the cluster again and restarted before it had caught up counted as ready, since it only asked whether the disk belongs to a cluster. It could have handed a restarted node an older version. Change: storage keeps a mark with the disk ID once the log was caught up with, and the control is ready at its start only with that mark.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -55,6 +55,16 @@
     distributing::set_isolated(state, isolated);
 }
 
+/// Notes on the disk that the configuration log was caught up with, so that a restart in a
+/// partition can serve at once.
+pub(crate) fn keep_caught_up(state: &state::State) {
+    let ready = state.relay.lock().is_ready();
+    let mut replica = state.configuration.lock();
+    if ready && !replica.is_caught_up() && !replica.has_failed() {
+        replica.mark_caught_up();
+    }
+}
+
 /// Removes claims that have expired, when this host leads the log.
 pub(crate) fn expire_claims(state: &state::State) {
     let at_ms = state::wall_ms();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -62,6 +62,7 @@
     log: storage::log::Log,
     waiting: collections::BTreeMap<events::Token, oneshot::Sender<proposals::Outcome>>,
     next_token: u64,
+    caught_up: bool,
     failed: bool,
 }
 
@@ -83,7 +84,8 @@
         }
         let group = group::Group::new(settings, host, log.disk(), restored, rand::random());
         let waiting = collections::BTreeMap::new();
-        Ok(Replica { group, log, waiting, next_token: 0, failed: false })
+        let caught_up = log.is_caught_up();
+        Ok(Replica { group, log, waiting, next_token: 0, caught_up, failed: false })
     }
 
     /// The group, for reading.
@@ -91,6 +93,22 @@
         &self.group
     }
 
+    /// Whether this disk has ever held all that the group had committed.
+    pub(crate) fn is_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
+    /// Notes on the disk that it holds all that the group had committed.
+    pub(crate) fn mark_caught_up(&mut self) {
+        match self.log.mark_caught_up() {
+            Ok(()) => self.caught_up = true,
+            Err(err) => {
+                log::error!("log {}: {err}; this host leaves the group", self.log.name());
+                self.failed = true;
+            }
+        }
+    }
+
     /// Whether the files failed. The host then takes no more part in the group.
     pub(crate) fn has_failed(&self) -> bool {
         self.failed
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -216,6 +216,7 @@
             distributing::tick(&shared);
             distributing::publish_standings(&shared);
             groups::expire_claims(&shared);
+            groups::keep_caught_up(&shared);
             if distributing::is_catching_up(&shared) {
                 groups::confirm_read(&shared, None);
             }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -94,9 +94,10 @@
             place.data_centre.clone(),
             membership::mechanisms::Mechanisms::default(),
         );
-        let blank = configuration.group().cluster().is_none();
+        // A disk that was lost and joined the cluster again may still lack versions.
+        let caught_up = configuration.is_caught_up();
         let rng = rngs::StdRng::from_os_rng();
-        let relay = distributing::Distributing::new(&machine, !blank, rng);
+        let relay = distributing::Distributing::new(&machine, caught_up, rng);
         Ok(State {
             place,
             pool: pool::Pool::spawn(settings.workers, 16_384),
--- a/crates/distribution/src/serving.rs
+++ b/crates/distribution/src/serving.rs
@@ -164,7 +164,11 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(subscriber) = self.subscribers.get(key) else { return };
-        let millis = rng.random_range(relay::WAIT_MS.0..=relay::WAIT_MS.1);
+        let (low, high) = match reason {
+            messages::Reason::Busy => relay::BUSY_MS,
+            messages::Reason::CatchingUp | messages::Reason::Unproven => relay::UNREADY_MS,
+        };
+        let millis = rng.random_range(low..=high);
         let message = messages::Down::Wait(subscriber.hello.session, reason, millis);
         effects.push(Effect::Send(key, message));
     }
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -9,6 +9,7 @@
 
 const LOG: &str = "log";
 const SNAPSHOT: &str = "snapshot";
+const CAUGHT_UP: &str = "caught-up";
 
 /// A running handle to a log on disk. Every change is synced before its function returns.
 ///
@@ -93,6 +94,19 @@
         &self.header.name
     }
 
+    /// Whether this disk has ever held all that its group had committed.
+    pub fn is_caught_up(&self) -> bool {
+        // Another disk's mark, copied here by hand, does not count.
+        let text = fs::read_to_string(self.folder.join(CAUGHT_UP));
+        text.is_ok_and(|it| it == self.disk().to_string())
+    }
+
+    /// Notes that this disk holds all that its group had committed.
+    pub fn mark_caught_up(&mut self) -> errors::Result<()> {
+        let text = self.disk().to_string();
+        files::replace(&self.folder, CAUGHT_UP, text.as_bytes(), &mut self.faults).map(drop)
+    }
+
     /// What was found at open. The handle does not keep it after the first call.
     pub fn take_restored(&mut self) -> events::Restored {
         std::mem::take(&mut self.restored)
--- a/crates/storage/tests/logs.rs
+++ b/crates/storage/tests/logs.rs
@@ -227,3 +227,21 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Guards against a disk that counts as caught up because of another disk's mark, and against a
+/// mark that a restart forgets.
+#[test]
+fn caught_up_mark() {
+    let folders = [tempfile::tempdir(), tempfile::tempdir()].map(|it| it.expect("a folder"));
+    let open = |index: usize| log::Log::open(folders[index].path(), "a").expect("opened");
+    let mut first = open(0);
+    assert!(!first.is_caught_up());
+    first.mark_caught_up().expect("marked");
+    assert!(first.is_caught_up());
+    drop(first);
+    assert!(open(0).is_caught_up());
+    drop(open(1));
+    let mark = |index: usize| folders[index].path().join("caught-up");
+    fs::copy(mark(0), mark(1)).expect("copied");
+    assert!(!open(1).is_caught_up());
+}
