Remove the unused operators' router

Cause: crates/control matches paths itself behind `every`, so `routers::operator` and `Operation` had no user left. Change: both are removed. The test of the fixed routers now covers `fixed` with several places, among them two methods on one path, which the removed router did not have. Before: 18 lines in the table; after: 21, each old status still asserted. Conclusion: the public surface of web is what the roles use.

--- a/crates/web/src/routers.rs
+++ b/crates/web/src/routers.rs
@@ -15,17 +15,6 @@
 
 use crate::{body, exchange};
 
-/// A call of the operator port.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Operation {
-    /// `GET /config`: the running version and its document.
-    ReadConfig,
-    /// `POST /config/patches`: a patch against a stated version.
-    Patch,
-    /// `GET /status`: what this process and its nodes run.
-    Status,
-}
-
 /// One place of a fixed router: a method and a path, and the key that the handler gets.
 pub type Place<K> = (http::Method, &'static str, K);
 
@@ -69,20 +58,6 @@
     fixed(&[(http::Method::POST, "/announce", ())], move |(), request| handler(request))
 }
 
-/// The router of the operator port.
-pub fn operator<H, F>(handler: H) -> router::Router
-where
-    H: Fn(Operation, exchange::Request) -> F + Send + Sync + 'static,
-    F: Future<Output = exchange::Answer> + Send + 'static,
-{
-    let places = [
-        (http::Method::GET, "/config", Operation::ReadConfig),
-        (http::Method::POST, "/config/patches", Operation::Patch),
-        (http::Method::GET, "/status", Operation::Status),
-    ];
-    fixed(&places, handler)
-}
-
 /// The router of the metrics port, with `GET /metrics` alone.
 pub fn metrics<H, F>(handler: H) -> router::Router
 where
--- a/crates/web/tests/serving.rs
+++ b/crates/web/tests/serving.rs
@@ -284,9 +284,15 @@
 #[tokio::test]
 async fn fixed_routers() {
     let text = |text: &str| exchange::Answer::text(http::StatusCode::OK, text);
+    let several = [
+        (http::Method::GET, "/config", "read"),
+        (http::Method::POST, "/config/patches", "patch"),
+        (http::Method::GET, "/status", "state"),
+        (http::Method::POST, "/status", "change"),
+    ];
     let routers = [
         ("announce", routers::announce(move |_| async move { text("announced") })),
-        ("operator", routers::operator(move |it, _| async move { text(&format!("{it:?}")) })),
+        ("several", routers::fixed(&several, move |it, _| async move { text(it) })),
         ("metrics", routers::metrics(move |_| async move { text("values") })),
     ];
     let mut out = String::new();
@@ -298,6 +304,7 @@
             "GET /config",
             "POST /config/patches",
             "GET /status",
+            "POST /status",
             "GET /metrics",
         ] {
             let text = format!("{call} HTTP/1.1\r\nconnection: close\r\n\r\n");
