Test the operators' API, the commands and the links against running processes

Cause: the operators' port had only been tried by hand, and no test sent a bad frame to a role. Change: tests/contracts of the binary's crate start a control (alone, or one of three voters), a node and a backend server, and go through every path, method and status of docs/operators.md, every client command, bad frames, strangers and reserved streams. Claims that nodes ask for are counted now, with `full` and `malformed` beside the answers before.

--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -11,10 +11,16 @@
 /// Serves a node's stream until either side ends it.
 pub(crate) async fn serve(
     state: &sync::Arc<state::State>,
+    host: &str,
     sender: transport::streams::Sender,
     mut receiver: transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
-    let Some(hello) = first_hello(&mut receiver).await? else { return Ok(()) };
+    let hello = first_hello(&mut receiver).await?;
+    // A node that speaks for another host could confirm versions that the other does not run.
+    let Some(hello) = hello.filter(|it| it.node == host) else {
+        log::warn!("{host} did not begin with a hello in its own name; its stream is closed");
+        return Ok(());
+    };
     let (outbox, queue) = mpsc::channel(distributing::NODE_QUEUE);
     let Some(key) = attach(state, hello, outbox).await else { return Ok(()) };
     let result = tokio::select! {
@@ -124,8 +130,8 @@
     }
 }
 
-/// Proposes the evidence that the log does not have yet. What is refused is tried again by
-/// [`retry_evidence`].
+/// Proposes the evidence that the log does not have yet. What is refused is tried again with the
+/// next slow tick.
 pub(crate) async fn propose_evidence(state: &sync::Arc<state::State>) {
     let pending: Vec<_> = state.evidence.lock().pending(state::wall_ms()).collect();
     for (sequence, command) in pending {
--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use protocol::operators as messages;
 use serde::Serialize;
 use world::document;
@@ -15,6 +15,20 @@
 /// Versions in an answer when the operator gives no limit.
 const DEFAULT_LIMIT: usize = 100;
 
+/// A path of the operators' port.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Place {
+    Current,
+    Nodes,
+    Patches,
+    Progress(document::Version),
+    Quarantine,
+    Status,
+    Targets,
+    Version(document::Version),
+    Versions,
+}
+
 /// Answers one request of an operator.
 pub(crate) async fn answer(
     state: sync::Arc<state::State>,
@@ -24,7 +38,8 @@
         let detail = "the header authorization must be \"Bearer TOKEN\" with the control's token";
         return problem(::http::StatusCode::UNAUTHORIZED, detail);
     }
-    if request.path == messages::PATCHES_PATH {
+    let Some(place) = Place::find(&request.path) else { return unknown_path() };
+    if place == Place::Patches {
         return match request.method {
             ::http::Method::POST => patch(&state, request).await,
             _ => problem(::http::StatusCode::METHOD_NOT_ALLOWED, "patches are sent with POST"),
@@ -35,10 +50,13 @@
     }
     let job = {
         let state = sync::Arc::clone(&state);
-        move || read(&state, &request.path, request.query.as_deref().unwrap_or_default())
+        move || read(&state, place, request.query.as_deref().unwrap_or_default())
     };
     let answer = state.pool.run(job).await;
-    answer.unwrap_or_else(|err| problem(::http::StatusCode::SERVICE_UNAVAILABLE, &err.to_string()))
+    answer.unwrap_or_else(|err| {
+        let detail = format_compact!("{err}; send the request again, or ask another control");
+        problem(::http::StatusCode::SERVICE_UNAVAILABLE, &detail)
+    })
 }
 
 async fn patch(
@@ -47,11 +65,16 @@
 ) -> web::exchange::Answer {
     let body = match request.body.whole(MAX_BODY).await {
         Ok(it) => it,
-        Err(err) => return web::exchange::Answer::refuse_body(&err),
+        Err(err) => return refuse_body(&err),
     };
     let patch: messages::PatchRequest = match serde_json::from_slice(&body) {
         Ok(it) => it,
-        Err(err) => return problem(::http::StatusCode::BAD_REQUEST, &err.to_string()),
+        Err(err) => {
+            let detail = format_compact!(
+                "the body is not a patch request: {err}; send base, request_id, operator and patch"
+            );
+            return problem(::http::StatusCode::BAD_REQUEST, &detail);
+        }
     };
     let answer = operators::patch(state, patch).await;
     let status = match &answer {
@@ -65,53 +88,61 @@
     json(status, &answer)
 }
 
-fn read(state: &state::State, path: &str, query: &str) -> web::exchange::Answer {
-    match path {
-        messages::CURRENT_PATH => match operators::current(state) {
+fn read(state: &state::State, place: Place, query: &str) -> web::exchange::Answer {
+    match place {
+        Place::Current => match operators::current(state) {
             Some(it) => json(::http::StatusCode::OK, &it),
             None => not_current(),
         },
-        messages::NODES_PATH => {
-            let only_behind = parameter(query, "behind") == Some("true");
-            json(::http::StatusCode::OK, &operators::nodes(state, only_behind))
-        }
-        messages::QUARANTINE_PATH => json(::http::StatusCode::OK, &operators::quarantine(state)),
-        messages::STATUS_PATH => json(::http::StatusCode::OK, &operators::status(state)),
-        messages::TARGETS_PATH => json(::http::StatusCode::OK, &operators::targets(state)),
-        messages::VERSIONS_PATH => {
-            let limit = parameter(query, "limit").map_or(Ok(DEFAULT_LIMIT), str::parse);
-            match limit {
-                Ok(limit) => json(::http::StatusCode::OK, &operators::history(state, limit)),
-                Err(_) => problem(::http::StatusCode::BAD_REQUEST, "limit must be a whole number"),
-            }
+        Place::Nodes => match parameter(query, "behind").unwrap_or("false").parse() {
+            Ok(behind) => json(::http::StatusCode::OK, &operators::nodes(state, behind)),
+            Err(_) => malformed("behind must be true or false"),
+        },
+        Place::Patches => unknown_path(),
+        Place::Progress(version) => found(operators::progress(state, version)),
+        Place::Quarantine => json(::http::StatusCode::OK, &operators::quarantine(state)),
+        Place::Status => json(::http::StatusCode::OK, &operators::status(state)),
+        Place::Targets => json(::http::StatusCode::OK, &operators::targets(state)),
+        Place::Version(version) => found(operators::version(state, version)),
+        Place::Versions => match parameter(query, "limit").map_or(Ok(DEFAULT_LIMIT), str::parse) {
+            Ok(limit) => json(::http::StatusCode::OK, &operators::history(state, limit)),
+            Err(_) => malformed("limit must be a whole number"),
+        },
+    }
+}
+
+/// A version, or what is asked about one.
+fn found<T: Serialize>(value: Option<T>) -> web::exchange::Answer {
+    match value {
+        Some(value) => json(::http::StatusCode::OK, &value),
+        None => {
+            let detail = "this control does not have the version: it does not exist yet, or the \
+                          history no longer reaches back to it; list the versions with GET \
+                          /v1/versions";
+            problem(::http::StatusCode::NOT_FOUND, detail)
         }
-        _ => read_version(state, path),
     }
 }
 
-fn read_version(state: &state::State, path: &str) -> web::exchange::Answer {
-    let rest = path.strip_prefix(messages::VERSIONS_PATH).and_then(|it| it.strip_prefix('/'));
-    let Some(rest) = rest else { return unknown_path() };
-    let (number, progress) = match rest.strip_suffix("/progress") {
-        Some(number) => (number, true),
-        None => (rest, false),
-    };
-    let Ok(number) = number.parse() else { return unknown_path() };
-    let version = document::Version(number);
-    let answer = if progress {
-        operators::progress(state, version).map(|it| json(::http::StatusCode::OK, &it))
-    } else {
-        operators::version(state, version).map(|it| json(::http::StatusCode::OK, &it))
-    };
-    answer.unwrap_or_else(|| {
-        let detail = "this control does not have the version: it does not exist yet, or the \
-                      history no longer reaches back to it";
-        problem(::http::StatusCode::NOT_FOUND, detail)
-    })
+fn malformed(detail: &str) -> web::exchange::Answer {
+    problem(::http::StatusCode::BAD_REQUEST, detail)
+}
+
+fn refuse_body(error: &web::body::Error) -> web::exchange::Answer {
+    match error {
+        web::body::Error::TooLarge { .. } => {
+            let detail = format_compact!("{error}; divide the patch into smaller ones");
+            problem(::http::StatusCode::PAYLOAD_TOO_LARGE, &detail)
+        }
+        _ => malformed(&format_compact!("{error}; send the request again")),
+    }
 }
 
 fn unknown_path() -> web::exchange::Answer {
-    problem(::http::StatusCode::NOT_FOUND, "there is no such path")
+    problem(
+        ::http::StatusCode::NOT_FOUND,
+        "there is no such path; docs/operators.md lists the paths",
+    )
 }
 
 fn not_current() -> web::exchange::Answer {
@@ -120,6 +151,33 @@
     problem(::http::StatusCode::SERVICE_UNAVAILABLE, detail)
 }
 
+impl Place {
+    fn find(path: &str) -> Option<Place> {
+        match path {
+            messages::CURRENT_PATH => Some(Place::Current),
+            messages::NODES_PATH => Some(Place::Nodes),
+            messages::PATCHES_PATH => Some(Place::Patches),
+            messages::QUARANTINE_PATH => Some(Place::Quarantine),
+            messages::STATUS_PATH => Some(Place::Status),
+            messages::TARGETS_PATH => Some(Place::Targets),
+            messages::VERSIONS_PATH => Some(Place::Versions),
+            _ => Place::find_version(path),
+        }
+    }
+
+    fn find_version(path: &str) -> Option<Place> {
+        let rest = path.strip_prefix(messages::VERSIONS_PATH)?.strip_prefix('/')?;
+        let number = rest.strip_suffix("/progress").unwrap_or(rest);
+        // Parsing alone would also take a sign.
+        if !number.bytes().all(|it| it.is_ascii_digit()) {
+            return None;
+        }
+        let version = document::Version(number.parse().ok()?);
+        let whole = number.len() == rest.len();
+        Some(if whole { Place::Version(version) } else { Place::Progress(version) })
+    }
+}
+
 fn is_authorized(state: &state::State, request: &web::exchange::Request) -> bool {
     let header = request.headers.get(::http::header::AUTHORIZATION);
     let token = header.and_then(|it| it.as_bytes().strip_prefix(b"Bearer "));
--- a/crates/control/src/instruments.rs
+++ b/crates/control/src/instruments.rs
@@ -1,7 +1,8 @@
 //! The metrics of a control.
 
 use opentelemetry::{KeyValue, metrics};
-use protocol::operators;
+use protocol::{operators, proposals};
+use replicated::claims;
 use world::document;
 
 /// The answer that a claim got.
@@ -9,10 +10,14 @@
 pub enum ClaimAnswer {
     /// The request has run, and its answer is stored.
     Completed,
+    /// The table of claims is full.
+    Full,
     /// The caller may run the request.
     Granted,
     /// Another attempt runs it.
     InProgress,
+    /// The key or the time limit is out of bounds.
+    Malformed,
     /// The key belongs to another request.
     Mismatch,
     /// No majority of the claims group answered.
@@ -75,6 +80,30 @@
     }
 }
 
+impl ClaimAnswer {
+    /// What the answer to a claim counts as.
+    pub(crate) fn of(outcome: &proposals::Outcome) -> ClaimAnswer {
+        let proposals::Outcome::Answered(proposals::Answer::Claim(answer)) = outcome else {
+            return ClaimAnswer::Unavailable;
+        };
+        match answer {
+            claims::Answer::Completed(_) => ClaimAnswer::Completed,
+            claims::Answer::Full => ClaimAnswer::Full,
+            claims::Answer::Granted => ClaimAnswer::Granted,
+            claims::Answer::InProgress => ClaimAnswer::InProgress,
+            claims::Answer::Malformed => ClaimAnswer::Malformed,
+            claims::Answer::Mismatch => ClaimAnswer::Mismatch,
+            // The node refuses to run the request after any of these.
+            claims::Answer::AlreadyApplied
+            | claims::Answer::Expired
+            | claims::Answer::NotHolder
+            | claims::Answer::Released
+            | claims::Answer::Stored
+            | claims::Answer::Unknown => ClaimAnswer::Unknown,
+        }
+    }
+}
+
 fn patch_result(answer: &operators::PatchAnswer) -> &'static str {
     match answer {
         operators::PatchAnswer::Accepted { .. } => "accepted",
@@ -88,8 +117,10 @@
 fn claim_answer(answer: ClaimAnswer) -> &'static str {
     match answer {
         ClaimAnswer::Completed => "completed",
+        ClaimAnswer::Full => "full",
         ClaimAnswer::Granted => "granted",
         ClaimAnswer::InProgress => "in_progress",
+        ClaimAnswer::Malformed => "malformed",
         ClaimAnswer::Mismatch => "mismatch",
         ClaimAnswer::Unavailable => "unavailable",
         ClaimAnswer::Unknown => "unknown",
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -176,7 +176,9 @@
         versions::Answer::Conflict { current, since } => {
             operators::PatchAnswer::Conflict { current, since: since.iter().map(record).collect() }
         }
-        versions::Answer::Invalid { faults, .. } => operators::PatchAnswer::Invalid { faults },
+        versions::Answer::Invalid { faults, more } => {
+            operators::PatchAnswer::Invalid { faults, more }
+        }
         versions::Answer::RequestReused => operators::PatchAnswer::RequestReused,
         versions::Answer::AlreadyApplied => operators::PatchAnswer::Unavailable {
             detail: "the answer is not known; send the patch again with the same request ID".into(),
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -3,6 +3,7 @@
 use std::{collections, net, path, sync, time as std_time};
 
 use protocol::{proposals, streams};
+use replicated::claims;
 use tokio::{sync::mpsc, task, time};
 use transport::{endpoint, errors, links, pool};
 use world::hosts;
@@ -188,7 +189,7 @@
 ) -> errors::Result<()> {
     match (open, link.role()) {
         (streams::Open::Attach, hosts::Role::Node) => {
-            attaching::serve(state, sender, receiver).await
+            attaching::serve(state, link.host(), sender, receiver).await
         }
         (streams::Open::Peer, hosts::Role::Control) => {
             peers::receive(state, link.host(), &mut receiver).await
@@ -197,10 +198,7 @@
             let outcome = match role {
                 // A control has looked for the leader itself; a node leaves that to its control.
                 hosts::Role::Control => proposing::propose_here(state, request).await,
-                hosts::Role::Node if is_allowed(&request) => {
-                    proposing::propose(state, request).await
-                }
-                hosts::Role::Node => proposals::Outcome::Unavailable,
+                hosts::Role::Node => propose_for_node(state, link.host(), request).await,
             };
             sender.send(&outcome).await?;
             sender.finish()
@@ -214,8 +212,24 @@
 }
 
 /// A node claims and reports; only operators change the configuration.
-fn is_allowed(request: &proposals::Request) -> bool {
-    !matches!(request, proposals::Request::Patch(_))
+async fn propose_for_node(
+    state: &sync::Arc<state::State>,
+    host: &str,
+    request: proposals::Request,
+) -> proposals::Outcome {
+    if matches!(request, proposals::Request::Patch(_)) {
+        log::warn!("refused a patch that node {host} proposed; patches come from operators only");
+        return proposals::Outcome::Unavailable;
+    }
+    let claims = matches!(
+        &request,
+        proposals::Request::Claim(it) if matches!(it.action, claims::Action::Claim { .. })
+    );
+    let outcome = proposing::propose(state, request).await;
+    if claims {
+        state.instruments.count_claim(instruments::ClaimAnswer::of(&outcome));
+    }
+    outcome
 }
 
 async fn tick_groups(state: sync::Arc<state::State>) {
--- a/crates/heatherwalk/src/operators/errors.rs
+++ b/crates/heatherwalk/src/operators/errors.rs
@@ -22,9 +22,9 @@
         /// What has changed since; the oldest may be gone.
         since: Vec<operators::VersionRecord>,
     },
-    /// The candidate has faults.
-    #[error("the candidate is invalid and nothing was changed:\n{}\nnext: correct each place in the file and send it again with a new request ID", lines(.0))]
-    Invalid(Vec<faults::Fault>),
+    /// The candidate has these faults, and a number of others that are not listed.
+    #[error("the candidate is invalid and nothing was changed:\n{}{}\nnext: correct each place in the file and send it again with a new request ID", lines(.0), more(*.1))]
+    Invalid(Vec<faults::Fault>, u32),
     /// The request ID belongs to another patch.
     #[error(
         "request ID {0} was used for another patch; this one was not applied\nnext: leave out --request-id, or give a new one"
@@ -82,7 +82,7 @@
     #[error("no token: give --token-file FILE or set HEATHERWALK_TOKEN")]
     NoToken,
     /// A file cannot be read.
-    #[error("cannot read {}: {source}", file.display())]
+    #[error("cannot read {}: {source}\nnext: check the path and its permissions; `-` is standard input", file.display())]
     Read {
         /// The file.
         file: path::PathBuf,
@@ -90,7 +90,7 @@
         source: io::Error,
     },
     /// A file is not JSON.
-    #[error("{} is not JSON: {source}", file.display())]
+    #[error("{} is not JSON: {source}\nnext: correct the file at that place", file.display())]
     Json {
         /// The file.
         file: path::PathBuf,
@@ -101,7 +101,7 @@
     #[error("cannot write the output: {0}")]
     Output(#[from] io::Error),
     /// The command does not ask a control.
-    #[error("the command does not ask a control")]
+    #[error("the command does not ask a control; see `heatherwalk --help`")]
     NotForControls,
 }
 
@@ -112,7 +112,7 @@
     /// The exit code of the process that ends with this error.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Error::Conflict { .. } | Error::Invalid(_) | Error::RequestReused(_) => {
+            Error::Conflict { .. } | Error::Invalid(..) | Error::RequestReused(_) => {
                 exit_codes::REFUSED
             }
             Error::Unavailable { .. } | Error::NotCurrent => exit_codes::UNAVAILABLE,
@@ -160,6 +160,13 @@
     }
 }
 
+fn more(count: u32) -> CompactString {
+    match count {
+        0 => CompactString::default(),
+        _ => compact_str::format_compact!("\n  and {count} more faults, which are not listed"),
+    }
+}
+
 fn lines<T: std::fmt::Display>(items: &[T]) -> String {
     items.iter().map(|it| format!("  {it}")).collect::<Vec<_>>().join("\n")
 }
--- a/crates/heatherwalk/src/operators/patches.rs
+++ b/crates/heatherwalk/src/operators/patches.rs
@@ -135,7 +135,7 @@
         operators::PatchAnswer::Conflict { current, since } => {
             Err(Error::Conflict { base: change.base, current, since })
         }
-        operators::PatchAnswer::Invalid { faults } => Err(Error::Invalid(faults)),
+        operators::PatchAnswer::Invalid { faults, more } => Err(Error::Invalid(faults, more)),
         operators::PatchAnswer::RequestReused => {
             Err(Error::RequestReused(request.request_id.clone()))
         }
--- /dev/null
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -0,0 +1,224 @@
+//! What a control and a node do with frames and streams that they must not take.
+
+use std::{fmt::Write as _, net, time};
+
+use bytes::Bytes;
+use distribution::{floor, messages};
+use protocol::{operators, proposals, streams};
+use replicated::{claims, versions};
+use transport::{endpoint, errors, identity, limits, links};
+use world::{document, hosts, requests};
+
+use crate::mesh;
+
+/// The link of a peer to a process under test.
+async fn connect(peer: &endpoint::Endpoint, addr: net::SocketAddr, host: &str) -> links::Link {
+    peer.connect(addr, host).await.expect("connects")
+}
+
+async fn soon<F: Future>(future: F) -> F::Output {
+    tokio::time::timeout(mesh::PATIENCE, future).await.expect("in time")
+}
+
+fn frame(length: u32, payload: &[u8]) -> Bytes {
+    let mut bytes = length.to_be_bytes().to_vec();
+    bytes.extend_from_slice(payload);
+    bytes.into()
+}
+
+/// Guards against a bad frame that stops a process, fills its memory or is taken for a message.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_frames() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let server =
+        mesh::backend(node.announce(), heatherwalk::example::greet("skulte-1".into())).await;
+    api.until(|| api.get("/v1/targets"), |it| it.1[0]["service"] == "logbook").await;
+    let processes = [
+        ("control", mesh.control.listen().expect("bound"), "skulte-c"),
+        ("node", node.listen().expect("bound"), "skulte-1"),
+    ];
+    let peer = mesh.peer("jugla-1", hosts::Role::Node);
+    let cases = [
+        ("garbage", frame(5, &[1, 0xff, 0xff, 0xff, 0xff]), true),
+        ("trailing byte", frame(3, &[1, 0, 0]), true),
+        ("truncated", frame(100, &[1, 0]), true),
+        ("no frame", Bytes::from_static(&[0, 0]), true),
+        ("oversized", frame(8 * 1024 * 1024 + 1, &[1]), false),
+        ("largest length", frame(u32::MAX, &[]), false),
+        ("no version", frame(0, &[]), false),
+        ("version 0", frame(2, &[0, 0]), false),
+        ("version 2", frame(2, &[2, 0]), false),
+    ];
+    let mut out = String::new();
+    for (process, addr, host) in processes {
+        for (name, bytes, finish) in &cases {
+            let link = connect(&peer, addr, host).await;
+            let (mut sender, _answers) = link.open().await.expect("opens");
+            sender.send_bytes(bytes.clone()).await.expect("sends");
+            let _open = if *finish {
+                sender.finish().expect("finishes");
+                None
+            } else {
+                Some(sender)
+            };
+            writeln!(out, "{process}, {name}: {}", soon(link.closed()).await).expect("text");
+        }
+        // Frames that stay incomplete are held up to the link's limit of 16 MiB, then no longer.
+        let link = connect(&peer, addr, host).await;
+        let mut senders = Vec::new();
+        let closed = async {
+            let part = frame(8 * 1024 * 1024, &vec![1; 7 * 1024 * 1024]);
+            for _ in 0..4 {
+                let (mut sender, answers) = link.open().await?;
+                sender.send_bytes(part.clone()).await?;
+                senders.push((sender, answers));
+            }
+            Err::<(), _>(link.closed().await)
+        };
+        let error = soon(closed).await.expect_err("the link is closed");
+        assert!(link.is_closed(), "{process}: {error}");
+        writeln!(out, "{process}, incomplete frames: {}", soon(link.closed()).await).expect("text");
+        strangers(&mesh, addr, host).await;
+    }
+    insta::assert_snapshot!(out);
+    assert_eq!(api.get("/v1/versions/current").await.0, 200);
+    let (status, _, body) =
+        mesh::http(&mesh::client(), node.callers(), "GET /logs/a", &[], b"").await;
+    assert_eq!((status, body.as_str()), (200, "skulte-1 answers GET /logs/a\n"));
+    server.stop(time::Duration::from_secs(1)).await;
+    node.stop().await;
+    mesh.control.stop().await;
+}
+
+/// A process without a certificate of the mesh, and one that sends no QUIC at all.
+async fn strangers(mesh: &mesh::Mesh, addr: net::SocketAddr, host: &str) {
+    let other = identity::Authority::create().expect("creates");
+    let own = other.issue("jugla-1", hosts::Role::Node).expect("issues");
+    let authority = &mesh.authority.pem().certificate;
+    let trusting = identity::Identity::from_pem(own.pem().clone(), authority).expect("reads");
+    let stranger = endpoint::Endpoint::bind(mesh::local(), &trusting, limits::Limits::default());
+    // The client completes its side of a TLS 1.3 handshake before the server's check.
+    if let Ok(link) = stranger.expect("binds").connect(addr, host).await {
+        let opened = async {
+            let (mut sender, mut answers) = link.open().await?;
+            sender.send(&streams::Open::Attach).await?;
+            answers.recv::<streams::ControlMessage>().await
+        };
+        assert!(soon(opened).await.is_err(), "a stranger is answered");
+        let closed = soon(link.closed()).await.to_string();
+        assert!(closed.contains("certificate") || closed.contains("UnknownIssuer"), "{closed}");
+    }
+    let socket = tokio::net::UdpSocket::bind(mesh::local()).await.expect("binds");
+    for length in [0, 1, 20, 1_200] {
+        socket.send_to(&vec![0xc3; length], addr).await.expect("sends");
+    }
+}
+
+/// Guards against a node that takes a control's place, or that speaks for another node.
+#[tokio::test(flavor = "multi_thread")]
+async fn reserved_streams() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let peer = mesh.peer("jugla-1", hosts::Role::Node);
+    let addr = mesh.control.listen().expect("bound");
+    let to_control = connect(&peer, addr, "skulte-c").await;
+    let to_node = connect(&peer, node.listen().expect("bound"), "skulte-1").await;
+    let patch = versions::Patch {
+        base: document::Version(1),
+        request: "r-9".into(),
+        text: r#"{"routes":null}"#.into(),
+        operator: "ilze".into(),
+    };
+    let patch = streams::Open::Propose(proposals::Request::Patch(patch));
+    let mut out = String::new();
+    for (name, link, open) in [
+        ("peer stream to a control", &to_control, streams::Open::Peer),
+        ("patch to a control", &to_control, patch.clone()),
+        ("version to a control", &to_control, streams::Open::PeerVersion(Default::default())),
+        ("attach to a node", &to_node, streams::Open::Attach),
+        ("peer stream to a node", &to_node, streams::Open::Peer),
+        ("patch to a node", &to_node, patch),
+    ] {
+        let (mut sender, mut answers) = link.open().await.expect("opens");
+        sender.send(&open).await.expect("sends");
+        let answer = soon(answers.recv::<proposals::Outcome>()).await;
+        writeln!(out, "{name}: {}", show(&answer)).expect("text");
+    }
+    for (name, host) in [("hello of another node", "skulte-1"), ("own hello", "jugla-1")] {
+        let (mut sender, mut answers) = to_control.open().await.expect("opens");
+        sender.send(&streams::Open::Attach).await.expect("sends");
+        let hello = messages::Up::Hello(messages::Hello {
+            session: messages::Session(1),
+            node: host.into(),
+            data_centre: "skulte".into(),
+            home: true,
+            level: document::LEVEL,
+            running: None,
+            floor: floor::Floor::Absent,
+        });
+        sender.send(&streams::NodeMessage::Version(hello)).await.expect("sends");
+        let answer = soon(answers.recv::<streams::ControlMessage>()).await;
+        writeln!(out, "{name}: {}", show(&answer.map(|it| it.map(|_| "answered")))).expect("text");
+    }
+    insta::assert_snapshot!(out);
+    assert!(!to_control.is_closed() && !to_node.is_closed(), "a refused stream ends alone");
+    let (_, current) = api.get(operators::CURRENT_PATH).await;
+    assert_eq!(current["version"], 1, "nothing was changed");
+    let (_, nodes) = api.get(operators::NODES_PATH).await;
+    let nodes = nodes.as_array().expect("a list");
+    assert!(nodes.iter().filter(|it| it["host"] == "skulte-1").count() < 2, "{nodes:?}");
+}
+
+fn show<T: std::fmt::Debug>(answer: &errors::Result<T>) -> String {
+    match answer {
+        Ok(answer) => format!("{answer:?}"),
+        Err(err) => err.to_string(),
+    }
+}
+
+/// Guards against claims that are answered and not counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn claims_are_counted() {
+    let mesh = mesh::Mesh::start(1).await;
+    mesh.api().create().await;
+    let peer = mesh.peer("jugla-1", hosts::Role::Node);
+    let link = connect(&peer, mesh.control.listen().expect("bound"), "skulte-c").await;
+    let claim = |fingerprint| claims::Action::Claim {
+        fingerprint: requests::Fingerprint([fingerprint; 32]),
+        limit_ms: 60_000,
+    };
+    let stored = claims::StoredAnswer {
+        status: 201,
+        headers: Vec::new(),
+        body: Bytes::from_static(b"lodged"),
+        cut: false,
+    };
+    for (home, attempt, action) in [
+        ("vidzeme", 1, claim(1)),
+        ("vidzeme", 1, claim(1)),
+        ("vidzeme", 2, claim(1)),
+        ("vidzeme", 3, claim(2)),
+        ("vidzeme", 1, claims::Action::Complete(stored)),
+        ("vidzeme", 2, claim(1)),
+        ("tas", 4, claim(1)),
+    ] {
+        let request = proposals::Request::Claim(proposals::ClaimRequest {
+            home: home.into(),
+            name: claims::ClaimName { service: "logbook".into(), key: "k".into() },
+            attempt: claims::AttemptId(attempt),
+            action,
+        });
+        let (mut sender, mut answers) = link.open().await.expect("opens");
+        sender.send(&streams::Open::Propose(request)).await.expect("sends");
+        let outcome = soon(answers.recv::<proposals::Outcome>()).await.expect("an answer");
+        assert!(outcome.is_some(), "{home} {attempt}");
+    }
+    let page = mesh.metrics.render().expect("renders");
+    let counts: Vec<_> = page.lines().filter(|it| it.contains("claims_total{")).collect();
+    insta::assert_snapshot!(counts.join("\n"));
+}
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -72,6 +72,11 @@
         Ok(Node { state, endpoint, callers, announce, tasks })
     }
 
+    /// Where other processes connect.
+    pub fn listen(&self) -> Result<net::SocketAddr> {
+        Ok(self.endpoint.local_addr()?)
+    }
+
     /// Where callers' requests arrive.
     pub fn callers(&self) -> net::SocketAddr {
         self.callers.local_addr()
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -62,8 +62,11 @@
     },
     /// The candidate has faults and is rejected as a whole.
     Invalid {
-        /// Every fault.
+        /// The first faults.
         faults: Vec<faults::Fault>,
+        /// How many more there are; the list has a limit, since answers are kept for resends.
+        #[serde(default)]
+        more: u32,
     },
     /// The request ID belongs to another patch.
     RequestReused,
