Test and describe the interfaces of backend servers and callers

Cause: neither interface had a page or a test against a running node. Faults found and fixed: - an empty idempotency key was taken as a key (POST was answered 200), so that callers that all send an empty one would get each other's stored answers; claims refuse it as malformed, 400; - by reading: a process that a later incarnation has replaced was answered 200, got the floor token and its own token was taken for the one that is held, so the token could go away with it while the node relied on it (R2).

--- /dev/null
+++ b/crates/heatherwalk/tests/contracts/announcements.rs
@@ -0,0 +1,131 @@
+//! `POST /announce` as docs/backend-servers.md describes it.
+
+use std::{fmt::Write as _, time};
+
+use serde_json::{Value, json};
+
+use crate::mesh;
+
+/// Guards against an announcement that is refused or taken in another way than the page says.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcements() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let client = mesh::client();
+    let addr = "127.0.0.1:9000";
+    let good = json!({"service": "logbook", "addr": addr, "incarnation": 100, "slots": 6});
+    let edit = |name: &str, value: Value| {
+        let mut body = good.clone();
+        body[name] = value;
+        body.to_string()
+    };
+    let without = |name: &str| {
+        let mut body = good.clone();
+        body.as_object_mut().expect("an object").remove(name);
+        body.to_string()
+    };
+    let whole = good.to_string();
+    let long = "s".repeat(65);
+    let cases = [
+        (200, "POST /announce", "good", whole.clone()),
+        (200, "POST /announce", "renewal", whole.clone()),
+        (200, "POST /announce", "drain given", edit("drain", false.into())),
+        (200, "POST /announce", "no token", edit("token", Value::Null)),
+        (200, "POST /announce", "not a token", edit("token", "what".into())),
+        (200, "POST /announce", "service without a route", edit("service", "none".into())),
+        (200, "POST /announce", "all slots", edit("slots", 1024.into())),
+        (409, "POST /announce", "incarnation going back", edit("incarnation", 99.into())),
+        (200, "POST /announce", "later incarnation", edit("incarnation", 101.into())),
+        (409, "POST /announce", "the one before", whole.clone()),
+        (400, "POST /announce", "unknown field", edit("slot", 6.into())),
+        (400, "POST /announce", "no service", without("service")),
+        (400, "POST /announce", "no address", without("addr")),
+        (400, "POST /announce", "no incarnation", without("incarnation")),
+        (400, "POST /announce", "no slots", without("slots")),
+        (400, "POST /announce", "zero slots", edit("slots", 0.into())),
+        (400, "POST /announce", "too many slots", edit("slots", 1025.into())),
+        (400, "POST /announce", "negative slots", edit("slots", (-1).into())),
+        (400, "POST /announce", "empty service", edit("service", "".into())),
+        (400, "POST /announce", "long service", edit("service", long.into())),
+        (400, "POST /announce", "service of other letters", edit("service", "log book".into())),
+        (400, "POST /announce", "host name", edit("addr", "localhost:9000".into())),
+        (400, "POST /announce", "port 0", edit("addr", "127.0.0.1:0".into())),
+        (400, "POST /announce", "any address", edit("addr", "0.0.0.0:9000".into())),
+        (400, "POST /announce", "not JSON", "service=logbook".into()),
+        (400, "POST /announce", "empty", String::new()),
+        (413, "POST /announce", "oversized", edit("token", "x".repeat(70_000).into())),
+        (405, "GET /announce", "wrong method", String::new()),
+        (405, "PUT /announce", "wrong method", whole.clone()),
+        (404, "POST /", "wrong path", whole.clone()),
+        (404, "POST /announce/skulte-1", "wrong path", whole),
+    ];
+    let mut out = String::new();
+    for (wanted, line, name, body) in cases {
+        let (status, _, text) =
+            mesh::http(&client, node.announce(), line, &[], body.as_bytes()).await;
+        assert_eq!(status, wanted, "{name}: {text}");
+        // A token may come with each answer, as soon as the node has a version.
+        let text = match serde_json::from_str::<Value>(&text) {
+            Ok(answer) => format!("renew_ms {}", answer["renew_ms"]),
+            Err(_) => text.trim().to_owned(),
+        };
+        writeln!(out, "{line}, {name}: {status} {text}").expect("text");
+    }
+    insta::assert_snapshot!(out);
+    mesh.control.stop().await;
+}
+
+/// Guards against a token that gets lost, or that goes to a process that was replaced, and against
+/// a drain that is not announced.
+#[tokio::test(flavor = "multi_thread")]
+async fn token_and_drain() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let client = mesh::client();
+    let announce = async |incarnation: u64, drain: bool, token: &Value| {
+        let body = json!({"service": "logbook", "addr": "127.0.0.1:9000", "slots": 6,
+            "incarnation": incarnation, "drain": drain, "token": token});
+        let body = body.to_string();
+        mesh::http(&client, node.announce(), "POST /announce", &[], body.as_bytes()).await
+    };
+    let end = time::Instant::now() + mesh::PATIENCE;
+    let token = loop {
+        let (_, _, text) = announce(100, false, &Value::Null).await;
+        let answer: Value = serde_json::from_str(&text).expect("JSON");
+        if !answer["token"].is_null() {
+            break answer["token"].clone();
+        }
+        assert!(time::Instant::now() < end, "no token in time");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    };
+    let text = token.as_str().expect("text");
+    assert!(text.starts_with("1.h.1."), "format 1, from home, version 1: {text}");
+    let (_, _, again) = announce(100, false, &token).await;
+    assert_eq!(serde_json::from_str::<Value>(&again).expect("JSON")["token"], token);
+    let (status, _, refused) = announce(99, false, &Value::Null).await;
+    assert_eq!(status, 409);
+    assert!(!refused.contains(text), "a replaced process must not get the token");
+
+    let is = |state: &'static str| {
+        move |it: &(u16, Value)| {
+            let seen = it.1[0]["state"].as_str().unwrap_or_default();
+            state.split(' ').any(|it| it == seen)
+        }
+    };
+    for (drain, state) in
+        [(false, "starting serving"), (true, "draining"), (false, "starting serving")]
+    {
+        assert_eq!(announce(100, drain, &token).await.0, 200);
+        api.until(|| api.get("/v1/targets"), is(state)).await;
+        let (_, headers, text) = mesh::http(&client, node.callers(), "GET /logs", &[], b"").await;
+        assert_eq!(headers["heatherwalk-not-run"], "true", "nothing listens there: {text}");
+        assert_eq!(drain, text.contains("leaving"), "{text}");
+    }
+    // Without a renewal the lease ends after 2 s.
+    api.until(|| api.get("/v1/targets"), |it| it.1 == json!([])).await;
+    mesh.control.stop().await;
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/contracts/callers.rs
@@ -0,0 +1,172 @@
+//! What callers get from a node, and what the node sends to its backend server with each request:
+//! docs/callers.md and docs/backend-servers.md.
+
+use std::{fmt::Write as _, sync, time};
+
+use serde_json::Value;
+
+use crate::mesh;
+
+type Seen = sync::Arc<sync::Mutex<Vec<String>>>;
+
+/// The request as the backend server gets it; what differs from run to run is checked and hidden.
+fn describe(request: &web::exchange::Request) -> String {
+    let query = request.query.as_deref().map_or(String::new(), |it| format!("?{it}"));
+    let mut fields: Vec<_> = request
+        .headers
+        .iter()
+        .map(|(name, value)| {
+            let value = value.to_str().expect("text");
+            let hidden = match name.as_str() {
+                "heatherwalk-deadline-ms" => {
+                    let left: u64 = value.parse().expect("milliseconds");
+                    assert!(left <= 2_000, "the timeout of the route is 2 s, not {left} ms");
+                    "MS"
+                }
+                "heatherwalk-parent" => {
+                    u64::from_str_radix(value, 16).expect("a parent token");
+                    "PARENT"
+                }
+                "heatherwalk-first-sent" => "SECONDS",
+                "host" => "HOST",
+                _ => value,
+            };
+            format!("\n  {name}: {hidden}")
+        })
+        .collect();
+    fields.sort();
+    format!("{} {}{query}{}\n", request.method, request.path, fields.concat())
+}
+
+fn answer(status: u16, name: &'static str, value: &str) -> web::exchange::Answer {
+    let status = http::StatusCode::from_u16(status).expect("a status");
+    let mut answer = web::exchange::Answer::text(status, "answer of the backend server\n");
+    answer.headers.insert(name, value.parse().expect("a value"));
+    answer
+}
+
+async fn handle(seen: Seen, request: web::exchange::Request) -> web::exchange::Answer {
+    seen.lock().expect("not poisoned").push(describe(&request));
+    let body = request.body.whole(1024 * 1024).await.expect("a whole body");
+    match request.path.as_str() {
+        "/logs/shed" => answer(503, "heatherwalk-not-run", "true"),
+        "/logs/spoof" => answer(200, "heatherwalk-outcome", "unknown"),
+        "/logs/reason" => answer(200, "heatherwalk-reason", "mine"),
+        "/logs/close" => {
+            let (sender, cut) = web::body::Body::channel(1);
+            tokio::spawn(async move {
+                // The pause lets the head and the first chunk leave before the connection breaks.
+                let _ = sender.send("begun".into()).await;
+                tokio::time::sleep(time::Duration::from_millis(200)).await;
+                sender.fail();
+            });
+            let mut answer = web::exchange::Answer::empty(http::StatusCode::OK);
+            answer.body = cut;
+            answer
+        }
+        _ => answer(200, "x-length", &body.len().to_string()),
+    }
+}
+
+/// Guards against a status, a reason or a mark that differs from the pages, and against headers
+/// that a caller or a backend server can forge.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    let node = mesh.node("skulte-1").await;
+    let seen = Seen::default();
+    let shared = sync::Arc::clone(&seen);
+    let handler = move |request| handle(sync::Arc::clone(&shared), request);
+    let server = mesh::backend(node.announce(), handler).await;
+    let client = mesh::client();
+    let mut out = String::new();
+    let before = mesh::http(&client, node.callers(), "GET /logs", &[], b"").await;
+    write(&mut out, (503, "GET /logs", &[], "before the first version"), before, "");
+    api.create().await;
+    let patch = serde_json::json!({
+        "services": {"logbook": {"timeout_ms": 2000}, "sondelab": {"slots": 1}},
+        "routes": {"free": {"prefix": "/free", "service": "logbook", "keyless": true},
+            "lab": {"prefix": "/lab", "service": "sondelab"}},
+    });
+    assert_eq!(api.patch(1, "r-2", &patch).await.0, 200);
+    api.until(|| api.get("/v1/status"), |it| it.1["converged"] == 1 && it.1["version"] == 2).await;
+    let known = |it: &(u16, Value)| it.1[0]["service"] == "logbook";
+    api.until(|| api.get("/v1/targets"), known).await;
+    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH).expect("after 1970");
+    let (recent, old) = (now.as_secs().to_string(), (now.as_secs() - 90_000).to_string());
+    let large = "x".repeat(1024 * 1024 + 1);
+    let long_key = "k".repeat(257);
+    let cases: &[Case] = &[
+        (200, "GET /logs/a?b=c", &[], ""),
+        (200, "GET /logs", &[("connection", "x-hop"), ("x-hop", "1"), ("x-own", "2")], ""),
+        (200, "GET /logs", &[("heatherwalk-not-run", "true"), ("heatherwalk-stored", "cut")], ""),
+        (200, "GET /logs", &[("heatherwalk-outcome", "x"), ("heatherwalk-reason", "x")], ""),
+        (200, "GET /logs", &[("heatherwalk-deadline-ms", "1500")], ""),
+        (200, "GET /logs", &[("heatherwalk-deadline-ms", "90000")], ""),
+        (504, "GET /logs", &[("heatherwalk-deadline-ms", "0")], ""),
+        (400, "GET /logs", &[("heatherwalk-deadline-ms", "-1")], ""),
+        (400, "GET /logs", &[("heatherwalk-parent", "1")], ""),
+        (400, "GET /logs", &[("heatherwalk-parent", "none")], ""),
+        (404, "GET /nothing", &[], ""),
+        (503, "GET /lab", &[], ""),
+        (413, "PUT /logs", &[], &large),
+        (200, "PUT /logs", &[], "text"),
+        (428, "POST /logs", &[], "text"),
+        (200, "POST /free", &[], "text"),
+        (200, "POST /logs", &[("idempotency-key", "k-1")], "text"),
+        (200, "POST /logs", &[("idempotency-key", "k-1")], "text"),
+        (422, "POST /logs", &[("idempotency-key", "k-1")], "other"),
+        (400, "POST /logs", &[("idempotency-key", "")], "text"),
+        (400, "POST /logs", &[("idempotency-key", &long_key)], "text"),
+        (503, "POST /lab", &[("idempotency-key", "k-1")], "text"),
+        (200, "POST /logs", &[("idempotency-key", "k-2"), ("heatherwalk-first-sent", &recent)], ""),
+        (410, "POST /logs", &[("idempotency-key", "k-3"), ("heatherwalk-first-sent", &old)], ""),
+        (400, "POST /logs", &[("idempotency-key", "k-3"), ("heatherwalk-first-sent", "now")], ""),
+        (503, "GET /logs/shed", &[], ""),
+        (503, "POST /logs/shed", &[("idempotency-key", "k-4")], ""),
+        (200, "GET /logs/spoof", &[], ""),
+        (200, "GET /logs/reason", &[], ""),
+        (502, "POST /logs/close", &[("idempotency-key", "k-5")], ""),
+        (409, "POST /logs/close", &[("idempotency-key", "k-5")], ""),
+    ];
+    for case in cases {
+        seen.lock().expect("not poisoned").clear();
+        let (_, line, fields, body) = case;
+        let got = mesh::http(&client, node.callers(), line, fields, body.as_bytes()).await;
+        let reached = seen.lock().expect("not poisoned").concat();
+        write(&mut out, *case, got, &reached);
+    }
+    insta::assert_snapshot!(out);
+    server.stop(time::Duration::from_secs(1)).await;
+    node.stop().await;
+    mesh.control.stop().await;
+}
+
+/// Wanted status, method and path, header fields, and body or title.
+type Case<'a> = (u16, &'a str, &'a [(&'static str, &'a str)], &'a str);
+
+fn write(out: &mut String, case: Case<'_>, got: mesh::Answer, reached: &str) {
+    let (wanted, line, fields, body) = case;
+    let (status, headers, text) = got;
+    assert_eq!(status, wanted, "{line} {fields:?}: {text}");
+    // A request that reached the backend server and was not shed by it has run.
+    let not_run = headers.contains_key("heatherwalk-not-run");
+    assert!(!not_run || reached.is_empty() || line.contains("shed"), "{line}: {reached}");
+    let marks: Vec<_> = headers
+        .iter()
+        .filter(|it| it.0.as_str().starts_with("heatherwalk"))
+        .map(|(name, value)| format!("{name}: {}", value.to_str().expect("text")))
+        .collect();
+    let fields: Vec<_> = fields
+        .iter()
+        .map(|(name, value)| match value.len() {
+            8.. if *name == "heatherwalk-first-sent" => format!("{name}: SECONDS"),
+            64.. => format!("{name}: {} bytes", value.len()),
+            _ => format!("{name}: {value}"),
+        })
+        .collect();
+    let body = if body.len() > 64 { format!("{} bytes", body.len()) } else { body.to_owned() };
+    writeln!(out, "== {line} {fields:?} {body}").expect("text");
+    writeln!(out, "{status} {marks:?} {}\n{reached}", text.trim()).expect("text");
+}
--- a/crates/heatherwalk/tests/contracts/main.rs
+++ b/crates/heatherwalk/tests/contracts/main.rs
@@ -1,5 +1,7 @@
 //! Contracts of the interfaces between processes, with operators and with backend servers.
 
+mod announcements;
+mod callers;
 mod links;
 mod mesh;
 mod operators_api;
--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -64,7 +64,8 @@
 }
 
 pub(crate) fn no_route() -> Refusal {
-    Refusal::not_run(http::StatusCode::NOT_FOUND, "no-route", "no route has this path")
+    let detail = "no route has this path; check the path, or have an operator add a route";
+    Refusal::not_run(http::StatusCode::NOT_FOUND, "no-route", detail)
 }
 
 pub(crate) fn bad_deadline() -> Refusal {
@@ -103,7 +104,8 @@
 }
 
 pub(crate) fn key_required() -> Refusal {
-    let detail = "a non-idempotent request needs the header idempotency-key";
+    let detail =
+        "a non-idempotent request needs the header idempotency-key, the same in each resend";
     Refusal::not_run(http::StatusCode::PRECONDITION_REQUIRED, "key-required", detail)
 }
 
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -15,6 +15,10 @@
 
 /// The largest body of an announcement.
 const MAX_BODY: usize = 64 * 1024;
+/// The most slots that a service can have in a configuration document.
+const MAX_SLOTS: u32 = 1_024;
+/// The longest name of a service in a configuration document, in bytes.
+const MAX_SERVICE: usize = 64;
 
 /// An announcement as a backend server sends it, as JSON.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -52,17 +56,21 @@
 ) -> web::exchange::Answer {
     let body = match request.body.whole(MAX_BODY).await {
         Ok(it) => it,
-        Err(err) => return web::exchange::Answer::refuse_body(&err),
+        Err(err) => {
+            let mut answer = web::exchange::Answer::refuse_body(&err);
+            let text = format!("{err}; send one announcement as JSON\n");
+            answer.body = web::body::Body::full(Bytes::from(text));
+            return answer;
+        }
     };
     let announcement: Announcement = match serde_json::from_slice(&body) {
         Ok(it) => it,
         Err(err) => {
-            let text = format!("not an announcement: {err}\n");
+            let text = format!("not an announcement: {err}; see docs/backend-servers.md\n");
             return web::exchange::Answer::text(http::StatusCode::BAD_REQUEST, &text);
         }
     };
-    if announcement.slots == 0 {
-        let text = "slots must be at least 1\n";
+    if let Err(text) = check(&announcement) {
         return web::exchange::Answer::text(http::StatusCode::BAD_REQUEST, text);
     }
     let job = {
@@ -70,7 +78,12 @@
         move || announce(&state, &announcement)
     };
     match state.pool.run(attaching::in_runtime(job)).await {
-        Ok(answer) => {
+        Ok(None) => {
+            let text = "a later incarnation of this backend server is announced; stop this \
+                        process, or announce again when the other has been silent for 2 s\n";
+            web::exchange::Answer::text(http::StatusCode::CONFLICT, text)
+        }
+        Ok(Some(answer)) => {
             let bytes = serde_json::to_vec(&answer).expect("the answer has text keys only");
             let kind = &mime::APPLICATION_JSON;
             web::exchange::Answer::full(http::StatusCode::OK, kind, Bytes::from(bytes))
@@ -119,9 +132,28 @@
     follow(state, now, outcome, None);
 }
 
-fn announce(state: &sync::Arc<state::State>, announcement: &Announcement) -> AnnounceAnswer {
+/// What is announced goes to every registry of the mesh, so its size has bounds.
+fn check(announcement: &Announcement) -> Result<(), &'static str> {
+    if !(1..=MAX_SLOTS).contains(&announcement.slots) {
+        return Err("slots must be 1 to 1024\n");
+    }
+    let service = &announcement.service;
+    let allowed = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
+    if service.is_empty() || service.len() > MAX_SERVICE || !service.chars().all(allowed) {
+        return Err("service must have 1 to 64 ASCII letters, digits, '-', '_' or '.'\n");
+    }
+    if announcement.addr.port() == 0 || announcement.addr.ip().is_unspecified() {
+        return Err("addr must be an IP address and a port that can be connected to\n");
+    }
+    Ok(())
+}
+
+/// Takes an announcement; none when it comes from a process that another has replaced.
+fn announce(
+    state: &sync::Arc<state::State>,
+    announcement: &Announcement,
+) -> Option<AnnounceAnswer> {
     let now = state.now();
-    let token = attaching::renewal(state, announcement.token.as_deref());
     let message = messages::Announcement {
         service: announcement.service.clone(),
         addr: announcement.addr,
@@ -133,14 +165,22 @@
         let mut backend = state.backend.lock();
         let before = backend.local.entry().cloned();
         let outcome = backend.local.announce(now, &message);
-        if outcome.notice != Some(local::Notice::Outdated) {
-            backend.addr = Some(announcement.addr);
+        if outcome.notice == Some(local::Notice::Outdated) {
+            log::info!(
+                target: "decision",
+                "announcement of incarnation {} refused: a later one is announced",
+                announcement.incarnation,
+            );
+            return None;
         }
+        backend.addr = Some(announcement.addr);
         (outcome, before)
     };
+    // Only the process that is announced may hold the token: one that ends would take it along.
+    let token = attaching::renewal(state, announcement.token.as_deref());
     follow(state, now, outcome, before.as_ref());
     let renew_ms = u64::try_from(local::RENEWAL.as_millis()).unwrap_or(u64::MAX);
-    AnnounceAnswer { renew_ms, token }
+    Some(AnnounceAnswer { renew_ms, token })
 }
 
 /// Acts on what became of the backend server. `before` is what was announced until now.
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -22,7 +22,7 @@
 pub(crate) const STORED: &str = "heatherwalk-stored";
 
 /// Fields that only the system may set.
-const RESERVED: [&str; 5] = [DEADLINE, NOT_RUN, OUTCOME, PARENT, STORED];
+const RESERVED: [&str; 6] = [DEADLINE, NOT_RUN, OUTCOME, PARENT, REASON, STORED];
 
 /// A field's value as text.
 pub(crate) fn text<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/replicated/src/claims.rs
+++ b/crates/replicated/src/claims.rs
@@ -101,7 +101,7 @@
     Mismatch,
     /// The table is full: refused as not run.
     Full,
-    /// The key is too long, or the time limit too large: refused as not run.
+    /// The key is empty or too long, or the time limit too large: refused as not run.
     Malformed,
     /// The attempt released its claim. It must not run the work.
     Released,
@@ -184,7 +184,8 @@
         let Command::Act { name, attempt, action, .. } = command else {
             return Answer::Expired;
         };
-        if name.key.len() > MAX_KEY || name.service.len() > MAX_KEY {
+        // Callers that all send an empty key would get each other's stored answers.
+        if !(1..=MAX_KEY).contains(&name.key.len()) || name.service.len() > MAX_KEY {
             return Answer::Malformed;
         }
         if self.claims.get(name).is_some_and(|it| it.expires_ms <= self.clock.now_ms()) {
