--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -13,7 +13,7 @@
     pub value: Vec<u8>,
 }
 
-/// The head of a forwarded request; the body follows as byte frames on the same stream.
+/// The head of a forwarded request, which the same message carries together with the body.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct RequestHead {
     /// The service that the sender's configuration names for the request.
--- /dev/null
+++ b/crates/protocol/tests/wire.rs
@@ -0,0 +1,402 @@
+//! The encoded bytes of every message between processes. A change here is a change of the wire
+//! format: processes of two builds run at the same time during an update, so it needs a new
+//! `codec::VERSION` or a way to read both.
+
+use std::fmt::{Debug, Write as _};
+
+use agreement::{entries, messages as agreed};
+use bytes::Bytes;
+use distribution::{floor, messages as versions};
+use membership::messages as registry;
+use protocol::{forwarding, proposals, streams};
+use replicated::{claims, quarantine, versions as patches};
+use serde::{Serialize, de};
+use transport::codec;
+use world::{document, faults, requests, targets, time};
+
+#[derive(Default)]
+struct Table(String);
+
+impl Table {
+    fn add<T: Debug + de::DeserializeOwned + Serialize>(&mut self, name: &str, value: &T) {
+        let frame = codec::encode(value).expect("encodes");
+        let back: T = codec::decode(&frame).expect(name);
+        assert_eq!(format!("{back:?}"), format!("{value:?}"), "{name}");
+        assert_eq!(codec::encode(&back).expect("encodes"), frame, "{name}");
+        for end in 0..frame.len() {
+            assert!(codec::decode::<T>(&frame[..end]).is_err(), "{name} cut at {end}");
+        }
+        let hex: String = frame.iter().map(|it| format!("{it:02x}")).collect();
+        writeln!(self.0, "{name}: {hex}").expect("text");
+    }
+
+    fn all<T: Debug + de::DeserializeOwned + Serialize>(&mut self, kind: &str, values: &[T]) {
+        for value in values {
+            let text = format!("{value:?}");
+            let variant = text.split([' ', '(', '{']).next().unwrap_or_default();
+            self.add(&format!("{kind}::{variant}"), value);
+        }
+    }
+}
+
+fn numbered() -> versions::Numbered {
+    let digest = document::DocumentDigest([0xd1; 32]);
+    versions::Numbered { version: document::Version(7), digest }
+}
+
+fn fingerprint() -> requests::Fingerprint {
+    requests::Fingerprint([0xf1; 32])
+}
+
+fn crashed() -> quarantine::Evidence {
+    let crash = quarantine::CrashId { host: "h1".into(), incarnation: 300 };
+    quarantine::Evidence::Crashed { crash, fingerprints: vec![fingerprint()] }
+}
+
+fn event() -> registry::Event {
+    let entry = registry::Entry {
+        host: "h1".into(),
+        data_centre: "dc".into(),
+        service: "s".into(),
+        addr: "127.0.0.1:7101".parse().expect("an address"),
+        order: registry::Order { incarnation: 300, sequence: 2 },
+        slots: 6,
+        state: targets::State::Draining,
+        registrar: "dc".into(),
+    };
+    registry::Event { entry, age_ms: 1_500 }
+}
+
+fn part_request() -> registry::PartRequest {
+    registry::PartRequest { data_centre: "dc".into(), part: 15 }
+}
+
+fn part() -> registry::Part {
+    registry::Part { request: part_request(), events: vec![event()], settled: true }
+}
+
+fn digest() -> registry::Digest {
+    registry::Digest { data_centre: "dc".into(), parts: [1; registry::PARTS] }
+}
+
+fn snapshot() -> versions::Snapshot {
+    versions::Snapshot { of: numbered(), document: "{}".into() }
+}
+
+fn patch() -> patches::Patch {
+    patches::Patch {
+        base: document::Version(6),
+        request: "r-1".into(),
+        text: "{}".into(),
+        operator: "ilze".into(),
+    }
+}
+
+fn claim(action: claims::Action) -> proposals::Request {
+    proposals::Request::Claim(proposals::ClaimRequest {
+        home: "vidzeme".into(),
+        name: claims::ClaimName { service: "s".into(), key: "k".into() },
+        attempt: claims::AttemptId(1 << 100),
+        action,
+    })
+}
+
+fn stored() -> claims::StoredAnswer {
+    claims::StoredAnswer {
+        status: 201,
+        headers: vec![("x-a".into(), Bytes::from_static(&[0xff]))],
+        body: Bytes::from_static(b"done"),
+        cut: false,
+    }
+}
+
+fn standing() -> forwarding::Standing {
+    let load = admission::load::LoadReport {
+        in_flight: 3,
+        queued: 1,
+        slots: 6,
+        service_time: std::time::Duration::from_millis(12),
+    };
+    forwarding::Standing { load, attempts: 2 }
+}
+
+fn head() -> forwarding::RequestHead {
+    forwarding::RequestHead {
+        service: "s".into(),
+        route: "r".into(),
+        method: "GET".into(),
+        path: "/a?b".into(),
+        fields: vec![forwarding::Field { name: "x-a".into(), value: vec![0xff] }],
+        class: requests::Class::Internal,
+        weight: 7,
+        budget: routing::budget::Budget { attempts: 2, depth: 3, remaining_ms: 1_900 },
+        movable: true,
+        idempotent: true,
+        fingerprint: fingerprint(),
+        suspect: false,
+    }
+}
+
+/// Guards against a message that changes its bytes without notice, or does not come back as it was.
+#[test]
+fn streams_and_proposals() {
+    let mut table = Table::default();
+    let action = claims::Action::Claim { fingerprint: fingerprint(), limit_ms: 2_000 };
+    table.all(
+        "Open",
+        &[
+            streams::Open::Attach,
+            streams::Open::Peer,
+            streams::Open::PeerVersion(numbered()),
+            streams::Open::Propose(proposals::Request::Patch(patch())),
+            streams::Open::Request { head: head(), body: Bytes::from_static(b"body") },
+        ],
+    );
+    table.all(
+        "Request",
+        &[
+            claim(action),
+            claim(claims::Action::Complete(stored())),
+            claim(claims::Action::Release),
+            proposals::Request::Evidence { age_ms: 40, evidence: crashed() },
+            proposals::Request::Patch(patch()),
+        ],
+    );
+    let fault = faults::Fault {
+        path: "routes.a.weight".into(),
+        kind: faults::FaultKind::Range,
+        detail: "0 is not in 1..=100".into(),
+    };
+    let change = patches::Change {
+        version: document::Version(7),
+        digest: numbered().digest,
+        at_ms: 1_000,
+        operator: "ilze".into(),
+        text: "{}".into(),
+    };
+    let digest = numbered().digest;
+    let version = document::Version(7);
+    for answer in [
+        patches::Answer::Accepted { version, digest },
+        patches::Answer::Conflict { current: version, since: vec![change] },
+        patches::Answer::Invalid { faults: vec![fault], more: 2 },
+        patches::Answer::RequestReused,
+        patches::Answer::AlreadyApplied,
+    ] {
+        table.all("patch", &[answer.clone()]);
+        table.all("Outcome", &[proposals::Outcome::Answered(proposals::Answer::Patch(answer))]);
+    }
+    table.all(
+        "claim",
+        &[
+            claims::Answer::Granted,
+            claims::Answer::InProgress,
+            claims::Answer::Completed(stored()),
+            claims::Answer::Unknown,
+            claims::Answer::Mismatch,
+            claims::Answer::Full,
+            claims::Answer::Malformed,
+            claims::Answer::Released,
+            claims::Answer::Stored,
+            claims::Answer::NotHolder,
+            claims::Answer::Expired,
+            claims::Answer::AlreadyApplied,
+        ],
+    );
+    let counted = quarantine::Answer::Counted { quarantined: Some(fingerprint()) };
+    table.all(
+        "Outcome",
+        &[
+            proposals::Outcome::Answered(proposals::Answer::Claim(claims::Answer::Granted)),
+            proposals::Outcome::Answered(proposals::Answer::Evidence(counted)),
+            proposals::Outcome::Answered(proposals::Answer::Evidence(quarantine::Answer::Ignored)),
+            proposals::Outcome::NotLeader(Some("h1".into())),
+            proposals::Outcome::Unavailable,
+        ],
+    );
+    insta::assert_snapshot!(table.0);
+}
+
+/// Guards against the same for what passes between nodes, and between nodes and controls.
+#[test]
+fn nodes_and_controls() {
+    let mut table = Table::default();
+    let standing = standing();
+    table.all(
+        "AnswerHead",
+        &[
+            forwarding::AnswerHead::Answered { status: 200, fields: head().fields, standing },
+            forwarding::AnswerHead::NotRun { reason: forwarding::NotRun::Late, standing },
+            forwarding::AnswerHead::Unknown { detail: "reset".into(), standing },
+        ],
+    );
+    table.all(
+        "NotRun",
+        &[
+            forwarding::NotRun::Absent,
+            forwarding::NotRun::Blocked,
+            forwarding::NotRun::Draining,
+            forwarding::NotRun::Late,
+            forwarding::NotRun::Full,
+            forwarding::NotRun::Quarantined,
+            forwarding::NotRun::Refused,
+            forwarding::NotRun::Shed,
+            forwarding::NotRun::Stopping,
+        ],
+    );
+    let finished = quarantine::Evidence::Finished(fingerprint());
+    let heartbeat = registry::Heartbeat { host: "h1".into(), digest: Some(300) };
+    table.all(
+        "NodeMessage",
+        &[
+            streams::NodeMessage::Event(event()),
+            streams::NodeMessage::Evidence { sequence: 4, age_ms: 40, evidence: finished },
+            streams::NodeMessage::Heartbeat(heartbeat),
+            streams::NodeMessage::Parts(vec![part_request()]),
+        ],
+    );
+    let stamp = versions::Stamp { epoch: 9, at: time::Time::ZERO };
+    let session = versions::Session(5);
+    let highest = document::Version(7);
+    let token = floor::Token { version: highest, source: floor::Source::Foster, epoch: 9 };
+    let hello = versions::Hello {
+        session,
+        node: "h1".into(),
+        data_centre: "dc".into(),
+        home: true,
+        level: 1,
+        running: Some(numbered()),
+        floor: floor::Floor::Held(token),
+    };
+    for up in [
+        versions::Up::Hello(hello),
+        versions::Up::AskSnapshot(session),
+        versions::Up::Received(session, highest),
+        versions::Up::Confirm(session, numbered()),
+        versions::Up::Beat(versions::Beat { session, echo: Some(stamp), highest }),
+    ] {
+        table.all("Up", &[up.clone()]);
+        table.all("NodeMessage", &[streams::NodeMessage::Version(up)]);
+    }
+    let standing = streams::Standing { fingerprint: fingerprint(), refused_ms: 1_000 };
+    let known = Some(registry::Order { incarnation: 300, sequence: 2 });
+    let reach = registry::Reachability { data_centre: "dc".into(), stale: true };
+    table.all(
+        "ControlMessage",
+        &[
+            streams::ControlMessage::Digests(vec![digest()]),
+            streams::ControlMessage::Event(event()),
+            streams::ControlMessage::EvidenceTaken(4),
+            streams::ControlMessage::Heartbeat(registry::HeartbeatAnswer { known, wanted: true }),
+            streams::ControlMessage::Part(part()),
+            streams::ControlMessage::Reach(reach),
+            streams::ControlMessage::Standings(vec![standing]),
+        ],
+    );
+    let delta = versions::Delta { to: numbered(), patch: "{}".into() };
+    let ack = versions::Ack { session, stamp, isolated: true, version: highest };
+    let proof = versions::Proof::Heard;
+    for down in [
+        versions::Down::Ack(ack),
+        versions::Down::Delta(session, delta),
+        versions::Down::Snapshot(session, versions::Proof::Current, snapshot()),
+        versions::Down::Wait(session, versions::Reason::Busy, 300),
+        versions::Down::Peer { session, host: "h2".into(), proof, of: numbered() },
+        versions::Down::Refused(session, 2),
+    ] {
+        table.all("Down", &[down.clone()]);
+        table.all("ControlMessage", &[streams::ControlMessage::Version(down)]);
+    }
+    table.all("Proof", &[versions::Proof::None]);
+    table.all("Reason", &[versions::Reason::CatchingUp, versions::Reason::Unproven]);
+    table.all(
+        "PeerVersion",
+        &[streams::PeerVersion::Absent, streams::PeerVersion::Snapshot(snapshot())],
+    );
+    let announcement = registry::Announcement {
+        service: "s".into(),
+        addr: "[::1]:9000".parse().expect("an address"),
+        incarnation: 300,
+        slots: 6,
+        drain: true,
+    };
+    table.add("Announcement", &announcement);
+    insta::assert_snapshot!(table.0);
+}
+
+/// Guards against the same for what passes between controls.
+#[test]
+fn controls() {
+    let mut table = Table::default();
+    let position = entries::Position { term: entries::Term(3), index: entries::Index(300) };
+    let voters = vec![entries::Voter { host: "c1".into(), disk: entries::DiskId(8) }];
+    let entry = |payload| entries::Entry { position, payload };
+    let stamp = agreed::Stamp(time::Time::ZERO);
+    let id = agreed::ReadId { nonce: 5, number: 6 };
+    let append = agreed::Append {
+        stamp,
+        leased: true,
+        prev: position,
+        entries: vec![
+            entry(entries::Payload::Blank),
+            entry(entries::Payload::Command(Bytes::from_static(b"command"))),
+            entry(entries::Payload::Voters(voters.clone())),
+        ],
+        commit: entries::Index(299),
+    };
+    let chunk = agreed::Chunk {
+        stamp,
+        leased: false,
+        last: position,
+        voters,
+        total: 1_000,
+        offset: 500,
+        data: Bytes::from_static(b"data"),
+    };
+    let (term, disk) = (entries::Term(3), entries::DiskId(8));
+    let vote = agreed::Vote { pre: true, term, last: position, voter: disk };
+    for body in [
+        agreed::Body::Probe,
+        agreed::Body::Report { asker: disk, blank: true },
+        agreed::Body::Vote(vote),
+        agreed::Body::VoteReply { pre: false, asked: term, granted: true },
+        agreed::Body::Append(append),
+        agreed::Body::AppendReply { stamp, outcome: agreed::Outcome::Matched(position.index) },
+        agreed::Body::AppendReply { stamp, outcome: agreed::Outcome::Conflict(position.index) },
+        agreed::Body::Chunk(chunk),
+        agreed::Body::ChunkReply { stamp, index: position.index, received: 500 },
+        agreed::Body::Read(id),
+        agreed::Body::ReadReply { id, commit: position.index },
+    ] {
+        let cluster = Some(entries::ClusterId(9));
+        let name = format!("{body:?}");
+        let name = name.split([' ', '(']).next().unwrap_or_default();
+        let message = agreed::Message { cluster, disk, term, body };
+        let group = proposals::GroupId::Claims("vidzeme".into());
+        table.add(name, &streams::PeerMessage::Agreement(group, message));
+    }
+    let probe = agreed::Message { cluster: None, disk, term, body: agreed::Body::Probe };
+    let configuration = proposals::GroupId::Configuration;
+    let behind =
+        streams::Behind { host: "h1".into(), running: Some(document::Version(6)), behind_ms: 700 };
+    let report = streams::Report {
+        data_centre: "dc".into(),
+        level: Some(1),
+        version: document::Version(7),
+        nodes: 2,
+        counts: vec![(document::Version(7), 1)],
+        behind: vec![behind],
+    };
+    table.all(
+        "PeerMessage",
+        &[
+            streams::PeerMessage::Agreement(configuration, probe),
+            streams::PeerMessage::Digests(vec![digest()]),
+            streams::PeerMessage::Event(event()),
+            streams::PeerMessage::Parts(vec![part()]),
+            streams::PeerMessage::PartRequests(vec![part_request()]),
+            streams::PeerMessage::Report(report),
+        ],
+    );
+    insta::assert_snapshot!(table.0);
+}
