--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -71,15 +71,24 @@
     read_links(reader, &mut mesh);
     let identity = read_identity(reader);
     let log = read_log(reader);
-    match role? {
-        hosts::Role::Control => {
+    match role {
+        Some(hosts::Role::Control) => {
             let settings = read_control(reader, mesh, common, votes);
             Some(Settings::Control(Box::new(settings?), identity?, log))
         }
-        hosts::Role::Node => {
+        Some(hosts::Role::Node) => {
             let settings = read_node(reader, mesh, common);
             Some(Settings::Node(Box::new(settings?), identity?, log))
         }
+        None => {
+            // The section of the role that was meant is checked, so that all faults show at once.
+            if !reader.keys("control").is_empty() {
+                read_control(reader, mesh, None, votes);
+            } else if !reader.keys("node").is_empty() {
+                read_node(reader, mesh, None);
+            }
+            None
+        }
     }
 }
 
@@ -102,7 +111,7 @@
     let (name, role, addr) = (name?, role?, addr?);
     let region = mesh.add_region(&region?);
     let data_centre = mesh.add_data_centre(&centre?, region);
-    if role == hosts::Role::Control && mesh.find_host(&name).is_none() {
+    if role == hosts::Role::Control && !reader.sections("control").contains(&name) {
         let allowed = format_compact!("a section [control.{name}] for this control itself");
         reader.fault("host", "name", Some(name.clone()), allowed);
     }
@@ -118,8 +127,13 @@
         let allowed = "at least one section [control.NAME]".into();
         reader.fault("control.NAME", "", None, allowed);
     }
+    let mut complete = true;
     for name in names {
-        read_control_host(reader, mesh, &mut votes, name);
+        complete &= read_control_host(reader, mesh, &mut votes, name).is_some();
+    }
+    if !complete {
+        // Votes can be counted when every section can be read.
+        return votes;
     }
     if votes.config.is_empty() || votes.config.len() > MAX_CONFIG_VOTERS {
         let found = format_compact!("{} controls", votes.config.len());
