Open a committed data folder, and refuse bad ones with a next step

Cause: no test opened files of an earlier build, and the refusals did not say what to do.

Nine kinds of bad files and a folder in use are refused, each with file, offset where there is one, and the next step. Conclusion: no fault in reading or refusing; the texts were incomplete.

--- a/crates/heatherwalk/tests/contracts/main.rs
+++ b/crates/heatherwalk/tests/contracts/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod callers;
+mod files;
 mod links;
 mod mesh;
 mod operators_api;
--- a/crates/storage/src/errors.rs
+++ b/crates/storage/src/errors.rs
@@ -4,6 +4,10 @@
 
 use compact_str::CompactString;
 
+/// What to do with a folder that cannot be served from.
+const LOST: &str =
+    "treat the disk as lost: docs/operators.md, \"When something is lost\", a control's disk";
+
 /// A result of this crate.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -11,7 +15,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The operating system reported a failure.
-    #[error("cannot {action} {}: {source}", path.display())]
+    #[error("cannot {action} {}: {source}\nnext: correct the cause on this host, then start the control again", path.display())]
     Io {
         /// What was attempted.
         action: &'static str,
@@ -21,7 +25,7 @@
         source: io::Error,
     },
     /// The content is not what was written.
-    #[error("{} is corrupt at offset {offset}: {detail}", path.display())]
+    #[error("{} is corrupt at offset {offset}: {detail}\nnext: {LOST}", path.display())]
     Corrupt {
         /// The file.
         path: path::PathBuf,
@@ -31,7 +35,7 @@
         detail: &'static str,
     },
     /// The file has a format that this build does not know.
-    #[error("{} has format version {found}; this build knows only {known}", path.display())]
+    #[error("{} has format version {found} at offset 8; this build knows only {known}\nnext: start the build that wrote the file", path.display())]
     Version {
         /// The file.
         path: path::PathBuf,
@@ -41,7 +45,7 @@
         known: u32,
     },
     /// The file belongs to another log or disk.
-    #[error("{} belongs to {found}, not to {expected}", path.display())]
+    #[error("{} belongs to {found}, not to {expected}\nnext: put each file back into its own folder; if that is not possible, {LOST}", path.display())]
     Foreign {
         /// The file.
         path: path::PathBuf,
@@ -51,13 +55,13 @@
         expected: CompactString,
     },
     /// One of log and snapshot is there without the other: votes or entries may be forgotten.
-    #[error("{} is missing although other files of the log are there", path.display())]
+    #[error("{} is missing although other files of the log are there\nnext: {LOST}", path.display())]
     Missing {
         /// The file that should be there.
         path: path::PathBuf,
     },
     /// Another process holds the folder.
-    #[error("{} is in use by another process", path.display())]
+    #[error("{} is in use by another process\nnext: stop that process, or name another folder in [control] data", path.display())]
     Locked {
         /// The lock file.
         path: path::PathBuf,
@@ -70,7 +74,7 @@
     TooLong(usize),
     /// An earlier write or sync failed. What the disk holds is not known, since the operating
     /// system may have dropped the pages that it could not write.
-    #[error("an earlier write or sync of {} failed", path.display())]
+    #[error("an earlier write or sync of {} failed\nnext: look at the disk; then start the control again", path.display())]
     Failed {
         /// The folder of the log.
         path: path::PathBuf,
