--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -117,7 +117,7 @@
         slots: 6,
         service_time: std::time::Duration::from_millis(12),
     };
-    forwarding::Standing { load, attempts: 2 }
+    forwarding::Standing { load, attempts: 2, backend_us: 1_500 }
 }
 
 fn head() -> forwarding::RequestHead {
@@ -183,7 +183,7 @@
         patches::Answer::RequestReused,
         patches::Answer::AlreadyApplied,
     ] {
-        table.all("patch", &[answer.clone()]);
+        table.all("patch", std::slice::from_ref(&answer));
         table.all("Outcome", &[proposals::Outcome::Answered(proposals::Answer::Patch(answer))]);
     }
     table.all(
@@ -275,7 +275,7 @@
         versions::Up::Confirm(session, numbered()),
         versions::Up::Beat(versions::Beat { session, echo: Some(stamp), highest }),
     ] {
-        table.all("Up", &[up.clone()]);
+        table.all("Up", std::slice::from_ref(&up));
         table.all("NodeMessage", &[streams::NodeMessage::Version(up)]);
     }
     let standing = streams::Standing { fingerprint: fingerprint(), refused_ms: 1_000 };
@@ -304,7 +304,7 @@
         versions::Down::Peer { session, host: "h2".into(), proof, of: numbered() },
         versions::Down::Refused(session, 2),
     ] {
-        table.all("Down", &[down.clone()]);
+        table.all("Down", std::slice::from_ref(&down));
         table.all("ControlMessage", &[streams::ControlMessage::Version(down)]);
     }
     table.all("Proof", &[versions::Proof::None]);
