--- a/crates/agreement/src/group.rs
+++ b/crates/agreement/src/group.rs
@@ -23,7 +23,10 @@
     pub(crate) snapshot: Option<events::Snapshot>,
     pub(crate) partial: Option<snapshots::Partial>,
     pub(crate) applied: entries::Index,
+    /// The last entry that a snapshot covers or was asked for.
     pub(crate) due: entries::Index,
+    /// Bytes of the commands applied after `due`.
+    pub(crate) due_bytes: usize,
     pub(crate) configs: membership::Configs,
     pub(crate) role: events::Role,
     pub(crate) leader: Option<members::MemberKey>,
@@ -80,6 +83,7 @@
             partial: None,
             applied: base.index,
             due: base.index,
+            due_bytes: 0,
             configs,
             role: events::Role::Follower,
             leader: None,
@@ -307,6 +311,7 @@
             let Some(entry) = self.log.get(index) else { break };
             if let entries::Payload::Command(payload) = &entry.payload {
                 let payload = payload.clone();
+                self.due_bytes += payload.len();
                 self.effects.push(events::Effect::Apply { index, payload });
             }
             self.applied = index;
@@ -314,12 +319,21 @@
                 self.effects.push(events::Effect::Accepted { token, index });
             }
         }
-        if self.applied.0 - self.due.0 >= self.settings.snapshot_entries {
+        if self.is_snapshot_due() {
             self.due = self.applied;
+            self.due_bytes = 0;
             self.effects.push(events::Effect::SnapshotDue { index: self.applied });
         }
     }
 
+    /// A snapshot costs as much as the state is large, so a large state is written less often: a
+    /// log that grows by half of the snapshot between two of them bounds the cost to three bytes
+    /// written for each byte of the log.
+    fn is_snapshot_due(&self) -> bool {
+        let size = self.snapshot.as_ref().map_or(0, |it| it.data.len());
+        self.applied.0 - self.due.0 >= self.settings.snapshot_entries && self.due_bytes >= size / 2
+    }
+
     fn show_role(&mut self) {
         let shown = (self.role, self.hard.term, self.leader);
         if shown == self.shown {
--- a/crates/agreement/src/snapshots.rs
+++ b/crates/agreement/src/snapshots.rs
@@ -147,6 +147,7 @@
         self.keep_hard();
         self.applied = last.index;
         self.due = last.index;
+        self.due_bytes = 0;
         self.snapshot = Some(snapshot.clone());
         self.effect(events::Effect::InstallSnapshot(snapshot));
     }
