Name the next step in errors that end a start

Cause: a port in use, an unreadable settings file or data folder ended a process with the system's word alone, and a QUIC port that could not be bound was not named. Change: these errors say what to do; the bind error of an endpoint names its address. Before/after: 'cannot bind the endpoint: Address already in use', now with 'UDP ADDR' and a next step.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -13,7 +13,9 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The state in a snapshot or in the log cannot be read.
-    #[error("the replicated state cannot be decoded: {0}")]
+    #[error(
+        "the replicated state cannot be decoded: {0}\nnext: start the build that wrote the data folder"
+    )]
     Decode(#[from] postcard::Error),
     /// The files of the log failed.
     #[error(transparent)]
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -22,7 +22,9 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The data folder cannot be created.
-    #[error("cannot create the data folder {folder}: {source}")]
+    #[error(
+        "cannot create the data folder {folder}: {source}\nnext: correct [control] data, or the permissions of the folder above"
+    )]
     Folder {
         /// The folder.
         folder: path::PathBuf,
--- a/crates/heatherwalk/src/keys.rs
+++ b/crates/heatherwalk/src/keys.rs
@@ -27,7 +27,7 @@
     #[error("{} exists already; it is not overwritten, choose another folder", .0.display())]
     Exists(path::PathBuf),
     /// The folder cannot be made.
-    #[error("cannot make the folder {}: {source}", folder.display())]
+    #[error("cannot make the folder {}: {source}\nnext: name another with --out, or correct the permissions", folder.display())]
     Folder {
         /// The folder.
         folder: path::PathBuf,
--- a/crates/heatherwalk/src/settings.rs
+++ b/crates/heatherwalk/src/settings.rs
@@ -41,7 +41,9 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The file cannot be read.
-    #[error("cannot read {file}: {source}")]
+    #[error(
+        "cannot read {file}: {source}\nnext: name the settings file with --settings, and check its permissions"
+    )]
     Read {
         /// The file's path.
         file: CompactString,
@@ -49,7 +51,9 @@
         source: std::io::Error,
     },
     /// The file is not INI.
-    #[error("{file}: line {line}: {detail}")]
+    #[error(
+        "{file}: line {line}: {detail}\nnext: write sections as [name] and keys as name = value"
+    )]
     Syntax {
         /// The file's path.
         file: CompactString,
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -2,7 +2,10 @@
 //! format: processes of two builds run at the same time during an update, so it needs a new
 //! `codec::VERSION` or a way to read both.
 
-use std::fmt::{Debug, Write as _};
+use std::{
+    fmt::{Debug, Write as _},
+    slice,
+};
 
 use agreement::{entries, messages as agreed};
 use bytes::Bytes;
@@ -183,7 +186,7 @@
         patches::Answer::RequestReused,
         patches::Answer::AlreadyApplied,
     ] {
-        table.all("patch", &[answer.clone()]);
+        table.all("patch", slice::from_ref(&answer));
         table.all("Outcome", &[proposals::Outcome::Answered(proposals::Answer::Patch(answer))]);
     }
     table.all(
@@ -275,7 +278,7 @@
         versions::Up::Confirm(session, numbered()),
         versions::Up::Beat(versions::Beat { session, echo: Some(stamp), highest }),
     ] {
-        table.all("Up", &[up.clone()]);
+        table.all("Up", slice::from_ref(&up));
         table.all("NodeMessage", &[streams::NodeMessage::Version(up)]);
     }
     let standing = streams::Standing { fingerprint: fingerprint(), refused_ms: 1_000 };
@@ -304,7 +307,7 @@
         versions::Down::Peer { session, host: "h2".into(), proof, of: numbered() },
         versions::Down::Refused(session, 2),
     ] {
-        table.all("Down", &[down.clone()]);
+        table.all("Down", slice::from_ref(&down));
         table.all("ControlMessage", &[streams::ControlMessage::Version(down)]);
     }
     table.all("Proof", &[versions::Proof::None]);
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! One UDP port that both connects to peers and accepts their links.
 
-use std::{net, sync, time};
+use std::{io, net, sync, time};
 
 use tokio::sync::{Semaphore, mpsc, watch};
 
@@ -44,7 +44,8 @@
         let server = tls::server_config(identity, &limits)?;
         let client = tls::client_config(identity, &limits)?;
         let quic = quinn::Endpoint::server(server, addr);
-        let mut quic = quic.map_err(|it| errors::Error::Bind(sync::Arc::new(it)))?;
+        let named = |it: io::Error| io::Error::new(it.kind(), format!("UDP {addr}: {it}"));
+        let mut quic = quic.map_err(|it| errors::Error::Bind(sync::Arc::new(named(it))))?;
         quic.set_default_client_config(client);
         let (sender, receiver) = mpsc::channel(limits.handshakes.max(1));
         let shared = Shared {
--- a/crates/transport/src/errors.rs
+++ b/crates/transport/src/errors.rs
@@ -12,7 +12,9 @@
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum Error {
     /// The UDP port could not be bound.
-    #[error("cannot bind the endpoint: {0}")]
+    #[error(
+        "cannot bind the endpoint: {0}\nnext: stop the program that uses the address, or name another in the settings"
+    )]
     Bind(sync::Arc<io::Error>),
     /// A frame could not be encoded or decoded.
     #[error(transparent)]
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -24,7 +24,9 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The address could not be bound.
-    #[error("cannot bind {addr}: {source}")]
+    #[error(
+        "cannot bind {addr}: {source}\nnext: stop the program that uses the address, or name another in the settings"
+    )]
     Bind {
         /// The address.
         addr: net::SocketAddr,
