--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -4,10 +4,14 @@
 
 use distribution::{messages, subscribers};
 use protocol::{proposals, streams};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, task};
 
 use crate::{distributing, proposing, registering, state};
 
+/// Evidence of one node that is taken over at the same time. Each waits for the log, and the node
+/// sends what was not taken again.
+const EVIDENCE_AT_ONCE: usize = 16;
+
 /// Serves a node's stream until either side ends it.
 pub(crate) async fn serve(
     state: &sync::Arc<state::State>,
@@ -67,9 +71,14 @@
     key: subscribers::SubscriberKey,
     receiver: &mut transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
+    let mut tasks = task::JoinSet::new();
     while let Some(message) = receiver.recv::<streams::NodeMessage>().await? {
         if let streams::NodeMessage::Evidence { sequence, age_ms, evidence } = message {
-            tokio::spawn(take_evidence(sync::Arc::clone(state), key, sequence, age_ms, evidence));
+            while tasks.len() >= EVIDENCE_AT_ONCE {
+                tasks.join_next().await;
+            }
+            tasks.spawn(take_evidence(sync::Arc::clone(state), key, sequence, age_ms, evidence));
+            while tasks.try_join_next().is_some() {}
             continue;
         }
         let job = {
--- a/crates/heatherwalk/tests/contracts/links.rs
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -36,6 +36,9 @@
     let server =
         mesh::backend(node.announce(), heatherwalk::example::greet("skulte-1".into())).await;
     api.until(|| api.get("/v1/targets"), |it| it.1[0]["service"] == "logbook").await;
+    api.until(|| api.get("/v1/status"), |it| it.1["converged"] == 1).await;
+    let first = mesh::http(&mesh::client(), node.callers(), "GET /logs/a", &[], b"").await;
+    assert_eq!(first.0, 200, "the node serves before the bad frames: {}", first.2);
     let processes = [
         ("control", mesh.control.listen().expect("bound"), "skulte-c"),
         ("node", node.listen().expect("bound"), "skulte-1"),
@@ -181,6 +184,17 @@
     }
 }
 
+/// Guards against a start that fails without saying which port is in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn port_in_use() {
+    let mesh = mesh::Mesh::start(1).await;
+    let addr = mesh.control.listen().expect("bound");
+    let identity = mesh.authority.issue("skulte-c", hosts::Role::Control).expect("issues");
+    let second = endpoint::Endpoint::bind(addr, &identity, limits::Limits::default());
+    let text = second.err().expect("the port is in use").to_string();
+    assert!(text.contains(&addr.to_string()) && text.contains("\nnext: "), "{text}");
+}
+
 /// Guards against claims that are answered and not counted.
 #[tokio::test(flavor = "multi_thread")]
 async fn claims_are_counted() {
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -28,7 +28,7 @@
 pub struct Budget {
     /// Sends that remain beyond the first one of each call.
     pub attempts: u8,
-    /// Calls above this one.
+    /// Levels of calls, this one included; a request of a caller is at level 1.
     pub depth: u8,
     /// Time until the deadline, in milliseconds.
     pub remaining_ms: u32,
