--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -5,10 +5,14 @@
 use distribution::{messages, subscribers};
 use protocol::{proposals, streams};
 use replicated::quarantine;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, task};
 
 use crate::{distributing, proposing, registering, state};
 
+/// Evidence of one node that is taken over at the same time. Each waits for the log, and the node
+/// sends what was not taken again.
+const EVIDENCE_AT_ONCE: usize = 16;
+
 /// Serves the stream of the node on `host` until either side ends it. The name comes from the
 /// node's certificate; what it says in the name of another host is not taken.
 pub(crate) async fn serve(
@@ -70,13 +74,18 @@
     key: subscribers::SubscriberKey,
     receiver: &mut transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
+    let mut tasks = task::JoinSet::new();
     while let Some(message) = receiver.recv::<streams::NodeMessage>().await? {
         if !is_own(host, &message) {
             log::warn!("node {host} sent a message in the name of another; its stream is closed");
             return Ok(());
         }
         if let streams::NodeMessage::Evidence { sequence, age_ms, evidence } = message {
-            tokio::spawn(take_evidence(sync::Arc::clone(state), key, sequence, age_ms, evidence));
+            while tasks.len() >= EVIDENCE_AT_ONCE {
+                tasks.join_next().await;
+            }
+            tasks.spawn(take_evidence(sync::Arc::clone(state), key, sequence, age_ms, evidence));
+            while tasks.try_join_next().is_some() {}
             continue;
         }
         let job = {
