Give a log's folder free when a control has stopped

Cause: opens_the_fixture failed once in a run of all tests at a load of 46: a job on a worker still held the state, and with it the lock of the folder, when Control::stop had returned. It passed 3 of 3 alone. Change: Control::stop closes the logs, which gives their folders free. Measured: contracts and storage tests pass; the failure was not reproduced before or after. Conclusion: a control can be started again on its folder as soon as it stopped.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -65,6 +65,14 @@
     }
 }
 
+/// Ends the logs as planned.
+pub(crate) fn close(state: &state::State) {
+    state.configuration.lock().close();
+    if let Some(claims) = &state.claims {
+        claims.lock().close();
+    }
+}
+
 /// Removes claims that have expired, when this host leads the log.
 pub(crate) fn expire_claims(state: &state::State) {
     let at_ms = state::wall_ms();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Leaves the group and gives the files free.
+    pub(crate) fn close(&mut self) {
+        self.failed = true;
+        self.waiting.clear();
+        self.log.close();
+    }
+
     /// Whether the files failed. The host then takes no more part in the group.
     pub(crate) fn has_failed(&self) -> bool {
         self.failed
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -106,6 +106,11 @@
             stopped.cut_off,
         );
         self.tasks.shutdown().await;
+        // A job that still runs holds the state for a moment longer; the files are free at once.
+        let shared = sync::Arc::clone(&self.state);
+        if self.state.pool.run(move || groups::close(&shared)).await.is_err() {
+            log::warn!("too much work; the files are given free with the process");
+        }
         // Streams between processes carry nothing that their owners do not send again.
         let closed = self.endpoint.close(std_time::Duration::ZERO).await;
         log::info!("control stopped; {} streams closed", closed.finished + closed.cut_off);
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -23,7 +23,7 @@
     restored: events::Restored,
     failed: bool,
     faults: F,
-    _lock: files::Lock,
+    lock: Option<files::Lock>,
 }
 
 impl Log {
@@ -67,7 +67,7 @@
         let replay::Replay { hard, entries, .. } = replay;
         let restored = events::Restored { hard, snapshot, entries };
         let folder = folder.to_path_buf();
-        Ok(Log { folder, header, file, restored, failed: false, faults, _lock: lock })
+        Ok(Log { folder, header, file, restored, failed: false, faults, lock: Some(lock) })
     }
 
     fn create(
@@ -81,7 +81,7 @@
         let file = rewrite(folder, &header, &replay::Replay::default(), &mut faults)?;
         let restored = events::Restored::default();
         let folder = folder.to_path_buf();
-        Ok(Log { folder, header, file, restored, failed: false, faults, _lock: lock })
+        Ok(Log { folder, header, file, restored, failed: false, faults, lock: Some(lock) })
     }
 
     /// The ID that the disk got when this folder was first written.
@@ -94,6 +94,12 @@
         &self.header.name
     }
 
+    /// Gives the folder free for another process. The handle refuses all further work.
+    pub fn close(&mut self) {
+        self.failed = true;
+        self.lock = None;
+    }
+
     /// Whether this disk has ever held all that its group had committed.
     pub fn is_caught_up(&self) -> bool {
         // Another disk's mark, copied here by hand, does not count.
