Mark a request with too large a head as not run

Cause: the server answers 431 itself, before any handler, and set no mark, so that a caller could not tell whether its request ran.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -10,7 +10,7 @@
 };
 use tokio::{sync::oneshot, task};
 
-use crate::connection;
+use crate::{connection, headers};
 
 /// The shortest pause after accept fails, as it does without free file descriptors.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(10);
@@ -220,7 +220,9 @@
     watch.begin();
     let is_head = request.method() == http::Method::HEAD;
     let response = if head_size(&request) > limits.header {
-        bare(http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
+        let mut refusal = bare(http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+        refusal.headers_mut().insert(headers::NOT_RUN, http::HeaderValue::from_static("true"));
+        refusal
     } else {
         let state = state::State::from_request(request, remote);
         let response = service::call_handler(router, panic::AssertUnwindSafe(state)).await;
