--- /dev/null
+++ b/crates/node/src/answering.rs
@@ -0,0 +1,171 @@
+//! Passing answers on to callers, and counting requests when their answers have ended.
+
+use std::{sync, time as std_time};
+
+use admission::work;
+use bytes::Bytes;
+use world::time;
+
+use crate::{headers, instruments, sending, state};
+
+/// Chunks of an answer that wait for a slow caller.
+pub(crate) const CHUNKS: usize = 8;
+
+/// Why a body is not complete.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The deadline passed.
+    #[error("the deadline passed")]
+    Late,
+    /// The body ended early, or nobody reads it any more.
+    #[error(transparent)]
+    Body(#[from] web::body::Error),
+    /// The stream to the target's node ended early.
+    #[error(transparent)]
+    Link(#[from] transport::errors::Error),
+}
+
+/// A result of this module.
+pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// A request that is counted when it is dropped; as cancelled, unless its end was seen.
+pub(crate) struct Count {
+    state: sync::Arc<state::State>,
+    begun: time::Time,
+    outcome: instruments::Outcome,
+    added: std_time::Duration,
+    title: String,
+}
+
+impl Count {
+    /// Begins to count a request.
+    pub(crate) fn begin(state: sync::Arc<state::State>, title: String) -> Count {
+        let begun = state.now();
+        let outcome = instruments::Outcome::Cancelled;
+        Count { state, begun, outcome, added: std_time::Duration::ZERO, title }
+    }
+
+    /// The head of the answer is there. Of the time until now, the backend server took `backend`.
+    pub(crate) fn head(&mut self, backend: std_time::Duration) {
+        let elapsed = self.state.now().since(self.begun);
+        self.added = elapsed.saturating_sub(backend);
+    }
+
+    /// The request has ended.
+    pub(crate) fn end(mut self, outcome: instruments::Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        let Count { state, outcome, added, title, .. } = self;
+        let total = state.now().since(self.begun);
+        state.instruments.count_request(*outcome, total, *added);
+        log::info!(target: "decision", "{title} {outcome:?} after {total:?}, {added:?} of it added");
+    }
+}
+
+/// Passes an answer on as it arrives. A body that ends early fails, so that the caller's
+/// connection is reset and the answer never looks whole.
+pub(crate) async fn stream(
+    answered: sending::Answered,
+    is_head: bool,
+    count: Count,
+) -> web::exchange::Answer {
+    let sending::Answered { status, mut headers, body: source, .. } = answered;
+    headers::clean(&mut headers);
+    let (sender, body) = web::body::Body::channel(CHUNKS);
+    let bodyless =
+        is_head || matches!(status, http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED);
+    let declared = if bodyless { Some(0) } else { declared(&headers) };
+    let pumping = async move {
+        match pump(source, &sender, declared).await {
+            Ok(()) => {
+                // The server does not read the end of a body whose length it knows.
+                let ended = sender.finish().await.is_ok();
+                if ended || declared.is_some() {
+                    count.end(instruments::Outcome::Answered);
+                }
+            }
+            Err(Error::Body(web::body::Error::Gone)) => {}
+            Err(err) => {
+                log::info!("an answer ended early: {err}");
+                count.end(instruments::Outcome::Unknown);
+                sender.fail();
+            }
+        }
+    };
+    tokio::spawn(pumping);
+    let body = if bodyless { web::body::Body::empty() } else { body };
+    web::exchange::Answer { status, headers, body }
+}
+
+/// Reads a body to its end and passes it on. It stops when nobody reads the body any more, which
+/// cancels the work, unless the declared length has been passed on: the server lets go of a body
+/// at that point, and only the end is still to be read.
+pub(crate) async fn pump(
+    mut source: sending::Source,
+    sender: &web::body::Sender,
+    declared: Option<u64>,
+) -> Result<()> {
+    let mut left = declared;
+    loop {
+        let next = tokio::select! {
+            biased;
+            it = source.chunk() => it,
+            () = sender.closed(), if left != Some(0) => Err(web::body::Error::Gone.into()),
+        };
+        match next {
+            Ok(Some(bytes)) => {
+                left = left.map(|it| it.saturating_sub(bytes.len() as u64));
+                sender.send(bytes).await?;
+            }
+            Ok(None) => {
+                source.finish();
+                return Ok(());
+            }
+            Err(Error::Body(web::body::Error::Gone)) => return Err(web::body::Error::Gone.into()),
+            Err(err) => {
+                source.break_off();
+                return Err(err);
+            }
+        }
+    }
+}
+
+/// The length that an answer declares.
+pub(crate) fn declared(headers: &http::HeaderMap) -> Option<u64> {
+    headers::text(headers, http::header::CONTENT_LENGTH.as_str())?.parse().ok()
+}
+
+impl sending::Source {
+    /// The next chunk, or `None` at the end of a complete body.
+    async fn chunk(&mut self) -> Result<Option<Bytes>> {
+        match self {
+            sending::Source::Here(body, _) => Ok(body.chunk().await?),
+            sending::Source::There(receiver, limit) => {
+                let received = tokio::time::timeout_at(*limit, receiver.recv_bytes()).await;
+                Ok(received.map_err(|_| Error::Late)??)
+            }
+            sending::Source::Rest(begun, rest) => match begun.take() {
+                Some(bytes) => Ok(Some(bytes)),
+                None => Ok(rest.chunk().await?),
+            },
+        }
+    }
+
+    /// The body has been read to its end.
+    fn finish(self) {
+        if let sending::Source::Here(_, running) = self {
+            running.finish(work::Outcome::Answered);
+        }
+    }
+
+    /// The body ended early.
+    fn break_off(self) {
+        if let sending::Source::Here(_, running) = self {
+            running.break_off(false);
+        }
+    }
+}
--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -112,9 +112,14 @@
     Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-home", detail)
 }
 
-pub(crate) fn no_claim() -> Refusal {
+pub(crate) fn no_claim(late: bool) -> Refusal {
     let detail = "the request cannot be claimed at present; send it again with the same key";
-    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-claim", detail)
+    let status = if late {
+        http::StatusCode::GATEWAY_TIMEOUT
+    } else {
+        http::StatusCode::SERVICE_UNAVAILABLE
+    };
+    Refusal::not_run(status, "no-claim", detail)
 }
 
 pub(crate) fn quarantined() -> Refusal {
@@ -131,16 +136,17 @@
     }
 }
 
-/// The answer after the last send of a request failed.
-pub(crate) fn from_failure(failure: sending::Failure) -> Refusal {
+/// The answer after the last send of a request failed. `late` says whether its deadline has passed.
+pub(crate) fn from_failure(failure: sending::Failure, late: bool) -> Refusal {
+    let status = |in_time| if late { http::StatusCode::GATEWAY_TIMEOUT } else { in_time };
     match failure {
         sending::Failure::NotRun(reason) => {
             let detail = format_compact!("no target ran the request: {reason}");
-            Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-target", &detail)
+            Refusal::not_run(status(http::StatusCode::SERVICE_UNAVAILABLE), "no-target", &detail)
         }
         sending::Failure::Quarantined => quarantined(),
         sending::Failure::Unknown(detail) => Refusal {
-            status: http::StatusCode::BAD_GATEWAY,
+            status: status(http::StatusCode::BAD_GATEWAY),
             run: Run::Unknown,
             reason: "unknown",
             detail: format_compact!("the request may have run: {detail}"),
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -2,7 +2,6 @@
 
 use std::{sync, time as std_time};
 
-use admission::work;
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
@@ -10,12 +9,12 @@
 use routing::budget;
 use world::{config, contracts, requests, time};
 
-use crate::{answers, claiming, flights, headers, instruments, sending, state, suspicion};
+use crate::{
+    answering, answers, claiming, flights, headers, instruments, loans, sending, state, suspicion,
+};
 
 /// The largest body of a request. It is kept whole, so that the request can be sent again.
 pub(crate) const MAX_BODY: usize = 1024 * 1024;
-/// Chunks of an answer that wait for a slow caller.
-const CHUNKS: usize = 8;
 
 /// What is decided about a request before its body is read.
 struct Plan {
@@ -27,7 +26,15 @@
     budget: budget::Budget,
     deadline: time::Time,
     idempotent: bool,
-    parent: Option<flights::FlightKey>,
+    loan: loans::Loan,
+}
+
+/// What a caller gets.
+enum Reply {
+    /// An answer that is passed on as it arrives.
+    Arriving(sending::Answered),
+    /// An answer that is there as a whole, and the time that the backend server took.
+    Whole(web::exchange::Answer, std_time::Duration),
 }
 
 /// Answers a caller's request.
@@ -35,26 +42,33 @@
     state: sync::Arc<state::State>,
     request: web::exchange::Request,
 ) -> web::exchange::Answer {
-    let begun = state.now();
-    let (outcome, answer) = match handle(&state, request).await {
-        Ok(answer) => (instruments::Outcome::Answered, answer),
+    let title = format!("{} {}", request.method, request.path);
+    let mut count = answering::Count::begin(sync::Arc::clone(&state), title);
+    let is_head = request.method == http::Method::HEAD;
+    match handle(&state, request).await {
+        Ok(Reply::Arriving(answered)) => {
+            count.head(std_time::Duration::from_micros(answered.standing.backend_us));
+            answering::stream(answered, is_head, count).await
+        }
+        Ok(Reply::Whole(answer, backend)) => {
+            count.head(backend);
+            count.end(instruments::Outcome::Answered);
+            answer
+        }
         Err(refusal) => {
-            let outcome = match refusal.run {
+            count.end(match refusal.run {
                 answers::Run::Not => instruments::Outcome::NotRun,
                 answers::Run::Unknown => instruments::Outcome::Unknown,
-            };
-            (outcome, refusal.into_answer())
+            });
+            refusal.into_answer()
         }
-    };
-    let total = state.now().since(begun);
-    state.instruments.count_request(outcome, total, std_time::Duration::ZERO);
-    answer
+    }
 }
 
 async fn handle(
     state: &sync::Arc<state::State>,
     request: web::exchange::Request,
-) -> answers::Result<web::exchange::Answer> {
+) -> answers::Result<Reply> {
     let web::exchange::Request { method, path, query, mut headers, body, .. } = request;
     let plan = {
         let shared = sync::Arc::clone(state);
@@ -62,16 +76,16 @@
         let job = move || plan(&shared, method.as_str(), &path, &headers);
         state.pool.run(job).await.unwrap_or_else(|_| Err(answers::overloaded()))?
     };
+    let Plan { config, route, service, home, class, budget, deadline, idempotent, loan } = plan;
     let body = body.whole(MAX_BODY).await.map_err(|err| answers::unreadable(&err))?;
     let key = headers::text(&headers, headers::KEY).map(CompactString::from);
     check_age(&headers)?;
     headers::clean(&mut headers);
-    let fingerprint = requests::Fingerprint::of(&plan.service, method.as_str(), &path, &body);
+    let fingerprint = requests::Fingerprint::of(&service, method.as_str(), &path, &body);
     let path = match query {
         Some(query) => format_compact!("{path}?{query}"),
         None => path,
     };
-    let Plan { config, route, service, home, class, budget, deadline, idempotent, parent } = plan;
     let contract = config.route(route).ok_or_else(answers::no_route)?;
     let head = forwarding::RequestHead {
         service,
@@ -88,21 +102,19 @@
         suspect: false,
     };
     let keyless = contract.keyless;
-    let job = state::Job { head, deadline, body };
+    let job = state::Job { config, route, head, deadline, body };
     let job = check_standing(state, job).await?;
-    let result = match key {
-        _ if idempotent => send(state, job, None).await,
-        Some(key) => claimed(state, job, home, key).await,
-        None if keyless => send(state, job, None).await,
+    match key {
+        _ if idempotent => send(state, job, None, loan).await,
+        Some(key) => claimed(state, job, home, key, loan).await,
+        None if keyless => send(state, job, None, loan).await,
         None => Err(answers::key_required()),
-    };
-    settle(state, parent, &result);
-    result
+    }
 }
 
 /// Decides what a request is, from the running version.
 fn plan(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     method: &str,
     path: &str,
     headers: &http::HeaderMap,
@@ -128,6 +140,7 @@
         }
         Some(text) => inherit(state, now, timeout, text)?,
     };
+    let loan = loans::Loan::new(sync::Arc::clone(state), parent, budget.attempts);
     budget.check().map_err(|err| answers::out_of_budget(&err))?;
     log::info!(
         target: "decision",
@@ -146,7 +159,7 @@
         class,
         budget,
         deadline,
-        parent,
+        loan,
     })
 }
 
@@ -168,25 +181,6 @@
     Ok((requests::Class::Internal, budget, deadline, Some(key)))
 }
 
-/// Gives back to the parent what a call did not spend. An answer has used what it was given, since
-/// what is left below it is not known here.
-fn settle(
-    state: &sync::Arc<state::State>,
-    parent: Option<flights::FlightKey>,
-    result: &answers::Result<web::exchange::Answer>,
-) {
-    let (Some(parent), Err(refusal)) = (parent, result) else { return };
-    if refusal.run != answers::Run::Not {
-        return;
-    }
-    let shared = sync::Arc::clone(state);
-    state.pool.submit_or_run(move || {
-        if let Some(flight) = shared.flights.lock().get_mut(parent) {
-            flight.budget.settle(budget::EXTRA_SENDS);
-        }
-    });
-}
-
 fn check_age(headers: &http::HeaderMap) -> answers::Result<()> {
     let Some(text) = headers::text(headers, headers::FIRST_SENT) else { return Ok(()) };
     let sent_s: u64 = text.parse().map_err(|_| answers::bad_first_sent())?;
@@ -228,12 +222,16 @@
     job: state::Job,
     home: Option<CompactString>,
     key: CompactString,
-) -> answers::Result<web::exchange::Answer> {
+    loan: loans::Loan,
+) -> answers::Result<Reply> {
     let home = home.ok_or_else(answers::no_home)?;
     match claiming::claim(state, &job, home, key).await {
-        claiming::Claimed::Granted(claim) => send(state, job, Some(claim)).await,
-        claiming::Claimed::Answered(answer) => answers::from_claim(answer),
-        claiming::Claimed::Unavailable => Err(answers::no_claim()),
+        claiming::Claimed::Granted(claim) => send(state, job, Some(claim), loan).await,
+        claiming::Claimed::Answered(answer) => {
+            let answer = answers::from_claim(answer)?;
+            Ok(Reply::Whole(answer, std_time::Duration::ZERO))
+        }
+        claiming::Claimed::Unavailable => Err(answers::no_claim(state.now() >= job.deadline)),
     }
 }
 
@@ -241,15 +239,22 @@
     state: &sync::Arc<state::State>,
     job: state::Job,
     claim: Option<claiming::Claim>,
-) -> answers::Result<web::exchange::Answer> {
+    mut loan: loans::Loan,
+) -> answers::Result<Reply> {
+    let deadline = job.deadline;
+    loan.lend();
     // A caller that leaves drops this future; a granted claim then becomes unknown by itself.
     match sending::send(state, job).await {
-        Ok(answered) => match claim {
-            None => Ok(stream(answered)),
-            Some(claim) => Ok(store(state, &claim, answered).await),
-        },
-        Err(failure) => {
-            let refusal = answers::from_failure(failure);
+        Ok(answered) => {
+            loan.settle(answered.standing.attempts).await;
+            match claim {
+                None => Ok(Reply::Arriving(answered)),
+                Some(claim) => store(state, claim, answered).await,
+            }
+        }
+        Err(failed) => {
+            loan.settle(failed.unused).await;
+            let refusal = answers::from_failure(failed.failure, state.now() >= deadline);
             if let Some(claim) = claim.filter(|_| refusal.run == answers::Run::Not) {
                 claiming::release(sync::Arc::clone(state), claim);
             }
@@ -258,99 +263,43 @@
     }
 }
 
-/// Passes an answer on as it arrives. A body that ends early fails, so that the caller's
-/// connection is reset and the answer never looks whole.
-fn stream(answered: sending::Answered) -> web::exchange::Answer {
-    let sending::Answered { status, mut headers, body: source } = answered;
-    headers::clean(&mut headers);
-    let (sender, body) = web::body::Body::channel(CHUNKS);
-    tokio::spawn(async move {
-        let closed = sender.closed();
-        // The caller left; dropping the source cancels the work.
-        let pumped = tokio::select! {
-            it = pump(source, &sender) => it,
-            () = closed => return,
-        };
-        match pumped {
-            Ok(()) => drop(sender.finish().await),
-            Err(err) => {
-                log::info!("an answer ended early: {err}");
-                sender.fail();
-            }
-        }
-    });
-    web::exchange::Answer { status, headers, body }
-}
-
-/// Why a body is not complete.
-#[derive(Debug, thiserror::Error)]
-enum Error {
-    #[error(transparent)]
-    Body(#[from] web::body::Error),
-    #[error(transparent)]
-    Link(#[from] transport::errors::Error),
-}
-
-async fn pump(source: sending::Source, sender: &web::body::Sender) -> Result<(), Error> {
-    match source {
-        sending::Source::Here(mut body, running) => loop {
-            match body.chunk().await {
-                Ok(Some(bytes)) => sender.send(bytes).await?,
-                Ok(None) => {
-                    running.finish(work::Outcome::Answered);
-                    return Ok(());
-                }
-                Err(err) => {
-                    running.break_off(false);
-                    return Err(err.into());
-                }
-            }
-        },
-        sending::Source::There(mut receiver) => {
-            while let Some(bytes) = receiver.recv_bytes().await? {
-                sender.send(bytes).await?;
-            }
-            Ok(())
-        }
-    }
-}
-
 /// Keeps an answer for resends before the caller gets it. An answer that is too large is passed on
 /// as it arrives, and kept without its body.
 async fn store(
     state: &sync::Arc<state::State>,
-    claim: &claiming::Claim,
+    claim: claiming::Claim,
     answered: sending::Answered,
-) -> web::exchange::Answer {
-    let sending::Answered { status, mut headers, body: source } = answered;
+) -> answers::Result<Reply> {
+    let sending::Answered { status, mut headers, body: source, standing } = answered;
     headers::clean(&mut headers);
-    let (sender, mut copy) = web::body::Body::channel(CHUNKS);
-    let pumping = async move {
-        let result = pump(source, &sender).await;
-        match result {
+    let (sender, mut copy) = web::body::Body::channel(answering::CHUNKS);
+    let declared = answering::declared(&headers);
+    tokio::spawn(async move {
+        match answering::pump(source, &sender, declared).await {
             Ok(()) => drop(sender.finish().await),
             Err(_) => sender.fail(),
         }
-    };
-    let pumping = tokio::spawn(pumping);
-    let (kept, complete) = collect(&mut copy).await;
-    let kept_bytes = Bytes::from(kept);
-    let whole = (complete == Collected::Whole).then(|| kept_bytes.clone());
-    if complete != Collected::Broken {
-        let answer = claiming::stored(status, &headers, whole.clone());
-        if !claiming::complete(state, claim, answer).await {
-            log::warn!("the answer to a claimed request could not be stored");
-        }
+    });
+    let (kept, collected) = collect(&mut copy).await;
+    if collected == Collected::Broken {
+        return Err(answers::broken());
     }
-    let body = match complete {
-        Collected::Whole => web::body::Body::full(kept_bytes),
-        Collected::Broken => {
-            pumping.abort();
-            return answers::broken().into_answer();
-        }
-        Collected::Partly => chain(kept_bytes, copy),
-    };
-    web::exchange::Answer { status, headers, body }
+    let kept = Bytes::from(kept);
+    let whole = (collected == Collected::Whole).then(|| kept.clone());
+    let answer = claiming::stored(status, &headers, whole);
+    // The answer is there, so it is kept also when the caller leaves now.
+    let shared = sync::Arc::clone(state);
+    let storing = tokio::spawn(async move { claiming::complete(&shared, &claim, answer).await });
+    if !storing.await.unwrap_or(false) {
+        log::warn!("the answer to a claimed request could not be stored");
+    }
+    if collected == Collected::Partly {
+        let body = sending::Source::Rest(Some(kept), copy);
+        return Ok(Reply::Arriving(sending::Answered { status, headers, body, standing }));
+    }
+    let body = web::body::Body::full(kept);
+    let backend = std_time::Duration::from_micros(standing.backend_us);
+    Ok(Reply::Whole(web::exchange::Answer { status, headers, body }, backend))
 }
 
 #[derive(Clone, Copy, Eq, PartialEq)]
@@ -374,22 +323,3 @@
         }
     }
 }
-
-/// What was read of a body, followed by the rest of it.
-fn chain(begun: Bytes, mut rest: web::body::Body) -> web::body::Body {
-    let (sender, body) = web::body::Body::channel(CHUNKS);
-    tokio::spawn(async move {
-        let pumped = async {
-            sender.send(begun).await?;
-            while let Some(bytes) = rest.chunk().await? {
-                sender.send(bytes).await?;
-            }
-            Ok::<(), web::body::Error>(())
-        };
-        match pumped.await {
-            Ok(()) => drop(sender.finish().await),
-            Err(_) => sender.fail(),
-        }
-    });
-    body
-}
--- /dev/null
+++ b/crates/node/src/choosing.rs
@@ -0,0 +1,208 @@
+//! The choice of a target, and what the estimates learn from the send to it.
+
+use std::{sync, time as std_time};
+
+use compact_str::CompactString;
+use protocol::forwarding;
+use routing::{choose, estimates};
+use world::{targets, time};
+
+use crate::{state, working};
+
+/// A result of this module.
+pub(crate) type Result<T, E = choose::Refusal> = std::result::Result<T, E>;
+
+/// A send that is about to be made.
+pub(crate) struct Chosen {
+    pub(crate) target: Target,
+    pub(crate) sent: Sent,
+    /// When a second send is due, if the route asks for it and its times are known.
+    pub(crate) hedge_at: Option<time::Time>,
+}
+
+/// A send that the estimates count until it ends.
+pub(crate) struct Sent {
+    state: sync::Arc<state::State>,
+    target: targets::TargetKey,
+    service: CompactString,
+    trial: bool,
+    at: time::Time,
+    link: std_time::Duration,
+    open: bool,
+}
+
+impl Sent {
+    /// An answer has begun; the time until now counts.
+    pub(crate) fn answered(mut self, standing: &forwarding::Standing) {
+        let load = load(standing);
+        self.open = false;
+        let elapsed = self.state.now().since(self.at);
+        let state = sync::Arc::clone(&self.state);
+        state.pool.submit_or_run(move || {
+            let sample =
+                estimates::Sample { elapsed, link: self.link, load: Some(load), trial: self.trial };
+            let now = self.state.now();
+            let peers = self.peers();
+            let mut routing = self.state.routing.lock();
+            let estimates = &mut routing.router.estimates;
+            let change = estimates.answered(now, self.target, &sample, peers.into_iter());
+            self.log(change);
+        });
+    }
+
+    /// The target's node refused the request.
+    fn refused(mut self, load: estimates::Load) {
+        self.open = false;
+        let now = self.state.now();
+        let mut routing = self.state.routing.lock();
+        routing.router.estimates.refused(now, self.target, load, self.trial);
+    }
+
+    /// There was no answer.
+    fn failed(mut self, failure: estimates::Failure) {
+        self.open = false;
+        let now = self.state.now();
+        let peers = self.peers();
+        let mut routing = self.state.routing.lock();
+        let estimates = &mut routing.router.estimates;
+        let change = estimates.failed(now, self.target, failure, self.trial, peers.into_iter());
+        self.log(change);
+    }
+
+    fn peers(&self) -> Vec<targets::TargetKey> {
+        let directory = self.state.directory.lock();
+        directory.of_service(&self.service).map(|it| it.0).collect()
+    }
+
+    fn log(&self, change: Option<estimates::Change>) {
+        if let Some(change) = change {
+            let Sent { target, service, .. } = self;
+            log::info!(target: "decision", "target {target:?} of {service}: {change:?}");
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        if !self.open {
+            return;
+        }
+        let (state, target, trial) = (sync::Arc::clone(&self.state), self.target, self.trial);
+        self.state.pool.submit_or_run(move || {
+            state.routing.lock().router.estimates.cancelled(target, trial);
+        });
+    }
+}
+
+/// A target as it was when it was chosen.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) key: targets::TargetKey,
+    pub(crate) host: CompactString,
+    pub(crate) addr: std::net::SocketAddr,
+}
+
+/// Chooses a target that has not had the request, and counts the send to it.
+pub(crate) fn choose(
+    state: &sync::Arc<state::State>,
+    job: &state::Job,
+    tried: &[targets::TargetKey],
+) -> Result<Chosen> {
+    let now = state.now();
+    let service = &job.head.service;
+    let mesh = &state.settings.mesh;
+    let directory = state.directory.lock();
+    let candidates: Vec<_> = directory
+        .of_service(service)
+        .map(|(key, it)| choose::Candidate {
+            key,
+            state: it.entry.state,
+            since: it.since,
+            slots: it.entry.slots,
+            link: match mesh.find_data_centre(&it.entry.data_centre) {
+                Some(centre) => mesh.latency(state.place.centre, centre),
+                None => world::mesh::REMOTE_LATENCY,
+            },
+        })
+        .collect();
+    let request = choose::Request {
+        candidates: &candidates,
+        excluded: tried,
+        idempotent: job.head.idempotent,
+        deadline: job.deadline,
+    };
+    let mut routing = state.routing.lock();
+    let routing = &mut *routing;
+    let choice = routing.router.choose(now, &request, &mut routing.rng).inspect_err(|refusal| {
+        let path = &job.head.path;
+        log::info!(target: "decision", "no target of {service} for {path}: {refusal}");
+    })?;
+    let trial = choice.reason.kind == choose::Kind::Trial;
+    routing.router.estimates.sent(choice.target, trial);
+    if tried.is_empty() {
+        routing.share.first(now);
+    }
+    let Some(target) = directory.get(choice.target) else {
+        return Err(choose::Refusal::NoTargets);
+    };
+    let entry = &target.entry;
+    let link = candidates.iter().find(|it| it.key == choice.target).map(|it| it.link);
+    log::info!(
+        target: "decision",
+        "target {} of {service} for {} {}: {}",
+        entry.host,
+        job.head.method,
+        job.head.path,
+        choice.reason,
+    );
+    let sent = Sent {
+        state: sync::Arc::clone(state),
+        target: choice.target,
+        service: service.clone(),
+        trial,
+        at: now,
+        link: link.unwrap_or_default(),
+        open: true,
+    };
+    let target = Target { key: choice.target, host: entry.host.clone(), addr: entry.addr };
+    let hedge_at = match (job.route(), routing.times.get(&job.route)) {
+        (Some(route), Some(times)) => times.due(route, &job.retry(), now),
+        _ => None,
+    };
+    Ok(Chosen { target, sent, hedge_at })
+}
+
+/// Tells the estimates how a send without an answer ended.
+pub(crate) fn record(
+    state: &state::State,
+    deadline: time::Time,
+    sent: Sent,
+    failure: &working::Failure,
+    standing: &forwarding::Standing,
+) {
+    match failure {
+        working::Failure::NotRun(forwarding::NotRun::Refused) => {
+            sent.failed(estimates::Failure::Unreachable);
+        }
+        working::Failure::NotRun(_) => sent.refused(load(standing)),
+        working::Failure::Unknown(_) if state.now() >= deadline => {
+            sent.failed(estimates::Failure::TimedOut);
+        }
+        working::Failure::Unknown(_) => sent.failed(estimates::Failure::Broken),
+    }
+}
+
+/// Counts the time of an answered request, when its route needs it for hedges. It counts from the
+/// first of two sends: the time of the winner alone would lower the percentile with each hedge.
+pub(crate) fn record_time(state: &state::State, job: &state::Job, begun: time::Time) {
+    if !job.head.idempotent || !job.route().is_some_and(|it| it.hedge) {
+        return;
+    }
+    let now = state.now();
+    let mut routing = state.routing.lock();
+    routing.times.entry(job.route).or_default().record(now, now.since(begun));
+}
+
+fn load(standing: &forwarding::Standing) -> estimates::Load {
+    estimates::Load { busy: standing.load.in_flight, queued: standing.load.queued }
+}
--- /dev/null
+++ b/crates/node/src/forward.rs
@@ -0,0 +1,85 @@
+//! Passing a request to the node of another target.
+
+use std::{sync, time as std_time};
+
+use compact_str::format_compact;
+use protocol::{forwarding, streams};
+
+use crate::{choosing, headers, sending, state, working};
+
+/// How long a node waits past the deadline for the word of the target's node on whether the request
+/// ran: that node's deadline is later by the way there, and its gate looks at its timers each 50 ms.
+const VERDICT_GRACE: std_time::Duration = std_time::Duration::from_millis(150);
+
+/// Passes a request on and waits for the head of its answer.
+pub(crate) async fn forward(
+    state: &sync::Arc<state::State>,
+    job: &state::Job,
+    target: &choosing::Target,
+    sent: choosing::Sent,
+) -> sending::Result<sending::Answered, sending::Ended> {
+    let limit = state.instant(job.deadline + VERDICT_GRACE);
+    let result = match tokio::time::timeout_at(limit, exchange(state, job, target)).await {
+        Ok(it) => it,
+        Err(_) => Err(working::Failure::Unknown("the deadline passed".into())),
+    };
+    let (answer, receiver) = match result {
+        Ok(it) => it,
+        Err(failure) => {
+            // What became of the extra sends that went along is known when nothing was sent.
+            let not_run = matches!(failure, working::Failure::NotRun(_));
+            let attempts = if not_run { job.head.budget.attempts } else { 0 };
+            let standing = forwarding::Standing { attempts, ..forwarding::Standing::default() };
+            return Err(sending::Ended { sent, failure, standing });
+        }
+    };
+    let (failure, standing) = match answer {
+        forwarding::AnswerHead::Answered { status, fields, standing } => {
+            sent.answered(&standing);
+            let status = http::StatusCode::from_u16(status);
+            return Ok(sending::Answered {
+                status: status.unwrap_or(http::StatusCode::BAD_GATEWAY),
+                headers: headers::decode(&fields),
+                body: sending::Source::There(receiver, limit),
+                standing,
+            });
+        }
+        forwarding::AnswerHead::NotRun { reason, standing } => {
+            (working::Failure::NotRun(reason), standing)
+        }
+        forwarding::AnswerHead::Unknown { detail, standing } => {
+            (working::Failure::Unknown(detail), standing)
+        }
+    };
+    Err(sending::Ended { sent, failure, standing })
+}
+
+type Exchanged = (forwarding::AnswerHead, transport::streams::Receiver);
+
+/// Sends a request to another node and waits for the head of the answer.
+async fn exchange(
+    state: &state::State,
+    job: &state::Job,
+    target: &choosing::Target,
+) -> Result<Exchanged, working::Failure> {
+    // No byte has left this node until a stream is open.
+    let unreachable = |err: transport::errors::Error| {
+        log::info!(target: "decision", "node {} cannot be reached: {err}", target.host);
+        working::Failure::NotRun(forwarding::NotRun::Refused)
+    };
+    let link = state.links.link(&target.host, target.addr).await.map_err(unreachable)?;
+    let (mut sender, mut receiver) = link.open().await.map_err(unreachable)?;
+    let lost = |err: transport::errors::Error| {
+        working::Failure::Unknown(format_compact!("node {}: {err}", target.host))
+    };
+    let (head, body) = (job.head.clone(), job.body.clone());
+    sender.send(&streams::Open::Request { head, body }).await.map_err(lost)?;
+    sender.finish().map_err(lost)?;
+    match receiver.recv::<forwarding::AnswerHead>().await.map_err(lost)? {
+        Some(answer) => Ok((answer, receiver)),
+        None => {
+            let detail = format_compact!("node {} ended the stream", target.host);
+            Err(working::Failure::Unknown(detail))
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,14 +1,19 @@
 //! The role beside a backend server: takes requests, routes them and admits work.
 
+mod answering;
 mod answers;
 mod attaching;
 pub mod backend;
 mod callers;
+mod choosing;
 mod claiming;
 mod flights;
+mod forward;
 mod gates;
 mod headers;
+mod hedging;
 pub mod instruments;
+mod loans;
 pub mod running;
 mod sending;
 mod serving;
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -1,31 +1,45 @@
 //! Sending a request to targets until one answers or no send is left.
 
-use std::{sync, time as std_time};
+use std::sync;
 
 use compact_str::{CompactString, format_compact};
-use protocol::{forwarding, streams};
-use routing::{choose, estimates, retry};
-use world::{targets, time};
+use protocol::forwarding;
+use routing::{choose, retry};
+use world::targets;
 
-use crate::{headers, state, working};
+use crate::{choosing, forward, hedging, state, working};
 
 /// Crashes of backend servers after which a request is not sent again, whatever its budget: the
 /// second one, beside no other suspect, is the evidence against it.
 const MAX_CRASHES: u32 = 2;
 
+/// A result of this module.
+pub(crate) type Result<T, E = Failed> = std::result::Result<T, E>;
+
 /// An answer on its way from a target.
 pub(crate) struct Answered {
     pub(crate) status: http::StatusCode,
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: Source,
+    /// How things stood at the target; its `attempts` are all that the request has left.
+    pub(crate) standing: forwarding::Standing,
 }
 
 /// Where the body of an answer comes from.
 pub(crate) enum Source {
     /// The backend server of this host.
     Here(web::body::Body, working::Running),
-    /// Another node, over a stream that ends when it is dropped.
-    There(transport::streams::Receiver),
+    /// Another node, over a stream that ends when it is dropped, until a point in time.
+    There(transport::streams::Receiver, tokio::time::Instant),
+    /// What was read of a body, followed by the rest of it.
+    Rest(Option<bytes::Bytes>, web::body::Body),
+}
+
+/// Why there is no answer, and how many extra sends the request has left.
+#[derive(Clone, Debug)]
+pub(crate) struct Failed {
+    pub(crate) failure: Failure,
+    pub(crate) unused: u8,
 }
 
 /// Why there is no answer.
@@ -39,255 +53,144 @@
     Unknown(CompactString),
 }
 
-/// A send that the estimates count until it ends.
-struct Sent {
-    state: sync::Arc<state::State>,
-    target: targets::TargetKey,
-    service: CompactString,
-    trial: bool,
-    at: time::Time,
-    link: std_time::Duration,
-    open: bool,
+/// How one send ended without an answer.
+pub(crate) struct Ended {
+    pub(crate) sent: choosing::Sent,
+    pub(crate) failure: working::Failure,
+    pub(crate) standing: forwarding::Standing,
 }
 
-/// How one send ended without an answer.
-struct Ended {
-    sent: Sent,
-    failure: working::Failure,
-    standing: forwarding::Standing,
+/// A request and what its sends came to.
+#[derive(Clone, Debug)]
+pub(crate) struct Course {
+    pub(crate) job: state::Job,
+    pub(crate) tried: Vec<targets::TargetKey>,
+    /// What was seen when a send ended in doubt.
+    may_have_run: Option<CompactString>,
+    crashes: u32,
 }
 
 /// Sends a request until a target answers it.
-pub(crate) async fn send(
-    state: &sync::Arc<state::State>,
-    job: state::Job,
-) -> Result<Answered, Failure> {
+pub(crate) async fn send(state: &sync::Arc<state::State>, job: state::Job) -> Result<Answered> {
     let mut course = Course { job, tried: Vec::new(), may_have_run: None, crashes: 0 };
     loop {
-        let (target, sent) = match choose(state, &course).await {
-            Ok(it) => it,
-            Err(refusal) => return Err(course.give_up(format_compact!("{refusal}"))),
-        };
-        course.tried.push(target.key);
-        state.instruments.count_attempt();
-        let ended = match attempt(state, &mut course.job, &target, sent).await {
-            Ok(answered) => return Ok(answered),
+        let (back, chosen) = choose(state, course).await?;
+        course = back;
+        let ended = match hedging::round(state, &mut course, chosen).await {
+            Ok(mut answered) => {
+                course.job.head.budget.settle(answered.standing.attempts);
+                answered.standing.attempts = course.job.head.budget.attempts;
+                return Ok(answered);
+            }
             Err(ended) => ended,
         };
+        let unused = course.job.head.budget.attempts;
         let shared = sync::Arc::clone(state);
-        let (back, failure) = match state.pool.run(move || course.follow(&shared, ended)).await {
-            Ok(it) => it,
-            Err(err) => return Err(Failure::Unknown(format_compact!("{err}"))),
-        };
-        course = back;
-        if let Some(failure) = failure {
-            return Err(failure);
-        }
+        let followed = state.pool.run(move || course.follow(&shared, ended)).await;
+        let lost = |err| Failed { failure: Failure::Unknown(format_compact!("{err}")), unused };
+        course = followed.map_err(lost)??;
     }
 }
 
-/// A request and what its sends came to.
-#[derive(Clone, Debug)]
-struct Course {
+/// Sends a request to a target. What the request has left goes along in part.
+pub(crate) async fn attempt(
+    state: &sync::Arc<state::State>,
     job: state::Job,
-    tried: Vec<targets::TargetKey>,
-    /// What was seen when a send ended in doubt.
-    may_have_run: Option<CompactString>,
-    crashes: u32,
+    target: choosing::Target,
+    sent: choosing::Sent,
+) -> Result<Answered, Ended> {
+    if target.host != state.place.host {
+        return forward::forward(state, &job, &target, sent).await;
+    }
+    let state::Job { head, body, deadline, .. } = job;
+    match working::run(state, working::Order { head, body, deadline }).await {
+        Ok(answered) => {
+            let working::Answered { status, headers, body, running, standing } = answered;
+            sent.answered(&standing);
+            Ok(Answered { status, headers, body: Source::Here(body, running), standing })
+        }
+        Err(working::Failed { failure, standing }) => Err(Ended { sent, failure, standing }),
+    }
 }
 
 impl Course {
-    /// Decides what follows a send without an answer: a failure to report, or another send.
-    fn follow(mut self, state: &state::State, ended: Ended) -> (Course, Option<Failure>) {
+    /// The request as it goes to one target. Half of the extra sends go along.
+    pub(crate) fn pass_on(&mut self, state: &state::State) -> state::Job {
+        let mut job = self.job.clone();
+        job.head.movable = job.head.budget.attempts > 0;
+        job.head.budget = self.job.head.budget.pass_on(job.deadline.since(state.now()));
+        job
+    }
+
+    /// Notes a send without an answer.
+    pub(crate) fn note(&mut self, state: &state::State, ended: Ended) -> working::Failure {
         let Ended { sent, failure, standing } = ended;
-        record(state, &self.job, sent, &failure, standing);
+        choosing::record(state, self.job.deadline, sent, &failure, &standing);
         self.job.head.budget.settle(standing.attempts);
+        if let working::Failure::Unknown(detail) = &failure {
+            self.may_have_run = Some(detail.clone());
+            self.crashes += 1;
+            // It may have crashed the target, so from here on it runs beside no other suspect.
+            self.job.head.suspect = true;
+        }
+        failure
+    }
+
+    /// Decides what follows a send without an answer: a failure to report, or another send.
+    fn follow(mut self, state: &state::State, ended: Ended) -> Result<Course> {
+        let failure = self.note(state, ended);
         let outcome = match &failure {
             working::Failure::NotRun(forwarding::NotRun::Quarantined) => {
                 let refusal = self.may_have_run.clone().map(Failure::Unknown);
-                return (self, Some(refusal.unwrap_or(Failure::Quarantined)));
+                return Err(self.failed(refusal.unwrap_or(Failure::Quarantined)));
             }
             working::Failure::NotRun(_) => retry::Outcome::NotRun,
-            working::Failure::Unknown(detail) => {
-                self.may_have_run = Some(detail.clone());
-                self.crashes += 1;
-                // It may have crashed the target, so from here on it runs beside no other suspect.
-                self.job.head.suspect = true;
-                retry::Outcome::Unknown
-            }
+            working::Failure::Unknown(_) => retry::Outcome::Unknown,
         };
         if self.crashes >= MAX_CRASHES {
-            let failure = self.give_up("it failed on two targets".into());
-            return (self, Some(failure));
+            return Err(self.give_up("it failed on two targets".into()));
         }
-        let failure = match decide(state, &mut self.job, outcome) {
-            retry::Decision::Elsewhere => None,
-            retry::Decision::Done => Some(self.give_up("no answer".into())),
+        match decide(state, &mut self.job, outcome) {
+            retry::Decision::Elsewhere => Ok(self),
+            retry::Decision::Done => Err(self.give_up("no answer".into())),
             retry::Decision::GiveUp(why) => {
                 let reason = match failure {
                     working::Failure::NotRun(it) => format_compact!("{it:?}, then {why:?}"),
                     working::Failure::Unknown(it) => it,
                 };
-                Some(self.give_up(reason))
+                Err(self.give_up(reason))
             }
-        };
-        (self, failure)
+        }
     }
 
-    fn give_up(&self, reason: CompactString) -> Failure {
-        match &self.may_have_run {
+    fn give_up(&self, reason: CompactString) -> Failed {
+        self.failed(match &self.may_have_run {
             Some(detail) => Failure::Unknown(detail.clone()),
             None => Failure::NotRun(reason),
-        }
-    }
-}
-
-impl Sent {
-    /// An answer has begun; the time until now counts.
-    fn answered(mut self, load: estimates::Load) {
-        self.open = false;
-        let elapsed = self.state.now().since(self.at);
-        let state = sync::Arc::clone(&self.state);
-        state.pool.submit_or_run(move || {
-            let sample =
-                estimates::Sample { elapsed, link: self.link, load: Some(load), trial: self.trial };
-            let now = self.state.now();
-            let peers = self.peers();
-            let mut routing = self.state.routing.lock();
-            let estimates = &mut routing.router.estimates;
-            let change = estimates.answered(now, self.target, &sample, peers.into_iter());
-            self.log(change);
-        });
-    }
-
-    /// The target's node refused the request.
-    fn refused(mut self, load: estimates::Load) {
-        self.open = false;
-        let now = self.state.now();
-        let mut routing = self.state.routing.lock();
-        routing.router.estimates.refused(now, self.target, load, self.trial);
-    }
-
-    /// There was no answer.
-    fn failed(mut self, failure: estimates::Failure) {
-        self.open = false;
-        let now = self.state.now();
-        let peers = self.peers();
-        let mut routing = self.state.routing.lock();
-        let estimates = &mut routing.router.estimates;
-        let change = estimates.failed(now, self.target, failure, self.trial, peers.into_iter());
-        self.log(change);
-    }
-
-    fn peers(&self) -> Vec<targets::TargetKey> {
-        let directory = self.state.directory.lock();
-        directory.of_service(&self.service).map(|it| it.0).collect()
-    }
-
-    fn log(&self, change: Option<estimates::Change>) {
-        if let Some(change) = change {
-            let Sent { target, service, .. } = self;
-            log::info!(target: "decision", "target {target:?} of {service}: {change:?}");
-        }
+        })
     }
-}
 
-impl Drop for Sent {
-    fn drop(&mut self) {
-        if !self.open {
-            return;
-        }
-        let (state, target, trial) = (sync::Arc::clone(&self.state), self.target, self.trial);
-        self.state.pool.submit_or_run(move || {
-            state.routing.lock().router.estimates.cancelled(target, trial);
-        });
+    fn failed(&self, failure: Failure) -> Failed {
+        Failed { failure, unused: self.job.head.budget.attempts }
     }
 }
 
-/// A target as it was when it was chosen.
-#[derive(Clone, Debug)]
-struct Target {
-    key: targets::TargetKey,
-    host: CompactString,
-    addr: std::net::SocketAddr,
-}
-
 async fn choose(
     state: &sync::Arc<state::State>,
-    course: &Course,
-) -> Result<(Target, Sent), choose::Refusal> {
-    let work = {
-        let state = sync::Arc::clone(state);
-        let course = course.clone();
-        move || choose_now(&state, &course.job, &course.tried)
-    };
-    // Nothing was sent when the queue of jobs is full.
-    state.pool.run(work).await.unwrap_or(Err(choose::Refusal::NoTargets))
-}
-
-fn choose_now(
-    state: &sync::Arc<state::State>,
-    job: &state::Job,
-    tried: &[targets::TargetKey],
-) -> Result<(Target, Sent), choose::Refusal> {
-    let now = state.now();
-    let service = &job.head.service;
-    let mesh = &state.settings.mesh;
-    let directory = state.directory.lock();
-    let candidates: Vec<_> = directory
-        .of_service(service)
-        .map(|(key, it)| choose::Candidate {
-            key,
-            state: it.entry.state,
-            since: it.since,
-            slots: it.entry.slots,
-            link: match mesh.find_data_centre(&it.entry.data_centre) {
-                Some(centre) => mesh.latency(state.place.centre, centre),
-                None => world::mesh::REMOTE_LATENCY,
-            },
-        })
-        .collect();
-    let request = choose::Request {
-        candidates: &candidates,
-        excluded: tried,
-        idempotent: job.head.idempotent,
-        deadline: job.deadline,
-    };
-    let mut routing = state.routing.lock();
-    let routing = &mut *routing;
-    let choice = routing.router.choose(now, &request, &mut routing.rng).inspect_err(|refusal| {
-        let path = &job.head.path;
-        log::info!(target: "decision", "no target of {service} for {path}: {refusal}");
-    })?;
-    let trial = choice.reason.kind == choose::Kind::Trial;
-    routing.router.estimates.sent(choice.target, trial);
-    if tried.is_empty() {
-        routing.share.first(now);
-    }
-    let Some(target) = directory.get(choice.target) else {
-        return Err(choose::Refusal::NoTargets);
-    };
-    let entry = &target.entry;
-    let link = candidates.iter().find(|it| it.key == choice.target).map(|it| it.link);
-    log::info!(
-        target: "decision",
-        "target {} of {service} for {} {}: {}",
-        entry.host,
-        job.head.method,
-        job.head.path,
-        choice.reason,
-    );
-    let sent = Sent {
-        state: sync::Arc::clone(state),
-        target: choice.target,
-        service: service.clone(),
-        trial,
-        at: now,
-        link: link.unwrap_or_default(),
-        open: true,
-    };
-    let target = Target { key: choice.target, host: entry.host.clone(), addr: entry.addr };
-    Ok((target, sent))
+    mut course: Course,
+) -> Result<(Course, choosing::Chosen)> {
+    // Whether an earlier send may have run has to survive the loss of the job.
+    let lost = course.give_up(format_compact!("{}", choose::Refusal::NoTargets));
+    let shared = sync::Arc::clone(state);
+    let chosen =
+        state.pool.run(move || match choosing::choose(&shared, &course.job, &course.tried) {
+            Ok(chosen) => {
+                course.tried.push(chosen.target.key);
+                Ok((course, chosen))
+            }
+            Err(refusal) => Err(course.give_up(format_compact!("{refusal}"))),
+        });
+    chosen.await.unwrap_or(Err(lost))
 }
 
 fn decide(state: &state::State, job: &mut state::Job, outcome: retry::Outcome) -> retry::Decision {
@@ -306,132 +209,3 @@
     );
     decision
 }
-
-async fn attempt(
-    state: &sync::Arc<state::State>,
-    job: &mut state::Job,
-    target: &Target,
-    sent: Sent,
-) -> Result<Answered, Ended> {
-    let mut head = job.head.clone();
-    let left = job.deadline.since(state.now());
-    head.movable = job.head.budget.attempts > 0;
-    head.budget = job.head.budget.pass_on(left);
-    if target.host == state.place.host {
-        return run_here(state, job, head, sent).await;
-    }
-    forward(state, job, head, target, sent).await
-}
-
-async fn run_here(
-    state: &sync::Arc<state::State>,
-    job: &state::Job,
-    head: forwarding::RequestHead,
-    sent: Sent,
-) -> Result<Answered, Ended> {
-    let attempts = head.budget.attempts;
-    let order = working::Order { head, body: job.body.clone(), deadline: job.deadline };
-    match working::run(state, order).await {
-        Ok(answered) => {
-            sent.answered(load(&working::standing(state, 0)));
-            let working::Answered { status, headers, body, running } = answered;
-            Ok(Answered { status, headers, body: Source::Here(body, running) })
-        }
-        Err(failure) => {
-            let standing = working::standing(state, attempts);
-            Err(Ended { sent, failure, standing })
-        }
-    }
-}
-
-async fn forward(
-    state: &sync::Arc<state::State>,
-    job: &state::Job,
-    head: forwarding::RequestHead,
-    target: &Target,
-    sent: Sent,
-) -> Result<Answered, Ended> {
-    let attempts = head.budget.attempts;
-    let none = forwarding::Standing { attempts, ..forwarding::Standing::default() };
-    let exchange = exchange(state, job, head, target);
-    let limit = state.instant(job.deadline);
-    let result = match tokio::time::timeout_at(limit, exchange).await {
-        Ok(it) => it,
-        Err(_) => Err(working::Failure::Unknown("the deadline passed".into())),
-    };
-    let (answer, receiver) = match result {
-        Ok(it) => it,
-        Err(failure) => return Err(Ended { sent, failure, standing: none }),
-    };
-    match answer {
-        forwarding::AnswerHead::Answered { status, fields, standing } => {
-            sent.answered(load(&standing));
-            let status = http::StatusCode::from_u16(status);
-            Ok(Answered {
-                status: status.unwrap_or(http::StatusCode::BAD_GATEWAY),
-                headers: headers::decode(&fields),
-                body: Source::There(receiver),
-            })
-        }
-        forwarding::AnswerHead::NotRun { reason, standing } => {
-            Err(Ended { sent, failure: working::Failure::NotRun(reason), standing })
-        }
-        forwarding::AnswerHead::Unknown { detail, standing } => {
-            Err(Ended { sent, failure: working::Failure::Unknown(detail), standing })
-        }
-    }
-}
-
-type Exchanged = (forwarding::AnswerHead, transport::streams::Receiver);
-
-/// Sends a request to another node and waits for the head of the answer.
-async fn exchange(
-    state: &state::State,
-    job: &state::Job,
-    head: forwarding::RequestHead,
-    target: &Target,
-) -> Result<Exchanged, working::Failure> {
-    // No byte has left this node until a stream is open.
-    let unreachable = |err: transport::errors::Error| {
-        log::info!(target: "decision", "node {} cannot be reached: {err}", target.host);
-        working::Failure::NotRun(forwarding::NotRun::Refused)
-    };
-    let link = state.links.link(&target.host, target.addr).await.map_err(unreachable)?;
-    let (mut sender, mut receiver) = link.open().await.map_err(unreachable)?;
-    let lost = |err: transport::errors::Error| {
-        working::Failure::Unknown(format_compact!("node {}: {err}", target.host))
-    };
-    let body = job.body.clone();
-    sender.send(&streams::Open::Request { head, body }).await.map_err(lost)?;
-    sender.finish().map_err(lost)?;
-    match receiver.recv::<forwarding::AnswerHead>().await.map_err(lost)? {
-        Some(answer) => Ok((answer, receiver)),
-        None => {
-            let detail = format_compact!("node {} ended the stream", target.host);
-            Err(working::Failure::Unknown(detail))
-        }
-    }
-}
-
-fn record(
-    state: &state::State,
-    job: &state::Job,
-    sent: Sent,
-    failure: &working::Failure,
-    standing: forwarding::Standing,
-) {
-    match failure {
-        working::Failure::NotRun(forwarding::NotRun::Refused) => {
-            sent.failed(estimates::Failure::Unreachable);
-        }
-        working::Failure::NotRun(_) => sent.refused(load(&standing)),
-        working::Failure::Unknown(_) if state.now() >= job.deadline => {
-            sent.failed(estimates::Failure::TimedOut);
-        }
-        working::Failure::Unknown(_) => sent.failed(estimates::Failure::Broken),
-    }
-}
-
-fn load(standing: &forwarding::Standing) -> estimates::Load {
-    estimates::Load { busy: standing.load.in_flight, queued: standing.load.queued }
-}
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -46,11 +46,9 @@
 ) -> errors::Result<()> {
     let left = std_time::Duration::from_millis(head.budget.remaining_ms.into());
     let deadline = state.now() + left;
-    let attempts = head.budget.attempts;
     match working::run(state, working::Order { head, body, deadline }).await {
-        Ok(answered) => pass_on(state, answered, sender).await,
-        Err(failure) => {
-            let standing = working::standing(state, attempts);
+        Ok(answered) => pass_on(answered, sender).await,
+        Err(working::Failed { failure, standing }) => {
             let answer = match failure {
                 working::Failure::NotRun(reason) => {
                     state.instruments.count_refusal(reason);
@@ -68,15 +66,14 @@
 
 /// Passes an answer on. A body that ends early resets the stream, so that it never looks whole.
 async fn pass_on(
-    state: &state::State,
     answered: working::Answered,
     mut sender: transport::streams::Sender,
 ) -> errors::Result<()> {
-    let working::Answered { status, headers, mut body, running } = answered;
+    let working::Answered { status, headers, mut body, running, standing } = answered;
     let head = forwarding::AnswerHead::Answered {
         status: status.as_u16(),
         fields: headers::encode(&headers),
-        standing: working::standing(state, running.attempts()),
+        standing,
     };
     sender.send(&head).await?;
     loop {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -213,12 +213,20 @@
 /// A request's way through the node, as the log lines of decisions name it.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
+    /// The version that the request sees from start to end.
+    pub(crate) config: sync::Arc<config::Config>,
+    pub(crate) route: contracts::RouteKey,
     pub(crate) head: forwarding::RequestHead,
     pub(crate) deadline: time::Time,
     pub(crate) body: bytes::Bytes,
 }
 
 impl Job {
+    /// The route's contract.
+    pub(crate) fn route(&self) -> Option<&contracts::Route> {
+        self.config.route(self.route)
+    }
+
     /// What the retry rules need to know.
     pub(crate) fn retry(&self) -> routing::retry::Request {
         routing::retry::Request { idempotent: self.head.idempotent, deadline: self.deadline }
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -20,6 +20,16 @@
     pub(crate) deadline: time::Time,
 }
 
+/// A result of this module.
+pub(crate) type Result<T, E = Failed> = std::result::Result<T, E>;
+
+/// Why there is no answer, and how things stand at this host's target.
+#[derive(Clone, Debug)]
+pub(crate) struct Failed {
+    pub(crate) failure: Failure,
+    pub(crate) standing: forwarding::Standing,
+}
+
 /// Why there is no answer.
 #[derive(Clone, Debug)]
 pub(crate) enum Failure {
@@ -35,6 +45,7 @@
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: web::body::Body,
     pub(crate) running: Running,
+    pub(crate) standing: forwarding::Standing,
 }
 
 /// A request that the backend server works on. Dropping it counts as an abandoned request.
@@ -47,10 +58,12 @@
 }
 
 /// Admits a request, sends it to the backend server and waits for the head of the answer.
-pub(crate) async fn run(
-    state: &sync::Arc<state::State>,
-    order: Order,
-) -> Result<Answered, Failure> {
+pub(crate) async fn run(state: &sync::Arc<state::State>, order: Order) -> Result<Answered> {
+    let attempts = order.head.budget.attempts;
+    let refused = |reason| {
+        let failure = Failure::NotRun(reason);
+        Failed { failure, standing: standing(state, attempts, std_time::Duration::ZERO) }
+    };
     let job = {
         let state = sync::Arc::clone(state);
         let order = order.clone();
@@ -59,28 +72,29 @@
     let offered = state.pool.run(job).await;
     // A full queue of jobs means that nothing was decided, let alone sent.
     let offered = offered.unwrap_or(gates::Offer::Refuse(forwarding::NotRun::Full));
-    let held = admit(state, offered).await.map_err(Failure::NotRun)?;
+    let held = admit(state, offered).await.map_err(refused)?;
     let Some(addr) = state.backend.lock().addr else {
-        return Err(Failure::NotRun(forwarding::NotRun::Absent));
+        return Err(refused(forwarding::NotRun::Absent));
     };
     let running = start(state, &order, held);
+    let begun = state.now();
     let result = state.client.send(call(state, &order, addr, running.flight)).await;
-    match result {
+    let backend = state.now().since(begun);
+    let standing = standing(state, running.take_attempts(), backend);
+    let failure = match result {
         Ok(answer) if headers::text(&answer.headers, headers::NOT_RUN) == Some("true") => {
             running.finish(work::Outcome::Failed);
-            Err(Failure::NotRun(forwarding::NotRun::Shed))
+            Failure::NotRun(forwarding::NotRun::Shed)
+        }
+        Ok(answer) => {
+            let web::exchange::Answer { status, headers, body } = answer;
+            return Ok(Answered { status, headers, body, running, standing });
         }
-        Ok(answer) => Ok(Answered {
-            status: answer.status,
-            headers: answer.headers,
-            body: answer.body,
-            running,
-        }),
         Err(web::client::Error::NotSent(reason)) => {
             log::info!(target: "decision", "backend server {addr} refused: {reason}");
             running.finish(work::Outcome::Failed);
             probe(state, addr).await;
-            Err(Failure::NotRun(forwarding::NotRun::Refused))
+            Failure::NotRun(forwarding::NotRun::Refused)
         }
         Err(web::client::Error::MaybeSent(reason)) => {
             let timed_out = state.now() >= order.deadline;
@@ -88,15 +102,18 @@
             if !timed_out {
                 probe(state, addr).await;
             }
-            Err(Failure::Unknown(reason))
+            Failure::Unknown(reason)
         }
-    }
+    };
+    Err(Failed { failure, standing })
 }
 
 impl Running {
-    /// Extra sends that the request's calls have left.
-    pub(crate) fn attempts(&self) -> u8 {
-        self.state.flights.lock().get_mut(self.flight).map_or(0, |it| it.budget.attempts)
+    /// Takes the extra sends that the request's calls have left. They go back with the head of the
+    /// answer, so calls that the request makes after it have none.
+    fn take_attempts(&self) -> u8 {
+        let mut flights = self.state.flights.lock();
+        flights.get_mut(self.flight).map_or(0, |it| std::mem::take(&mut it.budget.attempts))
     }
 
     /// The request ran to its end.
@@ -150,10 +167,14 @@
     }
 }
 
-/// How things stand at this host's target.
-pub(crate) fn standing(state: &state::State, attempts: u8) -> forwarding::Standing {
+fn standing(
+    state: &state::State,
+    attempts: u8,
+    backend: std_time::Duration,
+) -> forwarding::Standing {
     let now = state.now();
-    forwarding::Standing { load: state.admission.lock().load(now), attempts }
+    let backend_us = u64::try_from(backend.as_micros()).unwrap_or(u64::MAX);
+    forwarding::Standing { load: state.admission.lock().load(now), attempts, backend_us }
 }
 
 fn offer(state: &state::State, order: &Order) -> gates::Offer {
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -72,6 +72,8 @@
     pub load: admission::load::LoadReport,
     /// Extra sends that were passed on and not used.
     pub attempts: u8,
+    /// Time from the send to the backend server to the head of its answer, in microseconds.
+    pub backend_us: u64,
 }
 
 /// The head of an answer; for [`AnswerHead::Answered`] the body follows as byte frames.
