--- a/crates/heatherwalk/src/example.rs
+++ b/crates/heatherwalk/src/example.rs
@@ -75,7 +75,8 @@
     }
 }
 
-async fn announce(settings: Settings, addr: net::SocketAddr) {
+/// Announces a server that listens at `addr` until the future is dropped.
+pub async fn announce(settings: Settings, addr: net::SocketAddr) {
     let client = web::client::Client::new(web::client::Limits::default());
     let started = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     let mut announcement = backend::Announcement {
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/callers.rs
@@ -0,0 +1,125 @@
+//! Callers, and what they see.
+
+use std::{fmt, net};
+
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+use crate::mesh;
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub method: http::Method,
+    pub path: String,
+    pub headers: http::HeaderMap,
+    pub body: Bytes,
+}
+
+/// What a caller saw.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// The status, or zero without an answer.
+    pub status: u16,
+    pub headers: http::HeaderMap,
+    /// The body, when it came whole.
+    pub body: Option<Bytes>,
+}
+
+/// A request without a body.
+pub fn get(path: &str) -> Request {
+    let headers = http::HeaderMap::new();
+    Request { method: http::Method::GET, path: path.into(), headers, body: Bytes::new() }
+}
+
+/// A non-idempotent request with an idempotency key.
+pub fn post(path: &str, key: &str) -> Request {
+    let mut request = get(path).with("idempotency-key", key);
+    request.method = http::Method::POST;
+    request.body = Bytes::from_static(b"sounding 17");
+    request
+}
+
+impl Request {
+    /// The request with one more header field.
+    pub fn with(mut self, name: &'static str, value: &str) -> Request {
+        let value = http::HeaderValue::from_str(value).expect("a value");
+        self.headers.append(name, value);
+        self
+    }
+}
+
+impl Seen {
+    fn mark(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Whether the answer says that the request was not run.
+    pub fn is_not_run(&self) -> bool {
+        self.mark("heatherwalk-not-run") == Some("true")
+    }
+
+    /// The whole body as text.
+    pub fn text(&self) -> &str {
+        let body = self.body.as_ref().expect("a whole body");
+        std::str::from_utf8(body).expect("text")
+    }
+}
+
+/// Status, marks, and whether the body was whole.
+impl fmt::Display for Seen {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.status == 0 {
+            return write!(out, "no answer");
+        }
+        write!(out, "{}", self.status)?;
+        for (name, text) in [
+            ("heatherwalk-not-run", "not run"),
+            ("heatherwalk-outcome", "outcome unknown"),
+            ("heatherwalk-stored", "stored"),
+        ] {
+            if self.headers.contains_key(name) {
+                write!(out, ", {text}")?;
+            }
+        }
+        if let Some(reason) = self.mark("heatherwalk-reason") {
+            write!(out, " ({reason})")?;
+        }
+        let whole = if self.body.is_some() { "" } else { ", broken body" };
+        write!(out, "{whole}")
+    }
+}
+
+/// Sends a request and reads the answer to its end.
+pub async fn send(addr: net::SocketAddr, request: Request) -> Seen {
+    let client = web::client::Client::new(web::client::Limits::default());
+    let call = web::client::Call {
+        addr,
+        method: request.method,
+        path: request.path.as_str().into(),
+        headers: request.headers,
+        body: web::body::Body::full(request.body),
+        deadline: tokio::time::Instant::now() + mesh::PATIENCE,
+        reuse: web::client::Reuse::Fresh,
+    };
+    let Ok(answer) = client.send(call).await else { return Seen::default() };
+    let body = answer.body.whole(16 * 1024 * 1024).await.ok();
+    Seen { status: answer.status.as_u16(), headers: answer.headers, body }
+}
+
+/// Sends bytes and returns all that comes back before the connection ends.
+pub async fn exchange(addr: net::SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = open(addr, bytes).await;
+    let mut seen = Vec::new();
+    let read = stream.read_to_end(&mut seen);
+    let _ = tokio::time::timeout(mesh::PATIENCE, read).await.expect("in time");
+    String::from_utf8_lossy(&seen).into_owned()
+}
+
+/// Sends bytes and keeps the connection open.
+pub async fn open(addr: net::SocketAddr, bytes: &[u8]) -> tokio::net::TcpStream {
+    let mut stream = tokio::net::TcpStream::connect(addr).await.expect("connects");
+    // The node may have answered and closed before it read everything.
+    let _ = stream.write_all(bytes).await;
+    stream
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/calls.rs
@@ -0,0 +1,142 @@
+//! Calls that backend servers make on behalf of a request.
+
+use std::{
+    net,
+    sync::{Arc, atomic},
+};
+
+use heatherwalk::example;
+use serde_json::json;
+use world::requests;
+
+use crate::{callers, mesh, servers};
+
+/// A backend server that calls the next service until a level is reached, and passes the name of
+/// its parent on.
+#[derive(Clone)]
+struct Caller {
+    node: net::SocketAddr,
+    next: &'static str,
+    last: u32,
+    runs: Arc<atomic::AtomicUsize>,
+}
+
+impl Caller {
+    async fn answer(self, request: web::exchange::Request) -> web::exchange::Answer {
+        let ok = |text: &str| web::exchange::Answer::text(http::StatusCode::OK, text);
+        let level = request.path.rsplit('/').next().and_then(|it| it.parse().ok());
+        let Some(level): Option<u32> = level else { return ok("ready") };
+        self.runs.fetch_add(1, atomic::Ordering::SeqCst);
+        if level >= self.last {
+            return ok(&format!("level {level} answers"));
+        }
+        let mut call = callers::get(&format!("/{}/{}", self.next, level + 1));
+        let parent = request.headers.get("heatherwalk-parent").expect("the node names the parent");
+        call.headers.insert("heatherwalk-parent", parent.clone());
+        let seen = callers::send(self.node, call).await;
+        if seen.status == 200 {
+            return ok(seen.text());
+        }
+        ok(&format!("level {} got {seen}", level + 1))
+    }
+}
+
+/// Guards against chains of calls that are cut too early or never end, as in a loop between
+/// services.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn chains_end_at_the_depth_limit() {
+    let services = ["launchdesk", "sondelab", "flightrec"];
+    let entries: Vec<_> = services.iter().map(|it| (*it, json!({}), json!({}))).collect();
+    let mesh = mesh::Mesh::spawn(4, mesh::document(&entries)).await;
+    let max = u32::from(requests::MAX_DEPTH);
+    let mut lines = Vec::new();
+    for (name, last) in [("15 deep", max), ("16 deep", max + 1), ("a loop", u32::MAX)] {
+        let runs = Arc::new(atomic::AtomicUsize::new(0));
+        let mut running = Vec::new();
+        for (index, service) in services.iter().enumerate() {
+            let next = services[(index + 1) % services.len()];
+            let node = mesh.callers(index + 1);
+            let caller = Caller { node, next, last, runs: Arc::clone(&runs) };
+            let settings = example::Settings {
+                service: (*service).into(),
+                name: (*service).into(),
+                announce: mesh.announce(index + 1),
+                slots: 512,
+            };
+            let server = example::Server::spawn(settings, move |it| caller.clone().answer(it));
+            running.push(server.await.expect("starts"));
+        }
+        for node in 0..4 {
+            mesh.ready(node, &services).await;
+        }
+        let seen = callers::send(mesh.callers(0), callers::get("/launchdesk/1")).await;
+        let runs = runs.load(atomic::Ordering::SeqCst);
+        lines.push(format!("{name}: {seen}, {}; ran {runs} times", seen.text()));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Calls that the backend server of the next test makes for one request.
+const CALLS: usize = 6;
+
+/// Guards against calls that make up extra sends: of the two that a request has, one goes along to
+/// the backend server, and all of its calls share it, in a row and at the same time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_share_the_extra_sends_of_their_parent() {
+    let document = mesh::document(&[
+        ("row", json!({}), json!({})),
+        ("crowd", json!({}), json!({})),
+        ("shedding", json!({}), json!({})),
+    ]);
+    let mesh = mesh::Mesh::spawn(6, document).await;
+    let mut shedding = Vec::new();
+    for node in 3..6 {
+        let announce = mesh.announce(node);
+        let server = servers::Server::spawn(announce, "shedding", 512, |_, _| servers::Reply::Shed);
+        shedding.push(server.await);
+        mesh.ready(node, &["shedding"]).await;
+    }
+    let mut parents = Vec::new();
+    for (node, service) in [(1, "row"), (2, "crowd")] {
+        let callers = mesh.callers(node);
+        let settings = example::Settings {
+            service: service.into(),
+            name: service.into(),
+            announce: mesh.announce(node),
+            slots: 512,
+        };
+        let handler = move |request| spend(callers, request);
+        parents.push(example::Server::spawn(settings, handler).await.expect("starts"));
+        mesh.ready(node, &["shedding"]).await;
+    }
+    mesh.ready(0, &["row", "crowd"]).await;
+    let mut lines = Vec::new();
+    for service in ["row", "crowd"] {
+        let shed = || -> usize {
+            let counts = shedding.iter().map(|it| &it.counts.shed);
+            counts.map(|it| it.load(atomic::Ordering::SeqCst)).sum()
+        };
+        let before = shed();
+        let seen = callers::send(mesh.callers(0), callers::get(&format!("/{service}/work"))).await;
+        let sends = shed() - before;
+        lines.push(format!("{service}: {seen}, {CALLS} calls were sent {sends} times"));
+        assert!(sends <= CALLS + 1, "{lines:#?}");
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+async fn spend(node: net::SocketAddr, request: web::exchange::Request) -> web::exchange::Answer {
+    if request.path.ends_with("/work") {
+        let parent = request.headers["heatherwalk-parent"].to_str().expect("text").to_owned();
+        let call = || callers::get("/shedding/work").with("heatherwalk-parent", &parent);
+        let mut calls = tokio::task::JoinSet::new();
+        for _ in 0..CALLS {
+            calls.spawn(callers::send(node, call()));
+            if request.path.starts_with("/row") {
+                calls.join_next().await;
+            }
+        }
+        while calls.join_next().await.is_some() {}
+    }
+    web::exchange::Answer::text(http::StatusCode::OK, "work")
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/faults.rs
@@ -0,0 +1,293 @@
+//! A fault at each step of a request, and what its caller sees.
+
+use std::{sync::Arc, time};
+
+use serde_json::json;
+use tokio::task;
+
+use crate::{callers, mesh, relay, servers};
+
+/// The time limit of routes whose backend server freezes.
+const LIMIT_MS: u64 = 1_000;
+
+const LENGTH: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nthe beginning";
+const CHUNKS: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nbegin\r\n";
+const UNFRAMED: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nno length and no chunks";
+const GARBAGE: &[u8] = b"\x16\x03\x01 this is not HTTP\r\n\r\n";
+const WORK: &[u8] = b"the whole answer";
+
+/// How the backend server of a case fails.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    None,
+    Refuses,
+    BreaksAfterReading,
+    BreaksInLength,
+    BreaksInChunks,
+    Unframed,
+    Garbage,
+    Late,
+    Freezes,
+    Sheds,
+}
+
+const FAULTS: [(&str, Fault); 10] = [
+    ("none", Fault::None),
+    ("refuses", Fault::Refuses),
+    ("breaks", Fault::BreaksAfterReading),
+    ("length", Fault::BreaksInLength),
+    ("chunks", Fault::BreaksInChunks),
+    ("unframed", Fault::Unframed),
+    ("garbage", Fault::Garbage),
+    ("late", Fault::Late),
+    ("freezes", Fault::Freezes),
+    ("sheds", Fault::Sheds),
+];
+
+fn act(fault: Fault) -> servers::Reply {
+    let whole = servers::answer("200 OK", "", WORK);
+    match fault {
+        Fault::None | Fault::Refuses => servers::Reply::Send(whole),
+        Fault::BreaksAfterReading => servers::Reply::Send(Vec::new()),
+        Fault::BreaksInLength => servers::Reply::Send(LENGTH.into()),
+        Fault::BreaksInChunks => servers::Reply::Send(CHUNKS.into()),
+        Fault::Unframed => servers::Reply::Send(UNFRAMED.into()),
+        Fault::Garbage => servers::Reply::Send(GARBAGE.into()),
+        Fault::Late => servers::Reply::After(time::Duration::from_millis(300), whole),
+        Fault::Freezes => servers::Reply::Freeze,
+        Fault::Sheds => servers::Reply::Shed,
+    }
+}
+
+/// What must hold for each request. Returns what does not.
+pub fn violation(request: &callers::Request, seen: &callers::Seen, runs: usize) -> Option<String> {
+    if seen.is_not_run() && runs > 0 {
+        return Some(format!("said not run, and ran {runs} times"));
+    }
+    if request.method == http::Method::POST && runs > 1 {
+        return Some(format!("non-idempotent work ran {runs} times"));
+    }
+    let whole = seen.body.as_ref().is_some_and(|it| it.as_ref() == WORK);
+    if seen.status == 200 && seen.body.is_some() && !whole {
+        return Some("a truncated answer looked whole".into());
+    }
+    None
+}
+
+/// Guards against a backend server's fault that is reported wrongly, runs work twice, or makes a
+/// truncated answer look whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn faults_of_the_backend_server() {
+    let entries: Vec<_> = FAULTS
+        .iter()
+        .map(|(name, fault)| match fault {
+            Fault::Freezes => (*name, json!({}), json!({"timeout_ms": LIMIT_MS})),
+            _ => (*name, json!({}), json!({})),
+        })
+        .collect();
+    let document = mesh::document(&entries);
+    let mesh = Arc::new(mesh::Mesh::spawn(FAULTS.len() + 1, document).await);
+    let mut cases = Vec::new();
+    for (index, (name, fault)) in FAULTS.into_iter().enumerate() {
+        let mesh = Arc::clone(&mesh);
+        cases.push(task::spawn(async move { run_fault(&mesh, index + 1, name, fault).await }));
+    }
+    let mut lines = Vec::new();
+    for case in cases {
+        lines.extend(case.await.expect("the case ends"));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+async fn run_fault(mesh: &mesh::Mesh, node: usize, name: &str, fault: Fault) -> Vec<String> {
+    let server = servers::Server::spawn(mesh.announce(node), name, 512, move |_, _| act(fault));
+    let mut server = server.await;
+    mesh.ready(0, &[name]).await;
+    mesh.ready(node, &[name]).await;
+    if fault == Fault::Refuses {
+        server.refuse().await;
+    }
+    let mut lines = Vec::new();
+    for (place, at) in [("forwarded", 0), ("here", node)] {
+        let path = format!("/{name}/work");
+        for request in [callers::get(&path), callers::post(&path, place)] {
+            let before = server.counts.runs();
+            let seen = callers::send(mesh.callers(at), request.clone()).await;
+            let runs = server.counts.runs() - before;
+            let method = &request.method;
+            let text = describe(fault, &seen);
+            lines.push(format!("{name}, {place}, {method}: {text}; ran {runs} times"));
+            assert_eq!(violation(&request, &seen, runs), None, "{lines:#?}");
+        }
+    }
+    if fault == Fault::Freezes {
+        // The connections to the backend server are closed at the deadline.
+        server.counts.wait(servers::Counts::cancelled, 4).await;
+    }
+    lines
+}
+
+/// What the caller saw. Of an answer that breaks off, the head may be lost with the rest: the reset
+/// of a stream between nodes discards what the receiver has not read. Both are correct.
+fn describe(fault: Fault, seen: &callers::Seen) -> String {
+    let breaks = matches!(fault, Fault::BreaksInLength | Fault::BreaksInChunks);
+    let unknown = seen.status == 502 && seen.headers.contains_key("heatherwalk-outcome");
+    if breaks && (unknown || seen.body.is_none()) {
+        return "502 with unknown outcome, or a broken body".into();
+    }
+    seen.to_string()
+}
+
+/// Guards the check itself: it has to see each kind of violation.
+#[test]
+fn violations_are_seen() {
+    let mut seen = callers::Seen { status: 200, ..callers::Seen::default() };
+    let post = callers::post("/", "key");
+    let of = |seen: &callers::Seen, runs| violation(&post, seen, runs).unwrap_or_default();
+    let mut lines = vec![of(&seen, 2)];
+    seen.body = Some("the whole".into());
+    lines.push(of(&seen, 1));
+    let mark = http::HeaderValue::from_static("true");
+    seen.headers.insert("heatherwalk-not-run", mark);
+    lines.push(of(&seen, 1));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    non-idempotent work ran 2 times
+    a truncated answer looked whole
+    said not run, and ran 1 times
+    ");
+}
+
+/// Guards against requests that should not be sent at all, and against input that is not HTTP.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refusals_before_a_send() {
+    let document = mesh::document(&[
+        ("logs", json!({}), json!({})),
+        ("homeless", json!({"home": null}), json!({})),
+    ]);
+    let mesh = mesh::Mesh::spawn(2, document).await;
+    let whole = |_: &str, _: &[u8]| servers::Reply::Send(servers::answer("200 OK", "", WORK));
+    let server = servers::Server::spawn(mesh.announce(1), "logs", 512, whole).await;
+    mesh.ready(0, &["logs"]).await;
+    let post = || callers::post("/logs/1", "refused");
+    let mut keyless = post();
+    keyless.headers.clear();
+    let mut large = post();
+    large.body = vec![b'x'; 1_200_000].into();
+    let cases = [
+        ("no key", keyless),
+        ("no home", callers::post("/homeless", "a")),
+        ("first sent too long ago", post().with("heatherwalk-first-sent", "1000000000")),
+        ("bad first sent", post().with("heatherwalk-first-sent", "yesterday")),
+        ("unknown route", callers::get("/unknown")),
+        ("no target", callers::get("/homeless")),
+        ("bad deadline", callers::get("/logs/1").with("heatherwalk-deadline-ms", "soon")),
+        ("no time", callers::get("/logs/1").with("heatherwalk-deadline-ms", "0")),
+        ("unknown parent", callers::get("/logs/1").with("heatherwalk-parent", "100000001")),
+        ("large body", large),
+        ("large key", callers::post("/logs/1", &"k".repeat(300))),
+        ("large header", callers::get("/logs/1").with("x-large", &"x".repeat(40_000))),
+    ];
+    let mut lines = Vec::new();
+    for (name, request) in cases {
+        let seen = callers::send(mesh.callers(0), request).await;
+        lines.push(format!("{name}: {seen}"));
+    }
+    let bytes: [(&str, &[u8]); 3] = [
+        ("not HTTP", GARBAGE),
+        ("bad length", b"POST /logs/1 HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n"),
+        (
+            "two lengths",
+            b"POST /logs/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+        ),
+    ];
+    for (name, bytes) in bytes {
+        let seen = callers::exchange(mesh.callers(0), bytes).await;
+        lines.push(format!("{name}: {}", seen.lines().next().unwrap_or("closed")));
+    }
+    assert_eq!(server.counts.runs(), 0, "{lines:#?}");
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against work without a granted claim, and against a claim that is lost with a late
+/// answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn claims_that_are_late_or_cannot_be_made() {
+    let limit = json!({"timeout_ms": 6_000});
+    let mut mesh = mesh::Mesh::spawn(1, mesh::document(&[("logs", json!({}), limit)])).await;
+    let relay = relay::Relay::spawn(mesh.listen).await;
+    let node = mesh.add_node(relay.addr).await;
+    let whole = |_: &str, _: &[u8]| servers::Reply::Send(servers::answer("200 OK", "", WORK));
+    let server = servers::Server::spawn(mesh.announce(node), "logs", 512, whole).await;
+    mesh.ready(node, &["logs"]).await;
+    let mut lines = Vec::new();
+    let cases = [
+        ("answered", 0, "a", "6000"),
+        ("answered late", 300, "b", "6000"),
+        ("answered after the deadline", 700, "c", "300"),
+        ("sent again", 0, "c", "6000"),
+    ];
+    for (name, delay_ms, key, deadline) in cases {
+        relay.delay(time::Duration::from_millis(delay_ms));
+        let request = callers::post("/logs/1", key).with("heatherwalk-deadline-ms", deadline);
+        let before = server.counts.runs();
+        let mut seen = callers::send(mesh.callers(node), request.clone()).await;
+        // The claim of the attempt before it is given back in the background.
+        let until = tokio::time::Instant::now() + mesh::PATIENCE;
+        while name == "sent again" && seen.status == 409 && tokio::time::Instant::now() < until {
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+            seen = callers::send(mesh.callers(node), request.clone()).await;
+        }
+        let runs = server.counts.runs() - before;
+        lines.push(format!("claim {name}: {seen}; ran {runs} times"));
+        assert_eq!(violation(&request, &seen, runs), None, "{lines:#?}");
+    }
+    mesh.control.take().expect("runs").stop().await;
+    for request in [callers::post("/logs/1", "d"), callers::get("/logs/1")] {
+        let request = request.with("heatherwalk-deadline-ms", "500");
+        let before = server.counts.runs();
+        let seen = callers::send(mesh.callers(node), request.clone()).await;
+        let runs = server.counts.runs() - before;
+        lines.push(format!("no control, {}: {seen}; ran {runs} times", request.method));
+        assert_eq!(violation(&request, &seen, runs), None, "{lines:#?}");
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against a request that waited for a slot until its deadline, never left the queue, and is
+/// reported as one that may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_deadline_passes_in_the_queue() {
+    let document = mesh::document(&[("logs", json!({"slots": 1}), json!({"timeout_ms": 60_000}))]);
+    let mesh = mesh::Mesh::spawn(2, document).await;
+    let act = |_: &str, _: &[u8]| servers::Reply::Freeze;
+    let server = servers::Server::spawn(mesh.announce(1), "logs", 1, act).await;
+    mesh.ready(0, &["logs"]).await;
+    let text = b"GET /logs/slot HTTP/1.1\r\nhost: logs\r\n\r\n";
+    let holder = callers::open(mesh.callers(1), text).await;
+    server.counts.wait(servers::Counts::runs, 1).await;
+    let mut lines = Vec::new();
+    for (place, at) in [("forwarded", 0), ("here", 1)] {
+        for request in [callers::get("/logs/wait"), callers::post("/logs/wait", place)] {
+            let method = request.method.clone();
+            let request = request.with("heatherwalk-deadline-ms", "400");
+            let seen = callers::send(mesh.callers(at), request).await;
+            lines.push(format!("{place}, {method}: {seen}"));
+        }
+    }
+    assert_eq!(server.counts.runs(), 1, "{lines:#?}");
+    drop(holder);
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against a process that is not of the mesh.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stranger_cannot_reach_the_control() {
+    let mesh = mesh::Mesh::spawn(0, mesh::document(&[])).await;
+    let stranger = transport::identity::Authority::create().expect("makes an authority");
+    let identity = stranger.issue("skulte-9", world::hosts::Role::Node).expect("issues");
+    let limits = transport::limits::Limits::default();
+    let endpoint = transport::endpoint::Endpoint::bind(mesh::any(), &identity, limits);
+    let endpoint = endpoint.expect("binds");
+    let link = endpoint.connect(mesh.listen, "skulte-c").await;
+    assert!(link.is_err(), "a stranger got a link");
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/leaving.rs
@@ -0,0 +1,181 @@
+//! Callers, nodes and targets that leave while requests are in flight.
+
+use std::{
+    sync::{Arc, atomic},
+    time,
+};
+
+use serde_json::json;
+use tokio::task;
+
+use crate::{callers, faults, mesh, servers};
+
+const WORK: &[u8] = b"the whole answer";
+
+/// Guards against a slot, or a connection to the backend server, that a caller who hangs up leaves
+/// behind: the target has one slot, so that the next request needs it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_hang_up() {
+    let document = mesh::document(&[("logs", json!({"slots": 1}), json!({"timeout_ms": 60_000}))]);
+    let mesh = mesh::Mesh::spawn(2, document).await;
+    let partly = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nthe beginning".to_vec();
+    let act = move |head: &str, _: &[u8]| match head.split(' ').nth(1) {
+        Some("/logs/freeze") => servers::Reply::Freeze,
+        Some("/logs/partly") => servers::Reply::Partly(partly.clone()),
+        _ => servers::Reply::Send(servers::answer("200 OK", "", WORK)),
+    };
+    let server = servers::Server::spawn(mesh.announce(1), "logs", 1, act).await;
+    mesh.ready(0, &["logs"]).await;
+    let mut lines = Vec::new();
+    let mut count = 0;
+    for (place, at) in [("forwarded", 0), ("here", 1)] {
+        let requests = [
+            ("GET", "freeze", String::new()),
+            ("GET", "partly", String::new()),
+            ("POST", "freeze", format!("idempotency-key: freeze-{place}\r\n")),
+            ("POST", "partly", format!("idempotency-key: partly-{place}\r\n")),
+        ];
+        for (method, path, key) in requests {
+            let text = format!("{method} /logs/{path} HTTP/1.1\r\nhost: logs\r\n{key}\r\n");
+            let stream = callers::open(mesh.callers(at), text.as_bytes()).await;
+            count += 1;
+            server.counts.wait(servers::Counts::runs, 2 * count - 1).await;
+            drop(stream);
+            server.counts.wait(servers::Counts::cancelled, count).await;
+            let seen = callers::send(mesh.callers(at), callers::get("/logs/work")).await;
+            lines.push(format!("{place}, {method} {path} cancelled; next: {seen}"));
+            assert_eq!(seen.status, 200, "the slot is not free: {lines:#?}, {:?}", seen.body);
+        }
+    }
+    for at in [0, 1] {
+        let cancelled = || usize::try_from(mesh.cancelled(at)).unwrap_or(usize::MAX);
+        wait(&cancelled, 4).await;
+        lines.push(format!("node {at} counted {} cancelled", cancelled()));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against requests that a planned stop of a target's node cuts off or refuses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_stops_while_requests_are_in_flight() {
+    let (mut mesh, running) = slow_mesh(3).await;
+    let total = || running.iter().map(|it| it.counts.runs()).sum::<usize>();
+    let crowd = start(&mesh, "stop", 12);
+    wait(&total, 12).await;
+    let stopping = mesh.nodes[1].take().expect("runs");
+    let later = start(&mesh, "later", 12);
+    let (crowd, later, ()) = tokio::join!(crowd.join_all(), later.join_all(), stopping.stop());
+    for (request, seen) in crowd.iter().chain(&later) {
+        assert_eq!(faults::violation(request, seen, 1), None);
+    }
+    let whole = |it: &[(callers::Request, callers::Seen)]| {
+        it.iter().filter(|(_, seen)| seen.status == 200 && seen.body.is_some()).count()
+    };
+    // Of the later ones, the node's share of retries may refuse some, as not run.
+    let refused = later.iter().filter(|it| it.1.is_not_run()).count();
+    assert_eq!(whole(&crowd), 12, "the stop cut off requests: {crowd:#?}");
+    assert_eq!(whole(&later) + refused, 12, "{later:#?}");
+    assert_eq!(total(), 24 - refused);
+}
+
+/// Guards against work that the sudden end of a target's node repeats, reports as not run, or
+/// leaves without an answer although it is idempotent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_ends_suddenly_while_requests_are_in_flight() {
+    let (mut mesh, running) = slow_mesh(3).await;
+    let total = || running.iter().map(|it| it.counts.runs()).sum::<usize>();
+    let crowd = start(&mesh, "drop", 6);
+    wait(&total, 6).await;
+    drop(mesh.nodes[2].take());
+    let crowd = crowd.join_all().await;
+    let mut lines = Vec::new();
+    for (request, seen) in &crowd {
+        lines.push(format!("{}: {seen} {:?}", request.method, seen.body));
+        assert_eq!(faults::violation(request, seen, 1), None);
+        assert!(!seen.is_not_run(), "{lines:#?}");
+        let allowed: &[u16] = match request.method {
+            http::Method::GET => &[200],
+            _ => &[200, 502, 504],
+        };
+        assert!(allowed.contains(&seen.status), "{lines:#?}");
+    }
+    let posts = crowd.iter().filter(|it| it.0.method == http::Method::POST).count();
+    let reads = crowd.len() - posts;
+    // Each read may run a second time at another target.
+    assert!(total() <= posts + 2 * reads, "ran {} times: {lines:#?}", total());
+}
+
+/// A mesh whose targets, beside each node but the first, take their time.
+async fn slow_mesh(nodes: usize) -> (mesh::Mesh, Vec<servers::Server>) {
+    let limit = json!({"timeout_ms": 30_000});
+    let mesh = mesh::Mesh::spawn(nodes, mesh::document(&[("logs", json!({}), limit)])).await;
+    let mut running = Vec::new();
+    for node in 1..nodes {
+        let act = |_: &str, _: &[u8]| {
+            let whole = servers::answer("200 OK", "", WORK);
+            servers::Reply::After(time::Duration::from_millis(1_500), whole)
+        };
+        running.push(servers::Server::spawn(mesh.announce(node), "logs", 512, act).await);
+        mesh.ready(node, &["logs"]).await;
+    }
+    mesh.ready(0, &["logs"]).await;
+    (mesh, running)
+}
+
+type Crowd = task::JoinSet<(callers::Request, callers::Seen)>;
+
+/// Starts slow requests, of which every third is a read.
+fn start(mesh: &mesh::Mesh, name: &str, count: usize) -> Crowd {
+    let mut crowd = task::JoinSet::new();
+    for index in 0..count {
+        let request = match index % 3 {
+            0 => callers::get("/logs/slow"),
+            _ => callers::post("/logs/slow", &format!("{name}-{index}")),
+        };
+        let at = mesh.callers(0);
+        crowd.spawn(async move { (request.clone(), callers::send(at, request).await) });
+    }
+    crowd
+}
+
+async fn wait(count: &impl Fn() -> usize, value: usize) {
+    let until = tokio::time::Instant::now() + mesh::PATIENCE;
+    while count() < value {
+        assert!(tokio::time::Instant::now() < until, "{} of {value}", count());
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against requests that fail because a route to a target that has left is still known:
+/// this costs one send more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_target_that_has_moved_costs_one_retry() {
+    let mesh = mesh::Mesh::spawn(3, mesh::document(&[("logs", json!({}), json!({}))])).await;
+    let counted = Arc::new(atomic::AtomicUsize::new(0));
+    let mut running = Vec::new();
+    for node in [1, 2] {
+        let counted = Arc::clone(&counted);
+        let act = move |_: &str, _: &[u8]| {
+            counted.fetch_add(1, atomic::Ordering::SeqCst);
+            servers::Reply::Send(servers::answer("200 OK", "", WORK))
+        };
+        running.push(servers::Server::spawn(mesh.announce(node), "logs", 512, act).await);
+        mesh.ready(node, &["logs"]).await;
+    }
+    mesh.ready(0, &["logs"]).await;
+    drop(running.remove(0));
+    let mut lines = Vec::new();
+    for index in 0..20 {
+        let request = match index % 2 {
+            0 => callers::get("/logs/work"),
+            _ => callers::post("/logs/work", &format!("moved-{index}")),
+        };
+        lines.push(callers::send(mesh.callers(0), request).await.to_string());
+    }
+    lines.dedup();
+    lines.push(format!("ran {} times", counted.load(atomic::Ordering::SeqCst)));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    200
+    ran 20 times
+    ");
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -0,0 +1,207 @@
+//! A mesh of one control and the nodes that a test asks for.
+
+use std::{net, time};
+
+use heatherwalk::{calls, metrics, operators};
+use transport::identity;
+use world::{hosts, mesh};
+
+use crate::{callers, servers};
+
+/// Longer than any step takes on a busy machine.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(60);
+
+const REGION: &str = "vidzeme";
+const TOKEN: &str = "token-of-the-tests";
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// A running mesh. The backend server of node 0 gives a service that no route leads to; without a
+/// renewal of its announcement, a node that has just started takes no version.
+pub struct Mesh {
+    pub control: Option<control::running::Control>,
+    pub listen: net::SocketAddr,
+    pub nodes: Vec<Option<node::running::Node>>,
+    metrics: Vec<metrics::Metrics>,
+    authority: identity::Authority,
+    idle: Option<servers::Server>,
+    _folder: tempfile::TempDir,
+}
+
+/// An address on loopback whose port the system chooses.
+pub fn any() -> net::SocketAddr {
+    (net::Ipv4Addr::LOCALHOST, 0).into()
+}
+
+/// A document with a service and a route of the same name for each entry. `route` and `service`
+/// are merged over the defaults.
+pub fn document(entries: &[(&str, serde_json::Value, serde_json::Value)]) -> serde_json::Value {
+    let mut services = serde_json::Map::new();
+    let mut routes = serde_json::Map::new();
+    for (name, service, route) in entries {
+        let mut full = serde_json::json!({"home": REGION, "slots": 512, "queue": 256});
+        merge(&mut full, service);
+        services.insert((*name).into(), full);
+        let mut full = serde_json::json!({"prefix": format!("/{name}"), "service": name});
+        merge(&mut full, route);
+        routes.insert((*name).into(), full);
+    }
+    serde_json::json!({"services": services, "routes": routes})
+}
+
+fn merge(full: &mut serde_json::Value, over: &serde_json::Value) {
+    for (key, value) in over.as_object().into_iter().flatten() {
+        full[key] = value.clone();
+    }
+}
+
+impl Mesh {
+    /// Starts a control, `nodes` nodes and the first version.
+    pub async fn spawn(nodes: usize, document: serde_json::Value) -> Mesh {
+        let folder = tempfile::tempdir().expect("makes a folder");
+        let authority = identity::Authority::create().expect("makes an authority");
+        let control = spawn_control(&authority, folder.path().into()).await;
+        let listen = control.listen().expect("listens");
+        create(control.operators(), document).await;
+        let mut mesh = Mesh {
+            control: Some(control),
+            listen,
+            nodes: Vec::new(),
+            metrics: Vec::new(),
+            authority,
+            idle: None,
+            _folder: folder,
+        };
+        for _ in 0..nodes {
+            mesh.add_node(listen).await;
+        }
+        if nodes > 0 {
+            let act = |_: &str, _: &[u8]| servers::Reply::Shed;
+            let idle = servers::Server::spawn(mesh.announce(0), "idle", 1, act).await;
+            mesh.idle = Some(idle);
+        }
+        mesh
+    }
+
+    /// Starts a node that reaches the control at `control`. Returns its index.
+    pub async fn add_node(&mut self, control: net::SocketAddr) -> usize {
+        let index = self.nodes.len();
+        let name = format!("skulte-{index}");
+        let mut mesh = mesh::Mesh::default();
+        let data_centre = put_control(&mut mesh, control).1;
+        let role = hosts::Role::Node;
+        let host = hosts::Host { name: name.as_str().into(), addr: any(), data_centre, role };
+        let me = mesh.put_host(host);
+        let settings = node::settings::Settings {
+            mesh,
+            me,
+            callers: any(),
+            announce: any(),
+            metrics: any(),
+            workers: 2,
+            stop_limit: STOP_LIMIT,
+        };
+        let identity = self.authority.issue(&name, role).expect("issues");
+        let metrics = metrics::Metrics::open().expect("opens");
+        let instruments = node::instruments::Instruments::new(&metrics.meter());
+        let node = node::running::Node::spawn(settings, &identity, instruments).await;
+        self.nodes.push(Some(node.expect("starts")));
+        self.metrics.push(metrics);
+        index
+    }
+
+    /// Where callers' requests arrive at a node.
+    pub fn callers(&self, index: usize) -> net::SocketAddr {
+        self.node(index).callers()
+    }
+
+    /// Where the backend server of a node announces itself.
+    pub fn announce(&self, index: usize) -> net::SocketAddr {
+        self.node(index).announce()
+    }
+
+    /// Requests whose caller left, as a node counted them.
+    pub fn cancelled(&self, index: usize) -> u64 {
+        let page = self.metrics[index].render().expect("renders");
+        let mut lines =
+            page.lines().filter(|it| it.starts_with("heatherwalk_node_requests_total{"));
+        let line = lines.find(|it| it.contains("outcome=\"cancelled\""));
+        line.and_then(|it| it.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+    }
+
+    /// Waits until `node` reaches a target of each service.
+    pub async fn ready(&self, node: usize, services: &[&str]) {
+        let until = tokio::time::Instant::now() + PATIENCE;
+        for service in services {
+            loop {
+                let get = callers::get(&format!("/{service}/ready"));
+                let seen = callers::send(self.callers(node), get).await;
+                if seen.status == 200 {
+                    break;
+                }
+                assert!(tokio::time::Instant::now() < until, "{service}: {seen:?}");
+                tokio::time::sleep(time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    fn node(&self, index: usize) -> &node::running::Node {
+        self.nodes[index].as_ref().expect("runs")
+    }
+}
+
+fn put_control(
+    mesh: &mut mesh::Mesh,
+    addr: net::SocketAddr,
+) -> (hosts::HostKey, world::data_centres::DataCentreKey) {
+    let region = mesh.add_region(REGION);
+    let data_centre = mesh.add_data_centre("skulte", region);
+    let role = hosts::Role::Control;
+    let host = hosts::Host { name: "skulte-c".into(), addr, data_centre, role };
+    (mesh.put_host(host), data_centre)
+}
+
+async fn spawn_control(
+    authority: &identity::Authority,
+    data: std::path::PathBuf,
+) -> control::running::Control {
+    let mut mesh = mesh::Mesh::default();
+    let me = put_control(&mut mesh, any()).0;
+    let settings = control::settings::Settings {
+        mesh,
+        me,
+        config_voters: vec![me],
+        claims_voters: vec![me],
+        operators: any(),
+        token: TOKEN.into(),
+        metrics: any(),
+        data,
+        workers: 2,
+        stop_limit: STOP_LIMIT,
+    };
+    let identity = authority.issue("skulte-c", hosts::Role::Control).expect("issues");
+    let metrics = metrics::Metrics::open().expect("opens");
+    let instruments = control::instruments::Instruments::new(&metrics.meter());
+    control::running::Control::spawn(settings, &identity, instruments).await.expect("starts")
+}
+
+async fn create(control: net::SocketAddr, document: serde_json::Value) {
+    let client = web::client::Client::new(web::client::Limits::default());
+    let body = serde_json::json!({
+        "base": 0, "request_id": "create", "operator": "tests", "patch": document,
+    });
+    let call = operators::Call {
+        control,
+        method: http::Method::POST,
+        path: protocol::operators::PATCHES_PATH.into(),
+        body: Some(body),
+    };
+    let until = tokio::time::Instant::now() + PATIENCE;
+    loop {
+        let reply = calls::send(&client, TOKEN, &call).await;
+        if reply.as_ref().is_ok_and(|it| it.status == 200) {
+            return;
+        }
+        assert!(tokio::time::Instant::now() < until, "no first version: {reply:?}");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/passing.rs
@@ -0,0 +1,171 @@
+//! What has to arrive unchanged.
+
+use std::sync::Arc;
+
+use serde_json::json;
+use tokio::task;
+
+use crate::{callers, mesh, servers};
+
+/// Requests at the same time, each with a body of its own.
+const CROWD: usize = 90;
+/// Each body is this much larger than the one before it; the largest has 900 KB.
+const STEP: usize = 10_000;
+
+fn act(head: &str, body: &[u8]) -> servers::Reply {
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    let bytes = match path.split('?').next().unwrap_or_default() {
+        "/logs/head" => b"HTTP/1.1 200 OK\r\ncontent-length: 4321\r\n\r\n".to_vec(),
+        "/logs/none" => b"HTTP/1.1 204 No Content\r\nx-mark: a\r\n\r\n".to_vec(),
+        "/logs/same" => b"HTTP/1.1 304 Not Modified\r\netag: \"17\"\r\n\r\n".to_vec(),
+        "/logs/cookies" => servers::answer(
+            "201 Created",
+            "set-cookie: a=1\r\nset-cookie: b=2\r\nx-mark: \r\n",
+            b"cookies",
+        ),
+        "/logs/chunks" => {
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+                .to_vec()
+        }
+        "/logs/large" => servers::answer("200 OK", "x-mark: large\r\n", &[b'x'; 100_000]),
+        "/logs/fields" => {
+            let long = head.lines().find(|it| it.starts_with("x-long")).unwrap_or_default();
+            servers::answer("200 OK", &format!("{long}\r\n"), b"")
+        }
+        "/logs/request" => servers::answer("200 OK", "", echo(head).as_bytes()),
+        _ => servers::answer("200 OK", "", body),
+    };
+    servers::Reply::Send(bytes)
+}
+
+/// The request as it arrived, without what differs from run to run.
+fn echo(head: &str) -> String {
+    let differs = ["host:", "heatherwalk-parent:", "heatherwalk-deadline-ms:"];
+    let lines = head.lines().filter(|line| !differs.iter().any(|it| line.starts_with(it)));
+    let mut lines: Vec<_> = lines.filter(|it| !it.is_empty()).collect();
+    lines[1..].sort_unstable();
+    lines.join(" | ")
+}
+
+/// Guards against requests and answers that change on their way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn messages_arrive_unchanged() {
+    let document = mesh::document(&[
+        ("logs", json!({}), json!({})),
+        ("open", json!({}), json!({"prefix": "/logs/keyless", "keyless": true, "service": "logs"})),
+    ]);
+    let mesh = mesh::Mesh::spawn(2, document).await;
+    let _server = servers::Server::spawn(mesh.announce(1), "logs", 512, act).await;
+    mesh.ready(0, &["logs"]).await;
+    mesh.ready(1, &["logs"]).await;
+    let with = |mut request: callers::Request, method: http::Method| {
+        request.method = method;
+        request
+    };
+    let keyless = callers::Request { headers: http::HeaderMap::new(), ..callers::post("/", "") };
+    let cases = [
+        with(callers::get("/logs/head"), http::Method::HEAD),
+        callers::get("/logs/none"),
+        with(callers::get("/logs/none"), http::Method::DELETE),
+        callers::post("/logs/none", "none"),
+        callers::get("/logs/same"),
+        callers::get("/logs/cookies"),
+        callers::post("/logs/cookies", "cookies"),
+        callers::post("/logs/cookies", "cookies"),
+        callers::get("/logs/chunks"),
+        callers::post("/logs/chunks", "chunks"),
+        callers::post("/logs/chunks", "chunks"),
+        callers::get("/logs/large"),
+        callers::post("/logs/large", "large"),
+        callers::post("/logs/large", "large"),
+        callers::get("/logs/fields").with("x-long", &"x".repeat(25_000)),
+        callers::Request { path: "/logs/keyless".into(), ..keyless },
+        callers::get("/logs/request?b=2&a=%20&b=1")
+            .with("accept", "text/plain")
+            .with("accept", "text/html")
+            .with("heatherwalk-first-sent", "4102444800")
+            .with("heatherwalk-not-run", "true")
+            .with("connection", "x-private")
+            .with("x-private", "1"),
+    ];
+    let mut lines = Vec::new();
+    for at in [1, 0] {
+        for request in cases.clone() {
+            let key = format!("{}-{at}", request.path);
+            let mut request = request;
+            if request.headers.contains_key("idempotency-key") {
+                request.headers.insert("idempotency-key", key.parse().expect("a value"));
+            }
+            lines.push(describe(mesh.callers(at), request).await);
+        }
+    }
+    let half = lines.split_off(lines.len() / 2);
+    assert_eq!(lines, half, "a forwarded message differs from one that is not");
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+async fn describe(at: std::net::SocketAddr, request: callers::Request) -> String {
+    let (method, path) = (request.method.clone(), request.path.clone());
+    let seen = callers::send(at, request).await;
+    let mut fields: Vec<_> = seen
+        .headers
+        .iter()
+        .filter(|(name, _)| *name != "date")
+        .map(|(name, value)| match value.len() {
+            0..=200 => format!("{name}={}", value.to_str().unwrap_or_default()),
+            length => format!("{name}={length} bytes"),
+        })
+        .collect();
+    fields.sort();
+    let body = seen.body.as_ref().expect("a whole body");
+    let body = match body.len() {
+        0..=200 => String::from_utf8_lossy(body).into_owned(),
+        length => format!("{length} bytes"),
+    };
+    format!("{method} {path}: {seen} [{}] {body:?}", fields.join(", "))
+}
+
+/// Guards against answers that reach the wrong caller, or that lose a part, under load.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn each_caller_gets_its_own_answer() {
+    let limits = json!({"timeout_ms": 60_000});
+    let document = mesh::document(&[("logs", json!({}), limits)]);
+    let mesh = Arc::new(mesh::Mesh::spawn(3, document).await);
+    let mut running = Vec::new();
+    for node in [1, 2] {
+        running.push(servers::Server::spawn(mesh.announce(node), "logs", 512, act).await);
+        mesh.ready(node, &["logs"]).await;
+    }
+    mesh.ready(0, &["logs"]).await;
+    let mut crowd = task::JoinSet::new();
+    for index in 0..CROWD {
+        let at = mesh.callers(index % 3);
+        crowd.spawn(async move {
+            let mut request = callers::post("/logs/echo", &format!("crowd-{index}"));
+            if index % 2 == 0 {
+                request.method = http::Method::PUT;
+            }
+            request.body = body(index);
+            let seen = callers::send(at, request).await;
+            (index, seen)
+        });
+    }
+    let mut wrong = Vec::new();
+    while let Some(Ok((index, seen))) = crowd.join_next().await {
+        // A refusal is an answer too, as long as it is marked.
+        let own = seen.body.as_ref() == Some(&body(index));
+        if !(seen.status == 200 && own) {
+            let text = seen.body.as_ref().filter(|it| it.len() < 1_000);
+            wrong.push(format!("{index}: {seen}, {text:?}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    let runs: usize = running.iter().map(|it| it.counts.runs()).sum();
+    assert_eq!(runs, CROWD);
+}
+
+/// The body of a request: its number, over and over.
+fn body(index: usize) -> bytes::Bytes {
+    let text = format!("{index:08} ");
+    text.bytes().cycle().take((index + 1) * STEP).collect()
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/servers.rs
@@ -0,0 +1,188 @@
+//! Backend servers that count what they run and fail as they are told.
+
+use std::{
+    net,
+    sync::{Arc, atomic},
+    time,
+};
+
+use heatherwalk::example;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    task,
+};
+
+use crate::mesh;
+
+/// What a server does with a request that it has read.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Sends these bytes and closes the connection.
+    Send(Vec<u8>),
+    /// The same, after a time in which it watches whether the connection is closed.
+    After(time::Duration, Vec<u8>),
+    /// Sends these bytes and nothing more until the connection is closed.
+    Partly(Vec<u8>),
+    /// Answers nothing until the connection is closed.
+    Freeze,
+    /// Answers that it did not run the request.
+    Shed,
+}
+
+/// What a server has seen.
+#[derive(Default)]
+pub struct Counts {
+    /// Requests that it took up.
+    pub runs: atomic::AtomicUsize,
+    /// Requests that it shed.
+    pub shed: atomic::AtomicUsize,
+    /// Connections that were closed while it worked.
+    pub cancelled: atomic::AtomicUsize,
+}
+
+/// A running server. Dropping it ends it at once.
+pub struct Server {
+    pub counts: Arc<Counts>,
+    listening: task::JoinSet<()>,
+    _announcing: task::JoinSet<()>,
+}
+
+/// An answer with a length.
+pub fn answer(status: &str, fields: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: close\r\n{fields}\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+impl Counts {
+    /// Requests that were taken up until now.
+    pub fn runs(&self) -> usize {
+        self.runs.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Connections that were closed until now while the server worked.
+    pub fn cancelled(&self) -> usize {
+        self.cancelled.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Waits until a count has reached a value.
+    pub async fn wait(&self, count: fn(&Counts) -> usize, value: usize) {
+        let until = tokio::time::Instant::now() + mesh::PATIENCE;
+        while count(self) < value {
+            assert!(tokio::time::Instant::now() < until, "{} of {value}", count(self));
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Server {
+    /// Starts a server of `service` beside the node that takes announcements at `announce`. `act`
+    /// gets the head and the body of each request. Paths that end in `/ready` are answered without
+    /// counting.
+    pub async fn spawn(
+        announce: net::SocketAddr,
+        service: &str,
+        slots: u32,
+        act: impl Fn(&str, &[u8]) -> Reply + Send + Sync + 'static,
+    ) -> Server {
+        let listener = TcpListener::bind(mesh::any()).await.expect("binds");
+        let addr = listener.local_addr().expect("has an address");
+        let counts = Arc::new(Counts::default());
+        let mut listening = task::JoinSet::new();
+        listening.spawn(listen(listener, Arc::clone(&counts), Arc::new(act)));
+        let mut announcing = task::JoinSet::new();
+        let settings =
+            example::Settings { service: service.into(), name: service.into(), announce, slots };
+        announcing.spawn(example::announce(settings, addr));
+        Server { counts, listening, _announcing: announcing }
+    }
+
+    /// Refuses connections from now on, and goes on announcing itself.
+    pub async fn refuse(&mut self) {
+        self.listening.shutdown().await;
+    }
+}
+
+type Act = dyn Fn(&str, &[u8]) -> Reply + Send + Sync;
+
+async fn listen(listener: TcpListener, counts: Arc<Counts>, act: Arc<Act>) {
+    let mut tasks = task::JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            it = listener.accept() => it,
+            Some(_) = tasks.join_next() => continue,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        tasks.spawn(serve(stream, Arc::clone(&counts), Arc::clone(&act)));
+    }
+}
+
+async fn serve(mut stream: TcpStream, counts: Arc<Counts>, act: Arc<Act>) {
+    let Some((head, body)) = read(&mut stream).await else { return };
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    if path.ends_with("/ready") {
+        let _ = stream.write_all(&answer("200 OK", "", b"")).await;
+        return;
+    }
+    let reply = act(&head, &body);
+    let shed = matches!(reply, Reply::Shed);
+    let count = if shed { &counts.shed } else { &counts.runs };
+    count.fetch_add(1, atomic::Ordering::SeqCst);
+    let bytes = match reply {
+        Reply::Send(bytes) => bytes,
+        Reply::Shed => answer("503 Service Unavailable", "heatherwalk-not-run: true\r\n", b""),
+        Reply::After(pause, bytes) => {
+            tokio::select! {
+                () = tokio::time::sleep(pause) => bytes,
+                () = closed(&mut stream) => {
+                    counts.cancelled.fetch_add(1, atomic::Ordering::SeqCst);
+                    return;
+                }
+            }
+        }
+        Reply::Partly(bytes) => {
+            let _ = stream.write_all(&bytes).await;
+            closed(&mut stream).await;
+            counts.cancelled.fetch_add(1, atomic::Ordering::SeqCst);
+            return;
+        }
+        Reply::Freeze => {
+            closed(&mut stream).await;
+            counts.cancelled.fetch_add(1, atomic::Ordering::SeqCst);
+            return;
+        }
+    };
+    let _ = stream.write_all(&bytes).await;
+    let _ = stream.shutdown().await;
+}
+
+async fn closed(stream: &mut TcpStream) {
+    let mut byte = [0];
+    while stream.read(&mut byte).await.is_ok_and(|it| it > 0) {}
+}
+
+/// The head and the body of a request, whose length is declared.
+async fn read(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
+            break at + 4;
+        }
+        fill(stream, &mut bytes).await?;
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let length = head.lines().find_map(|it| it.strip_prefix("content-length: "));
+    let length: usize = length.and_then(|it| it.parse().ok()).unwrap_or(0);
+    while bytes.len() < end + length {
+        fill(stream, &mut bytes).await?;
+    }
+    Some((head, bytes.split_off(end)))
+}
+
+async fn fill(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<()> {
+    let read = stream.read_buf(bytes).await.ok()?;
+    (read > 0).then_some(())
+}
