Let a planned stop of a node deliver its last answers

Cause, by reading: the stop waited until the backend server was done, then ended the tasks that pass answers on and closed the links without waiting for the streams in flight. It now ends its ticks and its streams to controls first, and closes the links once the streams in flight have ended, at most at the stop limit.

--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -37,7 +37,10 @@
     endpoint: endpoint::Endpoint,
     callers: web::server::Server,
     announce: web::server::Server,
-    tasks: task::JoinSet<()>,
+    /// Serves the streams of other nodes.
+    serving: task::JoinSet<()>,
+    /// Do what is due.
+    ticks: task::JoinSet<()>,
 }
 
 impl Node {
@@ -58,10 +61,11 @@
         let state = sync::Arc::new(state::State::new(settings, links, instruments));
         let callers = bind_callers(&state).await?;
         let announce = bind_announce(&state).await?;
-        let mut tasks = task::JoinSet::new();
-        tasks.spawn(accept(sync::Arc::clone(&state), endpoint.clone()));
-        tasks.spawn(tick(sync::Arc::clone(&state)));
-        tasks.spawn(tick_gate(sync::Arc::clone(&state)));
+        let mut serving = task::JoinSet::new();
+        serving.spawn(accept(sync::Arc::clone(&state), endpoint.clone()));
+        let mut ticks = task::JoinSet::new();
+        ticks.spawn(tick(sync::Arc::clone(&state)));
+        ticks.spawn(tick_gate(sync::Arc::clone(&state)));
         log::info!(
             "node {} of {} listens on {listen}, callers on {}, announcements on {}",
             state.place.host,
@@ -69,7 +73,7 @@
             callers.local_addr(),
             announce.local_addr(),
         );
-        Ok(Node { state, endpoint, callers, announce, tasks })
+        Ok(Node { state, endpoint, callers, announce, serving, ticks })
     }
 
     /// Where callers' requests arrive.
@@ -95,10 +99,14 @@
         while self.state.flights.lock().len() > 0 && time::Instant::now() < until {
             time::sleep(STOP_CHECK).await;
         }
-        let left = until.saturating_duration_since(time::Instant::now());
-        let announce = self.announce.stop(left.min(std_time::Duration::from_secs(1))).await;
-        self.tasks.shutdown().await;
-        let closed = self.endpoint.close(std_time::Duration::ZERO).await;
+        let left = || until.saturating_duration_since(time::Instant::now());
+        let announce = self.announce.stop(left().min(std_time::Duration::from_secs(1))).await;
+        self.ticks.shutdown().await;
+        // Ends the streams to controls. What remains are answers on their way to other nodes: the
+        // backend server is done with them before their last bytes have arrived there.
+        self.state.sessions.lock().outboxes.clear();
+        let closed = self.endpoint.close(left()).await;
+        self.serving.shutdown().await;
         log::info!(
             "node stopped; callers' requests: {} finished, {} cut off; streams closed: {}; \
              announcements: {}",
