--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -3,6 +3,7 @@
 use std::{sync, time as std_time};
 
 use admission::work;
+use bytes::Bytes;
 use world::time;
 
 use crate::{headers, instruments, sending, state};
@@ -75,25 +76,15 @@
     let sending::Answered { status, mut headers, body: source, .. } = answered;
     headers::clean(&mut headers);
     let (sender, body) = web::body::Body::channel(CHUNKS);
-    // The server does not read a body that is not sent, which would look like a caller that left.
-    if is_head || matches!(status, http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED) {
-        let outcome = match pump(source, &sender).await {
-            Ok(()) => instruments::Outcome::Answered,
-            Err(_) => instruments::Outcome::Unknown,
-        };
-        count.end(outcome);
-        return web::exchange::Answer { status, headers, body: web::body::Body::empty() };
-    }
-    tokio::spawn(async move {
-        let closed = sender.closed();
-        // The caller left; dropping the source cancels the work, and the count says so.
-        let pumped = tokio::select! {
-            it = pump(source, &sender) => it,
-            () = closed => return,
-        };
-        match pumped {
+    let bodyless =
+        is_head || matches!(status, http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED);
+    let declared = if bodyless { Some(0) } else { declared(&headers) };
+    let pumping = async move {
+        match pump(source, &sender, declared).await {
             Ok(()) => {
-                if sender.finish().await.is_ok() {
+                // The server does not read the end of a body whose length it knows.
+                let ended = sender.finish().await.is_ok();
+                if ended || declared.is_some() {
                     count.end(instruments::Outcome::Answered);
                 }
             }
@@ -104,39 +95,77 @@
                 sender.fail();
             }
         }
-    });
+    };
+    tokio::spawn(pumping);
+    let body = if bodyless { web::body::Body::empty() } else { body };
     web::exchange::Answer { status, headers, body }
 }
 
-/// Reads a body to its end and passes it on.
-pub(crate) async fn pump(source: sending::Source, sender: &web::body::Sender) -> Result<()> {
-    match source {
-        sending::Source::Here(mut body, running) => loop {
-            match body.chunk().await {
-                Ok(Some(bytes)) => sender.send(bytes).await?,
-                Ok(None) => {
-                    running.finish(work::Outcome::Answered);
-                    return Ok(());
-                }
-                Err(err) => {
-                    running.break_off(false);
-                    return Err(err.into());
-                }
+/// Reads a body to its end and passes it on. It stops when nobody reads the body any more, which
+/// cancels the work, unless the declared length has been passed on: the server lets go of a body
+/// at that point, and only the end is still to be read.
+pub(crate) async fn pump(
+    mut source: sending::Source,
+    sender: &web::body::Sender,
+    declared: Option<u64>,
+) -> Result<()> {
+    let mut left = declared;
+    loop {
+        let next = tokio::select! {
+            biased;
+            it = source.chunk() => it,
+            () = sender.closed(), if left != Some(0) => Err(web::body::Error::Gone.into()),
+        };
+        match next {
+            Ok(Some(bytes)) => {
+                left = left.map(|it| it.saturating_sub(bytes.len() as u64));
+                sender.send(bytes).await?;
             }
-        },
-        sending::Source::There(mut receiver, limit) => loop {
-            let received = tokio::time::timeout_at(limit, receiver.recv_bytes()).await;
-            match received.map_err(|_| Error::Late)?? {
-                Some(bytes) => sender.send(bytes).await?,
-                None => return Ok(()),
+            Ok(None) => {
+                source.finish();
+                return Ok(());
             }
-        },
-        sending::Source::Rest(begun, mut rest) => {
-            sender.send(begun).await?;
-            while let Some(bytes) = rest.chunk().await? {
-                sender.send(bytes).await?;
+            Err(Error::Body(web::body::Error::Gone)) => return Err(web::body::Error::Gone.into()),
+            Err(err) => {
+                source.break_off();
+                return Err(err);
+            }
+        }
+    }
+}
+
+/// The length that an answer declares.
+pub(crate) fn declared(headers: &http::HeaderMap) -> Option<u64> {
+    headers::text(headers, http::header::CONTENT_LENGTH.as_str())?.parse().ok()
+}
+
+impl sending::Source {
+    /// The next chunk, or `None` at the end of a complete body.
+    async fn chunk(&mut self) -> Result<Option<Bytes>> {
+        match self {
+            sending::Source::Here(body, _) => Ok(body.chunk().await?),
+            sending::Source::There(receiver, limit) => {
+                let received = tokio::time::timeout_at(*limit, receiver.recv_bytes()).await;
+                Ok(received.map_err(|_| Error::Late)??)
             }
-            Ok(())
+            sending::Source::Rest(begun, rest) => match begun.take() {
+                Some(bytes) => Ok(Some(bytes)),
+                None => Ok(rest.chunk().await?),
+            },
+        }
+    }
+
+    /// The body has been read to its end.
+    fn finish(self) {
+        if let sending::Source::Here(_, running) = self {
+            running.finish(work::Outcome::Answered);
+        }
+    }
+
+    /// The body ended early.
+    fn break_off(self) {
+        if let sending::Source::Here(_, running) = self {
+            running.break_off(false);
         }
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -273,13 +273,9 @@
     let sending::Answered { status, mut headers, body: source, standing } = answered;
     headers::clean(&mut headers);
     let (sender, mut copy) = web::body::Body::channel(answering::CHUNKS);
+    let declared = answering::declared(&headers);
     tokio::spawn(async move {
-        let closed = sender.closed();
-        let pumped = tokio::select! {
-            it = answering::pump(source, &sender) => it,
-            () = closed => return,
-        };
-        match pumped {
+        match answering::pump(source, &sender, declared).await {
             Ok(()) => drop(sender.finish().await),
             Err(_) => sender.fail(),
         }
@@ -298,7 +294,7 @@
         log::warn!("the answer to a claimed request could not be stored");
     }
     if collected == Collected::Partly {
-        let body = sending::Source::Rest(kept, copy);
+        let body = sending::Source::Rest(Some(kept), copy);
         return Ok(Reply::Arriving(sending::Answered { status, headers, body, standing }));
     }
     let body = web::body::Body::full(kept);
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -32,7 +32,7 @@
     /// Another node, over a stream that ends when it is dropped, until a point in time.
     There(transport::streams::Receiver, tokio::time::Instant),
     /// What was read of a body, followed by the rest of it.
-    Rest(bytes::Bytes, web::body::Body),
+    Rest(Option<bytes::Bytes>, web::body::Body),
 }
 
 /// Why there is no answer, and how many extra sends the request has left.
