Run the roles as real processes under kills and freezes

Test target processes: controls and nodes from settings files on loopback, backend servers in the test's process that count what they run. The example backend server can announce that it is leaving. A control's metrics page says in how many logs it votes, which tells an operator that the repair of a lost disk is complete; a node's page has a new version at once instead of up to a second later.

--- a/crates/control/src/instruments.rs
+++ b/crates/control/src/instruments.rs
@@ -30,6 +30,7 @@
     version: metrics::Gauge<u64>,
     nodes: metrics::Gauge<u64>,
     converged: metrics::Gauge<u64>,
+    votes: metrics::Gauge<u64>,
 }
 
 impl Instruments {
@@ -45,6 +46,7 @@
             version: gauge("control.version", "The version that the control has on its disk"),
             nodes: gauge("control.nodes", "Nodes attached to the control"),
             converged: gauge("control.nodes.converged", "Attached nodes that run its version"),
+            votes: gauge("control.votes", "Logs in which this control is a voter"),
         }
     }
 
@@ -73,6 +75,12 @@
         self.nodes.record(attached as u64, &[]);
         self.converged.record(converged as u64, &[]);
     }
+
+    /// Records in how many logs the control votes. After a lost disk, fewer than the settings say
+    /// means that the repair is not complete.
+    pub fn record_votes(&self, logs: usize) {
+        self.votes.record(logs as u64, &[]);
+    }
 }
 
 fn patch_result(answer: &operators::PatchAnswer) -> &'static str {
--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -137,6 +137,9 @@
     let converged = report.counts.iter().find(|it| it.0 == report.version);
     state.instruments.record_version(report.version);
     state.instruments.record_nodes(report.nodes as usize, converged.map_or(0, |it| it.1 as usize));
+    let configuration = state.configuration.lock().group().is_voter();
+    let claims = state.claims.as_ref().is_some_and(|it| it.lock().group().is_voter());
+    state.instruments.record_votes(usize::from(configuration) + usize::from(claims));
 }
 
 /// What the nodes attached to this control run.
--- a/crates/heatherwalk/src/example.rs
+++ b/crates/heatherwalk/src/example.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use node::backend;
-use tokio::task;
+use tokio::{sync::watch, task};
 
 /// Pause before an announcement is tried again after a failure.
 const RETRY: time::Duration = time::Duration::from_millis(100);
@@ -32,6 +32,7 @@
 /// A running example server. Dropping it ends it at once, as a crash does.
 pub struct Server {
     web: web::server::Server,
+    drain: watch::Sender<bool>,
     /// Aborted when it is dropped.
     announcing: task::JoinSet<()>,
 }
@@ -48,8 +49,9 @@
         let limits = web::server::Limits::default();
         let web = web::server::Server::bind(addr, limits, router).await?;
         let mut announcing = task::JoinSet::new();
-        announcing.spawn(announce(settings, web.local_addr()));
-        Ok(Server { web, announcing })
+        let (drain, drained) = watch::channel(false);
+        announcing.spawn(announce(settings, web.local_addr(), drained));
+        Ok(Server { web, drain, announcing })
     }
 
     /// Where it listens.
@@ -57,6 +59,11 @@
         self.web.local_addr()
     }
 
+    /// Announces at once, and from now on, that the server is leaving.
+    pub fn drain(&self) {
+        self.drain.send_replace(true);
+    }
+
     /// Ends the server as planned.
     pub async fn stop(mut self, limit: time::Duration) {
         self.announcing.shutdown().await;
@@ -75,7 +82,7 @@
     }
 }
 
-async fn announce(settings: Settings, addr: net::SocketAddr) {
+async fn announce(settings: Settings, addr: net::SocketAddr, mut drain: watch::Receiver<bool>) {
     let client = web::client::Client::new(web::client::Limits::default());
     let started = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     let mut announcement = backend::Announcement {
@@ -87,13 +94,16 @@
         token: None,
     };
     loop {
-        match send(&client, settings.announce, &announcement).await {
+        announcement.drain = *drain.borrow_and_update();
+        let pause = match send(&client, settings.announce, &announcement).await {
             Some(answer) => {
                 announcement.token = answer.token;
-                tokio::time::sleep(time::Duration::from_millis(answer.renew_ms)).await;
+                time::Duration::from_millis(answer.renew_ms)
             }
-            None => tokio::time::sleep(RETRY).await,
-        }
+            None => RETRY,
+        };
+        // The server holds the sender for as long as this task runs.
+        let _ = tokio::time::timeout(pause, drain.changed()).await;
     }
 }
 
--- /dev/null
+++ b/crates/heatherwalk/tests/processes/main.rs
@@ -0,0 +1,10 @@
+//! Proof on real processes: controls and nodes are started from settings files and are killed,
+//! frozen and stopped.
+
+mod backends;
+mod claims;
+mod configuration;
+mod crashes;
+mod harness;
+mod outages;
+mod stops;
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -114,6 +114,9 @@
         if table.running.as_ref().is_some_and(|it| it.version() >= config.version()) {
             return;
         }
+        state
+            .instruments
+            .record_version(config.version(), table.follower.age(now).unwrap_or_default());
         table.running.replace(sync::Arc::clone(&config))
     };
     let from = old.as_ref().map(|it| it.version());
