Keep the floor token when a restarted node has none to offer

Cause: a restarted node answered its backend server's first renewal without a token, since it had no version yet, and the backend server took that over. Its next renewal came without a token, so the node had to ask for a proof that an isolated control cannot give.

Ruled out: loss of the token by the backend server itself; it lived on, and the control's log shows floor Absent only from the second renewal on.

--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -50,7 +50,9 @@
     }
 }
 
-/// Takes the token of an announcement, and returns the one to answer with.
+/// Takes the token of an announcement, and returns the one to answer with. A backend server keeps
+/// only what the last answer said, so a restarted process that has no version to offer a token for
+/// gives back the one that it was shown.
 pub(crate) fn renewal(
     state: &sync::Arc<state::State>,
     token: Option<&str>,
@@ -62,7 +64,8 @@
         table.follower.renewal(now, token, &mut table.rng)
     };
     perform(state, effects);
-    state.configuration.lock().token.clone()
+    let offered = state.configuration.lock().token.clone();
+    offered.or_else(|| token.map(CompactString::from))
 }
 
 /// Performs what the versions ask for. Called without a lock.
