Take a node's second hello, and let operators read only what is current

Two faults that the tests on real processes found.

A node says hello again on its stream when its backend server's token arrives. The control passed that message to the relay, which knows hellos only as new sessions and dropped it. The node then waited for the silence limit of 3 s and tried another control: first versions took 3 to 6 s, and a restarted node of an isolated data centre had nobody to go to. Ruled out: a lost message, since the node's log shows one stream throughout. The stream's key now changes with the hello, under one lock, so that no broadcast is missed.

GET /v1/versions/current and the status counted a control as current when a heartbeat had come within the lease. After a pause of the process, heartbeats of the next leader come before the entries that were missed, so a leader frozen for 5 s called version 1 current. Both now wait for a confirmed read and for its index to be applied. Ruled out: the lease of the old leader, which had ended on the monotonic clock.

Before: processes::leader_frozen and herd_restart fail.

--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -16,9 +16,9 @@
 ) -> transport::errors::Result<()> {
     let Some(hello) = first_hello(&mut receiver).await? else { return Ok(()) };
     let (outbox, queue) = mpsc::channel(distributing::NODE_QUEUE);
-    let Some(key) = attach(state, hello, outbox).await else { return Ok(()) };
+    let Some(mut key) = attach(state, hello, outbox).await else { return Ok(()) };
     let result = tokio::select! {
-        it = receive(state, key, &mut receiver) => it,
+        it = receive(state, &mut key, &mut receiver) => it,
         it = send(sender, queue) => it,
     };
     let job = {
@@ -56,12 +56,33 @@
     state.pool.run(job).await.ok()
 }
 
-async fn receive(
+async fn attach_again(
     state: &sync::Arc<state::State>,
     key: subscribers::SubscriberKey,
+    hello: messages::Hello,
+) -> Option<subscribers::SubscriberKey> {
+    let shared = sync::Arc::clone(state);
+    let job = move || distributing::hello_again(&shared, key, hello);
+    state.pool.run(job).await.ok().flatten()
+}
+
+async fn receive(
+    state: &sync::Arc<state::State>,
+    session: &mut subscribers::SubscriberKey,
     receiver: &mut transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
     while let Some(message) = receiver.recv::<streams::NodeMessage>().await? {
+        let key = *session;
+        let message = match message {
+            streams::NodeMessage::Version(messages::Up::Hello(hello)) => {
+                match attach_again(state, key, hello).await {
+                    Some(key) => *session = key,
+                    None => return Ok(()),
+                }
+                continue;
+            }
+            it => it,
+        };
         if let streams::NodeMessage::Evidence { sequence, age_ms, evidence } = message {
             tokio::spawn(take_evidence(sync::Arc::clone(state), key, sequence, age_ms, evidence));
             continue;
--- a/crates/control/src/distributing.rs
+++ b/crates/control/src/distributing.rs
@@ -9,7 +9,7 @@
 use rand::rngs;
 use replicated::{quarantine, versions};
 use slotmap::SecondaryMap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use world::{document, time};
 
 use crate::{groups, machines, state};
@@ -17,16 +17,27 @@
 /// Messages that may wait for a node; a node that is slower is disconnected and comes back.
 pub(crate) const NODE_QUEUE: usize = 4_096;
 
+/// Who waits until the leader has confirmed what is current.
+#[derive(Debug)]
+pub(crate) enum Reader {
+    /// The control itself, which has to show that it has caught up with the log.
+    Control,
+    /// A node that needs a proof.
+    Node(subscribers::SubscriberKey),
+    /// An operator, who is told whether this control's state is current.
+    Operator(oneshot::Sender<bool>),
+}
+
 /// The relay with the channels to its nodes and the reports of the other controls.
 pub(crate) struct Distributing {
     pub(crate) relay: relay::Relay,
     pub(crate) rng: rngs::StdRng,
     pub(crate) reports: collections::BTreeMap<CompactString, (streams::Report, time::Time)>,
     outboxes: SecondaryMap<subscribers::SubscriberKey, mpsc::Sender<streams::ControlMessage>>,
-    /// Reads that wait for the leader; none is for the control itself.
-    reads: collections::BTreeMap<events::Token, Option<subscribers::SubscriberKey>>,
+    /// Reads that wait for the leader.
+    reads: collections::BTreeMap<events::Token, Reader>,
     /// Confirmed reads that wait until the state has applied the index.
-    confirmed: Vec<(entries::Index, Option<subscribers::SubscriberKey>)>,
+    confirmed: Vec<(entries::Index, Reader)>,
     standings: Vec<streams::Standing>,
     /// The last entry of the log that the state has applied.
     applied: entries::Index,
@@ -123,6 +134,34 @@
     outbox: mpsc::Sender<streams::ControlMessage>,
 ) -> subscribers::SubscriberKey {
     let now = state.now();
+    let (key, reads) = subscribe(&mut state.relay.lock(), now, hello, outbox);
+    ask(state, reads);
+    key
+}
+
+/// A node said hello again on its connection: what it may take has changed. Its session with `key`
+/// ends; there is no new one when the node has been disconnected meanwhile.
+pub(crate) fn hello_again(
+    state: &state::State,
+    key: subscribers::SubscriberKey,
+    hello: messages::Hello,
+) -> Option<subscribers::SubscriberKey> {
+    let now = state.now();
+    let (key, reads) = {
+        let mut table = state.relay.lock();
+        let outbox = table.outboxes.remove(key)?;
+        subscribe(&mut table, now, hello, outbox)
+    };
+    ask(state, reads);
+    Some(key)
+}
+
+fn subscribe(
+    table: &mut Distributing,
+    now: time::Time,
+    hello: messages::Hello,
+    outbox: mpsc::Sender<streams::ControlMessage>,
+) -> (subscribers::SubscriberKey, Vec<subscribers::SubscriberKey>) {
     log::info!(
         target: "decision",
         "node {} attached, running {:?}, floor {:?}",
@@ -130,17 +169,11 @@
         hello.running.map(|it| it.version),
         hello.floor,
     );
-    let (key, reads) = {
-        let mut table = state.relay.lock();
-        let table = &mut *table;
-        let (key, effects) = table.relay.hello(now, hello, &mut table.rng);
-        table.outboxes.insert(key, outbox);
-        let standings = streams::ControlMessage::Standings(table.standings.clone());
-        table.send(key, standings);
-        (key, perform(table, effects))
-    };
-    ask(state, reads);
-    key
+    let (key, effects) = table.relay.hello(now, hello, &mut table.rng);
+    table.outboxes.insert(key, outbox);
+    let standings = streams::ControlMessage::Standings(table.standings.clone());
+    table.send(key, standings);
+    (key, perform(table, effects))
 }
 
 /// A message about versions came from a node.
@@ -228,12 +261,8 @@
 }
 
 /// Notes who waits for a read, before it is asked.
-pub(crate) fn expect_read(
-    state: &state::State,
-    token: events::Token,
-    key: Option<subscribers::SubscriberKey>,
-) {
-    state.relay.lock().reads.insert(token, key);
+pub(crate) fn expect_read(state: &state::State, token: events::Token, reader: Reader) {
+    state.relay.lock().reads.insert(token, reader);
 }
 
 /// A read was confirmed.
@@ -243,8 +272,8 @@
         let machine = state.machine.lock();
         let mut table = state.relay.lock();
         let table = &mut *table;
-        let Some(key) = table.reads.remove(&token) else { return };
-        table.confirmed.push((index, key));
+        let Some(reader) = table.reads.remove(&token) else { return };
+        table.confirmed.push((index, reader));
         let effects = settle_reads(table, now, &machine.versions);
         perform(table, effects)
     };
@@ -257,7 +286,14 @@
     let reads = {
         let mut table = state.relay.lock();
         let table = &mut *table;
-        let Some(Some(key)) = table.reads.remove(&token) else { return };
+        let key = match table.reads.remove(&token) {
+            Some(Reader::Node(key)) => key,
+            Some(Reader::Operator(answer)) => {
+                let _ = answer.send(false);
+                return;
+            }
+            Some(Reader::Control) | None => return,
+        };
         let effects = table.relay.confirmed(now, key, relay::Currency::Isolated, &mut table.rng);
         perform(table, effects)
     };
@@ -299,9 +335,9 @@
 ) -> Vec<relay::Effect> {
     let mut effects = Vec::new();
     let waiting = std::mem::take(&mut table.confirmed);
-    for (index, key) in waiting {
+    for (index, reader) in waiting {
         if table.applied < index {
-            table.confirmed.push((index, key));
+            table.confirmed.push((index, reader));
             continue;
         }
         if !table.ready {
@@ -310,8 +346,13 @@
             table.relay.set_ready();
         }
         let currency = relay::Currency::Current(versions.current());
-        if let Some(key) = key {
-            effects.extend(table.relay.confirmed(now, key, currency, &mut table.rng));
+        match reader {
+            Reader::Control => {}
+            Reader::Node(key) => {
+                effects.extend(table.relay.confirmed(now, key, currency, &mut table.rng));
+            }
+            // An operator who has gone does not need the answer.
+            Reader::Operator(answer) => _ = answer.send(true),
         }
     }
     effects
@@ -320,7 +361,7 @@
 /// Asks the leader on behalf of nodes that need a current version.
 fn ask(state: &state::State, keys: Vec<subscribers::SubscriberKey>) {
     for key in keys {
-        groups::confirm_read(state, Some(key));
+        groups::confirm_read(state, Reader::Node(key));
     }
 }
 
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -3,7 +3,6 @@
 use agreement::{entries, events};
 use bytes::Bytes;
 use compact_str::CompactString;
-use distribution::subscribers;
 use protocol::{proposals, streams};
 use replicated::{claims, quarantine, versions};
 use tokio::sync::oneshot;
@@ -73,12 +72,12 @@
     pass_on_claims(state, outputs);
 }
 
-/// Asks the leader for its commit index, for a node or for the control itself.
-pub(crate) fn confirm_read(state: &state::State, key: Option<subscribers::SubscriberKey>) {
+/// Asks the leader for its commit index.
+pub(crate) fn confirm_read(state: &state::State, reader: distributing::Reader) {
     let (outputs, applied) = {
         let mut replica = state.configuration.lock();
         let token = replica.token();
-        distributing::expect_read(state, token, key);
+        distributing::expect_read(state, token, reader);
         let event = events::Event::ConfirmRead { token };
         let outputs = replica.step(state.now(), event, machines::CONFIGURATION, &state.machine);
         (outputs, replica.group().applied())
--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -33,9 +33,12 @@
     if request.method != ::http::Method::GET {
         return problem(::http::StatusCode::METHOD_NOT_ALLOWED, "this path takes GET only");
     }
+    let asks = matches!(request.path.as_str(), messages::CURRENT_PATH | messages::STATUS_PATH);
+    let is_current = asks && operators::is_current(&state).await;
     let job = {
         let state = sync::Arc::clone(&state);
-        move || read(&state, &request.path, request.query.as_deref().unwrap_or_default())
+        let query = request.query.unwrap_or_default();
+        move || read(&state, &request.path, &query, is_current)
     };
     let answer = state.pool.run(job).await;
     answer.unwrap_or_else(|err| problem(::http::StatusCode::SERVICE_UNAVAILABLE, &err.to_string()))
@@ -65,9 +68,9 @@
     json(status, &answer)
 }
 
-fn read(state: &state::State, path: &str, query: &str) -> web::exchange::Answer {
+fn read(state: &state::State, path: &str, query: &str, is_current: bool) -> web::exchange::Answer {
     match path {
-        messages::CURRENT_PATH => match operators::current(state) {
+        messages::CURRENT_PATH => match operators::current(state, is_current) {
             Some(it) => json(::http::StatusCode::OK, &it),
             None => not_current(),
         },
@@ -76,7 +79,9 @@
             json(::http::StatusCode::OK, &operators::nodes(state, only_behind))
         }
         messages::QUARANTINE_PATH => json(::http::StatusCode::OK, &operators::quarantine(state)),
-        messages::STATUS_PATH => json(::http::StatusCode::OK, &operators::status(state)),
+        messages::STATUS_PATH => {
+            json(::http::StatusCode::OK, &operators::status(state, is_current))
+        }
         messages::TARGETS_PATH => json(::http::StatusCode::OK, &operators::targets(state)),
         messages::VERSIONS_PATH => {
             let limit = parameter(query, "limit").map_or(Ok(DEFAULT_LIMIT), str::parse);
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -6,13 +6,17 @@
 use distribution::subscribers;
 use protocol::{operators, proposals, streams};
 use replicated::{quarantine, versions};
+use tokio::sync::oneshot;
 use world::{document, time};
 
-use crate::{proposing, state};
+use crate::{distributing, groups, proposing, state};
 
 /// Age up to which another control's report counts: three reports.
 const FRESH: std::time::Duration = std::time::Duration::from_secs(5);
 
+/// How long an operator waits for the leader's word that this control is current.
+const CONFIRM_LIMIT: std::time::Duration = std::time::Duration::from_secs(1);
+
 /// A patch, answered when it is in the log or when no leader could be asked.
 pub(crate) async fn patch(
     state: &sync::Arc<state::State>,
@@ -47,9 +51,31 @@
     list
 }
 
+/// Whether this control has applied all that the leader had committed when it was asked. A recent
+/// heartbeat is not enough: after a pause of this process it comes before the entries missed.
+pub(crate) async fn is_current(state: &sync::Arc<state::State>) -> bool {
+    let (answer, confirmed) = oneshot::channel();
+    let shared = sync::Arc::clone(state);
+    let job = move || {
+        let now = shared.now();
+        if shared.configuration.lock().group().is_isolated(now) {
+            drop(answer);
+        } else {
+            groups::confirm_read(&shared, distributing::Reader::Operator(answer));
+        }
+    };
+    if state.pool.submit(job).is_err() {
+        return false;
+    }
+    matches!(tokio::time::timeout(CONFIRM_LIMIT, confirmed).await, Ok(Ok(true)))
+}
+
 /// The current version, when this control knows that it is.
-pub(crate) fn current(state: &state::State) -> Option<operators::VersionDocument> {
-    if state.configuration.lock().group().is_isolated(state.now()) {
+pub(crate) fn current(
+    state: &state::State,
+    is_current: bool,
+) -> Option<operators::VersionDocument> {
+    if !is_current {
         return None;
     }
     let machine = state.machine.lock();
@@ -148,13 +174,12 @@
 }
 
 /// The state of this control.
-pub(crate) fn status(state: &state::State) -> operators::Status {
-    let now = state.now();
+pub(crate) fn status(state: &state::State, is_current: bool) -> operators::Status {
     let replica = state.configuration.lock();
     let group = replica.group();
     let role = format_compact!("{:?}", group.role()).to_lowercase();
     let leader = group.leader().cloned();
-    let current = !group.is_isolated(now) && !replica.has_failed();
+    let current = is_current && !replica.has_failed();
     drop(replica);
     let report = crate::registering::own_report(state);
     let converged = is_at(&report, report.version);
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -243,7 +243,7 @@
             distributing::publish_standings(&shared);
             groups::expire_claims(&shared);
             if distributing::is_catching_up(&shared) {
-                groups::confirm_read(&shared, None);
+                groups::confirm_read(&shared, distributing::Reader::Control);
             }
         };
         if state.pool.run(job).await.is_err() {
