--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -28,9 +28,9 @@
         return Ok(());
     };
     let (outbox, queue) = mpsc::channel(distributing::NODE_QUEUE);
-    let Some(key) = attach(state, hello, outbox).await else { return Ok(()) };
+    let Some(mut key) = attach(state, hello, outbox).await else { return Ok(()) };
     let result = tokio::select! {
-        it = receive(state, host, key, &mut receiver) => it,
+        it = receive(state, host, &mut key, &mut receiver) => it,
         it = send(sender, queue) => it,
     };
     let job = {
@@ -68,10 +68,20 @@
     state.pool.run(job).await.ok()
 }
 
+async fn attach_again(
+    state: &sync::Arc<state::State>,
+    key: subscribers::SubscriberKey,
+    hello: messages::Hello,
+) -> Option<subscribers::SubscriberKey> {
+    let shared = sync::Arc::clone(state);
+    let job = move || distributing::hello_again(&shared, key, hello);
+    state.pool.run(job).await.ok().flatten()
+}
+
 async fn receive(
     state: &sync::Arc<state::State>,
     host: &str,
-    key: subscribers::SubscriberKey,
+    session: &mut subscribers::SubscriberKey,
     receiver: &mut transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
     let mut tasks = task::JoinSet::new();
@@ -80,6 +90,17 @@
             log::warn!("node {host} sent a message in the name of another; its stream is closed");
             return Ok(());
         }
+        let key = *session;
+        let message = match message {
+            streams::NodeMessage::Version(messages::Up::Hello(hello)) => {
+                match attach_again(state, key, hello).await {
+                    Some(key) => *session = key,
+                    None => return Ok(()),
+                }
+                continue;
+            }
+            it => it,
+        };
         if let streams::NodeMessage::Evidence { sequence, age_ms, evidence } = message {
             while tasks.len() >= EVIDENCE_AT_ONCE {
                 tasks.join_next().await;
--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -48,9 +48,12 @@
     if request.method != ::http::Method::GET {
         return problem(::http::StatusCode::METHOD_NOT_ALLOWED, "this path takes GET only");
     }
+    let asks = matches!(place, Place::Current | Place::Status);
+    let is_current = asks && operators::is_current(&state).await;
     let job = {
         let state = sync::Arc::clone(&state);
-        move || read(&state, place, request.query.as_deref().unwrap_or_default())
+        let query = request.query.unwrap_or_default();
+        move || read(&state, place, &query, is_current)
     };
     let answer = state.pool.run(job).await;
     answer.unwrap_or_else(|err| {
@@ -88,9 +91,14 @@
     json(status, &answer)
 }
 
-fn read(state: &state::State, place: Place, query: &str) -> web::exchange::Answer {
+fn read(
+    state: &state::State,
+    place: Place,
+    query: &str,
+    is_current: bool,
+) -> web::exchange::Answer {
     match place {
-        Place::Current => match operators::current(state) {
+        Place::Current => match operators::current(state, is_current) {
             Some(it) => json(::http::StatusCode::OK, &it),
             None => not_current(),
         },
@@ -101,7 +109,7 @@
         Place::Patches => unknown_path(),
         Place::Progress(version) => found(operators::progress(state, version)),
         Place::Quarantine => json(::http::StatusCode::OK, &operators::quarantine(state)),
-        Place::Status => json(::http::StatusCode::OK, &operators::status(state)),
+        Place::Status => json(::http::StatusCode::OK, &operators::status(state, is_current)),
         Place::Targets => json(::http::StatusCode::OK, &operators::targets(state)),
         Place::Version(version) => found(operators::version(state, version)),
         Place::Versions => match parameter(query, "limit").map_or(Ok(DEFAULT_LIMIT), str::parse) {
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -239,7 +239,7 @@
             groups::expire_claims(&shared);
             groups::keep_caught_up(&shared);
             if distributing::is_catching_up(&shared) {
-                groups::confirm_read(&shared, None);
+                groups::confirm_read(&shared, distributing::Reader::Control);
             }
         };
         if state.pool.run(job).await.is_err() {
