Look up crash evidence in the job that chooses the target

A request waited for a worker four times at its own node, and a node ran one I/O thread for each core beside its workers, though it carries about 350 requests a second.

The lookup of evidence is now part of the job that chooses the target; a request that needs a claim still looks it up before the claim. A node's runtime has 2 threads.

--- a/crates/heatherwalk/src/main.rs
+++ b/crates/heatherwalk/src/main.rs
@@ -49,23 +49,31 @@
     };
 }
 
-fn start_runtime() -> eyre::Result<runtime::Runtime> {
+/// Threads that own a node's sockets and timers. A node carries about 350 requests a second beside
+/// a backend server; a thread for each core only adds to the threads that are woken to steal work.
+const NODE_THREADS: usize = 2;
+
+fn start_runtime(threads: Option<usize>) -> eyre::Result<runtime::Runtime> {
     let mut builder = runtime::Builder::new_multi_thread();
+    if let Some(threads) = threads {
+        builder.worker_threads(threads);
+    }
     builder.enable_all().build().wrap_err("cannot start the runtime")
 }
 
 fn run_role(file: &str, name: &str) -> eyre::Result<()> {
     let settings = settings::load(file)?;
-    let runtime = start_runtime()?;
     match settings {
         settings::Settings::Control(settings, files, log) if name == "control" => {
             logs::open(log, io::stderr())?;
             let identity = roles::load_identity(&files)?;
+            let runtime = start_runtime(None)?;
             runtime.block_on(roles::run_control(*settings, &identity, stopped()))?;
         }
         settings::Settings::Node(settings, files, log) if name == "node" => {
             logs::open(log, io::stderr())?;
             let identity = roles::load_identity(&files)?;
+            let runtime = start_runtime(Some(NODE_THREADS))?;
             runtime.block_on(roles::run_node(*settings, &identity, stopped()))?;
         }
         _ => eyre::bail!("{file}: [host] role is not {name}; run the command of that role"),
@@ -76,7 +84,7 @@
 fn run_dev(port: Option<u16>) -> eyre::Result<()> {
     let log = settings::Log { level: log::LevelFilter::Info, decisions: true };
     logs::open(log, io::stderr())?;
-    start_runtime()?.block_on(async {
+    start_runtime(None)?.block_on(async {
         let dev = dev::Dev::spawn(port).await?;
         say(true, &dev.guide());
         stopped().await;
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -10,7 +10,9 @@
 use routing::budget;
 use world::{config, contracts, requests, time};
 
-use crate::{answers, claiming, flights, headers, instruments, sending, state, suspicion};
+use crate::{
+    answers, choosing, claiming, flights, headers, instruments, sending, state, suspicion,
+};
 
 /// The largest body of a request. It is kept whole, so that the request can be sent again.
 pub(crate) const MAX_BODY: usize = 1024 * 1024;
@@ -89,7 +91,6 @@
     };
     let keyless = contract.keyless;
     let job = state::Job { head, deadline, body };
-    let job = check_standing(state, job).await?;
     let result = match key {
         _ if idempotent => send(state, job, None).await,
         Some(key) => claimed(state, job, home, key).await,
@@ -203,21 +204,12 @@
     mut job: state::Job,
 ) -> answers::Result<state::Job> {
     let shared = sync::Arc::clone(state);
-    let fingerprint = job.fingerprint();
-    let check = move || shared.suspicion.lock().standing(shared.now(), &fingerprint);
+    let head = job.head.clone();
+    let check = move || choosing::standing(&shared, &head);
     match state.pool.run(check).await.map_err(|_| answers::overloaded())? {
         suspicion::Standing::Free => {}
         suspicion::Standing::Suspect => job.head.suspect = true,
-        suspicion::Standing::Quarantined => {
-            let head = &job.head;
-            log::info!(
-                target: "decision",
-                "{} {} is quarantined, fingerprint {fingerprint}",
-                head.method,
-                head.path,
-            );
-            return Err(answers::quarantined());
-        }
+        suspicion::Standing::Quarantined => return Err(answers::quarantined()),
     }
     Ok(job)
 }
@@ -230,6 +222,8 @@
     key: CompactString,
 ) -> answers::Result<web::exchange::Answer> {
     let home = home.ok_or_else(answers::no_home)?;
+    // Otherwise the choice of the first target looks at this; a claim must not be spent on it.
+    let job = check_standing(state, job).await?;
     match claiming::claim(state, &job, home, key).await {
         claiming::Claimed::Granted(claim) => send(state, job, Some(claim)).await,
         claiming::Claimed::Answered(answer) => answers::from_claim(answer),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 mod attaching;
 pub mod backend;
 mod callers;
+mod choosing;
 mod claiming;
 mod flights;
 mod gates;
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -4,10 +4,10 @@
 
 use compact_str::{CompactString, format_compact};
 use protocol::{forwarding, streams};
-use routing::{choose, estimates, retry};
+use routing::{estimates, retry};
 use world::{targets, time};
 
-use crate::{headers, state, working};
+use crate::{choosing, headers, state, working};
 
 /// Crashes of backend servers after which a request is not sent again, whatever its budget: the
 /// second one, beside no other suspect, is the evidence against it.
@@ -40,14 +40,14 @@
 }
 
 /// A send that the estimates count until it ends.
-struct Sent {
-    state: sync::Arc<state::State>,
-    target: targets::TargetKey,
-    service: CompactString,
-    trial: bool,
-    at: time::Time,
-    link: std_time::Duration,
-    open: bool,
+pub(crate) struct Sent {
+    pub(crate) state: sync::Arc<state::State>,
+    pub(crate) target: targets::TargetKey,
+    pub(crate) service: CompactString,
+    pub(crate) trial: bool,
+    pub(crate) at: time::Time,
+    pub(crate) link: std_time::Duration,
+    pub(crate) open: bool,
 }
 
 /// How one send ended without an answer.
@@ -64,10 +64,15 @@
 ) -> Result<Answered, Failure> {
     let mut course = Course { job, tried: Vec::new(), may_have_run: None, crashes: 0 };
     loop {
-        let (target, sent) = match choose(state, &course).await {
-            Ok(it) => it,
-            Err(refusal) => return Err(course.give_up(format_compact!("{refusal}"))),
-        };
+        let choosing::Chosen { target, sent, suspect } =
+            match choosing::choose(state, &course).await {
+                Ok(it) => it,
+                Err(choosing::Refused::Quarantined) => return Err(Failure::Quarantined),
+                Err(choosing::Refused::NoTarget(why)) => {
+                    return Err(course.give_up(format_compact!("{why}")));
+                }
+            };
+        course.job.head.suspect |= suspect;
         course.tried.push(target.key);
         state.instruments.count_attempt();
         let ended = match attempt(state, &mut course.job, &target, sent).await {
@@ -88,9 +93,9 @@
 
 /// A request and what its sends came to.
 #[derive(Clone, Debug)]
-struct Course {
-    job: state::Job,
-    tried: Vec<targets::TargetKey>,
+pub(crate) struct Course {
+    pub(crate) job: state::Job,
+    pub(crate) tried: Vec<targets::TargetKey>,
     /// What was seen when a send ended in doubt.
     may_have_run: Option<CompactString>,
     crashes: u32,
@@ -204,92 +209,6 @@
     }
 }
 
-/// A target as it was when it was chosen.
-#[derive(Clone, Debug)]
-struct Target {
-    key: targets::TargetKey,
-    host: CompactString,
-    addr: std::net::SocketAddr,
-}
-
-async fn choose(
-    state: &sync::Arc<state::State>,
-    course: &Course,
-) -> Result<(Target, Sent), choose::Refusal> {
-    let work = {
-        let state = sync::Arc::clone(state);
-        let course = course.clone();
-        move || choose_now(&state, &course.job, &course.tried)
-    };
-    // Nothing was sent when the queue of jobs is full.
-    state.pool.run(work).await.unwrap_or(Err(choose::Refusal::NoTargets))
-}
-
-fn choose_now(
-    state: &sync::Arc<state::State>,
-    job: &state::Job,
-    tried: &[targets::TargetKey],
-) -> Result<(Target, Sent), choose::Refusal> {
-    let now = state.now();
-    let service = &job.head.service;
-    let mesh = &state.settings.mesh;
-    let directory = state.directory.lock();
-    let candidates: Vec<_> = directory
-        .of_service(service)
-        .map(|(key, it)| choose::Candidate {
-            key,
-            state: it.entry.state,
-            since: it.since,
-            slots: it.entry.slots,
-            link: match mesh.find_data_centre(&it.entry.data_centre) {
-                Some(centre) => mesh.latency(state.place.centre, centre),
-                None => world::mesh::REMOTE_LATENCY,
-            },
-        })
-        .collect();
-    let request = choose::Request {
-        candidates: &candidates,
-        excluded: tried,
-        idempotent: job.head.idempotent,
-        deadline: job.deadline,
-    };
-    let mut routing = state.routing.lock();
-    let routing = &mut *routing;
-    let choice = routing.router.choose(now, &request, &mut routing.rng).inspect_err(|refusal| {
-        let path = &job.head.path;
-        log::info!(target: "decision", "no target of {service} for {path}: {refusal}");
-    })?;
-    let trial = choice.reason.kind == choose::Kind::Trial;
-    routing.router.estimates.sent(choice.target, trial);
-    if tried.is_empty() {
-        routing.share.first(now);
-    }
-    let Some(target) = directory.get(choice.target) else {
-        return Err(choose::Refusal::NoTargets);
-    };
-    let entry = &target.entry;
-    let link = candidates.iter().find(|it| it.key == choice.target).map(|it| it.link);
-    log::info!(
-        target: "decision",
-        "target {} of {service} for {} {}: {}",
-        entry.host,
-        job.head.method,
-        job.head.path,
-        choice.reason,
-    );
-    let sent = Sent {
-        state: sync::Arc::clone(state),
-        target: choice.target,
-        service: service.clone(),
-        trial,
-        at: now,
-        link: link.unwrap_or_default(),
-        open: true,
-    };
-    let target = Target { key: choice.target, host: entry.host.clone(), addr: entry.addr };
-    Ok((target, sent))
-}
-
 fn decide(state: &state::State, job: &mut state::Job, outcome: retry::Outcome) -> retry::Decision {
     let now = state.now();
     let request = job.retry();
@@ -310,7 +229,7 @@
 async fn attempt(
     state: &sync::Arc<state::State>,
     job: &mut state::Job,
-    target: &Target,
+    target: &choosing::Target,
     sent: Sent,
 ) -> Result<Answered, Ended> {
     let mut head = job.head.clone();
@@ -348,7 +267,7 @@
     state: &sync::Arc<state::State>,
     job: &state::Job,
     head: forwarding::RequestHead,
-    target: &Target,
+    target: &choosing::Target,
     sent: Sent,
 ) -> Result<Answered, Ended> {
     let attempts = head.budget.attempts;
@@ -389,7 +308,7 @@
     state: &state::State,
     job: &state::Job,
     head: forwarding::RequestHead,
-    target: &Target,
+    target: &choosing::Target,
 ) -> Result<Exchanged, working::Failure> {
     // No byte has left this node until a stream is open.
     let unreachable = |err: transport::errors::Error| {
