Count the control traffic of the links

Nothing called count_sent, so the traffic of a control was not known.

A link reports the UDP payload of its QUIC connection. A control counts what it sends on the links of nodes and of other controls (control.sent, by kind of peer), a node what its links to controls carry in each direction (node.control).

Handshakes are not counted.

--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -5,12 +5,14 @@
 use distribution::{messages, subscribers};
 use protocol::{proposals, streams};
 use tokio::sync::mpsc;
+use transport::links;
 
 use crate::{distributing, proposing, registering, state};
 
 /// Serves a node's stream until either side ends it.
 pub(crate) async fn serve(
     state: &sync::Arc<state::State>,
+    link: &links::Link,
     sender: transport::streams::Sender,
     mut receiver: transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
@@ -19,7 +21,7 @@
     let Some(key) = attach(state, hello, outbox).await else { return Ok(()) };
     let result = tokio::select! {
         it = receive(state, key, &mut receiver) => it,
-        it = send(sender, queue) => it,
+        it = send(state, link, sender, queue) => it,
     };
     let job = {
         let state = sync::Arc::clone(state);
@@ -80,11 +82,18 @@
 }
 
 async fn send(
+    state: &state::State,
+    link: &links::Link,
     mut sender: transport::streams::Sender,
     mut queue: mpsc::Receiver<streams::ControlMessage>,
 ) -> transport::errors::Result<()> {
+    // A node that attaches again may do so on the same link, so what was counted is left out.
+    let mut counted = link.traffic().sent;
     while let Some(message) = queue.recv().await {
         sender.send(&message).await?;
+        let sent = link.traffic().sent;
+        state.instruments.count_sent(link.role(), sent.saturating_sub(counted));
+        counted = sent;
     }
     sender.finish()
 }
--- a/crates/control/src/instruments.rs
+++ b/crates/control/src/instruments.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{KeyValue, metrics};
 use protocol::operators;
-use world::document;
+use world::{document, hosts};
 
 /// The answer that a claim got.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,7 +26,7 @@
 pub struct Instruments {
     patches: metrics::Counter<u64>,
     claims: metrics::Counter<u64>,
-    control_bytes: metrics::Counter<u64>,
+    sent: metrics::Counter<u64>,
     version: metrics::Gauge<u64>,
     nodes: metrics::Gauge<u64>,
     converged: metrics::Gauge<u64>,
@@ -41,7 +41,7 @@
         Instruments {
             patches: counter("control.patches", "Operators' patches by result"),
             claims: counter("control.claims", "Claims of non-idempotent requests by answer"),
-            control_bytes: sent.with_description("Sent to nodes for configuration").build(),
+            sent: sent.with_description("UDP payload sent on links, by kind of peer").build(),
             version: gauge("control.version", "The version that the control has on its disk"),
             nodes: gauge("control.nodes", "Nodes attached to the control"),
             converged: gauge("control.nodes.converged", "Attached nodes that run its version"),
@@ -58,9 +58,13 @@
         self.claims.add(1, &[KeyValue::new("answer", claim_answer(answer))]);
     }
 
-    /// Counts bytes sent to nodes.
-    pub fn count_sent(&self, bytes: u64) {
-        self.control_bytes.add(bytes, &[]);
+    /// Counts bytes sent on the link of a node or of another control.
+    pub fn count_sent(&self, to: hosts::Role, bytes: u64) {
+        let to = match to {
+            hosts::Role::Control => "control",
+            hosts::Role::Node => "node",
+        };
+        self.sent.add(bytes, &[KeyValue::new("to", to)]);
     }
 
     /// Records the version on the disk.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -63,6 +63,7 @@
     sender.send(&streams::Open::Peer).await?;
     // What was queued while there was no link is old; the protocols send it again.
     while queue.try_recv().is_ok() {}
+    let mut counted = link.traffic().sent;
     loop {
         let message = tokio::select! {
             it = queue.recv() => it,
@@ -70,6 +71,9 @@
         };
         let Some(message) = message else { return sender.finish() };
         sender.send(&message).await?;
+        let sent = link.traffic().sent;
+        state.instruments.count_sent(link.role(), sent.saturating_sub(counted));
+        counted = sent;
     }
 }
 
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -188,7 +188,7 @@
 ) -> errors::Result<()> {
     match (open, link.role()) {
         (streams::Open::Attach, hosts::Role::Node) => {
-            attaching::serve(state, sender, receiver).await
+            attaching::serve(state, link, sender, receiver).await
         }
         (streams::Open::Peer, hosts::Role::Control) => {
             peers::receive(state, link.host(), &mut receiver).await
--- a/crates/heatherwalk/tests/metrics.rs
+++ b/crates/heatherwalk/tests/metrics.rs
@@ -4,7 +4,7 @@
 
 use heatherwalk::metrics;
 use protocol::{forwarding, operators};
-use world::document;
+use world::{document, hosts};
 
 /// Guards against metrics that are counted but not shown, or shown without unit.
 #[test]
@@ -21,7 +21,7 @@
     control.count_patch(&operators::PatchAnswer::Accepted { version: document::Version(7) });
     control.count_patch(&operators::PatchAnswer::RequestReused);
     control.count_claim(control::instruments::ClaimAnswer::Granted);
-    control.count_sent(1_024);
+    control.count_sent(hosts::Role::Node, 1_024);
     control.record_version(document::Version(7));
     control.record_nodes(4, 3);
     let page = metrics.render().expect("a page");
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -228,7 +228,11 @@
     if state.pool.run(in_runtime(connected)).await.is_err() {
         return Ok(());
     }
+    let mut counted = link.traffic();
     loop {
+        let traffic = link.traffic();
+        state.instruments.count_control(traffic.since(counted));
+        counted = traffic;
         tokio::select! {
             message = queue.recv() => match message {
                 Some(message) => sender.send(&message).await?,
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -4,6 +4,7 @@
 
 use opentelemetry::{KeyValue, metrics};
 use protocol::forwarding;
+use transport::links;
 use world::document;
 
 /// Upper bounds of request times, in seconds.
@@ -35,6 +36,7 @@
     refusals: metrics::Counter<u64>,
     request_time: metrics::Histogram<f64>,
     added_time: metrics::Histogram<f64>,
+    control: metrics::Counter<u64>,
     version: metrics::Gauge<u64>,
     version_age: metrics::Gauge<f64>,
 }
@@ -47,6 +49,7 @@
             let builder = meter.f64_histogram(name).with_description(text).with_unit("s");
             builder.with_boundaries(bounds.to_vec()).build()
         };
+        let control = meter.u64_counter("node.control").with_unit("By");
         let version = meter.u64_gauge("node.version");
         let age = meter.f64_gauge("node.version.age").with_unit("s");
         Instruments {
@@ -63,6 +66,7 @@
                 "The part of the request time that no backend server took",
                 &ADDED_BOUNDS_S,
             ),
+            control: control.with_description("UDP payload on links to controls").build(),
             version: version.with_description("The version that the node runs").build(),
             version_age: age
                 .with_description("Time since a control last confirmed the version as current")
@@ -88,6 +92,12 @@
         self.refusals.add(1, &[KeyValue::new("reason", refusal_name(reason))]);
     }
 
+    /// Counts what a link to a control has carried since the last count.
+    pub fn count_control(&self, traffic: links::Traffic) {
+        self.control.add(traffic.sent, &[KeyValue::new("direction", "sent")]);
+        self.control.add(traffic.received, &[KeyValue::new("direction", "received")]);
+    }
+
     /// Records the version that the node runs and how old it is. Gauges keep the last value, so
     /// the age has to be recorded at regular intervals.
     pub fn record_version(&self, version: document::Version, age: time::Duration) {
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -18,6 +18,15 @@
     shared: sync::Arc<Shared>,
 }
 
+/// UDP payload of a link since it was made, its handshake and acknowledgements included.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Traffic {
+    /// Bytes sent to the peer.
+    pub sent: u64,
+    /// Bytes received from the peer.
+    pub received: u64,
+}
+
 struct Shared {
     peer: identity::Peer,
     partial: sync::Arc<atomic::AtomicUsize>,
@@ -25,6 +34,16 @@
     flights: sync::Arc<watch::Sender<()>>,
 }
 
+impl Traffic {
+    /// What has been carried since `earlier`, a figure of the same link.
+    pub fn since(self, earlier: Traffic) -> Traffic {
+        Traffic {
+            sent: self.sent.saturating_sub(earlier.sent),
+            received: self.received.saturating_sub(earlier.received),
+        }
+    }
+}
+
 impl Link {
     pub(crate) fn new(
         connection: quinn::Connection,
@@ -58,6 +77,12 @@
         self.connection.rtt()
     }
 
+    /// What the link has carried so far.
+    pub fn traffic(&self) -> Traffic {
+        let stats = self.connection.stats();
+        Traffic { sent: stats.udp_tx.bytes, received: stats.udp_rx.bytes }
+    }
+
     /// Opens a stream, waiting while the peer allows no more of them.
     ///
     /// The peer sees the stream when the first byte is sent.
