Write a document's canonical text directly

The text for digest and size limit was made by way of a JSON value, three times a version, and validation formatted the path of each field that it checked. The text is now written directly, and paths are formatted for faults only. A test guards the order of the fields, on which the digest depends.

--- a/crates/distribution/src/follower.rs
+++ b/crates/distribution/src/follower.rs
@@ -280,7 +280,7 @@
         if numbered(config) != of {
             return None;
         }
-        let document = document::to_value(config.document()).to_string().into();
+        let document = document::canonical(config.document()).into();
         Some(messages::Snapshot { of, document })
     }
 
--- a/crates/world/src/document.rs
+++ b/crates/world/src/document.rs
@@ -149,7 +149,15 @@
 
 /// The digest of a document. Two documents are equal exactly when their digests are.
 pub fn digest(document: &Document) -> DocumentDigest {
-    DocumentDigest(sha2::Sha256::digest(to_value(document).to_string()).into())
+    DocumentDigest(sha2::Sha256::digest(canonical(document)).into())
+}
+
+/// The document's canonical JSON: compact, with the names in alphabetical order.
+///
+/// The fields of the document's types are declared in that order. Writing the text directly, not by
+/// way of a [`serde_json::Value`], matters because each node does it for each version.
+pub fn canonical(document: &Document) -> String {
+    serde_json::to_string(document).expect("maps with text keys always serialize")
 }
 
 /// The document as a JSON value.
@@ -186,15 +194,21 @@
         self.list.push(faults::Fault { path, kind, detail });
     }
 
-    fn check_range(&mut self, path: CompactString, value: u32, low: u32, high: u32) {
+    fn check_range(
+        &mut self,
+        path: impl FnOnce() -> CompactString,
+        value: u32,
+        low: u32,
+        high: u32,
+    ) {
         if (low..=high).contains(&value) {
             return;
         }
         let detail = format_compact!("{value} is not in {low}..={high}");
-        self.push(path, faults::FaultKind::Range, detail);
+        self.push(path(), faults::FaultKind::Range, detail);
     }
 
-    fn check_name(&mut self, path: CompactString, name: &str) {
+    fn check_name(&mut self, path: impl FnOnce() -> CompactString, name: &str) {
         let allowed = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
         if !name.is_empty() && name.len() <= MAX_NAME && name.chars().all(allowed) {
             return;
@@ -202,7 +216,7 @@
         let detail = format_compact!(
             "name {name:?} must have 1 to {MAX_NAME} ASCII letters, digits, '-', '_' or '.'"
         );
-        self.push(path, faults::FaultKind::Form, detail);
+        self.push(path(), faults::FaultKind::Form, detail);
     }
 }
 
@@ -214,7 +228,7 @@
     let counts = [
         ("services", candidate.services.len(), MAX_SERVICES),
         ("routes", candidate.routes.len(), MAX_ROUTES),
-        ("document", to_value(candidate).to_string().len(), MAX_BYTES),
+        ("document", canonical(candidate).len(), MAX_BYTES),
     ];
     for (path, count, most) in counts {
         if count > most {
@@ -226,12 +240,12 @@
 
 fn check_service(name: &str, spec: &ServiceSpec, old: Option<&ServiceSpec>, faults: &mut Faults) {
     let path = |field: &str| format_compact!("services.{name}.{field}");
-    faults.check_name(format_compact!("services.{name}"), name);
-    faults.check_range(path("slots"), spec.slots, 1, 1_024);
-    faults.check_range(path("queue"), spec.queue, 0, 256);
-    faults.check_range(path("timeout_ms"), spec.timeout_ms, 1, 600_000);
+    faults.check_name(|| format_compact!("services.{name}"), name);
+    faults.check_range(|| path("slots"), spec.slots, 1, 1_024);
+    faults.check_range(|| path("queue"), spec.queue, 0, 256);
+    faults.check_range(|| path("timeout_ms"), spec.timeout_ms, 1, 600_000);
     if let Some(home) = &spec.home {
-        faults.check_name(path("home"), home);
+        faults.check_name(|| path("home"), home);
     }
     // The claims of past requests stay where they are, so a new home would forget them. A service
     // without a home has no claims yet.
@@ -244,10 +258,10 @@
 
 fn check_route(name: &str, spec: &RouteSpec, candidate: &Document, faults: &mut Faults) {
     let path = |field: &str| format_compact!("routes.{name}.{field}");
-    faults.check_name(format_compact!("routes.{name}"), name);
-    faults.check_range(path("weight"), spec.weight, 1, 100);
+    faults.check_name(|| format_compact!("routes.{name}"), name);
+    faults.check_range(|| path("weight"), spec.weight, 1, 100);
     if let Some(timeout) = spec.timeout_ms {
-        faults.check_range(path("timeout_ms"), timeout, 1, 600_000);
+        faults.check_range(|| path("timeout_ms"), timeout, 1, 600_000);
     }
     if !spec.prefix.starts_with('/') || spec.prefix.len() > MAX_PREFIX {
         let detail = format_compact!(
--- a/crates/world/tests/documents.rs
+++ b/crates/world/tests/documents.rs
@@ -55,3 +55,26 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against a field that is declared out of alphabetical order, which would change the digest
+/// of every document.
+#[test]
+fn canonical_order() {
+    let value = serde_json::json!({
+        "services": {"b": {"slots": 3, "home": "vidzeme", "queue": 1}, "a": {}},
+        "routes": {
+            "r": {
+                "service": "a", "prefix": "/\"r", "weight": 2, "keyless": true,
+                "timeout_ms": 5, "idempotent": true, "hedge": true,
+            },
+        },
+    });
+    let document = document::parse(&value).expect("a document");
+    let sorted: std::collections::BTreeMap<_, _> =
+        document::to_value(&document).as_object().expect("an object").clone().into_iter().collect();
+    let sorted = serde_json::to_string(&sorted).expect("text");
+    assert_eq!(document::canonical(&document), sorted);
+    let order = ["hedge", "idempotent", "keyless", "prefix", "service", "timeout_ms", "weight"];
+    let places: Vec<_> = order.iter().map(|it| sorted.find(&format!("\"{it}\":"))).collect();
+    assert!(places.is_sorted() && places.iter().all(Option::is_some), "{sorted}");
+}
