Let proposals queue while a sync is under way

Group commit carried at most two proposals a sync: each proposal was put into the queue by its own job, and the jobs waited behind the worker that synced, so a batch had at most one proposal for each worker.

A proposal is now queued when it arrives; the job only writes what is queued. A full pool answers "unavailable" instead of "not the leader", since the proposal may still be written.

--- a/crates/control/src/proposing.rs
+++ b/crates/control/src/proposing.rs
@@ -33,15 +33,16 @@
     request: proposals::Request,
 ) -> proposals::Outcome {
     let (answer, outcome) = oneshot::channel();
+    // Queued here and not by the job: jobs that wait behind a sync would keep their proposals out of
+    // the next one, which would then carry at most one proposal for each worker.
+    groups::queue(state, request, answer);
     let job = {
         let state = sync::Arc::clone(state);
-        move || {
-            groups::queue(&state, request, answer);
-            groups::write_queued(&state);
-        }
+        move || groups::write_queued(&state)
     };
     if state.pool.submit(job).is_err() {
-        return proposals::Outcome::NotLeader(None);
+        // A job that is queued already may still write it.
+        return proposals::Outcome::Unavailable;
     }
     outcome.await.unwrap_or(proposals::Outcome::Unavailable)
 }
