--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -1,6 +1,10 @@
-//! Benches: small load models in virtual time, compared with baselines.
+//! Benches: small load models in virtual time, compared with baselines, and measurements of real
+//! processes on loopback.
 
+mod added_time;
 mod admission;
+mod footprint;
+mod processes;
 mod routing;
 
 /// Run a bench and print its results.
@@ -14,7 +18,9 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum Bench {
+    AddedTime(added_time::Args),
     Crest(CrestArgs),
+    Footprint(footprint::Args),
     HeadOfLine(HeadOfLineArgs),
     Routing(routing::Args),
 }
@@ -40,7 +46,9 @@
 /// Runs the bench that the arguments name.
 pub(crate) fn run(args: &Args) -> eyre::Result<()> {
     match &args.bench {
+        Bench::AddedTime(args) => added_time::run(args),
         Bench::Crest(CrestArgs { seed }) => admission::crest(seed),
+        Bench::Footprint(args) => footprint::run(args),
         Bench::HeadOfLine(HeadOfLineArgs { seed }) => admission::head_of_line(seed),
         Bench::Routing(args) => routing::run(args),
     }
