--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -6,6 +6,7 @@
 use protocol::{proposals, streams};
 use replicated::quarantine;
 use tokio::{sync::mpsc, task};
+use transport::links;
 
 use crate::{distributing, proposing, registering, state};
 
@@ -13,14 +14,15 @@
 /// sends what was not taken again.
 const EVIDENCE_AT_ONCE: usize = 16;
 
-/// Serves the stream of the node on `host` until either side ends it. The name comes from the
+/// Serves the stream of a node until either side ends it. The name comes from the
 /// node's certificate; what it says in the name of another host is not taken.
 pub(crate) async fn serve(
     state: &sync::Arc<state::State>,
-    host: &str,
+    link: &links::Link,
     sender: transport::streams::Sender,
     mut receiver: transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
+    let host = link.host();
     let hello = first_hello(&mut receiver).await?;
     // A node that speaks for another host could confirm versions that the other does not run.
     let Some(hello) = hello.filter(|it| it.node == host) else {
@@ -31,7 +33,7 @@
     let Some(mut key) = attach(state, hello, outbox).await else { return Ok(()) };
     let result = tokio::select! {
         it = receive(state, host, &mut key, &mut receiver) => it,
-        it = send(sender, queue) => it,
+        it = send(state, link, sender, queue) => it,
     };
     let job = {
         let state = sync::Arc::clone(state);
@@ -136,11 +138,18 @@
 }
 
 async fn send(
+    state: &state::State,
+    link: &links::Link,
     mut sender: transport::streams::Sender,
     mut queue: mpsc::Receiver<streams::ControlMessage>,
 ) -> transport::errors::Result<()> {
+    // A node that attaches again may do so on the same link, so what was counted is left out.
+    let mut counted = link.traffic().sent;
     while let Some(message) = queue.recv().await {
         sender.send(&message).await?;
+        let sent = link.traffic().sent;
+        state.instruments.count_sent(link.role(), sent.saturating_sub(counted));
+        counted = sent;
     }
     sender.finish()
 }
--- a/crates/replicated/src/versions.rs
+++ b/crates/replicated/src/versions.rs
@@ -396,7 +396,7 @@
         document: &document::Document,
         serializer: S,
     ) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&document::to_value(document).to_string())
+        serializer.serialize_str(&document::canonical(document))
     }
 
     pub(super) fn deserialize<'de, D: serde::Deserializer<'de>>(
