Give the operators' commands plain structs of closures

Change: Client and Console borrow their closures and streams; the functions have no type parameters. Conclusion: the commands read as what they do.

--- a/crates/heatherwalk/src/main.rs
+++ b/crates/heatherwalk/src/main.rs
@@ -141,16 +141,16 @@
     let begun = time::Instant::now();
     let mut client = operators::Client {
         controls: access.control,
-        call: |call: &operators::Call| runtime.block_on(calls::send(&http, &token, call)),
-        pause: |pause: time::Duration| {
+        call: &mut |call: &operators::Call| runtime.block_on(calls::send(&http, &token, call)),
+        pause: &mut |pause: time::Duration| {
             runtime.block_on(async { tokio::time::sleep(pause).await });
             begun.elapsed()
         },
     };
     let mut console = operators::Console {
-        input: io::stdin(),
-        out: io::stdout(),
-        err: io::stderr(),
+        input: &mut io::stdin(),
+        out: &mut io::stdout(),
+        err: &mut io::stderr(),
         user: env::var("USER").ok().map(Into::into),
     };
     operators::run(command, &mut client, &mut console)
--- a/crates/heatherwalk/src/operators.rs
+++ b/crates/heatherwalk/src/operators.rs
@@ -12,7 +12,7 @@
 mod versions;
 mod waiting;
 
-use std::{io, time};
+use std::io;
 
 use compact_str::CompactString;
 
@@ -22,32 +22,24 @@
 use crate::args;
 
 /// The streams of a command and the name of the user.
-#[derive(Debug)]
-pub struct Console<I, O, E> {
+pub struct Console<'a> {
     /// Standard input.
-    pub input: I,
+    pub input: &'a mut dyn io::Read,
     /// Standard output: the result.
-    pub out: O,
+    pub out: &'a mut dyn io::Write,
     /// Standard error: progress and request IDs.
-    pub err: E,
+    pub err: &'a mut dyn io::Write,
     /// The operator's name when the command line does not give one.
     pub user: Option<CompactString>,
 }
 
 /// Runs an operators' command. `client` is made from the command's [`args::Access`].
-pub fn run<C, P, I, O, E>(
+pub fn run(
     command: &args::Command,
-    client: &mut Client<C, P>,
-    console: &mut Console<I, O, E>,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-    I: io::Read,
-    O: io::Write,
-    E: io::Write,
-{
-    let out = &mut console.out;
+    client: &mut Client<'_>,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    let out = &mut *console.out;
     match command {
         args::Command::Create(it) => patches::create(it, client, console),
         args::Command::Patch(it) => patches::patch(it, client, console),
--- a/crates/heatherwalk/src/operators/client.rs
+++ b/crates/heatherwalk/src/operators/client.rs
@@ -70,22 +70,17 @@
 }
 
 /// The controls and how they are asked.
-#[derive(Debug)]
-pub struct Client<C, P> {
+pub struct Client<'a> {
     /// The controls' operator ports, in the order in which they are tried.
     pub controls: Vec<net::SocketAddr>,
     /// Sends one request with the operators' token. It ends by itself within a few seconds, with
     /// [`CallError::Lost`] when a request was sent and no answer came.
-    pub call: C,
+    pub call: &'a mut dyn FnMut(&Call) -> Result<Reply, CallError>,
     /// Waits for the given time and returns the time since the command began.
-    pub pause: P,
+    pub pause: &'a mut dyn FnMut(time::Duration) -> time::Duration,
 }
 
-impl<C, P> Client<C, P>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+impl Client<'_> {
     /// Reads a value by GET.
     pub(super) fn get<T: serde::de::DeserializeOwned>(&mut self, path: &str) -> Result<T> {
         let reply = self.ask(http::Method::GET, path, None)?;
--- a/crates/heatherwalk/src/operators/inputs.rs
+++ b/crates/heatherwalk/src/operators/inputs.rs
@@ -22,7 +22,7 @@
 }
 
 /// The JSON value in a file; the name `-` stands for `input`.
-pub fn read_json(file: &path::Path, input: &mut impl io::Read) -> Result<serde_json::Value> {
+pub fn read_json(file: &path::Path, input: &mut dyn io::Read) -> Result<serde_json::Value> {
     let text = if file == path::Path::new("-") {
         io::read_to_string(input)
     } else {
--- a/crates/heatherwalk/src/operators/lists.rs
+++ b/crates/heatherwalk/src/operators/lists.rs
@@ -1,23 +1,19 @@
 //! `nodes`, `targets`, `quarantine` and `status`.
 
-use std::{io, time};
+use std::io;
 
 use compact_str::{CompactString, format_compact};
 use protocol::operators;
 
-use super::{Call, CallError, Client, Error, Reply, Result};
+use super::{Client, Error, Result};
 use crate::{args, render};
 
 /// Lists nodes.
-pub(super) fn nodes<C, P>(
+pub(super) fn nodes(
     args: &args::Nodes,
-    client: &mut Client<C, P>,
-    out: &mut impl io::Write,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+    client: &mut Client<'_>,
+    out: &mut dyn io::Write,
+) -> Result<()> {
     let query = if args.behind { "?behind=true" } else { "" };
     let path = format_compact!("{}{query}", operators::NODES_PATH);
     let nodes: Vec<operators::NodeRecord> = client.get(&path)?;
@@ -25,43 +21,31 @@
 }
 
 /// Lists targets.
-pub(super) fn targets<C, P>(
+pub(super) fn targets(
     args: &args::Targets,
-    client: &mut Client<C, P>,
-    out: &mut impl io::Write,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+    client: &mut Client<'_>,
+    out: &mut dyn io::Write,
+) -> Result<()> {
     let targets: Vec<operators::TargetRecord> = client.get(operators::TARGETS_PATH)?;
     write(out, args.json, &targets, render::targets)
 }
 
 /// Lists quarantined requests.
-pub(super) fn quarantine<C, P>(
+pub(super) fn quarantine(
     args: &args::Quarantine,
-    client: &mut Client<C, P>,
-    out: &mut impl io::Write,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+    client: &mut Client<'_>,
+    out: &mut dyn io::Write,
+) -> Result<()> {
     let requests: Vec<operators::QuarantineRecord> = client.get(operators::QUARANTINE_PATH)?;
     write(out, args.json, &requests, render::quarantine)
 }
 
 /// Shows the state of each control, also of those that are not current.
-pub(super) fn status<C, P>(
+pub(super) fn status(
     args: &args::Status,
-    client: &mut Client<C, P>,
-    out: &mut impl io::Write,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+    client: &mut Client<'_>,
+    out: &mut dyn io::Write,
+) -> Result<()> {
     let mut controls = Vec::new();
     for control in client.controls.clone() {
         let status = client.get_from::<operators::Status>(control, operators::STATUS_PATH);
@@ -81,7 +65,7 @@
 }
 
 fn write<T: serde::Serialize>(
-    out: &mut impl io::Write,
+    out: &mut dyn io::Write,
     json: bool,
     records: &[T],
     table: fn(&[T]) -> String,
--- a/crates/heatherwalk/src/operators/patches.rs
+++ b/crates/heatherwalk/src/operators/patches.rs
@@ -1,12 +1,12 @@
 //! `create` and `patch`: send a change and say what became of it.
 
-use std::{io, path, time};
+use std::{path, time};
 
 use compact_str::{CompactString, format_compact};
 use protocol::operators;
 use world::document;
 
-use super::{Call, CallError, Client, Console, Error, Reply, Result, client, inputs, waiting};
+use super::{Client, Console, Error, Reply, Result, client, inputs, waiting};
 use crate::{args, render};
 
 const CONFLICT: u16 = 409;
@@ -27,18 +27,11 @@
 }
 
 /// Makes version 1: a document is a patch of the empty one.
-pub(super) fn create<C, P, I, O, E>(
+pub(super) fn create(
     args: &args::Create,
-    client: &mut Client<C, P>,
-    console: &mut Console<I, O, E>,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-    I: io::Read,
-    O: io::Write,
-    E: io::Write,
-{
+    client: &mut Client<'_>,
+    console: &mut Console<'_>,
+) -> Result<()> {
     let change = Change {
         name: "create",
         base: document::Version(0),
@@ -52,18 +45,11 @@
 }
 
 /// Changes the configuration.
-pub(super) fn patch<C, P, I, O, E>(
+pub(super) fn patch(
     args: &args::Patch,
-    client: &mut Client<C, P>,
-    console: &mut Console<I, O, E>,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-    I: io::Read,
-    O: io::Write,
-    E: io::Write,
-{
+    client: &mut Client<'_>,
+    console: &mut Console<'_>,
+) -> Result<()> {
     let change = Change {
         name: "patch",
         base: document::Version(args.base),
@@ -76,19 +62,8 @@
     send(&change, client, console)
 }
 
-fn send<C, P, I, O, E>(
-    change: &Change<'_>,
-    client: &mut Client<C, P>,
-    console: &mut Console<I, O, E>,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-    I: io::Read,
-    O: io::Write,
-    E: io::Write,
-{
-    let patch = inputs::read_json(change.file, &mut console.input)?;
+fn send(change: &Change<'_>, client: &mut Client<'_>, console: &mut Console<'_>) -> Result<()> {
+    let patch = inputs::read_json(change.file, console.input)?;
     let request_id = change.request_id.cloned().unwrap_or_else(inputs::make_request_id);
     // Before the request is sent, so that the operator has it whatever happens then.
     writeln!(console.err, "request ID {request_id}")?;
@@ -104,14 +79,14 @@
     let reply = reply.map_err(|err| add_resend(err, change, &request))?;
     let answer = read_answer(&reply)?;
     if change.json {
-        render::write_json(&mut console.out, &answer)?;
+        render::write_json(console.out, &answer)?;
     }
     let version = accept(answer, change, &request)?;
     if !change.json {
         writeln!(console.out, "accepted as version {version}")?;
     }
     let Some(timeout) = change.wait else { return Ok(()) };
-    waiting::wait_for(version, timeout, client, &mut console.err)?;
+    waiting::wait_for(version, timeout, client, console.err)?;
     if !change.json {
         writeln!(console.out, "version {version} is in force everywhere")?;
     }
--- a/crates/heatherwalk/src/operators/versions.rs
+++ b/crates/heatherwalk/src/operators/versions.rs
@@ -1,27 +1,23 @@
 //! `show`, `diff` and `history`.
 
-use std::{io, time};
+use std::io;
 
 use compact_str::format_compact;
 use protocol::operators;
 use world::document;
 
-use super::{Call, CallError, Client, Reply, Result, line_diff};
+use super::{Client, Result, line_diff};
 use crate::{args, render};
 
 /// Unchanged lines around a change.
 const CONTEXT: usize = 3;
 
 /// Prints a version's document.
-pub(super) fn show<C, P>(
+pub(super) fn show(
     args: &args::Show,
-    client: &mut Client<C, P>,
-    out: &mut impl io::Write,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+    client: &mut Client<'_>,
+    out: &mut dyn io::Write,
+) -> Result<()> {
     let path = match args.version {
         Some(version) => operators::version_path(document::Version(version)),
         None => operators::CURRENT_PATH.into(),
@@ -35,15 +31,11 @@
 }
 
 /// Prints the difference between two versions' documents.
-pub(super) fn diff<C, P>(
+pub(super) fn diff(
     args: &args::Diff,
-    client: &mut Client<C, P>,
-    out: &mut impl io::Write,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+    client: &mut Client<'_>,
+    out: &mut dyn io::Write,
+) -> Result<()> {
     let mut read = |version| {
         let path = operators::version_path(document::Version(version));
         client.get::<operators::VersionDocument>(&path)
@@ -66,15 +58,11 @@
 }
 
 /// Lists versions.
-pub(super) fn history<C, P>(
+pub(super) fn history(
     args: &args::History,
-    client: &mut Client<C, P>,
-    out: &mut impl io::Write,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+    client: &mut Client<'_>,
+    out: &mut dyn io::Write,
+) -> Result<()> {
     let path = format_compact!("{}?limit={}", operators::VERSIONS_PATH, args.limit);
     let versions: Vec<operators::VersionRecord> = client.get(&path)?;
     if args.json {
--- a/crates/heatherwalk/src/operators/waiting.rs
+++ b/crates/heatherwalk/src/operators/waiting.rs
@@ -6,44 +6,34 @@
 use protocol::operators;
 use world::document;
 
-use super::{Call, CallError, Client, Console, Error, Reply, Result, client};
+use super::{Client, Console, Error, Result, client};
 use crate::{args, render};
 
 /// The pause between two questions. A version is expected everywhere within 5 s.
 const POLL: time::Duration = time::Duration::from_millis(500);
 
 /// Waits until a version is in force everywhere.
-pub(super) fn wait<C, P, I, O, E>(
+pub(super) fn wait(
     args: &args::Wait,
-    client: &mut Client<C, P>,
-    console: &mut Console<I, O, E>,
-) -> Result<()>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-    O: io::Write,
-    E: io::Write,
-{
+    client: &mut Client<'_>,
+    console: &mut Console<'_>,
+) -> Result<()> {
     let version = document::Version(args.version);
     let timeout = time::Duration::from_secs(args.timeout_s);
-    let progress = wait_for(version, timeout, client, &mut console.err)?;
+    let progress = wait_for(version, timeout, client, console.err)?;
     if args.json {
-        return Ok(render::write_json(&mut console.out, &progress)?);
+        return Ok(render::write_json(console.out, &progress)?);
     }
     Ok(writeln!(console.out, "version {version} is in force everywhere")?)
 }
 
 /// Waits until `version` is in force everywhere, with a line on `err` whenever something changes.
-pub(super) fn wait_for<C, P>(
+pub(super) fn wait_for(
     version: document::Version,
     timeout: time::Duration,
-    client: &mut Client<C, P>,
-    err: &mut impl io::Write,
-) -> Result<operators::Progress>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+    client: &mut Client<'_>,
+    err: &mut dyn io::Write,
+) -> Result<operators::Progress> {
     let started = (client.pause)(time::Duration::ZERO);
     let mut last = CompactString::default();
     loop {
@@ -71,11 +61,7 @@
     }
 }
 
-fn ask<C, P>(version: document::Version, client: &mut Client<C, P>) -> Result<operators::Progress>
-where
-    C: FnMut(&Call) -> Result<Reply, CallError>,
-    P: FnMut(time::Duration) -> time::Duration,
-{
+fn ask(version: document::Version, client: &mut Client<'_>) -> Result<operators::Progress> {
     let path = operators::progress_path(version);
     // One round only: the loop of the caller pauses, and keeps its time limit.
     let reply = client.ask_each(http::Method::GET, &path, None)?;
--- a/crates/heatherwalk/src/render.rs
+++ b/crates/heatherwalk/src/render.rs
@@ -26,7 +26,7 @@
 }
 
 /// Writes a value as indented JSON with a line end.
-pub fn write_json<T: Serialize>(out: &mut impl io::Write, value: &T) -> io::Result<()> {
+pub fn write_json<T: Serialize>(out: &mut dyn io::Write, value: &T) -> io::Result<()> {
     out.write_all(pretty(value).as_bytes())
 }
 
--- a/crates/heatherwalk/tests/contracts/operators_commands.rs
+++ b/crates/heatherwalk/tests/contracts/operators_commands.rs
@@ -18,24 +18,25 @@
     let waited = cell::Cell::new(time::Duration::ZERO);
     let mut client = operators::Client {
         controls: command.access().expect("an operators' command").control,
-        call: |call: &operators::Call| runtime.block_on(calls::send(&http, token, call)),
-        pause: |pause: time::Duration| {
+        call: &mut |call: &operators::Call| runtime.block_on(calls::send(&http, token, call)),
+        pause: &mut |pause: time::Duration| {
             std::thread::sleep(pause / 4);
             waited.set(waited.get() + pause);
             waited.get()
         },
     };
+    let (mut out, mut err) = (Vec::new(), Vec::new());
     let mut console = operators::Console {
-        input: input.as_bytes(),
-        out: Vec::new(),
-        err: Vec::new(),
+        input: &mut input.as_bytes(),
+        out: &mut out,
+        err: &mut err,
         user: Some("ilze".into()),
     };
     let result = operators::run(&command, &mut client, &mut console);
     let code = result.as_ref().map_or_else(operators::Error::exit_code, |()| exit_codes::DONE);
     let message = result.map_or_else(|err| format!("error: {err}\n"), |()| String::new());
     let text = |it| String::from_utf8(it).expect("text");
-    (code, format!("{}-- err\n{}{message}", text(console.out), text(console.err)))
+    (code, format!("{}-- err\n{}{message}", text(out), text(err)))
 }
 
 /// Hides what differs from run to run: addresses and times.
--- a/crates/heatherwalk/tests/operators.rs
+++ b/crates/heatherwalk/tests/operators.rs
@@ -44,20 +44,21 @@
     let mut calls = Vec::new();
     let mut client = operators::Client {
         controls: command.access().expect("an operators' command").control,
-        call: |call: &operators::Call| {
+        call: &mut |call: &operators::Call| {
             let answer = &answers[calls.len().min(answers.len() - 1)];
             calls.push(call.clone());
             answer.clone()
         },
-        pause: |pause| {
+        pause: &mut |pause| {
             clock.set(clock.get() + pause);
             clock.get()
         },
     };
+    let (mut out, mut err) = (Vec::new(), Vec::new());
     let mut console = operators::Console {
-        input: r#"{"routes":{"logs":{"weight":7}}}"#.as_bytes(),
-        out: Vec::new(),
-        err: Vec::new(),
+        input: &mut r#"{"routes":{"logs":{"weight":7}}}"#.as_bytes(),
+        out: &mut out,
+        err: &mut err,
         user: Some("ilze".into()),
     };
     let result = operators::run(&command, &mut client, &mut console);
@@ -68,8 +69,8 @@
         "code {code} after {:?} and {} calls\n{}-- err\n{}{message}",
         clock.get(),
         calls.len(),
-        text(console.out),
-        text(console.err),
+        text(out),
+        text(err),
     );
     Run { code, summary, calls }
 }
