--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -61,7 +61,8 @@
     let link = state.links.link(host, peer.addr).await?;
     let (mut sender, _receiver) = link.open().await?;
     sender.send(&streams::Open::Peer).await?;
-    // What was queued while there was no link is old; the protocols send it again.
+    // What was queued while there was no link is old; the protocols send it again. This empties a
+    // bounded queue and waits for nothing.
     while queue.try_recv().is_ok() {}
     let mut counted = link.traffic().sent;
     loop {
