--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -19,6 +19,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Place {
     Current,
+    Document,
     Nodes,
     Patches,
     Progress(document::Version),
@@ -34,6 +35,9 @@
     state: sync::Arc<state::State>,
     request: web::exchange::Request,
 ) -> web::exchange::Answer {
+    if request.path == messages::HOSTS_PATH {
+        return json(::http::StatusCode::OK, &operators::hosts(&state));
+    }
     if !is_authorized(&state, &request) {
         let detail = "the header authorization must be \"Bearer TOKEN\" with the control's token";
         return problem(::http::StatusCode::UNAUTHORIZED, detail);
@@ -45,6 +49,9 @@
             _ => problem(::http::StatusCode::METHOD_NOT_ALLOWED, "patches are sent with POST"),
         };
     }
+    if place == Place::Document {
+        return document(&state, request).await;
+    }
     if request.method != ::http::Method::GET {
         return problem(::http::StatusCode::METHOD_NOT_ALLOWED, "this path takes GET only");
     }
@@ -79,8 +86,43 @@
             return problem(::http::StatusCode::BAD_REQUEST, &detail);
         }
     };
-    let answer = operators::patch(state, patch).await;
-    let status = match &answer {
+    patch_answer(&operators::patch(state, patch).await)
+}
+
+/// Replaces or shows the whole document.
+async fn document(
+    state: &sync::Arc<state::State>,
+    request: web::exchange::Request,
+) -> web::exchange::Answer {
+    let dialect = &state.settings.dialect;
+    match request.method {
+        ::http::Method::GET => {
+            let is_current = operators::is_current(state).await;
+            let shared = sync::Arc::clone(state);
+            let job = move || operators::current(&shared, is_current);
+            (dialect.show)(state.pool.run(job).await.ok().flatten().as_ref())
+        }
+        ::http::Method::PUT => {
+            let headers = request.headers;
+            let body = match request.body.whole(MAX_BODY).await {
+                Ok(it) => it,
+                Err(err) => return refuse_body(&err),
+            };
+            match (dialect.read)(&headers, &body) {
+                Ok(it) => (dialect.answer)(&operators::replace(state, it).await),
+                Err(detail) => {
+                    log::warn!("a document of an operator was refused: {detail}");
+                    malformed(&detail)
+                }
+            }
+        }
+        _ => problem(::http::StatusCode::METHOD_NOT_ALLOWED, "this path takes GET and PUT only"),
+    }
+}
+
+/// What became of a patch, as an answer.
+pub(crate) fn patch_answer(answer: &messages::PatchAnswer) -> web::exchange::Answer {
+    let status = match answer {
         messages::PatchAnswer::Accepted { .. } => ::http::StatusCode::OK,
         messages::PatchAnswer::Conflict { .. } | messages::PatchAnswer::RequestReused => {
             ::http::StatusCode::CONFLICT
@@ -88,7 +130,7 @@
         messages::PatchAnswer::Invalid { .. } => ::http::StatusCode::UNPROCESSABLE_ENTITY,
         messages::PatchAnswer::Unavailable { .. } => ::http::StatusCode::SERVICE_UNAVAILABLE,
     };
-    json(status, &answer)
+    json(status, answer)
 }
 
 fn read(
@@ -106,7 +148,7 @@
             Ok(behind) => json(::http::StatusCode::OK, &operators::nodes(state, behind)),
             Err(_) => malformed("behind must be true or false"),
         },
-        Place::Patches => unknown_path(),
+        Place::Document | Place::Patches => unknown_path(),
         Place::Progress(version) => found(operators::progress(state, version)),
         Place::Quarantine => json(::http::StatusCode::OK, &operators::quarantine(state)),
         Place::Status => json(::http::StatusCode::OK, &operators::status(state, is_current)),
@@ -153,7 +195,7 @@
     )
 }
 
-fn not_current() -> web::exchange::Answer {
+pub(crate) fn not_current() -> web::exchange::Answer {
     let detail = "this control has lost the leader and cannot tell which version is current; ask \
                   another control";
     problem(::http::StatusCode::SERVICE_UNAVAILABLE, detail)
@@ -163,6 +205,7 @@
     fn find(path: &str) -> Option<Place> {
         match path {
             messages::CURRENT_PATH => Some(Place::Current),
+            messages::DOCUMENT_PATH => Some(Place::Document),
             messages::NODES_PATH => Some(Place::Nodes),
             messages::PATCHES_PATH => Some(Place::Patches),
             messages::QUARANTINE_PATH => Some(Place::Quarantine),
@@ -187,9 +230,10 @@
 }
 
 fn is_authorized(state: &state::State, request: &web::exchange::Request) -> bool {
+    let Some(token) = &state.settings.token else { return true };
     let header = request.headers.get(::http::header::AUTHORIZATION);
-    let token = header.and_then(|it| it.as_bytes().strip_prefix(b"Bearer "));
-    token.is_some_and(|it| is_equal(it, state.settings.token.as_bytes()))
+    let sent = header.and_then(|it| it.as_bytes().strip_prefix(b"Bearer "));
+    sent.is_some_and(|it| is_equal(it, token.as_bytes()))
 }
 
 /// Compares in a time that does not depend on where the texts differ.
@@ -205,7 +249,7 @@
     json(status, &messages::Problem { detail: CompactString::from(detail) })
 }
 
-fn json<T: Serialize>(status: ::http::StatusCode, value: &T) -> web::exchange::Answer {
+pub(crate) fn json<T: Serialize>(status: ::http::StatusCode, value: &T) -> web::exchange::Answer {
     let bytes = serde_json::to_vec(value).expect("the messages have text keys only");
     web::exchange::Answer::full(status, &mime::APPLICATION_JSON, Bytes::from(bytes))
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! The role of a control host: the configuration source, the claims and the registry.
 
 mod attaching;
+pub mod dialect;
 mod distributing;
 mod groups;
 mod http;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -5,9 +5,9 @@
 use compact_str::{CompactString, format_compact};
 use distribution::subscribers;
 use protocol::{operators, proposals, streams};
-use replicated::{quarantine, versions};
+use replicated::{quarantine, replacing, versions};
 use tokio::sync::oneshot;
-use world::{document, time};
+use world::{document, hosts, time};
 
 use crate::{distributing, groups, proposing, state};
 
@@ -43,6 +43,66 @@
     answer
 }
 
+/// A document in place of the current one, answered when it is in the log or when this control
+/// cannot tell what is current.
+pub(crate) async fn replace(
+    state: &sync::Arc<state::State>,
+    replacement: replacing::Replacement,
+) -> operators::PatchAnswer {
+    let (base, revision) = (replacement.base, replacement.document.revision);
+    let answer = match replace_current(state, replacement).await {
+        Some(answer) => patch_answer(answer),
+        None => operators::PatchAnswer::Unavailable {
+            detail: "this control cannot tell which version is current; send the document again, \
+                     to any control"
+                .into(),
+        },
+    };
+    state.instruments.count_patch(&answer);
+    log::info!(target: "decision", "document {revision} on revision {base}: {answer:?}");
+    answer
+}
+
+async fn replace_current(
+    state: &sync::Arc<state::State>,
+    replacement: replacing::Replacement,
+) -> Option<versions::Answer> {
+    if !is_current(state).await {
+        return None;
+    }
+    let shared = sync::Arc::clone(state);
+    let job = move || replacing::plan(&shared.machine.lock().versions, &replacement, "document");
+    let patch = match state.pool.run(job).await.ok()? {
+        replacing::Plan::Answer(answer) => return Some(answer),
+        replacing::Plan::Propose(patch) => patch,
+    };
+    match proposing::propose(state, proposals::Request::Patch(patch)).await {
+        proposals::Outcome::Answered(proposals::Answer::Patch(answer)) => Some(answer),
+        _ => None,
+    }
+}
+
+/// The controls of the mesh, for processes that look for them.
+pub(crate) fn hosts(state: &state::State) -> operators::Hosts {
+    let mesh = &state.settings.mesh;
+    let record = |host: &hosts::Host, votes| {
+        let centre = mesh.data_centre(host.data_centre)?;
+        Some(operators::HostRecord {
+            name: host.name.clone(),
+            region: mesh.region(centre.region)?.name.clone(),
+            data_centre: centre.name.clone(),
+            addr: host.addr,
+            operators: None,
+            votes,
+        })
+    };
+    let controls = mesh.hosts().filter(|(_, it)| it.role == hosts::Role::Control);
+    let controls = controls
+        .filter_map(|(key, it)| record(it, state.settings.config_voters.contains(&key)))
+        .collect();
+    operators::Hosts { formed: true, controls }
+}
+
 /// The newest versions, oldest first.
 pub(crate) fn history(state: &state::State, limit: usize) -> Vec<operators::VersionRecord> {
     let machine = state.machine.lock();
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -5,8 +5,10 @@
 use compact_str::CompactString;
 use world::{hosts, mesh};
 
+use crate::dialect;
+
 /// Settings of a control, checked.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Settings {
     /// The regions, data centres, control hosts and links that the settings name.
     pub mesh: mesh::Mesh,
@@ -18,8 +20,11 @@
     pub claims_voters: Vec<hosts::HostKey>,
     /// Where operators' HTTP requests arrive.
     pub operators: net::SocketAddr,
-    /// The token that an operator's request must carry.
-    pub token: CompactString,
+    /// The token that an operator's request must carry; none when the network that reaches the
+    /// port is trusted.
+    pub token: Option<CompactString>,
+    /// How operators write whole documents.
+    pub dialect: dialect::Dialect,
     /// Where metrics are read.
     pub metrics: net::SocketAddr,
     /// The folder of the files that must survive.
--- a/crates/distribution/src/follower.rs
+++ b/crates/distribution/src/follower.rs
@@ -26,6 +26,9 @@
     pub level: u32,
     /// The incarnation of its process.
     pub epoch: u64,
+    /// Whether its backend server keeps floor tokens for it. Without them a restarted node takes
+    /// only versions that are proved to be current.
+    pub tokens: bool,
 }
 
 /// What the process has to do.
@@ -107,6 +110,7 @@
 impl Follower {
     /// The state of a process that has just started.
     pub fn new(settings: Settings, attachment: attach::Attachment, now: Time) -> Follower {
+        let held = if settings.tokens { floor::Floor::Unknown } else { floor::Floor::Absent };
         Follower {
             settings,
             attachment,
@@ -114,8 +118,8 @@
             pending: None,
             promised: None,
             started: now,
-            held: floor::Floor::Unknown,
-            told: floor::Floor::Unknown,
+            held,
+            told: held,
             offered: None,
             least: document::Version(0),
             // The process before this one may have echoed until now.
@@ -265,6 +269,9 @@
     /// The backend server renewed its announcement, with the token that it holds.
     pub fn renewal(&mut self, now: Time, token: Option<&str>, rng: &mut impl Rng) -> Vec<Effect> {
         let mut effects = Vec::new();
+        if !self.settings.tokens {
+            return effects;
+        }
         // A text that is no token is treated as none, which asks for more proof.
         self.held = match token.and_then(|it| it.parse().ok()) {
             Some(token) => floor::Floor::Held(token),
--- a/crates/distribution/src/swap.rs
+++ b/crates/distribution/src/swap.rs
@@ -119,12 +119,18 @@
         if !self.mechanisms.proof {
             return self.held != floor::Floor::Unknown && version >= self.least;
         }
+        // Home vouches for what it heard of a node that runs a foster control's version only under
+        // a token. Without tokens, that is not proof enough.
+        if !self.settings.tokens && proof != messages::Proof::Current {
+            return false;
+        }
         let source = if self.mechanisms.foster_proof { source } else { floor::Source::Home };
         version >= self.least && self.held.admits(version, source, proof)
     }
 
     fn may_run(&self, now: Time, next: &follower::Held) -> bool {
         match next.source {
+            _ if !self.settings.tokens => true,
             floor::Source::Home => true,
             floor::Source::Foster => self.is_promised(next) && self.is_quiet(now),
         }
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -5,7 +5,7 @@
 
 use distribution::{attach, follower, mechanisms, messages, relay, subscribers};
 use rand::{SeedableRng, rngs};
-use world::{document, time::Time};
+use world::{contracts, document, time::Time};
 
 mod events;
 
@@ -229,6 +229,7 @@
             data_centre: format!("dc-{home}").into(),
             level: 1,
             epoch: self.serial,
+            tokens: true,
         };
         let attachment = attach::Attachment::new(name(home), others);
         let mut follower = follower::Follower::new(settings, attachment, self.now());
@@ -305,8 +306,9 @@
             self.breaches.push(format!("node {node} moved back from {highest} to {version}"));
         }
         *highest = version.max(*highest);
-        let route = config.find_route("/r").and_then(|it| config.route(it));
-        if route.is_none_or(|it| config.service(it.service).is_none()) {
+        let route = config.find_route("", "/r").and_then(|it| config.route(it));
+        let holds = |it: &contracts::Part| config.service(it.service).is_some();
+        if route.is_none_or(|it| !it.parts.iter().all(holds)) {
             self.breaches.push(format!("node {node} has a route without a service"));
         }
         let accepted = self.log.get(version as usize - 1).map(|it| it.0.to.digest);
--- a/crates/heatherwalk/src/args/commands.rs
+++ b/crates/heatherwalk/src/args/commands.rs
@@ -92,18 +92,18 @@
 #[derive(argh::FromArgs, Clone, Debug, PartialEq)]
 #[argh(subcommand, name = "node")]
 pub struct Node {
-    /// settings file (INI) with role = node
+    /// settings file (INI) with role = node; by default the one that HEATHERWALK_CONFIG names
     #[argh(option)]
-    pub settings: CompactString,
+    pub settings: Option<CompactString>,
 }
 
 /// Run a control on a host with a disk.
 #[derive(argh::FromArgs, Clone, Debug, PartialEq)]
 #[argh(subcommand, name = "control")]
 pub struct Control {
-    /// settings file (INI) with role = control
+    /// settings file (INI) with role = control; by default the one that HEATHERWALK_CONFIG names
     #[argh(option)]
-    pub settings: CompactString,
+    pub settings: Option<CompactString>,
 }
 
 /// Check a settings file without starting anything.
--- a/crates/heatherwalk/src/example.rs
+++ b/crates/heatherwalk/src/example.rs
@@ -98,7 +98,10 @@
     let mut announcement = backend::Announcement {
         service: settings.service,
         addr,
-        incarnation: u64::try_from(started.as_micros()).unwrap_or(u64::MAX),
+        incarnation: Some(u64::try_from(started.as_micros()).unwrap_or(u64::MAX)),
+        instance: CompactString::default(),
+        sequence: 0,
+        cold_ms: None,
         slots: settings.slots,
         drain: false,
         token: None,
@@ -130,6 +133,7 @@
         headers: http::HeaderMap::new(),
         body: web::body::Body::full(Bytes::from(body)),
         deadline: tokio::time::Instant::now() + LIMIT,
+        unframed: false,
         reuse: web::client::Reuse::Pooled,
     };
     let answer = client.send(call).await.ok()?;
--- a/crates/heatherwalk/src/lib.rs
+++ b/crates/heatherwalk/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod args;
 pub mod calls;
 pub mod dev;
+pub mod dialects;
+pub mod discovery;
 pub mod example;
 pub mod exit_codes;
 pub mod keys;
--- a/crates/heatherwalk/src/main.rs
+++ b/crates/heatherwalk/src/main.rs
@@ -2,9 +2,11 @@
 
 use std::{env, io, io::Write as _, process, time};
 
+use compact_str::CompactString;
 use eyre::WrapErr as _;
 use heatherwalk::{args, calls, dev, exit_codes, keys, logs, operators, roles, settings};
 use tokio::{runtime, signal};
+use world::{hosts, mesh};
 
 fn main() -> process::ExitCode {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -22,10 +24,10 @@
 fn run(command: &args::Command) -> u8 {
     let result = match command {
         args::Command::Check(it) => settings::load(&it.settings).map(drop).map_err(Into::into),
-        args::Command::Control(it) => run_role(&it.settings, "control"),
+        args::Command::Control(it) => run_role(it.settings.as_deref(), "control"),
         args::Command::Dev(it) => run_dev(it.port),
         args::Command::Keys(it) => run_keys(&it.command),
-        args::Command::Node(it) => run_role(&it.settings, "node"),
+        args::Command::Node(it) => run_role(it.settings.as_deref(), "node"),
         args::Command::Version(_) => {
             say(true, &args::version());
             Ok(())
@@ -54,33 +56,61 @@
 const NODE_THREADS: usize = 2;
 
 fn start_runtime(threads: Option<usize>) -> eyre::Result<runtime::Runtime> {
-    let mut builder = runtime::Builder::new_multi_thread();
+    let mut builder = match threads {
+        Some(1) => runtime::Builder::new_current_thread(),
+        _ => runtime::Builder::new_multi_thread(),
+    };
     if let Some(threads) = threads {
         builder.worker_threads(threads);
     }
     builder.enable_all().build().wrap_err("cannot start the runtime")
 }
 
-fn run_role(file: &str, name: &str) -> eyre::Result<()> {
+/// Names the settings file of a role when the command line does not.
+const SETTINGS_VARIABLE: &str = "HEATHERWALK_CONFIG";
+
+fn run_role(file: Option<&str>, name: &str) -> eyre::Result<()> {
+    let variable = env::var(SETTINGS_VARIABLE).ok();
+    let file = file.or(variable.as_deref()).ok_or_else(|| {
+        eyre::eyre!("no settings: name a file with --settings, or in {SETTINGS_VARIABLE}")
+    })?;
     let settings = settings::load(file)?;
     match settings {
-        settings::Settings::Control(settings, files, log) if name == "control" => {
-            logs::open(log, io::stderr())?;
-            let identity = roles::load_identity(&files)?;
-            let runtime = start_runtime(None)?;
-            runtime.block_on(roles::run_control(*settings, &identity, stopped()))?;
+        settings::Settings::Control(mut settings, start) if name == "control" => {
+            logs::open(start.log, io::stdout())?;
+            let host = host_name(&settings.mesh, settings.me);
+            let identity = roles::load_identity(&start.identity, &host, hosts::Role::Control)?;
+            start_runtime(start.threads)?.block_on(async {
+                let stop = stopped();
+                tokio::spawn(reread(file.into()));
+                if let Some(seeds) = &start.seeds {
+                    roles::find_peers(&mut settings, seeds).await?;
+                }
+                roles::run_control(*settings, &identity, stop).await
+            })?;
         }
-        settings::Settings::Node(settings, files, log) if name == "node" => {
-            logs::open(log, io::stderr())?;
-            let identity = roles::load_identity(&files)?;
-            let runtime = start_runtime(Some(NODE_THREADS))?;
-            runtime.block_on(roles::run_node(*settings, &identity, stopped()))?;
+        settings::Settings::Node(mut settings, start) if name == "node" => {
+            logs::open(start.log, io::stdout())?;
+            let host = host_name(&settings.mesh, settings.me);
+            let identity = roles::load_identity(&start.identity, &host, hosts::Role::Node)?;
+            start_runtime(start.threads.or(Some(NODE_THREADS)))?.block_on(async {
+                let stop = stopped();
+                tokio::spawn(reread(file.into()));
+                if let Some(seeds) = &start.seeds {
+                    roles::find_controls(&mut settings, seeds).await;
+                }
+                roles::run_node(*settings, &identity, stop).await
+            })?;
         }
         _ => eyre::bail!("{file}: [host] role is not {name}; run the command of that role"),
     }
     Ok(())
 }
 
+fn host_name(mesh: &mesh::Mesh, key: hosts::HostKey) -> CompactString {
+    mesh.host(key).map(|it| it.name.clone()).unwrap_or_default()
+}
+
 fn run_dev(port: Option<u16>) -> eyre::Result<()> {
     let log = settings::Log { level: log::LevelFilter::Info, decisions: true };
     logs::open(log, io::stderr())?;
@@ -93,6 +123,21 @@
     })
 }
 
+/// Reads the settings again at each SIGHUP. Faults are reported; a role keeps the settings that it
+/// started with, since none of them can change under its open ports and links.
+async fn reread(file: CompactString) {
+    let Ok(mut signals) = signal::unix::signal(signal::unix::SignalKind::hangup()) else {
+        log::error!("SIGHUP cannot be handled; it would end this process");
+        return;
+    };
+    while signals.recv().await.is_some() {
+        match settings::load(&file) {
+            Ok(_) => log::info!("reload: {file} has no faults; it counts from the next start"),
+            Err(err) => log::error!("reload: {err}"),
+        }
+    }
+}
+
 /// Completes when the process is asked to stop.
 async fn stopped() {
     let terminated = async {
--- a/crates/heatherwalk/src/roles.rs
+++ b/crates/heatherwalk/src/roles.rs
@@ -2,9 +2,11 @@
 
 use std::{net, sync, time};
 
+use protocol::operators as messages;
 use transport::identity;
+use world::{hosts, mesh};
 
-use crate::{metrics, settings};
+use crate::{discovery, metrics, settings};
 
 /// An error of this module.
 #[derive(Debug, thiserror::Error)]
@@ -12,6 +14,9 @@
     /// The control could not start.
     #[error(transparent)]
     Control(#[from] control::running::Error),
+    /// The controls cannot be found.
+    #[error(transparent)]
+    Discovery(#[from] discovery::Error),
     /// The identity's files cannot be used.
     #[error(transparent)]
     Identity(#[from] identity::Error),
@@ -30,8 +35,69 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Reads the files that prove who the process is.
-pub fn load_identity(files: &settings::Identity) -> Result<identity::Identity> {
-    Ok(identity::Identity::load(&files.certificate, &files.key, &files.authority)?)
+pub fn load_identity(
+    settings: &settings::Identity,
+    host: &str,
+    role: hosts::Role,
+) -> Result<identity::Identity> {
+    Ok(match settings {
+        settings::Identity::Files { authority, certificate, key } => {
+            identity::Identity::load(certificate, key, authority)?
+        }
+        settings::Identity::Secret(secret) => {
+            identity::Authority::from_secret(secret)?.issue(host, role)?
+        }
+    })
+}
+
+/// Completes a control's settings with the controls that discovery finds.
+pub async fn find_peers(
+    settings: &mut control::settings::Settings,
+    seeds: &discovery::Seeds,
+) -> Result<()> {
+    let mesh = &settings.mesh;
+    let host = mesh.host(settings.me).expect("the settings contain this host");
+    let centre = mesh.data_centre(host.data_centre).expect("a host has a data centre");
+    let region = mesh.region(centre.region).expect("a data centre has a region");
+    let me = messages::HostRecord {
+        name: host.name.clone(),
+        region: region.name.clone(),
+        data_centre: centre.name.clone(),
+        addr: host.addr,
+        operators: Some(settings.operators),
+        votes: false,
+    };
+    let name = me.name.clone();
+    let found = discovery::join(seeds, me, settings.operators, &settings.data).await?;
+    for record in found.controls {
+        let key = put_control(&mut settings.mesh, &record);
+        if record.votes {
+            settings.config_voters.push(key);
+            settings.claims_voters.push(key);
+        }
+        if record.name == name {
+            settings.me = key;
+        }
+    }
+    Ok(())
+}
+
+/// Completes a node's settings with the controls that discovery finds.
+pub async fn find_controls(settings: &mut node::settings::Settings, seeds: &discovery::Seeds) {
+    for record in discovery::find(seeds).await.controls {
+        put_control(&mut settings.mesh, &record);
+    }
+}
+
+fn put_control(mesh: &mut mesh::Mesh, record: &messages::HostRecord) -> hosts::HostKey {
+    let region = mesh.add_region(&record.region);
+    let data_centre = mesh.add_data_centre(&record.data_centre, region);
+    mesh.put_host(hosts::Host {
+        name: record.name.clone(),
+        addr: record.addr,
+        data_centre,
+        role: hosts::Role::Control,
+    })
 }
 
 /// Runs a control until `stop` completes, and ends it as planned.
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -6,6 +6,7 @@
 use world::{hosts, mesh};
 
 use super::{Result, ini_reader};
+use crate::{dialects, discovery};
 
 /// The most control hosts that may vote on the configuration.
 const MAX_CONFIG_VOTERS: usize = 5;
@@ -15,23 +16,41 @@
 const DEFAULT_WORKERS: usize = 2;
 
 /// The checked settings of one process.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub enum Settings {
     /// A control's.
-    Control(Box<control::settings::Settings>, Identity, Log),
+    Control(Box<control::settings::Settings>, Start),
     /// A node's.
-    Node(Box<node::settings::Settings>, Identity, Log),
+    Node(Box<node::settings::Settings>, Start),
+}
+
+/// What a process needs before its role runs.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// How it proves who it is.
+    pub identity: Identity,
+    /// Which log lines it writes.
+    pub log: Log,
+    /// Where it looks for the controls; none when the settings list them.
+    pub seeds: Option<discovery::Seeds>,
+    /// Threads that own sockets and timers; none lets the role choose.
+    pub threads: Option<usize>,
 }
 
-/// Files that prove who a process is.
+/// How a process proves who it is.
 #[derive(Clone, Debug)]
-pub struct Identity {
-    /// The certificate of the mesh's authority.
-    pub authority: path::PathBuf,
-    /// The certificate of this process.
-    pub certificate: path::PathBuf,
-    /// The private key of this process.
-    pub key: path::PathBuf,
+pub enum Identity {
+    /// By a certificate that was issued for it.
+    Files {
+        /// The certificate of the mesh's authority.
+        authority: path::PathBuf,
+        /// The certificate of this process.
+        certificate: path::PathBuf,
+        /// The private key of this process.
+        key: path::PathBuf,
+    },
+    /// By a secret that all processes of the mesh share.
+    Secret(CompactString),
 }
 
 /// Which log lines are written.
@@ -65,20 +84,28 @@
 
 fn read(reader: &mut ini_reader::Reader) -> Option<Settings> {
     let mut mesh = mesh::Mesh::default();
-    let votes = read_controls(reader, &mut mesh);
+    let seeds = read_seeds(reader);
+    let votes = match &seeds {
+        None => read_controls(reader, &mut mesh),
+        Some(_) => Votes { config: Vec::new(), claims: Vec::new() },
+    };
     let role = reader.required("host", "role", "node or control", parse_role);
-    let common = read_host(reader, &mut mesh, role);
+    let common = read_host(reader, &mut mesh, role, seeds.is_some());
+    let threads =
+        reader.optional("host", "threads", "1 to 64", None, |it| parse_range(it, 1, 64).map(Some));
     read_links(reader, &mut mesh);
     let identity = read_identity(reader);
     let log = read_log(reader);
+    let start =
+        |identity: Option<Identity>| Some(Start { identity: identity?, log, seeds, threads });
     match role {
         Some(hosts::Role::Control) => {
             let settings = read_control(reader, mesh, common, votes);
-            Some(Settings::Control(Box::new(settings?), identity?, log))
+            Some(Settings::Control(Box::new(settings?), start(identity)?))
         }
         Some(hosts::Role::Node) => {
             let settings = read_node(reader, mesh, common);
-            Some(Settings::Node(Box::new(settings?), identity?, log))
+            Some(Settings::Node(Box::new(settings?), start(identity)?))
         }
         None => {
             // The section of the role that was meant is checked, so that all faults show at once.
@@ -96,6 +123,7 @@
     reader: &mut ini_reader::Reader,
     mesh: &mut mesh::Mesh,
     role: Option<hosts::Role>,
+    finds_controls: bool,
 ) -> Option<Common> {
     let name = reader.required("host", "name", NAME, parse_name);
     let region = reader.required("host", "region", NAME, parse_name);
@@ -111,7 +139,8 @@
     let (name, role, addr) = (name?, role?, addr?);
     let region = mesh.add_region(&region?);
     let data_centre = mesh.add_data_centre(&centre?, region);
-    if role == hosts::Role::Control && !reader.sections("control").contains(&name) {
+    let listed = finds_controls || role != hosts::Role::Control;
+    if !listed && !reader.sections("control").contains(&name) {
         let allowed = format_compact!("a section [control.{name}] for this control itself");
         reader.fault("host", "name", Some(name.clone()), allowed);
     }
@@ -120,6 +149,19 @@
     Some(Common { me, metrics: metrics?, workers, stop_limit })
 }
 
+/// The addresses of some controls, for a process whose settings do not list them all.
+fn read_seeds(reader: &mut ini_reader::Reader) -> Option<discovery::Seeds> {
+    if reader.keys("discovery").is_empty() {
+        return None;
+    }
+    let addrs = reader.required("discovery", "seeds", SEEDS, |text| {
+        text.split(',').map(|it| parse_addr(it.trim())).collect::<Option<Vec<_>>>()
+    });
+    let bootstrap =
+        reader.optional("discovery", "bootstrap", "true or false", false, |it| it.parse().ok());
+    Some(discovery::Seeds { addrs: addrs.unwrap_or_default(), bootstrap })
+}
+
 fn read_controls(reader: &mut ini_reader::Reader, mesh: &mut mesh::Mesh) -> Votes {
     let mut votes = Votes { config: Vec::new(), claims: Vec::new() };
     let names = reader.sections("control");
@@ -205,11 +247,14 @@
 }
 
 fn read_identity(reader: &mut ini_reader::Reader) -> Option<Identity> {
+    if reader.keys("identity").iter().any(|it| it == "secret") {
+        return reader.required("identity", "secret", TOKEN, parse_token).map(Identity::Secret);
+    }
     let mut path = |key| reader.required("identity", key, "the path of a PEM file", parse_path);
     let authority = path("authority");
     let certificate = path("certificate");
     let key = path("key");
-    Some(Identity { authority: authority?, certificate: certificate?, key: key? })
+    Some(Identity::Files { authority: authority?, certificate: certificate?, key: key? })
 }
 
 fn read_log(reader: &mut ini_reader::Reader) -> Log {
@@ -225,12 +270,33 @@
 ) -> Option<node::settings::Settings> {
     let callers = reader.required("node", "callers", ADDR, parse_addr);
     let announce = reader.required("node", "announce", ADDR, parse_addr);
+    let ready = reader.optional("node", "ready", ADDR, None, |it| Some(parse_addr(it)?).map(Some));
+    let names = dialects::NODE.map(|it| it.name).join(" or ");
+    let dialect = reader.optional("node", "dialect", &names, node::dialect::OWN, |text| {
+        dialects::NODE.into_iter().find(|it| it.name == text)
+    });
+    let service = reader.optional("node", "service", NAME, CompactString::default(), |it| {
+        if it.is_empty() { Some(CompactString::default()) } else { parse_name(it) }
+    });
+    let lease = reader.optional(
+        "node",
+        "announce-lease-ms",
+        "500 to 60000",
+        u64::try_from(membership::local::LEASE.as_millis()).unwrap_or(u64::MAX),
+        |it| parse_range(it, 500, 60_000),
+    );
+    let tokens = reader.optional("node", "floor-tokens", "on or off", true, parse_switch);
     let Common { me, metrics, workers, stop_limit } = common?;
     Some(node::settings::Settings {
         mesh,
         me,
         callers: callers?,
         announce: announce?,
+        ready,
+        dialect,
+        service,
+        lease: time::Duration::from_millis(lease),
+        tokens,
         metrics,
         workers,
         stop_limit,
@@ -244,7 +310,19 @@
     votes: Votes,
 ) -> Option<control::settings::Settings> {
     let operators = reader.required("control", "operators", ADDR, parse_addr);
-    let token = reader.required("control", "token", TOKEN, parse_token);
+    let open = reader.optional("control", "access", "token or network", false, |it| match it {
+        "network" => Some(true),
+        "token" => Some(false),
+        _ => None,
+    });
+    let token = match open {
+        true => Some(None),
+        false => reader.required("control", "token", TOKEN, parse_token).map(Some),
+    };
+    let names = dialects::CONTROL.map(|it| it.name).join(" or ");
+    let dialect = reader.optional("control", "dialect", &names, control::dialect::OWN, |text| {
+        dialects::CONTROL.into_iter().find(|it| it.name == text)
+    });
     let data = reader.required("control", "data", "the path of a folder", parse_path);
     let Common { me, metrics, workers, stop_limit } = common?;
     Some(control::settings::Settings {
@@ -254,6 +332,7 @@
         claims_voters: votes.claims,
         operators: operators?,
         token: token?,
+        dialect,
         metrics,
         data: data?,
         workers,
@@ -264,6 +343,7 @@
 const ADDR: &str = "an IP address and a port, as 127.0.0.1:7000";
 const LEVELS: &str = "off, error, warn, info, debug or trace";
 const NAME: &str = "1 to 64 letters, digits, '-', '_' or '.'";
+const SEEDS: &str = "addresses with ports, separated by commas";
 const TOKEN: &str = "at least 16 visible ASCII characters";
 const VOTES: &str = "any of the words configuration, claims; or none";
 
--- a/crates/heatherwalk/tests/args.rs
+++ b/crates/heatherwalk/tests/args.rs
@@ -31,6 +31,7 @@
 fn lines() {
     let accepted = [
         "node --settings node.ini",
+        "node",
         "check --settings control.ini",
         "dev --port 7000",
         "dev",
@@ -48,7 +49,7 @@
     let refused = [
         "",
         "proxy",
-        "node",
+        "check",
         "dev --port 70000",
         "keys",
         "keys issue --authority keys --host ../x --role node --out out",
--- a/crates/heatherwalk/tests/processes/harness.rs
+++ b/crates/heatherwalk/tests/processes/harness.rs
@@ -238,8 +238,8 @@
             .args([role, "--settings"])
             .arg(self.file(name, "ini"))
             .stdin(process::Stdio::null())
-            .stdout(process::Stdio::null())
-            .stderr(log.expect("a log file"))
+            .stdout(log.expect("a log file"))
+            .stderr(process::Stdio::null())
             .spawn();
         Process(child.expect("the binary starts"))
     }
@@ -480,6 +480,7 @@
         headers: http::HeaderMap::new(),
         body: web::body::Body::full(Bytes::copy_from_slice(body.as_bytes())),
         deadline: tokio::time::Instant::now() + time::Duration::from_secs(12),
+        unframed: false,
         reuse: web::client::Reuse::Fresh,
     }
 }
--- a/crates/heatherwalk/tests/requests/callers.rs
+++ b/crates/heatherwalk/tests/requests/callers.rs
@@ -100,6 +100,7 @@
         headers: request.headers,
         body: web::body::Body::full(request.body),
         deadline: tokio::time::Instant::now() + mesh::PATIENCE,
+        unframed: false,
         reuse: web::client::Reuse::Fresh,
     };
     let Ok(answer) = client.send(call).await else { return Seen::default() };
--- a/crates/membership/src/local.rs
+++ b/crates/membership/src/local.rs
@@ -66,6 +66,7 @@
     floor: messages::Order,
     /// Whether the node itself is stopping.
     stopping: bool,
+    lease: time::Duration,
     mechanisms: mechanisms::Mechanisms,
 }
 
@@ -73,8 +74,10 @@
 struct Backend {
     last: messages::Announcement,
     entry: messages::Entry,
-    /// When the process was first heard of; its cold start counts from here.
-    started: Time,
+    /// When its cold start is over.
+    warm_at: Time,
+    /// Whether it said that it leaves for good. No later announcement revokes it.
+    left: bool,
     since: Time,
     heard: Time,
 }
@@ -87,7 +90,13 @@
         mechanisms: mechanisms::Mechanisms,
     ) -> Local {
         let floor = messages::Order::default();
-        Local { place, registrar, backend: None, floor, stopping: false, mechanisms }
+        Local { place, registrar, backend: None, floor, stopping: false, lease: LEASE, mechanisms }
+    }
+
+    /// Sets how long an announcement holds without a renewal, for backend servers that announce
+    /// themselves less often than each [`RENEWAL`].
+    pub fn set_lease(&mut self, lease: time::Duration) {
+        self.lease = lease;
     }
 
     /// What the node announces; none before the first announcement.
@@ -115,6 +124,10 @@
             self.start(now, announcement);
             return self.publish(now, Notice::Restarted);
         }
+        // Two announcements may overtake each other on their way.
+        if announcement.sequence < backend.last.sequence {
+            return Outcome::default();
+        }
         backend.heard = now;
         backend.last = announcement.clone();
         let wanted = wanted_state(now, backend, self.stopping);
@@ -143,12 +156,11 @@
         let Some(backend) = &self.backend else {
             return Outcome::default();
         };
-        let silent = now.since(backend.heard) >= LEASE;
+        let silent = now.since(backend.heard) >= self.lease;
         if silent && self.mechanisms.leases {
             return self.lose(now);
         }
-        let warm = backend.entry.state == objects::State::Starting
-            && now.since(backend.started) >= objects::RAMP;
+        let warm = backend.entry.state == objects::State::Starting && now >= backend.warm_at;
         if !warm {
             return Outcome::default();
         }
@@ -165,6 +177,18 @@
         Outcome { notice: Some(Notice::Lost), event: self.event(now) }
     }
 
+    /// The backend server leaves for good: it finishes what it has and gets no new work.
+    pub fn leave(&mut self, now: Time) -> Outcome {
+        if let Some(backend) = &mut self.backend {
+            backend.left = true;
+        }
+        if !self.takes_work() {
+            return Outcome::default();
+        }
+        self.enter(now, objects::State::Draining);
+        Outcome { notice: Some(Notice::Draining), event: self.event(now) }
+    }
+
     /// The node begins a planned stop. No renewal revokes it.
     pub fn drain(&mut self, now: Time) -> Outcome {
         self.stopping = true;
@@ -233,7 +257,9 @@
             registrar: self.registrar.clone(),
         };
         let last = announcement.clone();
-        let mut backend = Backend { last, entry, started: now, since: now, heard: now };
+        let cold = last.cold_ms.map_or(objects::RAMP, time::Duration::from_millis);
+        let warm_at = now + cold;
+        let mut backend = Backend { last, entry, warm_at, left: false, since: now, heard: now };
         backend.entry.state = wanted_state(now, &backend, self.stopping);
         self.backend = Some(backend);
         self.raise();
@@ -270,10 +296,10 @@
 }
 
 fn wanted_state(now: Time, backend: &Backend, stopping: bool) -> objects::State {
-    if backend.last.drain || stopping {
+    if backend.last.drain || backend.left || stopping {
         return objects::State::Draining;
     }
-    if now.since(backend.started) < objects::RAMP {
+    if now < backend.warm_at {
         return objects::State::Starting;
     }
     objects::State::Serving
--- a/crates/membership/src/messages.rs
+++ b/crates/membership/src/messages.rs
@@ -35,10 +35,16 @@
     pub addr: net::SocketAddr,
     /// The wall clock at its start, in microseconds.
     pub incarnation: u64,
+    /// Grows with each announcement of an incarnation, so that a late one can be told; 0 when the
+    /// backend server does not count.
+    pub sequence: u64,
     /// Requests that it runs at the same time.
     pub slots: u32,
     /// Whether it is leaving.
     pub drain: bool,
+    /// How much longer its cold start lasts, in milliseconds; without it, the node counts
+    /// [`targets::RAMP`] from the first announcement.
+    pub cold_ms: Option<u64>,
 }
 
 /// What the mesh knows of one host's backend server.
--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -18,8 +18,10 @@
         service: "logbook".into(),
         addr: "127.0.0.1:8000".parse().expect("an address"),
         incarnation,
+        sequence: 0,
         slots: 6,
         drain: false,
+        cold_ms: None,
     }
 }
 
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -145,8 +145,10 @@
             service: "logbook".into(),
             addr: "127.0.0.1:8000".parse().expect("an address"),
             incarnation: 50,
+            sequence: 0,
             slots: 6,
             drain: false,
+            cold_ms: None,
         };
         let first = node.announce(Time::ZERO, &announcement).event.expect("an event");
         control.event(Time::ZERO, &first);
--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -74,7 +74,7 @@
     count: Count,
 ) -> web::exchange::Answer {
     let sending::Answered { status, mut headers, body: source, .. } = answered;
-    headers::clean(&mut headers);
+    headers::clean(&mut headers, count.state.settings.dialect.reserved);
     let (sender, body) = web::body::Body::channel(CHUNKS);
     let bodyless =
         is_head || matches!(status, http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED);
--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -1,5 +1,7 @@
 //! Answers that the node gives itself, and what they say about whether the request ran.
 
+use std::time;
+
 use compact_str::{CompactString, format_compact};
 use replicated::claims;
 
@@ -10,7 +12,7 @@
 
 /// What is known about a request that a backend server did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Run {
+pub enum Run {
     /// It was certainly not run.
     Not,
     /// It may have run.
@@ -19,32 +21,28 @@
 
 /// An answer that the node gives itself.
 #[derive(Clone, Debug)]
-pub(crate) struct Refusal {
+pub struct Refusal {
     /// The HTTP status.
-    pub(crate) status: http::StatusCode,
+    pub status: http::StatusCode,
     /// What is known about the request.
-    pub(crate) run: Run,
+    pub run: Run,
     /// The reason in one word.
-    pub(crate) reason: &'static str,
+    pub reason: &'static str,
     /// The reason in a sentence, with what the caller can do.
-    pub(crate) detail: CompactString,
+    pub detail: CompactString,
+    /// When the caller may come back, if that is known.
+    pub retry_after: Option<time::Duration>,
 }
 
 impl Refusal {
     fn not_run(status: http::StatusCode, reason: &'static str, detail: &str) -> Refusal {
-        Refusal { status, run: Run::Not, reason, detail: detail.into() }
+        Refusal { status, run: Run::Not, reason, detail: detail.into(), retry_after: None }
     }
 
-    /// The refusal as an answer.
-    pub(crate) fn into_answer(self) -> web::exchange::Answer {
-        let mut answer = web::exchange::Answer::text(self.status, &format!("{}\n", self.detail));
-        let (name, value) = match self.run {
-            Run::Not => (headers::NOT_RUN, "true"),
-            Run::Unknown => (headers::OUTCOME, "unknown"),
-        };
-        headers::set(&mut answer.headers, name, value);
-        headers::set(&mut answer.headers, headers::REASON, self.reason);
-        answer
+    /// Says when the caller may come back.
+    pub(crate) fn after(mut self, pause: time::Duration) -> Refusal {
+        self.retry_after = Some(pause);
+        self
     }
 }
 
@@ -68,8 +66,7 @@
     Refusal::not_run(http::StatusCode::NOT_FOUND, "no-route", detail)
 }
 
-pub(crate) fn bad_deadline() -> Refusal {
-    let detail = "heatherwalk-deadline-ms must be a whole number of milliseconds";
+pub(crate) fn malformed(detail: &str) -> Refusal {
     Refusal::not_run(http::StatusCode::BAD_REQUEST, "bad-deadline", detail)
 }
 
@@ -135,6 +132,7 @@
         run: Run::Unknown,
         reason: "broken",
         detail: "the answer of the backend server ended early".into(),
+        retry_after: None,
     }
 }
 
@@ -152,6 +150,7 @@
             run: Run::Unknown,
             reason: "unknown",
             detail: format_compact!("the request may have run: {detail}"),
+            retry_after: None,
         },
     }
 }
@@ -166,6 +165,7 @@
             run: Run::Unknown,
             reason: "in-progress",
             detail: "a request with this key is in progress; ask again later".into(),
+            retry_after: None,
         }),
         claims::Answer::Mismatch => {
             let detail = "the idempotency key belongs to another request; this one was not run";
@@ -193,6 +193,7 @@
             detail: "a request with this key may have run, and its answer is not known; it is \
                      not run again"
                 .into(),
+            retry_after: None,
         }),
     }
 }
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -131,7 +131,10 @@
     );
     let renamed = |key| {
         let old = old.as_ref()?;
-        config.find_route(&old.route(key)?.prefix)
+        {
+            let route = old.route(key)?;
+            config.find_route(route.host.as_deref().unwrap_or_default(), &route.prefix)
+        }
     };
     state.routing.lock().rename_routes(renamed);
     let entry = state.backend.lock().local.entry().cloned();
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -1,6 +1,6 @@
 //! The backend server of this host: its announcements, its drains and its crashes.
 
-use std::{net, sync};
+use std::{net, sync, time as std_time};
 
 use admission::limits;
 use bytes::Bytes;
@@ -28,8 +28,18 @@
     pub service: CompactString,
     /// Where it listens, on this host.
     pub addr: net::SocketAddr,
-    /// The wall clock at its start, in microseconds.
-    pub incarnation: u64,
+    /// The wall clock at its start, in microseconds. Without it, each new name is a new start.
+    #[serde(default)]
+    pub incarnation: Option<u64>,
+    /// Its own name, which the requests sent to it can carry.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub instance: CompactString,
+    /// Grows with each announcement of an incarnation.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub sequence: u64,
+    /// How much longer its cold start lasts, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_ms: Option<u64>,
     /// Requests that it runs at the same time.
     pub slots: u32,
     /// Whether it is leaving.
@@ -40,6 +50,20 @@
     pub token: Option<CompactString>,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// What a backend server says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Word {
+    /// It is there.
+    Announce,
+    /// It leaves for good.
+    Leave,
+}
+
 /// The answer to an announcement, as JSON.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct AnnounceAnswer {
@@ -49,11 +73,16 @@
     pub token: Option<CompactString>,
 }
 
-/// Answers an announcement.
+/// Answers what the backend server says.
 pub(crate) async fn answer(
     state: sync::Arc<state::State>,
+    word: Word,
     request: web::exchange::Request,
 ) -> web::exchange::Answer {
+    let instance = CompactString::from(instance(request.query.as_deref().unwrap_or_default()));
+    if word == Word::Leave {
+        return leave(state, instance).await;
+    }
     let body = match request.body.whole(MAX_BODY).await {
         Ok(it) => it,
         Err(err) => {
@@ -63,15 +92,12 @@
             return answer;
         }
     };
-    let announcement: Announcement = match serde_json::from_slice(&body) {
+    let announcement = match (state.settings.dialect.announced)(&body, &instance) {
         Ok(it) => it,
-        Err(err) => {
-            let text = format!("not an announcement: {err}; see docs/backend-servers.md\n");
-            return web::exchange::Answer::text(http::StatusCode::BAD_REQUEST, &text);
-        }
+        Err(detail) => return refuse(&detail),
     };
-    if let Err(text) = check(&announcement) {
-        return web::exchange::Answer::text(http::StatusCode::BAD_REQUEST, text);
+    if let Err(detail) = check(&announcement) {
+        return refuse(detail);
     }
     let job = {
         let state = sync::Arc::clone(&state);
@@ -83,18 +109,56 @@
                         process, or announce again when the other has been silent for 2 s\n";
             web::exchange::Answer::text(http::StatusCode::CONFLICT, text)
         }
-        Ok(Some(answer)) => {
-            let bytes = serde_json::to_vec(&answer).expect("the answer has text keys only");
-            let kind = &mime::APPLICATION_JSON;
-            web::exchange::Answer::full(http::StatusCode::OK, kind, Bytes::from(bytes))
+        Ok(Some(answer)) => (state.settings.dialect.renewed)(&answer),
+        Err(err) => busy(&err),
+    }
+}
+
+async fn leave(state: sync::Arc<state::State>, instance: CompactString) -> web::exchange::Answer {
+    let job = {
+        let state = sync::Arc::clone(&state);
+        move || {
+            let now = state.now();
+            let mut backend = state.backend.lock();
+            if backend.instance != instance {
+                log::info!(
+                    target: "decision",
+                    "leave of {instance} ignored: the backend server is {}",
+                    backend.instance,
+                );
+                return;
+            }
+            let before = backend.local.entry().cloned();
+            let outcome = backend.local.leave(now);
+            drop(backend);
+            follow(&state, now, outcome, before.as_ref());
         }
-        Err(err) => {
-            let text = format!("{err}; announce again\n");
-            web::exchange::Answer::text(http::StatusCode::SERVICE_UNAVAILABLE, &text)
+    };
+    match state.pool.run(attaching::in_runtime(job)).await {
+        Ok(()) => {
+            let none = AnnounceAnswer { renew_ms: 0, token: None };
+            (state.settings.dialect.renewed)(&none)
         }
+        Err(err) => busy(&err),
     }
 }
 
+fn refuse(detail: &str) -> web::exchange::Answer {
+    log::warn!("an announcement was refused: {}", detail.trim_end());
+    let text = format!("{}\n", detail.trim_end());
+    web::exchange::Answer::text(http::StatusCode::BAD_REQUEST, &text)
+}
+
+fn busy(error: &dyn std::fmt::Display) -> web::exchange::Answer {
+    let text = format!("{error}; announce again\n");
+    web::exchange::Answer::text(http::StatusCode::SERVICE_UNAVAILABLE, &text)
+}
+
+/// The name in a query `of=NAME`.
+fn instance(query: &str) -> &str {
+    query.split('&').find_map(|it| it.strip_prefix("of=")).unwrap_or_default()
+}
+
 /// Ends the backend server's lease and its cold start when they are due.
 pub(crate) fn tick(state: &state::State) {
     let now = state.now();
@@ -154,26 +218,29 @@
     announcement: &Announcement,
 ) -> Option<AnnounceAnswer> {
     let now = state.now();
-    let message = messages::Announcement {
-        service: announcement.service.clone(),
-        addr: announcement.addr,
-        incarnation: announcement.incarnation,
-        slots: announcement.slots,
-        drain: announcement.drain,
-    };
     let (outcome, before) = {
         let mut backend = state.backend.lock();
+        let incarnation = incarnation(&backend, announcement);
+        let message = messages::Announcement {
+            service: announcement.service.clone(),
+            addr: announcement.addr,
+            incarnation,
+            sequence: announcement.sequence,
+            slots: announcement.slots,
+            drain: announcement.drain,
+            cold_ms: announcement.cold_ms,
+        };
         let before = backend.local.entry().cloned();
         let outcome = backend.local.announce(now, &message);
         if outcome.notice == Some(local::Notice::Outdated) {
             log::info!(
                 target: "decision",
-                "announcement of incarnation {} refused: a later one is announced",
-                announcement.incarnation,
+                "announcement of incarnation {incarnation} refused: a later one is announced",
             );
             return None;
         }
         backend.addr = Some(announcement.addr);
+        backend.instance = announcement.instance.clone();
         (outcome, before)
     };
     // Only the process that is announced may hold the token: one that ends would take it along.
@@ -183,6 +250,22 @@
     Some(AnnounceAnswer { renew_ms, token })
 }
 
+/// The incarnation of an announcement. A backend server that does not know when it started is a
+/// new one when its name is new.
+fn incarnation(backend: &state::Backend, announcement: &Announcement) -> u64 {
+    if let Some(it) = announcement.incarnation {
+        return it;
+    }
+    let held = backend.local.entry().map(|it| it.order.incarnation);
+    match held.filter(|_| backend.instance == announcement.instance) {
+        Some(it) => it,
+        None => {
+            let since = std_time::SystemTime::now().duration_since(std_time::UNIX_EPOCH);
+            since.map_or(0, |it| u64::try_from(it.as_micros()).unwrap_or(u64::MAX))
+        }
+    }
+}
+
 /// Acts on what became of the backend server. `before` is what was announced until now.
 fn follow(
     state: &state::State,
@@ -211,7 +294,11 @@
     let limits = gates::limits(config.as_deref(), &entry.service, entry.slots);
     match notice {
         local::Notice::Arrived | local::Notice::Restarted | local::Notice::Returned => {
-            gates.open(now, limits, Some(limits::Ramp { since: now, length: targets::RAMP }));
+            let ramp = match entry.state {
+                targets::State::Starting => limits::Ramp { since: now, length: targets::RAMP },
+                _ => warm(now),
+            };
+            gates.open(now, limits, Some(ramp));
         }
         local::Notice::Draining => gates.drain(now),
         local::Notice::Lost => gates.close(),
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -10,11 +10,16 @@
 use world::{config, contracts, requests, time};
 
 use crate::{
-    answering, answers, claiming, flights, headers, instruments, loans, sending, state, suspicion,
+    answering, answers, claiming, dialect, flights, headers, instruments, loans, sending, state,
+    suspicion,
 };
 
-/// The largest body of a request. It is kept whole, so that the request can be sent again.
-pub(crate) const MAX_BODY: usize = 1024 * 1024;
+/// The largest body of a request when the configuration names no limit. Bodies are kept whole, so
+/// that the request can be sent again.
+const MAX_BODY: usize = 1024 * 1024;
+/// The largest body whatever the configuration says: it travels to the target's node in one frame
+/// of at most 8 MiB.
+const MOST_BODY: usize = 7 * 1024 * 1024;
 
 /// What is decided about a request before its body is read.
 struct Plan {
@@ -85,7 +90,7 @@
                 answers::Run::Not => instruments::Outcome::NotRun,
                 answers::Run::Unknown => instruments::Outcome::Unknown,
             });
-            refusal.into_answer()
+            (state.settings.dialect.refuse)(&refusal)
         }
     }
 }
@@ -96,7 +101,7 @@
 ) -> answers::Result<Reply> {
     let web::exchange::Request { method, path, query, headers, body, .. } = request;
     let arrived = state.now();
-    let body = body.whole(MAX_BODY).await.map_err(|err| answers::unreadable(&err))?;
+    let body = body.whole(max_body(state)).await.map_err(|err| answers::unreadable(&err))?;
     let method = CompactString::from(method.as_str());
     let arrival = Arrival { arrived, method, path, query, headers, body };
     let shared = sync::Arc::clone(state);
@@ -111,19 +116,30 @@
     }
 }
 
+fn max_body(state: &state::State) -> usize {
+    let limits = state.running().and_then(|it| it.document().limits);
+    let bytes = limits.map_or(MAX_BODY, |it| usize::try_from(it.body_bytes).unwrap_or(MOST_BODY));
+    bytes.min(MOST_BODY)
+}
+
 /// Decides what a request is, and chooses its first target when it needs no claim.
 fn prepare(state: &sync::Arc<state::State>, arrival: Arrival) -> answers::Result<Prepared> {
     let Arrival { arrived, method, path, query, mut headers, body } = arrival;
-    let plan = plan(state, arrived, &method, &path, &headers)?;
+    let dialect = &state.settings.dialect;
+    let asked = (dialect.read)(&headers).map_err(|detail| answers::malformed(&detail))?;
+    let host = host(&headers);
+    let plan = plan(state, arrived, &method, &host, &path, &asked)?;
     let Plan { config, route, service, home, class, budget, deadline, idempotent, loan } = plan;
     let fingerprint = requests::Fingerprint::of(&service, &method, &path, &body);
     let suspect = is_suspect(state, &fingerprint, &method, &path)?;
-    let key = headers::text(&headers, headers::KEY).map(CompactString::from);
     check_age(&headers)?;
-    headers::clean(&mut headers);
+    headers::clean(&mut headers, dialect.reserved);
+    (dialect.sign)(&mut headers, &dialect::Origin { service: &state.settings.service });
     let contract = config.route(route).ok_or_else(answers::no_route)?;
     let keyless = contract.keyless;
+    let name = || format_compact!("{:016x}", rand::random::<u64>());
     let head = forwarding::RequestHead {
+        id: asked.id.unwrap_or_else(name),
         service,
         route: contract.name.clone(),
         method,
@@ -141,7 +157,7 @@
         suspect,
     };
     let job = state::Job { config, route, head, deadline, body };
-    let step = match key {
+    let step = match asked.key {
         _ if idempotent => Step::Send(Box::new(sending::begin(state, job))),
         Some(key) => Step::Claim { job: Box::new(job), home, key },
         None if keyless => Step::Send(Box::new(sending::begin(state, job))),
@@ -155,26 +171,23 @@
     state: &sync::Arc<state::State>,
     now: time::Time,
     method: &str,
+    host: &str,
     path: &str,
-    headers: &http::HeaderMap,
+    asked: &dialect::Asked,
 ) -> answers::Result<Plan> {
     if state.backend.lock().stopping {
         return Err(answers::stopping());
     }
     let config = state.running().ok_or_else(answers::no_version)?;
-    let route = config.find_route(path).ok_or_else(answers::no_route)?;
+    let route = config.find_route(host, path).ok_or_else(answers::no_route)?;
     let contract = config.route(route).ok_or_else(answers::no_route)?;
-    let service = config.service(contract.service).ok_or_else(answers::no_route)?;
-    let timeout = match headers::text(headers, headers::DEADLINE).map(str::parse) {
-        Some(Ok(millis)) => contract.timeout.min(std_time::Duration::from_millis(millis)),
-        Some(Err(_)) => return Err(answers::bad_deadline()),
-        None => contract.timeout,
-    };
-    let parent = headers::text(headers, headers::PARENT);
-    let (class, budget, deadline, parent) = match parent {
+    let service = contract.service_at(split_turn(state, contract));
+    let service = service.and_then(|it| config.service(it)).ok_or_else(answers::no_route)?;
+    let timeout = asked.limit.map_or(contract.timeout, |it| it.min(contract.timeout));
+    let (class, budget, deadline, parent) = match asked.parent.as_deref() {
         None => {
             let class = requests::Class::Caller;
-            (class, budget::Budget::first(timeout), now + timeout, None)
+            (class, budget::Budget::first(timeout, contract.attempts), now + timeout, None)
         }
         Some(text) => inherit(state, now, timeout, text)?,
     };
@@ -201,6 +214,23 @@
     })
 }
 
+/// The number of a request among those of its split route.
+fn split_turn(state: &state::State, route: &contracts::Route) -> u64 {
+    if route.parts.len() < 2 {
+        return 0;
+    }
+    let mut routing = state.routing.lock();
+    routing.split_turn = routing.split_turn.wrapping_add(1);
+    routing.split_turn
+}
+
+/// The host that a request names, without its port, in lower case.
+fn host(headers: &http::HeaderMap) -> CompactString {
+    let text = headers::text(headers, http::header::HOST.as_str()).unwrap_or_default();
+    let name = text.rsplit_once(':').filter(|it| it.1.bytes().all(|it| it.is_ascii_digit()));
+    CompactString::from(name.map_or(text, |it| it.0)).to_lowercase()
+}
+
 type Inherited = (requests::Class, budget::Budget, time::Time, Option<flights::FlightKey>);
 
 /// A backend server's call spends what its own request has left.
@@ -321,7 +351,7 @@
     answered: sending::Answered,
 ) -> answers::Result<Reply> {
     let sending::Answered { status, mut headers, body: source, standing } = answered;
-    headers::clean(&mut headers);
+    headers::clean(&mut headers, state.settings.dialect.reserved);
     let (sender, mut copy) = web::body::Body::channel(answering::CHUNKS);
     let declared = answering::declared(&headers);
     tokio::spawn(async move {
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -21,9 +21,6 @@
 /// Says that the answer is a stored one, and whether its body was too large to keep.
 pub(crate) const STORED: &str = "heatherwalk-stored";
 
-/// Fields that only the system may set.
-const RESERVED: [&str; 6] = [DEADLINE, NOT_RUN, OUTCOME, PARENT, REASON, STORED];
-
 /// A field's value as text.
 pub(crate) fn text<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
@@ -61,9 +58,9 @@
 }
 
 /// Removes what only the system may set, and what concerns one connection.
-pub(crate) fn clean(headers: &mut http::HeaderMap) {
+pub(crate) fn clean(headers: &mut http::HeaderMap, reserved: &[&str]) {
     web::headers::strip(headers);
-    for name in RESERVED {
-        headers.remove(name);
+    for name in reserved {
+        headers.remove(*name);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,12 +1,13 @@
 //! The role beside a backend server: takes requests, routes them and admits work.
 
 mod answering;
-mod answers;
+pub mod answers;
 mod attaching;
 pub mod backend;
 mod callers;
 mod choosing;
 mod claiming;
+pub mod dialect;
 mod flights;
 mod forward;
 mod gates;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -37,6 +37,7 @@
     endpoint: endpoint::Endpoint,
     callers: web::server::Server,
     announce: web::server::Server,
+    ready: Option<web::server::Server>,
     /// Serves the streams of other nodes.
     serving: task::JoinSet<()>,
     /// Do what is due.
@@ -61,6 +62,7 @@
         let state = sync::Arc::new(state::State::new(settings, links, instruments));
         let callers = bind_callers(&state).await?;
         let announce = bind_announce(&state).await?;
+        let ready = bind_ready(&state).await?;
         let mut serving = task::JoinSet::new();
         let shared = sync::Arc::clone(&state);
         serving.spawn(transport::serving::serve(
@@ -79,7 +81,7 @@
             callers.local_addr(),
             announce.local_addr(),
         );
-        Ok(Node { state, endpoint, callers, announce, serving, ticks })
+        Ok(Node { state, endpoint, callers, announce, ready, serving, ticks })
     }
 
     /// Where other processes connect.
@@ -112,6 +114,9 @@
         }
         let left = || until.saturating_duration_since(time::Instant::now());
         let announce = self.announce.stop(left().min(std_time::Duration::from_secs(1))).await;
+        if let Some(ready) = self.ready.take() {
+            ready.stop(std_time::Duration::ZERO).await;
+        }
         self.ticks.shutdown().await;
         // Ends the streams to controls. What remains are answers on their way to other nodes: the
         // backend server is done with them before their last bytes have arrived there.
@@ -139,12 +144,37 @@
 
 async fn bind_announce(state: &sync::Arc<state::State>) -> Result<web::server::Server> {
     let shared = sync::Arc::clone(state);
-    let router =
-        web::routers::announce(move |request| backend::answer(sync::Arc::clone(&shared), request));
+    let places = [
+        (http::Method::POST, "/announce", backend::Word::Announce),
+        (http::Method::POST, "/leave", backend::Word::Leave),
+    ];
+    let router = web::routers::fixed(&places, move |word, request| {
+        backend::answer(sync::Arc::clone(&shared), word, request)
+    });
     let limits = web::server::Limits::default();
     Ok(web::server::Server::bind(state.settings.announce, limits, router).await?)
 }
 
+/// Tells whoever sends callers here whether the node serves them.
+async fn bind_ready(state: &sync::Arc<state::State>) -> Result<Option<web::server::Server>> {
+    let Some(addr) = state.settings.ready else { return Ok(None) };
+    let shared = sync::Arc::clone(state);
+    let router = web::routers::ready(move |_| std::future::ready(readiness(&shared)));
+    Ok(Some(web::server::Server::bind(addr, web::server::Limits::default(), router).await?))
+}
+
+/// A node is ready when it runs a version, which it has from a control, and is not stopping.
+fn readiness(state: &state::State) -> web::exchange::Answer {
+    let (status, text) = if state.backend.lock().stopping {
+        (http::StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
+    } else if state.running().is_none() {
+        (http::StatusCode::SERVICE_UNAVAILABLE, "no version of the configuration yet\n")
+    } else {
+        (http::StatusCode::OK, "ready\n")
+    };
+    web::exchange::Answer::text(status, text)
+}
+
 async fn serve_stream(
     state: sync::Arc<state::State>,
     link: links::Link,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,10 +2,13 @@
 
 use std::{net, time};
 
+use compact_str::CompactString;
 use world::{hosts, mesh};
 
+use crate::dialect;
+
 /// Settings of a node, checked.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Settings {
     /// The regions, data centres, control hosts and links that the settings name.
     pub mesh: mesh::Mesh,
@@ -15,6 +18,17 @@
     pub callers: net::SocketAddr,
     /// Where the backend server of this host announces itself.
     pub announce: net::SocketAddr,
+    /// Where `GET /ready` tells whether the node serves callers; none when nobody asks.
+    pub ready: Option<net::SocketAddr>,
+    /// How callers and the backend server write what the mesh needs to know.
+    pub dialect: dialect::Dialect,
+    /// The service of this host's backend server, which is named as the origin of requests that
+    /// arrive here; empty when the dialect names none.
+    pub service: CompactString,
+    /// How long an announcement of the backend server holds without a renewal.
+    pub lease: time::Duration,
+    /// Whether the backend server returns floor tokens with its renewals.
+    pub tokens: bool,
     /// Where metrics are read.
     pub metrics: net::SocketAddr,
     /// Threads that decide.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -64,6 +64,8 @@
     pub(crate) local: local::Local,
     /// Where it listens; none before the first announcement.
     pub(crate) addr: Option<net::SocketAddr>,
+    /// The name under which it announced itself; empty when it has none.
+    pub(crate) instance: CompactString,
     /// The node is stopping and takes no new work.
     pub(crate) stopping: bool,
 }
@@ -73,6 +75,8 @@
     pub(crate) router: choose::Router,
     pub(crate) share: budget::Share,
     pub(crate) times: collections::HashMap<contracts::RouteKey, hedge::Times>,
+    /// Numbers the requests of split routes, from a random start.
+    pub(crate) split_turn: u64,
     pub(crate) rng: rngs::SmallRng,
 }
 
@@ -99,6 +103,7 @@
                 data_centre: place.data_centre.clone(),
                 level: document::LEVEL,
                 epoch: rand::random(),
+                tokens: settings.tokens,
             },
             attachment(&settings, &place),
             time::Time::ZERO,
@@ -117,15 +122,18 @@
             data_centre: place.data_centre.clone(),
             addr: addr.expect("the settings contain this host"),
         };
-        let local = local::Local::new(at, place.data_centre.clone(), mechanisms);
+        let mut local = local::Local::new(at, place.data_centre.clone(), mechanisms);
+        local.set_lease(settings.lease);
         let policy = routing::policy::DEFAULT;
         let routing = Routing {
             router: choose::Router::new(policy, routing::mechanisms::Mechanisms::default()),
             share: budget::Share::default(),
             times: collections::HashMap::new(),
+            split_turn: rand::random(),
             rng: rngs::SmallRng::from_os_rng(),
         };
-        let backend = Backend { local, addr: None, stopping: false };
+        let backend =
+            Backend { local, addr: None, instance: CompactString::default(), stopping: false };
         let suspicion = suspicion::Suspicion::default();
         State {
             pool: pool::Pool::spawn(settings.workers, 16_384),
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 use world::{contracts, time};
 
-use crate::{backend, flights, gates, headers, state, suspicion};
+use crate::{backend, dialect, flights, gates, headers, state, suspicion};
 
 /// How long the check for a dead process may take after a connection broke.
 const PROBE_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
@@ -92,22 +92,43 @@
         }
     };
     let held = admit(admission).await.map_err(refused)?;
-    let Some(addr) = state.backend.lock().addr else {
+    let (addr, instance) = {
+        let backend = state.backend.lock();
+        (backend.addr, backend.instance.clone())
+    };
+    let Some(addr) = addr else {
         return Err(refused(forwarding::NotRun::Absent));
     };
     let running = start(state, &order, held);
     let begun = state.now();
-    let result = state.client.send(call(state, &order, addr, running.flight)).await;
+    let parent = flights::encode(running.flight);
+    let handed = dialect::Handed {
+        addr,
+        instance: &instance,
+        left: order.deadline.since(begun),
+        parent: &parent,
+        id: &order.head.id,
+    };
+    let result = state.client.send(call(state, &order, &handed)).await;
     let backend = state.now().since(begun);
     let standing = standing(state, running.take_attempts(), backend);
     let failure = match result {
-        Ok(answer) if headers::text(&answer.headers, headers::NOT_RUN) == Some("true") => {
-            running.finish(work::Outcome::Failed);
-            Failure::NotRun(forwarding::NotRun::Shed)
-        }
         Ok(answer) => {
-            let web::exchange::Answer { status, headers, body } = answer;
-            return Ok(Answered { status, headers, body, running, standing });
+            let judge = state.settings.dialect.judge;
+            match judge(answer.status, &answer.headers, &handed) {
+                dialect::Judgement::Answered => {
+                    let web::exchange::Answer { status, headers, body } = answer;
+                    return Ok(Answered { status, headers, body, running, standing });
+                }
+                dialect::Judgement::NotRun => {
+                    running.finish(work::Outcome::Failed);
+                    Failure::NotRun(forwarding::NotRun::Shed)
+                }
+                dialect::Judgement::Foreign => {
+                    running.break_off(false);
+                    Failure::Unknown("the answer belongs to another request".into())
+                }
+            }
         }
         Err(web::client::Error::NotSent(reason)) => {
             log::info!(target: "decision", "backend server {addr} refused: {reason}");
@@ -262,8 +283,7 @@
 /// have yet shares the measurements of all unknown routes.
 fn route_key(state: &state::State, head: &forwarding::RequestHead) -> contracts::RouteKey {
     let config = state.running();
-    let path = head.path.split('?').next().unwrap_or_default();
-    config.and_then(|it| it.find_route(path)).unwrap_or_default()
+    config.and_then(|it| it.find_route_named(&head.route)).unwrap_or_default()
 }
 
 async fn admit(admission: Admission) -> Result<gates::Held, forwarding::NotRun> {
@@ -296,26 +316,21 @@
     Running { state: sync::Arc::clone(state), held: Some(held), flight, suspect, done: false }
 }
 
-fn call(
-    state: &state::State,
-    order: &Order,
-    addr: std::net::SocketAddr,
-    flight: flights::FlightKey,
-) -> web::client::Call {
+fn call(state: &state::State, order: &Order, handed: &dialect::Handed<'_>) -> web::client::Call {
     let head = &order.head;
     let mut fields = headers::decode(&head.fields);
-    headers::set(&mut fields, headers::PARENT, &flights::encode(flight));
-    let left = order.deadline.since(state.now()).as_millis();
-    headers::set(&mut fields, headers::DEADLINE, &format_compact!("{left}"));
+    let dialect = &state.settings.dialect;
+    (dialect.hand)(&mut fields, handed);
     let reuse =
         if head.idempotent { web::client::Reuse::Pooled } else { web::client::Reuse::Fresh };
     web::client::Call {
-        addr,
+        addr: handed.addr,
         method: head.method.parse().unwrap_or(http::Method::GET),
         path: head.path.clone(),
         headers: fields,
         body: web::body::Body::full(order.body.clone()),
         deadline: state.instant(order.deadline),
+        unframed: dialect.unframed,
         reuse,
     }
 }
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -16,6 +16,8 @@
 /// The head of a forwarded request, which the same message carries together with the body.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct RequestHead {
+    /// Names the request in the logs of all processes.
+    pub id: CompactString,
     /// The service that the sender's configuration names for the request.
     pub service: CompactString,
     /// The route that the sender chose.
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -1,5 +1,7 @@
 //! Messages between an operator's client and a control, as JSON over HTTP.
 
+use std::net;
+
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 use world::{document, faults};
@@ -19,6 +21,39 @@
 /// The path of the control's own state.
 pub const STATUS_PATH: &str = "/v1/status";
 
+/// The path of the whole document: GET shows the current one, PUT replaces it.
+pub const DOCUMENT_PATH: &str = "/v1/document";
+/// The path of the [`Hosts`], which needs no token. A process that looks for the mesh sends its own
+/// [`HostRecord`] by POST; GET only asks.
+pub const HOSTS_PATH: &str = "/v1/hosts";
+
+/// A control as processes find it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostRecord {
+    /// The name of the host.
+    pub name: CompactString,
+    /// The name of its region.
+    pub region: CompactString,
+    /// The name of its data centre.
+    pub data_centre: CompactString,
+    /// Where it listens for other processes.
+    pub addr: net::SocketAddr,
+    /// Its operators' port, by which seeds name it. Only a control that introduces itself says it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operators: Option<net::SocketAddr>,
+    /// Whether it is one of those that form the groups.
+    pub votes: bool,
+}
+
+/// The controls that a control knows.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hosts {
+    /// Whether the list is complete: the groups have been formed, or are about to be.
+    pub formed: bool,
+    /// The controls, the one that answers included.
+    pub controls: Vec<HostRecord>,
+}
+
 /// The path of one version.
 pub fn version_path(version: document::Version) -> CompactString {
     format_compact!("{VERSIONS_PATH}/{version}")
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -125,6 +125,7 @@
 
 fn head() -> forwarding::RequestHead {
     forwarding::RequestHead {
+        id: "q1".into(),
         service: "s".into(),
         route: "r".into(),
         method: "GET".into(),
@@ -320,8 +321,10 @@
         service: "s".into(),
         addr: "[::1]:9000".parse().expect("an address"),
         incarnation: 300,
+        sequence: 7,
         slots: 6,
         drain: true,
+        cold_ms: Some(500),
     };
     table.add("Announcement", &announcement);
     insta::assert_snapshot!(table.0);
--- a/crates/replicated/src/lib.rs
+++ b/crates/replicated/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod local;
 pub mod mechanisms;
 pub mod quarantine;
+pub mod replacing;
 pub mod versions;
--- a/crates/replicated/src/versions.rs
+++ b/crates/replicated/src/versions.rs
@@ -173,6 +173,11 @@
         self.answer(&verdict)
     }
 
+    /// The answer that the log holds for a request ID.
+    pub fn answered(&self, request: &str) -> Option<Answer> {
+        Some(self.answer(&self.answers.get(request)?.verdict))
+    }
+
     /// The index of the last entry applied.
     pub fn applied(&self) -> u64 {
         self.applied
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -49,9 +49,12 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 impl Budget {
-    /// The budget that the first node gives a caller's request.
-    pub fn first(timeout: time::Duration) -> Budget {
-        Budget { attempts: EXTRA_SENDS, depth: 1, remaining_ms: millis(timeout) }
+    /// The budget that the first node gives a caller's request. `targets` is how many targets its
+    /// route lets it be sent to, the first one included.
+    pub fn first(timeout: time::Duration, targets: Option<u32>) -> Budget {
+        let extra = targets.map_or(EXTRA_SENDS.into(), |it| it.saturating_sub(1));
+        let attempts = u8::try_from(extra).unwrap_or(EXTRA_SENDS).min(EXTRA_SENDS);
+        Budget { attempts, depth: 1, remaining_ms: millis(timeout) }
     }
 
     /// Checks a request as it arrives.
--- a/crates/routing/tests/sends.rs
+++ b/crates/routing/tests/sends.rs
@@ -51,7 +51,7 @@
         let mut most = 0;
         for seed in 0..2_000 {
             let mut rng = rngs::SmallRng::seed_from_u64(seed);
-            let mut budget = budget::Budget::first(time::Duration::from_secs(1));
+            let mut budget = budget::Budget::first(time::Duration::from_secs(1), None);
             let mut share = budget::Share::default();
             let mut runs = 0;
             loop {
@@ -110,7 +110,7 @@
     for budget in [true, false] {
         let mechanisms = mechanisms::Mechanisms { budget, share: false, ..Default::default() };
         let mut sends = vec![0; levels];
-        let mut first = budget::Budget::first(time::Duration::from_secs(1));
+        let mut first = budget::Budget::first(time::Duration::from_secs(1), None);
         call(&mut first, &mut sends, &mechanisms).expect("the first level is allowed");
         let total: u64 = sends.iter().sum();
         writeln!(out, "budget {budget}: {sends:?}, {total} in total").expect("text");
@@ -126,7 +126,7 @@
 fn attempts_are_conserved() {
     for seed in 0..500 {
         let mut rng = rngs::SmallRng::seed_from_u64(seed);
-        let mut held = vec![budget::Budget::first(time::Duration::from_secs(1))];
+        let mut held = vec![budget::Budget::first(time::Duration::from_secs(1), None)];
         for _ in 0..30 {
             let before: u8 = held.iter().map(|it| it.attempts).sum();
             let left = time::Duration::from_millis(500);
@@ -182,7 +182,10 @@
     contracts::Route {
         name: "listen".into(),
         prefix: "/listen".into(),
-        service: contracts::ServiceKey::default(),
+        host: None,
+        parts: vec![contracts::Part { service: contracts::ServiceKey::default(), weight: 1 }],
+        attempts: None,
+        objective: time::Duration::from_secs(1),
         timeout: time::Duration::from_secs(1),
         weight: 1,
         idempotency: contracts::Idempotency::ByMethod,
--- a/crates/transport/src/identity.rs
+++ b/crates/transport/src/identity.rs
@@ -7,12 +7,19 @@
 
 use compact_str::{CompactString, ToCompactString as _};
 use rustls::pki_types::{self, pem::PemObject as _};
+use sha2::Digest as _;
 use world::hosts;
 
 use crate::names;
 
 /// Permissions of a file with a private key: only its owner may read it.
 const KEY_MODE: u32 = 0o600;
+/// Keeps the key that is made of a secret apart from other uses of the same secret.
+const SECRET_PREFIX: &[u8] = b"heatherwalk authority key 1\0";
+/// What stands before the 32 bytes of an Ed25519 key in PKCS #8 (RFC 8410).
+const ED25519_PKCS8: &[u8] = &[
+    0x30, 0x2e, 0x02, 0x01, 0x00, 0x30, 0x05, 0x06, 0x03, 0x2b, 0x65, 0x70, 0x04, 0x22, 0x04, 0x20,
+];
 /// The subject of the authority's certificate. The key tells authorities apart.
 const AUTHORITY_NAME: &str = "heatherwalk authority";
 
@@ -87,6 +94,19 @@
         Ok(Authority { issuer: rcgen::Issuer::new(params, key), pem })
     }
 
+    /// The authority that every holder of a secret can make, the same one each time. Whoever knows
+    /// the secret can issue a certificate for any host, so it protects from processes outside the
+    /// mesh, not from those inside.
+    pub fn from_secret(secret: &str) -> Result<Authority> {
+        let seed = sha2::Sha256::new_with_prefix(SECRET_PREFIX).chain_update(secret).finalize();
+        let der = pki_types::PrivatePkcs8KeyDer::from([ED25519_PKCS8, seed.as_slice()].concat());
+        let key = rcgen::KeyPair::from_pkcs8_der_and_sign_algo(&der, &rcgen::PKCS_ED25519)?;
+        let params = authority_params();
+        let certificate = params.self_signed(&key)?;
+        let pem = Pem { certificate: certificate.pem(), key: key.serialize_pem() };
+        Ok(Authority { issuer: rcgen::Issuer::new(params, key), pem })
+    }
+
     /// Reads an authority from its PEM text.
     pub fn from_pem(pem: Pem) -> Result<Authority> {
         read_certificate(&pem.certificate)?;
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -67,6 +67,9 @@
     pub body: bodies::Body,
     /// When the whole answer must be there.
     pub deadline: tokio::time::Instant,
+    /// Whether an answer whose body ends with its connection counts as whole when the end is in
+    /// order.
+    pub unframed: bool,
     /// Which connection to use.
     pub reuse: Reuse,
 }
@@ -100,8 +103,8 @@
     /// Sends a request and waits for the head of its answer. Dropping the future, or the answer's
     /// body before its end, closes the connection, which cancels the work.
     pub async fn send(&self, call: Call) -> Result<exchange::Answer> {
-        let (deadline, reuse, is_head) =
-            (call.deadline, call.reuse, call.method == http::Method::HEAD);
+        let (deadline, reuse) = (call.deadline, call.reuse);
+        let unframed = call.unframed || call.method == http::Method::HEAD;
         let mut request = build_request(call)?;
         let capture = connect::capture_connection(&mut request);
         let connections = match reuse {
@@ -116,7 +119,7 @@
             }
             Err(_) => return Err(Error::MaybeSent("deadline passed".into())),
         };
-        check_framing(&response, is_head)?;
+        check_framing(&response, unframed)?;
         Ok(to_answer(response, deadline))
     }
 }
@@ -152,11 +155,11 @@
 }
 
 /// Refuses a body that ends with its connection: it would look whole after a crash as well.
-fn check_framing(response: &http::Response<body::Incoming>, is_head: bool) -> Result<()> {
+fn check_framing(response: &http::Response<body::Incoming>, unframed: bool) -> Result<()> {
     let headers = response.headers();
     let framed = headers.contains_key(http::header::CONTENT_LENGTH)
         || headers.contains_key(http::header::TRANSFER_ENCODING);
-    if framed || is_head || response.body().is_end_stream() {
+    if framed || unframed || response.body().is_end_stream() {
         return Ok(());
     }
     Err(Error::MaybeSent("the answer declares neither a length nor chunks".into()))
--- a/crates/web/src/routers.rs
+++ b/crates/web/src/routers.rs
@@ -49,13 +49,13 @@
     })
 }
 
-/// The router of the announce port, with `POST /announce` alone.
-pub fn announce<H, F>(handler: H) -> router::Router
+/// The router of the port that tells whether a process is ready, with `GET /ready` alone.
+pub fn ready<H, F>(handler: H) -> router::Router
 where
     H: Fn(exchange::Request) -> F + Send + Sync + 'static,
     F: Future<Output = exchange::Answer> + Send + 'static,
 {
-    fixed(&[(http::Method::POST, "/announce", ())], move |(), request| handler(request))
+    fixed(&[(http::Method::GET, "/ready", ())], move |(), request| handler(request))
 }
 
 /// The router of the metrics port, with `GET /metrics` alone.
--- a/crates/web/tests/serving.rs
+++ b/crates/web/tests/serving.rs
@@ -291,7 +291,12 @@
         (http::Method::POST, "/status", "change"),
     ];
     let routers = [
-        ("announce", routers::announce(move |_| async move { text("announced") })),
+        (
+            "announce",
+            routers::fixed(&[(http::Method::POST, "/announce", ())], move |(), _| async move {
+                text("announced")
+            }),
+        ),
         ("several", routers::fixed(&several, move |it, _| async move { text(it) })),
         ("metrics", routers::metrics(move |_| async move { text("values") })),
     ];
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -16,9 +16,13 @@
     services: SlotMap<contracts::ServiceKey, contracts::Service>,
     routes: SlotMap<contracts::RouteKey, contracts::Route>,
     service_names: collections::BTreeMap<CompactString, contracts::ServiceKey>,
-    prefixes: collections::BTreeMap<CompactString, contracts::RouteKey>,
+    route_names: collections::BTreeMap<CompactString, contracts::RouteKey>,
+    /// Routes by prefix, for each host that has some. The empty host stands for every host.
+    prefixes: collections::BTreeMap<CompactString, Prefixes>,
 }
 
+type Prefixes = collections::BTreeMap<CompactString, contracts::RouteKey>;
+
 impl Config {
     /// Builds the tables of a document, or lists what is wrong with it.
     pub fn build(
@@ -50,11 +54,11 @@
             config.service_names.insert(name.clone(), key);
         }
         for (name, spec) in &source.routes {
-            // Validation has shown that the service exists.
-            let service = config.service_names[&spec.service];
-            let route = build_route(name, spec, service, config.services[service].timeout);
+            let route = config.build_route(name, spec);
             let key = config.routes.insert(route);
-            config.prefixes.insert(spec.prefix.clone(), key);
+            config.route_names.insert(name.clone(), key);
+            let host = spec.host.clone().unwrap_or_default();
+            config.prefixes.entry(host).or_default().insert(spec.prefix.clone(), key);
         }
         config.source = source;
         config
@@ -90,49 +94,76 @@
         self.service_names.get(name).copied()
     }
 
-    /// The route with the longest prefix of `path`. A prefix ends at the end of a path segment.
-    pub fn find_route(&self, path: &str) -> Option<contracts::RouteKey> {
-        let mut end = path.len();
-        loop {
-            if let Some(&key) = self.prefixes.get(&path[..end]) {
-                return Some(key);
-            }
-            let slash = path[..end].rfind('/')?;
-            // "/a/b" is tried as "/a/b", "/a/", "/a", "/".
-            end = if slash + 1 < end { slash + 1 } else { slash };
+    /// The key of the route called `name`.
+    pub fn find_route_named(&self, name: &str) -> Option<contracts::RouteKey> {
+        self.route_names.get(name).copied()
+    }
+
+    /// The route of `host` with the longest prefix of `path`; without one, the route of every
+    /// host. A prefix ends at the end of a path segment.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<contracts::RouteKey> {
+        let find = |it: &str| longest(self.prefixes.get(it)?, path);
+        find(host).or_else(|| find(""))
+    }
+
+    fn build_route(&self, name: &CompactString, spec: &document::RouteSpec) -> contracts::Route {
+        let weighted = spec.split.iter().map(|it| (&it.service, it.weight));
+        let single = spec.split.is_empty().then_some((&spec.service, 1));
+        // Validation has shown that the services exist.
+        let parts: Vec<_> = single
+            .into_iter()
+            .chain(weighted)
+            .map(|(name, weight)| contracts::Part { service: self.service_names[name], weight })
+            .collect();
+        let millis = |it: u32| time::Duration::from_millis(it.into());
+        let longest = parts.iter().map(|it| self.services[it.service].timeout).max();
+        let timeout = spec.timeout_ms.map(millis).or(longest).unwrap_or_default();
+        let objective = spec.objective_ms.map_or(timeout, millis).min(timeout);
+        contracts::Route {
+            name: name.clone(),
+            host: spec.host.clone(),
+            prefix: spec.prefix.clone(),
+            parts,
+            attempts: spec.attempts,
+            objective,
+            timeout,
+            weight: spec.priority.map_or(spec.weight, weight_of),
+            idempotency: match spec.idempotent {
+                None => contracts::Idempotency::ByMethod,
+                Some(true) => contracts::Idempotency::Always,
+                Some(false) => contracts::Idempotency::Never,
+            },
+            keyless: spec.keyless,
+            hedge: spec.hedge,
         }
     }
 }
 
+/// Each rank counts half of the rank before it.
+fn weight_of(priority: u32) -> u32 {
+    const URGENT: u32 = 64;
+    (URGENT >> priority.min(6)).max(1)
+}
+
+fn longest(prefixes: &Prefixes, path: &str) -> Option<contracts::RouteKey> {
+    let mut end = path.len();
+    loop {
+        if let Some(&key) = prefixes.get(&path[..end]) {
+            return Some(key);
+        }
+        let slash = path[..end].rfind('/')?;
+        // "/a/b" is tried as "/a/b", "/a/", "/a", "/".
+        end = if slash + 1 < end { slash + 1 } else { slash };
+    }
+}
+
 fn build_service(name: &CompactString, spec: &document::ServiceSpec) -> contracts::Service {
     contracts::Service {
         name: name.clone(),
+        connections: spec.connections,
         home: spec.home.clone(),
         queue: spec.queue,
         slots: spec.slots,
         timeout: time::Duration::from_millis(spec.timeout_ms.into()),
     }
 }
-
-fn build_route(
-    name: &CompactString,
-    spec: &document::RouteSpec,
-    service: contracts::ServiceKey,
-    timeout: time::Duration,
-) -> contracts::Route {
-    let own = spec.timeout_ms.map(|it| time::Duration::from_millis(it.into()));
-    contracts::Route {
-        name: name.clone(),
-        prefix: spec.prefix.clone(),
-        service,
-        timeout: own.unwrap_or(timeout),
-        weight: spec.weight,
-        idempotency: match spec.idempotent {
-            None => contracts::Idempotency::ByMethod,
-            Some(true) => contracts::Idempotency::Always,
-            Some(false) => contracts::Idempotency::Never,
-        },
-        keyless: spec.keyless,
-        hedge: spec.hedge,
-    }
-}
--- a/crates/world/src/contracts.rs
+++ b/crates/world/src/contracts.rs
@@ -16,6 +16,8 @@
 pub struct Service {
     /// The name in the document.
     pub name: CompactString,
+    /// Connections that one target takes from all its callers together.
+    pub connections: Option<u32>,
     /// The region that keeps the service's claims; none lets the name decide.
     pub home: Option<CompactString>,
     /// Requests that may wait at one target.
@@ -31,10 +33,16 @@
 pub struct Route {
     /// The name in the document.
     pub name: CompactString,
+    /// The host that its requests name; none takes every host.
+    pub host: Option<CompactString>,
     /// The path prefix of its requests.
     pub prefix: CompactString,
-    /// The service that runs them.
-    pub service: ServiceKey,
+    /// The services that run them, with their shares. There is at least one.
+    pub parts: Vec<Part>,
+    /// Targets that one request may be sent to, the first one included.
+    pub attempts: Option<u32>,
+    /// Time within which an answer has its full worth; at most the time limit.
+    pub objective: time::Duration,
     /// Time limit of a request.
     pub timeout: time::Duration,
     /// Share of a crowded target, against other routes.
@@ -47,6 +55,15 @@
     pub hedge: bool,
 }
 
+/// A service's part of a route.
+#[derive(Clone, Copy, Debug)]
+pub struct Part {
+    /// The service.
+    pub service: ServiceKey,
+    /// Its share of the requests, in proportion to the sum over the parts.
+    pub weight: u32,
+}
+
 /// How to tell whether running a request twice is harmless.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Idempotency {
@@ -58,7 +75,25 @@
     Never,
 }
 
+/// The fraction of the golden ratio in 64 bits: its multiples fill the range most evenly.
+const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+
 impl Route {
+    /// The service for the request with this number. Over any run of numbers the shares differ
+    /// from the weights by about one request.
+    pub fn service_at(&self, number: u64) -> Option<ServiceKey> {
+        let total: u128 = self.parts.iter().map(|it| u128::from(it.weight)).sum();
+        let point = (u128::from(number.wrapping_mul(GOLDEN)) * total) >> 64;
+        let mut end = 0;
+        for part in &self.parts {
+            end += u128::from(part.weight);
+            if point < end {
+                return Some(part.service);
+            }
+        }
+        self.parts.last().map(|it| it.service)
+    }
+
     /// Whether a request with this method may run more than once.
     pub fn is_idempotent(&self, method: &str) -> bool {
         match self.idempotency {
--- a/crates/world/src/document.rs
+++ b/crates/world/src/document.rs
@@ -20,12 +20,21 @@
 pub const MAX_ROUTES: usize = 16_384;
 /// The longest name of a service, a route or a region, in bytes.
 pub const MAX_NAME: usize = 64;
+/// The longest host name of a route, in bytes.
+pub const MAX_HOST: usize = 255;
+/// The least urgent rank of a route.
+pub const MAX_PRIORITY: u32 = 1_000;
 /// The longest path prefix of a route, in bytes.
 pub const MAX_PREFIX: usize = 1_024;
 
 /// Bytes of an entry's field names, numbers and punctuation in JSON, at most.
-const ENTRY_BYTES: usize = 160;
+const ENTRY_BYTES: usize = 320;
+/// Bytes of a part's or a label's field names and punctuation in JSON, at most.
+const PART_BYTES: usize = 48;
+const LABELS_KEY: &str = "labels";
 const LEVEL_KEY: &str = "level";
+const LIMITS_KEY: &str = "limits";
+const REVISION_KEY: &str = "revision";
 const ROUTES_KEY: &str = "routes";
 const SERVICES_KEY: &str = "services";
 const DEFAULT_QUEUE: u32 = 16;
@@ -110,9 +119,18 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
+    /// What front ends keep with the document. It has no meaning here.
+    #[serde(default, skip_serializing_if = "Labels::is_empty")]
+    pub labels: Labels,
     /// The feature level that a process needs to apply this document.
     #[serde(default)]
     pub level: u32,
+    /// What callers may send, and how long they may take.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<LimitsSpec>,
+    /// The operator's own number of this document, for operators who count versions themselves.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub revision: u64,
     /// Routes by name.
     #[serde(default)]
     pub routes: collections::BTreeMap<CompactString, RouteSpec>,
@@ -121,14 +139,40 @@
     pub services: collections::BTreeMap<CompactString, ServiceSpec>,
 }
 
+/// Values that a front end keeps with an entry, by name.
+pub type Labels = collections::BTreeMap<CompactString, serde_json::Value>;
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LimitsSpec {
+    /// Bytes of a request's body.
+    pub body_bytes: u64,
+    /// Bytes of a request's head.
+    pub header_bytes: u64,
+    /// How long a head may take, in milliseconds.
+    pub header_ms: u32,
+    /// How long a connection may be without a request, in milliseconds.
+    pub idle_ms: u32,
+}
+
 /// A service: backend servers that give the same answers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceSpec {
+    /// Connections that one target takes from all its callers together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections: Option<u32>,
+    /// The path that a target answers while it is healthy.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health: Option<CompactString>,
     /// The region whose control hosts keep the claims of the service's non-idempotent requests.
     /// Without it these requests are refused, unless their route is keyless.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub home: Option<CompactString>,
+    /// What front ends keep with the service.
+    #[serde(default, skip_serializing_if = "Labels::is_empty")]
+    pub labels: Labels,
     /// Requests that may wait at one target.
     #[serde(default = "default_queue")]
     pub queue: u32,
@@ -144,19 +188,39 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteSpec {
+    /// Targets that one request may be sent to, the first one included.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempts: Option<u32>,
     /// Whether a slow request may be sent a second time to another target.
     #[serde(default)]
     pub hedge: bool,
+    /// The host that the requests name; without it the route takes the requests of every host
+    /// that has no route of its own for the path.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<CompactString>,
     /// Whether running a request twice is harmless; by default the HTTP method decides.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub idempotent: Option<bool>,
     /// Whether a non-idempotent request without an idempotency key is accepted.
     #[serde(default)]
     pub keyless: bool,
+    /// What front ends keep with the route.
+    #[serde(default, skip_serializing_if = "Labels::is_empty")]
+    pub labels: Labels,
+    /// Time within which an answer has its full worth to the caller, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective_ms: Option<u32>,
     /// The path prefix of the requests; the longest prefix wins.
     pub prefix: CompactString,
-    /// The service that runs the requests.
+    /// Rank among the routes of a crowded target, 0 the most urgent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u32>,
+    /// The service that runs the requests; empty when they are split.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
     pub service: CompactString,
+    /// Services that share the requests, instead of one service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<PartSpec>,
     /// Time limit of a request, in milliseconds; by default the service's.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub timeout_ms: Option<u32>,
@@ -165,6 +229,24 @@
     pub weight: u32,
 }
 
+/// A service's part of a split route.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PartSpec {
+    /// The service.
+    pub service: CompactString,
+    /// Its share of the requests, in proportion to the sum of the route's weights.
+    pub weight: u32,
+}
+
+impl RouteSpec {
+    /// The services that the route sends requests to.
+    pub fn services(&self) -> impl Iterator<Item = &CompactString> {
+        let single = (!self.service.is_empty()).then_some(&self.service);
+        single.into_iter().chain(self.split.iter().map(|it| &it.service))
+    }
+}
+
 /// Parses a document from JSON.
 pub fn parse(value: &serde_json::Value) -> Result<Document> {
     Document::deserialize(value).map_err(|err| shape("document", &err))
@@ -203,6 +285,7 @@
 pub fn digest(document: &Document) -> DocumentDigest {
     let mut digest = DocumentDigest::default();
     digest.toggle(LEVEL_KEY, "", &document.level);
+    toggle_extras(&mut digest, document);
     document.routes.iter().for_each(|(name, it)| digest.toggle(ROUTES_KEY, name, it));
     document.services.iter().for_each(|(name, it)| digest.toggle(SERVICES_KEY, name, it));
     digest
@@ -242,6 +325,8 @@
     patch: &serde_json::Value,
     candidate: &Document,
 ) -> DocumentDigest {
+    toggle_extras(&mut digest, base);
+    toggle_extras(&mut digest, candidate);
     if base.level != candidate.level {
         digest.toggle(LEVEL_KEY, "", &base.level);
         digest.toggle(LEVEL_KEY, "", &candidate.level);
@@ -259,6 +344,24 @@
     digest
 }
 
+/// The entries beside the maps. What is absent does not count, so that documents of before these
+/// entries existed keep their digest.
+fn toggle_extras(digest: &mut DocumentDigest, document: &Document) {
+    if !document.labels.is_empty() {
+        digest.toggle(LABELS_KEY, "", &document.labels);
+    }
+    if let Some(limits) = &document.limits {
+        digest.toggle(LIMITS_KEY, "", limits);
+    }
+    if document.revision != 0 {
+        digest.toggle(REVISION_KEY, "", &document.revision);
+    }
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 fn shape(path: &str, detail: &dyn fmt::Display) -> Vec<faults::Fault> {
     vec![patches::fault(path, detail)]
 }
@@ -321,11 +424,24 @@
 /// longer than all other checks.
 fn size(document: &Document) -> usize {
     let home = |it: &ServiceSpec| it.home.as_ref().map_or(0, |it| it.len());
-    let services = document.services.iter().map(|(name, it)| ENTRY_BYTES + name.len() + home(it));
+    let health = |it: &ServiceSpec| it.health.as_ref().map_or(0, |it| it.len());
+    let services = document.services.iter().map(|(name, it)| {
+        ENTRY_BYTES + name.len() + home(it) + health(it) + labels_size(&it.labels)
+    });
     let routes = document.routes.iter();
-    let routes =
-        routes.map(|(name, it)| ENTRY_BYTES + name.len() + it.prefix.len() + it.service.len());
-    services.chain(routes).sum()
+    let routes = routes.map(|(name, it)| {
+        let parts: usize = it.split.iter().map(|it| PART_BYTES + it.service.len()).sum();
+        let host = it.host.as_ref().map_or(0, |it| it.len());
+        let texts = name.len() + it.prefix.len() + it.service.len() + host;
+        ENTRY_BYTES + texts + parts + labels_size(&it.labels)
+    });
+    let extras = labels_size(&document.labels);
+    services.chain(routes).sum::<usize>() + extras
+}
+
+fn labels_size(labels: &Labels) -> usize {
+    let text = |it: &serde_json::Value| it.to_string().len();
+    labels.iter().map(|(name, it)| name.len() + PART_BYTES + text(it)).sum()
 }
 
 fn check_service(name: &str, spec: &ServiceSpec, old: Option<&ServiceSpec>, faults: &mut Faults) {
@@ -360,9 +476,19 @@
         );
         faults.push(path("prefix"), faults::FaultKind::Form, detail);
     }
-    if !candidate.services.contains_key(&spec.service) {
-        let detail = format_compact!("there is no service {:?}", spec.service);
-        faults.push(path("service"), faults::FaultKind::Dangling, detail);
+    check_targets(&path, spec, candidate, faults);
+    if let Some(priority) = spec.priority {
+        faults.check_range(|| path("priority"), priority, 0, MAX_PRIORITY);
+    }
+    if let Some(objective) = spec.objective_ms {
+        faults.check_range(|| path("objective_ms"), objective, 1, 600_000);
+    }
+    if let Some(attempts) = spec.attempts {
+        faults.check_range(|| path("attempts"), attempts, 1, 100);
+    }
+    if spec.host.as_ref().is_some_and(|it| it.is_empty() || it.len() > MAX_HOST) {
+        let detail = format_compact!("a host must have 1 to {MAX_HOST} bytes");
+        faults.push(path("host"), faults::FaultKind::Form, detail);
     }
     if spec.hedge && spec.idempotent == Some(false) {
         let detail = "a non-idempotent route cannot be hedged".into();
@@ -370,10 +496,34 @@
     }
 }
 
+/// A route leads to one service, or to the parts of a split whose weights are not all zero.
+fn check_targets(
+    path: &impl Fn(&str) -> CompactString,
+    spec: &RouteSpec,
+    candidate: &Document,
+    faults: &mut Faults,
+) {
+    for service in spec.services() {
+        if !candidate.services.contains_key(service) {
+            let detail = format_compact!("there is no service {service:?}");
+            faults.push(path("service"), faults::FaultKind::Dangling, detail);
+        }
+    }
+    if spec.service.is_empty() == spec.split.is_empty() {
+        let detail = "a route has either a service or a split".into();
+        faults.push(path("service"), faults::FaultKind::Dangling, detail);
+    }
+    let total: u64 = spec.split.iter().map(|it| u64::from(it.weight)).sum();
+    if !spec.split.is_empty() && !(1..=u64::from(u32::MAX)).contains(&total) {
+        let detail = format_compact!("the weights add up to {total}");
+        faults.push(path("split"), faults::FaultKind::Range, detail);
+    }
+}
+
 fn check_prefixes(candidate: &Document, faults: &mut Faults) {
     let mut seen = collections::BTreeMap::new();
     for (name, spec) in &candidate.routes {
-        let Some(first) = seen.insert(&spec.prefix, name) else { continue };
+        let Some(first) = seen.insert((&spec.host, &spec.prefix), name) else { continue };
         let detail = format_compact!("{:?} is already the prefix of {first:?}", spec.prefix);
         let path = format_compact!("routes.{name}.prefix");
         faults.push(path, faults::FaultKind::Duplicate, detail);
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod hosts;
 pub mod links;
 pub mod mesh;
-mod patches;
+pub mod patches;
 pub mod requests;
 pub mod targets;
 pub mod time;
--- a/crates/world/src/patches.rs
+++ b/crates/world/src/patches.rs
@@ -23,17 +23,46 @@
     let mut faults = Vec::new();
     for (key, value) in fields {
         match key.as_str() {
+            "labels" => merge_value(&mut candidate.labels, key, value, &mut faults),
             "level" => merge_level(&mut candidate.level, value, &mut faults),
+            "limits" => merge_value(&mut candidate.limits, key, value, &mut faults),
+            "revision" => merge_value(&mut candidate.revision, key, value, &mut faults),
             "routes" => merge_entries(&mut candidate.routes, key, value, &mut faults),
             "services" => merge_entries(&mut candidate.services, key, value, &mut faults),
             // Removing what is not there changes nothing.
             _ if value.is_null() => {}
-            _ => faults.push(fault(key, &"expected one of level, routes, services")),
+            _ => faults.push(fault(
+                key,
+                &"expected one of labels, level, limits, revision, routes, services",
+            )),
         }
     }
     if faults.is_empty() { Ok(candidate) } else { Err(faults) }
 }
 
+/// The patch that makes `to` of `from`.
+pub fn between(from: &document::Document, to: &document::Document) -> serde_json::Value {
+    diff(&document::to_value(from), &document::to_value(to))
+}
+
+/// Only objects are compared field by field: a patch replaces anything else as a whole.
+fn diff(from: &serde_json::Value, to: &serde_json::Value) -> serde_json::Value {
+    let (serde_json::Value::Object(old), serde_json::Value::Object(new)) = (from, to) else {
+        return to.clone();
+    };
+    let removed = old.keys().filter(|it| !new.contains_key(*it));
+    let mut patch: serde_json::Map<_, _> =
+        removed.map(|it| (it.clone(), serde_json::Value::Null)).collect();
+    for (name, value) in new {
+        match old.get(name) {
+            Some(held) if held == value => {}
+            Some(held) => _ = patch.insert(name.clone(), diff(held, value)),
+            None => _ = patch.insert(name.clone(), value.clone()),
+        }
+    }
+    serde_json::Value::Object(patch)
+}
+
 /// The names in a section of the document that a patch may change.
 pub(crate) fn touched<'a>(
     patch: &'a serde_json::Value,
@@ -62,6 +91,27 @@
     }
 }
 
+/// Merges a value that stands for itself. Removing it gives it its default.
+fn merge_value<T: Default + Serialize + de::DeserializeOwned>(
+    held: &mut T,
+    key: &str,
+    change: &serde_json::Value,
+    faults: &mut Vec<faults::Fault>,
+) {
+    if change.is_null() {
+        *held = T::default();
+        return;
+    }
+    let merged = serde_json::to_value(&*held).and_then(|mut value| {
+        json_patch::merge(&mut value, change);
+        T::deserialize(value)
+    });
+    match merged {
+        Ok(it) => *held = it,
+        Err(err) => faults.push(fault(key, &err)),
+    }
+}
+
 fn merge_entries<T: Serialize + de::DeserializeOwned>(
     entries: &mut Entries<T>,
     section: &str,
--- a/crates/world/tests/documents.rs
+++ b/crates/world/tests/documents.rs
@@ -50,7 +50,7 @@
     let paths = ["/logs", "/logs/", "/logs/7", "/logs/certify/3", "/logsx", "/", "/other/a", ""];
     let mut out = String::new();
     for path in paths {
-        let route = config.find_route(path).and_then(|it| config.route(it));
+        let route = config.find_route("", path).and_then(|it| config.route(it));
         writeln!(out, "{path:?} -> {:?}", route.map(|it| it.name.as_str())).expect("text");
     }
     insta::assert_snapshot!(out);
--- a/xtask/src/bench/added_time.rs
+++ b/xtask/src/bench/added_time.rs
@@ -282,6 +282,7 @@
         headers,
         body: web::body::Body::full(bytes::Bytes::new()),
         deadline: tokio::time::Instant::now() + LIMIT,
+        unframed: false,
         reuse: web::client::Reuse::Pooled,
     }
 }
--- a/xtask/src/bench/distribution.rs
+++ b/xtask/src/bench/distribution.rs
@@ -376,6 +376,7 @@
         data_centre: "skulte".into(),
         level: document::LEVEL,
         epoch: 2,
+        tokens: true,
     };
     let attachment = attach::Attachment::new("control-skulte".into(), Vec::new());
     let mut node = follower::Follower::new(settings, attachment, now);
--- a/xtask/src/bench/distribution/model.rs
+++ b/xtask/src/bench/distribution/model.rs
@@ -105,6 +105,7 @@
                 data_centre: "skulte".into(),
                 level: document::LEVEL,
                 epoch: 2,
+                tokens: true,
             };
             let attachment = attach::Attachment::new("control-skulte".into(), Vec::new());
             Node {
