Keep work near, and refuse what cannot meet its objective

Cause: each node compared all targets of a service by measured latency, so two thirds of the requests crossed data centres, and a target queued work up to its deadline.

The policy near-first compares expected ends; leaving the data centre counts as a fifth of the objective. The target's node refuses what would wait past its objective, or longer than the sender's next target is worth; such a refusal moves the request without spending an attempt. Retries are limited per service.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -260,6 +260,13 @@
         if self.is_waiting(key) && self.mechanisms.deadlines && now + wait > latest {
             self.refuse(key, work::Reason::Deadline, effects);
         }
+        if self.is_waiting(key) && self.mechanisms.objectives {
+            let late = now + wait > self.routes.latest_start(lane, work.objective);
+            let dear = work.movable && work.patience.is_some_and(|it| wait > it);
+            if late || dear {
+                self.refuse(key, work::Reason::Busy, effects);
+            }
+        }
         if self.is_waiting(key) && blocked {
             self.refuse(key, work::Reason::Blocked, effects);
         }
--- a/crates/admission/src/limits.rs
+++ b/crates/admission/src/limits.rs
@@ -36,6 +36,8 @@
     pub internal: bool,
     /// Keep slots free of long work and stragglers.
     pub long: bool,
+    /// Refuse what would wait past its objective, or longer than is good for it.
+    pub objectives: bool,
     /// Keep suspects apart.
     pub suspects: bool,
     /// Order by weight; otherwise by arrival.
@@ -49,6 +51,7 @@
             deadlines: true,
             internal: true,
             long: true,
+            objectives: true,
             suspects: true,
             weights: true,
         }
--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -16,3 +16,14 @@
     /// Moving mean of the time that a request runs; zero before the first answer.
     pub service_time: time::Duration,
 }
+
+impl LoadReport {
+    /// How long new work would wait for a slot.
+    pub fn wait(&self) -> time::Duration {
+        if self.slots == 0 || self.in_flight + self.queued < self.slots {
+            return time::Duration::ZERO;
+        }
+        let before = self.in_flight + self.queued + 1 - self.slots;
+        self.service_time * before / self.slots
+    }
+}
--- a/crates/admission/src/work.rs
+++ b/crates/admission/src/work.rs
@@ -1,5 +1,7 @@
 //! Work as it is offered to a gate, and what the gate says about it.
 
+use std::time;
+
 use serde::{Deserialize, Serialize};
 use world::{contracts, requests, time::Time};
 
@@ -19,6 +21,10 @@
     pub class: requests::Class,
     /// When its answer is of no more use.
     pub deadline: Time,
+    /// Until when an answer has its full worth.
+    pub objective: Time,
+    /// The wait from which on another target is better for it; none when there is no other.
+    pub patience: Option<time::Duration>,
     /// Whether the sender can try another target and keeps an attempt of its budget for that, so
     /// that a refusal costs one send and not the answer.
     pub movable: bool,
@@ -43,6 +49,8 @@
 pub enum Reason {
     /// Long work and stragglers hold most slots or all, and another target may be free.
     Blocked,
+    /// It would wait for longer than its objective or its sender allows.
+    Busy,
     /// It could not be answered by its deadline.
     Deadline,
     /// The target takes no new work.
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -51,7 +51,17 @@
     /// Callers' work by route `route` with weight 10 and no deadline, which has nowhere to go.
     pub fn work(&self, route: usize) -> work::Work {
         let (route, deadline, class) = (self.routes[route], Time::MAX, Class::Caller);
-        work::Work { route, weight: 10, class, deadline, movable: false, suspect: false }
+        let objective = Time::MAX;
+        work::Work {
+            route,
+            weight: 10,
+            class,
+            deadline,
+            objective,
+            patience: None,
+            movable: false,
+            suspect: false,
+        }
     }
 
     pub fn offer(&mut self, work: work::Work, service: Duration) -> work::Answer {
--- a/crates/heatherwalk/src/dev.rs
+++ b/crates/heatherwalk/src/dev.rs
@@ -181,6 +181,7 @@
         service: "".into(),
         lease: membership::local::LEASE,
         tokens: true,
+        policy: routing::policy::DEFAULT,
         metrics: ports.take(),
         workers: 2,
         stop_limit: STOP_LIMIT,
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -285,6 +285,10 @@
         u64::try_from(membership::local::LEASE.as_millis()).unwrap_or(u64::MAX),
         |it| parse_range(it, 500, 60_000),
     );
+    let names = routing::policy::ALL.map(|it| it.name).join(" or ");
+    let policy = reader.optional("node", "policy", &names, routing::policy::DEFAULT, |it| {
+        routing::policy::find(it).copied()
+    });
     let tokens = reader.optional("node", "floor-tokens", "on or off", true, parse_switch);
     let Common { me, metrics, workers, stop_limit } = common?;
     Some(node::settings::Settings {
@@ -297,6 +301,7 @@
         service,
         lease: time::Duration::from_millis(lease),
         tokens,
+        policy,
         metrics,
         workers,
         stop_limit,
--- a/crates/heatherwalk/tests/contracts/mesh.rs
+++ b/crates/heatherwalk/tests/contracts/mesh.rs
@@ -67,6 +67,7 @@
             service: "".into(),
             lease: membership::local::LEASE,
             tokens: true,
+            policy: routing::policy::DEFAULT,
             metrics: local(),
             workers: 2,
             stop_limit: time::Duration::from_secs(1),
--- a/crates/heatherwalk/tests/processes/harness.rs
+++ b/crates/heatherwalk/tests/processes/harness.rs
@@ -233,13 +233,14 @@
     }
 
     fn spawn(&self, role: &str, name: &str) -> Process {
-        let log = fs::OpenOptions::new().create(true).append(true).open(self.file(name, "log"));
+        let open = || fs::OpenOptions::new().create(true).append(true).open(self.file(name, "log"));
+        let (log, errors) = (open(), open());
         let child = process::Command::new(env!("CARGO_BIN_EXE_heatherwalk"))
             .args([role, "--settings"])
             .arg(self.file(name, "ini"))
             .stdin(process::Stdio::null())
             .stdout(log.expect("a log file"))
-            .stderr(process::Stdio::null())
+            .stderr(errors.expect("a log file"))
             .spawn();
         Process(child.expect("the binary starts"))
     }
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -101,6 +101,7 @@
             service: "".into(),
             lease: membership::local::LEASE,
             tokens: true,
+            policy: routing::policy::DEFAULT,
             metrics: any(),
             workers: 2,
             stop_limit: STOP_LIMIT,
--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -10,6 +10,11 @@
 /// A result of this module: the answer of a backend server, or the node's own.
 pub(crate) type Result<T, E = Refusal> = std::result::Result<T, E>;
 
+/// Bounds of the time after which a refused caller is asked to come back. A slot is free for the
+/// next request within the longer one unless the target is overloaded for seconds.
+const SHORTEST_PAUSE: time::Duration = time::Duration::from_millis(10);
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(200);
+
 /// What is known about a request that a backend server did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Run {
@@ -140,9 +145,14 @@
 pub(crate) fn from_failure(failure: sending::Failure, late: bool) -> Refusal {
     let status = |in_time| if late { http::StatusCode::GATEWAY_TIMEOUT } else { in_time };
     match failure {
-        sending::Failure::NotRun(reason) => {
+        sending::Failure::NotRun(reason, free_in) => {
             let detail = format_compact!("no target ran the request: {reason}");
-            Refusal::not_run(status(http::StatusCode::SERVICE_UNAVAILABLE), "no-target", &detail)
+            let status = status(http::StatusCode::SERVICE_UNAVAILABLE);
+            let refusal = Refusal::not_run(status, "no-target", &detail);
+            match free_in {
+                Some(pause) => refusal.after(pause.clamp(SHORTEST_PAUSE, LONGEST_PAUSE)),
+                None => refusal,
+            }
         }
         sending::Failure::Quarantined => quarantined(),
         sending::Failure::Unknown(detail) => Refusal {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -30,6 +30,7 @@
     class: requests::Class,
     budget: budget::Budget,
     deadline: time::Time,
+    objective: time::Time,
     idempotent: bool,
     loan: loans::Loan,
 }
@@ -129,7 +130,8 @@
     let asked = (dialect.read)(&headers).map_err(|detail| answers::malformed(&detail))?;
     let host = host(&headers);
     let plan = plan(state, arrived, &method, &host, &path, &asked)?;
-    let Plan { config, route, service, home, class, budget, deadline, idempotent, loan } = plan;
+    let Plan { config, route, service, home, class, budget, deadline, objective, idempotent, loan } =
+        plan;
     let fingerprint = requests::Fingerprint::of(&service, &method, &path, &body);
     let suspect = is_suspect(state, &fingerprint, &method, &path)?;
     check_age(&headers)?;
@@ -151,12 +153,14 @@
         class,
         weight: contract.weight,
         budget,
+        objective_us: 0,
         movable: true,
+        patience_us: None,
         idempotent,
         fingerprint,
         suspect,
     };
-    let job = state::Job { config, route, head, deadline, body };
+    let job = state::Job { config, route, head, deadline, objective, body };
     let step = match asked.key {
         _ if idempotent => Step::Send(Box::new(sending::begin(state, job))),
         Some(key) => Step::Claim { job: Box::new(job), home, key },
@@ -191,6 +195,7 @@
         }
         Some(text) => inherit(state, now, timeout, text)?,
     };
+    let objective = now + contract.objective;
     let loan = loans::Loan::new(sync::Arc::clone(state), parent, budget.attempts);
     budget.check().map_err(|err| answers::out_of_budget(&err))?;
     log::info!(
@@ -210,6 +215,7 @@
         class,
         budget,
         deadline,
+        objective,
         loan,
     })
 }
@@ -297,7 +303,7 @@
             // Nothing was sent when the queue of jobs is full.
             let begun = begun.unwrap_or_else(|err| {
                 Err(sending::Failed {
-                    failure: sending::Failure::NotRun(format_compact!("{err}")),
+                    failure: sending::Failure::NotRun(format_compact!("{err}"), None),
                     unused: 0,
                 })
             });
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -18,6 +18,8 @@
     pub(crate) sent: Sent,
     /// What admission said, when the target is this host's and was asked in the same job.
     pub(crate) admission: Option<working::Admission>,
+    /// The wait from which on another target is better; none when there is no other.
+    pub(crate) patience: Option<std_time::Duration>,
     /// When a second send is due, if the route asks for it and its times are known.
     pub(crate) hedge_at: Option<time::Time>,
 }
@@ -36,7 +38,7 @@
 impl Sent {
     /// An answer has begun; the time until now counts.
     pub(crate) fn answered(mut self, standing: &forwarding::Standing) {
-        let load = load(standing);
+        let load = load(&standing.load);
         self.open = false;
         let elapsed = self.state.now().since(self.at);
         let state = sync::Arc::clone(&self.state);
@@ -132,9 +134,15 @@
         excluded: tried,
         idempotent: job.head.idempotent,
         deadline: job.deadline,
+        objective: job.objective.since(now),
     };
+    let own = directory.of_service(service).find(|it| it.1.entry.host == state.place.host);
     let mut routing = state.routing.lock();
     let routing = &mut *routing;
+    if let Some((own, _)) = own {
+        let load = load(&state.admission.lock().load(now));
+        routing.router.estimates.observe(now, own, load);
+    }
     let choice = routing.router.choose(now, &request, &mut routing.rng).inspect_err(|refusal| {
         let path = &job.head.path;
         log::info!(target: "decision", "no target of {service} for {path}: {refusal}");
@@ -142,7 +150,7 @@
     let trial = choice.reason.kind == choose::Kind::Trial;
     routing.router.estimates.sent(choice.target, trial);
     if tried.is_empty() {
-        routing.share.first(now);
+        routing.share(service).first(now);
     }
     let Some(target) = directory.get(choice.target) else {
         return Err(choose::Refusal::NoTargets);
@@ -171,7 +179,7 @@
         (Some(route), Some(times)) => times.due(route, &job.retry(), now),
         _ => None,
     };
-    Ok(Chosen { target, sent, admission: None, hedge_at })
+    Ok(Chosen { target, sent, admission: None, patience: choice.patience, hedge_at })
 }
 
 /// Tells the estimates how a send without an answer ended.
@@ -186,7 +194,7 @@
         working::Failure::NotRun(forwarding::NotRun::Refused) => {
             sent.failed(estimates::Failure::Unreachable);
         }
-        working::Failure::NotRun(_) => sent.refused(load(standing)),
+        working::Failure::NotRun(_) => sent.refused(load(&standing.load)),
         working::Failure::Unknown(_) if state.now() >= deadline => {
             sent.failed(estimates::Failure::TimedOut);
         }
@@ -205,6 +213,6 @@
     routing.times.entry(job.route).or_default().record(now, now.since(begun));
 }
 
-fn load(standing: &forwarding::Standing) -> estimates::Load {
-    estimates::Load { busy: standing.load.in_flight, queued: standing.load.queued }
+fn load(report: &admission::load::LoadReport) -> estimates::Load {
+    estimates::Load { busy: report.in_flight, queued: report.queued, service: report.service_time }
 }
--- a/crates/node/src/gates.rs
+++ b/crates/node/src/gates.rs
@@ -204,6 +204,7 @@
 fn convert(reason: work::Reason) -> forwarding::NotRun {
     match reason {
         work::Reason::Blocked => forwarding::NotRun::Blocked,
+        work::Reason::Busy => forwarding::NotRun::Busy,
         work::Reason::Deadline => forwarding::NotRun::Late,
         work::Reason::Draining => forwarding::NotRun::Draining,
         work::Reason::QueueFull => forwarding::NotRun::Full,
--- a/crates/node/src/hedging.rs
+++ b/crates/node/src/hedging.rs
@@ -73,7 +73,7 @@
     chosen: choosing::Chosen,
 ) -> impl Future<Output = Round> + Send + use<> {
     let state = sync::Arc::clone(state);
-    let job = course.pass_on(&state);
+    let job = course.pass_on(&state, chosen.patience);
     state.instruments.count_attempt();
     async move { sending::attempt(&state, job, chosen).await }
 }
@@ -90,7 +90,7 @@
     let budget = &mut course.job.head.budget;
     let refused = {
         let mut routing = state.routing.lock();
-        retry::extra_send(now, budget, &mut routing.share, &mechanisms)
+        retry::extra_send(now, budget, routing.share(&course.job.head.service), &mechanisms)
     };
     log::info!(
         target: "decision",
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -119,6 +119,7 @@
     match reason {
         forwarding::NotRun::Absent => "absent",
         forwarding::NotRun::Blocked => "blocked",
+        forwarding::NotRun::Busy => "busy",
         forwarding::NotRun::Draining => "draining",
         forwarding::NotRun::Full => "full",
         forwarding::NotRun::Late => "late",
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -1,6 +1,6 @@
 //! Sending a request to targets until one answers or no send is left.
 
-use std::sync;
+use std::{sync, time};
 
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
@@ -13,6 +13,10 @@
 /// second one, beside no other suspect, is the evidence against it.
 const MAX_CRASHES: u32 = 2;
 
+/// Sends of a request after refusals that no backend server saw. They cost the mesh a message and
+/// no target anything, so they are not counted as attempts.
+const MAX_MOVES: u8 = 2;
+
 /// A result of this module.
 pub(crate) type Result<T, E = Failed> = std::result::Result<T, E>;
 
@@ -45,8 +49,8 @@
 /// Why there is no answer.
 #[derive(Clone, Debug)]
 pub(crate) enum Failure {
-    /// The request was certainly not run by any target.
-    NotRun(CompactString),
+    /// The request was certainly not run by any target. With it comes when a target may be free.
+    NotRun(CompactString, Option<time::Duration>),
     /// It crashes backend servers and is refused; it was not run for this caller.
     Quarantined,
     /// It may have run.
@@ -68,6 +72,10 @@
     /// What was seen when a send ended in doubt.
     may_have_run: Option<CompactString>,
     crashes: u32,
+    /// Sends after a refusal that no backend server saw.
+    moves: u8,
+    /// When the least busy of the targets that refused may have a free slot.
+    free_in: Option<time::Duration>,
 }
 
 /// A request with its first target.
@@ -78,7 +86,10 @@
 
 /// Chooses the first target of a request, in a job.
 pub(crate) fn begin(state: &sync::Arc<state::State>, job: state::Job) -> Result<Begun> {
-    choose(state, Course { job, tried: Vec::new(), may_have_run: None, crashes: 0 })
+    choose(
+        state,
+        Course { job, tried: Vec::new(), may_have_run: None, crashes: 0, moves: 0, free_in: None },
+    )
 }
 
 /// Sends a request until a target answers it.
@@ -125,16 +136,37 @@
 
 impl Course {
     /// The request as it goes to one target. Half of the extra sends go along.
-    pub(crate) fn pass_on(&mut self, state: &state::State) -> state::Job {
+    pub(crate) fn pass_on(
+        &mut self,
+        state: &state::State,
+        patience: Option<time::Duration>,
+    ) -> state::Job {
         let mut job = self.job.clone();
-        job.head.movable = job.head.budget.attempts > 0;
+        self.allow(state, &mut job.head, patience);
         job.head.budget = self.job.head.budget.pass_on(job.deadline.since(state.now()));
         job
     }
 
+    /// Says to the target's node how long the request may wait there.
+    fn allow(
+        &self,
+        state: &state::State,
+        head: &mut forwarding::RequestHead,
+        patience: Option<time::Duration>,
+    ) {
+        let micros = |it: time::Duration| u64::try_from(it.as_micros()).unwrap_or(u64::MAX);
+        head.movable = self.moves < MAX_MOVES && patience.is_some();
+        head.patience_us = patience.map(micros);
+        head.objective_us = micros(self.job.objective.since(state.now()));
+    }
+
     /// Notes a send without an answer.
     pub(crate) fn note(&mut self, state: &state::State, ended: Ended) -> working::Failure {
         let Ended { sent, failure, standing } = ended;
+        if matches!(failure, working::Failure::NotRun(_)) {
+            let wait = standing.load.wait();
+            self.free_in = Some(self.free_in.map_or(wait, |it| it.min(wait)));
+        }
         choosing::record(state, self.job.deadline, sent, &failure, &standing);
         self.job.head.budget.settle(standing.attempts);
         if let working::Failure::Unknown(detail) = &failure {
@@ -154,6 +186,10 @@
                 let refusal = self.may_have_run.clone().map(Failure::Unknown);
                 return Err(self.failed(refusal.unwrap_or(Failure::Quarantined)));
             }
+            working::Failure::NotRun(reason) if !reason.was_sent() && self.moves < MAX_MOVES => {
+                self.moves += 1;
+                return Ok(self);
+            }
             working::Failure::NotRun(_) => retry::Outcome::NotRun,
             working::Failure::Unknown(_) => retry::Outcome::Unknown,
         };
@@ -176,7 +212,7 @@
     fn give_up(&self, reason: CompactString) -> Failed {
         self.failed(match &self.may_have_run {
             Some(detail) => Failure::Unknown(detail.clone()),
-            None => Failure::NotRun(reason),
+            None => Failure::NotRun(reason, self.free_in),
         })
     }
 
@@ -192,7 +228,7 @@
     if chosen.target.host == state.place.host {
         // Each wait for a worker costs a call about 0.2 ms, so this saves one.
         let mut head = course.job.head.clone();
-        head.movable = head.budget.attempts > 0;
+        course.allow(state, &mut head, chosen.patience);
         chosen.admission = Some(working::offer(state, &head, course.job.deadline));
     }
     Ok(Begun { course, chosen })
@@ -203,8 +239,9 @@
     let request = job.retry();
     let mechanisms = routing::mechanisms::Mechanisms::default();
     let mut routing = state.routing.lock();
+    let share = routing.share(&job.head.service);
     let budget = &mut job.head.budget;
-    let decision = retry::decide(now, outcome, &request, budget, &mut routing.share, &mechanisms);
+    let decision = retry::decide(now, outcome, &request, budget, share, &mechanisms);
     log::info!(
         target: "decision",
         "{} {} ended {outcome:?}: {decision:?}, {} sends left",
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -29,6 +29,8 @@
     pub lease: time::Duration,
     /// Whether the backend server returns floor tokens with its renewals.
     pub tokens: bool,
+    /// How targets are chosen.
+    pub policy: routing::policy::Policy,
     /// Where metrics are read.
     pub metrics: net::SocketAddr,
     /// Threads that decide.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -73,7 +73,8 @@
 /// The choice of targets.
 pub(crate) struct Routing {
     pub(crate) router: choose::Router,
-    pub(crate) share: budget::Share,
+    /// The sends to each service, which limit its retries.
+    pub(crate) shares: collections::HashMap<CompactString, budget::Share>,
     pub(crate) times: collections::HashMap<contracts::RouteKey, hedge::Times>,
     /// Numbers the requests of split routes, from a random start.
     pub(crate) split_turn: u64,
@@ -124,10 +125,10 @@
         };
         let mut local = local::Local::new(at, place.data_centre.clone(), mechanisms);
         local.set_lease(settings.lease);
-        let policy = routing::policy::DEFAULT;
+        let policy = settings.policy;
         let routing = Routing {
             router: choose::Router::new(policy, routing::mechanisms::Mechanisms::default()),
-            share: budget::Share::default(),
+            shares: collections::HashMap::new(),
             times: collections::HashMap::new(),
             split_turn: rand::random(),
             rng: rngs::SmallRng::from_os_rng(),
@@ -180,6 +181,11 @@
 }
 
 impl Routing {
+    /// The sends to a service.
+    pub(crate) fn share(&mut self, service: &CompactString) -> &mut budget::Share {
+        self.shares.entry(service.clone()).or_default()
+    }
+
     /// Carries measurements over to a new version, in which routes have other keys.
     pub(crate) fn rename_routes(
         &mut self,
@@ -226,6 +232,8 @@
     pub(crate) route: contracts::RouteKey,
     pub(crate) head: forwarding::RequestHead,
     pub(crate) deadline: time::Time,
+    /// Until when an answer has its full worth.
+    pub(crate) objective: time::Time,
     pub(crate) body: bytes::Bytes,
 }
 
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -236,6 +236,8 @@
         weight: head.weight,
         class: head.class,
         deadline,
+        objective: now + std_time::Duration::from_micros(head.objective_us),
+        patience: head.patience_us.map(std_time::Duration::from_micros),
         movable: head.movable,
         suspect: head.suspect || standing == suspicion::Standing::Suspect,
     };
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -34,8 +34,13 @@
     pub weight: u32,
     /// Extra sends, depth and time that are left.
     pub budget: routing::budget::Budget,
+    /// Time from now within which an answer has its full worth, in microseconds.
+    pub objective_us: u64,
     /// Whether the sender can try another target after a refusal.
     pub movable: bool,
+    /// The wait, in microseconds, from which on the sender's next target is better; none when it
+    /// has no other.
+    pub patience_us: Option<u64>,
     /// Whether running the request twice is harmless.
     pub idempotent: bool,
     /// Identifies requests that do the same.
@@ -51,6 +56,8 @@
     Absent,
     /// Long work holds the slots, and another target may be free.
     Blocked,
+    /// The wait would have been longer than its objective or the sender's patience.
+    Busy,
     /// The backend server is draining.
     Draining,
     /// The wait would have taken longer than the time that is left.
@@ -67,6 +74,13 @@
     Stopping,
 }
 
+impl NotRun {
+    /// Whether the backend server has seen the request, and refused it.
+    pub fn was_sent(self) -> bool {
+        self == NotRun::Shed
+    }
+}
+
 /// How things stand at the target's node when an answer leaves it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Standing {
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time};
 
 use rand::{Rng as _, rngs};
-use world::{targets, time::Time};
+use world::{mesh, targets, time::Time};
 
 use crate::{estimates, mechanisms, policy};
 
@@ -14,6 +14,9 @@
 pub const ESTIMATE_AGE: time::Duration = time::Duration::from_secs(5);
 /// Expected time of a target when none of the service has answered yet, in microseconds.
 const UNKNOWN_LATENCY: f32 = 10_000.0;
+/// The shortest wait that a request is given at a target, about that of one refusal and one more
+/// send.
+const MIN_PATIENCE: time::Duration = time::Duration::from_millis(3);
 /// Share of work that a target gets at the very beginning of its cold start.
 const FIRST_SHARE: f32 = 0.1;
 
@@ -43,6 +46,8 @@
     pub idempotent: bool,
     /// When its caller stops waiting.
     pub deadline: Time,
+    /// Time from now within which an answer has its full worth.
+    pub objective: time::Duration,
 }
 
 /// The chosen target.
@@ -52,6 +57,9 @@
     pub target: targets::TargetKey,
     /// Why it was chosen.
     pub reason: Reason,
+    /// The wait for a slot from which on another target is the better choice; none when there is
+    /// no other.
+    pub patience: Option<time::Duration>,
 }
 
 /// The reason of a choice, for the log line of the decision.
@@ -156,7 +164,8 @@
         }
         options.blend();
         let facts = &options.facts[..options.usable];
-        let view = policy::View { options: facts, turn: self.turn };
+        let objective = request.objective.as_secs_f32() * 1e6;
+        let view = policy::View { options: facts, turn: self.turn, objective };
         let chosen = facts[(self.policy.pick)(&self.policy, &view, rng)];
         let nearest = facts.iter().map(|it| it.round_trip).fold(f32::INFINITY, f32::min);
         let kind = match options.usable {
@@ -164,7 +173,25 @@
             _ if chosen.round_trip > nearest => Kind::Spill,
             _ => Kind::Preferred,
         };
-        Ok(self.choice(request, &options, &chosen, kind))
+        let mut choice = self.choice(request, &options, &chosen, kind);
+        choice.patience = self.patience(&options, &chosen, objective);
+        Ok(choice)
+    }
+
+    /// How long the request may wait at the chosen target before the next best one is better.
+    fn patience(
+        &self,
+        options: &Options,
+        chosen: &policy::Facts,
+        objective: f32,
+    ) -> Option<time::Duration> {
+        let others = options.facts[..options.usable].iter().filter(|it| it.index != chosen.index);
+        let ends = others.map(|it| policy::end(&self.policy, it, objective));
+        let next = ends.min_by(f32::total_cmp)?;
+        let without_wait = policy::end(&self.policy, chosen, objective) - chosen.wait;
+        // The move itself takes a round trip here and back.
+        let micros = (next + chosen.round_trip - without_wait).max(0.0);
+        Some(time::Duration::from_secs_f32(micros / 1e6).max(MIN_PATIENCE))
     }
 
     fn collect(&self, now: Time, request: &Request<'_>, rng: &mut rngs::SmallRng) -> Options {
@@ -220,13 +247,22 @@
         share: f32,
     ) -> (policy::Facts, Option<&estimates::Estimate>) {
         let estimate = self.estimates.get(candidate.key);
+        let slots = (candidate.slots as f32 * share).max(1.0);
+        let latency = estimate.map_or(UNKNOWN_LATENCY, |it| it.latency);
+        let service = estimate.map_or(0.0, |it| it.service);
+        let service = if service > 0.0 { service } else { latency };
+        let in_flight = estimate.map_or(0.0, |it| it.in_flight as f32);
+        let crowd = estimate.map_or(0.0, |it| it.crowd(now));
         let facts = policy::Facts {
             index: index as u32,
-            in_flight: estimate.map_or(0.0, |it| it.in_flight as f32),
+            in_flight,
             others: estimate.map_or(0.0, |it| it.others(now)),
-            slots: (candidate.slots as f32 * share).max(1.0),
-            latency: estimate.map_or(UNKNOWN_LATENCY, |it| it.latency),
+            slots,
+            latency,
             round_trip: 2.0 * candidate.link.as_secs_f32() * 1e6,
+            wait: (in_flight + crowd + 1.0 - slots).max(0.0) * service / slots,
+            service,
+            near: candidate.link <= mesh::LOCAL_LATENCY,
         };
         (facts, estimate)
     }
@@ -245,7 +281,7 @@
             ejected: options.ejected as u16,
             expected: self.policy.expected(facts),
         };
-        Choice { target: request.candidates[facts.index as usize].key, reason }
+        Choice { target: request.candidates[facts.index as usize].key, reason, patience: None }
     }
 }
 
--- a/crates/routing/src/estimates.rs
+++ b/crates/routing/src/estimates.rs
@@ -30,18 +30,22 @@
 pub const MAX_BACKOFF: time::Duration = time::Duration::from_secs(30);
 /// Age from which a load report counts for nothing.
 pub const LOAD_AGE: time::Duration = time::Duration::from_secs(5);
+/// Age from which a load report counts for nothing in the forecast of a wait.
+pub const CROWD_AGE: time::Duration = time::Duration::from_secs(1);
 /// Time since the last answer at which a load report counts half.
 pub const MEASURED_AGE: time::Duration = time::Duration::from_millis(500);
 /// Targets that a median is taken over at most; a larger service is sampled by its first ones.
 pub const MAX_PEERS: usize = 64;
 
 /// Work at a target, as its answers report it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
     /// Requests that run.
     pub busy: u32,
     /// Requests that wait.
     pub queued: u32,
+    /// Mean time that a request runs there; zero when it is not known.
+    pub service: time::Duration,
 }
 
 /// An answer, as routing sees it.
@@ -97,6 +101,9 @@
     pub failures: u32,
     /// When the estimate last changed.
     pub at: Time,
+    /// Mean time that a request runs at the target, as it last reported, in microseconds; zero
+    /// when it is not known.
+    pub service: f32,
     others: f32,
     others_at: Time,
     ejection: Option<Ejection>,
@@ -129,6 +136,13 @@
         self.others * trust * (1.0 - age.as_secs_f32() / LOAD_AGE.as_secs_f32())
     }
 
+    /// Work of others at the target as it last reported, for a forecast of the wait there. It fades
+    /// within [`CROWD_AGE`], in which a target with work of usual length gives most slots on.
+    pub fn crowd(&self, now: Time) -> f32 {
+        let age = now.since(self.others_at).as_secs_f32() / CROWD_AGE.as_secs_f32();
+        self.others * (1.0 - age).max(0.0)
+    }
+
     /// Whether a trial request may be sent. A trial risks a slow answer, so requests that can be
     /// sent again are preferred; a service that has no others is tried with any after a while.
     pub fn trial_due(&self, now: Time, idempotent: bool) -> bool {
@@ -182,6 +196,13 @@
         }
     }
 
+    /// Takes a target's load at first hand, for the target of this host.
+    pub fn observe(&mut self, now: Time, key: targets::TargetKey, load: Load) {
+        if let Some(estimate) = self.entry(key) {
+            estimate.report(now, load);
+        }
+    }
+
     /// Counts a refusal before the work ran. It shows load and no fault.
     pub fn refused(&mut self, now: Time, key: targets::TargetKey, load: Load, trial: bool) {
         if let Some(estimate) = self.entry(key) {
@@ -308,6 +329,9 @@
         let total = load.busy.saturating_add(load.queued);
         self.others = total.saturating_sub(self.in_flight) as f32;
         self.others_at = now;
+        if !load.service.is_zero() {
+            self.service = load.service.as_secs_f32() * 1e6;
+        }
     }
 
     fn learn(&mut self, now: Time, own: f32, median: Option<f32>) {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -14,6 +14,9 @@
     /// Largest random addition to an expected time, as a share of it. Nodes that see the same
     /// reports would otherwise choose the same target.
     pub jitter: f32,
+    /// What leaving the data centre adds to an expected time, as a share of the objective. Links
+    /// between data centres are slower to notice a fault, and their bytes are paid for.
+    pub distance: f32,
 }
 
 /// A target that may be used, in numbers.
@@ -31,6 +34,12 @@
     pub latency: f32,
     /// The way there and back, in microseconds.
     pub round_trip: f32,
+    /// Expected time until the target has a free slot, in microseconds.
+    pub wait: f32,
+    /// Expected time that the request runs there, in microseconds.
+    pub service: f32,
+    /// Whether it is in this node's data centre.
+    pub near: bool,
 }
 
 /// What a policy chooses from.
@@ -40,29 +49,48 @@
     pub options: &'a [Facts],
     /// Grows by one with each choice of this node.
     pub turn: usize,
+    /// The request's objective, in microseconds.
+    pub objective: f32,
 }
 
 /// Takes the targets in turn.
 pub const ROUND_ROBIN: Policy =
-    Policy { name: "round-robin", pick: pick_next, load_weight: 0.0, jitter: 0.0 };
+    Policy { name: "round-robin", pick: pick_next, load_weight: 0.0, jitter: 0.0, distance: 0.0 };
 
 /// Takes any target.
-pub const RANDOM: Policy = Policy { name: "random", pick: pick_any, load_weight: 0.0, jitter: 0.0 };
+pub const RANDOM: Policy =
+    Policy { name: "random", pick: pick_any, load_weight: 0.0, jitter: 0.0, distance: 0.0 };
 
 /// Compares two random targets by requests in flight from here times measured latency.
 pub const TWO_CHOICES: Policy =
-    Policy { name: "two-choices", pick: pick_of_two, load_weight: 0.0, jitter: 0.0 };
+    Policy { name: "two-choices", pick: pick_of_two, load_weight: 0.0, jitter: 0.0, distance: 0.0 };
 
 /// Takes the least expected time over all targets: link, measured latency and load.
-pub const LEAST_TIME: Policy =
-    Policy { name: "least-time", pick: pick_least_time, load_weight: 1.0, jitter: 0.1 };
+pub const LEAST_TIME: Policy = Policy {
+    name: "least-time",
+    pick: pick_least_time,
+    load_weight: 1.0,
+    jitter: 0.1,
+    distance: 0.0,
+};
+
+/// Takes the earliest expected end: the wait for a slot, the time that requests run there and the
+/// link. A target of another data centre has to be earlier by a share of the objective, so work
+/// stays near while it can still be answered in time there.
+pub const NEAR_FIRST: Policy = Policy {
+    name: "near-first",
+    pick: pick_earliest,
+    load_weight: 1.0,
+    jitter: 0.1,
+    distance: 0.2,
+};
 
 /// The policy with the best measured tail; the table is in docs/measurements.md under "Choice of
 /// target".
 pub const DEFAULT: Policy = LEAST_TIME;
 
 /// All policies, by name.
-pub const ALL: [&Policy; 4] = [&ROUND_ROBIN, &RANDOM, &TWO_CHOICES, &LEAST_TIME];
+pub const ALL: [&Policy; 5] = [&ROUND_ROBIN, &RANDOM, &TWO_CHOICES, &LEAST_TIME, &NEAR_FIRST];
 
 /// The policy called `name`.
 pub fn find(name: &str) -> Option<&'static Policy> {
@@ -80,6 +108,26 @@
     }
 }
 
+/// When a request is expected to be answered, in microseconds from now, with what its distance
+/// counts for.
+pub fn end(policy: &Policy, facts: &Facts, objective: f32) -> f32 {
+    let distance = if facts.near { 0.0 } else { policy.distance * objective };
+    facts.round_trip + facts.wait + facts.service + distance
+}
+
+fn pick_earliest(policy: &Policy, view: &View<'_>, rng: &mut rngs::SmallRng) -> usize {
+    let mut best = (0, f32::INFINITY);
+    for (index, facts) in view.options.iter().enumerate() {
+        // Only what is estimated varies; a wait that is known to be there does not.
+        let noise = policy.jitter * facts.service * rng.random::<f32>();
+        let cost = end(policy, facts, view.objective) + noise;
+        if cost < best.1 {
+            best = (index, cost);
+        }
+    }
+    best.0
+}
+
 fn pick_next(_: &Policy, view: &View<'_>, _: &mut rngs::SmallRng) -> usize {
     view.turn % view.options.len()
 }
--- a/crates/routing/tests/choices.rs
+++ b/crates/routing/tests/choices.rs
@@ -26,7 +26,8 @@
 
 fn request(candidates: &[choose::Candidate], now: Time) -> choose::Request<'_> {
     let deadline = now + time::Duration::from_secs(1);
-    choose::Request { candidates, excluded: &[], idempotent: true, deadline }
+    let objective = time::Duration::from_secs(1);
+    choose::Request { candidates, excluded: &[], idempotent: true, deadline, objective }
 }
 
 /// One node that sends a request each 10 ms. `work` gives the time at a target, none for a refused
@@ -253,6 +254,7 @@
             excluded: &excluded,
             idempotent: true,
             deadline: Time::from_millis(left),
+            objective: time::Duration::from_millis(left),
         };
         let mut rng = rngs::SmallRng::seed_from_u64(SEED);
         let text = match router.choose(Time::ZERO, &request, &mut rng) {
--- a/xtask/src/bench/admission/model.rs
+++ b/xtask/src/bench/admission/model.rs
@@ -203,6 +203,8 @@
                     weight: it.weight,
                     class: it.class,
                     deadline: Time::from_micros(micros),
+                    objective: Time::from_micros(micros),
+                    patience: None,
                     movable,
                     suspect: false,
                 };
--- a/xtask/src/bench/routing.rs
+++ b/xtask/src/bench/routing.rs
@@ -100,6 +100,7 @@
             excluded: &[],
             idempotent: true,
             deadline: now + time::Duration::from_secs(1),
+            objective: time::Duration::from_secs(1),
         };
         let Ok(choice) = router.choose(now, &request, &mut rng) else {
             continue;
@@ -109,7 +110,11 @@
         let sample = estimates::Sample {
             elapsed: time::Duration::from_micros(9_000 + u64::from(step % 100) * 20),
             link: time::Duration::from_micros(100),
-            load: Some(estimates::Load { busy: step % 12, queued: 0 }),
+            load: Some(estimates::Load {
+                busy: step % 12,
+                queued: 0,
+                ..estimates::Load::default()
+            }),
             trial,
         };
         let peers = candidates.iter().map(|it| it.key);
--- a/xtask/src/bench/routing/model.rs
+++ b/xtask/src/bench/routing/model.rs
@@ -200,6 +200,7 @@
             excluded: &request.tried,
             idempotent: request.idempotent,
             deadline: request.arrived + shapes::TIMEOUT,
+            objective: shapes::TIMEOUT,
         };
         let Ok(choice) = node.router.choose(self.now, &wanted, &mut node.rng) else {
             return self.end(index, shapes::TIMEOUT);
@@ -338,7 +339,11 @@
 
 impl Target {
     fn note(&mut self, now: Time) {
-        let load = estimates::Load { busy: self.busy as u32, queued: self.queue.len() as u32 };
+        let load = estimates::Load {
+            busy: self.busy as u32,
+            queued: self.queue.len() as u32,
+            ..estimates::Load::default()
+        };
         self.history.push_back((now, load));
     }
 
@@ -348,7 +353,10 @@
             self.history.pop_front();
         }
         let old = self.history.front().filter(|(at, _)| *at + lag <= now);
-        old.map_or(estimates::Load { busy: 0, queued: 0 }, |(_, load)| *load)
+        old.map_or(
+            estimates::Load { busy: 0, queued: 0, ..estimates::Load::default() },
+            |(_, load)| *load,
+        )
     }
 }
 
