Serve pipelined requests at the same time

Ruled out: waiting at the targets.

A connection is split at the ends of its requests; each request gets an HTTP connection of its own inside the process, and the answers go back in order. Requests with both a length and a transfer coding are refused. The last answer before a planned stop says that the connection closes.

--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod client;
 mod connection;
 pub mod exchange;
+mod framing;
 pub mod headers;
 pub mod routers;
 pub mod server;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,14 +1,13 @@
 //! The server: an accept loop with limits, and a graceful stop.
 
-use std::{convert, io, net, panic, sync, sync::atomic, time};
+use std::{io, net, panic, sync, sync::atomic, time};
 
 use gotham::{helpers::http::Body as GothamBody, router, service, state};
-use hyper::{body, body::Body as _};
-use hyper_util::{
-    rt::{TokioExecutor, TokioIo},
-    server::{conn::auto, graceful},
+use hyper::body;
+use tokio::{
+    sync::{oneshot, watch},
+    task,
 };
-use tokio::{sync::oneshot, task};
 
 use crate::{connection, headers};
 
@@ -93,7 +92,7 @@
             limits,
             router: sync::Arc::new(router),
             requests: sync::Arc::default(),
-            graceful: graceful::GracefulShutdown::new(),
+            stopping: watch::channel(false).0,
             tasks: task::JoinSet::new(),
             pause: FIRST_PAUSE,
         };
@@ -119,7 +118,7 @@
     limits: Limits,
     router: sync::Arc<router::Router>,
     requests: sync::Arc<connection::Requests>,
-    graceful: graceful::GracefulShutdown,
+    stopping: watch::Sender<bool>,
     tasks: task::JoinSet<()>,
     pause: time::Duration,
 }
@@ -158,16 +157,18 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY for {remote}: {error}");
         }
-        let watcher = self.graceful.watcher();
+        let stop = self.stopping.subscribe();
         let (limits, router, requests) = (self.limits, self.router.clone(), self.requests.clone());
-        self.tasks.spawn(serve(stream, remote, limits, router, requests, watcher));
+        self.tasks.spawn(serve(stream, remote, limits, router, requests, stop));
     }
 
     async fn stop(self, limit: time::Duration) -> Stopped {
-        let Acceptor { listener, requests, graceful, mut tasks, .. } = self;
+        let Acceptor { listener, requests, stopping, mut tasks, .. } = self;
         drop(listener);
         let before = requests.finished.load(atomic::Ordering::Relaxed);
-        let in_time = tokio::time::timeout(limit, graceful.shutdown()).await.is_ok();
+        stopping.send_replace(true);
+        let ended = async { while tasks.join_next().await.is_some() {} };
+        let in_time = tokio::time::timeout(limit, ended).await.is_ok();
         let cut_off = if in_time { 0 } else { requests.active.load(atomic::Ordering::Relaxed) };
         let after = requests.finished.load(atomic::Ordering::Relaxed);
         tasks.shutdown().await;
@@ -192,39 +193,26 @@
     limits: Limits,
     router: sync::Arc<router::Router>,
     requests: sync::Arc<connection::Requests>,
-    watcher: graceful::Watcher,
+    stop: watch::Receiver<bool>,
 ) {
-    let watch = sync::Arc::new(connection::Watch::new(requests));
-    let socket = TokioIo::new(connection::Socket::new(stream, watch.clone()));
-    let mut builder = auto::Builder::new(TokioExecutor::new()).http1_only();
-    builder.http1().max_buf_size(limits.header);
-    let handler_watch = watch.clone();
-    let service = hyper::service::service_fn(move |request| {
-        call(request, remote, limits, router.clone(), handler_watch.clone())
-    });
-    let served = watcher.watch(builder.serve_connection(socket, service).into_owned());
-    // Dropping the connection drops the handler's future, which cancels its work.
-    tokio::select! {
-        result = served => if let Err(error) = result {
-            log::debug!("connection from {remote} ended: {error}");
-        },
-        reason = watch.expired(&limits) => log::info!("closed the connection from {remote}: {reason}"),
+    let shared = sync::Arc::new(connection::Shared::new(requests));
+    let service = move |request, turn| call(request, turn, remote, limits, router.clone());
+    if let Err(reason) = connection::serve(stream, limits, shared, stop, service).await {
+        log::debug!("connection from {remote} ended: {reason}");
     }
 }
 
 async fn call(
     request: http::Request<body::Incoming>,
+    turn: connection::Turn,
     remote: net::SocketAddr,
     limits: Limits,
     router: sync::Arc<router::Router>,
-    watch: sync::Arc<connection::Watch>,
-) -> std::result::Result<http::Response<connection::Tracked<GothamBody>>, convert::Infallible> {
-    watch.begin();
-    let is_head = request.method() == http::Method::HEAD;
-    let response = if head_size(&request) > limits.header {
-        let mut refusal = bare(http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
-        refusal.headers_mut().insert(headers::NOT_RUN, http::HeaderValue::from_static("true"));
-        refusal
+) -> http::Response<GothamBody> {
+    let mut response = if turn.ambiguous {
+        refuse(http::StatusCode::BAD_REQUEST)
+    } else if head_size(&request) > limits.header {
+        refuse(http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
     } else {
         let state = state::State::from_request(request, remote);
         let response = service::call_handler(router, panic::AssertUnwindSafe(state)).await;
@@ -233,15 +221,18 @@
             bare(http::StatusCode::INTERNAL_SERVER_ERROR)
         })
     };
-    let bodyless = is_head
-        || response.status() == http::StatusCode::NO_CONTENT
-        || response.status() == http::StatusCode::NOT_MODIFIED;
-    let declared = response.headers().get(http::header::CONTENT_LENGTH);
-    let declared = declared.and_then(|it| it.to_str().ok()?.parse().ok());
-    Ok(response.map(|body| {
-        let whole = bodyless || body.is_end_stream() && declared.is_none_or(|it| it == 0);
-        connection::Tracked::new(body, watch, declared, whole)
-    }))
+    if turn.closes() || turn.ambiguous {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+/// Refuses a request that no handler gets.
+fn refuse(status: http::StatusCode) -> http::Response<GothamBody> {
+    let mut refusal = bare(status);
+    refusal.headers_mut().insert(headers::NOT_RUN, http::HeaderValue::from_static("true"));
+    refusal
 }
 
 /// Bytes of a request's head on the wire, but for the version and the spaces around values.
--- a/crates/web/tests/serving.rs
+++ b/crates/web/tests/serving.rs
@@ -92,6 +92,15 @@
                 + "\r\n0\r\n\r\n",
         ),
         ("bad chunk", post("transfer-encoding: chunked\r\n\r\nzz\r\n")),
+        (
+            "length and chunks",
+            post("content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
+        ),
+        (
+            "two codings",
+            post("transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
+        ),
+        ("signed length", post("content-length: +3\r\n\r\nabc")),
         ("two lengths", post("content-length: 3\r\ncontent-length: 4\r\n\r\nabcd")),
     ];
     let mut out = String::new();
@@ -244,6 +253,44 @@
     insta::assert_snapshot!(out);
 }
 
+/// Guards against a request that waits until the answer to the one before it on its connection is
+/// complete, and against answers in another order than the requests.
+#[tokio::test]
+async fn pipelined_requests() {
+    let go = Arc::new(Notify::new());
+    let handler_go = go.clone();
+    let server = start(limits(), move |request: exchange::Request| {
+        let go = handler_go.clone();
+        async move {
+            match request.path.as_str() {
+                // The first request ends only when the last one runs.
+                "/first" => go.notified().await,
+                "/last" => go.notify_one(),
+                _ => {}
+            }
+            echo(request).await
+        }
+    })
+    .await;
+    let text = "GET /first HTTP/1.1\r\n\r\n\
+                POST /body HTTP/1.1\r\ncontent-length: 4\r\n\r\nGET \
+                POST /chunks HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n\
+                GET /last HTTP/1.1\r\nconnection: close\r\n\r\nGET /behind HTTP/1.1\r\n\r\n";
+    for size in [text.len(), 7, 1] {
+        let mut stream = open(&server, b"").await;
+        for part in text.as_bytes().chunks(size) {
+            stream.write_all(part).await.expect("written");
+        }
+        let (answers, clean) = read_all(&mut stream).await;
+        let bodies: Vec<_> = answers.split("\r\n\r\n").skip(1).collect();
+        let paths: Vec<_> = bodies.iter().filter_map(|it| it.split(' ').nth(1)).collect();
+        assert_eq!(paths, ["/first", "/body", "/chunks", "/last"], "{size}: {answers}");
+        assert!(clean, "{size}");
+        assert!(bodies[1].contains("4 bytes") && bodies[2].contains("2 bytes"), "{answers}");
+        assert_eq!(answers.matches("connection: close").count(), 1, "{answers}");
+    }
+}
+
 /// Guards against a planned stop that cuts off a request, or that takes new ones.
 #[tokio::test]
 async fn graceful_stop() {
