--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -82,7 +82,7 @@
     pick: pick_earliest,
     load_weight: 1.0,
     jitter: 0.1,
-    distance: 0.2,
+    distance: 0.5,
 };
 
 /// The policy with the best measured tail; the table is in docs/measurements.md under "Choice of
