--- a/crates/membership/src/local.rs
+++ b/crates/membership/src/local.rs
@@ -109,6 +109,11 @@
         self.entry().is_some_and(|it| it.state.takes_work())
     }
 
+    /// Whether the backend server itself says how long its cold start lasts.
+    pub fn tells_cold_start(&self) -> bool {
+        self.backend.as_ref().is_some_and(|it| it.last.cold_ms.is_some())
+    }
+
     /// Takes an announcement or a renewal.
     pub fn announce(&mut self, now: Time, announcement: &messages::Announcement) -> Outcome {
         let Some(backend) = &mut self.backend else {
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -288,14 +288,20 @@
 
 fn admit(state: &state::State, now: time::Time, notice: local::Notice) {
     let config = state.running();
-    let entry = state.backend.lock().local.entry().cloned();
+    let (entry, told) = {
+        let backend = state.backend.lock();
+        (backend.local.entry().cloned(), backend.local.tells_cold_start())
+    };
     let Some(entry) = entry else { return };
     let mut gates = state.admission.lock();
     let limits = gates::limits(config.as_deref(), &entry.service, entry.slots);
     match notice {
         local::Notice::Arrived | local::Notice::Restarted | local::Notice::Returned => {
-            let ramp = match entry.state {
-                targets::State::Starting => limits::Ramp { since: now, length: targets::RAMP },
+            // A backend server that tells how long it is slow has all its slots meanwhile.
+            let ramp = match (entry.state, told) {
+                (targets::State::Starting, false) => {
+                    limits::Ramp { since: now, length: targets::RAMP }
+                }
                 _ => warm(now),
             };
             gates.open(now, limits, Some(ramp));
