--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -6,6 +6,10 @@
 
 use crate::{limits, load, queue, requests, routes, service_times, short_load, suspects, work};
 
+/// The longest wait for a slot, as a share of the time that is left for the objective. Under more
+/// demand than the slots carry, a longer queue carries no more work and makes all of it later.
+const MAX_WAIT: f32 = 0.3;
+
 /// Admission of one target.
 ///
 /// Each method first does what has become due. Whoever drives a gate performs the effects in
@@ -261,7 +265,8 @@
             self.refuse(key, work::Reason::Deadline, effects);
         }
         if self.is_waiting(key) && self.mechanisms.objectives {
-            let late = now + wait > self.routes.latest_start(lane, work.objective);
+            let latest = self.routes.latest_start(lane, work.objective);
+            let late = now + wait > latest || wait > work.objective.since(now).mul_f32(MAX_WAIT);
             let dear = work.movable && work.patience.is_some_and(|it| wait > it);
             if late || dear {
                 self.refuse(key, work::Reason::Busy, effects);
--- a/crates/heatherwalk/src/dev.rs
+++ b/crates/heatherwalk/src/dev.rs
@@ -183,6 +183,8 @@
         lease: membership::local::LEASE,
         tokens: true,
         policy: routing::policy::DEFAULT,
+        linger: time::Duration::ZERO,
+        retry_percent: routing::budget::SHARE_PERCENT,
         metrics: ports.take(),
         workers: 2,
         stop_limit: STOP_LIMIT,
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -291,6 +291,15 @@
     let policy = reader.optional("node", "policy", &names, routing::policy::DEFAULT, |it| {
         routing::policy::find(it).copied()
     });
+    let linger =
+        reader.optional("node", "linger-ms", "0 to 60000", 0, |it| parse_range(it, 0, 60_000));
+    let retry_percent = reader.optional(
+        "node",
+        "retry-percent",
+        "0 to 100",
+        routing::budget::SHARE_PERCENT,
+        |it| parse_range(it, 0, 100),
+    );
     let tokens = reader.optional("node", "floor-tokens", "on or off", true, parse_switch);
     let Common { me, metrics, workers, stop_limit } = common?;
     Some(node::settings::Settings {
@@ -304,6 +313,8 @@
         lease: time::Duration::from_millis(lease),
         tokens,
         policy,
+        linger: time::Duration::from_millis(linger),
+        retry_percent,
         metrics,
         workers,
         stop_limit,
--- a/crates/heatherwalk/tests/contracts/mesh.rs
+++ b/crates/heatherwalk/tests/contracts/mesh.rs
@@ -68,6 +68,8 @@
             lease: membership::local::LEASE,
             tokens: true,
             policy: routing::policy::DEFAULT,
+            linger: time::Duration::ZERO,
+            retry_percent: routing::budget::SHARE_PERCENT,
             metrics: local(),
             workers: 2,
             stop_limit: time::Duration::from_secs(1),
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -102,6 +102,8 @@
             lease: membership::local::LEASE,
             tokens: true,
             policy: routing::policy::DEFAULT,
+            linger: time::Duration::ZERO,
+            retry_percent: routing::budget::SHARE_PERCENT,
             metrics: any(),
             workers: 2,
             stop_limit: STOP_LIMIT,
--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -56,11 +56,6 @@
     Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "overloaded", detail)
 }
 
-pub(crate) fn stopping() -> Refusal {
-    let detail = "this node is stopping; send the request to another";
-    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "stopping", detail)
-}
-
 pub(crate) fn no_version() -> Refusal {
     let detail = "this node has no configuration yet; send the request again";
     Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-version", detail)
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -179,9 +179,6 @@
     path: &str,
     asked: &dialect::Asked,
 ) -> answers::Result<Plan> {
-    if state.backend.lock().stopping {
-        return Err(answers::stopping());
-    }
     let config = state.running().ok_or_else(answers::no_version)?;
     let route = config.find_route(host, path).ok_or_else(answers::no_route)?;
     let contract = config.route(route).ok_or_else(answers::no_route)?;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -108,7 +108,10 @@
         if self.state.pool.run(move || backend::drain(&shared)).await.is_err() {
             log::warn!("too much work; the drain of this node was not announced");
         }
-        let callers = self.callers.stop(limit).await;
+        // Callers come on until whoever sends them here has seen that this node is not ready.
+        time::sleep(self.state.settings.linger.min(limit)).await;
+        let callers =
+            self.callers.stop(until.saturating_duration_since(time::Instant::now())).await;
         while self.state.flights.lock().len() > 0 && time::Instant::now() < until {
             time::sleep(STOP_CHECK).await;
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -35,6 +35,11 @@
     pub metrics: net::SocketAddr,
     /// Threads that decide.
     pub workers: usize,
+    /// How long a planned stop goes on taking callers' requests. The backend server of this host
+    /// gets none of them.
+    pub linger: time::Duration,
+    /// Retries and hedges of a service, as a percentage of the requests for it.
+    pub retry_percent: u32,
     /// How long a planned stop waits for requests in flight.
     pub stop_limit: time::Duration,
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -74,6 +74,7 @@
 pub(crate) struct Routing {
     pub(crate) router: choose::Router,
     /// The sends to each service, which limit its retries.
+    pub(crate) retry_percent: u32,
     pub(crate) shares: collections::HashMap<CompactString, budget::Share>,
     pub(crate) times: collections::HashMap<contracts::RouteKey, hedge::Times>,
     /// Numbers the requests of split routes, from a random start.
@@ -128,6 +129,7 @@
         let policy = settings.policy;
         let routing = Routing {
             router: choose::Router::new(policy, routing::mechanisms::Mechanisms::default()),
+            retry_percent: settings.retry_percent,
             shares: collections::HashMap::new(),
             times: collections::HashMap::new(),
             split_turn: rand::random(),
@@ -183,7 +185,8 @@
 impl Routing {
     /// The sends to a service.
     pub(crate) fn share(&mut self, service: &CompactString) -> &mut budget::Share {
-        self.shares.entry(service.clone()).or_default()
+        let percent = self.retry_percent;
+        self.shares.entry(service.clone()).or_insert_with(|| budget::Share::new(percent))
     }
 
     /// Carries measurements over to a new version, in which routes have other keys.
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -12,7 +12,7 @@
 pub const EXTRA_SENDS: u8 = 2;
 /// Window over which a node counts its sends.
 pub const WINDOW: time::Duration = time::Duration::from_secs(10);
-/// Retries and hedges per hundred first sends of the window.
+/// Retries and hedges per hundred first sends of the window, unless the settings say otherwise.
 pub const SHARE_PERCENT: u32 = 10;
 /// Extra sends that a node may always make in a window. A node with fewer than ten requests in
 /// 10 s could otherwise never retry; over 25,000 nodes it is at most 7,500 sends a second, under
@@ -102,9 +102,16 @@
 }
 
 /// A node's sends of the last [`WINDOW`], which limit its retries and hedges.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Share {
     slots: [Slot; BUCKETS],
+    percent: u32,
+}
+
+impl Default for Share {
+    fn default() -> Share {
+        Share::new(SHARE_PERCENT)
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -115,6 +122,11 @@
 }
 
 impl Share {
+    /// A share of `percent` retries and hedges per hundred first sends.
+    pub fn new(percent: u32) -> Share {
+        Share { slots: [Slot::default(); BUCKETS], percent }
+    }
+
     /// Counts a first send.
     pub fn first(&mut self, now: Time) {
         let slot = self.slot(now);
@@ -140,7 +152,7 @@
                 extra += u64::from(slot.extra);
             }
         }
-        let allowed = (first * u64::from(SHARE_PERCENT) / 100).max(SHARE_FLOOR.into());
+        let allowed = (first * u64::from(self.percent) / 100).max(SHARE_FLOOR.into());
         extra < allowed
     }
 
