--- a/crates/admission/tests/mechanisms.rs
+++ b/crates/admission/tests/mechanisms.rs
@@ -6,7 +6,7 @@
 
 use admission::{limits, work};
 use support::{Event, Target, ms};
-use world::requests::Class;
+use world::{requests::Class, time::Time};
 
 const ON: limits::Mechanisms = limits::Mechanisms {
     blocked: true,
@@ -242,3 +242,57 @@
     }
     assert_eq!(target.gate.load(target.now).in_flight, 3, "the long route is not told apart");
 }
+
+/// A swing of demand to 1.5 times what 12 slots carry, with work of 90 to 270 ms and an objective
+/// of 500 ms. Returns answers within the objective, late answers and refusals.
+fn swing(mechanisms: limits::Mechanisms) -> [usize; 3] {
+    let mut target = Target::new(12, 24, mechanisms);
+    target.measure(0, ms(150), 20);
+    for step in 0..1_500_u64 {
+        let mut work = target.work(0);
+        work.deadline = target.now + ms(1_200);
+        work.objective = target.now + ms(500);
+        // A third of the work runs three times as long as the rest.
+        let service = if step.is_multiple_of(3) { 270 } else { 90 };
+        target.offer(work, ms(service));
+        target.run_until(target.now + ms(8));
+    }
+    target.run_until(target.now + ms(2_000));
+    let in_time =
+        |it: &&support::Job| it.at(Event::Finish).is_some_and(|at| at <= it.work.objective);
+    let timed: Vec<_> = target.jobs.iter().filter(|it| it.work.objective < Time::MAX).collect();
+    let finished = timed.iter().filter(|it| it.has(Event::Finish)).count();
+    let in_time = timed.iter().copied().filter(|it| in_time(it)).count();
+    [in_time, finished - in_time, timed.len() - finished]
+}
+
+/// Guards against a queue that makes all work late while demand exceeds the slots.
+#[test]
+fn objectives() {
+    let on = swing(ON);
+    let off = swing(limits::Mechanisms { objectives: false, ..ON });
+    insta::assert_snapshot!(format!("in time, late, refused: {on:?}; without: {off:?}"));
+    assert!(on[0] > off[0] && on[1] < off[1], "{on:?}, without {off:?}");
+}
+
+/// Guards against work that waits at a target for longer than on another one.
+#[test]
+fn patience() {
+    let mut out = String::new();
+    for (patience, movable) in [(5, true), (40, true), (400, true), (5, false)] {
+        let mut target = Target::new(2, 24, ON);
+        target.measure(0, ms(60), 20);
+        let mut work = target.work(0);
+        work.movable = movable;
+        work.patience = Some(ms(patience));
+        let answers: Vec<_> = (0..6)
+            .map(|_| match target.offer(work, ms(60)) {
+                work::Answer::Run(_) => "run",
+                work::Answer::Wait(_) => "wait",
+                work::Answer::Refuse(_) => "refuse",
+            })
+            .collect();
+        out += &format!("patience {patience} ms, movable {movable}: {answers:?}\n");
+    }
+    insta::assert_snapshot!(out);
+}
--- /dev/null
+++ b/crates/heatherwalk/tests/discovery.rs
@@ -0,0 +1,86 @@
+//! When a control that looks for its mesh knows enough.
+
+use std::{fmt::Write as _, net, time};
+
+use heatherwalk::discovery;
+use protocol::operators;
+
+fn addr(host: u8) -> net::SocketAddr {
+    (net::Ipv4Addr::new(10, host, 0, 1), 7000).into()
+}
+
+fn record(host: u8) -> operators::HostRecord {
+    operators::HostRecord {
+        name: format!("control-{host}").into(),
+        region: "vidzeme".into(),
+        data_centre: format!("dc-{host}").into(),
+        addr: addr(host),
+        operators: Some(addr(host)),
+        votes: false,
+    }
+}
+
+fn formed(hosts: &[u8]) -> operators::Hosts {
+    let controls = hosts.iter().map(|&it| operators::HostRecord {
+        votes: it <= 3,
+        operators: None,
+        ..record(it)
+    });
+    operators::Hosts { formed: true, controls: controls.collect() }
+}
+
+/// Guards against a second mesh beside a live one: a control with an empty disk that is not told
+/// that the mesh is new forms nothing, and against groups formed without one of the seeds.
+#[test]
+fn gathering() {
+    struct Case {
+        name: &'static str,
+        me: u8,
+        bootstrap: bool,
+        introduced: &'static [u8],
+        formed: Option<operators::Hosts>,
+        elapsed_ms: u64,
+    }
+    let case = |name, me, bootstrap, introduced, formed, elapsed_ms| Case {
+        name,
+        me,
+        bootstrap,
+        introduced,
+        formed,
+        elapsed_ms,
+    };
+    let cases = [
+        case("all seeds are there", 1, true, &[2, 3], None, 1_000),
+        case("too early for others", 1, true, &[2, 3], None, 100),
+        case("a seed is missing", 1, true, &[2], None, 60_000),
+        case("a fourth control that is no seed", 4, true, &[1, 2, 3], None, 1_000),
+        case("a seed with a fourth control", 1, true, &[2, 3, 4], None, 1_000),
+        case("an empty disk and no word", 1, false, &[2, 3], None, 60_000),
+        case("an empty disk beside a live mesh", 1, false, &[], Some(formed(&[1, 2, 3])), 0),
+        case("a new control beside a live mesh", 5, false, &[], Some(formed(&[1, 2, 3])), 0),
+        case("late to a new mesh", 3, true, &[], Some(formed(&[1, 2, 3])), 0),
+    ];
+    let mut out = String::new();
+    for case in cases {
+        let seeds =
+            discovery::Seeds { addrs: vec![addr(1), addr(2), addr(3)], bootstrap: case.bootstrap };
+        let mut gathering = discovery::Gathering::new(seeds, record(case.me));
+        for &it in case.introduced {
+            gathering.introduce(record(it));
+        }
+        if let Some(formed) = case.formed {
+            gathering.heard(formed);
+        }
+        assert!(!gathering.view().formed, "{}: a list is formed only by its result", case.name);
+        let result = gathering.result(time::Duration::from_millis(case.elapsed_ms));
+        let text = result.map_or("waits".into(), |it| {
+            let names = it.controls.iter().map(|it| match it.votes {
+                true => format!("{} votes", it.name),
+                false => it.name.to_string(),
+            });
+            names.collect::<Vec<_>>().join(", ")
+        });
+        writeln!(out, "{}: {text}", case.name).expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -137,3 +137,33 @@
         assert_eq!(local.takes_work(), takes_work, "leases: {leases}");
     }
 }
+
+/// Guards against an announcement that was overtaken on its way and revokes a drain, and against
+/// one that revokes a leave.
+#[test]
+fn late_announcements_and_leaving() {
+    let say = |sequence, drain| messages::Announcement { sequence, drain, ..announcement(50) };
+    let mut local = node(mechanisms::Mechanisms::default());
+    let mut out = String::new();
+    let mut note = |name: &str, local: &local::Local| {
+        writeln!(out, "{name}: {:?}", local.entry().map(|it| it.state)).expect("text");
+    };
+    local.announce(Time::ZERO, &messages::Announcement { cold_ms: Some(0), ..say(4, false) });
+    note("warm from the start", &local);
+    local.announce(Time::from_millis(10), &say(6, true));
+    note("it drains", &local);
+    local.announce(Time::from_millis(20), &say(5, false));
+    note("an older announcement comes late", &local);
+    local.announce(Time::from_millis(30), &say(7, false));
+    note("it no longer drains", &local);
+    local.leave(Time::from_millis(40));
+    note("it leaves", &local);
+    local.announce(Time::from_millis(50), &say(8, false));
+    note("it announces itself after it left", &local);
+    local.announce(
+        Time::from_millis(60),
+        &messages::Announcement { incarnation: 60, ..say(1, false) },
+    );
+    note("the next process", &local);
+    insta::assert_snapshot!(out);
+}
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -133,7 +133,8 @@
         let old = old.as_ref()?;
         {
             let route = old.route(key)?;
-            config.find_route(route.host.as_deref().unwrap_or_default(), &route.prefix)
+            let host = route.host.as_ref().map(CompactString::to_lowercase).unwrap_or_default();
+            config.find_route(&host, &route.prefix)
         }
     };
     state.routing.lock().rename_routes(renamed);
--- a/crates/routing/tests/choices.rs
+++ b/crates/routing/tests/choices.rs
@@ -269,3 +269,53 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against work that leaves its data centre while it can be answered in time there, and
+/// against work that stays when it cannot.
+#[test]
+fn near_first() {
+    let mut out = String::from("waiting at the near target: far, of 100 choices; patience\n");
+    // The far target is 2 ms there and back; both have 6 slots and run work for 60 ms.
+    let candidates = candidates(&[100, 1_000]);
+    let service = time::Duration::from_millis(60);
+    for queued in [0, 3, 6, 9, 12, 18, 30] {
+        let mut router = choose::Router::new(policy::NEAR_FIRST, mechanisms::Mechanisms::default());
+        let mut rng = rngs::SmallRng::seed_from_u64(SEED);
+        let now = Time::from_millis(1_000);
+        let near = estimates::Load { busy: 6, queued, service };
+        router.estimates.observe(now, candidates[0].key, near);
+        router.estimates.observe(now, candidates[1].key, estimates::Load { queued: 0, ..near });
+        let objective = time::Duration::from_millis(300);
+        let request = choose::Request { objective, ..request(&candidates, now) };
+        let choices: Vec<_> = (0..100)
+            .map(|_| router.choose(now, &request, &mut rng).expect("targets are there"))
+            .collect();
+        let far = choices.iter().filter(|it| it.target == candidates[1].key).count();
+        writeln!(out, "{queued}: {far}; {:?}", choices[0].patience).expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a silent node that goes on getting work, also when most targets are silent, and
+/// against one that is not tried again when its link heals.
+#[test]
+fn silent_nodes() {
+    let candidates = candidates(&[100, 1_000, 1_000, 1_000]);
+    let mut router = choose::Router::new(policy::NEAR_FIRST, mechanisms::Mechanisms::default());
+    let mut rng = rngs::SmallRng::seed_from_u64(SEED);
+    let keys: Vec<_> = candidates.iter().map(|it| it.key).collect();
+    let now = Time::from_millis(1_000);
+    for &key in &keys[1..] {
+        router.estimates.sent(key, false);
+        let failure = estimates::Failure::Silent;
+        router.estimates.failed(now, key, failure, false, keys.iter().copied());
+    }
+    let soon = now + time::Duration::from_millis(500);
+    for _ in 0..50 {
+        let choice = router.choose(soon, &request(&candidates, soon), &mut rng);
+        assert_eq!(choice.expect("one is left").target, keys[0]);
+    }
+    let later = now + time::Duration::from_millis(1_100);
+    let choice = router.choose(later, &request(&candidates, later), &mut rng).expect("a choice");
+    assert_eq!(choice.reason.kind, choose::Kind::Trial);
+}
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -57,7 +57,7 @@
             let route = config.build_route(name, spec);
             let key = config.routes.insert(route);
             config.route_names.insert(name.clone(), key);
-            let host = spec.host.clone().unwrap_or_default();
+            let host = spec.host.as_ref().map(CompactString::to_lowercase).unwrap_or_default();
             config.prefixes.entry(host).or_default().insert(spec.prefix.clone(), key);
         }
         config.source = source;
--- a/crates/world/tests/documents.rs
+++ b/crates/world/tests/documents.rs
@@ -105,3 +105,58 @@
     let places: Vec<_> = order.iter().map(|it| sorted.find(&format!("\"{it}\":"))).collect();
     assert!(places.is_sorted() && places.iter().all(Option::is_some), "{sorted}");
 }
+
+/// Guards against a route that takes the requests of another host, and against shares of a split
+/// that differ from its weights in a short run.
+#[test]
+fn hosts_and_splits() {
+    let text = r#"{"services":{"a":{},"b":{}},"routes":{
+        "any":{"prefix":"/","service":"a"},
+        "one":{"host":"one.example","prefix":"/x/","service":"b"},
+        "two":{"host":"two.example","prefix":"/x/","split":[
+            {"service":"a","weight":90},{"service":"b","weight":10}]}}}"#;
+    let value = serde_json::from_str(text).expect("test data is JSON");
+    let source = document::parse(&value).expect("a document");
+    let config = config::Config::build(document::Version(1), source).expect("valid");
+    let mut out = String::new();
+    for (host, path) in [
+        ("one.example", "/x/1"),
+        ("one.example", "/y"),
+        ("two.example", "/x/1"),
+        ("", "/x/1"),
+        ("three.example", "/x/1"),
+    ] {
+        let route = config.find_route(host, path).and_then(|it| config.route(it));
+        writeln!(out, "{host:?} {path}: {:?}", route.map(|it| it.name.as_str())).expect("text");
+    }
+    let split = config.find_route("two.example", "/x/1").and_then(|it| config.route(it));
+    let split = split.expect("there is a route");
+    let rare = config.find_service("b").expect("there is a service");
+    for start in [0, 7, u64::MAX - 50] {
+        let hits = (0..200).filter(|it| split.service_at(start.wrapping_add(*it)) == Some(rare));
+        let hits = hits.count();
+        assert!((18..=22).contains(&hits), "{hits} of 200 from {start}");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a patch between two documents that makes another document of the first.
+#[test]
+fn patches_between() {
+    let texts = [
+        r#"{}"#,
+        r#"{"services":{"a":{}},"routes":{"r":{"prefix":"/r","service":"a"}},"revision":4}"#,
+        r#"{"services":{"a":{},"b":{}},"routes":{"r":{"prefix":"/q","split":[
+            {"service":"a","weight":1},{"service":"b","weight":2}]}},"revision":9,
+            "labels":{"x":{"y":[1,null]}}}"#,
+    ];
+    let parse = |it: &str| {
+        document::parse(&serde_json::from_str(it).expect("test data is JSON")).expect("a document")
+    };
+    for from in texts.map(parse) {
+        for to in texts.map(parse) {
+            let patch = world::patches::between(&from, &to);
+            assert_eq!(document::merge(&from, &patch).expect("it merges"), to, "{patch}");
+        }
+    }
+}
