Try a control again soon when it was isolated only for an election

The nodes of its data centre tried the others within 0.6 s, before those had elected a leader, found them isolated as well and put them off for 5 s, so they ran the old version 2.3 s after the next change was acknowledged. Ruled out: the delta, which a foster control sends at once after the node attaches.

A control that was isolated when a node with a link tried it is tried again after 0.5 s.

--- a/crates/distribution/src/attach.rs
+++ b/crates/distribution/src/attach.rs
@@ -13,6 +13,9 @@
 pub const SILENCE: time::Duration = time::Duration::from_secs(3);
 /// How long a control that failed or is isolated comes after the others in the choice.
 pub const AVOIDANCE: time::Duration = time::Duration::from_secs(5);
+/// How long a control that was isolated when the node tried it comes after the others. An election
+/// is over soon, and a node whose home is cut off has to find the new leader's side.
+pub const ISOLATED_AVOIDANCE: time::Duration = time::Duration::from_millis(500);
 /// The backoff after the first failure.
 pub const BACKOFF_BASE: time::Duration = time::Duration::from_millis(100);
 /// The largest backoff.
@@ -148,6 +151,13 @@
         left
     }
 
+    /// Puts a control after the others until an election may be over.
+    pub fn avoid_isolated(&mut self, now: Time, control: ControlKey) {
+        if let Some(it) = self.controls.get_mut(control) {
+            it.avoid_until = it.avoid_until.max(now + ISOLATED_AVOIDANCE);
+        }
+    }
+
     fn add(&mut self, name: CompactString, source: floor::Source) {
         let key = self.controls.insert(Control { name, source, avoid_until: Time::ZERO });
         self.order.push(key);
--- a/crates/distribution/src/sessions.rs
+++ b/crates/distribution/src/sessions.rs
@@ -77,7 +77,7 @@
         effects: &mut Vec<Effect>,
     ) -> bool {
         if ack.isolated && self.attachment.link.is_some() && self.running.is_some() {
-            self.attachment.avoid(now, control);
+            self.attachment.avoid_isolated(now, control);
             self.attachment.trial = None;
             effects.push(Effect::Close(control));
             return false;
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -48,6 +48,8 @@
     pub corrupt: bool,
     /// How long a snapshot takes.
     pub snapshot_ms: u64,
+    /// Whether backend servers keep floor tokens; counts for nodes that start from here on.
+    pub tokens: bool,
     pub peers_asked: u32,
     pub most_slots: usize,
     pub rng: rngs::StdRng,
@@ -68,6 +70,7 @@
             duplicate: false,
             corrupt: false,
             snapshot_ms: LATENCY_MS,
+            tokens: true,
             peers_asked: 0,
             most_slots: 0,
             rng: rngs::StdRng::seed_from_u64(seed),
@@ -229,7 +232,7 @@
             data_centre: format!("dc-{home}").into(),
             level: 1,
             epoch: self.serial,
-            tokens: true,
+            tokens: self.tokens,
         };
         let attachment = attach::Attachment::new(name(home), others);
         let mut follower = follower::Follower::new(settings, attachment, self.now());
--- a/crates/heatherwalk/src/discovery.rs
+++ b/crates/heatherwalk/src/discovery.rs
@@ -47,6 +47,8 @@
     pub addrs: Vec<net::SocketAddr>,
     /// Whether the mesh starts for the first time, with empty disks.
     pub bootstrap: bool,
+    /// Whether the controls that form the groups keep claims as well.
+    pub claims: bool,
 }
 
 /// Finds the controls, for a node.
--- a/crates/heatherwalk/src/logs.rs
+++ b/crates/heatherwalk/src/logs.rs
@@ -4,7 +4,11 @@
 //! but they evaluate the expressions between their parentheses once the level passes. A decision
 //! whose arguments cost something to compute asks `log::log_enabled!(target: DECISION, ..)` first.
 
-use std::io;
+use std::{
+    io,
+    sync::{self, atomic, mpsc},
+    thread,
+};
 
 use crate::settings;
 
@@ -20,9 +24,57 @@
 /// A result of this module.
 pub type Result<T, E = log::SetLoggerError> = std::result::Result<T, E>;
 
-/// Writes the process's log to `out` from now on. Fails when there is a logger already.
+/// Lines that wait to be written, about 2 MB. More are dropped and counted.
+const QUEUE: usize = 8_192;
+
+/// Hands lines to a thread that writes them, so that a slow reader of the log holds up nothing.
+pub struct Lines {
+    queue: mpsc::SyncSender<Vec<u8>>,
+    dropped: sync::Arc<atomic::AtomicU64>,
+}
+
+impl Lines {
+    /// Starts the thread that writes to `out`.
+    pub fn spawn<W: io::Write + Send + 'static>(out: W, capacity: usize) -> Lines {
+        let (queue, lines) = mpsc::sync_channel(capacity);
+        let dropped = sync::Arc::new(atomic::AtomicU64::new(0));
+        let counter = sync::Arc::clone(&dropped);
+        thread::spawn(move || drain(out, &lines, &counter));
+        Lines { queue, dropped }
+    }
+}
+
+impl io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.queue.try_send(bytes.to_vec()).is_err() {
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until the logger is gone. A line that cannot be written is lost: there is no other
+/// place to say so.
+fn drain<W: io::Write>(mut out: W, lines: &mpsc::Receiver<Vec<u8>>, dropped: &atomic::AtomicU64) {
+    while let Ok(line) = lines.recv() {
+        let _ = out.write_all(&line);
+        let missing = dropped.swap(0, atomic::Ordering::Relaxed);
+        if missing > 0 {
+            let _ = writeln!(out, "[WARN] logs dropped={missing}");
+        }
+        let _ = out.flush();
+    }
+}
+
+/// Writes the process's log to `out` from now on, through a queue that never blocks. Fails when
+/// there is a logger already.
 pub fn open<W: io::Write + Send + 'static>(settings: settings::Log, out: W) -> Result<()> {
-    log::set_boxed_logger(Box::new(Logger::new(settings, out)))?;
+    let lines = Lines::spawn(out, QUEUE);
+    log::set_boxed_logger(Box::new(Logger::new(settings, lines)))?;
     // Set after the logger, so that no record is lost between the two steps.
     log::set_max_level(settings.level);
     Ok(())
--- a/crates/heatherwalk/src/roles.rs
+++ b/crates/heatherwalk/src/roles.rs
@@ -73,7 +73,7 @@
         let key = put_control(&mut settings.mesh, &record);
         if record.votes {
             settings.config_voters.push(key);
-            settings.claims_voters.push(key);
+            settings.claims_voters.extend(seeds.claims.then_some(key));
         }
         if record.name == name {
             settings.me = key;
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -161,7 +161,8 @@
     });
     let bootstrap =
         reader.optional("discovery", "bootstrap", "true or false", false, |it| it.parse().ok());
-    Some(discovery::Seeds { addrs: addrs.unwrap_or_default(), bootstrap })
+    let claims = reader.optional("discovery", "claims", "on or off", true, parse_switch);
+    Some(discovery::Seeds { addrs: addrs.unwrap_or_default(), bootstrap, claims })
 }
 
 fn read_controls(reader: &mut ini_reader::Reader, mesh: &mut mesh::Mesh) -> Votes {
@@ -272,7 +273,7 @@
 ) -> Option<node::settings::Settings> {
     let callers = reader.required("node", "callers", ADDR, parse_addr);
     let announce = reader.required("node", "announce", ADDR, parse_addr);
-    let ready = reader.optional("node", "ready", ADDR, None, |it| Some(parse_addr(it)?).map(Some));
+    let ready = reader.optional("node", "ready", ADDR, None, |it| parse_addr(it).map(Some));
     let names = dialects::NODE.map(|it| it.name).join(" or ");
     let dialect = reader.optional("node", "dialect", &names, node::dialect::OWN, |text| {
         dialects::NODE.into_iter().find(|it| it.name == text)
--- a/crates/heatherwalk/tests/logs.rs
+++ b/crates/heatherwalk/tests/logs.rs
@@ -85,3 +85,47 @@
     assert_eq!(formatted.get(), 1);
     assert!(logs::open(settings, io::sink()).is_err(), "a second logger would be ignored");
 }
+
+/// A sink that takes nothing until it is let go.
+struct Stuck {
+    gate: sync::mpsc::Receiver<()>,
+    sink: Sink,
+}
+
+impl io::Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.gate.recv();
+        self.sink.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a log that blocks its process when nobody reads it, that grows without bound, or
+/// that does not say how many lines are missing.
+#[test]
+fn stuck_reader() {
+    use io::Write as _;
+    let (open, gate) = sync::mpsc::channel();
+    let sink = Sink::default();
+    let mut lines = logs::Lines::spawn(Stuck { gate, sink: sink.clone() }, 10);
+    for number in 0..1_000 {
+        lines.write_all(format!("line {number}\n").as_bytes()).expect("it never fails");
+    }
+    drop(open);
+    lines.write_all(b"last\n").expect("it never fails");
+    let text = || String::from_utf8(sink.0.lock().expect("the sink").clone()).expect("text");
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(20);
+    while !text().contains("dropped=") && std::time::Instant::now() < until {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+    let text = text();
+    let kept = text.lines().filter(|it| it.starts_with("line ")).count();
+    assert!((10..=12).contains(&kept), "{kept} lines kept");
+    let counts = text.lines().filter_map(|it| it.split_once("dropped=")?.1.parse::<usize>().ok());
+    let missing: usize = counts.sum();
+    // The last line may be among those that were dropped.
+    assert!((1_000..=1_001).contains(&(kept + missing)), "{kept} kept, {missing} missing");
+}
--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -4,9 +4,10 @@
 
 use admission::work;
 use bytes::Bytes;
+use compact_str::CompactString;
 use world::time;
 
-use crate::{headers, instruments, sending, state};
+use crate::{answers, headers, instruments, sending, state};
 
 /// Chunks of an answer that wait for a slow caller.
 pub(crate) const CHUNKS: usize = 8;
@@ -34,15 +35,16 @@
     begun: time::Time,
     outcome: instruments::Outcome,
     added: std_time::Duration,
-    title: String,
+    id: CompactString,
+    reason: &'static str,
 }
 
 impl Count {
     /// Begins to count a request.
-    pub(crate) fn begin(state: sync::Arc<state::State>, title: String) -> Count {
+    pub(crate) fn begin(state: sync::Arc<state::State>, id: CompactString) -> Count {
         let begun = state.now();
         let outcome = instruments::Outcome::Cancelled;
-        Count { state, begun, outcome, added: std_time::Duration::ZERO, title }
+        Count { state, begun, outcome, added: std_time::Duration::ZERO, id, reason: "" }
     }
 
     /// The head of the answer is there. Of the time until now, the backend server took `backend`.
@@ -51,6 +53,20 @@
         self.added = elapsed.saturating_sub(backend);
     }
 
+    /// The node answers itself.
+    pub(crate) fn refused(&mut self, refusal: &answers::Refusal) {
+        self.reason = refusal.reason;
+        log::info!(
+            target: "decision",
+            "refused request={} status={} reason={} detail={:?} retry_after={:?}",
+            self.id,
+            refusal.status.as_u16(),
+            refusal.reason,
+            refusal.detail,
+            refusal.retry_after,
+        );
+    }
+
     /// The request has ended.
     pub(crate) fn end(mut self, outcome: instruments::Outcome) {
         self.outcome = outcome;
@@ -59,10 +75,13 @@
 
 impl Drop for Count {
     fn drop(&mut self) {
-        let Count { state, outcome, added, title, .. } = self;
+        let Count { state, outcome, added, id, reason, .. } = self;
         let total = state.now().since(self.begun);
         state.instruments.count_request(*outcome, total, *added);
-        log::info!(target: "decision", "{title} {outcome:?} after {total:?}, {added:?} of it added");
+        log::info!(
+            target: "decision",
+            "ended request={id} outcome={outcome:?} reason={reason} total={total:?} added={added:?}",
+        );
     }
 }
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -38,6 +38,9 @@
 /// A request as it arrived, with its whole body.
 struct Arrival {
     arrived: time::Time,
+    /// Names the request in the logs of all processes.
+    id: CompactString,
+    asked: dialect::Asked,
     method: CompactString,
     path: CompactString,
     query: Option<CompactString>,
@@ -73,10 +76,12 @@
     state: sync::Arc<state::State>,
     request: web::exchange::Request,
 ) -> web::exchange::Answer {
-    let title = format!("{} {}", request.method, request.path);
-    let mut count = answering::Count::begin(sync::Arc::clone(&state), title);
+    let asked = (state.settings.dialect.read)(&request.headers);
+    let id = asked.as_ref().ok().and_then(|it| it.id.clone());
+    let id = id.unwrap_or_else(|| format_compact!("{:016x}", rand::random::<u64>()));
+    let mut count = answering::Count::begin(sync::Arc::clone(&state), id.clone());
     let is_head = request.method == http::Method::HEAD;
-    match handle(&state, request).await {
+    match handle(&state, request, id, asked).await {
         Ok(Reply::Arriving(answered)) => {
             count.head(std_time::Duration::from_micros(answered.standing.backend_us));
             answering::stream(answered, is_head, count).await
@@ -87,6 +92,7 @@
             answer
         }
         Err(refusal) => {
+            count.refused(&refusal);
             count.end(match refusal.run {
                 answers::Run::Not => instruments::Outcome::NotRun,
                 answers::Run::Unknown => instruments::Outcome::Unknown,
@@ -99,12 +105,15 @@
 async fn handle(
     state: &sync::Arc<state::State>,
     request: web::exchange::Request,
+    id: CompactString,
+    asked: Result<dialect::Asked, CompactString>,
 ) -> answers::Result<Reply> {
     let web::exchange::Request { method, path, query, headers, body, .. } = request;
     let arrived = state.now();
+    let asked = asked.map_err(|detail| answers::malformed(&detail))?;
     let body = body.whole(max_body(state)).await.map_err(|err| answers::unreadable(&err))?;
     let method = CompactString::from(method.as_str());
-    let arrival = Arrival { arrived, method, path, query, headers, body };
+    let arrival = Arrival { arrived, id, asked, method, path, query, headers, body };
     let shared = sync::Arc::clone(state);
     // One job for all that is known before the first send: each wait for a worker costs a call
     // about 0.2 ms.
@@ -125,23 +134,21 @@
 
 /// Decides what a request is, and chooses its first target when it needs no claim.
 fn prepare(state: &sync::Arc<state::State>, arrival: Arrival) -> answers::Result<Prepared> {
-    let Arrival { arrived, method, path, query, mut headers, body } = arrival;
+    let Arrival { arrived, id, asked, method, path, query, mut headers, body } = arrival;
     let dialect = &state.settings.dialect;
-    let asked = (dialect.read)(&headers).map_err(|detail| answers::malformed(&detail))?;
     let host = host(&headers);
-    let plan = plan(state, arrived, &method, &host, &path, &asked)?;
+    let plan = plan(state, arrived, &id, (&method, &host, &path), &asked)?;
     let Plan { config, route, service, home, class, budget, deadline, objective, idempotent, loan } =
         plan;
     let fingerprint = requests::Fingerprint::of(&service, &method, &path, &body);
-    let suspect = is_suspect(state, &fingerprint, &method, &path)?;
+    let suspect = is_suspect(state, &fingerprint, &id)?;
     check_age(&headers)?;
     headers::clean(&mut headers, dialect.reserved);
     (dialect.sign)(&mut headers, &dialect::Origin { service: &state.settings.service });
     let contract = config.route(route).ok_or_else(answers::no_route)?;
     let keyless = contract.keyless;
-    let name = || format_compact!("{:016x}", rand::random::<u64>());
     let head = forwarding::RequestHead {
-        id: asked.id.unwrap_or_else(name),
+        id,
         service,
         route: contract.name.clone(),
         method,
@@ -174,9 +181,8 @@
 fn plan(
     state: &sync::Arc<state::State>,
     now: time::Time,
-    method: &str,
-    host: &str,
-    path: &str,
+    id: &str,
+    (method, host, path): (&str, &str, &str),
     asked: &dialect::Asked,
 ) -> answers::Result<Plan> {
     let config = state.running().ok_or_else(answers::no_version)?;
@@ -197,11 +203,13 @@
     budget.check().map_err(|err| answers::out_of_budget(&err))?;
     log::info!(
         target: "decision",
-        "{method} {path} is route {} to {} under version {}, {class:?}, depth {}",
+        "route request={id} method={method} host={host} path={path} route={} service={} \
+         version={} class={class:?} depth={} left_ms={}",
         contract.name,
         service.name,
         config.version(),
         budget.depth,
+        deadline.since(now).as_millis(),
     );
     Ok(Plan {
         service: service.name.clone(),
@@ -267,8 +275,7 @@
 fn is_suspect(
     state: &state::State,
     fingerprint: &requests::Fingerprint,
-    method: &str,
-    path: &str,
+    id: &str,
 ) -> answers::Result<bool> {
     match state.suspicion.lock().standing(state.now(), fingerprint) {
         suspicion::Standing::Free => Ok(false),
@@ -276,7 +283,7 @@
         suspicion::Standing::Quarantined => {
             log::info!(
                 target: "decision",
-                "{method} {path} is quarantined, fingerprint {fingerprint}",
+                "quarantined request={id} fingerprint={fingerprint}",
             );
             Err(answers::quarantined())
         }
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -81,7 +81,7 @@
     fn log(&self, change: Option<estimates::Change>) {
         if let Some(change) = change {
             let Sent { target, service, .. } = self;
-            log::info!(target: "decision", "target {target:?} of {service}: {change:?}");
+            log::info!(target: "decision", "target_state target={target:?} service={service} change={change:?}");
         }
     }
 }
@@ -144,8 +144,13 @@
         routing.router.estimates.observe(now, own, load);
     }
     let choice = routing.router.choose(now, &request, &mut routing.rng).inspect_err(|refusal| {
-        let path = &job.head.path;
-        log::info!(target: "decision", "no target of {service} for {path}: {refusal}");
+        let id = &job.head.id;
+        log::info!(
+            target: "decision",
+            "no_target request={id} service={service} known={} tried={} reason=\"{refusal}\"",
+            candidates.len(),
+            tried.len(),
+        );
     })?;
     let trial = choice.reason.kind == choose::Kind::Trial;
     routing.router.estimates.sent(choice.target, trial);
@@ -159,10 +164,11 @@
     let link = candidates.iter().find(|it| it.key == choice.target).map(|it| it.link);
     log::info!(
         target: "decision",
-        "target {} of {service} for {} {}: {}",
+        "target request={} service={service} host={} tried={} patience={:?} reason=\"{}\"",
+        job.head.id,
         entry.host,
-        job.head.method,
-        job.head.path,
+        tried.len(),
+        choice.patience,
         choice.reason,
     );
     let sent = Sent {
--- a/crates/node/src/claiming.rs
+++ b/crates/node/src/claiming.rs
@@ -53,10 +53,10 @@
     let answer = ask(state, &claim, action, job.deadline).await;
     log::info!(
         target: "decision",
-        "claim of {} {} for {}: {}",
+        "claim request={} service={} key={} answer=\"{}\"",
+        job.head.id,
         claim.name.service,
         claim.name.key,
-        job.head.path,
         answer.as_ref().map_or("no answer", describe),
     );
     match answer {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -75,7 +75,7 @@
 ) -> Result<Exchanged, working::Failure> {
     // No byte has left this node until a stream is open.
     let unreachable = |err: transport::errors::Error| {
-        log::info!(target: "decision", "node {} cannot be reached: {err}", target.host);
+        log::info!(target: "decision", "unreachable request={} host={} error=\"{err}\"", job.head.id, target.host);
         working::Failure::NotRun(forwarding::NotRun::Unreachable)
     };
     let connecting = state.links.link(&target.host, target.addr);
@@ -118,7 +118,7 @@
         tokio::time::sleep(LAST_LOOK).await;
         let received = link.traffic().received;
         if received == heard {
-            log::info!(target: "decision", "nothing is heard of node {} any more", link.host());
+            log::info!(target: "decision", "silent host={} limit={limit:?}", link.host());
             return;
         }
         heard = received;
--- a/crates/node/src/hedging.rs
+++ b/crates/node/src/hedging.rs
@@ -94,9 +94,8 @@
     };
     log::info!(
         target: "decision",
-        "hedge of {} {} to {}: {}",
-        course.job.head.method,
-        course.job.head.path,
+        "hedge request={} host={} result=\"{}\"",
+        course.job.head.id,
         chosen.target.host,
         refused.map_or("sent", |why| match why {
             retry::Why::Attempts => "no attempts left",
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -248,9 +248,8 @@
     let decision = retry::decide(now, outcome, &request, budget, share, &mechanisms);
     log::info!(
         target: "decision",
-        "{} {} ended {outcome:?}: {decision:?}, {} sends left",
-        job.head.method,
-        job.head.path,
+        "send_ended request={} outcome={outcome:?} next={decision:?} sends_left={}",
+        job.head.id,
         job.head.budget.attempts,
     );
     decision
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -133,7 +133,7 @@
             }
         }
         Err(web::client::Error::NotSent(reason)) => {
-            log::info!(target: "decision", "backend server {addr} refused: {reason}");
+            log::info!(target: "decision", "backend_refused request={} addr={addr} reason={reason:?}", order.head.id);
             running.finish(work::Outcome::Failed);
             probe(state, addr).await;
             Failure::NotRun(forwarding::NotRun::Refused)
@@ -244,19 +244,7 @@
         suspect: head.suspect || standing == suspicion::Standing::Suspect,
     };
     let offer = state.admission.lock().offer(now, work);
-    let name = match &offer {
-        gates::Offer::Run(_) => "run",
-        gates::Offer::Wait(..) => "wait",
-        gates::Offer::Refuse(_) => "refuse",
-    };
-    log::info!(
-        target: "decision",
-        "admission: {name} {} {} of route {}, class {:?}, {offer:?}",
-        head.method,
-        head.path,
-        head.route,
-        head.class,
-    );
+    log_admission(state, head, &offer);
     let held = |key| gates::Held::new(sync::Arc::clone(state), key);
     match offer {
         gates::Offer::Run(key) => Admission::Run(held(key)),
@@ -283,6 +271,33 @@
     None
 }
 
+/// Says what admission decided, and from what.
+fn log_admission(state: &state::State, head: &forwarding::RequestHead, offer: &gates::Offer) {
+    if !log::log_enabled!(target: "decision", log::Level::Info) {
+        return;
+    }
+    let (outcome, reason) = match offer {
+        gates::Offer::Run(_) => ("run", None),
+        gates::Offer::Wait(..) => ("wait", None),
+        gates::Offer::Refuse(reason) => ("refuse", Some(reason)),
+    };
+    let load = state.admission.lock().load(state.now());
+    log::info!(
+        target: "decision",
+        "admission request={} outcome={outcome} reason={reason:?} route={} busy={} queued={} \
+         slots={} service_time={:?} movable={} patience_us={:?} objective_us={}",
+        head.id,
+        head.route,
+        load.in_flight,
+        load.queued,
+        load.slots,
+        load.service_time,
+        head.movable,
+        head.patience_us,
+        head.objective_us,
+    );
+}
+
 /// The key of the sender's route in the version that runs here. A route that this node does not
 /// have yet shares the measurements of all unknown routes.
 fn route_key(state: &state::State, head: &forwarding::RequestHead) -> contracts::RouteKey {
