Run the calls of targets before callers' work

Cause: nothing told a target's call from a caller's request on the platform, so both queued alike, and admission gave internal calls one slot in eight before callers' work.

Ruled out: refusals by the targets themselves (not run: 0 on listen), the retry budget.

Change: a call whose name begins with the name of a request in flight at this node's target is made for that request. It has its parent's weight, objective and deadline, counts as a repeat when the parent was one, and is refused only when it cannot make its deadline. Admission runs internal calls first; callers' work keeps a quarter of the slots and of the queue.

--- a/crates/admission/src/dispatch.rs
+++ b/crates/admission/src/dispatch.rs
@@ -52,7 +52,7 @@
         // may hold, since it may be what they wait for.
         let long = self.counts.internal == 0 || self.counts.held < self.long_slots(slots);
         let internal = || self.next_of(Class::Internal, long);
-        if self.mechanisms.internal && self.internal_due(slots) {
+        if self.mechanisms.internal && !self.caller_due(slots) {
             return internal().or_else(caller);
         }
         caller().or_else(internal)
@@ -65,12 +65,12 @@
         self.long_slots(slots).saturating_sub(kept).max(1)
     }
 
-    /// Whether internal calls have less than their minimum share.
-    fn internal_due(&self, slots: u32) -> bool {
+    /// Whether callers' work has less than its minimum share.
+    fn caller_due(&self, slots: u32) -> bool {
         if slots == 1 {
-            return self.caller_starts >= limits::CALLER_STARTS;
+            return self.internal_starts >= limits::INTERNAL_STARTS;
         }
-        self.counts.internal < limits::internal_slots(slots)
+        self.counts.callers < limits::caller_slots(slots)
     }
 
     fn next_of(&self, class: Class, long: bool) -> Option<(routes::LaneKey, work::RequestKey)> {
@@ -115,9 +115,9 @@
         self.counts.start(work.class, long);
         self.suspects.add(work.suspect);
         self.routes.start(lane);
-        self.caller_starts = match work.class {
-            Class::Caller => self.caller_starts.saturating_add(1),
-            Class::Internal => 0,
+        self.internal_starts = match work.class {
+            Class::Caller => 0,
+            Class::Internal => self.internal_starts.saturating_add(1),
         };
         self.arm_straggler(key);
     }
--- a/crates/admission/src/forecast.rs
+++ b/crates/admission/src/forecast.rs
@@ -38,9 +38,13 @@
     fn free_slots(&self, now: Time, lane: routes::LaneKey, class: Class) -> u32 {
         let slots = self.slots(now);
         let own = match class {
-            Class::Caller => self.caller_slots(now, slots),
+            // Internal calls run first, and those that run now show how many there are.
+            Class::Caller => {
+                let left = slots.saturating_sub(self.counts.internal);
+                self.caller_slots(now, slots).min(left).max(limits::caller_slots(slots)).max(1)
+            }
             Class::Internal if self.callers.len() == 0 => slots,
-            Class::Internal => limits::internal_slots(slots),
+            Class::Internal => slots - limits::caller_slots(slots),
         };
         if !self.counts_as_long(lane) {
             return own.saturating_sub(self.counts.held).max(1);
--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -28,8 +28,8 @@
     pub(crate) suspects: suspects::Suspects,
     short_load: short_load::ShortLoad,
     pub(crate) internal_seen: Option<Time>,
-    /// Callers' starts since the last internal one.
-    pub(crate) caller_starts: u32,
+    /// Internal starts since the last one of callers' work.
+    pub(crate) internal_starts: u32,
 }
 
 /// Slots in use.
@@ -86,7 +86,7 @@
             suspects: suspects::Suspects::default(),
             short_load: short_load::ShortLoad::default(),
             internal_seen: None,
-            caller_starts: 0,
+            internal_starts: 0,
         }
     }
 
@@ -266,7 +266,10 @@
         }
         if self.is_waiting(key) && self.mechanisms.objectives {
             let latest = self.routes.latest_start(lane, work.objective);
-            let late = now + wait > latest || wait > work.objective.since(now).mul_f32(MAX_WAIT);
+            // The request that an internal call is made for already holds a slot, and all its
+            // work is lost with the call. Only the deadline ends such a wait.
+            let late = work.class == Class::Caller
+                && (now + wait > latest || wait > work.objective.since(now).mul_f32(MAX_WAIT));
             let dear = work.movable && work.patience.is_some_and(|it| wait > it);
             if late || dear {
                 self.refuse(key, work::Reason::Busy, effects);
@@ -299,14 +302,14 @@
         self.requests.get(key).is_some_and(|it| matches!(it.state, requests::State::Waiting))
     }
 
-    /// Refuses the work that exceeds the queue's limit. Callers' work comes before internal calls
-    /// beyond their share of the queue.
+    /// Refuses the work that exceeds the queue's limit: callers' work beyond its share of the
+    /// queue, then internal calls.
     fn trim(&mut self, effects: &mut Vec<work::Effect>) {
         while self.waiting() > self.limits.queue as usize {
-            let internal = self.internal.len() > self.limits.internal_queue();
-            let (first, second) = match internal {
-                true => (&self.internal, &self.callers),
-                false => (&self.callers, &self.internal),
+            let callers = self.callers.len() > self.limits.caller_queue();
+            let (first, second) = match callers {
+                true => (&self.callers, &self.internal),
+                false => (&self.internal, &self.callers),
             };
             let order = self.order();
             let Some(key) = first.last(order).or_else(|| second.last(order)) else {
--- a/crates/admission/src/limits.rs
+++ b/crates/admission/src/limits.rs
@@ -4,8 +4,8 @@
 
 use world::time::Time;
 
-/// One slot in this many is the minimum share of internal calls.
-const INTERNAL_SHARE: u32 = 8;
+/// One slot in this many, and one place of the queue, is the minimum share of callers' work.
+const CALLER_SHARE: u32 = 4;
 
 /// Limits of one target.
 #[derive(Clone, Copy, Debug)]
@@ -32,7 +32,7 @@
     pub blocked: bool,
     /// Refuse what cannot make its deadline.
     pub deadlines: bool,
-    /// Give internal calls their minimum share, and callers the rest.
+    /// Run internal calls first, down to the minimum share of callers' work.
     pub internal: bool,
     /// Keep slots free of long work and stragglers.
     pub long: bool,
@@ -85,20 +85,20 @@
         Some(ramp.since + time::Duration::from_micros(micros))
     }
 
-    /// Waiting requests that internal calls may always have.
-    pub(crate) fn internal_queue(self) -> usize {
-        self.queue.div_ceil(INTERNAL_SHARE) as usize
+    /// Waiting requests that callers may always have.
+    pub(crate) fn caller_queue(self) -> usize {
+        self.queue.div_ceil(CALLER_SHARE) as usize
     }
 }
 
-/// Slots that internal calls get before callers' work.
-pub(crate) fn internal_slots(slots: u32) -> u32 {
-    // With a single slot, internal calls get a share of its starts instead.
-    if slots == 1 { 0 } else { slots.div_ceil(INTERNAL_SHARE) }
+/// Slots that callers' work gets before internal calls.
+pub(crate) fn caller_slots(slots: u32) -> u32 {
+    // With a single slot, callers' work gets a share of its starts instead.
+    if slots == 1 { 0 } else { slots.div_ceil(CALLER_SHARE) }
 }
 
-/// Callers' starts on a single slot after which a waiting internal call is next.
-pub(crate) const CALLER_STARTS: u32 = INTERNAL_SHARE - 1;
+/// Internal starts on a single slot after which waiting callers' work is next.
+pub(crate) const INTERNAL_STARTS: u32 = CALLER_SHARE - 1;
 
 /// Slots that long work and stragglers may hold, while short work keeps `short` slots busy.
 ///
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -27,12 +27,22 @@
     route: contracts::RouteKey,
     service: CompactString,
     home: Option<CompactString>,
+    standing: Standing,
+    idempotent: bool,
+    loan: loans::Loan,
+}
+
+/// What a request may spend and what it is worth, of its own or of the request it is made for.
+struct Standing {
     class: requests::Class,
     budget: budget::Budget,
     deadline: time::Time,
     objective: time::Time,
-    idempotent: bool,
-    loan: loans::Loan,
+    weight: u32,
+    /// Whether it is made for a run that was itself a repeat.
+    repeat: bool,
+    /// The request that lends its extra sends.
+    lender: Option<flights::FlightKey>,
 }
 
 /// A request as it arrived, with its whole body.
@@ -138,8 +148,8 @@
     let dialect = &state.settings.dialect;
     let host = host(&headers);
     let plan = plan(state, arrived, &id, (&method, &host, &path), &asked)?;
-    let Plan { config, route, service, home, class, budget, deadline, objective, idempotent, loan } =
-        plan;
+    let Plan { config, route, service, home, standing, idempotent, loan } = plan;
+    let Standing { class, budget, deadline, objective, weight, repeat, .. } = standing;
     let fingerprint = requests::Fingerprint::of(&service, &method, &path, &body);
     let suspect = is_suspect(state, &fingerprint, &id)?;
     check_age(&headers)?;
@@ -158,13 +168,14 @@
         },
         fields: headers::encode(&headers),
         class,
-        weight: contract.weight,
+        weight,
         budget,
         objective_us: 0,
         movable: true,
         patience_us: None,
         idempotent,
         fingerprint,
+        repeat,
         suspect,
     };
     let job = state::Job { config, route, head, deadline, objective, body };
@@ -191,25 +202,20 @@
     let service = contract.service_at(split_turn(state, contract));
     let service = service.and_then(|it| config.service(it)).ok_or_else(answers::no_route)?;
     let timeout = asked.limit.map_or(contract.timeout, |it| it.min(contract.timeout));
-    let (class, budget, deadline, parent) = match asked.parent.as_deref() {
-        None => {
-            let class = requests::Class::Caller;
-            (class, budget::Budget::first(timeout, contract.attempts), now + timeout, None)
-        }
-        Some(text) => inherit(state, now, timeout, text)?,
-    };
-    let objective = now + contract.objective;
-    let loan = loans::Loan::new(sync::Arc::clone(state), parent, budget.attempts);
+    let standing = standing(state, now, contract, timeout, asked.parent.as_ref())?;
+    let budget = standing.budget;
+    let loan = loans::Loan::new(sync::Arc::clone(state), standing.lender, budget.attempts);
     budget.check().map_err(|err| answers::out_of_budget(&err))?;
     log::info!(
         target: "decision",
         "route request={id} method={method} host={host} path={path} route={} service={} \
-         version={} class={class:?} depth={} left_ms={}",
+         version={} class={:?} depth={} left_ms={}",
         contract.name,
         service.name,
         config.version(),
+        standing.class,
         budget.depth,
-        deadline.since(now).as_millis(),
+        standing.deadline.since(now).as_millis(),
     );
     Ok(Plan {
         service: service.name.clone(),
@@ -217,10 +223,7 @@
         idempotent: contract.is_idempotent(method),
         config,
         route,
-        class,
-        budget,
-        deadline,
-        objective,
+        standing,
         loan,
     })
 }
@@ -242,22 +245,66 @@
     CompactString::from(name.map_or(text, |it| it.0)).to_lowercase()
 }
 
-type Inherited = (requests::Class, budget::Budget, time::Time, Option<flights::FlightKey>);
-
-/// A backend server's call spends what its own request has left.
-fn inherit(
+/// Whether a request is a caller's or a call for another request, and what follows from that.
+fn standing(
     state: &state::State,
     now: time::Time,
+    contract: &contracts::Route,
     timeout: std_time::Duration,
+    parent: Option<&dialect::Parent>,
+) -> answers::Result<Standing> {
+    let own = Standing {
+        class: requests::Class::Caller,
+        budget: budget::Budget::first(timeout, contract.attempts),
+        deadline: now + timeout,
+        objective: now + contract.objective,
+        weight: contract.weight,
+        repeat: false,
+        lender: None,
+    };
+    match parent {
+        None => Ok(own),
+        Some(dialect::Parent::Token(text)) => lent(state, now, own, text),
+        Some(dialect::Parent::Name(id)) => match state.flights.lock().find(id) {
+            Some(parent) => Ok(named(now, own, parent)),
+            None => Ok(own),
+        },
+    }
+}
+
+/// A call that names its parent by a token spends what its parent has left.
+fn lent(
+    state: &state::State,
+    now: time::Time,
+    own: Standing,
     text: &str,
-) -> answers::Result<Inherited> {
+) -> answers::Result<Standing> {
     let key = flights::decode(text).ok_or_else(answers::bad_parent)?;
     let mut flights = state.flights.lock();
     // The parent has been answered, or its caller has left: nobody waits for this call.
     let parent = flights.get_mut(key).ok_or_else(answers::bad_parent)?;
-    let deadline = parent.deadline.min(now + timeout);
+    let deadline = parent.deadline.min(own.deadline);
     let budget = parent.budget.call(deadline.since(now));
-    Ok((requests::Class::Internal, budget, deadline, Some(key)))
+    Ok(Standing { budget, lender: Some(key), ..called(own, deadline, parent) })
+}
+
+/// A call that names its parent by the parent's own name. Its route says how often it may be sent.
+fn named(now: time::Time, own: Standing, parent: &flights::Flight) -> Standing {
+    let deadline = parent.deadline.min(own.deadline);
+    let budget = own.budget.beneath(&parent.budget, deadline.since(now));
+    Standing { budget, ..called(own, deadline, parent) }
+}
+
+/// A call is worth what its parent is worth.
+fn called(own: Standing, deadline: time::Time, parent: &flights::Flight) -> Standing {
+    Standing {
+        class: requests::Class::Internal,
+        deadline,
+        objective: parent.objective,
+        weight: parent.weight,
+        repeat: parent.repeat,
+        ..own
+    }
 }
 
 fn check_age(headers: &http::HeaderMap) -> answers::Result<()> {
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -155,7 +155,8 @@
     let trial = choice.reason.kind == choose::Kind::Trial;
     routing.router.estimates.sent(choice.target, trial);
     if tried.is_empty() {
-        routing.share(service).first(now);
+        let share = routing.share(service);
+        if job.head.repeat { share.repeat(now) } else { share.first(now) }
     }
     let Some(target) = directory.get(choice.target) else {
         return Err(choose::Refusal::NoTargets);
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -45,7 +45,17 @@
     /// The idempotency key.
     pub key: Option<CompactString>,
     /// The request on whose behalf a backend server makes this call.
-    pub parent: Option<CompactString>,
+    pub parent: Option<Parent>,
+}
+
+/// How a call names the request that it is made for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Parent {
+    /// By the token that the node gave the backend server; a call with an unknown one is refused.
+    Token(CompactString),
+    /// By what may be the name of a request. It counts when the backend server of this host works
+    /// on a request of that name; otherwise the call is taken for a caller's.
+    Name(CompactString),
 }
 
 /// Where a request entered the mesh.
@@ -115,7 +125,8 @@
         }
         None => None,
     };
-    Ok(Asked { id: None, limit, key: text(headers::KEY), parent: text(headers::PARENT) })
+    let parent = text(headers::PARENT).map(Parent::Token);
+    Ok(Asked { id: None, limit, key: text(headers::KEY), parent })
 }
 
 fn announced_own(body: &Bytes, _: &str) -> Result<backend::Announcement, CompactString> {
--- a/crates/node/src/flights.rs
+++ b/crates/node/src/flights.rs
@@ -1,5 +1,7 @@
 //! Requests that the backend server of this host works on.
 
+use std::collections;
+
 use compact_str::{CompactString, format_compact};
 use routing::budget;
 use slotmap::{Key as _, KeyData, SlotMap};
@@ -17,8 +19,16 @@
     pub(crate) fingerprint: requests::Fingerprint,
     /// What its calls may spend.
     pub(crate) budget: budget::Budget,
+    /// Names the request in the logs of all processes.
+    pub(crate) id: CompactString,
     /// When its caller stops waiting.
     pub(crate) deadline: time::Time,
+    /// Until when its answer has its full worth.
+    pub(crate) objective: time::Time,
+    /// Share of a crowded target, against other routes.
+    pub(crate) weight: u32,
+    /// Whether another target has had it before.
+    pub(crate) repeat: bool,
     /// Method and path, for the log line after a crash.
     pub(crate) title: CompactString,
 }
@@ -27,6 +37,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Flights {
     arena: SlotMap<FlightKey, Flight>,
+    names: collections::HashMap<CompactString, FlightKey>,
     /// Requests whose connection broke. A crash breaks connections before it is noticed.
     broken: Vec<(time::Time, Flight)>,
 }
@@ -38,7 +49,10 @@
 impl Flights {
     /// Adds a request. The key goes to the backend server as the parent of its calls.
     pub(crate) fn start(&mut self, flight: Flight) -> FlightKey {
-        self.arena.insert(flight)
+        let id = flight.id.clone();
+        let key = self.arena.insert(flight);
+        self.names.insert(id, key);
+        key
     }
 
     /// The request with this key.
@@ -46,14 +60,24 @@
         self.arena.get_mut(key)
     }
 
+    /// The request with this name.
+    pub(crate) fn find(&self, id: &str) -> Option<&Flight> {
+        self.arena.get(*self.names.get(id)?)
+    }
+
     /// Ends a request.
     pub(crate) fn finish(&mut self, key: FlightKey) -> Option<Flight> {
-        self.arena.remove(key)
+        let flight = self.arena.remove(key)?;
+        // The same request may have come again meanwhile.
+        if self.names.get(&flight.id) == Some(&key) {
+            self.names.remove(&flight.id);
+        }
+        Some(flight)
     }
 
     /// Ends a request whose connection broke.
     pub(crate) fn break_off(&mut self, now: time::Time, key: FlightKey) -> Option<Flight> {
-        let flight = self.arena.remove(key)?;
+        let flight = self.finish(key)?;
         self.broken.retain(|it| now.since(it.0) < BROKEN_AGE);
         self.broken.push((now, flight.clone()));
         Some(flight)
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -200,7 +200,13 @@
             return Err(self.give_up("it failed on two targets".into()));
         }
         match decide(state, &mut self.job, outcome) {
-            retry::Decision::Elsewhere => Ok(self),
+            retry::Decision::Elsewhere => {
+                self.job.head.repeat |= match &failure {
+                    working::Failure::NotRun(reason) => reason.was_sent(),
+                    working::Failure::Silent | working::Failure::Unknown(_) => true,
+                };
+                Ok(self)
+            }
             retry::Decision::Done => Err(self.give_up("no answer".into())),
             retry::Decision::GiveUp(why) => {
                 let reason = match failure {
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -325,7 +325,11 @@
     let flight = flights::Flight {
         fingerprint: head.fingerprint,
         budget: head.budget,
+        id: head.id.clone(),
         deadline: order.deadline,
+        objective: state.now() + std_time::Duration::from_micros(head.objective_us),
+        weight: head.weight,
+        repeat: head.repeat,
         title: format_compact!("{} {} of {}", head.method, head.path, head.service),
     };
     let flight = state.flights.lock().start(flight);
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -45,6 +45,8 @@
     pub idempotent: bool,
     /// Identifies requests that do the same.
     pub fingerprint: requests::Fingerprint,
+    /// Whether another target has had it before, so that its calls count as repeats.
+    pub repeat: bool,
     /// Whether earlier evidence says that this request may crash a backend server.
     pub suspect: bool,
 }
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -139,6 +139,7 @@
         patience_us: Some(5_000),
         idempotent: true,
         fingerprint: fingerprint(),
+        repeat: false,
         suspect: false,
     }
 }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -85,6 +85,12 @@
         Budget { attempts, depth: self.depth.saturating_add(1), remaining_ms: millis(remaining) }
     }
 
+    /// This budget one level below `parent`, whose attempts it does not share.
+    pub fn beneath(self, parent: &Budget, remaining: time::Duration) -> Budget {
+        let depth = parent.depth.saturating_add(1);
+        Budget { attempts: self.attempts, depth, remaining_ms: millis(remaining) }
+    }
+
     /// Takes back the attempts that a send or a call did not use, as its answer says.
     pub fn settle(&mut self, unused: u8) {
         self.attempts = self.attempts.saturating_add(unused).min(EXTRA_SENDS);
@@ -133,6 +139,12 @@
         slot.first = slot.first.saturating_add(1);
     }
 
+    /// Counts a send that repeats work although its sender has not sent it before.
+    pub fn repeat(&mut self, now: Time) {
+        let slot = self.slot(now);
+        slot.extra = slot.extra.saturating_add(1);
+    }
+
     /// Counts a retry or a hedge, if the share allows one.
     pub fn extra(&mut self, now: Time, mechanisms: &mechanisms::Mechanisms) -> bool {
         if mechanisms.share && !self.allows(now) {
