--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -19,6 +19,10 @@
 /// 0.1% of the load.
 pub const SHARE_FLOOR: u32 = 3;
 
+/// The time that is left goes along in whole milliseconds, so a target's node can find the
+/// deadline passed this much before the sender does.
+pub const RESOLUTION: time::Duration = time::Duration::from_millis(1);
+
 const BUCKETS: usize = 10;
 
 /// The limits of a request, passed down with each send.
--- a/crates/routing/tests/sends.rs
+++ b/crates/routing/tests/sends.rs
@@ -221,3 +221,27 @@
     writeln!(out, "longest: {:?}", extremes.percentile()).expect("text");
     insta::assert_snapshot!(out);
 }
+
+/// Guards against a retry in the last millisecond: the target's node has counted the time that is
+/// left in whole milliseconds, and has found it used up before the sender does.
+#[test]
+fn deadlines_in_whole_milliseconds() {
+    let mechanisms = mechanisms::Mechanisms::default();
+    let mut out = String::new();
+    for micros in [998_000, 998_999, 999_000, 999_500, 1_000_000] {
+        let mut budget = budget::Budget::first(time::Duration::from_secs(1), None);
+        let mut share = budget::Share::default();
+        let now = Time::from_micros(micros);
+        let outcome = retry::Outcome::Unknown;
+        let decision =
+            retry::decide(now, outcome, &request(true), &mut budget, &mut share, &mechanisms);
+        writeln!(out, "{micros} us: {decision:?}").expect("text");
+    }
+    insta::assert_snapshot!(out, @r"
+    998000 us: Elsewhere
+    998999 us: Elsewhere
+    999000 us: GiveUp(Deadline)
+    999500 us: GiveUp(Deadline)
+    1000000 us: GiveUp(Deadline)
+    ");
+}
