Keep a lingering node's target at work, and bound the wait for last answers

Cause: a node that was asked to stop drained its target at once, so the target stood idle for the 2.5 s in which callers still came. In a partition the stop then waited to its limit for answers to nodes that could not be reached (streams closed: 37, 5.8 s until the end).

Change: the node says that it is not ready, goes on working while it lingers, and drains then. It waits 0.5 s for answers on their way to other nodes.

--- a/crates/heatherwalk/tests/requests/calls.rs
+++ b/crates/heatherwalk/tests/requests/calls.rs
@@ -141,3 +141,63 @@
     }
     web::exchange::Answer::text(http::StatusCode::OK, "work")
 }
+
+/// Guards against a call that is told from a caller's request only by a token: one that is named
+/// after the request it is made for ends with that request, and one whose parent is not at work
+/// here is a request like any other.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn calls_named_after_their_parent() {
+    let document = mesh::document(&[
+        ("outer", json!({}), json!({"timeout_ms": 60_000})),
+        ("inner", json!({}), json!({"timeout_ms": 60_000})),
+    ]);
+    let mut mesh = mesh::Mesh::spawn(1, document).await;
+    // The platform's header fields of requests; the servers of these tests write the rest.
+    let dialect = node::dialect::Dialect {
+        announced: node::dialect::OWN.announced,
+        judge: node::dialect::OWN.judge,
+        renewed: node::dialect::OWN.renewed,
+        ..platform::callers::DIALECT
+    };
+    let mut nodes = Vec::new();
+    for _ in 0..2 {
+        nodes.push(mesh.add_node_with(mesh.listen, |it| it.dialect = dialect).await);
+    }
+    let limits = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let seen = Arc::clone(&limits);
+    let inner = move |head: &str, _: &[u8]| {
+        let field = |name: &str| {
+            let mut lines = head.lines().filter_map(|it| it.split_once(": "));
+            lines.find(|it| it.0 == name).map(|it| it.1.to_owned()).expect("a field")
+        };
+        let left: u64 = field("deadline-ms").parse().expect("a number");
+        let id = field("request-id");
+        seen.lock().expect("no panic").push((id, left));
+        servers::Reply::Send(servers::answer("200 OK", "", b"inner"))
+    };
+    let _inner = servers::Server::spawn(mesh.announce(nodes[1]), "inner", 8, inner).await;
+    let outer = |_: &str, _: &[u8]| servers::Reply::Freeze;
+    let outer = servers::Server::spawn(mesh.announce(nodes[0]), "outer", 8, outer).await;
+    for node in &nodes {
+        mesh.ready(*node, &["outer", "inner"]).await;
+    }
+    let addr = mesh.callers(nodes[0]);
+    let parent = callers::get("/outer/work").with("request-id", "p1").with("deadline-ms", "20000");
+    let parent = tokio::spawn(callers::send(addr, parent));
+    outer.counts.wait(servers::Counts::runs, 1).await;
+    let mut lines = Vec::new();
+    for id in ["p1.c1", "p2.c1"] {
+        let call = callers::get("/inner/look").with("request-id", id).with("deadline-ms", "50000");
+        lines.push(format!("{id}: {}", callers::send(addr, call).await));
+    }
+    for (id, left) in limits.lock().expect("no panic").iter() {
+        lines.push(format!("{id}: at most 20 s left: {}", *left <= 20_000));
+    }
+    parent.abort();
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    p1.c1: 200
+    p2.c1: 200
+    p1.c1: at most 20 s left: true
+    p2.c1: at most 20 s left: false
+    ");
+}
--- a/crates/heatherwalk/tests/requests/leaving.rs
+++ b/crates/heatherwalk/tests/requests/leaving.rs
@@ -186,3 +186,32 @@
     ran 20 times
     ");
 }
+
+/// Guards against a target that stands idle while its node waits for the last callers to come.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lingering_node_goes_on_working() {
+    let document = mesh::document(&[("logs", json!({}), json!({"timeout_ms": 60_000}))]);
+    let mut mesh = mesh::Mesh::spawn(1, document).await;
+    let linger = time::Duration::from_secs(3);
+    let node = mesh.add_node_with(mesh.listen, |it| it.linger = linger).await;
+    let act = |_: &str, _: &[u8]| servers::Reply::Send(servers::answer("200 OK", "", WORK));
+    let server = servers::Server::spawn(mesh.announce(node), "logs", 4, act).await;
+    mesh.ready(node, &["logs"]).await;
+    mesh.ready(0, &["logs"]).await;
+    let addr = mesh.callers(node);
+    let stopping = tokio::spawn(mesh.nodes[node].take().expect("runs").stop());
+    let begun = tokio::time::Instant::now();
+    let mut answered = 0;
+    while begun.elapsed() < linger / 2 {
+        for at in [addr, mesh.callers(0)] {
+            let seen = callers::send(at, callers::get("/logs/work")).await;
+            assert_eq!(seen.status, 200, "{:?} after the stop began", begun.elapsed());
+            answered += 1;
+        }
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    assert!(answered > 2 && server.counts.runs() == answered, "{answered} answered");
+    stopping.await.expect("stops");
+    let seen = callers::send(mesh.callers(0), callers::get("/logs/work")).await;
+    assert_ne!(seen.status, 200, "the node has stopped");
+}
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -84,6 +84,15 @@
 
     /// Starts a node that reaches the control at `control`. Returns its index.
     pub async fn add_node(&mut self, control: net::SocketAddr) -> usize {
+        self.add_node_with(control, |_| {}).await
+    }
+
+    /// The same, with settings that `change` has changed.
+    pub async fn add_node_with(
+        &mut self,
+        control: net::SocketAddr,
+        change: impl FnOnce(&mut node::settings::Settings),
+    ) -> usize {
         let index = self.nodes.len();
         let name = format!("skulte-{index}");
         let mut mesh = mesh::Mesh::default();
@@ -91,7 +100,7 @@
         let role = hosts::Role::Node;
         let host = hosts::Host { name: name.as_str().into(), addr: any(), data_centre, role };
         let me = mesh.put_host(host);
-        let settings = node::settings::Settings {
+        let mut settings = node::settings::Settings {
             mesh,
             me,
             callers: any(),
@@ -108,6 +117,7 @@
             workers: 2,
             stop_limit: STOP_LIMIT,
         };
+        change(&mut settings);
         let identity = self.authority.issue(&name, role).expect("issues");
         let metrics = metrics::Metrics::open().expect("opens");
         let instruments = node::instruments::Instruments::new(&metrics.meter());
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -6,7 +6,7 @@
 use tokio::{task, time};
 use transport::{endpoint, errors, links, pool};
 
-use crate::{attaching, backend, callers, instruments, serving, settings, state};
+use crate::{attaching, backend, callers, instruments, reaching, serving, settings, state};
 
 /// How often the versions, the backend server's lease and the gate do what is due.
 const TICK: std_time::Duration = std_time::Duration::from_millis(50);
@@ -16,6 +16,9 @@
 const GATE_TICK: std_time::Duration = std_time::Duration::from_millis(5);
 /// How often a planned stop looks whether work is in flight.
 const STOP_CHECK: std_time::Duration = std_time::Duration::from_millis(20);
+/// How long a stop waits for answers that are on their way to other nodes. A node that cannot be
+/// reached takes none, and would hold the stop up to its limit.
+const LAST_ANSWERS: std_time::Duration = std_time::Duration::from_millis(500);
 
 /// An error of this module.
 #[derive(Debug, thiserror::Error)]
@@ -74,6 +77,7 @@
         let mut ticks = task::JoinSet::new();
         ticks.spawn(tick(sync::Arc::clone(&state)));
         ticks.spawn(tick_gate(sync::Arc::clone(&state)));
+        ticks.spawn(reaching::run(sync::Arc::clone(&state)));
         log::info!(
             "node {} of {} listens on {listen}, callers on {}, announcements on {}",
             state.place.host,
@@ -104,12 +108,14 @@
     pub async fn stop(mut self) {
         let limit = self.state.settings.stop_limit;
         let until = time::Instant::now() + limit;
+        self.state.backend.lock().leaving = true;
+        // Callers come on until whoever sends them here has seen that this node is not ready. Its
+        // backend server goes on working meanwhile.
+        time::sleep(self.state.settings.linger.min(limit)).await;
         let shared = sync::Arc::clone(&self.state);
         if self.state.pool.run(move || backend::drain(&shared)).await.is_err() {
             log::warn!("too much work; the drain of this node was not announced");
         }
-        // Callers come on until whoever sends them here has seen that this node is not ready.
-        time::sleep(self.state.settings.linger.min(limit)).await;
         let callers =
             self.callers.stop(until.saturating_duration_since(time::Instant::now())).await;
         while self.state.flights.lock().len() > 0 && time::Instant::now() < until {
@@ -124,7 +130,7 @@
         // Ends the streams to controls. What remains are answers on their way to other nodes: the
         // backend server is done with them before their last bytes have arrived there.
         self.state.sessions.lock().outboxes.clear();
-        let closed = self.endpoint.close(left()).await;
+        let closed = self.endpoint.close(left().min(LAST_ANSWERS)).await;
         self.serving.shutdown().await;
         log::info!(
             "node stopped; callers' requests: {} finished, {} cut off; streams closed: {}; \
@@ -168,7 +174,7 @@
 
 /// A node is ready when it runs a version, which it has from a control, and is not stopping.
 fn readiness(state: &state::State) -> web::exchange::Answer {
-    let (status, text) = if state.backend.lock().stopping {
+    let (status, text) = if state.backend.lock().leaving {
         (http::StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
     } else if state.running().is_none() {
         (http::StatusCode::SERVICE_UNAVAILABLE, "no version of the configuration yet\n")
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -7,7 +7,7 @@
 use membership::{directory, local};
 use protocol::{forwarding, streams};
 use rand::{SeedableRng as _, rngs};
-use routing::{budget, choose, hedge};
+use routing::{budget, choose, hedge, reach};
 use tables::{pool, rank, table};
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
@@ -39,6 +39,8 @@
     pub(crate) flights: table::Table<flights::Flights>,
     pub(crate) suspicion: table::Table<suspicion::Suspicion>,
     pub(crate) sessions: table::Table<Sessions>,
+    /// Wakes the task that probes silent hosts.
+    pub(crate) lost: sync::Arc<tokio::sync::Notify>,
     pub(crate) started: std_time::Instant,
 }
 
@@ -66,6 +68,8 @@
     pub(crate) addr: Option<net::SocketAddr>,
     /// The name under which it announced itself; empty when it has none.
     pub(crate) instance: CompactString,
+    /// The node is about to stop, and says so to whoever sends callers to it.
+    pub(crate) leaving: bool,
     /// The node is stopping and takes no new work.
     pub(crate) stopping: bool,
 }
@@ -73,6 +77,8 @@
 /// The choice of targets.
 pub(crate) struct Routing {
     pub(crate) router: choose::Router,
+    /// The targets that are probed.
+    pub(crate) reach: reach::Reach,
     /// The sends to each service, which limit its retries.
     pub(crate) retry_percent: u32,
     pub(crate) shares: collections::HashMap<CompactString, budget::Share>,
@@ -129,6 +135,7 @@
         let policy = settings.policy;
         let routing = Routing {
             router: choose::Router::new(policy, routing::mechanisms::Mechanisms::default()),
+            reach: reach::Reach::default(),
             retry_percent: settings.retry_percent,
             shares: collections::HashMap::new(),
             times: collections::HashMap::new(),
@@ -136,7 +143,7 @@
             rng: rngs::SmallRng::from_os_rng(),
         };
         let backend =
-            Backend { local, addr: None, instance: CompactString::default(), stopping: false };
+            Backend { local, addr: None, instance: "".into(), leaving: false, stopping: false };
         let suspicion = suspicion::Suspicion::default();
         State {
             pool: pool::Pool::spawn(settings.workers, 16_384),
@@ -151,6 +158,7 @@
             flights: table::Table::new(FLIGHTS, "requests in flight", flights::Flights::default()),
             suspicion: table::Table::new(SUSPICION, "suspicion", suspicion),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
+            lost: sync::Arc::default(),
             started: std_time::Instant::now(),
             settings,
             place,
