Wait for a version on the node that the test's holder uses

Cause: a_deadline_passes_in_the_queue failed once with '0 of 1'. It sent the request that takes the slot to node 1 when only node 0 was known to have a version; node 1 can still refuse it then.

Change: the test waits for node 1 as well; what it asserts is unchanged.

--- a/crates/heatherwalk/tests/requests/faults.rs
+++ b/crates/heatherwalk/tests/requests/faults.rs
@@ -265,6 +265,7 @@
     let act = |_: &str, _: &[u8]| servers::Reply::Freeze;
     let server = servers::Server::spawn(mesh.announce(1), "logs", 1, act).await;
     mesh.ready(0, &["logs"]).await;
+    mesh.ready(1, &["logs"]).await;
     let text = b"GET /logs/slot HTTP/1.1\r\nhost: logs\r\n\r\n";
     let holder = callers::open(mesh.callers(1), text).await;
     server.counts.wait(servers::Counts::runs, 1).await;
