Take back the time to come back to a node without a version

Cause: after a loss of all processes callers came back 0.25 s later, most of them past their objective.

Conclusion: reverted. A node without a version does not know when it gets one, and callers that choose their own pause come back sooner.

--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -15,10 +15,6 @@
 const SHORTEST_PAUSE: time::Duration = time::Duration::from_millis(10);
 const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(200);
 
-/// When to come back to a node that has no version yet: about the time that an election takes
-/// after a start. Callers that wait for at most a third of their time still come back with it.
-const START_PAUSE: time::Duration = time::Duration::from_millis(250);
-
 /// What is known about a request that a backend server did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Run {
@@ -62,7 +58,7 @@
 
 pub(crate) fn no_version() -> Refusal {
     let detail = "this node has no configuration yet; send the request again";
-    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-version", detail).after(START_PAUSE)
+    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-version", detail)
 }
 
 pub(crate) fn no_route() -> Refusal {
