Wait for at most 0.15 of the objective

Change: a request is refused at a target when it would wait for more than 0.15 of what is left of its objective; before, 0.3.

Ruled out: an idle slot behind a short queue; the slots stay busy at 3 waiting.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -6,9 +6,10 @@
 
 use crate::{limits, load, queue, requests, routes, service_times, short_load, suspects, work};
 
-/// The longest wait for a slot, as a share of the time that is left for the objective. Under more
-/// demand than the slots carry, a longer queue carries no more work and makes all of it later.
-const MAX_WAIT: f32 = 0.3;
+/// The longest wait for a slot, as a share of the time that is left for the objective. A few
+/// waiting requests keep all slots busy; under more demand than the slots carry, a longer queue
+/// carries no more work and makes all of it later.
+const MAX_WAIT: f32 = 0.15;
 
 /// Admission of one target.
 ///
