Forecast the wait and the time at a target for the class of the request

Cause: a target's mean time is that of its mix.

Change: targets report the mean of callers' requests and of internal calls and how many calls wait; a choice uses those of its request's class. The test of mixed work fails with the mean of all.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -28,6 +28,8 @@
     pub(crate) counts: Counts,
     pub(crate) suspects: suspects::Suspects,
     short_load: short_load::ShortLoad,
+    caller_times: service_times::MovingMean,
+    call_times: service_times::MovingMean,
     pub(crate) internal_seen: Option<Time>,
     /// Internal starts since the last one of callers' work.
     pub(crate) internal_starts: u32,
@@ -86,6 +88,8 @@
             counts: Counts::default(),
             suspects: suspects::Suspects::default(),
             short_load: short_load::ShortLoad::default(),
+            caller_times: service_times::MovingMean::default(),
+            call_times: service_times::MovingMean::default(),
             internal_seen: None,
             internal_starts: 0,
         }
@@ -106,8 +110,11 @@
         outcome: work::Outcome,
     ) -> Vec<work::Effect> {
         let mut effects = self.advance(now);
-        if let Some((lane, run)) = self.remove(key) {
+        if let Some((lane, class, run)) = self.remove(key) {
             let elapsed = now.since(run.started);
+            if outcome == work::Outcome::Answered {
+                self.times(class).record(service_times::as_micros(elapsed));
+            }
             if !run.long && !run.straggler {
                 self.short_load.record(now, elapsed);
             }
@@ -194,6 +201,9 @@
             queued: u32::try_from(self.waiting()).unwrap_or(u32::MAX),
             slots: if self.draining { 0 } else { self.slots(now) },
             service_time: time::Duration::from_micros(self.routes.overall_mean()),
+            queued_calls: u32::try_from(self.internal.len()).unwrap_or(u32::MAX),
+            caller_time: time::Duration::from_micros(self.caller_times.get().unwrap_or(0)),
+            call_time: time::Duration::from_micros(self.call_times.get().unwrap_or(0)),
         }
     }
 
@@ -351,8 +361,15 @@
         self.callers.len() + self.internal.len()
     }
 
+    fn times(&mut self, class: Class) -> &mut service_times::MovingMean {
+        match class {
+            Class::Caller => &mut self.caller_times,
+            Class::Internal => &mut self.call_times,
+        }
+    }
+
     /// Takes a request out. The lane of one that ran is left to the caller, which measures it.
-    fn remove(&mut self, key: work::RequestKey) -> Option<(routes::LaneKey, requests::Run)> {
+    fn remove(&mut self, key: work::RequestKey) -> Option<(routes::LaneKey, Class, requests::Run)> {
         let it = self.requests.remove(key)?;
         let requests::State::Running(run) = it.state else {
             self.queue_mut(it.work.class).remove(it.lane, key);
@@ -362,7 +379,7 @@
         self.counts.stop(it.work.class, run);
         self.suspects.remove(it.work.suspect);
         self.routes.stop(it.lane);
-        Some((it.lane, run))
+        Some((it.lane, it.work.class, run))
     }
 
     fn measure(&mut self, lane: routes::LaneKey, elapsed: time::Duration, outcome: work::Outcome) {
--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -15,6 +15,12 @@
     pub slots: u32,
     /// Moving mean of the time that a request runs; zero before the first answer.
     pub service_time: time::Duration,
+    /// Internal calls that wait.
+    pub queued_calls: u32,
+    /// The same mean over callers' requests.
+    pub caller_time: time::Duration,
+    /// The same mean over internal calls.
+    pub call_time: time::Duration,
 }
 
 impl LoadReport {
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -139,6 +139,7 @@
     let request = choose::Request {
         candidates: &candidates,
         excluded: tried,
+        class: job.head.class,
         idempotent: job.head.idempotent,
         deadline: job.deadline,
         objective: job.objective.since(now),
@@ -236,5 +237,12 @@
 }
 
 fn load(report: &admission::load::LoadReport) -> estimates::Load {
-    estimates::Load { busy: report.in_flight, queued: report.queued, service: report.service_time }
+    estimates::Load {
+        busy: report.in_flight,
+        queued: report.queued,
+        service: report.service_time,
+        calls: report.queued_calls,
+        caller_time: report.caller_time,
+        call_time: report.call_time,
+    }
 }
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -119,6 +119,9 @@
         queued: 1,
         slots: 6,
         service_time: std::time::Duration::from_millis(12),
+        queued_calls: 1,
+        caller_time: std::time::Duration::from_millis(20),
+        call_time: std::time::Duration::from_millis(4),
     };
     forwarding::Standing { load, attempts: 2, backend_us: 1_500 }
 }
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time};
 
 use rand::{Rng as _, rngs};
-use world::{mesh, targets, time::Time};
+use world::{mesh, requests, targets, time::Time};
 
 use crate::{estimates, mechanisms, policy};
 
@@ -42,6 +42,8 @@
     pub candidates: &'a [Candidate],
     /// Targets that had this request already, or must not run it beside a suspect.
     pub excluded: &'a [targets::TargetKey],
+    /// Who asks for it.
+    pub class: requests::Class,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
     /// When its caller stops waiting.
@@ -222,7 +224,7 @@
                 continue;
             }
             let share = self.share(now, candidate);
-            let (facts, estimate) = self.facts(now, index, candidate, share);
+            let (facts, estimate) = self.facts(now, index, candidate, request.class, share);
             if estimate.is_some_and(|it| it.is_silent()) {
                 options.refusal = options.refusal.max(Refusal::Silent);
                 continue;
@@ -251,6 +253,7 @@
         now: Time,
         index: usize,
         candidate: &Candidate,
+        class: requests::Class,
         share: f32,
     ) -> (policy::Facts, Option<&estimates::Estimate>) {
         let estimate = self.estimates.get(candidate.key);
@@ -258,6 +261,15 @@
         let latency = estimate.map_or(UNKNOWN_LATENCY, |it| it.latency);
         let in_flight = estimate.map_or(0.0, |it| it.in_flight as f32);
         let crowd = estimate.map_or(0.0, |it| it.crowd(now));
+        let before = (in_flight + crowd + 1.0 - slots).max(0.0);
+        let (before, service) = match class {
+            requests::Class::Caller => (before, estimate.map_or(0.0, |it| it.caller_time)),
+            // They run before callers' requests, so only those that wait already come first.
+            requests::Class::Internal => {
+                let calls = estimate.map_or(0.0, |it| it.calls(now));
+                (before.min(calls + 1.0), estimate.map_or(0.0, |it| it.call_time))
+            }
+        };
         let facts = policy::Facts {
             index: index as u32,
             in_flight,
@@ -265,8 +277,9 @@
             slots,
             latency,
             round_trip: 2.0 * candidate.link.as_secs_f32() * 1e6,
-            before: (in_flight + crowd + 1.0 - slots).max(0.0),
-            service: estimate.map_or(0.0, |it| it.service),
+            before,
+            service,
+            slot_time: estimate.map_or(0.0, |it| it.service),
             wait: 0.0,
             near: candidate.link <= mesh::LOCAL_LATENCY,
         };
@@ -354,14 +367,30 @@
     /// taken for an average one.
     fn forecast(&mut self) {
         let facts = &mut self.facts[..self.usable];
-        let known = facts.iter().filter(|it| it.service > 0.0);
-        let (count, sum) =
-            known.fold((0.0, 0.0), |(count, sum), it| (count + 1.0, sum + it.service));
+        fill(facts, |it| &mut it.service);
+        fill(facts, |it| &mut it.slot_time);
         for it in facts {
-            if it.service <= 0.0 {
-                it.service = if count > 0.0 { sum / count } else { it.latency };
-            }
-            it.wait = it.before * it.service / it.slots;
+            it.wait = it.before * it.slot_time / it.slots;
+        }
+    }
+}
+
+/// Gives targets whose time is not known the mean of the others, or their latency if there are
+/// none.
+fn fill(facts: &mut [policy::Facts], time: fn(&mut policy::Facts) -> &mut f32) {
+    let (mut count, mut sum) = (0.0, 0.0);
+    for it in facts.iter_mut() {
+        let known = *time(it);
+        if known > 0.0 {
+            count += 1.0;
+            sum += known;
+        }
+    }
+    for it in facts {
+        let latency = it.latency;
+        let it = time(it);
+        if *it <= 0.0 {
+            *it = if count > 0.0 { sum / count } else { latency };
         }
     }
 }
--- a/crates/routing/src/estimates.rs
+++ b/crates/routing/src/estimates.rs
@@ -46,6 +46,12 @@
     pub queued: u32,
     /// Mean time that a request runs there; zero when it is not known.
     pub service: time::Duration,
+    /// Internal calls that wait.
+    pub calls: u32,
+    /// The same mean over callers' requests.
+    pub caller_time: time::Duration,
+    /// The same mean over internal calls.
+    pub call_time: time::Duration,
 }
 
 /// An answer, as routing sees it.
@@ -108,6 +114,11 @@
     /// Mean time that a request runs at the target, as it last reported, in microseconds; zero
     /// when it is not known.
     pub service: f32,
+    /// The same over callers' requests.
+    pub caller_time: f32,
+    /// The same over internal calls.
+    pub call_time: f32,
+    calls: f32,
     others: f32,
     others_at: Time,
     ejection: Option<Ejection>,
@@ -154,6 +165,12 @@
         self.others * (1.0 - age).max(0.0)
     }
 
+    /// Internal calls that waited at the target as it last reported, fading as [`Estimate::crowd`].
+    pub fn calls(&self, now: Time) -> f32 {
+        let age = now.since(self.others_at).as_secs_f32() / CROWD_AGE.as_secs_f32();
+        self.calls * (1.0 - age).max(0.0)
+    }
+
     /// Whether a trial request may be sent. A trial risks a slow answer, so requests that can be
     /// sent again are preferred; a service that has no others is tried with any after a while.
     pub fn trial_due(&self, now: Time, idempotent: bool) -> bool {
@@ -367,8 +384,15 @@
         let total = load.busy.saturating_add(load.queued);
         self.others = total.saturating_sub(self.in_flight) as f32;
         self.others_at = now;
-        if !load.service.is_zero() {
-            self.service = load.service.as_secs_f32() * 1e6;
+        self.calls = load.calls as f32;
+        for (known, reported) in [
+            (&mut self.service, load.service),
+            (&mut self.caller_time, load.caller_time),
+            (&mut self.call_time, load.call_time),
+        ] {
+            if !reported.is_zero() {
+                *known = reported.as_secs_f32() * 1e6;
+            }
         }
     }
 
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -40,6 +40,8 @@
     pub wait: f32,
     /// Expected time that the request runs there, in microseconds.
     pub service: f32,
+    /// Expected time that any request runs there, in microseconds.
+    pub slot_time: f32,
     /// Whether it is in this node's data centre.
     pub near: bool,
 }
--- a/crates/routing/tests/choices.rs
+++ b/crates/routing/tests/choices.rs
@@ -5,7 +5,7 @@
 use rand::{SeedableRng as _, rngs};
 use routing::{choose, estimates, mechanisms, policy, reach};
 use slotmap::SlotMap;
-use world::{targets, time::Time};
+use world::{requests, targets, time::Time};
 
 const SEED: u64 = 7;
 const WORK: time::Duration = time::Duration::from_millis(5);
@@ -27,7 +27,8 @@
 fn request(candidates: &[choose::Candidate], now: Time) -> choose::Request<'_> {
     let deadline = now + time::Duration::from_secs(1);
     let objective = time::Duration::from_secs(1);
-    choose::Request { candidates, excluded: &[], idempotent: true, deadline, objective }
+    let class = requests::Class::Caller;
+    choose::Request { candidates, excluded: &[], class, idempotent: true, deadline, objective }
 }
 
 /// One node that sends a request each 10 ms. `work` gives the time at a target, none for a refused
@@ -252,6 +253,7 @@
         let request = choose::Request {
             candidates: &all,
             excluded: &excluded,
+            class: requests::Class::Caller,
             idempotent: true,
             deadline: Time::from_millis(left),
             objective: time::Duration::from_millis(left),
@@ -282,7 +284,8 @@
         let mut router = choose::Router::new(policy::NEAR_FIRST, mechanisms::Mechanisms::default());
         let mut rng = rngs::SmallRng::seed_from_u64(SEED);
         let now = Time::from_millis(1_000);
-        let near = estimates::Load { busy: 6, queued, service };
+        let caller_time = service;
+        let near = estimates::Load { busy: 6, queued, service, caller_time, ..Default::default() };
         router.estimates.observe(now, candidates[0].key, near);
         router.estimates.observe(now, candidates[1].key, estimates::Load { queued: 0, ..near });
         let objective = time::Duration::from_millis(300);
@@ -359,3 +362,41 @@
     at("all have answered", 2_000, &mut reach);
     insta::assert_snapshot!(out);
 }
+
+/// Two targets of another data centre: at the first, half of the slots run internal calls and 15
+/// more wait, so its mean time is short; the second runs callers' requests only.
+fn mixed_targets(class: requests::Class) -> Vec<usize> {
+    let ms = time::Duration::from_millis;
+    let mut all = candidates(&[1_000, 1_000]);
+    all.iter_mut().for_each(|it| it.slots = 12);
+    let mut router = choose::Router::new(policy::NEAR_FIRST, mechanisms::Mechanisms::default());
+    let mut rng = rngs::SmallRng::seed_from_u64(SEED);
+    let now = Time::from_millis(1_000);
+    let common = estimates::Load {
+        busy: 12,
+        caller_time: ms(250),
+        call_time: ms(40),
+        ..estimates::Load::default()
+    };
+    let crowded = estimates::Load { queued: 15, calls: 15, service: ms(35), ..common };
+    let calm = estimates::Load { queued: 6, calls: 1, service: ms(140), ..common };
+    router.estimates.observe(now, all[0].key, crowded);
+    router.estimates.observe(now, all[1].key, calm);
+    let request = choose::Request { class, ..request(&all, now) };
+    let mut counts = vec![0; 2];
+    for _ in 0..100 {
+        let choice = router.choose(now, &request, &mut rng).expect("targets are there");
+        counts[all.iter().position(|it| it.key == choice.target).expect("known")] += 1;
+    }
+    counts
+}
+
+/// Guards against a target that looks fast because it runs short internal calls, and so gets ever
+/// more of them.
+#[test]
+fn mixed_work() {
+    let calls = mixed_targets(requests::Class::Internal);
+    let callers = mixed_targets(requests::Class::Caller);
+    insta::assert_snapshot!(format!("internal calls {calls:?}, callers' requests {callers:?}"));
+    assert!(calls[1] > 90, "{calls:?}");
+}
--- a/xtask/src/bench/routing.rs
+++ b/xtask/src/bench/routing.rs
@@ -10,7 +10,7 @@
 
 use rand::{SeedableRng as _, rngs};
 use routing::{choose, estimates, mechanisms, policy};
-use world::{targets, time::Time};
+use world::{requests, targets, time::Time};
 
 /// Measured choices of one size.
 const CHOICES: u32 = 200_000;
@@ -98,6 +98,7 @@
         let request = choose::Request {
             candidates: &candidates,
             excluded: &[],
+            class: requests::Class::Caller,
             idempotent: true,
             deadline: now + time::Duration::from_secs(1),
             objective: time::Duration::from_secs(1),
--- a/xtask/src/bench/routing/model.rs
+++ b/xtask/src/bench/routing/model.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng as _, SeedableRng as _, rngs};
 use routing::{budget, choose, estimates, mechanisms, policy, retry};
-use world::{targets, time::Time};
+use world::{requests, targets, time::Time};
 
 use super::shapes;
 
@@ -198,6 +198,7 @@
         let wanted = choose::Request {
             candidates: &node.candidates,
             excluded: &request.tried,
+            class: requests::Class::Caller,
             idempotent: request.idempotent,
             deadline: request.arrived + shapes::TIMEOUT,
             objective: shapes::TIMEOUT,
