Let a node without a version soon come back to controls that could not serve

Ruled out: the election (0.57 s after the start), the load of the controls.

Change: a control that cannot serve is tried again after 0.5 s by a node that runs nothing. The new test of the simulation failed before.

--- a/crates/distribution/src/follower.rs
+++ b/crates/distribution/src/follower.rs
@@ -231,7 +231,7 @@
             }
             messages::Down::Wait(_, reason, millis) => {
                 if self.running.is_none() && reason != messages::Reason::Busy {
-                    self.attachment.avoid(now, control);
+                    self.leave_out(now, control);
                 }
                 let until = now + time::Duration::from_millis(millis.into());
                 self.ask_at = Some(until);
--- a/crates/distribution/src/sessions.rs
+++ b/crates/distribution/src/sessions.rs
@@ -60,7 +60,7 @@
         link.heard = now;
         link.ack = Some((ack, now));
         if ack.isolated {
-            self.attachment.avoid(now, control);
+            self.leave_out(now, control);
             return;
         }
         if self.running().is_some_and(|it| it.version() >= ack.version) {
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Puts a control that cannot serve after the others. A node that runs nothing comes back to it
+    /// soon, since after a start all of them have no leader for a moment.
+    pub(crate) fn leave_out(&mut self, now: Time, control: attach::ControlKey) {
+        if self.running.is_none() {
+            self.attachment.avoid_isolated(now, control);
+        } else {
+            self.attachment.avoid(now, control);
+        }
+    }
+
     /// Attaches to the control of the trial, unless it is isolated and the node has a link.
     fn adopt(
         &mut self,
--- a/crates/distribution/tests/faults.rs
+++ b/crates/distribution/tests/faults.rs
@@ -317,6 +317,26 @@
     }
 }
 
+/// Guards against a node without a version that stays with a control that cannot serve yet, when
+/// the others could not either at the time of their trial: after a loss of all processes, a leader
+/// is there long before a control with an empty disk has caught up.
+#[test]
+fn start_beside_a_lost_disk() {
+    for election in (200..2_000).step_by(100) {
+        let mut sim = sim::Sim::new(1, &[0], mechanisms::Mechanisms::default());
+        sim.tokens = false;
+        (0..3).for_each(|it| sim.isolate(it, true));
+        sim.restart(0, false);
+        sim.run(election);
+        // Home and another control have a leader; the third one catches up.
+        sim.isolate(0, false);
+        sim.isolate(1, false);
+        let converged = sim.run_until(1_000, sim::Sim::all_run_latest);
+        assert!(converged, "after {election} ms, it runs {} of {}", sim.running(0), sim.latest());
+        assert_eq!(sim.breaches, Vec::<String>::new());
+    }
+}
+
 /// Guards against a node without floor tokens that goes back over a restart: from a control that is
 /// not current it takes nothing then.
 #[test]
