Give up at once when no target has a slot, and use no retry for it

Cause: a request that three targets' nodes had refused for want of a slot drew on the share of retries for a fourth send.

Change: after its moves, a request without a slot is refused; retries are for what targets shed or links lose. The new test failed before with one send in place of three.

--- a/crates/heatherwalk/tests/requests/passing.rs
+++ b/crates/heatherwalk/tests/requests/passing.rs
@@ -224,3 +224,44 @@
     let host = settings.mesh.host(settings.me).expect("this host").clone();
     settings.me = settings.mesh.put_host(world::hosts::Host { data_centre, ..host });
 }
+
+/// Guards against refusals for want of a slot, which no backend server sees, that use up the
+/// retries which requests need when backend servers shed load.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refusals_for_want_of_a_slot_are_no_retries() {
+    let document = mesh::document(&[("logs", json!({"slots": 1, "queue": 0}), json!({}))]);
+    let mesh = mesh::Mesh::spawn(5, document).await;
+    let act = |head: &str, _: &[u8]| match head.split(' ').nth(1) {
+        Some("/logs/freeze") => servers::Reply::Freeze,
+        Some("/logs/shed") => servers::Reply::Shed,
+        _ => servers::Reply::Send(servers::answer("200 OK", "", b"work")),
+    };
+    let mut running = Vec::new();
+    for node in 1..5 {
+        running.push(servers::Server::spawn(mesh.announce(node), "logs", 1, act).await);
+        mesh.ready(node, &["logs"]).await;
+    }
+    mesh.ready(0, &["logs"]).await;
+    let mut holders = task::JoinSet::new();
+    for held in 1..=running.len() {
+        holders.spawn(callers::send(mesh.callers(0), callers::get("/logs/freeze")));
+        let runs = || running.iter().map(|it| it.counts.runs()).sum::<usize>();
+        let until = tokio::time::Instant::now() + mesh::PATIENCE;
+        while runs() < held {
+            assert!(tokio::time::Instant::now() < until, "{held} slots are not taken");
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+    }
+    for _ in 0..40 {
+        let seen = callers::send(mesh.callers(0), callers::get("/logs/work")).await;
+        assert!(seen.is_not_run(), "{seen}");
+    }
+    holders.shutdown().await;
+    for server in &running {
+        server.counts.wait(servers::Counts::cancelled, 1).await;
+    }
+    mesh.ready(0, &["logs"]).await;
+    let seen = callers::send(mesh.callers(0), callers::get("/logs/shed")).await;
+    let shed: usize = running.iter().map(|it| it.counts.shed.load(atomic::Ordering::SeqCst)).sum();
+    insta::assert_snapshot!(format!("{seen}; sent to {shed} targets"), @"503, not run (no-target); sent to 3 targets");
+}
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -193,6 +193,10 @@
                 self.moves += 1;
                 return Ok(self);
             }
+            // No target has a slot in time. Retries are for what targets or links fail to do.
+            working::Failure::NotRun(reason) if reason.is_full() => {
+                return Err(self.give_up(format_compact!("{reason:?}")));
+            }
             working::Failure::NotRun(_) => retry::Outcome::NotRun,
             working::Failure::Silent | working::Failure::Unknown(_) => retry::Outcome::Unknown,
         };
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -79,6 +79,11 @@
 }
 
 impl NotRun {
+    /// Whether the target's node found no slot for the request in time.
+    pub fn is_full(self) -> bool {
+        matches!(self, NotRun::Blocked | NotRun::Busy | NotRun::Full | NotRun::Late)
+    }
+
     /// Whether the backend server has seen the request, and refused it.
     pub fn was_sent(self) -> bool {
         self == NotRun::Shed
