Tell peers of a killed process at once that their links are gone

Cause: after the kill of a process its peers went on using the old links until these had been idle for 3 s: the process after it had new keys for stateless resets and connection IDs, so it ignored what came on them.

Change: both keys are derived from the process's key, or from the authority's where the process makes its own certificate, so the next process on the host resets the links. The new test failed before.

--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -43,7 +43,9 @@
     ) -> errors::Result<Endpoint> {
         let server = tls::server_config(identity, &limits)?;
         let client = tls::client_config(identity, &limits)?;
-        let quic = quinn::Endpoint::server(server, addr);
+        let runtime = sync::Arc::new(quinn::TokioRuntime);
+        let quic = net::UdpSocket::bind(addr)
+            .and_then(|it| quinn::Endpoint::new(config(identity), Some(server), it, runtime));
         let named = |it: io::Error| io::Error::new(it.kind(), format!("UDP {addr}: {it}"));
         let mut quic = quic.map_err(|it| errors::Error::Bind(sync::Arc::new(named(it))))?;
         quic.set_default_client_config(client);
@@ -117,6 +119,18 @@
     }
 }
 
+/// With keys that outlive the process, a peer that goes on using a link of the process before is
+/// told so at once. Otherwise it would find out when the link has been idle for too long.
+fn config(identity: &identity::Identity) -> quinn::EndpointConfig {
+    let reset = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &identity.reset);
+    let mut config = quinn::EndpointConfig::new(sync::Arc::new(reset));
+    let mut ids = [0; 8];
+    ids.copy_from_slice(&identity.reset[..8]);
+    let ids = u64::from_le_bytes(ids);
+    config.cid_generator(move || Box::new(quinn_proto::HashedConnectionIdGenerator::from_key(ids)));
+    config
+}
+
 impl Drop for Shared {
     fn drop(&mut self) {
         self.quic.close(codes::Code::Done.wire(), b"endpoint dropped");
--- a/crates/transport/src/identity.rs
+++ b/crates/transport/src/identity.rs
@@ -16,6 +16,8 @@
 const KEY_MODE: u32 = 0o600;
 /// Keeps the key that is made of a secret apart from other uses of the same secret.
 const SECRET_PREFIX: &[u8] = b"heatherwalk authority key 1\0";
+/// Keeps the key of stateless resets apart from other uses of the key that it is made of.
+const RESET_PREFIX: &[u8] = b"heatherwalk reset key 1\0";
 /// What stands before the 32 bytes of an Ed25519 key in PKCS #8 (RFC 8410).
 const ED25519_PKCS8: &[u8] = &[
     0x30, 0x2e, 0x02, 0x01, 0x00, 0x30, 0x05, 0x06, 0x03, 0x2b, 0x65, 0x70, 0x04, 0x22, 0x04, 0x20,
@@ -80,6 +82,9 @@
     pub(crate) certificate: pki_types::CertificateDer<'static>,
     pub(crate) key: pki_types::PrivateKeyDer<'static>,
     pub(crate) authority: pki_types::CertificateDer<'static>,
+    /// The same after each start of the process, so that it can tell peers that it no longer knows
+    /// the links of the process before.
+    pub(crate) reset: [u8; 32],
     peer: Peer,
     pem: Pem,
 }
@@ -144,7 +149,10 @@
         let key = rcgen::KeyPair::generate()?;
         let certificate = params.signed_by(&key, &self.issuer)?;
         let pem = Pem { certificate: certificate.pem(), key: key.serialize_pem() };
-        Identity::from_pem(pem, &self.pem.certificate)
+        let mut identity = Identity::from_pem(pem, &self.pem.certificate)?;
+        // The key of the process is new at each start, that of the authority need not be.
+        identity.reset = reset_key(&self.pem.key, &identity.peer);
+        Ok(identity)
     }
 }
 
@@ -155,7 +163,8 @@
         let key = pki_types::PrivateKeyDer::from_pem_slice(pem.key.as_bytes())?;
         let authority = read_certificate(authority)?;
         let peer = names::read_peer(&certificate)?;
-        Ok(Identity { certificate, key, authority, peer, pem })
+        let reset = reset_key(&pem.key, &peer);
+        Ok(Identity { certificate, key, authority, reset, peer, pem })
     }
 
     /// Reads an identity from three files.
@@ -195,6 +204,11 @@
     }
 }
 
+fn reset_key(key: &str, peer: &Peer) -> [u8; 32] {
+    let sha = sha2::Sha256::new_with_prefix(RESET_PREFIX);
+    sha.chain_update(names::role_name(peer)).chain_update(key).finalize().into()
+}
+
 fn authority_params() -> rcgen::CertificateParams {
     let mut params = rcgen::CertificateParams::default();
     params.distinguished_name = subject(AUTHORITY_NAME);
--- a/crates/transport/tests/links.rs
+++ b/crates/transport/tests/links.rs
@@ -283,3 +283,46 @@
     drop(answers);
     soon(back.cancelled()).await;
 }
+
+/// Guards against a peer that goes on sending into a link of a process that was killed: the process
+/// after it, with a new key, says at once that it does not know the link. A link without that word
+/// ends when it has been idle for 3 s.
+#[tokio::test]
+async fn killed_and_started_again() {
+    let mesh = Mesh::start();
+    let issue = || mesh.authority.issue("imanta", hosts::Role::Node).expect("issues");
+    let (killed, at) = start_apart(issue()).await;
+    let near = soon(mesh.client.connect(at, "imanta")).await.expect("connects");
+    killed.shutdown_background();
+    let limits = limits::Limits::default();
+    let again = soon(async {
+        loop {
+            match endpoint::Endpoint::bind(at, &issue(), limits) {
+                Ok(it) => return it,
+                Err(_) => tokio::time::sleep(time::Duration::from_millis(10)).await,
+            }
+        }
+    });
+    let _again = again.await;
+    let (mut sender, _receiver) = near.open().await.expect("the link looks whole");
+    sender.send(&"work").await.expect("the link looks whole");
+    let closed = tokio::time::timeout(limits.idle / 3, near.closed());
+    assert!(closed.await.is_ok(), "the link still looks whole");
+}
+
+/// Starts an endpoint that takes links, in a runtime that can end without a word to its peers.
+async fn start_apart(identity: identity::Identity) -> (tokio::runtime::Runtime, net::SocketAddr) {
+    let starting = tokio::task::spawn_blocking(move || {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(1).enable_all().build().expect("starts");
+        let endpoint = runtime.block_on(async { bind(&identity) });
+        let at = addr(&endpoint);
+        runtime.spawn(async move {
+            let link = endpoint.accept().await;
+            std::future::pending::<()>().await;
+            drop((link, endpoint));
+        });
+        (runtime, at)
+    });
+    starting.await.expect("no panic")
+}
