Come back to the controls soon after a cut

Cause: an attempt to attach that began before the end of the cut hung for up to 3 s, and the pause after it grew to 5 s. By the new test the way back took up to 6.4 s; 2.5 s are half of the time in which a version has to be in force.

Change: an attempt ends after 1.5 s, the pause is at most 1 s, and a lost packet of a handshake is sent again after 0.3 s in place of 1 s.

--- a/crates/distribution/src/attach.rs
+++ b/crates/distribution/src/attach.rs
@@ -11,6 +11,9 @@
 
 /// Silence after which a control counts as unreachable.
 pub const SILENCE: time::Duration = time::Duration::from_secs(3);
+/// How long an attempt to attach may take. A partition drops its packets, and one that began before
+/// the partition ended must not hold up the next.
+pub const TRIAL: time::Duration = time::Duration::from_millis(1_500);
 /// How long a control that failed or is isolated comes after the others in the choice.
 pub const AVOIDANCE: time::Duration = time::Duration::from_secs(5);
 /// How long a control that was isolated when the node tried it comes after the others. An election
@@ -19,7 +22,7 @@
 /// The backoff after the first failure.
 pub const BACKOFF_BASE: time::Duration = time::Duration::from_millis(100);
 /// The largest backoff.
-pub const BACKOFF_CAP: time::Duration = time::Duration::from_secs(5);
+pub const BACKOFF_CAP: time::Duration = time::Duration::from_secs(1);
 
 slotmap::new_key_type! {
     /// Key of a control in a node's arena.
@@ -111,7 +114,7 @@
     /// Ends a trial that takes too long, and returns its control.
     pub fn end_stale_trial(&mut self, now: Time) -> Option<ControlKey> {
         let trial = self.trial?;
-        (now.since(trial.since) >= SILENCE).then_some(trial.control)
+        (now.since(trial.since) >= TRIAL).then_some(trial.control)
     }
 
     /// The control of the link, when it has been silent for too long.
--- a/crates/distribution/tests/faults.rs
+++ b/crates/distribution/tests/faults.rs
@@ -3,8 +3,9 @@
 
 use std::fmt::Write as _;
 
-use distribution::mechanisms;
-use rand::Rng;
+use distribution::{attach, mechanisms};
+use rand::{Rng, SeedableRng as _, rngs};
+use world::time::Time;
 
 mod sim;
 
@@ -317,6 +318,34 @@
     }
 }
 
+/// Time in milliseconds from the end of a cut to the first attempt that is answered. What is tried
+/// during the cut hangs, as packets are dropped.
+fn back_after(cut: u64, seed: u64) -> u64 {
+    let mut rng = rngs::StdRng::seed_from_u64(seed);
+    let others = vec!["control-1".into(), "control-2".into()];
+    let mut attachment = attach::Attachment::new("control-0".into(), others);
+    for millis in (0..).step_by(50) {
+        let now = Time::from_millis(millis);
+        if let Some(control) = attachment.end_stale_trial(now) {
+            attachment.fail(now, control, &mut rng);
+        }
+        if attachment.start_trial(now).is_some() && millis >= cut {
+            return millis - cut;
+        }
+    }
+    unreachable!("the loop has no end")
+}
+
+/// Guards against a node that takes too long to come back after it was cut off from all controls: a
+/// version has to be in force within 5 s, and half of that is left for the way to the controls.
+#[test]
+fn back_from_a_cut() {
+    let cuts = (0..20_000).step_by(250);
+    let times = cuts.flat_map(|cut| (0..50).map(move |seed| back_after(cut, seed)));
+    let worst = times.max().expect("cuts");
+    assert!(worst <= 2_500, "{worst} ms");
+}
+
 /// Guards against a node without a version that stays with a control that cannot serve yet, when
 /// the others could not either at the time of their trial: after a loss of all processes, a leader
 /// is there long before a control with an empty disk has caught up.
--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -12,6 +12,9 @@
     pub keep_alive: time::Duration,
     /// A link without any packet from the peer for this long is broken.
     pub idle: time::Duration,
+    /// The round trip assumed before one is measured. A lost packet of a handshake is sent again
+    /// after three of them.
+    pub first_rtt: time::Duration,
     /// How long a handshake may take.
     pub handshake: time::Duration,
     /// Streams that a peer may have open at once on one link.
@@ -35,6 +38,8 @@
         Limits {
             keep_alive: time::Duration::from_secs(1),
             idle: time::Duration::from_secs(3),
+            // Above that between the regions of the target.
+            first_rtt: time::Duration::from_millis(100),
             handshake: time::Duration::from_secs(3),
             streams: 256,
             stream_window: 256 * 1024,
--- a/crates/transport/src/tls.rs
+++ b/crates/transport/src/tls.rs
@@ -79,6 +79,7 @@
     let mut config = quinn::TransportConfig::default();
     let idle = quinn::IdleTimeout::try_from(limits.idle).ok();
     config
+        .initial_rtt(limits.first_rtt)
         .max_idle_timeout(idle)
         .max_concurrent_bidi_streams(limits.streams.into())
         .max_concurrent_uni_streams(0_u8.into())
