--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -76,7 +76,7 @@
 /// What a caller gets.
 enum Reply {
     /// An answer that is passed on as it arrives.
-    Arriving(sending::Answered),
+    Arriving(Box<sending::Answered>),
     /// An answer that is there as a whole, and the time that the backend server took.
     Whole(web::exchange::Answer, std_time::Duration),
 }
@@ -94,7 +94,7 @@
     match handle(&state, request, id, asked).await {
         Ok(Reply::Arriving(answered)) => {
             count.head(std_time::Duration::from_micros(answered.standing.backend_us));
-            answering::stream(answered, is_head, count).await
+            answering::stream(*answered, is_head, count).await
         }
         Ok(Reply::Whole(answer, backend)) => {
             count.head(backend);
@@ -385,7 +385,7 @@
         Ok(answered) => {
             loan.settle(answered.standing.attempts).await;
             match claim {
-                None => Ok(Reply::Arriving(answered)),
+                None => Ok(Reply::Arriving(Box::new(answered))),
                 Some(claim) => store(state, claim, answered).await,
             }
         }
@@ -433,7 +433,8 @@
     }
     if collected == Collected::Partly {
         let body = sending::Source::Rest(Some(kept), copy);
-        return Ok(Reply::Arriving(sending::Answered { status, headers, body, standing }));
+        let answered = sending::Answered { status, headers, body, standing };
+        return Ok(Reply::Arriving(Box::new(answered)));
     }
     let body = web::body::Body::full(kept);
     let backend = std_time::Duration::from_micros(standing.backend_us);
