Split the hosts out of the harness of the process tests

The hosts, their ports and the signals to their processes stand in a file of their own; nothing else changes.

--- a/crates/heatherwalk/tests/processes/harness.rs
+++ b/crates/heatherwalk/tests/processes/harness.rs
@@ -5,12 +5,11 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use heatherwalk::{calls, keys, operators};
-use rand::Rng as _;
 use serde_json::{Value, json};
 use tokio::runtime;
-use world::hosts;
+use world::hosts::Role;
 
-use crate::backends;
+use crate::{backends, hosts};
 
 /// How long a condition may take. It is far above what is expected, for busy machines.
 pub const LIMIT: time::Duration = time::Duration::from_secs(30);
@@ -18,9 +17,6 @@
 pub const CENTRES: [&str; 3] = ["skulte", "jugla", "imanta"];
 const PAUSE: time::Duration = time::Duration::from_millis(40);
 const TOKEN: &str = "token-of-the-process-tests";
-/// Below the ports that the system gives to outgoing connections, so that the port of a killed
-/// process is still free when it is started again.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
 /// Cases at the same time: each has up to seven processes, and the machine is shared.
 const CASES: u32 = 2;
 static RUNNING: sync::Mutex<u32> = sync::Mutex::new(0);
@@ -45,36 +41,12 @@
     }
 }
 
-/// A process of the mesh with its settings.
-pub struct Host {
-    /// Its name, as `skulte-1`, or `skulte-c` for a control.
-    pub name: CompactString,
-    centre: &'static str,
-    listen: net::SocketAddr,
-    metrics: net::SocketAddr,
-    /// Callers' port of a node, operators' port of a control.
-    pub front: net::SocketAddr,
-    announce: net::SocketAddr,
-    process: Option<Process>,
-}
-
-/// A child process that is killed when the test ends, also by a panic.
-struct Process(process::Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 /// The mesh.
 pub struct Mesh {
     /// The controls, one in each data centre.
-    pub controls: Vec<Host>,
+    pub controls: Vec<hosts::Host>,
     /// The nodes.
-    pub nodes: Vec<Host>,
+    pub nodes: Vec<hosts::Host>,
     /// The backend servers of the nodes, in the same order.
     pub backends: Vec<backends::Backend>,
     /// The version after the last accepted patch.
@@ -146,10 +118,11 @@
     async fn start(centres: &[&'static str], work: &sync::Arc<backends::Work>) -> Mesh {
         let folder = tempfile::tempdir().expect("a folder");
         keys::write_authority(folder.path()).expect("an authority");
-        let control = |centre: &&'static str| Host::new(format_compact!("{centre}-c"), centre);
+        let control =
+            |centre: &&'static str| hosts::Host::new(format_compact!("{centre}-c"), centre);
         let controls: Vec<_> = CENTRES.iter().map(control).collect();
         let node = |(i, centre): (usize, &&'static str)| {
-            Host::new(format_compact!("{centre}-{}", i + 1), centre)
+            hosts::Host::new(format_compact!("{centre}-{}", i + 1), centre)
         };
         let nodes: Vec<_> = centres.iter().enumerate().map(node).collect();
         let client = web::client::Client::new(web::client::Limits::default());
@@ -175,14 +148,14 @@
         let folder = self.folder.path();
         let mut shared = String::new();
         for it in &self.controls {
-            let Host { name, centre, listen, .. } = it;
+            let hosts::Host { name, centre, listen, .. } = it;
             shared += &format!(
                 "[control.{name}]\nregion = vidzeme\ndata-centre = {centre}\n\
                  address = {listen}\nvotes = configuration claims\n"
             );
         }
         for it in &self.controls {
-            keys::write_host(folder, &it.name, hosts::Role::Control, folder).expect("a key");
+            keys::write_host(folder, &it.name, Role::Control, folder).expect("a key");
             let (front, data) = (it.front, folder.join(&it.name));
             let role = format!(
                 "[control]\noperators = {front}\ntoken = {TOKEN}\ndata = {}\n",
@@ -191,16 +164,16 @@
             self.write(it, "control", &(role + &shared));
         }
         for it in &self.nodes {
-            keys::write_host(folder, &it.name, hosts::Role::Node, folder).expect("a key");
-            let Host { front, announce, .. } = it;
+            keys::write_host(folder, &it.name, Role::Node, folder).expect("a key");
+            let hosts::Host { front, announce, .. } = it;
             let role = format!("[node]\ncallers = {front}\nannounce = {announce}\n");
             self.write(it, "node", &(role + &shared));
         }
     }
 
-    fn write(&self, host: &Host, role: &str, rest: &str) {
+    fn write(&self, host: &hosts::Host, role: &str, rest: &str) {
         let folder = self.folder.path().display();
-        let Host { name, centre, listen, metrics, .. } = host;
+        let hosts::Host { name, centre, listen, metrics, .. } = host;
         let text = format!(
             "[host]\nname = {name}\nrole = {role}\nregion = vidzeme\ndata-centre = {centre}\n\
              listen = {listen}\nmetrics = {metrics}\n[log]\nlevel = info\n\
@@ -232,7 +205,7 @@
         fs::remove_dir_all(self.folder.path().join(&self.controls[i].name)).expect("removed");
     }
 
-    fn spawn(&self, role: &str, name: &str) -> Process {
+    fn spawn(&self, role: &str, name: &str) -> hosts::Process {
         let open = || fs::OpenOptions::new().create(true).append(true).open(self.file(name, "log"));
         let (log, errors) = (open(), open());
         let child = process::Command::new(env!("CARGO_BIN_EXE_heatherwalk"))
@@ -242,7 +215,7 @@
             .stdout(log.expect("a log file"))
             .stderr(errors.expect("a log file"))
             .spawn();
-        Process(child.expect("the binary starts"))
+        hosts::Process(child.expect("the binary starts"))
     }
 
     /// The control that leads the configuration group and holds its lease.
@@ -350,7 +323,7 @@
     }
 
     /// A value on a process's metrics page.
-    pub async fn gauge(&self, host: &Host, name: &str) -> Option<u64> {
+    pub async fn gauge(&self, host: &hosts::Host, name: &str) -> Option<u64> {
         let call = call(host.metrics, http::Method::GET, "/metrics", "");
         let answer = self.client.send(call).await.ok()?;
         let page = answer.body.whole(1024 * 1024).await.ok()?;
@@ -399,48 +372,6 @@
     }
 }
 
-impl Host {
-    fn new(name: CompactString, centre: &'static str) -> Host {
-        let [listen, metrics, front, announce] = [(); 4].map(|()| free_port());
-        Host { name, centre, listen, metrics, front, announce, process: None }
-    }
-
-    /// Ends the process at once, by SIGKILL.
-    pub fn kill(&mut self) {
-        drop(self.process.take().expect("the process runs"));
-    }
-
-    /// Freezes the process.
-    pub fn freeze(&self) {
-        self.signal("-STOP");
-    }
-
-    /// Lets a frozen process go on.
-    pub fn thaw(&self) {
-        self.signal("-CONT");
-    }
-
-    /// Ends the process as planned. Returns whether it reported success.
-    pub async fn stop(&mut self) -> bool {
-        self.signal("-TERM");
-        let mut process = self.process.take().expect("the process runs");
-        let mut status = None;
-        eventually("a planned stop", async || {
-            status = process.0.try_wait().expect("a child");
-            status.is_some()
-        })
-        .await;
-        status.is_some_and(|it| it.success())
-    }
-
-    fn signal(&self, signal: &str) {
-        let process = self.process.as_ref().expect("the process runs");
-        let id = process.0.id().to_string();
-        let status = process::Command::new("kill").args([signal, &id]).status();
-        assert!(status.expect("kill is there").success());
-    }
-}
-
 /// Sends a request to a node's port for callers.
 pub async fn deliver(
     client: &web::client::Client,
@@ -495,17 +426,6 @@
     })
 }
 
-/// A port that nothing uses, for TCP and UDP.
-fn free_port() -> net::SocketAddr {
-    loop {
-        let port = rand::rng().random_range(PORTS);
-        let addr = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
-        if net::TcpListener::bind(addr).is_ok() && net::UdpSocket::bind(addr).is_ok() {
-            return addr;
-        }
-    }
-}
-
 fn tail(log: &str) -> String {
     let lines: Vec<_> = log.lines().collect();
     lines[lines.len().saturating_sub(30)..].join("\n")
--- a/crates/heatherwalk/tests/processes/main.rs
+++ b/crates/heatherwalk/tests/processes/main.rs
@@ -6,5 +6,6 @@
 mod configuration;
 mod crashes;
 mod harness;
+mod hosts;
 mod outages;
 mod stops;
