Decide on probes in jobs, and never leave a probe without a result

Cause: the task that sends probes decided outside of the pool, against the shape of the code, and a probe whose result found the queue of jobs full was the last one of its host, which then got no request any more. Found by reading; not seen in a run.

Change: what is due is decided in a job, and the result is noted also when the queue is full.

--- a/crates/node/src/reaching.rs
+++ b/crates/node/src/reaching.rs
@@ -34,38 +34,59 @@
 /// Sends the probes that are due, until the node stops.
 pub(crate) async fn run(state: sync::Arc<state::State>) {
     loop {
-        let next = state.routing.lock().reach.next();
-        let due = async {
+        let shared = sync::Arc::clone(&state);
+        let job = move || {
+            let now = shared.now();
+            let reach = &mut shared.routing.lock().reach;
+            (reach.due(now), reach.next())
+        };
+        let Ok((due, next)) = state.pool.run(job).await else {
+            tokio::time::sleep(PROBE_LIMIT).await;
+            continue;
+        };
+        for key in due {
+            tokio::spawn(check(sync::Arc::clone(&state), key));
+        }
+        let next = async {
             match next {
                 Some(at) => tokio::time::sleep_until(state.instant(at)).await,
                 None => std::future::pending().await,
             }
         };
         tokio::select! {
-            () = due => {}
-            () = state.lost.notified() => continue,
-        }
-        let due = state.routing.lock().reach.due(state.now());
-        for key in due {
-            tokio::spawn(check(sync::Arc::clone(&state), key));
+            () = next => {}
+            () = state.lost.notified() => {}
         }
     }
 }
 
+/// Probes a target's host and notes the result, also when there is too much work to probe it: a
+/// probe without a result would be the last one.
 async fn check(state: sync::Arc<state::State>, key: targets::TargetKey) {
-    let target = state.directory.lock().get(key).map(|it| (it.entry.host.clone(), it.entry.addr));
-    let Some((host, addr)) = target else {
-        state.routing.lock().reach.heard(key);
-        return;
+    let shared = sync::Arc::clone(&state);
+    let (host, heard) = match state.pool.run(move || find(&shared, key)).await {
+        Ok(None) => return,
+        Ok(Some((host, addr))) => {
+            let probed = tokio::time::timeout(PROBE_LIMIT, probe(&state, &host, addr)).await;
+            (host, matches!(probed, Ok(Ok(()))))
+        }
+        Err(_) => (CompactString::default(), false),
     };
-    let probed = tokio::time::timeout(PROBE_LIMIT, probe(&state, &host, addr)).await;
     let shared = sync::Arc::clone(&state);
-    let heard = matches!(probed, Ok(Ok(())));
-    let noted = state.pool.run(move || note(&shared, key, &host, heard)).await;
-    if noted.is_err() {
-        log::warn!("too much work; the result of a probe was dropped");
-    }
-    state.lost.notify_one();
+    state.pool.submit_or_run(move || {
+        note(&shared, key, &host, heard);
+        shared.lost.notify_one();
+    });
+}
+
+/// Where a target's host listens; a target that is gone is no longer probed.
+fn find(state: &state::State, key: targets::TargetKey) -> Option<(CompactString, net::SocketAddr)> {
+    let directory = state.directory.lock();
+    let Some(target) = directory.get(key) else {
+        state.routing.lock().reach.heard(key);
+        return None;
+    };
+    Some((target.entry.host.clone(), target.entry.addr))
 }
 
 async fn probe(
