Hand out each port of the process tests once

The harness draws ports at random and tries to bind them, but the processes bind them later, and two cases run side by side; with about 28 ports a case out of 20,000 two of them meet in a run now and then.

Ruled out: processes of other programs; the port lies below those of outgoing connections.

Change: a port that was drawn once is not drawn again.

--- a/crates/heatherwalk/tests/processes/hosts.rs
+++ b/crates/heatherwalk/tests/processes/hosts.rs
@@ -1,6 +1,6 @@
 //! The hosts of a mesh of real processes, and the signals that their processes get.
 
-use std::{net, process};
+use std::{collections, net, process, sync};
 
 use compact_str::CompactString;
 use rand::Rng as _;
@@ -10,6 +10,8 @@
 /// Below the ports that the system gives to outgoing connections, so that the port of a killed
 /// process is still free when it is started again.
 const PORTS: std::ops::Range<u16> = 12_000..32_000;
+static HANDED_OUT: sync::Mutex<collections::BTreeSet<u16>> =
+    sync::Mutex::new(collections::BTreeSet::new());
 
 /// A process of the mesh with its settings.
 pub struct Host {
@@ -83,13 +85,27 @@
     }
 }
 
-/// A port that nothing uses, for TCP and UDP.
+/// A port that nothing uses, for TCP and UDP. None is handed out twice: a process binds its ports
+/// only when it starts, and cases run side by side.
 fn free_port() -> net::SocketAddr {
     loop {
         let port = rand::rng().random_range(PORTS);
+        if !HANDED_OUT.lock().expect("no holder panics").insert(port) {
+            continue;
+        }
         let addr = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
         if net::TcpListener::bind(addr).is_ok() && net::UdpSocket::bind(addr).is_ok() {
             return addr;
         }
     }
 }
+
+/// Guards against two processes that are given the same port: the second one ends at its start.
+#[test]
+fn ports_are_handed_out_once() {
+    let mut ports: Vec<_> = (0..2_000).map(|_| free_port().port()).collect();
+    ports.sort_unstable();
+    let count = ports.len();
+    ports.dedup();
+    assert_eq!(ports.len(), count, "a port was handed out twice");
+}
