Log and count attempts to open links, probes, cut answers and missing routes

Logs and metrics could not tell two hypotheses of the incident apart: links that are opened too late, and hosts that are taken for silent behind a full link. Each attempt to open a link now has a line with its duration, and counters by state; probes are counted by result; the line of a silent host has the round trip of its link; a request without a route logs the version that lacks it and that version's age; a cut answer names its request. No decision changes.

--- a/crates/heatherwalk/tests/metrics.rs
+++ b/crates/heatherwalk/tests/metrics.rs
@@ -16,6 +16,9 @@
     node.count_request(node::instruments::Outcome::NotRun, ms(1), ms(1));
     node.count_attempt();
     node.count_refusal(forwarding::NotRun::Full);
+    node.count_links(transport::pool::Counts { started: 3, opened: 2, failed: 1 });
+    node.count_probe(true);
+    node.count_probe(false);
     node.record_version(document::Version(7), ms(250));
     let control = control::instruments::Instruments::new(&metrics.meter());
     control.count_patch(&operators::PatchAnswer::Accepted { version: document::Version(7) });
--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -118,7 +118,11 @@
             }
             Err(Error::Body(web::body::Error::Gone)) => {}
             Err(err) => {
-                log::info!("answer ended early: {err}; resetting the caller's connection");
+                log::info!(
+                    target: "decision",
+                    "answer_cut request={} error=\"{err}\" next=\"resetting the caller's connection\"",
+                    record.id,
+                );
                 record.finish(instruments::Outcome::Unknown);
                 sender.abort();
             }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -203,7 +203,15 @@
     options: &dialect::RequestOptions,
 ) -> refusals::Result<Plan> {
     let config = state.running().ok_or_else(refusals::no_version)?;
-    let route = config.find_route(host, path).ok_or_else(refusals::no_route)?;
+    let Some(route) = config.find_route(host, path) else {
+        let age = state.configuration.lock().updater.age(now);
+        log::info!(
+            target: "decision",
+            "no_route request={id} host={host} path={path} version={} age={age:?}",
+            config.version(),
+        );
+        return Err(refusals::no_route());
+    };
     let contract = config.route(route).ok_or_else(refusals::no_route)?;
     let service = contract.service_at(next_split(state, contract));
     let service = service.and_then(|it| config.service(it)).ok_or_else(refusals::no_route)?;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -93,9 +93,10 @@
     target: &choosing::Target,
     may_run: &mut bool,
 ) -> Result<AnswerParts, working::Failure> {
+    let started_at = state.now();
     // Used only up to the point where the other node may run the request.
     let unreachable = |err: transport::errors::Error| {
-        log::info!(target: "decision", "unreachable request={} host={} error=\"{err}\"", request.head.id, target.host);
+        log::info!(target: "decision", "unreachable request={} host={} after={:?} error=\"{err}\"", request.head.id, target.host, state.now().since(started_at));
         working::Failure::NotRun(forwarding::NotRun::Unreachable)
     };
     let connecting = state.links.link(&target.host, target.addr);
@@ -183,7 +184,7 @@
         tokio::time::sleep(LATE_TIMER_GRACE).await;
         let received = link.traffic().received;
         if received == last_received {
-            log::info!(target: "decision", "silent host={} limit={limit:?}", link.host());
+            log::info!(target: "decision", "silent host={} limit={limit:?} round_trip={:?}", link.host(), link.round_trip());
             return;
         }
         last_received = received;
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::{KeyValue, metrics};
 use protocol::forwarding;
-use transport::links;
+use transport::{links, pool};
 use world::document;
 
 /// Upper bounds of the histogram of request times, in seconds.
@@ -37,6 +37,8 @@
     request_time: metrics::Histogram<f64>,
     added_time: metrics::Histogram<f64>,
     control: metrics::Counter<u64>,
+    link_attempts: metrics::Counter<u64>,
+    probes: metrics::Counter<u64>,
     version: metrics::Gauge<u64>,
     version_age: metrics::Gauge<f64>,
 }
@@ -67,6 +69,8 @@
                 &ADDED_BOUNDS_S,
             ),
             control: control.with_description("UDP payload on links to controls").build(),
+            link_attempts: counter("node.link.attempts", "Attempts to open links by state"),
+            probes: counter("node.probes", "Probes of unresponsive hosts by result"),
             version: version.with_description("The version that the node runs").build(),
             version_age: age
                 .with_description("Time since a control last confirmed the version as current")
@@ -100,6 +104,19 @@
         self.control.add(traffic.received, &[KeyValue::new("direction", "received")]);
     }
 
+    /// Adds the attempts to open links since the last call.
+    pub fn count_links(&self, added: pool::Counts) {
+        self.link_attempts.add(added.started, &[KeyValue::new("state", "started")]);
+        self.link_attempts.add(added.opened, &[KeyValue::new("state", "opened")]);
+        self.link_attempts.add(added.failed, &[KeyValue::new("state", "failed")]);
+    }
+
+    /// Counts a probe that was answered, or that was not answered in time.
+    pub fn count_probe(&self, answered: bool) {
+        let result = if answered { "answered" } else { "unanswered" };
+        self.probes.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Records the version that the node runs, and the time since a control last confirmed it as
     /// current. A gauge keeps its last value, so this has to be called at regular intervals.
     pub fn record_version(&self, version: document::Version, age: time::Duration) {
--- a/crates/node/src/reaching.rs
+++ b/crates/node/src/reaching.rs
@@ -75,6 +75,7 @@
         }
         Err(_) => (CompactString::default(), false),
     };
+    state.instruments.count_probe(answered);
     let shared = sync::Arc::clone(&state);
     state.pool.submit_or_run(move || {
         record_result(&shared, key, &host, answered);
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -212,9 +212,15 @@
     let mut ticks = time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut count: u32 = 0;
+    let mut recorded = state.links.counts();
     loop {
         ticks.tick().await;
         count = count.wrapping_add(1);
+        if count.is_multiple_of(HEARTBEAT_TICKS) {
+            let counts = state.links.counts();
+            state.instruments.count_links(counts.since(recorded));
+            recorded = counts;
+        }
         let shared = sync::Arc::clone(&state);
         let job = move || {
             attaching::tick(&shared);
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -1,6 +1,10 @@
 //! A pool with one link per peer, which all tasks share.
 
-use std::{collections, net, sync};
+use std::{
+    collections, net,
+    sync::{self, atomic},
+    time,
+};
 
 use compact_str::CompactString;
 use tokio::sync::watch;
@@ -12,6 +16,36 @@
 pub struct LinkPool {
     endpoint: endpoint::Endpoint,
     entries: sync::Arc<sync::Mutex<Entries>>,
+    counters: sync::Arc<Counters>,
+}
+
+/// How many attempts to connect a pool has made since it was created.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Attempts that were started.
+    pub started: u64,
+    /// Attempts that ended with a link.
+    pub opened: u64,
+    /// Attempts that failed.
+    pub failed: u64,
+}
+
+impl Counts {
+    /// The difference to `earlier`, older counts of the same pool.
+    pub fn since(self, earlier: Counts) -> Counts {
+        Counts {
+            started: self.started.saturating_sub(earlier.started),
+            opened: self.opened.saturating_sub(earlier.opened),
+            failed: self.failed.saturating_sub(earlier.failed),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Counters {
+    started: atomic::AtomicU64,
+    opened: atomic::AtomicU64,
+    failed: atomic::AtomicU64,
 }
 
 type Entries = collections::HashMap<CompactString, Entry>;
@@ -28,7 +62,7 @@
 impl LinkPool {
     /// Creates an empty pool that connects through `endpoint`.
     pub fn new(endpoint: endpoint::Endpoint) -> LinkPool {
-        LinkPool { endpoint, entries: sync::Arc::default() }
+        LinkPool { endpoint, entries: sync::Arc::default(), counters: sync::Arc::default() }
     }
 
     /// The endpoint that the pool connects through.
@@ -36,6 +70,13 @@
         &self.endpoint
     }
 
+    /// The attempts to connect since the pool was created.
+    pub fn counts(&self) -> Counts {
+        let read = |it: &atomic::AtomicU64| it.load(atomic::Ordering::Relaxed);
+        let Counters { started, opened, failed } = &*self.counters;
+        Counts { started: read(started), opened: read(opened), failed: read(failed) }
+    }
+
     /// Returns the link to `host`. Connects first if there is no link, the link is closed, or it
     /// leads to another address than `addr`. Concurrent calls wait for the same attempt and share
     /// its error. The next call after an error connects again.
@@ -69,10 +110,24 @@
         let endpoint = self.endpoint.clone();
         let host = CompactString::from(host);
         // The attempt runs in a task of its own, so that dropping this call does not abort it.
+        let counters = sync::Arc::clone(&self.counters);
         tokio::spawn(async move {
+            counters.started.fetch_add(1, atomic::Ordering::Relaxed);
+            let started_at = time::Instant::now();
             let result = endpoint.connect(addr, &host).await;
-            if let Err(error) = &result {
-                log::info!("cannot connect to {host} at {addr}: {error}");
+            let took = started_at.elapsed();
+            match &result {
+                Ok(_) => {
+                    counters.opened.fetch_add(1, atomic::Ordering::Relaxed);
+                    log::info!(target: "decision", "link_opened host={host} took={took:?}");
+                }
+                Err(error) => {
+                    counters.failed.fetch_add(1, atomic::Ordering::Relaxed);
+                    log::info!(
+                        target: "decision",
+                        "link_failed host={host} addr={addr} took={took:?} error=\"{error}\"",
+                    );
+                }
             }
             sender.send_replace(Some(result));
         });
