--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -89,6 +89,16 @@
         }
     }
 
+    /// Returns the open link to `host` at `addr`, if there is one. Never connects.
+    pub fn established(&self, host: &str, addr: net::SocketAddr) -> Option<links::Link> {
+        let entries = self.lock();
+        let entry = entries.get(host).filter(|it| it.addr == addr)?;
+        match &*entry.attempt.borrow() {
+            Some(Ok(link)) if !link.is_closed() => Some(link.clone()),
+            _ => None,
+        }
+    }
+
     /// Removes the link to `host` from the pool and closes it as planned.
     pub fn remove(&self, host: &str) {
         let entry = self.lock().remove(host);
