--- a/crates/heatherwalk/tests/requests/servers.rs
+++ b/crates/heatherwalk/tests/requests/servers.rs
@@ -24,6 +24,10 @@
     After(time::Duration, Vec<u8>),
     /// Sends these bytes, then waits until the connection is closed.
     Partly(Vec<u8>),
+    /// Sends these bytes in that many pieces with a pause before each, then closes the connection.
+    Slowly(Vec<u8>, usize, time::Duration),
+    /// Sends the first bytes, then the second ones again and again until the connection is closed.
+    Endless(Vec<u8>, Vec<u8>),
     /// Sends nothing and waits until the connection is closed.
     Freeze,
     /// Answers that it did not run the request.
@@ -39,6 +43,8 @@
     pub shed: atomic::AtomicUsize,
     /// Requests whose connection was closed while it ran them.
     pub cancelled: atomic::AtomicUsize,
+    /// Bytes of endless answers that the system took from it.
+    pub endless: atomic::AtomicUsize,
 }
 
 /// A running server. Dropping it stops it at once.
@@ -133,6 +139,26 @@
     count.fetch_add(1, atomic::Ordering::SeqCst);
     let bytes = match action {
         Action::Send(bytes) => bytes,
+        Action::Slowly(bytes, pieces, pause) => {
+            for piece in bytes.chunks(bytes.len().div_ceil(pieces)) {
+                tokio::time::sleep(pause).await;
+                if stream.write_all(piece).await.is_err() {
+                    counts.cancelled.fetch_add(1, atomic::Ordering::SeqCst);
+                    return;
+                }
+            }
+            Vec::new()
+        }
+        Action::Endless(first, repeated) => {
+            let mut next = stream.write_all(&first).await.map(|()| 0);
+            while next.is_ok() {
+                next = stream.write(&repeated).await;
+                let count = next.as_ref().map_or(0, |it| *it);
+                counts.endless.fetch_add(count, atomic::Ordering::SeqCst);
+            }
+            counts.cancelled.fetch_add(1, atomic::Ordering::SeqCst);
+            return;
+        }
         Action::Shed => answer("503 Service Unavailable", "heatherwalk-not-run: true\r\n", b""),
         Action::After(pause, bytes) => {
             tokio::select! {
--- a/crates/web/tests/serving.rs
+++ b/crates/web/tests/serving.rs
@@ -298,6 +298,110 @@
     }
 }
 
+/// Guards against a response that fails before any byte of it was sent and resets the connection,
+/// which costs the responses before and behind it.
+#[tokio::test]
+async fn a_response_that_fails_unsent_costs_no_other() {
+    let go = Arc::new(Notify::new());
+    let handler_go = go.clone();
+    let server = start(limits(), move |request: exchange::Request| {
+        let go = handler_go.clone();
+        async move {
+            match request.path.as_str() {
+                "/first" => go.notified().await,
+                "/broken" => {
+                    let (sender, body) = body::Body::channel(4);
+                    tokio::spawn(async move {
+                        sender.send(Bytes::from_static(b"12345")).await.expect("sends");
+                        tokio::time::sleep(time::Duration::from_millis(50)).await;
+                        sender.abort();
+                        go.notify_one();
+                    });
+                    let empty = exchange::Response::empty(http::StatusCode::OK);
+                    return exchange::Response { body, ..empty };
+                }
+                _ => {}
+            }
+            echo(request).await
+        }
+    })
+    .await;
+    for close in ["/behind", "/broken"] {
+        let text = format!(
+            "GET /first HTTP/1.1\r\n\r\nGET /broken HTTP/1.1\r\n\r\n\
+             GET {close} HTTP/1.1\r\nconnection: close\r\n\r\n"
+        );
+        let mut stream = open(&server, text.as_bytes()).await;
+        let (responses, clean) = read_all(&mut stream).await;
+        let statuses: Vec<_> =
+            responses.lines().filter_map(|it| it.strip_prefix("HTTP/1.1 ")).collect();
+        let last = if close == "/broken" { "502 Bad Gateway" } else { "200 OK" };
+        assert_eq!(statuses, ["200 OK", "502 Bad Gateway", last], "{responses}");
+        assert!(clean, "{responses}");
+        assert_eq!(responses.matches("connection: close").count(), 1, "{responses}");
+    }
+}
+
+/// Guards against handlers that keep running for a caller that has disconnected, when more requests
+/// than the server takes at a time wait on its connection, or when the server is stopping.
+#[tokio::test]
+async fn disconnect_cancels_all_requests() {
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let server = start(limits(), move |_| {
+        let sender = sender.clone();
+        async move {
+            let _ = sender.send("begun");
+            let _guard = DropSignal(sender);
+            std::future::pending().await
+        }
+    })
+    .await;
+    let stream = open(&server, "GET / HTTP/1.1\r\n\r\n".repeat(80).as_bytes()).await;
+    assert_eq!(in_time(events.recv()).await, Some("begun"));
+    tokio::time::sleep(SHORT).await;
+    drop(stream);
+    let dropped = async { while events.recv().await != Some("dropped") {} };
+    tokio::time::timeout(time::Duration::from_secs(5), dropped).await.expect("cancelled");
+}
+
+/// Guards against a caller that leaves a stopping server unnoticed while its response, which has
+/// announced the close, is still in progress.
+#[tokio::test]
+async fn disconnect_cancels_while_stopping() {
+    let (closed, mut was_closed) = mpsc::channel(1);
+    let begun = Arc::new(Notify::new());
+    let go = Arc::new(Notify::new());
+    let (started, resume) = (begun.clone(), go.clone());
+    let server = start(limits(), move |_| {
+        let (closed, started, resume) = (closed.clone(), started.clone(), resume.clone());
+        async move {
+            started.notify_one();
+            resume.notified().await;
+            let (sender, body) = body::Body::channel(1);
+            tokio::spawn(async move {
+                sender.send(Bytes::from_static(b"begun")).await.expect("sends");
+                sender.closed().await;
+                let _ = closed.send(()).await;
+            });
+            exchange::Response { body, ..exchange::Response::empty(http::StatusCode::OK) }
+        }
+    })
+    .await;
+    let mut stream = open(&server, b"GET / HTTP/1.1\r\n\r\n").await;
+    in_time(begun.notified()).await;
+    let stopping = tokio::spawn(server.stop(TIMEOUT));
+    tokio::time::sleep(SHORT).await;
+    go.notify_one();
+    read_until(&mut stream, "begun\r\n").await;
+    // Wakes the reader, which then knows that the response has announced the close.
+    stream.write_all(b"GET /behind HTTP/1.1\r\n\r\n").await.expect("written");
+    tokio::time::sleep(SHORT).await;
+    drop(stream);
+    let limit = time::Duration::from_secs(5);
+    tokio::time::timeout(limit, was_closed.recv()).await.expect("cancelled");
+    in_time(stopping).await.expect("stops");
+}
+
 /// Guards against a planned stop that aborts a request before the limit, or accepts new requests.
 #[tokio::test]
 async fn graceful_stop() {
