Replace a response that fails before its first byte with a complete 502

Callers lost every response that waited on a connection when one response failed, also when that one had not been begun: the writer learned of the failure only after it had copied the buffered part, and then reset the connection. The writer now looks at a response's state when its turn comes and sends a 502 with unknown outcome in its place, so that the responses before and behind it are delivered.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -5,7 +5,6 @@
 //! after the response, so the end of a response is known without parsing it.
 
 use std::{
-    io,
     sync::{self, atomic},
     time,
 };
@@ -26,6 +25,10 @@
 const MAX_PIPELINED: usize = 32;
 /// Bytes of a request or a response that its in-memory connection buffers.
 const DUPLEX_BYTES: usize = 64 * 1024;
+/// The response in place of one that failed before any of its bytes were sent. The request may have
+/// run.
+const BROKEN_RESPONSE: &str = "HTTP/1.1 502 Bad Gateway\r\nheatherwalk-outcome: unknown\r\n\
+    content-length: 0\r\n";
 /// How long the caller may take to close the connection after the last response. If the server
 /// closed first with bytes unread, the connection could be reset before the response is read.
 const CLOSE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -74,6 +77,21 @@
     output: tokio::io::ReadHalf<tokio::io::DuplexStream>,
     /// Receives whether the response is complete once `output` has ended.
     complete: oneshot::Receiver<bool>,
+    handle: Handle,
+    /// No request may follow this one on the connection.
+    last: bool,
+}
+
+impl Pending {
+    /// Whether the response is complete, if its task has ended. May be called only once.
+    fn take_result(&mut self) -> Option<bool> {
+        match self.complete.try_recv() {
+            Ok(complete) => Some(complete),
+            Err(oneshot::error::TryRecvError::Empty) => None,
+            // The task has panicked or was aborted.
+            Err(oneshot::error::TryRecvError::Closed) => Some(false),
+        }
+    }
 }
 
 /// Why reading requests ended.
@@ -268,7 +286,7 @@
                 last = start.last;
                 let handle =
                     Handle { shared: sync::Arc::clone(shared), number, ambiguous: start.ambiguous };
-                let (pending, sink) = start_request(limits, handle, tasks, service.clone());
+                let (pending, sink) = start_request(limits, handle, last, tasks, service.clone());
                 if queue.send(pending).await.is_err() {
                     return ReadEnd::Disconnected;
                 }
@@ -354,6 +372,7 @@
 fn start_request<S, F>(
     limits: &server::Limits,
     handle: Handle,
+    last: bool,
     tasks: &mut task::JoinSet<()>,
     service: S,
 ) -> (Pending, tokio::io::WriteHalf<tokio::io::DuplexStream>)
@@ -364,6 +383,7 @@
     let (near, far) = tokio::io::duplex(DUPLEX_BYTES);
     let (output, input) = tokio::io::split(near);
     let (done, complete) = oneshot::channel();
+    let pending = Pending { output, complete, handle: handle.clone(), last };
     let mut builder = http1::Builder::new();
     // The input ends with the request, while the response is still to come.
     builder.half_close(true).max_buf_size(limits.max_header);
@@ -380,10 +400,11 @@
         let complete = result.as_ref().map_or_else(hyper::Error::is_parse, |()| true);
         let _ = done.send(complete);
     });
-    (Pending { output, complete }, input)
+    (pending, input)
 }
 
-/// Writes the responses in the order of their requests.
+/// Writes the responses in the order of their requests. A response that fails before any of its
+/// bytes were sent is replaced with [`BROKEN_RESPONSE`]; one that fails later ends the connection.
 async fn write_responses(
     writing: Option<&mut tcp::OwnedWriteHalf>,
     mut responses: mpsc::Receiver<Pending>,
@@ -393,23 +414,61 @@
     let Some(writing) = writing else { return Ok(()) };
     let mut buffer = bytes::BytesMut::with_capacity(8 * 1024);
     while let Some(mut pending) = responses.recv().await {
-        loop {
+        // A response that has failed while it waited for its turn is not begun.
+        let early = pending.take_result();
+        let mut begun = false;
+        while early != Some(false) {
             buffer.clear();
             let count = pending.output.read_buf(&mut buffer).await.unwrap_or(0);
             if count == 0 {
                 break;
             }
-            let written =
-                tokio::time::timeout(limits.idle_timeout, writing.write_all(&buffer)).await;
-            match written.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
-                Ok(()) => {}
-                Err(_) => return Err("the caller did not read the response in time"),
-            }
+            begun = true;
+            write_bytes(writing, &buffer, limits).await?;
+        }
+        let complete = match early {
+            Some(it) => it,
+            None => pending.complete.await.unwrap_or(false),
+        };
+        if !complete && begun {
+            log_reset(&pending.handle, &mut responses);
+            return Err("the handler did not complete the response");
         }
-        match pending.complete.await {
-            Ok(true) => shared.finish(),
-            _ => return Err("the handler did not complete the response"),
+        if !complete {
+            let closes = pending.handle.closes() || pending.last;
+            let close = if closes { "connection: close\r\n" } else { "" };
+            let response = format!("{BROKEN_RESPONSE}{close}\r\n");
+            write_bytes(writing, response.as_bytes(), limits).await?;
         }
+        shared.finish();
     }
     Ok(())
 }
+
+async fn write_bytes(
+    writing: &mut tcp::OwnedWriteHalf,
+    bytes: &[u8],
+    limits: &server::Limits,
+) -> Result<(), &'static str> {
+    let written = tokio::time::timeout(limits.idle_timeout, writing.write_all(bytes)).await;
+    match written {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) | Err(_) => Err("the caller did not read the response in time"),
+    }
+}
+
+/// Logs which responses are lost because the one before them failed after its first bytes were
+/// sent.
+fn log_reset(failed: &Handle, responses: &mut mpsc::Receiver<Pending>) {
+    let (mut lost, mut complete) = (0, 0);
+    while let Ok(mut behind) = responses.try_recv() {
+        lost += 1;
+        complete += usize::from(behind.take_result() == Some(true));
+    }
+    log::info!(
+        target: "decision",
+        "connection_reset reason=\"incomplete response\" response={} lost_behind={lost} \
+         of_these_complete={complete}",
+        failed.number,
+    );
+}
--- a/crates/web/tests/serving.rs
+++ b/crates/web/tests/serving.rs
@@ -315,6 +315,8 @@
                         sender.send(Bytes::from_static(b"12345")).await.expect("sends");
                         tokio::time::sleep(time::Duration::from_millis(50)).await;
                         sender.abort();
+                        // The server has noticed when the response's turn comes.
+                        tokio::time::sleep(time::Duration::from_millis(50)).await;
                         go.notify_one();
                     });
                     let empty = exchange::Response::empty(http::StatusCode::OK);
@@ -334,7 +336,7 @@
         let mut stream = open(&server, text.as_bytes()).await;
         let (responses, clean) = read_all(&mut stream).await;
         let statuses: Vec<_> =
-            responses.lines().filter_map(|it| it.strip_prefix("HTTP/1.1 ")).collect();
+            responses.split("HTTP/1.1 ").skip(1).filter_map(|it| it.lines().next()).collect();
         let last = if close == "/broken" { "502 Bad Gateway" } else { "200 OK" };
         assert_eq!(statuses, ["200 OK", "502 Bad Gateway", last], "{responses}");
         assert!(clean, "{responses}");
@@ -342,6 +344,42 @@
     }
 }
 
+/// Guards against requests that go on, or are started, behind a response that fails after its first
+/// bytes were sent, which resets their connection.
+#[tokio::test]
+async fn a_reset_cancels_the_requests_behind() {
+    let (events, mut seen) = mpsc::unbounded_channel();
+    let go = Arc::new(Notify::new());
+    let handler_go = go.clone();
+    let server = start(limits(), move |request: exchange::Request| {
+        let (events, go) = (events.clone(), handler_go.clone());
+        async move {
+            if request.path == "/behind" {
+                let _ = events.send("begun");
+                let _guard = DropSignal(events);
+                return std::future::pending().await;
+            }
+            let (sender, body) = body::Body::channel(4);
+            tokio::spawn(async move {
+                sender.send(Bytes::from_static(b"12345")).await.expect("sends");
+                go.notified().await;
+                sender.abort();
+            });
+            exchange::Response { body, ..exchange::Response::empty(http::StatusCode::OK) }
+        }
+    })
+    .await;
+    let text = b"GET /fail HTTP/1.1\r\n\r\nGET /behind HTTP/1.1\r\n\r\nGET /behind HTTP/1.1\r\n";
+    let mut stream = open(&server, text).await;
+    read_until(&mut stream, "12345\r\n").await;
+    assert_eq!(in_time(seen.recv()).await, Some("begun"));
+    go.notify_one();
+    assert_eq!(in_time(seen.recv()).await, Some("dropped"));
+    let (_, clean) = read_all(&mut stream).await;
+    assert!(!clean, "a failed response looks complete");
+    assert!(seen.try_recv().is_err(), "a request was started behind the reset");
+}
+
 /// Guards against handlers that keep running for a caller that has disconnected, when more requests
 /// than the server takes at a time wait on its connection, or when the server is stopping.
 #[tokio::test]
