Read a small answer to its end before it is begun

A body of at most 64 KiB, declared or not, is now read to its end first. If it breaks off or is not complete 150 ms after the deadline, the caller gets a complete 502 or 504 with unknown outcome, the backend connection is closed, and the caller's connection goes on. All such bodies together take 16 MiB of a process at most; answers beyond that are passed on as they arrive, as larger ones are. A caller that leaves drops the read as it did before. The time of a body is limited where it is read, since the client's own limit could not tell a stalled body from one that waits for its reader; a stream that always has bytes ready is cut as well.

--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -5,30 +5,14 @@
 use admission::work;
 use bytes::Bytes;
 use compact_str::CompactString;
+use routing::budget;
 use world::time;
 
-use crate::{headers, instruments, refusals, sending, state};
+use crate::{bodies, forward, headers, instruments, refusals, sending, state};
 
 /// Most chunks of an answer that are buffered for a slow caller.
 pub(crate) const MAX_CHUNKS: usize = 8;
 
-/// Why an answer's body could not be read or passed on to its end.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum Error {
-    /// The deadline passed.
-    #[error("the deadline passed")]
-    DeadlinePassed,
-    /// The body ended early, or its reader is gone.
-    #[error(transparent)]
-    Body(#[from] web::body::Error),
-    /// The stream to the target's node ended early.
-    #[error(transparent)]
-    Link(#[from] transport::errors::Error),
-}
-
-/// A result of copying a body.
-pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
-
 /// Records a request's outcome and times in metrics and the log when it is dropped. The outcome is
 /// cancelled unless [`RequestRecord::finish`] was called.
 pub(crate) struct RequestRecord {
@@ -94,6 +78,61 @@
     }
 }
 
+/// Reads a small body to its end, so that its answer is begun only when it can be finished. A larger
+/// body, or one for which no memory is left, is returned in part. If the body breaks off, or is not
+/// complete in time, the caller gets a refusal and its connection serves further requests.
+pub(crate) async fn read_ahead(
+    record: &RequestRecord,
+    mut answered: sending::Answered,
+) -> refusals::Result<sending::Answered> {
+    let state = &record.state;
+    let length = bodies::content_length(&answered.headers);
+    let Some(reservation) = state.buffers.reserve(length) else { return Ok(answered) };
+    let limit = bodies::Limit::strict(time_limit(state, &answered));
+    let mut kept = Vec::new();
+    loop {
+        match limit.read(answered.body.chunk()).await {
+            Ok(Some(bytes)) => kept.extend_from_slice(&bytes),
+            Ok(None) => break answered.body.finish(),
+            // Only the end marker is missing.
+            Err(_) if length.is_some_and(|it| it == kept.len() as u64) => {
+                break answered.body.finish();
+            }
+            Err(err) => {
+                log::info!(
+                    target: "decision",
+                    "answer_incomplete request={} error=\"{err}\" bytes={} length={length:?}",
+                    record.id,
+                    kept.len(),
+                );
+                answered.body.abort(&err);
+                return Err(refusals::broken_answer(is_late(state, answered.deadline)));
+            }
+        }
+        if kept.len() > bodies::MAX_BUFFERED {
+            answered.body.ahead = Some(reservation.hold(kept));
+            return Ok(answered);
+        }
+    }
+    let ahead = (!kept.is_empty()).then(|| reservation.hold(kept));
+    answered.body = sending::Source { ahead, rest: sending::Rest::Ended };
+    Ok(answered)
+}
+
+/// Whether a request has failed by its deadline, which the target's node knows only to the
+/// millisecond.
+pub(crate) fn is_late(state: &state::State, deadline: time::Time) -> bool {
+    state.now() + budget::DEADLINE_RESOLUTION >= deadline
+}
+
+/// Until when an answer should be complete.
+pub(crate) fn time_limit(
+    state: &state::State,
+    answered: &sending::Answered,
+) -> tokio::time::Instant {
+    state.instant(answered.deadline + forward::REPORT_GRACE)
+}
+
 /// Streams an answer to the caller as it arrives. If the body ends early, the caller's connection
 /// is reset, so that a partial answer is never taken for a complete one.
 pub(crate) async fn stream(
@@ -101,14 +140,19 @@
     is_head: bool,
     record: RequestRecord,
 ) -> web::exchange::Response {
+    let at = time_limit(&record.state, &answered);
     let sending::Answered { status, mut headers, body: source, .. } = answered;
     headers::remove_reserved(&mut headers, record.state.settings.dialect.reserved);
     let (sender, body) = web::body::Body::channel(MAX_CHUNKS);
     let bodyless =
         is_head || matches!(status, http::StatusCode::NO_CONTENT | http::StatusCode::NOT_MODIFIED);
-    let length = if bodyless { Some(0) } else { content_length(&headers) };
+    let length = if bodyless { Some(0) } else { bodies::content_length(&headers) };
+    let limit = match source.rest {
+        sending::Rest::Ended => bodies::Limit::ended(),
+        _ => bodies::Limit::strict(at),
+    };
     let copying = async move {
-        match copy_body(source, &sender, length).await {
+        match copy_body(source, &sender, length, limit).await {
             Ok(()) => {
                 // The HTTP server does not read the end marker of a body whose length it knows.
                 let ended = sender.finish().await.is_ok();
@@ -116,7 +160,7 @@
                     record.finish(instruments::Outcome::Answered);
                 }
             }
-            Err(Error::Body(web::body::Error::Gone)) => {}
+            Err(bodies::Error::Body(web::body::Error::Gone)) => {}
             Err(err) => {
                 log::info!(
                     target: "decision",
@@ -140,64 +184,63 @@
     mut source: sending::Source,
     sender: &web::body::Sender,
     length: Option<u64>,
-) -> Result<()> {
+    limit: bodies::Limit,
+) -> bodies::Result<()> {
     let mut left = length;
     loop {
         let next = tokio::select! {
             biased;
-            it = source.chunk() => it,
+            it = limit.read(source.chunk()) => it,
             () = sender.closed(), if left != Some(0) => Err(web::body::Error::Gone.into()),
         };
-        match next {
+        let sent = match next {
             Ok(Some(bytes)) => {
                 left = left.map(|it| it.saturating_sub(bytes.len() as u64));
-                sender.send(bytes).await?;
+                limit.write(sender.send(bytes)).await
             }
             Ok(None) => {
                 source.finish();
                 return Ok(());
             }
-            Err(Error::Body(web::body::Error::Gone)) => return Err(web::body::Error::Gone.into()),
+            Err(err) => Err(err),
+        };
+        match sent {
+            Ok(()) => {}
+            Err(bodies::Error::Body(web::body::Error::Gone)) => {
+                return Err(web::body::Error::Gone.into());
+            }
             Err(err) => {
-                source.abort();
+                source.abort(&err);
                 return Err(err);
             }
         }
     }
 }
 
-/// The value of an answer's `content-length` field, in bytes.
-pub(crate) fn content_length(headers: &http::HeaderMap) -> Option<u64> {
-    headers::text(headers, http::header::CONTENT_LENGTH.as_str())?.parse().ok()
-}
-
 impl sending::Source {
     /// The next chunk, or `None` at the end of a complete body.
-    async fn chunk(&mut self) -> Result<Option<Bytes>> {
-        match self {
-            sending::Source::Local(body, _) => Ok(body.chunk().await?),
-            sending::Source::Remote(receiver, limit) => {
-                let received = tokio::time::timeout_at(*limit, receiver.recv_bytes()).await;
-                Ok(received.map_err(|_| Error::DeadlinePassed)??)
-            }
-            sending::Source::Buffered(prefix, rest) => match prefix.take() {
-                Some(bytes) => Ok(Some(bytes)),
-                None => Ok(rest.chunk().await?),
-            },
+    async fn chunk(&mut self) -> bodies::Result<Option<Bytes>> {
+        if let Some(bytes) = self.ahead.take() {
+            return Ok(Some(bytes));
+        }
+        match &mut self.rest {
+            sending::Rest::Local(body, _) | sending::Rest::Copied(body) => Ok(body.chunk().await?),
+            sending::Rest::Remote(receiver) => Ok(receiver.recv_bytes().await?),
+            sending::Rest::Ended => Ok(None),
         }
     }
 
     /// Records that the body was read to its end, which frees the slot of a request run here.
     fn finish(self) {
-        if let sending::Source::Local(_, execution) = self {
+        if let sending::Rest::Local(_, execution) = self.rest {
             execution.finish(work::Outcome::Answered);
         }
     }
 
     /// Records that the body ended early, which frees the slot of a request run here.
-    fn abort(self) {
-        if let sending::Source::Local(_, execution) = self {
-            execution.abort(false);
+    fn abort(self, error: &bodies::Error) {
+        if let sending::Rest::Local(_, execution) = self.rest {
+            execution.abort(matches!(error, bodies::Error::DeadlinePassed));
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/bodies.rs
@@ -0,0 +1,126 @@
+//! Limits of the time and the memory that the bodies of answers take.
+
+use std::{sync, time as std_time};
+
+use bytes::Bytes;
+use tokio::{sync as tokio_sync, time};
+
+use crate::headers;
+
+/// Largest body of an answer, in bytes, that is read to its end before the answer is begun.
+pub(crate) const MAX_BUFFERED: usize = 64 * 1024;
+/// Most bytes that a process buffers so at once. Further answers are begun as their heads arrive.
+/// All connections of callers together could otherwise ask for 4,096 times [`MAX_BUFFERED`].
+const MAX_BUFFERED_TOTAL: usize = 16 * 1024 * 1024;
+/// How much longer than its time limit an answer's reader may take for it. The answer holds a slot
+/// meanwhile.
+const MAX_LATE: std_time::Duration = std_time::Duration::from_secs(5);
+
+/// Why an answer's body could not be read or passed on to its end.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// The deadline passed, or the body made no progress after it.
+    #[error("the deadline passed")]
+    DeadlinePassed,
+    /// The body ended early, or its reader is gone.
+    #[error(transparent)]
+    Body(#[from] web::body::Error),
+    /// The stream to the target's node ended early.
+    #[error(transparent)]
+    Link(#[from] transport::errors::Error),
+}
+
+/// A result of reading or passing on a body.
+pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// The memory for bodies that are read ahead, shared by all requests of a process.
+pub(crate) struct Buffers(sync::Arc<tokio_sync::Semaphore>);
+
+/// Memory for one body. It is given back when this is dropped.
+pub(crate) struct Reservation(tokio_sync::OwnedSemaphorePermit);
+
+/// A body that was read ahead, with the memory that it takes.
+struct Buffered {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
+}
+
+/// Until when the rest of a body is waited for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limit {
+    /// The body must be complete by then.
+    at: time::Instant,
+    /// The rest of a body must be taken by its reader by then.
+    unread: time::Instant,
+}
+
+impl Buffers {
+    /// The memory of a process that has just started.
+    pub(crate) fn new() -> Buffers {
+        Buffers(sync::Arc::new(tokio_sync::Semaphore::new(MAX_BUFFERED_TOTAL)))
+    }
+
+    /// Reserves the memory for a body with this declared length, or for the largest one that may be
+    /// buffered. Returns none for a larger one, or when other bodies take the memory.
+    pub(crate) fn reserve(&self, length: Option<u64>) -> Option<Reservation> {
+        let length = length.map_or(Ok(MAX_BUFFERED), usize::try_from);
+        let length = length.ok().filter(|it| *it <= MAX_BUFFERED)?;
+        let count = u32::try_from(length).ok()?;
+        let permit = sync::Arc::clone(&self.0).try_acquire_many_owned(count).ok()?;
+        Some(Reservation(permit))
+    }
+}
+
+impl Reservation {
+    /// Gives back what `bytes` do not take, and the rest when they are dropped.
+    pub(crate) fn hold(mut self, bytes: Vec<u8>) -> Bytes {
+        let unused = self.0.num_permits().saturating_sub(bytes.len());
+        drop(self.0.split(unused));
+        Bytes::from_owner(Buffered { bytes, _reservation: self })
+    }
+}
+
+impl AsRef<[u8]> for Buffered {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Limit {
+    /// The limit of a body that must be complete at a point in time.
+    pub(crate) fn strict(at: time::Instant) -> Limit {
+        Limit { at, unread: at + MAX_LATE }
+    }
+
+    /// The limit of a body that was read to its end, and that only its reader can delay.
+    pub(crate) fn ended() -> Limit {
+        Limit::strict(time::Instant::now() + MAX_LATE)
+    }
+
+    /// Waits for the next chunk of a body.
+    pub(crate) async fn read<T, E>(&self, chunk: impl Future<Output = Result<T, E>>) -> Result<T>
+    where
+        Error: From<E>,
+    {
+        // A stream without end may always have a chunk ready, so a timeout alone might not end it.
+        if time::Instant::now() >= self.at {
+            return Err(Error::DeadlinePassed);
+        }
+        let chunk = time::timeout_at(self.at, chunk).await;
+        Ok(chunk.map_err(|_| Error::DeadlinePassed)??)
+    }
+
+    /// Waits until the reader of a body takes a chunk.
+    pub(crate) async fn write<E>(&self, sent: impl Future<Output = Result<(), E>>) -> Result<()>
+    where
+        Error: From<E>,
+    {
+        let sent = time::timeout_at(self.unread, sent).await;
+        Ok(sent.map_err(|_| Error::DeadlinePassed)??)
+    }
+}
+
+/// The value of an answer's `content-length` field, in bytes.
+pub(crate) fn content_length(headers: &http::HeaderMap) -> Option<u64> {
+    headers::text(headers, http::header::CONTENT_LENGTH.as_str())?.parse().ok()
+}
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -10,8 +10,8 @@
 use world::{config, contracts, requests, time};
 
 use crate::{
-    answering, claiming, dialect, headers, in_flight, instruments, refusals, reservations, sending,
-    state, suspects,
+    answering, bodies, claiming, dialect, headers, in_flight, instruments, refusals, reservations,
+    sending, state, suspects,
 };
 
 /// Largest body of a request, in bytes, when the configuration sets no limit. Bodies are kept in
@@ -96,24 +96,33 @@
     match handle(&state, request, id, options).await {
         Ok(Reply::Streamed(answered)) => {
             record.record_head(std_time::Duration::from_micros(answered.node_status.backend_us));
-            answering::stream(*answered, is_head, record).await
+            match answering::read_ahead(&record, *answered).await {
+                Ok(answered) => answering::stream(answered, is_head, record).await,
+                Err(refusal) => refuse(&state, record, &refusal),
+            }
         }
         Ok(Reply::Complete(answer, backend)) => {
             record.record_head(backend);
             record.finish(instruments::Outcome::Answered);
             answer
         }
-        Err(refusal) => {
-            record.record_refusal(&refusal);
-            record.finish(match refusal.run {
-                refusals::RunStatus::Not => instruments::Outcome::NotRun,
-                refusals::RunStatus::Unknown => instruments::Outcome::Unknown,
-            });
-            (state.settings.dialect.write_refusal)(&refusal)
-        }
+        Err(refusal) => refuse(&state, record, &refusal),
     }
 }
 
+fn refuse(
+    state: &state::State,
+    mut record: answering::RequestRecord,
+    refusal: &refusals::Refusal,
+) -> web::exchange::Response {
+    record.record_refusal(refusal);
+    record.finish(match refusal.run {
+        refusals::RunStatus::Not => instruments::Outcome::NotRun,
+        refusals::RunStatus::Unknown => instruments::Outcome::Unknown,
+    });
+    (state.settings.dialect.write_refusal)(refusal)
+}
+
 async fn handle(
     state: &sync::Arc<state::State>,
     request: web::exchange::Request,
@@ -413,7 +422,7 @@
         }
         Err(failed) => {
             reservation.return_unused(failed.attempts_left).await;
-            let late = state.now() + budget::DEADLINE_RESOLUTION >= deadline;
+            let late = answering::is_late(state, deadline);
             let refusal = refusals::from_failure(failed.failure, late);
             if let Some(claim) = claim.filter(|_| refusal.run == refusals::RunStatus::Not) {
                 claiming::release(sync::Arc::clone(state), claim);
@@ -430,19 +439,21 @@
     claim: claiming::Claim,
     answered: sending::Answered,
 ) -> refusals::Result<Reply> {
-    let sending::Answered { status, mut headers, body: source, node_status } = answered;
+    let at = answering::time_limit(state, &answered);
+    let sending::Answered { status, mut headers, body: source, node_status, deadline } = answered;
     headers::remove_reserved(&mut headers, state.settings.dialect.reserved);
     let (sender, mut copy) = web::body::Body::channel(answering::MAX_CHUNKS);
-    let length = answering::content_length(&headers);
+    let length = bodies::content_length(&headers);
+    let limit = bodies::Limit::strict(at);
     tokio::spawn(async move {
-        match answering::copy_body(source, &sender, length).await {
+        match answering::copy_body(source, &sender, length, limit).await {
             Ok(()) => drop(sender.finish().await),
             Err(_) => sender.abort(),
         }
     });
     let (kept, collected) = collect(&mut copy).await;
     if collected == Collected::Failed {
-        return Err(refusals::broken_answer());
+        return Err(refusals::broken_answer(answering::is_late(state, deadline)));
     }
     let kept = Bytes::from(kept);
     let whole = (collected == Collected::Whole).then(|| kept.clone());
@@ -457,8 +468,9 @@
         );
     }
     if collected == Collected::TooLarge {
-        let body = sending::Source::Buffered(Some(kept), copy);
-        let answered = sending::Answered { status, headers, body, node_status };
+        let rest = sending::Rest::Copied(copy);
+        let body = sending::Source { ahead: Some(kept), rest };
+        let answered = sending::Answered { status, headers, body, node_status, deadline };
         return Ok(Reply::Streamed(Box::new(answered)));
     }
     let body = web::body::Body::full(kept);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -10,7 +10,7 @@
 /// How long to wait past the deadline for the target's node to report whether the request ran. That
 /// node's deadline is later by the time that the request took to get there, and its admission
 /// checks its timers every 50 ms.
-const REPORT_GRACE: std_time::Duration = std_time::Duration::from_millis(150);
+pub(crate) const REPORT_GRACE: std_time::Duration = std_time::Duration::from_millis(150);
 
 /// Limit for opening a link to a node. No byte of the request has been sent by then, so a request
 /// that exceeds it was certainly not run.
@@ -65,8 +65,9 @@
             return Ok(sending::Answered {
                 status: status.unwrap_or(http::StatusCode::BAD_GATEWAY),
                 headers: headers::decode(&fields),
-                body: sending::Source::Remote(receiver, limit),
+                body: sending::Source { ahead: None, rest: sending::Rest::Remote(receiver) },
                 node_status,
+                deadline: request.deadline,
             });
         }
         forwarding::AnswerHead::NotRun { reason, standing: node_status } => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 mod answering;
 mod attaching;
 pub mod backend;
+mod bodies;
 mod callers;
 mod choosing;
 mod claiming;
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -128,12 +128,21 @@
     Refusal::not_run(http::StatusCode::UNPROCESSABLE_ENTITY, "quarantined", detail)
 }
 
-pub(crate) fn broken_answer() -> Refusal {
+/// The refusal when an answer breaks off before it was begun. `late` says whether the deadline has
+/// passed.
+pub(crate) fn broken_answer(late: bool) -> Refusal {
+    let (status, detail) = match late {
+        true => (
+            http::StatusCode::GATEWAY_TIMEOUT,
+            "the deadline passed before the answer of the backend server was complete",
+        ),
+        false => (http::StatusCode::BAD_GATEWAY, "the answer of the backend server ended early"),
+    };
     Refusal {
-        status: http::StatusCode::BAD_GATEWAY,
+        status,
         run: RunStatus::Unknown,
         reason: "broken",
-        detail: "the answer of the backend server ended early".into(),
+        detail: detail.into(),
         retry_after: None,
     }
 }
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -30,17 +30,26 @@
     /// The load that the target's node reported with the answer. `attempts` is set to the extra
     /// attempts that the request has left in total.
     pub(crate) node_status: forwarding::NodeStatus,
+    /// The request's deadline.
+    pub(crate) deadline: world::time::Time,
 }
 
-/// Where the body of an answer is read from.
-pub(crate) enum Source {
+/// The body of an answer: the part that was read ahead, followed by the rest.
+pub(crate) struct Source {
+    pub(crate) ahead: Option<bytes::Bytes>,
+    pub(crate) rest: Rest,
+}
+
+/// Where the rest of an answer's body is read from.
+pub(crate) enum Rest {
     /// The backend server of this host.
     Local(web::body::Body, working::Execution),
-    /// Another node, over a stream that is cancelled when dropped. Reading fails after the given
-    /// point in time.
-    Remote(transport::streams::Receiver, tokio::time::Instant),
-    /// The part of a body that was read already, followed by the part still to be read.
-    Buffered(Option<bytes::Bytes>, web::body::Body),
+    /// Another node, over a stream that is cancelled when dropped.
+    Remote(transport::streams::Receiver),
+    /// A task that copies the body.
+    Copied(web::body::Body),
+    /// The body was read to its end.
+    Ended,
 }
 
 /// Why a request got no answer, and how many extra attempts it has left.
@@ -146,7 +155,8 @@
         Ok(answered) => {
             let working::Answered { status, headers, body, execution, node_status } = answered;
             guard.answered(&node_status);
-            Ok(Answered { status, headers, body: Source::Local(body, execution), node_status })
+            let body = Source { ahead: None, rest: Rest::Local(body, execution) };
+            Ok(Answered { status, headers, body, node_status, deadline })
         }
         Err(working::Error { failure, node_status }) => {
             Err(FailedAttempt { guard, failure, node_status })
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -7,7 +7,7 @@
 use protocol::{forwarding, streams};
 use transport::errors;
 
-use crate::{attaching, headers, state, working};
+use crate::{attaching, bodies, headers, state, working};
 
 /// Serves one stream of another node. An error means that the stream broke.
 pub(crate) async fn serve(
@@ -106,8 +106,9 @@
     admission: Option<working::Admission>,
     mut sender: transport::streams::Sender,
 ) -> errors::Result<()> {
+    let at = state.instant(request.deadline);
     match working::run(state, request, admission).await {
-        Ok(answered) => stream_answer(answered, sender).await,
+        Ok(answered) => stream_answer(answered, at, sender).await,
         Err(working::Error { failure, node_status }) => {
             let answer = match failure {
                 working::Failure::NotRun(reason) => {
@@ -128,10 +129,11 @@
     }
 }
 
-/// Sends an answer to the node that forwarded the request. If the body ends early, the stream is
+/// Sends an answer to the node that forwarded the request. It should be complete at `at`. If the body ends early, the stream is
 /// reset, so that a partial answer is never taken for a complete one.
 async fn stream_answer(
     answered: working::Answered,
+    at: tokio::time::Instant,
     mut sender: transport::streams::Sender,
 ) -> errors::Result<()> {
     let working::Answered { status, headers, mut body, execution, node_status } = answered;
@@ -141,8 +143,9 @@
         standing: node_status,
     };
     sender.send(&head).await?;
+    let limit = bodies::Limit::strict(at);
     loop {
-        match body.chunk().await {
+        match limit.read(body.chunk()).await {
             Ok(Some(bytes)) => sender.send_bytes(bytes).await?,
             Ok(None) => {
                 execution.finish(work::Outcome::Answered);
@@ -152,7 +155,7 @@
                 log::info!(
                     "backend server's answer ended early: {err}; resetting the forwarding stream"
                 );
-                execution.abort(false);
+                execution.abort(matches!(err, bodies::Error::DeadlinePassed));
                 sender.reset();
                 return Ok(());
             }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
 
-use crate::{in_flight, instruments, settings, slots, suspects};
+use crate::{bodies, in_flight, instruments, settings, slots, suspects};
 
 // A table may be locked only while all tables that are held have lower ranks.
 
@@ -32,6 +32,7 @@
     pub(crate) pool: pool::Pool,
     pub(crate) links: transport::pool::LinkPool,
     pub(crate) client: web::client::Client,
+    pub(crate) buffers: bodies::Buffers,
     pub(crate) instruments: instruments::Instruments,
     pub(crate) configuration: table::Table<Configuration>,
     pub(crate) directory: table::Table<directory::Directory>,
@@ -154,6 +155,7 @@
             pool: pool::Pool::spawn(settings.workers, 16_384),
             links,
             client: web::client::Client::new(web::client::Limits::default()),
+            buffers: bodies::Buffers::new(),
             instruments,
             configuration: table::Table::new(CONFIGURATION, "configuration", configuration),
             directory: table::Table::new(DIRECTORY, "directory", directory),
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -108,7 +108,7 @@
         parent: &parent,
         id: &request.head.id,
     };
-    let result = state.client.send(build_call(state, &request, &context)).await;
+    let result = state.client.send_for_head(build_call(state, &request, &context)).await;
     let backend = state.now().since(sent_at);
     let node_status = node_status(state, execution.take_attempts(), backend);
     let failure = match result {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -101,11 +101,22 @@
         Client { pooled: new_pool(&limits, limits.max_idle), single_use: new_pool(&limits, 0) }
     }
 
-    /// Sends a request and waits for the head of its response. The request is never retried.
+    /// Sends a request and waits for the head of its response. The request is never retried. The
+    /// body fails if it is incomplete at the deadline.
     ///
     /// Dropping the future, or the response's body before its end, closes the connection, so that
     /// the server can stop working on the request.
     pub async fn send(&self, call: Call) -> Result<exchange::Response> {
+        let deadline = call.deadline;
+        let response = self.send_for_head(call).await?;
+        let timer = Box::pin(tokio::time::sleep_until(deadline));
+        let body = DeadlineBody { incoming: response.body.into_inner(), timer };
+        Ok(exchange::Response { body: bodies::Body::new(body), ..response })
+    }
+
+    /// Does the same as [`Client::send`], but the deadline is that of the head alone. Whoever reads
+    /// the body limits its time.
+    pub async fn send_for_head(&self, call: Call) -> Result<exchange::Response> {
         let (deadline, reuse) = (call.deadline, call.reuse);
         let close_delimited = call.close_delimited || call.method == http::Method::HEAD;
         let mut request = build_request(call)?;
@@ -123,7 +134,7 @@
             Err(_) => return Err(Error::MaybeSent("deadline passed".into())),
         };
         check_framing(&response, close_delimited)?;
-        Ok(to_response(response, deadline))
+        Ok(to_response(response))
     }
 }
 
@@ -169,15 +180,10 @@
     Err(Error::MaybeSent("response with neither content-length nor chunks".into()))
 }
 
-fn to_response(
-    response: http::Response<body::Incoming>,
-    deadline: tokio::time::Instant,
-) -> exchange::Response {
+fn to_response(response: http::Response<body::Incoming>) -> exchange::Response {
     let (mut head, incoming) = response.into_parts();
     headers::strip_hop_by_hop(&mut head.headers);
-    let timer = Box::pin(tokio::time::sleep_until(deadline));
-    let body =
-        bodies::Body::new(DeadlineBody { incoming: incoming.map_err(io::Error::other), timer });
+    let body = bodies::Body::new(incoming.map_err(io::Error::other));
     exchange::Response { status: head.status, headers: head.headers, body }
 }
 
