Finish a large answer that makes progress after its deadline

A large answer that had been begun was cut at its deadline, which reset the caller's connection and lost the answers behind it, although the rest was on its way. An answer of declared length is now cut only after 500 ms without a byte, or 5 s after its time limit. One without a declared length may never end and is still cut at the limit.

Evidence: a_large_answer_is_finished_after_its_deadline: 200 KB that take twice the deadline were cut before, from this host and forwarded, and arrive whole; the same bytes in chunks are cut as before.

--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -149,7 +149,7 @@
     let length = if bodyless { Some(0) } else { bodies::content_length(&headers) };
     let limit = match source.rest {
         sending::Rest::Ended => bodies::Limit::ended(),
-        _ => bodies::Limit::strict(at),
+        _ => bodies::Limit::begun(at, length),
     };
     let copying = async move {
         match copy_body(source, &sender, length, limit).await {
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -12,8 +12,11 @@
 /// Most bytes that a process buffers so at once. Further answers are begun as their heads arrive.
 /// All connections of callers together could otherwise ask for 4,096 times [`MAX_BUFFERED`].
 const MAX_BUFFERED_TOTAL: usize = 16 * 1024 * 1024;
-/// How much longer than its time limit an answer's reader may take for it. The answer holds a slot
-/// meanwhile.
+/// Longest time without a byte of a late answer, from which it counts as stalled. A link that lost
+/// packets is quiet for two or three round trips.
+const STALL_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(500);
+/// How much longer than its time limit an answer may take that was begun and makes progress. Its
+/// connection serves nothing else meanwhile, and it holds a slot.
 const MAX_LATE: std_time::Duration = std_time::Duration::from_secs(5);
 
 /// Why an answer's body could not be read or passed on to its end.
@@ -48,8 +51,10 @@
 /// Until when the rest of a body is waited for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limit {
-    /// The body must be complete by then.
-    at: time::Instant,
+    /// A body must be complete by then, unless its length is known.
+    soft: time::Instant,
+    /// A body of known length must be complete by then.
+    hard: time::Instant,
     /// The rest of a body must be taken by its reader by then.
     unread: time::Instant,
 }
@@ -89,7 +94,14 @@
 impl Limit {
     /// The limit of a body that must be complete at a point in time.
     pub(crate) fn strict(at: time::Instant) -> Limit {
-        Limit { at, unread: at + MAX_LATE }
+        Limit { soft: at, hard: at, unread: at + MAX_LATE }
+    }
+
+    /// The limit of a body that has been begun. If its length is known, it may be late as long as
+    /// it makes progress.
+    pub(crate) fn begun(at: time::Instant, length: Option<u64>) -> Limit {
+        let hard = if length.is_some() { at + MAX_LATE } else { at };
+        Limit { hard, ..Limit::strict(at) }
     }
 
     /// The limit of a body that was read to its end, and that only its reader can delay.
@@ -102,11 +114,13 @@
     where
         Error: From<E>,
     {
+        let now = time::Instant::now();
+        let until = self.soft.max(self.hard.min(now + STALL_TIMEOUT));
         // A stream without end may always have a chunk ready, so a timeout alone might not end it.
-        if time::Instant::now() >= self.at {
+        if now >= until {
             return Err(Error::DeadlinePassed);
         }
-        let chunk = time::timeout_at(self.at, chunk).await;
+        let chunk = time::timeout_at(until, chunk).await;
         Ok(chunk.map_err(|_| Error::DeadlinePassed)??)
     }
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -444,7 +444,9 @@
     headers::remove_reserved(&mut headers, state.settings.dialect.reserved);
     let (sender, mut copy) = web::body::Body::channel(answering::MAX_CHUNKS);
     let length = bodies::content_length(&headers);
-    let limit = bodies::Limit::strict(at);
+    // A small body is read to its end before its answer is begun.
+    let large = length.filter(|it| *it > claims::MAX_BODY_BYTES as u64);
+    let limit = bodies::Limit::begun(at, large);
     tokio::spawn(async move {
         match answering::copy_body(source, &sender, length, limit).await {
             Ok(()) => drop(sender.finish().await),
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -143,7 +143,7 @@
         standing: node_status,
     };
     sender.send(&head).await?;
-    let limit = bodies::Limit::strict(at);
+    let limit = bodies::Limit::begun(at, bodies::content_length(&headers));
     loop {
         match limit.read(body.chunk()).await {
             Ok(Some(bytes)) => sender.send_bytes(bytes).await?,
