Notice a caller that leaves while its further requests wait unread

A caller with more than 32 pipelined requests that left went unnoticed as long as the server waited for room to start the next one: it does not read the socket meanwhile, so backend servers went on with work that nobody wanted (GONE). The same holds for a body that its handler does not read. Both waits now check every 50 ms whether the connection was closed.

Evidence: disconnect_cancels_all_requests failed before, with no cancelled request in 5 s, and passes.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -13,7 +13,7 @@
 use hyper::{body, server::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    io::{AsyncReadExt as _, AsyncWriteExt as _, Interest},
     net::{TcpStream, tcp},
     sync::{Notify, mpsc, oneshot, watch},
     task,
@@ -29,6 +29,8 @@
 /// run.
 const BROKEN_RESPONSE: &str = "HTTP/1.1 502 Bad Gateway\r\nheatherwalk-outcome: unknown\r\n\
     content-length: 0\r\n";
+/// How often a connection whose bytes are not read is checked for whether the caller has left.
+const CLOSE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// How long the caller may take to close the connection after the last response. If the server
 /// closed first with bytes unread, the connection could be reset before the response is read.
 const CLOSE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -282,20 +284,29 @@
             }
             framing::Event::Start(start) => {
                 while tasks.try_join_next().is_some() {}
-                let Some(number) = shared.begin() else { return ReadEnd::Finished };
+                let room = tokio::select! {
+                    it = queue.reserve() => it.ok(),
+                    () = wait_for_close(socket) => None,
+                };
+                let Some(room) = room else { return ReadEnd::Disconnected };
+                let Some(number) = shared.begin() else {
+                    return ReadEnd::Finished;
+                };
                 last = start.last;
                 let handle =
                     Handle { shared: sync::Arc::clone(shared), number, ambiguous: start.ambiguous };
                 let (pending, sink) = start_request(limits, handle, last, tasks, service.clone());
-                if queue.send(pending).await.is_err() {
-                    return ReadEnd::Disconnected;
-                }
+                room.send(pending);
                 input = Some(sink);
             }
             framing::Event::Data(bytes) => {
                 let Some(sink) = &mut input else { continue };
+                let written = tokio::select! {
+                    it = sink.write_all(&bytes) => it,
+                    () = wait_for_close(socket) => return ReadEnd::Disconnected,
+                };
                 // The response is complete already, so the rest of the request is skipped.
-                if sink.write_all(&bytes).await.is_err() {
+                if written.is_err() {
                     input = None;
                 }
             }
@@ -305,13 +316,26 @@
                 }
                 if last {
                     drop(queue);
-                    return await_responses(socket, shared).await;
+                    return ReadEnd::Finished;
                 }
             }
         }
     }
 }
 
+/// Completes when the caller has closed the connection, also when bytes before the close have not
+/// been read.
+async fn wait_for_close(socket: &tcp::OwnedReadHalf) {
+    loop {
+        // Unread bytes make the socket ready at once, so it is checked at intervals.
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        let ready = socket.ready(Interest::READABLE).await;
+        if ready.is_ok_and(|it| it.is_read_closed()) {
+            return;
+        }
+    }
+}
+
 /// Reads more bytes into the framer. Returns an end if no further request is to be read.
 async fn read_more(
     socket: &mut tcp::OwnedReadHalf,
