Notice a caller that leaves a stopping server before its response is complete

Once a stopping server had announced the close in a response's head it no longer read the connection, so a caller that left went unnoticed until the response was written or its handler gave up. The rest of the connection is now read and discarded until all responses are written, as it is after a request that asks for the close.

Evidence: disconnect_cancels_while_stopping failed before, with the body still open after 5 s, and passes.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -279,6 +279,7 @@
             framing::Event::More => {
                 match read_more(socket, &mut framer, limits, shared, &mut stop).await {
                     None => {}
+                    Some(ReadEnd::Finished) => return await_responses(socket, shared).await,
                     Some(end) => return end,
                 }
             }
@@ -290,7 +291,7 @@
                 };
                 let Some(room) = room else { return ReadEnd::Disconnected };
                 let Some(number) = shared.begin() else {
-                    return ReadEnd::Finished;
+                    return await_responses(socket, shared).await;
                 };
                 last = start.last;
                 let handle =
@@ -316,7 +317,7 @@
                 }
                 if last {
                     drop(queue);
-                    return ReadEnd::Finished;
+                    return await_responses(socket, shared).await;
                 }
             }
         }
