Reproduce two requests that were not run and are reported as unknown

Two of the paths can be told apart for certain: a pooled connection that closes before the first byte is written, and an offered request whose body does not arrive in time.

--- a/crates/heatherwalk/tests/contracts/links.rs
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use distribution::{floor, messages};
-use protocol::{operators, proposals, streams};
+use protocol::{forwarding, operators, proposals, streams};
 use replicated::{claims, versions};
 use transport::{endpoint, errors, identity, limits, links};
 use world::{document, hosts, requests};
@@ -188,6 +188,50 @@
     }
 }
 
+/// Guards against a node that admits an offered request, gets no body for it and does not report
+/// that it was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_offer_without_a_body_is_not_run() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let _server =
+        mesh::backend(node.announce(), heatherwalk::example::echo("skulte-1".into())).await;
+    api.until(|| api.get("/v1/targets"), |it| it.1[0]["service"] == "logbook").await;
+    api.until(|| api.get("/v1/status"), |it| it.1["converged"] == 1).await;
+    let peer = mesh.peer("jugla-1", hosts::Role::Node);
+    let link = connect(&peer, node.listen().expect("bound"), "skulte-1").await;
+    let head = forwarding::RequestHead {
+        id: "offered".into(),
+        service: "logbook".into(),
+        route: "logs".into(),
+        method: "POST".into(),
+        path: "/logs/a".into(),
+        fields: Vec::new(),
+        class: requests::Class::Caller,
+        weight: 1,
+        budget: routing::budget::Budget { attempts: 0, depth: 1, remaining_ms: 300 },
+        objective_us: 300_000,
+        movable: false,
+        patience_us: None,
+        idempotent: false,
+        fingerprint: requests::Fingerprint([1; 32]),
+        repeat: false,
+        suspect: false,
+    };
+    let (mut sender, mut answers) = link.open_stream().await.expect("opens");
+    sender.send(&streams::Open::Offer { head }).await.expect("sends");
+    let admitted = in_time(answers.recv::<forwarding::AnswerHead>()).await.expect("an answer");
+    assert!(matches!(admitted, Some(forwarding::AnswerHead::Admitted)), "{admitted:?}");
+    let answer = in_time(answers.recv::<forwarding::AnswerHead>()).await;
+    let Ok(Some(forwarding::AnswerHead::NotRun { reason, .. })) = answer else {
+        panic!("not reported as not run: {answer:?}");
+    };
+    assert_eq!(reason, forwarding::NotRun::Late);
+    drop(sender);
+}
+
 /// Guards against an error at start that doesn't name the address in use.
 #[tokio::test(flavor = "multi_thread")]
 async fn port_in_use() {
--- a/crates/web/tests/calling.rs
+++ b/crates/web/tests/calling.rs
@@ -140,6 +140,32 @@
     }
 }
 
+/// Guards against reporting a request as one that may have run although its pooled connection was
+/// closed before the first byte was written.
+#[tokio::test]
+async fn a_pooled_connection_closes_before_the_request() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
+    let addr = listener.local_addr().expect("bound");
+    let (close, closing) = std::sync::mpsc::channel::<()>();
+    let server = std::thread::spawn(move || {
+        use std::io::{Read as _, Write as _};
+        let (mut stream, _) = listener.accept().expect("accepts");
+        let count = stream.read(&mut [0; 4_096]).expect("reads");
+        assert!(count > 0, "no request");
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").expect("writes");
+        closing.recv().expect("told to close");
+    });
+    let client = client::Client::new(client::Limits::default());
+    let get = || call(addr, TIMEOUT, client::Reuse::Allowed);
+    assert_eq!(outcome(&client, get()).await, "200 OK with b\"ok\"");
+    tokio::time::sleep(SHORT).await;
+    close.send(()).expect("the server runs");
+    // Blocks the only thread of the runtime, so that the client cannot see the close before the
+    // next request takes the connection from the pool.
+    server.join().expect("the server saw one request");
+    assert_eq!(outcome(&client, get()).await, "not sent");
+}
+
 /// Guards against forwarding hop-by-hop headers.
 #[test]
 fn hop_by_hop() {
