Report a request that hyper took from no queue as not sent

A request on a pooled connection that closes at that moment ended as one that may have run, also when hyper reports that it was canceled, which it does only for a request of which it has written nothing. It now counts as not sent.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -17,7 +17,8 @@
 /// Why a request got no response. The text is the cause.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum Error {
-    /// No connection was made, so no byte of the request reached the server.
+    /// No connection was made, or it closed before the request was begun, so no byte of the request
+    /// reached the server.
     #[error("request not sent: {0}")]
     NotSent(CompactString),
     /// Some or all of the request may have reached the server, which may have executed it.
@@ -192,7 +193,18 @@
         Some(source) => compact_str::format_compact!("{error}: {source}"),
         None => error.to_compact_string(),
     };
-    if error.is_connect() { Error::NotSent(reason) } else { Error::MaybeSent(reason) }
+    if error.is_connect() || is_canceled(&error) {
+        Error::NotSent(reason)
+    } else {
+        Error::MaybeSent(reason)
+    }
+}
+
+/// Whether a pooled connection closed before hyper took the request from its queue. hyper reports
+/// this kind of error only for requests of which it has written nothing.
+fn is_canceled(error: &legacy::Error) -> bool {
+    let source = error.source().and_then(|it| it.downcast_ref::<hyper::Error>());
+    source.is_some_and(hyper::Error::is_canceled)
 }
 
 /// A body that fails if it is incomplete at a deadline.
