Report an admitted request whose body does not arrive as not run

A node that admits an offered request waits for its body. When the body did not arrive by the deadline it reset the stream, and the sending node, which may have sent the body, had to answer 502 or 504 with unknown outcome. The request never ran, so the node now reports that; its slot is given back.

Evidence: an_offer_without_a_body_is_not_run got a reset stream before, and gets the refusal Late.

--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -81,10 +81,11 @@
         sender.send(&forwarding::AnswerHead::Admitted).await?;
         let until = state.instant(request.deadline);
         let body = read_body(&mut receiver);
-        request.body = match tokio::time::timeout_at(until, body).await {
-            Ok(body) => body?,
-            Err(_) => return Err(errors::Error::TimedOut),
-        };
+        match tokio::time::timeout_at(until, body).await {
+            Ok(body) => request.body = body?,
+            // Gives the slot back.
+            Err(_) => admission = working::Admission::Refuse(forwarding::NotRun::Late),
+        }
     }
     run_request(state, request, Some(admission), sender).await
 }
