Count a request as sent only when the transport has taken all of it

A request that was still being written to a slow link when its time ran out, or whose link broke meanwhile, was answered 502 or 504 with unknown outcome. The other node runs no request that lacks a part, and a dropped stream is reset, so such a request was certainly not run and is now reported so.

This follows from how a stream is written and has no test of its own: the tests' mesh has no link between nodes that can be slowed.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -86,8 +86,9 @@
 
 type AnswerParts = (forwarding::AnswerHead, transport::streams::Receiver);
 
-/// Sends a request to another node and waits for the head of the answer. Sets `may_run` just before
-/// it sends the first byte after which the other node may run the request.
+/// Sends a request to another node and waits for the head of the answer. Sets `may_run` once the
+/// transport has taken the whole request: the other node runs no request that lacks a part, and
+/// a stream that is dropped before is reset.
 async fn exchange(
     state: &sync::Arc<state::State>,
     request: &state::RoutedRequest,
@@ -113,14 +114,13 @@
             forwarding::AnswerHead::Admitted => {}
             refusal => return Ok((refusal, receiver)),
         }
-        *may_run = true;
         sender.send_bytes(body).await
     } else {
-        *may_run = true;
         sender.send(&streams::Open::Request { head, body }).await
     }
-    .and_then(|()| sender.finish())
-    .map_err(|err| broken_stream(target, &err))?;
+    .map_err(unreachable)?;
+    *may_run = true;
+    sender.finish().map_err(|err| broken_stream(target, &err))?;
     let answer = wait_for_answer(state, request, target, &link, &mut receiver).await?;
     Ok((answer, receiver))
 }
