Accept either status where the speed of the machine decides

endless_bytes_are_cut_off failed once beside a load of 70: endless interim responses ended with 504 at the deadline in place of 502 at a limit of hyper. Both are complete answers with unknown outcome, which is what the test guards; the table now has one line for both. All other checks stay.

--- a/crates/heatherwalk/tests/requests/unfinished.rs
+++ b/crates/heatherwalk/tests/requests/unfinished.rs
@@ -214,6 +214,8 @@
             let (answers, clean) = pipeline_unread(mesh.callers(entry), &requests, UNREAD).await;
             let took = start.elapsed();
             assert!(took < time::Duration::from_millis(DEADLINE_MS) + LATE, "{name}: {took:?}");
+            // Whether a limit of bytes or the deadline ends it depends on the speed of the machine.
+            let answers = answers.replace("502 unknown", "504 unknown");
             let answers = if clean { answers.as_str() } else { "reset" };
             lines.push(format!("{name}, {place}: {answers}"));
             server.counts.wait(servers::Counts::cancelled, 2 * index + 1 + entry).await;
