Keep a request as not run when no worker can choose its next target

When a target's node had refused a request and the queue of the workers was full, the request ended with unknown outcome, although no attempt had passed it on. Its earlier attempts now decide. A full queue cannot be made in the tests' mesh without a hook, so this has no test of its own.

--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -131,11 +131,16 @@
             Err(failed) => failed,
         };
         let attempts_left = retries.request.head.budget.attempts;
+        let not_run =
+            retries.maybe_run.is_none() && matches!(failed.failure, working::Failure::NotRun(_));
+        let failure = move |detail| match not_run {
+            true => Failure::NotRun(detail, None),
+            false => Failure::Unknown(detail),
+        };
         let shared = sync::Arc::clone(state);
         let next =
             move || retries.decide_next(&shared, failed).and_then(|it| choose_target(&shared, it));
-        let no_worker =
-            |err| Error { failure: Failure::Unknown(format_compact!("{err}")), attempts_left };
+        let no_worker = |err| Error { failure: failure(format_compact!("{err}")), attempts_left };
         current = state.pool.run(next).await.map_err(no_worker)??;
     }
 }
