Test the limits of answers that are read ahead, and other ends of a connection

Guards against memory for bodies without a bound (256 of 296 stalled answers are read ahead, the rest are begun, and the memory is given back), against work for a caller that leaves meanwhile, against a planned stop that loses pipelined responses, and against time limits, a large head, a malformed request and a bad chunk that cost a response in progress before them.

--- a/crates/heatherwalk/tests/requests/unfinished.rs
+++ b/crates/heatherwalk/tests/requests/unfinished.rs
@@ -3,7 +3,7 @@
 use std::{sync::atomic, time};
 
 use serde_json::json;
-use tokio::io::AsyncReadExt as _;
+use tokio::{io::AsyncReadExt as _, task};
 
 use crate::{callers, mesh, servers};
 
@@ -12,6 +12,8 @@
 /// Longest time from a deadline to the node's own answer: the wait for a report of the target's
 /// node, and what a busy machine adds.
 const LATE: time::Duration = time::Duration::from_millis(1_500);
+/// Answers of unknown length that a node reads ahead at the same time: 16 MiB in parts of 64 KiB.
+const MAX_READ_AHEAD: usize = 256;
 /// Attempts at an answer that is only a few milliseconds late.
 const ATTEMPTS: usize = 5;
 /// How long a caller reads nothing, so that the bytes that the system takes are those it buffers.
@@ -165,6 +167,57 @@
     }
 }
 
+/// Guards against work that goes on for a caller that left while its answer was read ahead.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_caller_leaves_while_its_answer_is_read_ahead() {
+    let (mesh, server) = spawn().await;
+    for (index, entry) in [0, 1].into_iter().enumerate() {
+        let text = get("/logs/stalled/length", 60_000);
+        let stream = callers::open(mesh.callers(entry), text.as_bytes()).await;
+        server.counts.wait(servers::Counts::runs, index + 1).await;
+        // The head and the first bytes of the body have arrived.
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        assert_eq!(server.counts.cancelled(), index);
+        let start = time::Instant::now();
+        drop(stream);
+        server.counts.wait(servers::Counts::cancelled, index + 1).await;
+        assert!(start.elapsed() < time::Duration::from_secs(10), "{entry}: {:?}", start.elapsed());
+    }
+}
+
+/// Guards against bodies that are read ahead without a bound on the memory of all of them, and
+/// against memory that is not given back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn read_ahead_is_bounded() {
+    let (mesh, server) = spawn().await;
+    let addr = mesh.callers(1);
+    let mut calls = task::JoinSet::new();
+    for _ in 0..MAX_READ_AHEAD + 40 {
+        let text = get("/logs/stalled/chunks", 8_000).replace("host: a", "connection: close");
+        calls.spawn(async move {
+            loop {
+                let answer = summary(&callers::exchange(addr, text.as_bytes()).await);
+                // A busy node may refuse it.
+                if !answer.starts_with("503") {
+                    return answer;
+                }
+            }
+        });
+    }
+    // All of them are in progress at the same time.
+    server.counts.wait(servers::Counts::runs, MAX_READ_AHEAD + 40).await;
+    let mut buffered = 0;
+    // An answer that was begun is cut, which ends its connection.
+    while let Some(answer) = calls.join_next().await {
+        let answer = answer.expect("the call does not panic");
+        buffered += usize::from(answer == "504 unknown");
+        assert!(answer == "504 unknown" || answer.starts_with("200"), "{answer}");
+    }
+    assert_eq!(buffered, MAX_READ_AHEAD);
+    let (answers, _) = pipeline(addr, &[("/logs/stalled/chunks", DEADLINE_MS)]).await;
+    assert_eq!(answers, "504 unknown, 200 last");
+}
+
 /// Guards against cutting a large answer that makes progress when its deadline passes, and against
 /// waiting on for one whose length is not known.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/web/tests/serving.rs
+++ b/crates/web/tests/serving.rs
@@ -344,6 +344,67 @@
     }
 }
 
+/// Guards against limits of time, and a request that is rejected, that cost the responses which are
+/// still in progress on the connection.
+#[tokio::test]
+async fn limits_cost_no_response_in_progress() {
+    let limits = server::Limits { header_timeout: SHORT, idle_timeout: SHORT, ..limits() };
+    let server = start(limits, |request: exchange::Request| async move {
+        tokio::time::sleep(SHORT * 4).await;
+        echo(request).await
+    })
+    .await;
+    let large = format!("GET /large HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(40_000));
+    let cases = [
+        ("no more requests", "", "200"),
+        ("part of a head", "GET /behind HT", "200"),
+        ("large head", large.as_str(), "200, 431"),
+        ("malformed", "nonsense\r\n\r\n", "200, 400"),
+        ("bad chunk", "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", "200, 400"),
+    ];
+    for (name, behind, expected) in cases {
+        let text = format!("GET /first HTTP/1.1\r\n\r\n{behind}");
+        let (responses, _) = read_all(&mut open(&server, text.as_bytes()).await).await;
+        let statuses: Vec<_> = responses.split("HTTP/1.1 ").skip(1).map(|it| &it[..3]).collect();
+        assert_eq!(statuses.join(", "), expected, "{name}: {responses}");
+        assert!(responses.contains("GET /first None 0 bytes"), "{name}: {responses}");
+    }
+}
+
+/// Guards against a planned stop that loses pipelined responses.
+#[tokio::test]
+async fn a_stop_finishes_pipelined_requests() {
+    let (sender, mut begun) = mpsc::unbounded_channel();
+    let go = Arc::new(Notify::new());
+    let handler_go = go.clone();
+    let server = start(limits(), move |request: exchange::Request| {
+        let (sender, go) = (sender.clone(), handler_go.clone());
+        async move {
+            let _ = sender.send(());
+            if request.path == "/first" {
+                go.notified().await;
+            }
+            echo(request).await
+        }
+    })
+    .await;
+    let text = "GET /first HTTP/1.1\r\n\r\nGET /second HTTP/1.1\r\n\r\nGET /third HTTP/1.1\r\n\r\n";
+    let mut stream = open(&server, text.as_bytes()).await;
+    for _ in 0..3 {
+        in_time(begun.recv()).await.expect("begun");
+    }
+    let stopping = tokio::spawn(server.stop(TIMEOUT));
+    tokio::time::sleep(SHORT).await;
+    go.notify_one();
+    let (responses, clean) = read_all(&mut stream).await;
+    assert_eq!(responses.matches("HTTP/1.1 200 OK").count(), 3, "{responses}");
+    assert!(clean && responses.ends_with("GET /third None 0 bytes"), "{responses}");
+    assert_eq!(
+        in_time(stopping).await.expect("stops"),
+        server::Stopped { finished: 3, aborted: 0 }
+    );
+}
+
 /// Guards against requests that go on, or are started, behind a response that fails after its first
 /// bytes were sent, which resets their connection.
 #[tokio::test]
