--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod distribution;
 mod footprint;
+mod links;
 mod processes;
 mod routing;
 
@@ -24,6 +25,7 @@
     Distribution(distribution::Args),
     Footprint(footprint::Args),
     HeadOfLine(HeadOfLineArgs),
+    Links(links::Args),
     Routing(routing::Args),
 }
 
@@ -52,6 +54,7 @@
         Bench::Distribution(args) => distribution::run(args),
         Bench::Footprint(args) => footprint::run(args),
         Bench::HeadOfLine(HeadOfLineArgs { seed }) => admission::head_of_line(seed),
+        Bench::Links(args) => links::run(args),
         Bench::Routing(args) => routing::run(args),
     }
 }
--- a/xtask/src/bench/processes.rs
+++ b/xtask/src/bench/processes.rs
@@ -84,23 +84,27 @@
 impl Process {
     /// Reads CPU time and memory from `/proc`.
     pub(crate) fn usage(&self) -> eyre::Result<Usage> {
-        let id = self.0.id();
-        let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
-        // The name in parentheses may contain spaces, so the fields are counted after it: user and
-        // system time are fields 14 and 15 of the line.
-        let (_, fields) = stat
-            .rsplit_once(')')
-            .ok_or_else(|| eyre::eyre!("/proc/{id}/stat has no name in parentheses"))?;
-        let fields: Vec<&str> = fields.split_whitespace().collect();
-        let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
-        let status = fs::read_to_string(format!("/proc/{id}/status"))?;
-        let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|it| it.split_whitespace().next()).unwrap_or("0");
-        let resident_mb = kib.parse::<f64>()? * 1_024.0 / 1e6;
-        Ok(Usage { cpu_s: ticks / TICKS_PER_S, resident_mb })
+        read_usage(self.0.id())
     }
 }
 
+/// Reads the CPU time and memory of a process from `/proc`.
+pub(crate) fn read_usage(id: u32) -> eyre::Result<Usage> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    // The name in parentheses may contain spaces, so the fields are counted after it: user and
+    // system time are fields 14 and 15 of the line.
+    let (_, fields) = stat
+        .rsplit_once(')')
+        .ok_or_else(|| eyre::eyre!("/proc/{id}/stat has no name in parentheses"))?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
+    let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|it| it.split_whitespace().next()).unwrap_or("0");
+    let resident_mb = kib.parse::<f64>()? * 1_024.0 / 1e6;
+    Ok(Usage { cpu_s: ticks / TICKS_PER_S, resident_mb })
+}
+
 impl Mesh {
     /// Issues the certificates and starts the controls.
     pub(crate) fn start(options: Options) -> eyre::Result<Mesh> {
