Do not search for a larger packet size on each link

What callers saw: in the first seconds of traffic sends give up, since links cannot be opened in time over a link of 1.75 Mbit/s. Cause, one of several: a link costs 8.3 KB one way and 7.1 KB the other when it is opened, 68% of it for padded packets by which each side searches for a larger packet size. 88 links are 1.36 MB, 6 s of such a link.

The test handshake_bytes fails before (8,315 bytes sent, 7,067 received).

The price: packets stay at 1,200 bytes, so a body of 100 KB takes a fifth more packets.

--- a/crates/transport/src/tls.rs
+++ b/crates/transport/src/tls.rs
@@ -86,7 +86,10 @@
         .stream_receive_window(limits.stream_window.into())
         .receive_window(limits.link_window.into())
         .send_window(limits.send_window.into())
-        .datagram_receive_buffer_size(None);
+        .datagram_receive_buffer_size(None)
+        // Each link would send several padded packets of up to 1,452 bytes in each direction, more
+        // than the rest of its handshake. A node opens dozens of links at once when it starts.
+        .mtu_discovery_config(None);
     config
 }
 
--- a/crates/transport/tests/links.rs
+++ b/crates/transport/tests/links.rs
@@ -331,3 +331,19 @@
     });
     starting.await.expect("no panic")
 }
+
+/// Guards against handshakes that fill the link of a host when it opens links to many others: each
+/// link sent 8.3 KB and received 7.1 KB, most of it to search for a larger packet size.
+#[tokio::test]
+async fn handshake_bytes() {
+    /// Padded packets that a handshake may take in each direction.
+    const MAX_PACKETS: u64 = 4;
+    const PACKET_BYTES: u64 = 1_200;
+    let mesh = Mesh::start();
+    let (near, _far) = mesh.pair().await;
+    // The search began when the handshake had ended, and took some round trips.
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let links::Traffic { sent, received } = near.traffic();
+    let limit = MAX_PACKETS * PACKET_BYTES;
+    assert!(sent <= limit && received <= limit, "{sent} bytes sent, {received} received");
+}
