Show that links are opened by traffic, and all at once

What callers saw: on the grown sites, a request's first send gave up after 400 ms because the link to its target was not open yet, and the node dialled all its targets together.

--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod hedges;
 mod leaving;
+mod linking;
 mod mesh;
 mod passing;
 mod relay;
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -146,6 +146,19 @@
         line.and_then(|it| it.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
     }
 
+    /// The links that all nodes together have opened, those to the control included, as of the
+    /// last update of their metrics.
+    pub fn opened_links(&self) -> u64 {
+        let opened = |it: &metrics::Metrics| {
+            let page = it.render().expect("renders");
+            let mut lines =
+                page.lines().filter(|it| it.starts_with("heatherwalk_node_link_attempts_total{"));
+            let line = lines.find(|it| it.contains("state=\"opened\""));
+            line.and_then(|it| it.rsplit(' ').next()?.parse::<u64>().ok()).unwrap_or(0)
+        };
+        self.metrics.iter().map(opened).sum()
+    }
+
     /// Waits until a request through `node` reaches a target of each service.
     pub async fn ready(&self, node: usize, services: &[&str]) {
         let until = tokio::time::Instant::now() + TIMEOUT;
--- a/crates/transport/tests/links.rs
+++ b/crates/transport/tests/links.rs
@@ -331,3 +331,32 @@
     });
     starting.await.expect("no panic")
 }
+
+/// Attempts of a pool that have neither succeeded nor failed yet.
+fn in_flight(links: &pool::LinkPool) -> u64 {
+    let counts = links.counts();
+    counts.started - counts.opened - counts.failed
+}
+
+/// Guards against a process that dials all its peers at once: the handshakes fill its link, so that
+/// all of them time out and no request gets through.
+#[tokio::test]
+async fn peers_are_dialled_all_at_once() {
+    const MAX_CONNECTING: u64 = 4;
+    let mesh = Mesh::start();
+    let links = pool::LinkPool::new(mesh.client.clone());
+    // Peers that do not answer, so that each attempt stays in flight until it times out.
+    let peers: Vec<_> = (0..40).map(|_| net::UdpSocket::bind(local()).expect("binds")).collect();
+    let mut dials = tokio::task::JoinSet::new();
+    for (index, peer) in peers.iter().enumerate() {
+        let (links, at) = (links.clone(), peer.local_addr().expect("bound"));
+        dials.spawn(async move { links.link(&format!("imanta-{index}"), at).await.is_ok() });
+    }
+    let mut most = 0;
+    for _ in 0..50 {
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+        most = most.max(in_flight(&links));
+    }
+    assert!((1..=MAX_CONNECTING).contains(&most), "{most} handshakes in flight");
+    dials.shutdown().await;
+}
