Limit handshakes in flight, and use a link from both ends

What callers saw: first sends that gave up after 400 ms without a link, on nodes whose own links were full of handshakes.

Cause: a process dialled each peer as soon as a send or a probe asked for it, without a limit, went on with each attempt for 3 s after the send had given up, and never used the link that the peer had opened. A pair of nodes made two handshakes.

Fix: a pool has at most 4 handshakes with nodes in flight (Limits:: max_connecting); further attempts wait in order, and are dropped if nothing waits for them when their turn comes. They time out after 1 s. Links to controls take no permit and keep 3 s. A node puts the links that peers open into its pool, and serves the streams of peers on the links that it opens, so either end can send. When both connect at once, both links work: a handshake that has begun is completed, since the peer may already use its link.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -64,7 +64,7 @@
 ) -> transport::errors::Result<()> {
     let mesh = &state.settings.mesh;
     let Some(peer) = mesh.find_host(host).and_then(|it| mesh.host(it)) else { return Ok(()) };
-    let link = state.links.link(host, peer.addr).await?;
+    let link = state.links.link_control(host, peer.addr).await?;
     let (mut sender, _receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Peer).await?;
     // Messages queued while there was no link are out of date, and the protocols send them again.
--- a/crates/control/src/proposing.rs
+++ b/crates/control/src/proposing.rs
@@ -103,7 +103,7 @@
 ) -> transport::errors::Result<Option<proposals::Outcome>> {
     let mesh = &state.settings.mesh;
     let Some(peer) = mesh.find_host(host).and_then(|it| mesh.host(it)) else { return Ok(None) };
-    let link = state.links.link(host, peer.addr).await?;
+    let link = state.links.link_control(host, peer.addr).await?;
     let (mut sender, mut receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Propose(request)).await?;
     sender.finish()?;
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -247,7 +247,7 @@
         name.and_then(|it| state.settings.mesh.find_host(&it))
     };
     let Some(peer) = peer.and_then(|it| state.settings.mesh.host(it)) else { return Ok(()) };
-    let link = state.links.link(&peer.name, peer.addr).await?;
+    let link = state.links.link_control(&peer.name, peer.addr).await?;
     let (mut sender, mut receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Attach).await?;
     let (outbox, mut queue) = mpsc::channel(CONTROL_QUEUE);
--- a/crates/node/src/claiming.rs
+++ b/crates/node/src/claiming.rs
@@ -156,7 +156,7 @@
     let mesh = &state.settings.mesh;
     let peer = control.and_then(|it| mesh.find_host(&it)).and_then(|it| mesh.host(it));
     let Some(peer) = peer else { return Ok(None) };
-    let link = state.links.link(&peer.name, peer.addr).await?;
+    let link = state.links.link_control(&peer.name, peer.addr).await?;
     let (mut sender, mut receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Propose(request.clone())).await?;
     sender.finish()?;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -64,15 +64,16 @@
         // With port 0 the operating system chooses a port, which other processes have to know.
         let listen = endpoint.local_addr()?;
         settings.set_listen_addr(listen);
-        let links = pool::LinkPool::new(endpoint.clone());
+        let (links, dialled) = pool::LinkPool::bidirectional(endpoint.clone());
         let state = sync::Arc::new(state::State::new(settings, links, instruments));
         let callers = bind_callers(&state).await?;
         let announce = bind_announce(&state).await?;
         let ready = bind_ready(&state).await?;
         let mut serving = task::JoinSet::new();
         let shared = sync::Arc::clone(&state);
-        serving.spawn(transport::serving::serve(
-            endpoint.clone(),
+        serving.spawn(transport::serving::serve_pool(
+            state.links.clone(),
+            dialled,
             move |link, sender, receiver| {
                 serve_stream(sync::Arc::clone(&shared), link, sender, receiver)
             },
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -76,6 +76,11 @@
         addr.map_err(|it| errors::Error::Bind(sync::Arc::new(it)))
     }
 
+    /// The limits of the endpoint and its links.
+    pub(crate) fn limits(&self) -> &limits::Limits {
+        &self.shared.limits
+    }
+
     /// The host and role in the endpoint's own certificate.
     pub fn local_peer(&self) -> &identity::Peer {
         &self.shared.identity
@@ -84,9 +89,19 @@
     /// Connects to a peer. Fails if the certificate of the peer does not name `host`, or the
     /// handshake exceeds its time limit.
     pub async fn connect(&self, addr: net::SocketAddr, host: &str) -> errors::Result<links::Link> {
+        self.connect_within(addr, host, self.shared.limits.handshake_timeout).await
+    }
+
+    /// Connects to a peer like [`Endpoint::connect`], with another time limit for the handshake.
+    pub(crate) async fn connect_within(
+        &self,
+        addr: net::SocketAddr,
+        host: &str,
+        limit: time::Duration,
+    ) -> errors::Result<links::Link> {
         names::check_host(host)?;
         let connecting = self.shared.quic.connect(addr, &names::host_name(host))?;
-        let handshake = tokio::time::timeout(self.shared.limits.handshake_timeout, connecting);
+        let handshake = tokio::time::timeout(limit, connecting);
         let connection = match handshake.await {
             Ok(result) => result.map_err(errors::Error::Handshake)?,
             Err(_) => return Err(errors::Error::TimedOut),
--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -17,6 +17,12 @@
     pub initial_rtt: time::Duration,
     /// How long a handshake may take, on either side.
     pub handshake_timeout: time::Duration,
+    /// How long a handshake that was started to connect to a node may take. Requests do not wait
+    /// longer for a link, and a handshake that nothing waits for only takes bandwidth.
+    pub node_timeout: time::Duration,
+    /// The most handshakes that a pool has in flight to connect to nodes. Each takes about 5 KB in
+    /// each direction.
+    pub max_connecting: usize,
     /// The most streams that a peer may have open on a link.
     pub max_streams: u32,
     /// The most bytes received and not yet read, per stream.
@@ -41,6 +47,8 @@
             // Longer than the round trip between the regions that heatherwalk is built for.
             initial_rtt: time::Duration::from_millis(100),
             handshake_timeout: time::Duration::from_secs(3),
+            node_timeout: time::Duration::from_secs(1),
+            max_connecting: 4,
             max_streams: 256,
             stream_window: 256 * 1024,
             link_window: 1024 * 1024,
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -1,6 +1,7 @@
 //! A QUIC connection to a peer whose host name and role are verified.
 
 use std::{
+    net,
     sync::{self, atomic},
     time,
 };
@@ -74,6 +75,12 @@
         &self.shared.peer
     }
 
+    /// The address that the peer sends from. An endpoint has one port, so this is also the address
+    /// that the peer listens on, unless packets pass an address translation.
+    pub fn remote_addr(&self) -> net::SocketAddr {
+        self.connection.remote_address()
+    }
+
     /// The current estimate of the round-trip time.
     pub fn round_trip(&self) -> time::Duration {
         self.connection.rtt()
--- a/crates/transport/tests/links.rs
+++ b/crates/transport/tests/links.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Write as _, net, time};
 
 use bytes::Bytes;
-use transport::{codes, endpoint, errors, identity, limits, links, pool, streams};
+use transport::{codes, endpoint, errors, identity, limits, links, pool, serving, streams};
 use world::hosts;
 
 /// Longer than any step takes, also on a busy machine.
@@ -345,13 +345,8 @@
     const MAX_CONNECTING: u64 = 4;
     let mesh = Mesh::start();
     let links = pool::LinkPool::new(mesh.client.clone());
-    // Peers that do not answer, so that each attempt stays in flight until it times out.
-    let peers: Vec<_> = (0..40).map(|_| net::UdpSocket::bind(local()).expect("binds")).collect();
-    let mut dials = tokio::task::JoinSet::new();
-    for (index, peer) in peers.iter().enumerate() {
-        let (links, at) = (links.clone(), peer.local_addr().expect("bound"));
-        dials.spawn(async move { links.link(&format!("imanta-{index}"), at).await.is_ok() });
-    }
+    let peers = silent_peers(40);
+    let mut dials = dial_all(&links, &peers);
     let mut most = 0;
     for _ in 0..50 {
         tokio::time::sleep(time::Duration::from_millis(10)).await;
@@ -360,3 +355,142 @@
     assert!((1..=MAX_CONNECTING).contains(&most), "{most} handshakes in flight");
     dials.shutdown().await;
 }
+
+/// Peers that do not answer, so that each attempt to connect to them stays in flight until it times
+/// out.
+fn silent_peers(count: usize) -> Vec<net::UdpSocket> {
+    (0..count).map(|_| net::UdpSocket::bind(local()).expect("binds")).collect()
+}
+
+fn dial_all(links: &pool::LinkPool, peers: &[net::UdpSocket]) -> tokio::task::JoinSet<bool> {
+    let mut dials = tokio::task::JoinSet::new();
+    for (index, peer) in peers.iter().enumerate() {
+        let (links, at) = (links.clone(), peer.local_addr().expect("bound"));
+        dials.spawn(async move { links.link(&format!("imanta-{index}"), at).await.is_ok() });
+    }
+    dials
+}
+
+/// Guards against a node that loses its control because the link to it waits behind those to other
+/// nodes, and against attempts that are still made when nothing waits for them any more.
+#[tokio::test]
+async fn control_waits_behind_nodes() {
+    let mesh = Mesh::start();
+    let links = pool::LinkPool::new(mesh.client.clone());
+    let peers = silent_peers(40);
+    let mut dials = dial_all(&links, &peers);
+    let target = addr(&mesh.server);
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    let linked = links.link_control("skulte", target);
+    let limit = limits::Limits::default().node_timeout / 2;
+    tokio::time::timeout(limit, linked).await.expect("in time").expect("connects");
+    dials.shutdown().await;
+    let before = links.counts();
+    // Waits in turn behind those that nothing waits for.
+    let second = mesh.authority.issue("jugla-2", hosts::Role::Node).expect("issues");
+    let second = bind(&second);
+    in_time(links.link("jugla-2", addr(&second))).await.expect("connects");
+    assert_eq!(links.counts().since(before).started, 1, "only the last attempt is made");
+}
+
+/// An endpoint that serves each stream by echoing a message, and its pool.
+fn start_echo(mesh: &Mesh, host: &str) -> (pool::LinkPool, tokio::task::JoinSet<()>) {
+    let endpoint = bind(&mesh.authority.issue(host, hosts::Role::Node).expect("issues"));
+    let (links, dialled) = pool::LinkPool::bidirectional(endpoint);
+    let mut tasks = tokio::task::JoinSet::new();
+    tasks.spawn(serving::serve_pool(
+        links.clone(),
+        dialled,
+        |_link, mut sender, mut receiver| async move {
+            let message = receiver.recv::<u32>().await.expect("whole").expect("a message");
+            sender.send(&message).await.expect("sends");
+            sender.finish().expect("finishes");
+        },
+    ));
+    (links, tasks)
+}
+
+/// Sends a message to a peer over the pool's link and checks that it comes back.
+async fn ask(links: &pool::LinkPool, host: &str, at: net::SocketAddr) {
+    let link = in_time(links.link(host, at)).await.expect("connects");
+    let (mut sender, mut answers) = link.open_stream().await.expect("opens");
+    sender.send(&17_u32).await.expect("sends");
+    assert_eq!(in_time(answers.recv::<u32>()).await.expect("whole"), Some(17), "to {host}");
+}
+
+/// Guards against a second handshake for a pair of processes that already have a link, which the
+/// other one opened, and against a link on which only one side is served.
+#[tokio::test]
+async fn pair_opens_two_links() {
+    let mesh = Mesh::start();
+    let (near, _near_tasks) = start_echo(&mesh, "imanta");
+    let (far, _far_tasks) = start_echo(&mesh, "jugla-2");
+    ask(&near, "jugla-2", addr(far.endpoint())).await;
+    ask(&far, "imanta", addr(near.endpoint())).await;
+    ask(&near, "jugla-2", addr(far.endpoint())).await;
+    let started = (near.counts().started, far.counts().started);
+    assert_eq!(started, (1, 0), "handshakes of each side");
+    // The link leads to another address than the one asked for, so it is not shared.
+    let stopped = silent_peers(1)[0].local_addr().expect("bound");
+    assert!(far.established("imanta", stopped).is_none());
+    assert!(far.established("imanta", addr(near.endpoint())).is_some());
+}
+
+/// Guards against streams and attempts that fail because both ends connect at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn both_ends_dial_at_once() {
+    let mesh = Mesh::start();
+    for round in 0..20 {
+        let (near, _near_tasks) = start_echo(&mesh, "imanta");
+        let (far, _far_tasks) = start_echo(&mesh, "jugla-2");
+        let (near_at, far_at) = (addr(near.endpoint()), addr(far.endpoint()));
+        let sends = async {
+            for _ in 0..5 {
+                tokio::join!(ask(&near, "jugla-2", far_at), ask(&far, "imanta", near_at));
+            }
+        };
+        sends.await;
+        let failed = near.counts().failed + far.counts().failed;
+        assert_eq!(failed, 0, "failed attempts in round {round}");
+    }
+}
+
+/// Guards against sends over the link to a killed process when the restarted one has already opened
+/// a new link.
+#[tokio::test]
+async fn restarted_peer_opens_a_link() {
+    let mesh = Mesh::start();
+    let (near, _tasks) = start_echo(&mesh, "imanta");
+    let issue = || mesh.authority.issue("jugla-2", hosts::Role::Node).expect("issues");
+    let (killed, at) = start_server(issue()).await;
+    let old = in_time(near.link("jugla-2", at)).await.expect("connects");
+    killed.shutdown_background();
+    let restarted = in_time(async {
+        loop {
+            match endpoint::Endpoint::bind(at, &issue(), limits::Limits::default()) {
+                Ok(it) => return it,
+                Err(_) => tokio::time::sleep(time::Duration::from_millis(10)).await,
+            }
+        }
+    });
+    let restarted = restarted.await;
+    let new = restarted.connect(addr(near.endpoint()), "imanta").await.expect("connects");
+    // The accepting side completes the handshake later than the connecting one. The old link breaks
+    // only after its idle timeout.
+    let limit = limits::Limits::default().idle_timeout / 3;
+    let arrived = async {
+        loop {
+            let link = near.link("jugla-2", at).await.expect("open");
+            let (mut sender, _answers) = link.open_stream().await.expect("opens");
+            sender.send(&17_u32).await.expect("sends");
+            let short = time::Duration::from_millis(50);
+            if let Ok(stream) = tokio::time::timeout(short, new.accept_stream()).await {
+                return stream;
+            }
+        }
+    };
+    let arrived = tokio::time::timeout(limit, arrived).await.expect("in time");
+    let (_back, mut receiver) = arrived.expect("link is whole").expect("link is open");
+    assert_eq!(in_time(receiver.recv::<u32>()).await.expect("whole"), Some(17));
+    drop(old);
+}
