Reproduce the probe storm that follows a silent host or an unopened link

- heatherwalk, requests::silence: a silent host starts 6 attempts to open links, to the hosts that have none (expected 0); a link that isn't opened starts 7 (expected 1); requests over a link whose datagrams are delayed by 200 ms are refused, and its host is probed.

The tests in one process need targets that a test can delay or silence. A stand-in for a target's node registers the address of a relay at the control. The relay can drop datagrams.

--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -10,3 +10,5 @@
 mod passing;
 mod relay;
 mod servers;
+mod silence;
+mod stand_ins;
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -6,7 +6,7 @@
 use transport::identity;
 use world::{hosts, mesh};
 
-use crate::{callers, servers};
+use crate::{callers, servers, stand_ins};
 
 /// The limit of each step, longer than it takes on a busy machine.
 pub const TIMEOUT: time::Duration = time::Duration::from_secs(60);
@@ -137,12 +137,49 @@
         self.node(index).announce()
     }
 
+    /// Starts a stand-in for the node of a target of `service`.
+    pub async fn stand_in(&self, host: &str, service: &str) -> stand_ins::StandIn {
+        let identity = self.authority.issue(host, hosts::Role::Node).expect("issues");
+        stand_ins::StandIn::spawn(&identity, self.listen, service).await
+    }
+
     /// The cancelled requests in a node's metrics: those whose caller disconnected.
     pub fn cancelled(&self, index: usize) -> u64 {
+        self.counter(index, "heatherwalk_node_requests_total{", "outcome=\"cancelled\"")
+    }
+
+    /// The attempts of a node to open links, as of its last heartbeat.
+    pub fn link_attempts(&self, index: usize) -> u64 {
+        self.counter(index, "heatherwalk_node_link_attempts_total{", "state=\"started\"")
+    }
+
+    /// Waits until a node's attempts to open links have not grown for two heartbeats.
+    pub async fn settled_link_attempts(&self, index: usize) -> u64 {
+        let until = tokio::time::Instant::now() + TIMEOUT;
+        loop {
+            let before = self.link_attempts(index);
+            tokio::time::sleep(time::Duration::from_millis(2_500)).await;
+            if self.link_attempts(index) == before {
+                return before;
+            }
+            assert!(tokio::time::Instant::now() < until, "the node opens links without end");
+        }
+    }
+
+    /// The probes of a node that were answered.
+    pub fn answered_probes(&self, index: usize) -> u64 {
+        self.counter(index, "heatherwalk_node_probes_total{", "result=\"answered\"")
+    }
+
+    /// The probes of a node that were not answered in time.
+    pub fn unanswered_probes(&self, index: usize) -> u64 {
+        self.counter(index, "heatherwalk_node_probes_total{", "result=\"unanswered\"")
+    }
+
+    fn counter(&self, index: usize, name: &str, label: &str) -> u64 {
         let page = self.metrics[index].render().expect("renders");
-        let mut lines =
-            page.lines().filter(|it| it.starts_with("heatherwalk_node_requests_total{"));
-        let line = lines.find(|it| it.contains("outcome=\"cancelled\""));
+        let mut lines = page.lines().filter(|it| it.starts_with(name));
+        let line = lines.find(|it| it.contains(label));
         line.and_then(|it| it.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
     }
 
--- a/crates/heatherwalk/tests/requests/relay.rs
+++ b/crates/heatherwalk/tests/requests/relay.rs
@@ -1,4 +1,4 @@
-//! A relay that delays datagrams between a node and a control.
+//! A relay that delays or drops datagrams between two processes.
 
 use std::{
     net,
@@ -10,10 +10,11 @@
 
 use crate::mesh;
 
-/// A running relay for one node.
+/// A running relay for one sender.
 pub struct Relay {
     pub addr: net::SocketAddr,
     delay_ms: Arc<atomic::AtomicU64>,
+    silent: Arc<atomic::AtomicBool>,
     _tasks: task::JoinSet<()>,
 }
 
@@ -24,9 +25,11 @@
         let target_side = Arc::new(UdpSocket::bind(mesh::loopback()).await.expect("binds"));
         let addr = node_side.local_addr().expect("has an address");
         let delay_ms = Arc::new(atomic::AtomicU64::new(0));
+        let silent = Arc::new(atomic::AtomicBool::new(false));
         let mut tasks = task::JoinSet::new();
-        tasks.spawn(forward(node_side, target_side, target, Arc::clone(&delay_ms)));
-        Relay { addr, delay_ms, _tasks: tasks }
+        let drops = Arc::clone(&silent);
+        tasks.spawn(forward(node_side, target_side, target, Arc::clone(&delay_ms), drops));
+        Relay { addr, delay_ms, silent, _tasks: tasks }
     }
 
     /// Delays each later datagram by this time, in both directions.
@@ -34,6 +37,11 @@
         let millis = u64::try_from(delay.as_millis()).expect("short");
         self.delay_ms.store(millis, atomic::Ordering::SeqCst);
     }
+
+    /// Drops each later datagram, in both directions.
+    pub fn silence(&self) {
+        self.silent.store(true, atomic::Ordering::SeqCst);
+    }
 }
 
 async fn forward(
@@ -41,6 +49,7 @@
     target_side: Arc<UdpSocket>,
     target: net::SocketAddr,
     delay_ms: Arc<atomic::AtomicU64>,
+    silent: Arc<atomic::AtomicBool>,
 ) {
     let mut node = None;
     let mut sends = task::JoinSet::new();
@@ -57,6 +66,9 @@
                 (to_node[..length].to_vec(), Arc::clone(&node_side), to)
             }
         };
+        if silent.load(atomic::Ordering::SeqCst) {
+            continue;
+        }
         let delay = time::Duration::from_millis(delay_ms.load(atomic::Ordering::SeqCst));
         sends.spawn(async move {
             tokio::time::sleep(delay).await;
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/silence.rs
@@ -0,0 +1,90 @@
+//! Hosts that do not respond, and links that are slow, between the nodes of a mesh.
+
+use std::time;
+
+use serde_json::json;
+
+use crate::{callers, mesh};
+
+/// Hosts of the data centre to which no link is open.
+const OTHER_HOSTS: usize = 6;
+/// The longest delay of a datagram in each direction.
+const SLOW_DELAY: time::Duration = time::Duration::from_millis(400);
+
+/// Guards against the storm of issue 19: one silent host made its node open a link to every other
+/// host of the data centre, to probe it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_silent_host_starts_no_connection_attempts() {
+    let limit = json!({"timeout_ms": 2_000});
+    let mesh = mesh::Mesh::spawn(1, mesh::document(&[("logs", json!({}), limit)])).await;
+    let mut others = Vec::new();
+    for index in 0..OTHER_HOSTS {
+        others.push(mesh.stand_in(&format!("skulte-other-{index}"), "archive").await);
+    }
+    let silent = mesh.stand_in("skulte-silent", "logs").await;
+    mesh.ready(0, &["logs"]).await;
+    let before = mesh.settled_link_attempts(0).await;
+    silent.relay.silence();
+    let reply = callers::send(mesh.callers(0), callers::get("/logs/work")).await;
+    assert!(reply.status >= 500, "a silent host has answered: {reply}");
+    // Probes were sent at once, and the link to the silent host breaks after 3 s.
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    let counts = (mesh.link_attempts(0) - before, mesh.unanswered_probes(0) > 0);
+    assert_eq!(counts, (0, true), "attempts to open a link; whether the silent host was probed");
+    drop(others);
+}
+
+/// Guards against a link that could not be opened and that counts as a sign of a cut data centre:
+/// the node opened a link to every other host of it. The request has certainly not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_link_that_is_not_opened_starts_connection_attempts() {
+    let limit = json!({"timeout_ms": 2_000});
+    let document = mesh::document(&[("logs", json!({}), limit), ("index", json!({}), json!({}))]);
+    let mesh = mesh::Mesh::spawn(1, document).await;
+    let mut others = Vec::new();
+    for index in 0..OTHER_HOSTS {
+        others.push(mesh.stand_in(&format!("skulte-other-{index}"), "archive").await);
+    }
+    let silent = mesh.stand_in("skulte-silent", "logs").await;
+    silent.relay.silence();
+    // The node knows the targets of the other hosts once it knows this one.
+    others.push(mesh.stand_in("skulte-index", "index").await);
+    mesh.ready(0, &["index"]).await;
+    let before = mesh.settled_link_attempts(0).await;
+    let reply = callers::send(mesh.callers(0), callers::get("/logs/work")).await;
+    assert!(reply.status >= 500 && reply.is_not_run(), "{reply}");
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    assert_eq!(mesh.link_attempts(0) - before, 1, "one attempt to reach the silent host goes on");
+}
+
+/// Guards against a link with a full queue that counts as a silent host: requests over it are
+/// answered, and no host is probed. The delay grows as a queue does, so that the node can measure
+/// it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_slow_link_counts_as_a_silent_host() {
+    let limit = json!({"timeout_ms": 10_000});
+    let mesh = mesh::Mesh::spawn(1, mesh::document(&[("logs", json!({}), limit)])).await;
+    let slow = mesh.stand_in("skulte-slow", "logs").await;
+    mesh.ready(0, &["logs"]).await;
+    let mut lines = Vec::new();
+    for (divisor, requests) in [(4, 12), (2, 10), (1, 5)] {
+        slow.relay.delay(SLOW_DELAY / divisor);
+        let mut answered = 0;
+        for _ in 0..requests {
+            let reply = callers::send(mesh.callers(0), callers::get("/logs/work")).await;
+            answered += usize::from(reply.status == 200);
+        }
+        let delay = SLOW_DELAY / divisor;
+        lines.push(format!("delay {delay:?}: {answered} of {requests} answered"));
+    }
+    // Attempts and probes are counted with each heartbeat.
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    let probes = (mesh.unanswered_probes(0), mesh.answered_probes(0));
+    lines.push(format!("probes unanswered and answered: {probes:?}"));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    delay 100ms: 12 of 12 answered
+    delay 200ms: 10 of 10 answered
+    delay 400ms: 5 of 5 answered
+    probes unanswered and answered: (0, 0)
+    ");
+}
