Bound the probes that follow an unresponsive host, and never connect for one

Cause: positive feedback without a bound. One silent send, or one link that was not open within 400 ms, scheduled a probe of each other target of the data centre at once. A probe that found no link opened one, about 5 KB each way and 3 s long, and each unanswered probe was repeated every 300 ms for ever. On a full link these probes time out as well, which starts more of them.

The change: - A probe goes over an open link only. A host without a link is neither probed as a neighbour nor marked; another neighbour takes its place. - Three linked neighbours of an unresponsive host are probed first, and the rest of the data centre only when none of them answers. - At most 16 probes of a node are in flight, and an unanswered one is repeated after 0.3 to 2 s with jitter. - A host that no link could be opened to says nothing of its neighbours. Its target alone is set aside. It comes back with the attempt that the request began, or with one background attempt at a time, 4 a node, after 0.3 to 5 s. - When a host answers again, the others of its data centre are tried at once.

The slow link stays: silence is still judged by a fixed time.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -77,10 +77,14 @@
         let change =
             estimates.record_failure(now, self.target, failure, self.trial, peers.into_iter());
         drop(routing);
-        if failure == estimates::Failure::Silent {
-            reaching::report_unresponsive(&self.state, self.target);
-        } else {
-            self.log_change(change);
+        match failure {
+            estimates::Failure::Silent => {
+                reaching::report_unresponsive(&self.state, self.target);
+            }
+            estimates::Failure::Unconnected => {
+                reaching::report_unconnected(&self.state, self.target);
+            }
+            _ => self.log_change(change),
         }
     }
 
@@ -218,8 +222,9 @@
     node_status: &forwarding::NodeStatus,
 ) {
     match failure {
-        working::Failure::Silent | working::Failure::NotRun(forwarding::NotRun::Unreachable) => {
-            guard.failed(estimates::Failure::Silent);
+        working::Failure::Silent => guard.failed(estimates::Failure::Silent),
+        working::Failure::NotRun(forwarding::NotRun::Unreachable) => {
+            guard.failed(estimates::Failure::Unconnected);
         }
         working::Failure::NotRun(forwarding::NotRun::Refused) => {
             guard.failed(estimates::Failure::Unreachable);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -99,16 +99,13 @@
         log::info!(target: "decision", "unreachable request={} host={} after={:?} error=\"{err}\"", request.head.id, target.host, state.now().since(started_at));
         working::Failure::NotRun(forwarding::NotRun::Unreachable)
     };
-    let connecting = state.links.link(&target.host, target.addr);
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-    let link = connecting.unwrap_or(Err(transport::errors::Error::TimedOut));
-    let link = link.map_err(unreachable)?;
+    let link = open_link(state, target).await.map_err(unreachable)?;
     let (mut sender, mut receiver) = link.open_stream().await.map_err(unreachable)?;
     let (head, body) = (request.head.clone(), request.body.clone());
     let admit_first = !target.same_centre && (body.len() >= MIN_OFFER_BYTES || !head.idempotent);
     if admit_first {
         sender.send(&streams::Open::Offer { head }).await.map_err(unreachable)?;
-        match wait_for_admission(&link, &mut receiver).await.map_err(unreachable)? {
+        match wait_for_admission(state, target, &link, &mut receiver).await.map_err(unreachable)? {
             forwarding::AnswerHead::Admitted => {}
             refusal => return Ok((refusal, receiver)),
         }
@@ -124,15 +121,41 @@
     Ok((answer, receiver))
 }
 
+/// Returns the link to the target's host. Connects first if none is open; the attempt goes on in
+/// the background when it takes longer than [`CONNECT_TIMEOUT`].
+async fn open_link(
+    state: &sync::Arc<state::State>,
+    target: &choosing::Target,
+) -> transport::errors::Result<transport::links::Link> {
+    let connecting = state.links.link(&target.host, target.addr);
+    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(result) => result,
+        Err(_) => {
+            tokio::spawn(reaching::await_link(sync::Arc::clone(state), target.clone()));
+            Err(transport::errors::Error::TimedOut)
+        }
+    }
+}
+
 /// Waits until the target's node admits or refuses a request. The request does not run before its
 /// body follows.
 async fn wait_for_admission(
+    state: &sync::Arc<state::State>,
+    target: &choosing::Target,
     link: &transport::links::Link,
     receiver: &mut transport::streams::Receiver,
 ) -> transport::errors::Result<forwarding::AnswerHead> {
     let received = tokio::select! {
         it = receiver.recv::<forwarding::AnswerHead>() => it?,
-        () = wait_for_idle_timeout(link, link.traffic().received) => None,
+        () = wait_for_idle_timeout(link, link.traffic().received) => {
+            // Without this, the failure would count as a link that could not be opened.
+            let (shared, key) = (sync::Arc::clone(state), target.key);
+            let report = move || reaching::report_unresponsive(&shared, key);
+            if state.pool.run(report).await.is_err() {
+                log::warn!("worker queue is full; no neighbour of {} is probed", target.host);
+            }
+            None
+        }
     };
     received.ok_or(transport::errors::Error::TimedOut)
 }
--- a/crates/node/src/reaching.rs
+++ b/crates/node/src/reaching.rs
@@ -1,31 +1,31 @@
-//! Probes hosts that have stopped responding, until they answer again.
+//! Probes hosts that have stopped responding over their open links, and opens lost links again.
 
 use std::{net, sync, time};
 
 use compact_str::CompactString;
+use membership::{directory, messages};
 use protocol::streams;
 use world::targets;
 
-use crate::state;
+use crate::{choosing, state};
 
-/// How long a probe waits for its answer. This covers a round trip, or two when the link has to be
-/// opened, and one lost packet.
+/// How long a probe waits for its answer. This covers a round trip and one lost packet.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
-/// Marks a target's host as unresponsive, and schedules probes of it and of the other hosts in its
-/// data centre.
+/// Marks a target's host as unresponsive, and schedules probes of it and of other hosts in its data
+/// centre to which links are open. A host without a link is no sign of the data centre, and a
+/// handshake with it would cost 50 times as much as a probe.
 pub(crate) fn report_unresponsive(state: &state::State, key: targets::TargetKey) {
     let now = state.now();
     let directory = state.directory.lock();
     let Some(target) = directory.get(key) else { return };
-    let centre = &target.entry.data_centre;
-    let same_centre = directory
-        .targets()
-        .iter()
-        .filter(|(_, it)| it.entry.data_centre == *centre && it.entry.host != state.location.host);
-    let same_centre: Vec<_> = same_centre.map(|it| it.0).filter(|it| *it != key).collect();
+    let neighbours = neighbours(state, &directory, key);
+    let linked: Vec<_> = neighbours
+        .filter(|it| state.links.established(&it.1.host, it.1.addr).is_some())
+        .map(|it| it.0)
+        .collect();
     let mut routing = state.routing.lock();
-    let changed = routing.prober.mark_unresponsive(now, key, same_centre.into_iter());
+    let changed = routing.prober.mark_unresponsive(now, key, linked.into_iter());
     routing.balancer.estimates.mark_unresponsive(now, key);
     if changed {
         log_change(&target.entry.host, "silent", "nothing received after a request was sent");
@@ -33,6 +33,46 @@
     state.probe_wakeup.notify_one();
 }
 
+/// Sets aside a target to whose host no link could be opened, until a background attempt succeeds.
+/// This says nothing of the other hosts: the attempt of a request ends long before that of the
+/// handshake, also when only a queue on the way is long.
+pub(crate) fn report_unconnected(state: &state::State, key: targets::TargetKey) {
+    let now = state.now();
+    let directory = state.directory.lock();
+    let Some(target) = directory.get(key) else { return };
+    let mut routing = state.routing.lock();
+    let changed = routing.prober.mark_unconnected(now, key);
+    routing.balancer.estimates.mark_unresponsive(now, key);
+    if changed {
+        log_change(&target.entry.host, "unconnected", "no link to it could be opened");
+    }
+    state.probe_wakeup.notify_one();
+}
+
+/// Waits for an attempt to connect that a request has given up, and ends the wait of the target for
+/// a background attempt if it succeeds.
+pub(crate) async fn await_link(state: sync::Arc<state::State>, target: choosing::Target) {
+    if state.links.link(&target.host, target.addr).await.is_ok() {
+        let shared = sync::Arc::clone(&state);
+        state.pool.submit_or_run(move || record_reachable(&shared, target.key, &target.host));
+    }
+}
+
+/// The targets of other hosts in the data centre of a target, except that of this host.
+fn neighbours<'a>(
+    state: &'a state::State,
+    directory: &'a directory::Directory,
+    key: targets::TargetKey,
+) -> impl Iterator<Item = (targets::TargetKey, &'a messages::Entry)> {
+    let centre = directory.get(key).map(|it| &it.entry.data_centre);
+    directory
+        .targets()
+        .iter()
+        .filter(move |(_, it)| Some(&it.entry.data_centre) == centre)
+        .filter(move |(other, it)| *other != key && it.entry.host != state.location.host)
+        .map(|(key, it)| (key, &it.entry))
+}
+
 /// Sends probes when they are due. Runs until the task is aborted.
 pub(crate) async fn run(state: sync::Arc<state::State>) {
     loop {
@@ -62,46 +102,69 @@
     }
 }
 
+/// The result of a probe.
+enum Probed {
+    Answered,
+    Unanswered,
+    /// No link was open, and a background attempt to open one failed.
+    Unconnected,
+}
+
 /// Probes a target's host and records the result. When the workers' queue is full, so that the
 /// host cannot be looked up, the probe counts as unanswered: without a result, no further probe
 /// would be scheduled.
 async fn probe_target(state: sync::Arc<state::State>, key: targets::TargetKey) {
     let shared = sync::Arc::clone(&state);
-    let (host, answered) = match state.pool.run(move || find_target(&shared, key)).await {
+    let (host, probed) = match state.pool.run(move || find_peer(&shared, key)).await {
         Ok(None) => return,
-        Ok(Some((host, addr))) => {
-            let probed = tokio::time::timeout(PROBE_TIMEOUT, probe(&state, &host, addr)).await;
-            (host, matches!(probed, Ok(Ok(()))))
+        Ok(Some(Peer::Linked(host, link))) => (host, probe(&link).await),
+        Ok(Some(Peer::Unlinked(host, addr))) => {
+            let opened = state.links.link(&host, addr).await;
+            (host, if opened.is_ok() { Probed::Answered } else { Probed::Unconnected })
         }
-        Err(_) => (CompactString::default(), false),
+        Err(_) => (CompactString::default(), Probed::Unanswered),
     };
-    state.instruments.count_probe(answered);
     let shared = sync::Arc::clone(&state);
     state.pool.submit_or_run(move || {
-        record_result(&shared, key, &host, answered);
+        record_result(&shared, key, &host, &probed);
         shared.probe_wakeup.notify_one();
     });
 }
 
-/// The name and address of a target's host. Ends the probes of a target that was removed.
-fn find_target(
-    state: &state::State,
-    key: targets::TargetKey,
-) -> Option<(CompactString, net::SocketAddr)> {
+/// The host of a target that is to be probed.
+enum Peer {
+    Linked(CompactString, transport::links::Link),
+    /// A link is to be opened.
+    Unlinked(CompactString, net::SocketAddr),
+}
+
+/// Finds the host of a target and the link to it. Returns none when it is not to be probed now: the
+/// target was removed, or no link is open and none is to be opened.
+fn find_peer(state: &state::State, key: targets::TargetKey) -> Option<Peer> {
+    let now = state.now();
     let directory = state.directory.lock();
     let Some(target) = directory.get(key) else {
-        state.routing.lock().prober.remove(key);
+        state.routing.lock().prober.discard(now, key);
+        state.probe_wakeup.notify_one();
         return None;
     };
-    Some((target.entry.host.clone(), target.entry.addr))
+    let (host, addr) = (target.entry.host.clone(), target.entry.addr);
+    if let Some(link) = state.links.established(&host, addr) {
+        return Some(Peer::Linked(host, link));
+    }
+    let connects = state.routing.lock().prober.start_connect(now, key);
+    state.probe_wakeup.notify_one();
+    connects.then_some(Peer::Unlinked(host, addr))
+}
+
+async fn probe(link: &transport::links::Link) -> Probed {
+    match tokio::time::timeout(PROBE_TIMEOUT, send_probe(link)).await {
+        Ok(Ok(())) => Probed::Answered,
+        Ok(Err(_)) | Err(_) => Probed::Unanswered,
+    }
 }
 
-async fn probe(
-    state: &state::State,
-    host: &CompactString,
-    addr: net::SocketAddr,
-) -> transport::errors::Result<()> {
-    let link = state.links.link(host, addr).await?;
+async fn send_probe(link: &transport::links::Link) -> transport::errors::Result<()> {
     let (mut sender, mut receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Probe).await?;
     sender.finish()?;
@@ -109,20 +172,38 @@
     Ok(())
 }
 
-fn record_result(state: &state::State, key: targets::TargetKey, host: &str, answered: bool) {
+fn record_result(state: &state::State, key: targets::TargetKey, host: &str, probed: &Probed) {
     let now = state.now();
-    let mut routing = state.routing.lock();
-    if answered {
-        if routing.prober.remove(key) {
-            log_change(host, "reachable", "a probe was answered");
+    match probed {
+        Probed::Answered => {
+            state.instruments.count_probe(true);
+            record_reachable(state, key, host);
         }
-        routing.balancer.estimates.mark_reachable(key);
-    } else {
-        if routing.prober.record_unanswered(now, key) {
-            log_change(host, "silent", "a probe was not answered");
+        Probed::Unanswered => {
+            state.instruments.count_probe(false);
+            let mut routing = state.routing.lock();
+            if routing.prober.record_unanswered(now, key) {
+                log_change(host, "silent", "a probe was not answered");
+            }
+            routing.balancer.estimates.mark_unresponsive(now, key);
         }
-        routing.balancer.estimates.mark_unresponsive(now, key);
+        Probed::Unconnected => state.routing.lock().prober.record_unconnected(now, key),
+    }
+}
+
+/// Readmits a target whose host has answered, and probes the unresponsive hosts of its data centre
+/// at once: a partition often ends for all of them.
+fn record_reachable(state: &state::State, key: targets::TargetKey, host: &str) {
+    let now = state.now();
+    let directory = state.directory.lock();
+    let neighbours: Vec<_> = neighbours(state, &directory, key).map(|it| it.0).collect();
+    let mut routing = state.routing.lock();
+    if routing.prober.remove(key) {
+        log_change(host, "reachable", "a probe was answered or a link was opened");
+        routing.prober.expedite(now, neighbours.into_iter());
     }
+    routing.balancer.estimates.mark_reachable(key);
+    state.probe_wakeup.notify_one();
 }
 
 fn log_change(host: &str, outcome: &str, reason: &str) {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -140,7 +140,7 @@
         let policy = settings.policy;
         let routing = Routing {
             balancer: balancer::Balancer::new(policy, routing::toggles::Toggles::default()),
-            prober: prober::Prober::default(),
+            prober: prober::Prober::new(rand::random()),
             retry_percent: settings.retry_percent,
             retry_limiters: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
--- a/crates/routing/src/estimates.rs
+++ b/crates/routing/src/estimates.rs
@@ -2,8 +2,8 @@
 //!
 //! Ejection is outlier detection: a target that is slow against the others of its service, or that
 //! fails repeatedly, gets trial requests only, until one of them goes well. A host is unresponsive
-//! when nothing is received from it although something was sent; its target gets no request at all
-//! until the host answers a probe.
+//! when nothing is received from it although something was sent, or when no link to it can be
+//! opened; its target gets no request at all until the host answers a probe or a link is open.
 
 use std::time;
 
@@ -86,6 +86,8 @@
     TimedOut,
     /// Nothing was received from the target's host.
     Silent,
+    /// No link to the target's host could be opened, or the link broke before the request was sent.
+    Unconnected,
 }
 
 /// A change of a target's state, for the log. The names are part of the log line.
@@ -329,7 +331,8 @@
         let estimate = self.entry(key)?;
         estimate.end_send(trial);
         estimate.failures += 1;
-        if failure == Failure::Silent && ejection_on {
+        let unreachable = matches!(failure, Failure::Silent | Failure::Unconnected);
+        if unreachable && ejection_on {
             // The limit on ejections does not apply: an unreachable target serves no request
             // anyway.
             estimate.mark_unresponsive(now);
