--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -13,3 +13,4 @@
 mod servers;
 mod silence;
 mod stand_ins;
+mod unfinished;
