Judge silence by the round trip of a link, not by a fixed time

Cause: a host counted as silent after 300 ms without a packet, and as unreachable after 400 ms without a link, whatever the link's delay. A full queue takes longer, and the probes and repeated requests that follow lengthen it.

Why it works: the limit is three round trips of the link, or of the median of the node's links when that is longer, since a queue on the node's own side shows there before the estimate of an idle link knows of it. It lies between 0.3 s and 1.5 s, 0.4 s and 1.5 s for a link to open, so a fast link is judged as before. Any packet received during a probe answers it. The decision is a pure function, routing::silence::judge.

What other hosts have sent does not count: a node that hears from none is cut off itself, and its callers are served best by refusals at once while the target of its own host goes on.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -4,6 +4,7 @@
 
 use compact_str::format_compact;
 use protocol::{forwarding, streams};
+use routing::silence;
 
 use crate::{choosing, headers, reaching, sending, state, working};
 
@@ -12,16 +13,9 @@
 /// checks its timers every 50 ms.
 const REPORT_GRACE: std_time::Duration = std_time::Duration::from_millis(150);
 
-/// Limit for opening a link to a node. No byte of the request has been sent by then, so a request
-/// that exceeds it was certainly not run.
-const CONNECT_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
-/// Time without any packet after a request was sent, from which the node counts as unresponsive. A
-/// node acknowledges within a round trip and 25 ms, so this tolerates several lost packets in a
-/// row.
-const FIRST_IDLE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(300);
-/// Time without any packet later on, from which the node counts as unresponsive. An idle link is
+/// Longest time in which a responsive node sends nothing on a link without requests. The link is
 /// probed every second.
-const LATER_IDLE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_400);
+const QUIET_INTERVAL: std_time::Duration = std_time::Duration::from_millis(1_100);
 /// Smallest body of an idempotent request, in bytes, that is sent to another data centre only after
 /// the target has admitted the request. Links between data centres are paid by the byte, and this
 /// is about four times the size of a request's head.
@@ -122,13 +116,17 @@
 }
 
 /// Returns the link to the target's host. Connects first if none is open; the attempt goes on in
-/// the background when it takes longer than [`CONNECT_TIMEOUT`].
+/// the background when it takes longer than [`silence::connect_limit`].
 async fn open_link(
     state: &sync::Arc<state::State>,
     target: &choosing::Target,
 ) -> transport::errors::Result<transport::links::Link> {
+    if let Some(link) = state.links.established(&target.host, target.addr) {
+        return Ok(link);
+    }
+    let limit = silence::connect_limit(reaching::typical_round_trip(state));
     let connecting = state.links.link(&target.host, target.addr);
-    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+    match tokio::time::timeout(limit, connecting).await {
         Ok(result) => result,
         Err(_) => {
             tokio::spawn(reaching::await_link(sync::Arc::clone(state), target.clone()));
@@ -147,7 +145,7 @@
 ) -> transport::errors::Result<forwarding::AnswerHead> {
     let received = tokio::select! {
         it = receiver.recv::<forwarding::AnswerHead>() => it?,
-        () = wait_for_idle_timeout(link, link.traffic().received) => {
+        () = wait_for_silence(state, link, link.traffic().received) => {
             // Without this, the failure would count as a link that could not be opened.
             let (shared, key) = (sync::Arc::clone(state), target.key);
             let report = move || reaching::report_unresponsive(&shared, key);
@@ -172,7 +170,7 @@
     let mut received = std::pin::pin!(receiver.recv::<forwarding::AnswerHead>());
     let received = tokio::select! {
         it = &mut received => it,
-        () = wait_for_idle_timeout(link, link.traffic().received) => {
+        () = wait_for_silence(state, link, link.traffic().received) => {
             if request.head.idempotent {
                 return Err(working::Failure::Silent);
             }
@@ -197,20 +195,43 @@
     working::Failure::Unknown(format_compact!("node {}: {err}", target.host))
 }
 
-/// Completes when a link has received nothing for [`FIRST_IDLE_TIMEOUT`] since the request was
-/// sent, or for [`LATER_IDLE_TIMEOUT`] after it received something.
-async fn wait_for_idle_timeout(link: &transport::links::Link, received_before: u64) {
+/// Completes when the node at the other end of a link counts as silent, since the request was sent
+/// or later.
+async fn wait_for_silence(
+    state: &sync::Arc<state::State>,
+    link: &transport::links::Link,
+    received_before: u64,
+) {
     let mut last_received = received_before;
-    let mut limit = FIRST_IDLE_TIMEOUT;
+    let mut last_at = state.now();
+    let mut quiet = std_time::Duration::ZERO;
+    let mut pause = silence::limit(link.round_trip());
     loop {
-        tokio::time::sleep(limit).await;
-        tokio::time::sleep(LATE_TIMER_GRACE).await;
+        tokio::time::sleep(pause + LATE_TIMER_GRACE).await;
         let received = link.traffic().received;
-        if received == last_received {
-            log::info!(target: "decision", "silent host={} limit={limit:?} round_trip={:?}", link.host(), link.round_trip());
-            return;
+        let now = state.now();
+        let signs = silence::Signs {
+            elapsed: now.since(last_at),
+            quiet,
+            round_trip: link.round_trip(),
+            typical_round_trip: reaching::typical_round_trip(state),
+            received: received != last_received,
+        };
+        match silence::judge(&signs) {
+            silence::Verdict::Responsive => {
+                (last_received, last_at, quiet) = (received, now, QUIET_INTERVAL);
+                pause = QUIET_INTERVAL + silence::limit(link.round_trip());
+            }
+            silence::Verdict::Wait(left) => pause = left,
+            silence::Verdict::Silent => {
+                let silence::Signs { elapsed, round_trip, typical_round_trip, .. } = signs;
+                log::info!(
+                    target: "decision",
+                    "silent host={} after={elapsed:?} round_trip={round_trip:?} typical_round_trip={typical_round_trip:?}",
+                    link.host(),
+                );
+                return;
+            }
         }
-        last_received = received;
-        limit = LATER_IDLE_TIMEOUT;
     }
 }
--- a/crates/node/src/reaching.rs
+++ b/crates/node/src/reaching.rs
@@ -5,12 +5,15 @@
 use compact_str::CompactString;
 use membership::{directory, messages};
 use protocol::streams;
+use routing::silence;
 use world::targets;
 
 use crate::{choosing, state};
 
-/// How long a probe waits for its answer. This covers a round trip and one lost packet.
-const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Pause before the next look for due probes when the workers' queue is full.
+const QUEUE_FULL_PAUSE: time::Duration = time::Duration::from_millis(300);
+/// Most links whose round trips the median is taken of.
+const MAX_COMPARED_LINKS: usize = 32;
 
 /// Marks a target's host as unresponsive, and schedules probes of it and of other hosts in its data
 /// centre to which links are open. A host without a link is no sign of the data centre, and a
@@ -49,6 +52,18 @@
     state.probe_wakeup.notify_one();
 }
 
+/// The median round trip of this node's open links to targets. A queue on the node's own link shows
+/// in all of them. Zero without links.
+pub(crate) fn typical_round_trip(state: &state::State) -> time::Duration {
+    median_round_trip(state, &state.directory.lock())
+}
+
+fn median_round_trip(state: &state::State, directory: &directory::Directory) -> time::Duration {
+    let entries = directory.targets().iter().map(|it| &it.1.entry);
+    let links = entries.filter_map(|it| state.links.established(&it.host, it.addr));
+    silence::median(links.take(MAX_COMPARED_LINKS).map(|it| it.round_trip()).collect())
+}
+
 /// Waits for an attempt to connect that a request has given up, and ends the wait of the target for
 /// a background attempt if it succeeds.
 pub(crate) async fn await_link(state: sync::Arc<state::State>, target: choosing::Target) {
@@ -83,7 +98,7 @@
             (prober.take_due(now), prober.next_due())
         };
         let Ok((due, next)) = state.pool.run(job).await else {
-            tokio::time::sleep(PROBE_TIMEOUT).await;
+            tokio::time::sleep(QUEUE_FULL_PAUSE).await;
             continue;
         };
         for key in due {
@@ -117,7 +132,7 @@
     let shared = sync::Arc::clone(&state);
     let (host, probed) = match state.pool.run(move || find_peer(&shared, key)).await {
         Ok(None) => return,
-        Ok(Some(Peer::Linked(host, link))) => (host, probe(&link).await),
+        Ok(Some(Peer::Linked(host, link, limit))) => (host, probe(&link, limit).await),
         Ok(Some(Peer::Unlinked(host, addr))) => {
             let opened = state.links.link(&host, addr).await;
             (host, if opened.is_ok() { Probed::Answered } else { Probed::Unconnected })
@@ -133,7 +148,8 @@
 
 /// The host of a target that is to be probed.
 enum Peer {
-    Linked(CompactString, transport::links::Link),
+    /// The link is open. Holds how long to wait for the answer to a probe.
+    Linked(CompactString, transport::links::Link, time::Duration),
     /// A link is to be opened.
     Unlinked(CompactString, net::SocketAddr),
 }
@@ -150,16 +166,21 @@
     };
     let (host, addr) = (target.entry.host.clone(), target.entry.addr);
     if let Some(link) = state.links.established(&host, addr) {
-        return Some(Peer::Linked(host, link));
+        let round_trip = link.round_trip().max(median_round_trip(state, &directory));
+        return Some(Peer::Linked(host, link, silence::limit(round_trip)));
     }
     let connects = state.routing.lock().prober.start_connect(now, key);
     state.probe_wakeup.notify_one();
     connects.then_some(Peer::Unlinked(host, addr))
 }
 
-async fn probe(link: &transport::links::Link) -> Probed {
-    match tokio::time::timeout(PROBE_TIMEOUT, send_probe(link)).await {
+/// Probes a host. Any packet from it shows that it responds, also when the answer is still in a
+/// queue.
+async fn probe(link: &transport::links::Link, limit: time::Duration) -> Probed {
+    let received = link.traffic().received;
+    match tokio::time::timeout(limit, send_probe(link)).await {
         Ok(Ok(())) => Probed::Answered,
+        Ok(Err(_)) | Err(_) if link.traffic().received > received => Probed::Answered,
         Ok(Err(_)) | Err(_) => Probed::Unanswered,
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,8 +3,9 @@
 //!
 //! A [`balancer::Balancer`] selects a target by a [`policy`] and by what the node has measured of
 //! each target ([`estimates`]). [`budget`], [`retry`] and [`hedge`] limit how often a request is
-//! sent, and [`prober`] says which unresponsive hosts to probe. Nothing here does I/O or reads a
-//! clock: the time and the random number generator are arguments.
+//! sent. [`silence`] says whether a host has stopped responding, and [`prober`] which hosts to probe
+//! then. Nothing here does I/O or reads a clock: the time, and random numbers or their seed, are
+//! arguments.
 
 pub mod balancer;
 pub mod budget;
@@ -13,4 +14,5 @@
 pub mod policy;
 pub mod prober;
 pub mod retry;
+pub mod silence;
 pub mod toggles;
