Reproduce denials by an old version of the configuration

Two tests show it and fail: a node whose control is stopped answers 404 and 413 after 2.5 s; and with answers that take 1 s, a node states age 0 for a version that was replaced before.

--- a/crates/distribution/tests/faults.rs
+++ b/crates/distribution/tests/faults.rs
@@ -361,6 +361,25 @@
     assert!(worst <= 2_500, "{worst} ms");
 }
 
+/// Guards against a node that counts the age of its version from the arrival of an acknowledgement.
+/// On a full link that is long after the control wrote it, and the node took an old version for the
+/// latest.
+#[test]
+fn late_acknowledgements_confirm_an_old_version() {
+    for delay in [500, 1_000, 2_000] {
+        let mut sim = sim::Sim::new(1, &[0], toggles::Toggles::default());
+        settle(&mut sim);
+        sim.answer_ms = delay;
+        sim.run(4_000);
+        sim.accept(1);
+        for _ in 0..100 {
+            sim.run(sim::STEP_MS);
+            assert_eq!(sim.wrong_ages(), Vec::<String>::new(), "{delay} ms");
+        }
+        assert!(sim.all_run_latest(), "{delay} ms");
+    }
+}
+
 /// Guards against a node without a version that stays with a control that cannot serve yet, because
 /// the others could not either when the node tried them. After a loss of all processes, there is a
 /// leader long before a control with an empty disk has caught up.
--- a/crates/distribution/tests/sim/events.rs
+++ b/crates/distribution/tests/sim/events.rs
@@ -86,7 +86,7 @@
             let Some(&(node, conn)) = conns.iter().find(|it| *it.1 == key).map(|it| it.0) else {
                 continue;
             };
-            let mut delay = LATENCY_MS;
+            let mut delay = self.answer_ms;
             match &mut message {
                 messages::ToNode::Delta(_, delta) if self.corrupt => {
                     delta.patch = delta.patch.replace("slots", "queue").into();
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -52,6 +52,8 @@
     pub duplicate: bool,
     /// Whether deltas are corrupted on their way.
     pub corrupt: bool,
+    /// How long a message other than a snapshot is on its way to a node, in milliseconds.
+    pub answer_ms: u64,
     /// How long a snapshot is on its way, in milliseconds.
     pub snapshot_ms: u64,
     /// Whether backend servers keep floor tokens. A change affects nodes that start after it.
@@ -63,6 +65,8 @@
     now_ms: u64,
     /// All accepted versions, from version 1 on.
     log: Vec<(messages::Delta, relay::Head)>,
+    /// When each of these versions was accepted.
+    accepted_at: Vec<Time>,
     queue: collections::BTreeMap<(u64, u64), events::Event>,
     serial: u64,
     toggles: toggles::Toggles,
@@ -77,6 +81,7 @@
             breaches: Vec::new(),
             duplicate: false,
             corrupt: false,
+            answer_ms: LATENCY_MS,
             snapshot_ms: LATENCY_MS,
             tokens: true,
             peers_asked: 0,
@@ -84,6 +89,7 @@
             rng: rngs::StdRng::seed_from_u64(seed),
             now_ms: 10_000,
             log: Vec::new(),
+            accepted_at: Vec::new(),
             queue: collections::BTreeMap::new(),
             serial: 0,
             toggles,
@@ -129,6 +135,7 @@
                 document: document::to_value(&document).to_string().into(),
                 level: 0,
             };
+            self.accepted_at.push(self.now());
             self.log.push((messages::Delta { to: of, patch: text.into() }, head));
         }
     }
@@ -205,6 +212,24 @@
         self.nodes[node].updater.running().map_or(0, |it| it.version().0)
     }
 
+    /// The nodes that claim to have run the latest version at a time when it was another one. A
+    /// control learns a version one step after it was accepted.
+    pub fn wrong_ages(&self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for (node, it) in self.nodes.iter().enumerate() {
+            let Some(age) = it.updater.age(self.now()) else { continue };
+            let step = time::Duration::from_millis(STEP_MS);
+            let known = |at: &&Time| self.now().since(**at) > age + step;
+            let latest = self.accepted_at.iter().filter(known).count() as u64;
+            let running = self.running(node);
+            if running < latest {
+                let text = format!("node {node} runs {running}, age {age:?}, latest {latest}");
+                wrong.push(text);
+            }
+        }
+        wrong
+    }
+
     pub fn all_run_latest(&self) -> bool {
         (0..self.nodes.len()).all(|it| self.running(it) == self.latest())
     }
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -10,3 +10,4 @@
 mod passing;
 mod relay;
 mod servers;
+mod versions;
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/versions.rs
@@ -0,0 +1,64 @@
+//! What callers are told by a node that may run an old version of the configuration.
+
+use std::time;
+
+use serde_json::json;
+
+use crate::{callers, mesh, servers};
+
+/// Longer than the time after which a version that no control has confirmed counts as old.
+const SILENCE: time::Duration = time::Duration::from_millis(2_500);
+
+/// Asks until the answer has this status, since a busy machine may delay a confirmation. Returns
+/// the last answer.
+async fn await_status(mesh: &mesh::Mesh, request: callers::Request, status: u16) -> callers::Reply {
+    let until = tokio::time::Instant::now() + mesh::TIMEOUT;
+    loop {
+        let reply = callers::send(mesh.callers(1), request.clone()).await;
+        if reply.status == status || tokio::time::Instant::now() >= until {
+            return reply;
+        }
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+}
+
+/// Guards against a node without its control that denies requests by limits and routes which an
+/// operator may have changed since: callers do not send a request again after a 404 or a 413.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_version_that_may_be_old_denies_requests() {
+    let document = mesh::document(&[("logs", json!({}), json!({}))]);
+    let mut mesh = mesh::Mesh::spawn(1, document).await;
+    let change = |it: &mut node::settings::Settings| {
+        it.dialect = platform::callers::DIALECT;
+        it.floor_tokens = false;
+    };
+    mesh.add_node_with(mesh.listen, change).await;
+    let handle = |_: &str, _: &[u8]| servers::Action::Send(servers::answer("200 OK", "", b"ok"));
+    let server = servers::Server::spawn(mesh.announce(0), "logs", 512, handle).await;
+    mesh.ready(0, &["logs"]).await;
+    let mut large = callers::post("/logs/1", "large");
+    large.body = vec![b'x'; 1_200_000].into();
+    let cases = [("a route", callers::get("/unknown"), 404), ("a limit", large, 413)];
+    let mut lines = Vec::new();
+    for (name, request, status) in &cases {
+        let reply = await_status(&mesh, request.clone(), *status).await;
+        lines.push(format!("{name}, confirmed: {reply}"));
+    }
+    mesh.control.take().expect("runs").stop().await;
+    tokio::time::sleep(SILENCE).await;
+    for (name, request, _) in &cases {
+        let reply = callers::send(mesh.callers(1), request.clone()).await;
+        let pause = reply.headers.contains_key("retry-after");
+        lines.push(format!("{name}, old: {reply}; says when to ask again: {pause}"));
+    }
+    let reply = callers::send(mesh.callers(0), callers::get("/logs/1")).await;
+    lines.push(format!("a route that it has, old: {reply}"));
+    drop(server);
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    a route, confirmed: 404
+    a limit, confirmed: 413
+    a route, old: 503; says when to ask again: true
+    a limit, old: 503; says when to ask again: true
+    a route that it has, old: 200
+    ");
+}
