Deny requests only by a version that is known to be the latest

The cause is a decision of its own: the node answered from the version that it runs, whatever that version's age. The age was wrong too. It counted from the arrival of an acknowledgement, which on a full link is seconds after the control wrote it.

Now the age counts from the sending of the message that was acknowledged, which bounds what the control knew from below. 404, 413 and 428 need an age below 1.2 s: 2 s for a version to be in force, less the 800 ms for which a cut-off control may not know that. Otherwise the node asks its control, with one question on its way at most, waits 200 ms at most, and refuses the request as not run with a time to retry after. A control's acknowledgement names the latest version that it knows, not the latest that it has synced, and no two have the same time, so a repeated one is told apart.

--- a/crates/distribution/src/attach.rs
+++ b/crates/distribution/src/attach.rs
@@ -63,7 +63,8 @@
     pub control: ControlKey,
     /// The session that a hello asked for, once the connection is open.
     pub session: Option<messages::SessionId>,
-    since: Time,
+    /// When the attempt began.
+    pub since: Time,
 }
 
 /// The controls of the mesh, with the node's link to one and the attempt at a better one.
--- a/crates/distribution/src/messages.rs
+++ b/crates/distribution/src/messages.rs
@@ -151,11 +151,12 @@
 pub struct Ack {
     /// The session of the hello or beat that is acknowledged.
     pub session: SessionId,
-    /// When it was sent; the node echoes it in its beats.
+    /// When it was sent; the node echoes it in its beats. No other acknowledgement of the control
+    /// has this time.
     pub stamp: Timestamp,
     /// Whether the control cannot reach a leader, or lost its disk and has not caught up with the
     /// log.
     pub isolated: bool,
-    /// The latest version that the control sends.
+    /// The latest version that the control knows. It sends a version only once that is synced.
     pub version: document::Version,
 }
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -85,6 +85,8 @@
     isolated: bool,
     pub(crate) subscribers: Subscribers,
     contacts: collections::BTreeMap<CompactString, LastContact>,
+    /// The time in the last acknowledgement.
+    last_stamp: Time,
     pub(crate) toggles: toggles::Toggles,
 }
 
@@ -107,6 +109,7 @@
             isolated: true,
             subscribers: Subscribers::default(),
             contacts: collections::BTreeMap::new(),
+            last_stamp: Time::ZERO,
             toggles: toggles::Toggles::default(),
         }
     }
@@ -323,13 +326,16 @@
         effects
     }
 
-    fn send_ack(&self, now: Time, key: SubscriberKey, effects: &mut Vec<Effect>) {
+    fn send_ack(&mut self, now: Time, key: SubscriberKey, effects: &mut Vec<Effect>) {
         let Some(subscriber) = self.subscribers.get(key) else { return };
+        // A node recognizes an acknowledgement that it has had by its time.
+        self.last_stamp = now.max(self.last_stamp + time::Duration::from_micros(1));
+        let unsynced = self.unsynced.back().map(|(_, it)| it.of.version);
         let ack = messages::Ack {
             session: subscriber.hello.session,
-            stamp: messages::Timestamp { epoch: self.epoch, at: now },
+            stamp: messages::Timestamp { epoch: self.epoch, at: self.last_stamp },
             isolated: self.isolated || !self.ready,
-            version: self.head.of.version,
+            version: unsynced.unwrap_or_default().max(self.head.of.version),
         };
         effects.push(Effect::Send(key, messages::ToNode::Ack(ack)));
     }
--- a/crates/distribution/src/sessions.rs
+++ b/crates/distribution/src/sessions.rs
@@ -10,19 +10,30 @@
 
 impl Updater {
     /// Opens a new session on the same connection, to tell the control what the node has now.
-    pub(crate) fn reopen_session(&mut self, rng: &mut impl Rng, effects: &mut Vec<Effect>) {
+    pub(crate) fn reopen_session(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(mut link) = self.attachment.link else { return };
         link.session = messages::SessionId(rng.random());
         self.attachment.link = Some(link);
+        self.unacknowledged = [now].into();
         self.drop_pending();
         effects.push(Effect::SendHello(link.control, self.new_hello(link.control, link.session)));
     }
 
     /// Opens a new session when a node without a version has learned something about its floor
     /// token, since that changes which versions it may accept.
-    pub(crate) fn report_floor(&mut self, rng: &mut impl Rng, effects: &mut Vec<Effect>) {
+    pub(crate) fn report_floor(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+        effects: &mut Vec<Effect>,
+    ) {
         if self.head().is_none() && self.reported_floor != self.floor {
-            self.reopen_session(rng, effects);
+            self.reopen_session(now, rng, effects);
         }
     }
 
@@ -38,7 +49,7 @@
         let waits = self.floor == floor::Floor::Unknown && self.toggles.announcement_wait;
         if waits && now.since(self.started) >= floor::ANNOUNCEMENT_TIMEOUT {
             self.floor = floor::Floor::Absent;
-            self.report_floor(rng, effects);
+            self.report_floor(now, rng, effects);
         }
     }
 
@@ -61,13 +72,18 @@
             return;
         };
         link.last_contact = now;
-        link.ack = Some((ack, now));
+        // One that is delivered twice acknowledges nothing more.
+        let is_new = link.ack.is_none_or(|(it, _)| it.stamp.at < ack.stamp.at);
+        let asked = if is_new { self.unacknowledged.pop_front() } else { None };
+        if is_new {
+            link.ack = Some((ack, now));
+        }
         if ack.isolated {
             self.deprioritize_unready(now, control);
             return;
         }
         if self.running().is_some_and(|it| it.version() >= ack.version) {
-            self.confirmed_at = Some(now);
+            self.confirmed_at = asked.max(self.confirmed_at);
         }
     }
 
@@ -90,6 +106,7 @@
         ack: messages::Ack,
         effects: &mut Vec<Effect>,
     ) -> bool {
+        let Some(asked) = self.attachment.attempt.map(|it| it.since) else { return false };
         if ack.isolated && self.attachment.link.is_some() && self.running.is_some() {
             self.attachment.deprioritize_isolated(now, control);
             self.attachment.attempt = None;
@@ -99,6 +116,7 @@
         if let Some(previous) = self.attachment.complete_attempt(now, ack.session) {
             effects.push(Effect::Close(previous));
         }
+        self.unacknowledged = [asked].into();
         self.drop_pending();
         self.ask_at = None;
         self.peer_request = None;
@@ -158,6 +176,7 @@
         let highest =
             self.running().map_or(self.min_version, |it| it.version().max(self.min_version));
         let echo = link.ack.map(|(ack, _)| ack.stamp);
+        self.unacknowledged.push_back(now);
         let beat = messages::Beat { session: link.session, echo, highest };
         effects.push(Effect::Beat(link.control, beat));
     }
--- a/crates/distribution/src/swap.rs
+++ b/crates/distribution/src/swap.rs
@@ -38,7 +38,7 @@
         }
         if delta.to.version > version.next() {
             // A delta is missing; a new hello tells the control what the node has.
-            self.reopen_session(rng, effects);
+            self.reopen_session(now, rng, effects);
             return;
         }
         let Some(config) = self.apply_delta(&head.config, delta) else {
--- a/crates/distribution/src/updater.rs
+++ b/crates/distribution/src/updater.rs
@@ -1,6 +1,6 @@
 //! The node's side of the distribution: which version the node runs, and what it asks controls for.
 
-use std::{sync, time};
+use std::{collections, sync, time};
 
 use compact_str::CompactString;
 use rand::Rng;
@@ -10,6 +10,11 @@
 
 /// Time between two beats, which keep the session with the control alive.
 pub const BEAT_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// How long after a control's confirmation the running version counts as the latest. An accepted
+/// version has to be in force within 2 s, and a control may not know for 800 ms, the lease of a
+/// leader, that it is cut off. It is longer than [`BEAT_INTERVAL`], so that a confirmation lasts
+/// until the next one.
+pub const CONFIRMATION_LIMIT: time::Duration = time::Duration::from_millis(1_200);
 /// How long a peer may take to send a snapshot before the node asks its control again.
 pub const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// The longest random wait, in milliseconds, before a node asks again after an unusable snapshot.
@@ -100,8 +105,12 @@
     pub(crate) min_version: document::Version,
     /// When the last acknowledgement arrived that was echoed to the home control.
     pub(crate) last_echo: Time,
-    /// When an acknowledgement last showed that the running version was the latest.
+    /// When the running version was last known to be the latest: the time at which the message was
+    /// sent whose acknowledgement showed it. The acknowledgement itself may have been on its way
+    /// for seconds.
     pub(crate) confirmed_at: Option<Time>,
+    /// When the messages were sent that the attached control has yet to acknowledge, in order.
+    pub(crate) unacknowledged: collections::VecDeque<Time>,
     pub(crate) next_beat: Time,
     /// When to ask for a snapshot again.
     pub(crate) ask_at: Option<Time>,
@@ -130,6 +139,7 @@
             // The process before the restart may have sent echoes until now.
             last_echo: now,
             confirmed_at: None,
+            unacknowledged: collections::VecDeque::new(),
             next_beat: now,
             ask_at: None,
             awaiting_snapshot: false,
@@ -158,12 +168,29 @@
         &self.attachment
     }
 
-    /// How long ago an acknowledgement last showed that the running version was the latest; none
-    /// before the first such acknowledgement.
+    /// How long ago the running version was last known to be the latest; none before a control has
+    /// confirmed that for the first time.
     pub fn age(&self, now: Time) -> Option<time::Duration> {
         self.confirmed_at.map(|it| now.since(it))
     }
 
+    /// Whether the node runs this version, and it was the latest at most [`CONFIRMATION_LIMIT`] ago.
+    pub fn is_confirmed(&self, now: Time, version: document::Version) -> bool {
+        let runs = self.running().is_some_and(|it| it.version() == version);
+        runs && self.age(now).is_some_and(|it| it < CONFIRMATION_LIMIT)
+    }
+
+    /// Asks the control now for a confirmation of the running version, unless it owes the node an
+    /// acknowledgement already.
+    pub fn ask_confirmation(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.unacknowledged.is_empty() {
+            self.next_beat = now;
+            self.send_beat(now, &mut effects);
+        }
+        effects
+    }
+
     /// Handles timeouts, sends beats and starts attempts to attach. To be called at least every
     /// 100 ms.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Effect> {
@@ -220,7 +247,7 @@
         let mut effects = Vec::new();
         if let messages::ToNode::Ack(ack) = message {
             self.handle_ack(now, control, ack, &mut effects);
-            self.report_floor(rng, &mut effects);
+            self.report_floor(now, rng, &mut effects);
             return effects;
         }
         let Some(link) = self.attachment.link.as_mut().filter(|it| it.control == control) else {
@@ -290,7 +317,7 @@
         };
         self.offered_token = None;
         self.min_version = self.min_version.max(self.floor.version());
-        self.report_floor(rng, &mut effects);
+        self.report_floor(now, rng, &mut effects);
         self.try_run(now, &mut effects);
         self.offer_token(&mut effects);
         effects
--- a/crates/distribution/tests/faults.rs
+++ b/crates/distribution/tests/faults.rs
@@ -374,7 +374,7 @@
         sim.accept(1);
         for _ in 0..100 {
             sim.run(sim::STEP_MS);
-            assert_eq!(sim.wrong_ages(), Vec::<String>::new(), "{delay} ms");
+            assert_eq!(sim.breaches, Vec::<String>::new(), "{delay} ms");
         }
         assert!(sim.all_run_latest(), "{delay} ms");
     }
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -214,7 +214,7 @@
 
     /// The nodes that claim to have run the latest version at a time when it was another one. A
     /// control learns a version one step after it was accepted.
-    pub fn wrong_ages(&self) -> Vec<String> {
+    fn wrong_ages(&self) -> Vec<String> {
         let mut wrong = Vec::new();
         for (node, it) in self.nodes.iter().enumerate() {
             let Some(age) = it.updater.age(self.now()) else { continue };
@@ -304,6 +304,8 @@
         for control in 0..self.controls.len() {
             self.step_control(control);
         }
+        let wrong = self.wrong_ages();
+        self.breaches.extend(wrong);
         for node in 0..self.nodes.len() {
             let now = self.now();
             let effects = self.nodes[node].updater.tick(now, &mut self.rng);
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -1,13 +1,13 @@
 //! The node's sessions with controls: it follows the versions of the configuration, and exchanges
 //! heartbeats, evidence and the registry's changes.
 
-use std::sync;
+use std::{sync, time as std_time};
 
 use compact_str::CompactString;
 use distribution::{attach, messages, updater};
 use protocol::streams;
 use tokio::sync::mpsc;
-use world::config;
+use world::{config, document};
 
 use crate::{slots, state};
 
@@ -15,6 +15,20 @@
 const CONTROL_QUEUE: usize = 256;
 /// Most parts of the registry that are asked for at once. A part has about 7 KB.
 const MAX_PARTS: usize = 16;
+/// How long a request that the running version does not allow waits for the control to confirm the
+/// version. The round trip takes a few milliseconds, and more over a busy link.
+const CONFIRMATION_WAIT: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// Whether a version is confirmed as the latest.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Confirmation {
+    /// It is.
+    Given,
+    /// It is not, and the control's answer is on its way.
+    Asked,
+    /// It cannot be: the node runs another version by now, or is attached to no control.
+    Impossible,
+}
 
 /// Runs the timers of the version updater. To be called at least every 100 ms.
 pub(crate) fn tick(state: &sync::Arc<state::State>) {
@@ -53,6 +67,45 @@
     }
 }
 
+/// Whether the node runs `version` and knows that no later one is in force. If it does not know, asks
+/// the control and waits for the answer, for at most [`CONFIRMATION_WAIT`].
+pub(crate) async fn await_confirmation(
+    state: &sync::Arc<state::State>,
+    version: document::Version,
+) -> bool {
+    let deadline = tokio::time::Instant::now() + CONFIRMATION_WAIT;
+    loop {
+        let acknowledged = state.acknowledged.notified();
+        let shared = sync::Arc::clone(state);
+        let job = move || check_confirmation(&shared, version);
+        match state.pool.run(job).await {
+            Ok(Confirmation::Given) => return true,
+            Ok(Confirmation::Asked) => {}
+            Ok(Confirmation::Impossible) | Err(_) => return false,
+        }
+        if tokio::time::timeout_at(deadline, acknowledged).await.is_err() {
+            return false;
+        }
+    }
+}
+
+fn check_confirmation(state: &sync::Arc<state::State>, version: document::Version) -> Confirmation {
+    let now = state.now();
+    let effects = {
+        let mut table = state.configuration.lock();
+        if table.updater.is_confirmed(now, version) {
+            return Confirmation::Given;
+        }
+        let runs = table.updater.running().is_some_and(|it| it.version() == version);
+        if !runs || table.updater.attached().is_none() {
+            return Confirmation::Impossible;
+        }
+        table.updater.ask_confirmation(now)
+    };
+    apply_effects(state, effects);
+    Confirmation::Asked
+}
+
 /// Takes the floor token of an announcement, and returns the token to answer with. A backend server
 /// keeps only the token of the last answer. A restarted node that has no version to make a token
 /// for therefore returns the one that it received.
@@ -339,6 +392,7 @@
                 table.updater.message(now, control, message, &mut table.rng)
             };
             apply_effects(state, effects);
+            state.acknowledged.notify_waiters();
         }
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -7,11 +7,11 @@
 use protocol::forwarding;
 use replicated::claims;
 use routing::budget;
-use world::{config, contracts, requests, time};
+use world::{config, contracts, document, requests, time};
 
 use crate::{
-    answering, claiming, dialect, headers, in_flight, instruments, refusals, reservations, sending,
-    state, suspects,
+    answering, attaching, claiming, dialect, headers, in_flight, instruments, refusals,
+    reservations, sending, state, suspects,
 };
 
 /// Largest body of a request, in bytes, when the configuration sets no limit. Bodies are kept in
@@ -104,6 +104,7 @@
             answer
         }
         Err(refusal) => {
+            let refusal = check_version(&state, refusal).await;
             record.record_refusal(&refusal);
             record.finish(match refusal.run {
                 refusals::RunStatus::Not => instruments::Outcome::NotRun,
@@ -123,7 +124,9 @@
     let web::exchange::Request { method, path, query, headers, body, .. } = request;
     let arrived = state.now();
     let options = options.map_err(|detail| refusals::bad_deadline(&detail))?;
-    let body = body.collect(max_body(state)).await.map_err(|err| refusals::bad_body(&err))?;
+    let (version, max_body) = body_limit(state);
+    let body = body.collect(max_body).await;
+    let body = body.map_err(|err| refusals::bad_body(&err, version))?;
     let method = CompactString::from(method.as_str());
     let incoming = Incoming { arrived, id, options, method, path, query, headers, body };
     let shared = sync::Arc::clone(state);
@@ -140,11 +143,30 @@
     }
 }
 
-fn max_body(state: &state::State) -> usize {
-    let limits = state.running().and_then(|it| it.document().limits);
+/// The largest body of a request, in bytes, with the version of the configuration that sets it.
+fn body_limit(state: &state::State) -> (document::Version, usize) {
+    let running = state.running();
+    let limits = running.as_ref().and_then(|it| it.document().limits);
     let bytes =
         limits.map_or(DEFAULT_MAX_BODY, |it| usize::try_from(it.body_bytes).unwrap_or(MAX_BODY));
-    bytes.min(MAX_BODY)
+    (running.map(|it| it.version()).unwrap_or_default(), bytes.min(MAX_BODY))
+}
+
+/// The refusal to answer with. A request that the running version does not allow is refused for good
+/// only if no later version can be in force; otherwise the caller is asked to send it again.
+async fn check_version(
+    state: &sync::Arc<state::State>,
+    refusal: refusals::Refusal,
+) -> refusals::Refusal {
+    let Some(version) = refusal.version else { return refusal };
+    let confirmed = attaching::await_confirmation(state, version).await;
+    let age = state.configuration.lock().updater.age(state.now());
+    log::info!(
+        target: "decision",
+        "denied reason={} version={version} age={age:?} confirmed={confirmed}",
+        refusal.reason,
+    );
+    if confirmed { refusal } else { refusals::old_version() }
 }
 
 /// Checks and routes a request, and chooses its first target when it needs no claim.
@@ -160,7 +182,8 @@
     check_age(&headers)?;
     headers::remove_reserved(&mut headers, dialect.reserved);
     (dialect.add_origin)(&mut headers, &dialect::Origin { service: &state.settings.service });
-    let contract = config.route(route).ok_or_else(refusals::no_route)?;
+    let version = config.version();
+    let contract = config.route(route).ok_or_else(|| refusals::no_route(version))?;
     let keyless = contract.keyless;
     let head = forwarding::RequestHead {
         id,
@@ -188,7 +211,7 @@
         _ if idempotent => Step::Send(Box::new(sending::choose_first(state, request))),
         Some(key) => Step::Claim { request: Box::new(request), home, key },
         None if keyless => Step::Send(Box::new(sending::choose_first(state, request))),
-        None => return Err(refusals::key_required()),
+        None => return Err(refusals::key_required(version)),
     };
     Ok(Prepared { step, reservation, deadline })
 }
@@ -203,18 +226,18 @@
     options: &dialect::RequestOptions,
 ) -> refusals::Result<Plan> {
     let config = state.running().ok_or_else(refusals::no_version)?;
+    let version = config.version();
     let Some(route) = config.find_route(host, path) else {
-        let age = state.configuration.lock().updater.age(now);
         log::info!(
             target: "decision",
-            "no_route request={id} host={host} path={path} version={} age={age:?}",
-            config.version(),
+            "no_route request={id} host={host} path={path} version={version}",
         );
-        return Err(refusals::no_route());
+        return Err(refusals::no_route(version));
     };
-    let contract = config.route(route).ok_or_else(refusals::no_route)?;
+    let contract = config.route(route).ok_or_else(|| refusals::no_route(version))?;
     let service = contract.service_at(next_split(state, contract));
-    let service = service.and_then(|it| config.service(it)).ok_or_else(refusals::no_route)?;
+    let service = service.and_then(|it| config.service(it));
+    let service = service.ok_or_else(|| refusals::no_route(version))?;
     let timeout = options.limit.map_or(contract.timeout, |it| it.min(contract.timeout));
     let scheduling = scheduling(state, now, contract, timeout, options.parent.as_ref())?;
     let budget = scheduling.budget;
@@ -224,10 +247,9 @@
     log::info!(
         target: "decision",
         "route request={id} method={method} host={host} path={path} route={} service={} \
-         version={} class={:?} depth={} left_ms={}",
+         version={version} class={:?} depth={} left_ms={}",
         contract.name,
         service.name,
-        config.version(),
         scheduling.class,
         budget.depth,
         scheduling.deadline.since(now).as_millis(),
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -4,6 +4,7 @@
 
 use compact_str::{CompactString, format_compact};
 use replicated::claims;
+use world::document;
 
 use crate::{headers, sending};
 
@@ -15,6 +16,10 @@
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(10);
 const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 
+/// The time after which a caller is asked to retry when the node's version may be old. The node asks
+/// its control meanwhile, over a link that may be busy.
+const OLD_VERSION_RETRY: time::Duration = time::Duration::from_millis(100);
+
 /// Whether a request ran that a backend server did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunStatus {
@@ -37,11 +42,27 @@
     pub detail: CompactString,
     /// The time after which a retry may find a free slot, if it is known.
     pub retry_after: Option<time::Duration>,
+    /// The version of the configuration that does not allow the request; none when the refusal does
+    /// not depend on the configuration.
+    pub version: Option<document::Version>,
 }
 
 impl Refusal {
     fn not_run(status: http::StatusCode, reason: &'static str, detail: &str) -> Refusal {
-        Refusal { status, run: RunStatus::Not, reason, detail: detail.into(), retry_after: None }
+        Refusal {
+            status,
+            run: RunStatus::Not,
+            reason,
+            detail: detail.into(),
+            retry_after: None,
+            version: None,
+        }
+    }
+
+    /// Marks the refusal as one that another version of the configuration may not give.
+    fn by_version(mut self, version: document::Version) -> Refusal {
+        self.version = Some(version);
+        self
     }
 
     /// Sets the time after which the caller may retry.
@@ -61,9 +82,17 @@
     Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-version", detail)
 }
 
-pub(crate) fn no_route() -> Refusal {
+/// Takes the place of a refusal by the configuration when the node's version may be old.
+pub(crate) fn old_version() -> Refusal {
+    let detail = "this node has not heard for a while whether its configuration is the latest, and \
+                  a later one may allow the request; send the request again";
+    let status = http::StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "old-version", detail).with_retry_after(OLD_VERSION_RETRY)
+}
+
+pub(crate) fn no_route(version: document::Version) -> Refusal {
     let detail = "no route has this path; check the path, or have an operator add a route";
-    Refusal::not_run(http::StatusCode::NOT_FOUND, "no-route", detail)
+    Refusal::not_run(http::StatusCode::NOT_FOUND, "no-route", detail).by_version(version)
 }
 
 pub(crate) fn bad_deadline(detail: &str) -> Refusal {
@@ -85,13 +114,16 @@
     Refusal::not_run(http::StatusCode::GATEWAY_TIMEOUT, "budget", &detail)
 }
 
-pub(crate) fn bad_body(error: &web::body::Error) -> Refusal {
+/// The refusal of a body that cannot be read, or that is larger than `version` allows.
+pub(crate) fn bad_body(error: &web::body::Error, version: document::Version) -> Refusal {
     let detail = format_compact!("the request's body cannot be used: {error}");
-    let status = match error {
-        web::body::Error::TooLarge { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
-        _ => http::StatusCode::BAD_REQUEST,
-    };
-    Refusal::not_run(status, "bad-body", &detail)
+    let refuse = |status| Refusal::not_run(status, "bad-body", &detail);
+    match error {
+        web::body::Error::TooLarge { .. } => {
+            refuse(http::StatusCode::PAYLOAD_TOO_LARGE).by_version(version)
+        }
+        _ => refuse(http::StatusCode::BAD_REQUEST),
+    }
 }
 
 pub(crate) fn too_old() -> Refusal {
@@ -100,10 +132,11 @@
     Refusal::not_run(http::StatusCode::GONE, "too-old", detail)
 }
 
-pub(crate) fn key_required() -> Refusal {
+pub(crate) fn key_required(version: document::Version) -> Refusal {
     let detail =
         "a non-idempotent request needs the header idempotency-key, the same in each resend";
-    Refusal::not_run(http::StatusCode::PRECONDITION_REQUIRED, "key-required", detail)
+    let status = http::StatusCode::PRECONDITION_REQUIRED;
+    Refusal::not_run(status, "key-required", detail).by_version(version)
 }
 
 pub(crate) fn no_home() -> Refusal {
@@ -135,6 +168,7 @@
         reason: "broken",
         detail: "the answer of the backend server ended early".into(),
         retry_after: None,
+        version: None,
     }
 }
 
@@ -161,6 +195,7 @@
             reason: "unknown",
             detail: format_compact!("the request may have run: {detail}"),
             retry_after: None,
+            version: None,
         },
     }
 }
@@ -177,6 +212,7 @@
             reason: "in-progress",
             detail: "a request with this key is in progress; ask again later".into(),
             retry_after: None,
+            version: None,
         }),
         claims::Answer::Mismatch => {
             let detail = "the idempotency key belongs to another request; this one was not run";
@@ -205,6 +241,7 @@
                      not run again"
                 .into(),
             retry_after: None,
+            version: None,
         }),
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -41,6 +41,8 @@
     pub(crate) in_flight: table::Table<in_flight::Requests>,
     pub(crate) suspects: table::Table<suspects::Suspects>,
     pub(crate) sessions: table::Table<Sessions>,
+    /// Wakes the requests that wait for a confirmation of the running version.
+    pub(crate) acknowledged: tokio::sync::Notify,
     /// Wakes the task that probes unresponsive hosts when a probe may be due earlier than it knows.
     pub(crate) probe_wakeup: sync::Arc<tokio::sync::Notify>,
     pub(crate) started_at: std_time::Instant,
@@ -167,6 +169,7 @@
             ),
             suspects: table::Table::new(SUSPECTS, "suspicion", suspects),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
+            acknowledged: tokio::sync::Notify::new(),
             probe_wakeup: sync::Arc::default(),
             started_at: std_time::Instant::now(),
             settings,
