--- a/crates/distribution/tests/faults.rs
+++ b/crates/distribution/tests/faults.rs
@@ -361,6 +361,25 @@
     assert!(worst <= 2_500, "{worst} ms");
 }
 
+/// Guards against a node that counts the age of its version from the arrival of an acknowledgement.
+/// On a full link that is long after the control wrote it, and the node took an old version for the
+/// latest.
+#[test]
+fn late_acknowledgements_confirm_an_old_version() {
+    for delay in [500, 1_000, 2_000] {
+        let mut sim = sim::Sim::new(1, &[0], toggles::Toggles::default());
+        settle(&mut sim);
+        sim.answer_ms = delay;
+        sim.run(4_000);
+        sim.accept(1);
+        for _ in 0..100 {
+            sim.run(sim::STEP_MS);
+            assert_eq!(sim.breaches, Vec::<String>::new(), "{delay} ms");
+        }
+        assert!(sim.all_run_latest(), "{delay} ms");
+    }
+}
+
 /// Guards against a node without a version that stays with a control that cannot serve yet, because
 /// the others could not either when the node tried them. After a loss of all processes, there is a
 /// leader long before a control with an empty disk has caught up.
@@ -381,6 +400,29 @@
     }
 }
 
+/// Guards against nodes without a version that leave their control for another one while none has a
+/// leader, and so miss the moment in which it gets one. After a loss of power of all machines, each
+/// node attached 4 times and ran a version 0.8 s after the election.
+#[test]
+fn start_leaves_a_control_that_waits_for_an_election() {
+    let mut out = String::new();
+    for election in [400, 600, 900, 1_500] {
+        let mut sim = sim::Sim::new(1, &[0, 0, 1, 1, 2, 2], toggles::Toggles::default());
+        sim.tokens = false;
+        (0..3).for_each(|it| sim.isolate(it, true));
+        (0..6).for_each(|it| sim.restart(it, true));
+        sim.run(election);
+        let attached = sim.attached;
+        (0..3).for_each(|it| sim.isolate(it, false));
+        let from = sim.now();
+        assert!(sim.run_until(2_000, sim::Sim::all_run_latest), "election after {election} ms");
+        let took = sim.now().since(from);
+        writeln!(out, "election after {election} ms: attached {attached} times, {took:?} to run")
+            .expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
+
 /// Guards against a node without floor tokens that goes back to an older version when it restarts:
 /// it must accept nothing from a control that is not current.
 #[test]
--- a/crates/distribution/tests/sim/events.rs
+++ b/crates/distribution/tests/sim/events.rs
@@ -48,7 +48,9 @@
             Event::ToNode { node, control, conn, message } if self.is_open(node, control, conn) => {
                 let key = self.key(node, control);
                 let updater = &mut self.nodes[node].updater;
+                let before = updater.attached();
                 let effects = updater.message(now, key, message, &mut self.rng);
+                self.attached += u32::from(updater.attached() != before);
                 self.perform(node, effects);
             }
             Event::LeaderCheck { control, epoch, key } if self.controls[control].epoch == epoch => {
@@ -86,7 +88,7 @@
             let Some(&(node, conn)) = conns.iter().find(|it| *it.1 == key).map(|it| it.0) else {
                 continue;
             };
-            let mut delay = LATENCY_MS;
+            let mut delay = self.answer_ms;
             match &mut message {
                 messages::ToNode::Delta(_, delta) if self.corrupt => {
                     delta.patch = delta.patch.replace("slots", "queue").into();
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -14,3 +14,4 @@
 mod silence;
 mod stand_ins;
 mod unfinished;
+mod versions;
