--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -11,7 +11,7 @@
 /// How long to wait past the deadline for the target's node to report whether the request ran. That
 /// node's deadline is later by the time that the request took to get there, and its admission
 /// checks its timers every 50 ms.
-const REPORT_GRACE: std_time::Duration = std_time::Duration::from_millis(150);
+pub(crate) const REPORT_GRACE: std_time::Duration = std_time::Duration::from_millis(150);
 
 /// Longest time in which a responsive node sends nothing on a link without requests. The link is
 /// probed every second.
@@ -59,8 +59,9 @@
             return Ok(sending::Answered {
                 status: status.unwrap_or(http::StatusCode::BAD_GATEWAY),
                 headers: headers::decode(&fields),
-                body: sending::Source::Remote(receiver, limit),
+                body: sending::Source { ahead: None, rest: sending::Rest::Remote(receiver) },
                 node_status,
+                deadline: request.deadline,
             });
         }
         forwarding::AnswerHead::NotRun { reason, standing: node_status } => {
