Select a bounded subset of targets, and the times to open links to them

Cause: each node used each target of its services, so links and handshakes grew with the square of the fleet.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,14 +3,17 @@
 //!
 //! A [`balancer::Balancer`] selects a target by a [`policy`] and by what the node has measured of
 //! each target ([`estimates`]). [`budget`], [`retry`] and [`hedge`] limit how often a request is
-//! sent, and [`prober`] says which unresponsive hosts to probe. Nothing here does I/O or reads a
+//! sent, and [`prober`] says which unresponsive hosts to probe. [`subset`] bounds the targets that a
+//! node uses, and [`dialer`] says when to open links to them. Nothing here does I/O or reads a
 //! clock: the time and the random number generator are arguments.
 
 pub mod balancer;
 pub mod budget;
+pub mod dialer;
 pub mod estimates;
 pub mod hedge;
 pub mod policy;
 pub mod prober;
 pub mod retry;
+pub mod subset;
 pub mod toggles;
