Open links ahead of requests, and choose targets that have one

Cause: links were opened by the first request, all at the same time, and the choice of a target did not know which ones were open.

The balancer leaves out targets outside of the node's subset while one of the subset can take the request, and targets without a link while a linked one has a free slot.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -7,7 +7,7 @@
 use routing::{balancer, estimates};
 use world::{targets, time};
 
-use crate::{reaching, state, working};
+use crate::{linking, reaching, state, working};
 
 /// A result of choosing a target.
 pub(crate) type Result<T, E = balancer::Error> = std::result::Result<T, E>;
@@ -130,9 +130,11 @@
     let service = &request.head.service;
     let mesh = &state.settings.mesh;
     let directory = state.directory.lock();
+    let subset = linking::use_service(state, &directory, service);
     let candidates: Vec<_> = directory
         .of_service(service)
-        .map(|(key, it)| balancer::Candidate {
+        .map(|(key, it)| (key, it, subset.binary_search(&key).is_ok()))
+        .map(|(key, it, in_subset)| balancer::Candidate {
             key,
             state: it.entry.state,
             since: it.since,
@@ -141,6 +143,8 @@
                 Some(centre) => mesh.latency(state.location.centre_key, centre),
                 None => world::mesh::REMOTE_LATENCY,
             },
+            in_subset,
+            linked: in_subset && linking::is_linked(state, &it.entry),
         })
         .collect();
     let criteria = balancer::Request {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod hedging;
 mod in_flight;
 pub mod instruments;
+mod linking;
 mod reaching;
 pub mod refusals;
 mod reservations;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -6,7 +6,9 @@
 use tokio::{task, time};
 use transport::{endpoint, errors, links, pool};
 
-use crate::{attaching, backend, callers, instruments, reaching, serving, settings, state};
+use crate::{
+    attaching, backend, callers, instruments, linking, reaching, serving, settings, state,
+};
 
 /// How often the timers of the version updater and of the backend server's lease are checked. Also
 /// the longest time between two checks of admission, since a timer that is set after a check may
@@ -45,7 +47,7 @@
     ready: Option<web::server::Server>,
     /// Serves the streams of other nodes.
     serving: task::JoinSet<()>,
-    /// Tasks that run timers and probes.
+    /// Tasks that run timers and probes, and that open links.
     ticks: task::JoinSet<()>,
 }
 
@@ -82,6 +84,7 @@
         ticks.spawn(run_ticks(sync::Arc::clone(&state)));
         ticks.spawn(run_admission_ticks(sync::Arc::clone(&state)));
         ticks.spawn(reaching::run(sync::Arc::clone(&state)));
+        ticks.spawn(linking::run(sync::Arc::clone(&state)));
         log::info!(
             "node {} of {} listens on {listen}, callers on {}, announcements on {}",
             state.location.host,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
 
-use crate::{in_flight, instruments, settings, slots, suspects};
+use crate::{in_flight, instruments, linking, settings, slots, suspects};
 
 // A table may be locked only while all tables that are held have lower ranks.
 
@@ -81,6 +81,8 @@
     pub(crate) balancer: balancer::Balancer,
     /// The targets whose hosts are probed.
     pub(crate) prober: prober::Prober,
+    /// The targets that this node uses, and the links that it opens to them.
+    pub(crate) links: linking::Links,
     /// Retries and hedges of a service, as a percentage of the requests for it.
     pub(crate) retry_percent: u32,
     /// The recent attempts at each service, which limit its retries and hedges.
@@ -141,6 +143,7 @@
         let routing = Routing {
             balancer: balancer::Balancer::new(policy, routing::toggles::Toggles::default()),
             prober: prober::Prober::default(),
+            links: linking::Links::default(),
             retry_percent: settings.retry_percent,
             retry_limiters: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -33,6 +33,10 @@
     pub slots: u32,
     /// One-way network latency from this node.
     pub link: time::Duration,
+    /// Whether it is in the node's subset of the service's targets; see [`subset`](crate::subset).
+    pub in_subset: bool,
+    /// Whether a request can be sent at once: over an open link, or to this node's own host.
+    pub linked: bool,
 }
 
 /// The request to select a target for.
@@ -138,6 +142,8 @@
     stats: [policy::TargetStats; MAX_COMPARED],
     /// Used length of `stats`, `weights` and `shares`.
     len: usize,
+    /// How many of them are linked. These come first.
+    linked: usize,
     ejected: usize,
     /// Weight of each target's latency against the mean: 1 when just measured, 0 when unknown.
     weights: [f32; MAX_COMPARED],
@@ -160,6 +166,10 @@
 
     /// Selects a target for one send of a request.
     ///
+    /// Targets outside of the node's subset are selected only if none of the subset can get the
+    /// request, and a target without a link only if no linked one has a free slot: opening a link
+    /// takes a handshake, which fails when the network is loaded.
+    ///
     /// Does not count the send: the node does so with [`estimates::Estimates::record_send`]. An
     /// ejected target that is due for a trial request takes precedence over the policy.
     ///
@@ -176,7 +186,11 @@
         if request.candidates.is_empty() {
             return Err(Error::NoTargets);
         }
-        let mut usable = self.collect_usable(now, request, rng);
+        let mut usable = self.collect_usable(now, request, true, rng);
+        if usable.is_empty() && request.candidates.iter().any(|it| !it.in_subset) {
+            let outside = self.collect_usable(now, request, false, rng);
+            usable = usable.or(outside);
+        }
         if let Some(stats) = usable.trial {
             return Ok(self.choice(request, &usable, &stats, Kind::Trial));
         }
@@ -185,12 +199,12 @@
             return Ok(self.choice(request, &usable, &stats, Kind::Fallback));
         }
         usable.shrink_to_mean();
-        let stats = &usable.stats[..usable.len];
+        let stats = &usable.stats[..usable.compared()];
         let objective = request.objective.as_secs_f32() * 1e6;
         let input = policy::PickInput { targets: stats, turn: self.turn, objective };
         let chosen = stats[(self.policy.pick)(&self.policy, &input, rng)];
         let nearest = stats.iter().map(|it| it.round_trip).fold(f32::INFINITY, f32::min);
-        let kind = match usable.len {
+        let kind = match stats.len() {
             1 => Kind::Single,
             _ if chosen.round_trip > nearest => Kind::Spillover,
             _ => Kind::Preferred,
@@ -220,11 +234,13 @@
         &self,
         now: Time,
         request: &Request<'_>,
+        in_subset: bool,
         rng: &mut rngs::SmallRng,
     ) -> UsableTargets {
         let mut usable = UsableTargets {
             stats: [policy::TargetStats::default(); MAX_COMPARED],
             len: 0,
+            linked: 0,
             ejected: 0,
             weights: [0.0; MAX_COMPARED],
             shares: [1.0; MAX_COMPARED],
@@ -241,6 +257,9 @@
             }
             let index = (start + step) % count;
             let candidate = &request.candidates[index];
+            if candidate.in_subset != in_subset {
+                continue;
+            }
             if let Some(error) = rejection(candidate, request, remaining) {
                 usable.error = usable.error.max(error);
                 continue;
@@ -255,7 +274,8 @@
                 usable.add_ejected(now, request, stats, estimate, self.toggles.trials);
                 continue;
             }
-            usable.add(stats, share, estimate.map_or(0.0, |it| latency_weight(now, it)));
+            let weight = estimate.map_or(0.0, |it| latency_weight(now, it));
+            usable.add(stats, share, weight, candidate.linked);
         }
         usable.skip_cold(rng);
         usable
@@ -319,7 +339,7 @@
         let reason = Reason {
             kind,
             policy: self.policy.name,
-            compared: usable.len as u16,
+            compared: usable.compared() as u16,
             ejected: usable.ejected as u16,
             expected_micros: self.policy.expected_time(stats),
         };
@@ -328,22 +348,54 @@
 }
 
 impl UsableTargets {
-    fn add(&mut self, stats: policy::TargetStats, share: f32, weight: f32) {
-        self.stats[self.len] = stats;
-        self.shares[self.len] = share;
-        self.weights[self.len] = weight;
+    fn add(&mut self, stats: policy::TargetStats, share: f32, weight: f32, linked: bool) {
+        let last = self.len;
+        self.stats[last] = stats;
+        self.shares[last] = share;
+        self.weights[last] = weight;
         self.len += 1;
+        if linked {
+            self.stats.swap(self.linked, last);
+            self.shares.swap(self.linked, last);
+            self.weights.swap(self.linked, last);
+            self.linked += 1;
+        }
+    }
+
+    /// Whether no target can get the request, not even an ejected one as a trial.
+    fn is_empty(&self) -> bool {
+        self.len == 0 && self.trial.is_none()
+    }
+
+    /// These targets, or if `other` has a usable one, those. The rest is combined.
+    fn or(self, other: UsableTargets) -> UsableTargets {
+        UsableTargets {
+            ejected: self.ejected + other.ejected,
+            best_ejected: self.best_ejected.or(other.best_ejected),
+            error: self.error.max(other.error),
+            ..other
+        }
+    }
+
+    /// How many targets the policy compares: the linked ones, or all if no linked one has a free
+    /// slot. The others only count for the longest wait.
+    fn compared(&self) -> usize {
+        let free = self.stats[..self.linked].iter().any(|it| it.queue_ahead <= 0.0);
+        if free { self.linked } else { self.len }
     }
 
-    /// Leaves out targets in a cold start at random. Each is kept with a probability of its share
-    /// divided by the largest one, so if all have started at the same time, as after a restart of
-    /// the whole service, all are kept.
+    /// Leaves out targets in a cold start at random, of those that the policy compares. Each is
+    /// kept with a probability of its share divided by the largest one, so if all have started at
+    /// the same time, as after a restart of the whole service, all are kept.
     fn skip_cold(&mut self, rng: &mut rngs::SmallRng) {
-        let largest = self.shares[..self.len].iter().copied().fold(0.0, f32::max);
+        let compared = self.compared();
+        let largest = self.shares[..compared].iter().copied().fold(0.0, f32::max);
         let mut kept = 0;
         for index in 0..self.len {
             let share = self.shares[index];
-            if share < largest && rng.random::<f32>() * largest >= share {
+            let skipped = index < compared && share < largest;
+            if skipped && rng.random::<f32>() * largest >= share {
+                self.linked -= usize::from(index < self.linked);
                 continue;
             }
             self.stats[kept] = self.stats[index];
@@ -362,7 +414,8 @@
         trials: bool,
     ) {
         self.ejected += 1;
-        if trials && self.trial.is_none() && estimate.trial_due(now, request.idempotent) {
+        let linked = request.candidates[stats.index as usize].linked;
+        if trials && linked && self.trial.is_none() && estimate.trial_due(now, request.idempotent) {
             self.trial = Some(stats);
         }
         let busy = |it: &policy::TargetStats| it.in_flight;
--- a/crates/routing/tests/choices.rs
+++ b/crates/routing/tests/choices.rs
@@ -21,6 +21,8 @@
         since: Time::ZERO,
         slots: 6,
         link: time::Duration::from_micros(link),
+        in_subset: true,
+        linked: true,
     };
     links_micros.iter().map(candidate).collect()
 }
@@ -414,3 +416,61 @@
     insta::assert_snapshot!(format!("internal calls {calls:?}, callers' requests {callers:?}"));
     assert!(calls[1] > 90, "{calls:?}");
 }
+
+/// Guards against requests that wait for a handshake although a target with an open link can take
+/// them, that leave the node's subset without need, and that find no target although one is left.
+#[test]
+fn unlinked_target_is_chosen() {
+    // In the subset: 0 near and linked, 1 near, 2 far and linked; outside of it: 3 near.
+    let mut all = candidates(&[100, 100, 1_000, 100]);
+    all[1].linked = false;
+    all[3].in_subset = false;
+    all[3].linked = false;
+    let keys: Vec<_> = all.iter().map(|it| it.key).collect();
+    type Case = (&'static str, &'static [usize], &'static [usize], &'static [usize]);
+    let cases: [Case; 8] = [
+        ("all are usable", &[], &[], &[]),
+        ("0 excluded", &[0], &[], &[]),
+        ("0 and 2 excluded", &[0, 2], &[], &[]),
+        ("0 and 2 unresponsive", &[], &[0, 2], &[]),
+        ("the subset excluded", &[0, 1, 2], &[], &[]),
+        ("the subset unresponsive", &[], &[0, 1, 2], &[]),
+        ("0, 1 ejected, 2 unresponsive", &[], &[2], &[0, 1]),
+        ("all unresponsive", &[], &[0, 1, 2, 3], &[]),
+    ];
+    let mut out = String::from("targets of 100 selections; the first reason and longest wait\n");
+    for (name, excluded, silent, ejected) in cases {
+        let mut router = balancer::Balancer::new(policy::LEAST_TIME, toggles::Toggles::default());
+        let mut rng = rngs::SmallRng::seed_from_u64(SEED);
+        let now = Time::from_millis(1_000);
+        for &it in silent {
+            router.estimates.mark_unresponsive(now, keys[it]);
+        }
+        for &it in ejected {
+            for _ in 0..20 {
+                router.estimates.record_send(keys[it], false);
+                let failure = estimates::Failure::Unreachable;
+                let peers = keys.iter().copied();
+                router.estimates.record_failure(now, keys[it], failure, false, peers);
+            }
+        }
+        let excluded: Vec<_> = excluded.iter().map(|&it| keys[it]).collect();
+        let mut request = request(&all, now);
+        request.excluded = &excluded;
+        let mut counts = [0; 4];
+        let mut first = None;
+        for _ in 0..100 {
+            let choice = router.choose(now, &request, &mut rng);
+            if let Ok(it) = choice {
+                counts[keys.iter().position(|key| *key == it.target).expect("known")] += 1;
+            }
+            first.get_or_insert(choice);
+        }
+        let text = match first.expect("a selection") {
+            Ok(it) => format!("{}; {:?}", it.reason, it.max_wait),
+            Err(err) => err.to_string(),
+        };
+        writeln!(out, "{name}: {counts:?}; {text}").expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
--- a/xtask/src/bench/routing.rs
+++ b/xtask/src/bench/routing.rs
@@ -90,6 +90,8 @@
             since: Time::ZERO,
             slots: 12,
             link: time::Duration::from_micros(100 + 300 * (index as u64 % 7)),
+            in_subset: true,
+            linked: true,
         })
         .collect();
     let mut router = balancer::Balancer::new(policy, toggles::Toggles::default());
--- a/xtask/src/bench/routing/model.rs
+++ b/xtask/src/bench/routing/model.rs
@@ -391,6 +391,8 @@
         since: Time::ZERO,
         slots: shape.slots as u32,
         link: shape.latency(shape.data_centre(node), shape.data_centre(index)),
+        in_subset: true,
+        linked: true,
     };
     keys.iter().enumerate().map(candidate).collect()
 }
