--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -52,17 +52,23 @@
     pub duplicate: bool,
     /// Whether deltas are corrupted on their way.
     pub corrupt: bool,
+    /// How long a message other than a snapshot is on its way to a node, in milliseconds.
+    pub answer_ms: u64,
     /// How long a snapshot is on its way, in milliseconds.
     pub snapshot_ms: u64,
     /// Whether backend servers keep floor tokens. A change affects nodes that start after it.
     pub tokens: bool,
     pub peers_asked: u32,
+    /// How often a node became attached to a control.
+    pub attached: u32,
     /// The most snapshot slots of a control that were in use at once.
     pub most_slots: usize,
     pub rng: rngs::StdRng,
     now_ms: u64,
     /// All accepted versions, from version 1 on.
     log: Vec<(messages::Delta, relay::Head)>,
+    /// When each of these versions was accepted.
+    accepted_at: Vec<Time>,
     queue: collections::BTreeMap<(u64, u64), events::Event>,
     serial: u64,
     toggles: toggles::Toggles,
@@ -77,13 +83,16 @@
             breaches: Vec::new(),
             duplicate: false,
             corrupt: false,
+            answer_ms: LATENCY_MS,
             snapshot_ms: LATENCY_MS,
             tokens: true,
             peers_asked: 0,
+            attached: 0,
             most_slots: 0,
             rng: rngs::StdRng::seed_from_u64(seed),
             now_ms: 10_000,
             log: Vec::new(),
+            accepted_at: Vec::new(),
             queue: collections::BTreeMap::new(),
             serial: 0,
             toggles,
@@ -129,6 +138,7 @@
                 document: document::to_value(&document).to_string().into(),
                 level: 0,
             };
+            self.accepted_at.push(self.now());
             self.log.push((messages::Delta { to: of, patch: text.into() }, head));
         }
     }
@@ -205,6 +215,24 @@
         self.nodes[node].updater.running().map_or(0, |it| it.version().0)
     }
 
+    /// The nodes that claim to have run the latest version at a time when it was another one. A
+    /// control learns a version one step after it was accepted.
+    fn wrong_ages(&self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for (node, it) in self.nodes.iter().enumerate() {
+            let Some(age) = it.updater.age(self.now()) else { continue };
+            let step = time::Duration::from_millis(STEP_MS);
+            let known = |at: &&Time| self.now().since(**at) > age + step;
+            let latest = self.accepted_at.iter().filter(known).count() as u64;
+            let running = self.running(node);
+            if running < latest {
+                let text = format!("node {node} runs {running}, age {age:?}, latest {latest}");
+                wrong.push(text);
+            }
+        }
+        wrong
+    }
+
     pub fn all_run_latest(&self) -> bool {
         (0..self.nodes.len()).all(|it| self.running(it) == self.latest())
     }
@@ -279,6 +307,8 @@
         for control in 0..self.controls.len() {
             self.step_control(control);
         }
+        let wrong = self.wrong_ages();
+        self.breaches.extend(wrong);
         for node in 0..self.nodes.len() {
             let now = self.now();
             let effects = self.nodes[node].updater.tick(now, &mut self.rng);
