Leave handshakes in flight to hosts that can be reached

With 24 hosts that no link can be opened to, a request for a service on another host got 503, no target, 3 times of 3.

Cause: a node has four handshakes with nodes in flight at most. Background attempts to reach hosts that were set aside took up to four of them, and each request that had given up its attempt left a task waiting for it, so the attempt kept its place in the queue although nothing needed it any more.

The change: no task waits for a given-up attempt; the next check of the target, 150 to 300 ms later, finds the link if it was opened. Two background attempts a node at most.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -115,10 +115,9 @@
     Ok((answer, receiver))
 }
 
-/// Returns the link to the target's host. Connects first if none is open; the attempt goes on in
-/// the background when it takes longer than [`silence::connect_limit`].
+/// Returns the link to the target's host. Connects first if none is open.
 async fn open_link(
-    state: &sync::Arc<state::State>,
+    state: &state::State,
     target: &choosing::Target,
 ) -> transport::errors::Result<transport::links::Link> {
     if let Some(link) = state.links.established(&target.host, target.addr) {
@@ -126,13 +125,8 @@
     }
     let limit = silence::connect_limit(reaching::typical_round_trip(state));
     let connecting = state.links.link(&target.host, target.addr);
-    match tokio::time::timeout(limit, connecting).await {
-        Ok(result) => result,
-        Err(_) => {
-            tokio::spawn(reaching::await_link(sync::Arc::clone(state), target.clone()));
-            Err(transport::errors::Error::TimedOut)
-        }
-    }
+    let connected = tokio::time::timeout(limit, connecting).await;
+    connected.unwrap_or(Err(transport::errors::Error::TimedOut))
 }
 
 /// Waits until the target's node admits or refuses a request. The request does not run before its
--- a/crates/node/src/reaching.rs
+++ b/crates/node/src/reaching.rs
@@ -8,7 +8,7 @@
 use routing::silence;
 use world::targets;
 
-use crate::{choosing, state};
+use crate::state;
 
 /// Pause before the next look for due probes when the workers' queue is full.
 const QUEUE_FULL_PAUSE: time::Duration = time::Duration::from_millis(300);
@@ -64,15 +64,6 @@
     silence::median(links.take(MAX_COMPARED_LINKS).map(|it| it.round_trip()).collect())
 }
 
-/// Waits for an attempt to connect that a request has given up, and ends the wait of the target for
-/// a background attempt if it succeeds.
-pub(crate) async fn await_link(state: sync::Arc<state::State>, target: choosing::Target) {
-    if state.links.link(&target.host, target.addr).await.is_ok() {
-        let shared = sync::Arc::clone(&state);
-        state.pool.submit_or_run(move || record_reachable(&shared, target.key, &target.host));
-    }
-}
-
 /// The targets of other hosts in the data centre of a target, except that of this host.
 fn neighbours<'a>(
     state: &'a state::State,
--- a/crates/routing/src/prober.rs
+++ b/crates/routing/src/prober.rs
@@ -18,9 +18,9 @@
 pub const NEIGHBOUR_PROBES: usize = 3;
 /// Most probes of a node in flight.
 pub const MAX_PROBES: usize = 16;
-/// Most background attempts of a node to connect to hosts that it has no link to. Each sends up to
-/// 5 KB.
-pub const MAX_CONNECTS: usize = 4;
+/// Most background attempts of a node to connect to hosts that it has no link to. It is lower than
+/// the limit on handshakes in flight, of which hosts that cannot be reached would take all.
+pub const MAX_CONNECTS: usize = 2;
 /// Delay from an unanswered probe or a failed attempt to connect to the next one. It doubles with
 /// each of them, and is reduced by up to half at random.
 pub const INITIAL_DELAY: time::Duration = time::Duration::from_millis(300);
@@ -30,7 +30,7 @@
 pub const MAX_CONNECT_DELAY: time::Duration = time::Duration::from_secs(5);
 /// Longest delay between two attempts to connect for each host that waits for a connection, up to
 /// [`MAX_CONNECT_DELAY`]. A node that waits for one host notices its return within about a second.
-pub const CONNECT_DELAY_PER_HOST: time::Duration = time::Duration::from_millis(300);
+pub const CONNECT_DELAY_PER_HOST: time::Duration = time::Duration::from_secs(1);
 
 /// The targets that one node probes.
 #[derive(Clone, Debug)]
