--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -20,6 +20,10 @@
 /// its control meanwhile, over a link that may be busy.
 const OLD_VERSION_RETRY: time::Duration = time::Duration::from_millis(100);
 
+/// The time after which a caller is asked to retry when the node has no version yet. A node that
+/// starts has one within a second; callers that come back at once use up their retries before.
+const NO_VERSION_RETRY: time::Duration = time::Duration::from_millis(300);
+
 /// Whether a request ran that a backend server did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunStatus {
@@ -79,7 +83,8 @@
 
 pub(crate) fn no_version() -> Refusal {
     let detail = "this node has no configuration yet; send the request again";
-    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-version", detail)
+    let status = http::StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "no-version", detail).with_retry_after(NO_VERSION_RETRY)
 }
 
 /// Takes the place of a refusal by the configuration when the node's version may be old.
