Ask for each part of the registry once, and for the next parts at once

A node asked for parts only when digests came, every 5 s: of the 48 parts of three data centres it got those of its own with the first digests, and the last ones after 10 s. On a full link it asked again, with each digest, for parts that were on their way, which loads the link further.

Now it keeps the list of parts that it has asked for, asks for the next 16 when these have arrived, and forgets the list when its session ends or a request is not sent. Two tests of the directory show both faults without the change.

--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -1,21 +1,39 @@
 //! A node's read copy of the registry, from which it chooses targets.
 
+use std::collections;
+
 use compact_str::CompactString;
 use world::{targets as objects, time::Time};
 
 use crate::{messages, targets, toggles};
 
+/// Most entries that the parts which a node asks for have between two digests of its control: 112 KB,
+/// or 22 KB/s, so that many nodes can start at the same time.
+pub const EXCHANGE_ENTRIES: usize = 1_120;
+
 /// The targets of all data centres, as the control that the node is attached to reports them.
 #[derive(Clone, Debug)]
 pub struct Directory {
     data_centre: CompactString,
     targets: targets::Targets,
+    /// The parts to ask for that differ from the control's, those of the own data centre first.
+    wanted: collections::VecDeque<messages::PartRequest>,
+    /// The parts that the control was asked for and has not sent yet.
+    asked: Vec<messages::PartRequest>,
+    /// How many more entries may arrive before the next digests until no further part is asked for.
+    allowance: usize,
 }
 
 impl Directory {
     /// The empty directory of a node that has just started in this data centre.
     pub fn new(data_centre: CompactString, toggles: toggles::Toggles) -> Directory {
-        Directory { data_centre, targets: targets::Targets::new(toggles) }
+        Directory {
+            data_centre,
+            targets: targets::Targets::new(toggles),
+            wanted: collections::VecDeque::new(),
+            asked: Vec::new(),
+            allowance: 0,
+        }
     }
 
     /// Merges an event from the control.
@@ -29,6 +47,8 @@
         for event in &part.events {
             self.targets.merge(now, event);
         }
+        self.asked.retain(|it| *it != part.request);
+        self.allowance = self.allowance.saturating_sub(part.events.len());
         if part.settled { self.targets.drop_absent(part) } else { Vec::new() }
     }
 
@@ -56,17 +76,38 @@
         &self.targets
     }
 
-    /// The parts to ask the control for, at most `limit`, given its digests `theirs`. Parts of the
+    /// The parts to ask the control for now, at most `limit`, given its digests `theirs`. Parts of the
     /// node's own data centre come first: a node that has just started needs these targets before
-    /// the rest. The limit keeps the node within its 6 KB/s of control traffic.
+    /// the rest. A part that the control was asked for before is not asked for again: on a full link
+    /// it may take longer than until the next digests.
     pub fn parts_to_request(
-        &self,
+        &mut self,
         theirs: &[messages::Digest],
         limit: usize,
     ) -> Vec<messages::PartRequest> {
-        let mut requests = self.targets.compare(theirs);
-        requests.sort_by_key(|it| it.data_centre != self.data_centre);
-        requests.truncate(limit);
-        requests
+        let mut wanted = self.targets.compare(theirs);
+        wanted.retain(|it| !self.asked.contains(it));
+        wanted.sort_by_key(|it| it.data_centre != self.data_centre);
+        self.wanted = wanted.into();
+        self.allowance = EXCHANGE_ENTRIES;
+        self.next_parts(limit)
+    }
+
+    /// The parts to ask for next, at most `limit`, once all that were asked for have arrived. Ends
+    /// after [`EXCHANGE_ENTRIES`] until the next digests.
+    pub fn next_parts(&mut self, limit: usize) -> Vec<messages::PartRequest> {
+        if !self.asked.is_empty() || self.allowance == 0 {
+            return Vec::new();
+        }
+        let count = limit.min(self.wanted.len());
+        self.asked = self.wanted.drain(..count).collect();
+        self.asked.clone()
+    }
+
+    /// Forgets which parts were asked for: their answers do not come any more, since the session with
+    /// the control has ended or the request was not sent.
+    pub fn forget_requests(&mut self) {
+        self.asked.clear();
+        self.wanted.clear();
     }
 }
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -303,6 +303,64 @@
     }
 }
 
+/// A control's registry with one target in each of the given parts of two data centres.
+fn full_registry(parts: usize, targets: usize) -> registry::Registry {
+    let mut control = registry(Time::ZERO, "skulte");
+    for centre in ["skulte", "jugla"] {
+        let mut left = vec![targets; parts];
+        for index in 0.. {
+            let name = format!("{centre}-{index}");
+            let target = entry(&name, centre, (50, 1), objects::State::Serving);
+            if let Some(it) = left.get_mut(target.part()).filter(|it| **it > 0) {
+                *it -= 1;
+                control.apply_event(Time::ZERO, &event(target));
+            }
+            if left.iter().all(|it| *it == 0) {
+                break;
+            }
+        }
+    }
+    control
+}
+
+/// Guards against a node that asks again for a part that is on its way, which loads a full link
+/// further, and against one that does not ask again when the answer will not come.
+#[test]
+fn a_part_on_its_way_is_asked_for_again() {
+    let control = full_registry(8, 1);
+    let mut copy = directory::Directory::new("skulte".into(), toggles::Toggles::default());
+    let digests = control.targets().digests();
+    let first = copy.parts_to_request(&digests, 16);
+    assert_eq!(first.len(), 16);
+    assert_eq!(copy.parts_to_request(&digests, 16), [], "all are on their way");
+    copy.forget_requests();
+    assert_eq!(copy.parts_to_request(&digests, 16), first, "the session has ended");
+}
+
+/// Guards against a node that waits 5 s for the next digests before it asks for the rest of a small
+/// registry, and against one that asks for a large registry without a pause.
+#[test]
+fn parts_wait_for_the_next_digests() {
+    let now = Time::ZERO;
+    for (targets, rounds) in [(1, 4), (100, 2)] {
+        let control = full_registry(16, targets);
+        let mut copy = directory::Directory::new("jugla".into(), toggles::Toggles::default());
+        let digests = control.targets().digests();
+        let mut parts = copy.parts_to_request(&digests, 8);
+        assert!(parts.iter().all(|it| it.data_centre == "jugla"), "the own ones come first");
+        let mut sent = 0;
+        while !parts.is_empty() {
+            sent += 1;
+            for it in &parts {
+                assert_eq!(copy.next_parts(8), [], "one batch is on its way at a time");
+                copy.apply_part(now, &control.part(now, it));
+            }
+            parts = copy.next_parts(8);
+        }
+        assert_eq!(sent, rounds, "{targets} targets a part");
+    }
+}
+
 /// Guards against measurements of a former process that count for the next one, and against a key
 /// that changes without a restart.
 #[test]
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -237,6 +237,7 @@
     };
     let Some(name) = name.filter(|_| changed) else { return };
     log::info!(target: "decision", "attached to control {name}");
+    state.directory.lock().forget_requests();
     let mesh = &state.settings.mesh;
     let centre = mesh
         .find_host(&name)
@@ -385,10 +386,8 @@
     let now = state.now();
     match message {
         streams::ControlMessage::Digests(digests) => {
-            let missing = state.directory.lock().parts_to_request(&digests, MAX_PARTS);
-            if !missing.is_empty() {
-                state.send_control(streams::NodeMessage::Parts(missing));
-            }
+            let parts = state.directory.lock().parts_to_request(&digests, MAX_PARTS);
+            request_parts(state, parts);
         }
         streams::ControlMessage::Event(event) => {
             let merge = state.directory.lock().apply_event(now, &event);
@@ -404,11 +403,17 @@
             }
         }
         streams::ControlMessage::Part(part) => {
-            let removed = state.directory.lock().apply_part(now, &part);
-            let mut routing = state.routing.lock();
-            for key in removed {
-                routing.balancer.estimates.remove(key);
+            let (removed, parts) = {
+                let mut directory = state.directory.lock();
+                (directory.apply_part(now, &part), directory.next_parts(MAX_PARTS))
+            };
+            {
+                let mut routing = state.routing.lock();
+                for key in removed {
+                    routing.balancer.estimates.remove(key);
+                }
             }
+            request_parts(state, parts);
         }
         streams::ControlMessage::Reach(reach) => state.directory.lock().set_reachability(&reach),
         streams::ControlMessage::Standings(list) => state.suspects.lock().replace_known(now, &list),
@@ -424,6 +429,12 @@
     }
 }
 
+fn request_parts(state: &state::State, parts: Vec<membership::messages::PartRequest>) {
+    if !parts.is_empty() && !state.send_control(streams::NodeMessage::Parts(parts)) {
+        state.directory.lock().forget_requests();
+    }
+}
+
 fn forget_removed(state: &state::State, merge: membership::targets::MergeResult) {
     if let membership::targets::MergeResult::Removed(key) = merge {
         state.routing.lock().balancer.estimates.remove(key);
