--- a/crates/distribution/tests/faults.rs
+++ b/crates/distribution/tests/faults.rs
@@ -1,7 +1,7 @@
 //! The invariants of the distribution under faults: no node goes back to an older version or runs
 //! part of one, and all nodes run the latest version in the end.
 
-use std::fmt::Write as _;
+use std::{fmt::Write as _, time};
 
 use distribution::{attach, toggles};
 use rand::{Rng, SeedableRng as _, rngs};
@@ -66,7 +66,7 @@
 #[rustfmt::skip]
 const CASES: [(&str, &str, TurnOff); 17] = [
     ("floor_token: fallback, restart, isolated home behind",
-        "settle; isolate 0; cut 0; accept 2; await 8; restart; cut 1 2; run 10000", |it| it.floor_token = false),
+        "settle; isolate 0; cut 0; run 6000; accept 2; await 8; restart; cut 1 2; run 10000", |it| it.floor_token = false),
     ("offer_check: loses fallback between offer and renewal, then gets the version again",
         "settle; isolate 0; cut 0; run 6000; accept 1; run 550; cut 0 1 2; disconnect; run 600; cut 0; await 7; restart; cut 1 2; run 10000",
         |it| it.offer_check = false),
@@ -333,6 +333,46 @@
     }
 }
 
+/// Guards against a node that waits 3 s for a control that has stopped, while an accepted version has
+/// to be in force within 2 s: nodes of a frozen control denied routes that were accepted 2.8 s before.
+#[test]
+fn a_stopped_control_delays_a_version() {
+    let mut worst = time::Duration::ZERO;
+    for phase in (0..1_200).step_by(50) {
+        let mut sim = sim::Sim::new(phase, &[0], toggles::Toggles::default());
+        sim.tokens = false;
+        sim.restart(0, false);
+        sim.run(4_000 + phase);
+        sim.cut(0, &[0]);
+        sim.accept(1);
+        let from = sim.now();
+        assert!(sim.run_until(6_000, sim::Sim::all_run_latest), "phase {phase}");
+        worst = worst.max(sim.now().since(from));
+        assert_eq!(sim.breaches, Vec::<String>::new(), "phase {phase}");
+    }
+    assert!(worst <= time::Duration::from_millis(1_900), "{worst:?}");
+}
+
+/// Guards against a node that leaves a control whose answers take long, as on a full link: the change
+/// of control would load the link further.
+#[test]
+fn slow_answers_make_a_node_change_its_control() {
+    let mut out = String::new();
+    for delay in [400, 800, 1_200, 2_000] {
+        let mut sim = sim::Sim::new(1, &[0], toggles::Toggles::default());
+        sim.tokens = false;
+        sim.restart(0, false);
+        sim.run(4_000);
+        sim.answer_ms = delay;
+        let (attached, connects) = (sim.attached, sim.connects);
+        sim.run(20_000);
+        let (attached, connects) = (sim.attached - attached, sim.connects - connects);
+        writeln!(out, "answers after {delay} ms: attached {attached} times, {connects} attempts")
+            .expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
+
 /// The time in milliseconds from the end of a cut, `cut` ms long, to the first attempt after it.
 /// Attempts during the cut hang, since their packets are dropped.
 fn attach_delay(cut: u64, seed: u64) -> u64 {
@@ -361,6 +401,25 @@
     assert!(worst <= 2_500, "{worst} ms");
 }
 
+/// Guards against a node that counts the age of its version from the arrival of an acknowledgement.
+/// On a full link that is long after the control wrote it, and the node took an old version for the
+/// latest.
+#[test]
+fn late_acknowledgements_confirm_an_old_version() {
+    for delay in [500, 1_000, 2_000] {
+        let mut sim = sim::Sim::new(1, &[0], toggles::Toggles::default());
+        settle(&mut sim);
+        sim.answer_ms = delay;
+        sim.run(4_000);
+        sim.accept(1);
+        for _ in 0..100 {
+            sim.run(sim::STEP_MS);
+            assert_eq!(sim.breaches, Vec::<String>::new(), "{delay} ms");
+        }
+        assert!(sim.all_run_latest(), "{delay} ms");
+    }
+}
+
 /// Guards against a node without a version that stays with a control that cannot serve yet, because
 /// the others could not either when the node tried them. After a loss of all processes, there is a
 /// leader long before a control with an empty disk has caught up.
@@ -381,6 +440,29 @@
     }
 }
 
+/// Guards against nodes without a version that leave their control for another one while none has a
+/// leader, and so miss the moment in which it gets one. After a loss of power of all machines, each
+/// node attached 4 times and ran a version 0.8 s after the election.
+#[test]
+fn start_leaves_a_control_that_waits_for_an_election() {
+    let mut out = String::new();
+    for election in [400, 600, 900, 1_500] {
+        let mut sim = sim::Sim::new(1, &[0, 0, 1, 1, 2, 2], toggles::Toggles::default());
+        sim.tokens = false;
+        (0..3).for_each(|it| sim.isolate(it, true));
+        (0..6).for_each(|it| sim.restart(it, true));
+        sim.run(election);
+        let attached = sim.attached;
+        (0..3).for_each(|it| sim.isolate(it, false));
+        let from = sim.now();
+        assert!(sim.run_until(2_000, sim::Sim::all_run_latest), "election after {election} ms");
+        let took = sim.now().since(from);
+        writeln!(out, "election after {election} ms: attached {attached} times, {took:?} to run")
+            .expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
+
 /// Guards against a node without floor tokens that goes back to an older version when it restarts:
 /// it must accept nothing from a control that is not current.
 #[test]
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -7,7 +7,7 @@
 use routing::{balancer, estimates};
 use world::{targets, time};
 
-use crate::{reaching, state, working};
+use crate::{linking, reaching, state, working};
 
 /// A result of choosing a target.
 pub(crate) type Result<T, E = balancer::Error> = std::result::Result<T, E>;
@@ -77,10 +77,14 @@
         let change =
             estimates.record_failure(now, self.target, failure, self.trial, peers.into_iter());
         drop(routing);
-        if failure == estimates::Failure::Silent {
-            reaching::report_unresponsive(&self.state, self.target);
-        } else {
-            self.log_change(change);
+        match failure {
+            estimates::Failure::Silent => {
+                reaching::report_unresponsive(&self.state, self.target);
+            }
+            estimates::Failure::Unconnected => {
+                reaching::report_unconnected(&self.state, self.target);
+            }
+            _ => self.log_change(change),
         }
     }
 
@@ -130,9 +134,11 @@
     let service = &request.head.service;
     let mesh = &state.settings.mesh;
     let directory = state.directory.lock();
+    let subset = linking::use_service(state, &directory, service);
     let candidates: Vec<_> = directory
         .of_service(service)
-        .map(|(key, it)| balancer::Candidate {
+        .map(|(key, it)| (key, it, subset.binary_search(&key).is_ok()))
+        .map(|(key, it, in_subset)| balancer::Candidate {
             key,
             state: it.entry.state,
             since: it.since,
@@ -141,6 +147,8 @@
                 Some(centre) => mesh.latency(state.location.centre_key, centre),
                 None => world::mesh::REMOTE_LATENCY,
             },
+            in_subset,
+            linked: in_subset && linking::is_linked(state, &it.entry),
         })
         .collect();
     let criteria = balancer::Request {
@@ -218,8 +226,9 @@
     node_status: &forwarding::NodeStatus,
 ) {
     match failure {
-        working::Failure::Silent | working::Failure::NotRun(forwarding::NotRun::Unreachable) => {
-            guard.failed(estimates::Failure::Silent);
+        working::Failure::Silent => guard.failed(estimates::Failure::Silent),
+        working::Failure::NotRun(forwarding::NotRun::Unreachable) => {
+            guard.failed(estimates::Failure::Unconnected);
         }
         working::Failure::NotRun(forwarding::NotRun::Refused) => {
             guard.failed(estimates::Failure::Unreachable);
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -6,7 +6,9 @@
 use tokio::{task, time};
 use transport::{endpoint, errors, links, pool};
 
-use crate::{attaching, backend, callers, instruments, reaching, serving, settings, state};
+use crate::{
+    attaching, backend, callers, instruments, linking, reaching, serving, settings, state,
+};
 
 /// How often the timers of the version updater and of the backend server's lease are checked. Also
 /// the longest time between two checks of admission, since a timer that is set after a check may
@@ -45,7 +47,7 @@
     ready: Option<web::server::Server>,
     /// Serves the streams of other nodes.
     serving: task::JoinSet<()>,
-    /// Tasks that run timers and probes.
+    /// Tasks that run timers and probes, and that open links.
     ticks: task::JoinSet<()>,
 }
 
@@ -64,15 +66,16 @@
         // With port 0 the operating system chooses a port, which other processes have to know.
         let listen = endpoint.local_addr()?;
         settings.set_listen_addr(listen);
-        let links = pool::LinkPool::new(endpoint.clone());
+        let (links, dialled) = pool::LinkPool::bidirectional(endpoint.clone());
         let state = sync::Arc::new(state::State::new(settings, links, instruments));
         let callers = bind_callers(&state).await?;
         let announce = bind_announce(&state).await?;
         let ready = bind_ready(&state).await?;
         let mut serving = task::JoinSet::new();
         let shared = sync::Arc::clone(&state);
-        serving.spawn(transport::serving::serve(
-            endpoint.clone(),
+        serving.spawn(transport::serving::serve_pool(
+            state.links.clone(),
+            dialled,
             move |link, sender, receiver| {
                 serve_stream(sync::Arc::clone(&shared), link, sender, receiver)
             },
@@ -81,6 +84,7 @@
         ticks.spawn(run_ticks(sync::Arc::clone(&state)));
         ticks.spawn(run_admission_ticks(sync::Arc::clone(&state)));
         ticks.spawn(reaching::run(sync::Arc::clone(&state)));
+        ticks.spawn(linking::run(sync::Arc::clone(&state)));
         log::info!(
             "node {} of {} listens on {listen}, callers on {}, announcements on {}",
             state.location.host,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
 
-use crate::{bodies, in_flight, instruments, settings, slots, suspects};
+use crate::{bodies, in_flight, instruments, linking, settings, slots, suspects};
 
 // A table may be locked only while all tables that are held have lower ranks.
 
@@ -42,6 +42,8 @@
     pub(crate) in_flight: table::Table<in_flight::Requests>,
     pub(crate) suspects: table::Table<suspects::Suspects>,
     pub(crate) sessions: table::Table<Sessions>,
+    /// Wakes the requests that wait for a confirmation of the running version.
+    pub(crate) acknowledged: tokio::sync::Notify,
     /// Wakes the task that probes unresponsive hosts when a probe may be due earlier than it knows.
     pub(crate) probe_wakeup: sync::Arc<tokio::sync::Notify>,
     pub(crate) started_at: std_time::Instant,
@@ -82,6 +84,8 @@
     pub(crate) balancer: balancer::Balancer,
     /// The targets whose hosts are probed.
     pub(crate) prober: prober::Prober,
+    /// The targets that this node uses, and the links that it opens to them.
+    pub(crate) links: linking::Links,
     /// Retries and hedges of a service, as a percentage of the requests for it.
     pub(crate) retry_percent: u32,
     /// The recent attempts at each service, which limit its retries and hedges.
@@ -141,7 +145,8 @@
         let policy = settings.policy;
         let routing = Routing {
             balancer: balancer::Balancer::new(policy, routing::toggles::Toggles::default()),
-            prober: prober::Prober::default(),
+            prober: prober::Prober::new(rand::random()),
+            links: linking::Links::default(),
             retry_percent: settings.retry_percent,
             retry_limiters: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
@@ -169,6 +174,7 @@
             ),
             suspects: table::Table::new(SUSPECTS, "suspicion", suspects),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
+            acknowledged: tokio::sync::Notify::new(),
             probe_wakeup: sync::Arc::default(),
             started_at: std_time::Instant::now(),
             settings,
