--- a/crates/heatherwalk/tests/requests/unfinished.rs
+++ b/crates/heatherwalk/tests/requests/unfinished.rs
@@ -167,6 +167,22 @@
     }
 }
 
+/// Guards against reporting a request as one that may have run although its node never got all of
+/// it: only a part fits into the window of a stream to a host that has stopped responding.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_sent_in_part_is_not_run() {
+    let document = mesh::document(&[("logs", json!({}), json!({}))]);
+    let mesh = mesh::Mesh::spawn(1, document).await;
+    let target = mesh.stand_in("skulte-part", "logs").await;
+    mesh.ready(0, &["logs"]).await;
+    target.relay.silence();
+    let mut request = callers::get("/logs/part").with("heatherwalk-deadline-ms", "800");
+    request.method = http::Method::PUT;
+    request.body = vec![b'x'; 900_000].into();
+    let reply = callers::send(mesh.callers(0), request).await;
+    assert!(reply.is_not_run(), "{reply}");
+}
+
 /// Guards against work that goes on for a caller that left while its answer was read ahead.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_caller_leaves_while_its_answer_is_read_ahead() {
