Answer callers before they give up

A caller that gives up closes its connection, which loses the answers to the requests that stand behind.

Such a caller now gets an answer 25 ms before its limit, and targets stop 50 ms before it, so that they can report whether the request ran. The wait past the deadline stays where the route's timeout is the shorter limit.

Evidence: a_caller_is_answered_before_it_gives_up got its answer after 854 ms of 800 at best, and now gets it in time.

--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -8,7 +8,7 @@
 use routing::budget;
 use world::time;
 
-use crate::{bodies, forward, headers, instruments, refusals, sending, state};
+use crate::{bodies, headers, instruments, refusals, sending, state};
 
 /// Most chunks of an answer that are buffered for a slow caller.
 pub(crate) const MAX_CHUNKS: usize = 8;
@@ -130,7 +130,7 @@
     state: &state::State,
     answered: &sending::Answered,
 ) -> tokio::time::Instant {
-    state.instant(answered.deadline + forward::REPORT_GRACE)
+    state.instant(answered.answer_by)
 }
 
 /// Streams an answer to the caller as it arrives. If the body ends early, the caller's connection
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -10,8 +10,8 @@
 use world::{config, contracts, document, requests, time};
 
 use crate::{
-    answering, attaching, bodies, claiming, dialect, headers, in_flight, instruments, refusals,
-    reservations, sending, state, suspects,
+    answering, attaching, bodies, claiming, dialect, forward, headers, in_flight, instruments,
+    refusals, reservations, sending, state, suspects,
 };
 
 /// Largest body of a request, in bytes, when the configuration sets no limit. Bodies are kept in
@@ -21,6 +21,12 @@
 /// one frame of at most 8 MiB.
 const MAX_BODY: usize = 7 * 1024 * 1024;
 
+/// How long before a caller gives up it gets an answer of the node's own, if there is no other. A
+/// caller that gives up closes its connection, which loses the answers to its other requests.
+const CALLER_LEAD: std_time::Duration = std_time::Duration::from_millis(25);
+/// The lead is at most this part of the time that the caller waits.
+const MIN_LEADS: u32 = 40;
+
 /// The route of a request and what follows from it.
 struct Plan {
     config: sync::Arc<config::Config>,
@@ -38,6 +44,8 @@
     class: requests::Class,
     budget: budget::Budget,
     deadline: time::Time,
+    /// Until when an answer is waited for.
+    answer_by: time::Time,
     objective: time::Time,
     weight: u32,
     /// Whether it is a call of a request that was sent to another target before.
@@ -187,7 +195,8 @@
     let host = host_name(&headers);
     let plan = plan(state, arrived, &id, (&method, &host, &path), &options)?;
     let Plan { config, route, service, home, scheduling, idempotent, reservation } = plan;
-    let Scheduling { class, budget, deadline, objective, weight, repeat, .. } = scheduling;
+    let Scheduling { class, budget, deadline, answer_by, objective, weight, repeat, .. } =
+        scheduling;
     let fingerprint = requests::Fingerprint::of(&service, &method, &path, &body);
     let suspect = check_suspect(state, &fingerprint, &id)?;
     check_age(&headers)?;
@@ -217,7 +226,8 @@
         repeat,
         suspect,
     };
-    let request = state::RoutedRequest { config, route, head, deadline, objective, body };
+    let request =
+        state::RoutedRequest { config, route, head, deadline, answer_by, objective, body };
     let step = match options.key {
         _ if idempotent => Step::Send(Box::new(sending::choose_first(state, request))),
         Some(key) => Step::Claim { request: Box::new(request), home, key },
@@ -249,8 +259,15 @@
     let service = contract.service_at(next_split(state, contract));
     let service = service.and_then(|it| config.service(it));
     let service = service.ok_or_else(|| refusals::no_route(version))?;
-    let timeout = options.limit.map_or(contract.timeout, |it| it.min(contract.timeout));
-    let scheduling = scheduling(state, now, contract, timeout, options.parent.as_ref())?;
+    // A caller that waits for longer than the route allows is answered in time in any case.
+    let limit = options.limit.filter(|it| *it <= contract.timeout + forward::REPORT_GRACE);
+    let lead = limit.map_or(std_time::Duration::ZERO, |it| CALLER_LEAD.min(it / MIN_LEADS));
+    // The targets stop a lead earlier than the node, so that their reports arrive in time.
+    let timeout = limit.map_or(contract.timeout, |it| (it - lead * 2).min(contract.timeout));
+    let mut scheduling = scheduling(state, now, contract, timeout, options.parent.as_ref())?;
+    if let Some(limit) = limit {
+        scheduling.answer_by = scheduling.answer_by.min(now + (limit - lead));
+    }
     let budget = scheduling.budget;
     let reservation =
         reservations::Reservation::new(sync::Arc::clone(state), scheduling.parent, budget.attempts);
@@ -306,6 +323,7 @@
         class: requests::Class::Caller,
         budget: budget::Budget::new(timeout, contract.attempts),
         deadline: now + timeout,
+        answer_by: now + timeout + forward::REPORT_GRACE,
         objective: now + contract.objective,
         weight: contract.weight,
         repeat: false,
@@ -352,6 +370,7 @@
     Scheduling {
         class: requests::Class::Internal,
         deadline,
+        answer_by: deadline + forward::REPORT_GRACE,
         objective: parent.objective,
         weight: parent.weight,
         repeat: parent.repeat,
@@ -464,7 +483,8 @@
     answered: sending::Answered,
 ) -> refusals::Result<Reply> {
     let at = answering::time_limit(state, &answered);
-    let sending::Answered { status, mut headers, body: source, node_status, deadline } = answered;
+    let sending::Answered { status, mut headers, body: source, node_status, deadline, answer_by } =
+        answered;
     headers::remove_reserved(&mut headers, state.settings.dialect.reserved);
     let (sender, mut copy) = web::body::Body::channel(answering::MAX_CHUNKS);
     let length = bodies::content_length(&headers);
@@ -496,7 +516,8 @@
     if collected == Collected::TooLarge {
         let rest = sending::Rest::Copied(copy);
         let body = sending::Source { ahead: Some(kept), rest };
-        let answered = sending::Answered { status, headers, body, node_status, deadline };
+        let answered =
+            sending::Answered { status, headers, body, node_status, deadline, answer_by };
         return Ok(Reply::Streamed(Box::new(answered)));
     }
     let body = web::body::Body::full(kept);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -25,14 +25,14 @@
 const LATE_TIMER_GRACE: std_time::Duration = std_time::Duration::from_millis(30);
 
 /// Forwards a request to the target's node and waits for the head of its answer, at most until
-/// [`REPORT_GRACE`] after the request's deadline.
+/// the request's `answer_by`.
 pub(crate) async fn forward(
     state: &sync::Arc<state::State>,
     request: &state::RoutedRequest,
     target: &choosing::Target,
     guard: choosing::AttemptGuard,
 ) -> sending::Result<sending::Answered, sending::FailedAttempt> {
-    let limit = state.instant(request.deadline + REPORT_GRACE);
+    let limit = state.instant(request.answer_by);
     let mut may_run = false;
     let result = exchange(state, request, target, &mut may_run);
     let result = match tokio::time::timeout_at(limit, result).await {
@@ -62,6 +62,7 @@
                 body: sending::Source { ahead: None, rest: sending::Rest::Remote(receiver) },
                 node_status,
                 deadline: request.deadline,
+                answer_by: request.answer_by,
             });
         }
         forwarding::AnswerHead::NotRun { reason, standing: node_status } => {
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -32,6 +32,8 @@
     pub(crate) node_status: forwarding::NodeStatus,
     /// The request's deadline.
     pub(crate) deadline: world::time::Time,
+    /// Until when the answer should be complete.
+    pub(crate) answer_by: world::time::Time,
 }
 
 /// The body of an answer: the part that was read ahead, followed by the rest.
@@ -155,13 +157,14 @@
     if target.host != state.location.host {
         return forward::forward(state, &request, &target, guard).await;
     }
-    let state::RoutedRequest { head, body, deadline, .. } = request;
-    match working::run(state, working::LocalRequest { head, body, deadline }, admission).await {
+    let state::RoutedRequest { head, body, deadline, answer_by, .. } = request;
+    let request = working::LocalRequest { head, body, deadline, answer_by };
+    match working::run(state, request, admission).await {
         Ok(answered) => {
             let working::Answered { status, headers, body, execution, node_status } = answered;
             guard.answered(&node_status);
             let body = Source { ahead: None, rest: Rest::Local(body, execution) };
-            Ok(Answered { status, headers, body, node_status, deadline })
+            Ok(Answered { status, headers, body, node_status, deadline, answer_by })
         }
         Err(working::Error { failure, node_status }) => {
             Err(FailedAttempt { guard, failure, node_status })
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -59,7 +59,7 @@
 ) -> working::LocalRequest {
     let left = std_time::Duration::from_millis(head.budget.remaining_ms.into());
     let deadline = state.now() + left;
-    working::LocalRequest { head, body, deadline }
+    working::LocalRequest { head, body, deadline, answer_by: deadline + working::ANSWER_GRACE }
 }
 
 /// Admits a request before its body is sent, then receives the body and runs the request.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -265,6 +265,8 @@
     pub(crate) route: contracts::RouteKey,
     pub(crate) head: forwarding::RequestHead,
     pub(crate) deadline: time::Time,
+    /// Until when an answer is waited for. Then the caller gets one of the node's own.
+    pub(crate) answer_by: time::Time,
     /// The time until which an answer meets the route's latency objective.
     pub(crate) objective: time::Time,
     pub(crate) body: bytes::Bytes,
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -24,6 +24,8 @@
     pub(crate) head: forwarding::RequestHead,
     pub(crate) body: bytes::Bytes,
     pub(crate) deadline: time::Time,
+    /// Until when the sender waits for an answer.
+    pub(crate) answer_by: time::Time,
 }
 
 /// A result of running a request here.
@@ -384,7 +386,7 @@
         path: head.path.clone(),
         headers: fields,
         body: web::body::Body::full(request.body.clone()),
-        deadline: state.instant(request.deadline + ANSWER_GRACE),
+        deadline: state.instant(request.answer_by.min(request.deadline + ANSWER_GRACE)),
         close_delimited: dialect.close_delimited,
         reuse,
     }
