--- a/crates/heatherwalk/tests/metrics.rs
+++ b/crates/heatherwalk/tests/metrics.rs
@@ -17,6 +17,7 @@
     node.count_attempt();
     node.count_refusal(forwarding::NotRun::Full);
     node.count_links(transport::pool::Counts { started: 3, opened: 2, failed: 1 });
+    node.count_traffic(transport::links::Traffic { sent: 4_096, received: 2_048, lost: 5 });
     node.count_probe(true);
     node.count_probe(false);
     node.record_version(document::Version(7), ms(250));
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -38,6 +38,8 @@
     added_time: metrics::Histogram<f64>,
     control: metrics::Counter<u64>,
     link_attempts: metrics::Counter<u64>,
+    link_bytes: metrics::Counter<u64>,
+    lost_packets: metrics::Counter<u64>,
     probes: metrics::Counter<u64>,
     version: metrics::Gauge<u64>,
     version_age: metrics::Gauge<f64>,
@@ -70,6 +72,12 @@
             ),
             control: control.with_description("UDP payload on links to controls").build(),
             link_attempts: counter("node.link.attempts", "Attempts to open links by state"),
+            link_bytes: meter
+                .u64_counter("node.link")
+                .with_unit("By")
+                .with_description("UDP payload on links to other processes")
+                .build(),
+            lost_packets: counter("node.link.lost", "Sent packets that were taken for lost"),
             probes: counter("node.probes", "Probes of unresponsive hosts by result"),
             version: version.with_description("The version that the node runs").build(),
             version_age: age
@@ -111,6 +119,13 @@
         self.link_attempts.add(added.failed, &[KeyValue::new("state", "failed")]);
     }
 
+    /// Adds the traffic of the open links since the last call.
+    pub fn count_traffic(&self, added: links::Traffic) {
+        self.link_bytes.add(added.sent, &[KeyValue::new("direction", "sent")]);
+        self.link_bytes.add(added.received, &[KeyValue::new("direction", "received")]);
+        self.lost_packets.add(added.lost, &[]);
+    }
+
     /// Counts a probe that was answered, or that was not answered in time.
     pub fn count_probe(&self, answered: bool) {
         let result = if answered { "answered" } else { "unanswered" };
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -216,14 +216,12 @@
     let mut ticks = time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut count: u32 = 0;
-    let mut recorded = state.links.counts();
+    let mut recorded = RecordedLinks::default();
     loop {
         ticks.tick().await;
         count = count.wrapping_add(1);
         if count.is_multiple_of(HEARTBEAT_TICKS) {
-            let counts = state.links.counts();
-            state.instruments.count_links(counts.since(recorded));
-            recorded = counts;
+            recorded = record_links(&state, recorded);
         }
         let shared = sync::Arc::clone(&state);
         let job = move || {
@@ -242,6 +240,32 @@
     }
 }
 
+/// What was recorded of the node's links at the last heartbeat.
+#[derive(Clone, Copy, Default)]
+struct RecordedLinks {
+    attempts: pool::Counts,
+    traffic: links::Traffic,
+}
+
+/// Records in metrics and in the log what the node's links did since the last heartbeat. Links that
+/// closed meanwhile are not counted.
+fn record_links(state: &state::State, recorded: RecordedLinks) -> RecordedLinks {
+    let attempts = state.links.counts();
+    let (open, traffic) = state.links.traffic();
+    let added = traffic.since(recorded.traffic);
+    state.instruments.count_links(attempts.since(recorded.attempts));
+    state.instruments.count_traffic(added);
+    log::info!(
+        target: "decision",
+        "links open={open} sent_bytes={} received_bytes={} lost_packets={} typical_round_trip={:?}",
+        added.sent,
+        added.received,
+        added.lost,
+        reaching::typical_round_trip(state),
+    );
+    RecordedLinks { attempts, traffic }
+}
+
 /// Starts and refuses queued work when the timers of admission expire.
 async fn run_admission_ticks(state: sync::Arc<state::State>) {
     loop {
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -26,6 +26,8 @@
     pub sent: u64,
     /// Bytes received from the peer.
     pub received: u64,
+    /// Sent packets that were taken for lost, so that their contents were sent again.
+    pub lost: u64,
 }
 
 struct Shared {
@@ -43,6 +45,16 @@
         Traffic {
             sent: self.sent.saturating_sub(earlier.sent),
             received: self.received.saturating_sub(earlier.received),
+            lost: self.lost.saturating_sub(earlier.lost),
+        }
+    }
+
+    /// The sum with the traffic of another link.
+    pub fn plus(self, other: Traffic) -> Traffic {
+        Traffic {
+            sent: self.sent + other.sent,
+            received: self.received + other.received,
+            lost: self.lost + other.lost,
         }
     }
 }
@@ -89,7 +101,11 @@
     /// The bytes transferred since the link was established.
     pub fn traffic(&self) -> Traffic {
         let stats = self.connection.stats();
-        Traffic { sent: stats.udp_tx.bytes, received: stats.udp_rx.bytes }
+        Traffic {
+            sent: stats.udp_tx.bytes,
+            received: stats.udp_rx.bytes,
+            lost: stats.path.lost_packets,
+        }
     }
 
     /// Opens a bidirectional stream, waiting while the peer's limit on open streams is reached. The
--- a/crates/transport/tests/links.rs
+++ b/crates/transport/tests/links.rs
@@ -343,7 +343,7 @@
     let (near, _far) = mesh.pair().await;
     // The search began when the handshake had ended, and took some round trips.
     tokio::time::sleep(time::Duration::from_millis(500)).await;
-    let links::Traffic { sent, received } = near.traffic();
+    let links::Traffic { sent, received, .. } = near.traffic();
     let limit = MAX_PACKETS * PACKET_BYTES;
     assert!(sent <= limit && received <= limit, "{sent} bytes sent, {received} received");
 }
