Bound the links of the targets of small services

Each of 89 nodes used all of these, so a target got some 85 handshakes within a few seconds, its link was full, the handshakes took more than 1 s, failed and were repeated.

A node now uses 2 targets of other data centres for each service, and at least 4 targets in total; only a fleet of up to 16 targets is used whole. A node admits 16 handshakes of others at once and refuses further ones, which are tried again after a growing delay: a refusal costs one packet, a handshake some 5 KB in each direction.

--- a/crates/node/src/linking.rs
+++ b/crates/node/src/linking.rs
@@ -232,7 +232,8 @@
             host: &state.location.host,
             data_centre: &state.location.data_centre,
         };
-        let subset = subset::select(own, &candidates);
+        let fleet = directory.targets().iter().count();
+        let subset = subset::select(own, &candidates, fleet);
         let keys = |indexes: Vec<usize>| indexes.into_iter().map(|it| targets[it].0).collect();
         let known = directory.targets().of_service(service).len();
         ServiceSubset { near: keys(subset.near), far: keys(subset.far), known, used_at: None }
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -20,6 +20,10 @@
 const MIN_ADMISSION_INTERVAL: std_time::Duration = std_time::Duration::from_millis(5);
 /// How often a planned stop checks whether requests are in flight.
 const STOP_CHECK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(20);
+/// Most handshakes that other nodes may have in progress with a node. A refused node tries again
+/// with a growing delay. Without the limit, a target that many nodes connect to at the same time
+/// answers so slowly that their handshakes time out and are repeated.
+const MAX_HANDSHAKES: usize = 16;
 /// Longest time that a stop waits for other nodes to receive the last answers. An unreachable node
 /// receives none and would otherwise delay the stop up to its limit.
 const MAX_CLOSE_TIME: std_time::Duration = std_time::Duration::from_millis(500);
@@ -61,7 +65,10 @@
     ) -> Result<Node> {
         let listen = settings.mesh.host(settings.me).map(|it| it.addr);
         let listen = listen.expect("the settings contain this host");
-        let limits = transport::limits::Limits::default();
+        let limits = transport::limits::Limits {
+            max_handshakes: MAX_HANDSHAKES,
+            ..transport::limits::Limits::default()
+        };
         let endpoint = endpoint::Endpoint::bind(listen, identity, limits)?;
         // With port 0 the operating system chooses a port, which other processes have to know.
         let listen = endpoint.local_addr()?;
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -7,10 +7,13 @@
 /// The most targets that a node uses in its own data centre.
 pub const NEAR_TARGETS: usize = 16;
 /// How many targets a node uses in other data centres, if there are enough in its own.
-pub const FAR_TARGETS: usize = 4;
+pub const FAR_TARGETS: usize = 2;
 /// With fewer targets in its own data centre and [`FAR_TARGETS`], a node uses more of the other
-/// data centres up to this total. So it uses all targets of a small service.
-pub const LEAST_TARGETS: usize = 13;
+/// data centres up to this total.
+pub const LEAST_TARGETS: usize = 4;
+/// In a fleet of at most this many targets of all services, a node uses each target: the links of
+/// so small a fleet need no bound.
+pub const SMALL_FLEET: usize = 16;
 
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
@@ -42,8 +45,9 @@
     index: usize,
 }
 
-/// Selects the subset of the node on the host `node.host`.
-pub fn select(node: Candidate<'_>, candidates: &[Candidate<'_>]) -> Subset {
+/// Selects the subset of the node on the host `node.host`, in a fleet of `fleet` targets of all
+/// services.
+pub fn select(node: Candidate<'_>, candidates: &[Candidate<'_>], fleet: usize) -> Subset {
     let seed = mix(hash(node.host));
     let weight = |name: &str| mix(seed ^ hash(name));
     let mut near = Vec::new();
@@ -60,9 +64,11 @@
     }
     near.sort_unstable();
     let own = near.iter().filter(|it| !it.0).count();
-    near.truncate(NEAR_TARGETS + own);
     rank(&mut far);
-    far.truncate(LEAST_TARGETS.saturating_sub(near.len()).max(FAR_TARGETS));
+    if fleet > SMALL_FLEET {
+        near.truncate(NEAR_TARGETS + own);
+        far.truncate(LEAST_TARGETS.saturating_sub(near.len()).max(FAR_TARGETS));
+    }
     Subset {
         near: near.into_iter().map(|it| it.2).collect(),
         far: far.into_iter().map(|it| it.index).collect(),
