--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -11,7 +11,7 @@
 /// How long to wait past the deadline for the target's node to report whether the request ran. That
 /// node's deadline is later by the time that the request took to get there, and its admission
 /// checks its timers every 50 ms.
-const REPORT_GRACE: std_time::Duration = std_time::Duration::from_millis(150);
+pub(crate) const REPORT_GRACE: std_time::Duration = std_time::Duration::from_millis(150);
 
 /// Longest time in which a responsive node sends nothing on a link without requests. The link is
 /// probed every second.
@@ -59,8 +59,9 @@
             return Ok(sending::Answered {
                 status: status.unwrap_or(http::StatusCode::BAD_GATEWAY),
                 headers: headers::decode(&fields),
-                body: sending::Source::Remote(receiver, limit),
+                body: sending::Source { ahead: None, rest: sending::Rest::Remote(receiver) },
                 node_status,
+                deadline: request.deadline,
             });
         }
         forwarding::AnswerHead::NotRun { reason, standing: node_status } => {
@@ -79,8 +80,9 @@
 
 type AnswerParts = (forwarding::AnswerHead, transport::streams::Receiver);
 
-/// Sends a request to another node and waits for the head of the answer. Sets `may_run` just before
-/// it sends the first byte after which the other node may run the request.
+/// Sends a request to another node and waits for the head of the answer. Sets `may_run` once the
+/// transport has taken the whole request: the other node runs no request that lacks a part, and
+/// a stream that is dropped before is reset.
 async fn exchange(
     state: &sync::Arc<state::State>,
     request: &state::RoutedRequest,
@@ -103,14 +105,13 @@
             forwarding::AnswerHead::Admitted => {}
             refusal => return Ok((refusal, receiver)),
         }
-        *may_run = true;
         sender.send_bytes(body).await
     } else {
-        *may_run = true;
         sender.send(&streams::Open::Request { head, body }).await
     }
-    .and_then(|()| sender.finish())
-    .map_err(|err| broken_stream(target, &err))?;
+    .map_err(unreachable)?;
+    *may_run = true;
+    sender.finish().map_err(|err| broken_stream(target, &err))?;
     let answer = wait_for_answer(state, request, target, &link, &mut receiver).await?;
     Ok((answer, receiver))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 mod answering;
 mod attaching;
 pub mod backend;
+mod bodies;
 mod callers;
 mod choosing;
 mod claiming;
@@ -13,6 +14,7 @@
 mod hedging;
 mod in_flight;
 pub mod instruments;
+mod linking;
 mod reaching;
 pub mod refusals;
 mod reservations;
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -20,6 +20,10 @@
 /// its control meanwhile, over a link that may be busy.
 const OLD_VERSION_RETRY: time::Duration = time::Duration::from_millis(100);
 
+/// The time after which a caller is asked to retry when the node has no version yet. A node that
+/// starts has one within a second; callers that come back at once use up their retries before.
+const NO_VERSION_RETRY: time::Duration = time::Duration::from_millis(300);
+
 /// Whether a request ran that a backend server did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunStatus {
@@ -79,7 +83,8 @@
 
 pub(crate) fn no_version() -> Refusal {
     let detail = "this node has no configuration yet; send the request again";
-    Refusal::not_run(http::StatusCode::SERVICE_UNAVAILABLE, "no-version", detail)
+    let status = http::StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "no-version", detail).with_retry_after(NO_VERSION_RETRY)
 }
 
 /// Takes the place of a refusal by the configuration when the node's version may be old.
@@ -161,12 +166,21 @@
     Refusal::not_run(http::StatusCode::UNPROCESSABLE_ENTITY, "quarantined", detail)
 }
 
-pub(crate) fn broken_answer() -> Refusal {
+/// The refusal when an answer breaks off before it was begun. `late` says whether the deadline has
+/// passed.
+pub(crate) fn broken_answer(late: bool) -> Refusal {
+    let (status, detail) = match late {
+        true => (
+            http::StatusCode::GATEWAY_TIMEOUT,
+            "the deadline passed before the answer of the backend server was complete",
+        ),
+        false => (http::StatusCode::BAD_GATEWAY, "the answer of the backend server ended early"),
+    };
     Refusal {
-        status: http::StatusCode::BAD_GATEWAY,
+        status,
         run: RunStatus::Unknown,
         reason: "broken",
-        detail: "the answer of the backend server ended early".into(),
+        detail: detail.into(),
         retry_after: None,
         version: None,
     }
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -30,17 +30,26 @@
     /// The load that the target's node reported with the answer. `attempts` is set to the extra
     /// attempts that the request has left in total.
     pub(crate) node_status: forwarding::NodeStatus,
+    /// The request's deadline.
+    pub(crate) deadline: world::time::Time,
 }
 
-/// Where the body of an answer is read from.
-pub(crate) enum Source {
+/// The body of an answer: the part that was read ahead, followed by the rest.
+pub(crate) struct Source {
+    pub(crate) ahead: Option<bytes::Bytes>,
+    pub(crate) rest: Rest,
+}
+
+/// Where the rest of an answer's body is read from.
+pub(crate) enum Rest {
     /// The backend server of this host.
     Local(web::body::Body, working::Execution),
-    /// Another node, over a stream that is cancelled when dropped. Reading fails after the given
-    /// point in time.
-    Remote(transport::streams::Receiver, tokio::time::Instant),
-    /// The part of a body that was read already, followed by the part still to be read.
-    Buffered(Option<bytes::Bytes>, web::body::Body),
+    /// Another node, over a stream that is cancelled when dropped.
+    Remote(transport::streams::Receiver),
+    /// A task that copies the body.
+    Copied(web::body::Body),
+    /// The body was read to its end.
+    Ended,
 }
 
 /// Why a request got no answer, and how many extra attempts it has left.
@@ -122,11 +131,16 @@
             Err(failed) => failed,
         };
         let attempts_left = retries.request.head.budget.attempts;
+        let not_run =
+            retries.maybe_run.is_none() && matches!(failed.failure, working::Failure::NotRun(_));
+        let failure = move |detail| match not_run {
+            true => Failure::NotRun(detail, None),
+            false => Failure::Unknown(detail),
+        };
         let shared = sync::Arc::clone(state);
         let next =
             move || retries.decide_next(&shared, failed).and_then(|it| choose_target(&shared, it));
-        let no_worker =
-            |err| Error { failure: Failure::Unknown(format_compact!("{err}")), attempts_left };
+        let no_worker = |err| Error { failure: failure(format_compact!("{err}")), attempts_left };
         current = state.pool.run(next).await.map_err(no_worker)??;
     }
 }
@@ -146,7 +160,8 @@
         Ok(answered) => {
             let working::Answered { status, headers, body, execution, node_status } = answered;
             guard.answered(&node_status);
-            Ok(Answered { status, headers, body: Source::Local(body, execution), node_status })
+            let body = Source { ahead: None, rest: Rest::Local(body, execution) };
+            Ok(Answered { status, headers, body, node_status, deadline })
         }
         Err(working::Error { failure, node_status }) => {
             Err(FailedAttempt { guard, failure, node_status })
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,15 +4,18 @@
 //! A [`balancer::Balancer`] selects a target by a [`policy`] and by what the node has measured of
 //! each target ([`estimates`]). [`budget`], [`retry`] and [`hedge`] limit how often a request is
 //! sent. [`silence`] says whether a host has stopped responding, and [`prober`] which hosts to probe
-//! then. Nothing here does I/O or reads a clock: the time, and random numbers or their seed, are
+//! then. [`subset`] bounds the targets that a node uses, and [`dialer`] says when to open links to
+//! them. Nothing here does I/O or reads a clock: the time, and random numbers or their seed, are
 //! arguments.
 
 pub mod balancer;
 pub mod budget;
+pub mod dialer;
 pub mod estimates;
 pub mod hedge;
 pub mod policy;
 pub mod prober;
 pub mod retry;
 pub mod silence;
+pub mod subset;
 pub mod toggles;
