--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -7,7 +7,7 @@
 use protocol::{forwarding, streams};
 use transport::errors;
 
-use crate::{attaching, headers, state, working};
+use crate::{attaching, bodies, headers, state, working};
 
 /// Serves one stream of another node. An error means that the stream broke.
 pub(crate) async fn serve(
@@ -81,10 +81,11 @@
         sender.send(&forwarding::AnswerHead::Admitted).await?;
         let until = state.instant(request.deadline);
         let body = read_body(&mut receiver);
-        request.body = match tokio::time::timeout_at(until, body).await {
-            Ok(body) => body?,
-            Err(_) => return Err(errors::Error::TimedOut),
-        };
+        match tokio::time::timeout_at(until, body).await {
+            Ok(body) => request.body = body?,
+            // Gives the slot back.
+            Err(_) => admission = working::Admission::Refuse(forwarding::NotRun::Late),
+        }
     }
     run_request(state, request, Some(admission), sender).await
 }
@@ -106,8 +107,9 @@
     admission: Option<working::Admission>,
     mut sender: transport::streams::Sender,
 ) -> errors::Result<()> {
+    let at = state.instant(request.deadline + working::ANSWER_GRACE);
     match working::run(state, request, admission).await {
-        Ok(answered) => stream_answer(answered, sender).await,
+        Ok(answered) => stream_answer(answered, at, sender).await,
         Err(working::Error { failure, node_status }) => {
             let answer = match failure {
                 working::Failure::NotRun(reason) => {
@@ -128,10 +130,11 @@
     }
 }
 
-/// Sends an answer to the node that forwarded the request. If the body ends early, the stream is
+/// Sends an answer to the node that forwarded the request. It should be complete at `at`. If the body ends early, the stream is
 /// reset, so that a partial answer is never taken for a complete one.
 async fn stream_answer(
     answered: working::Answered,
+    at: tokio::time::Instant,
     mut sender: transport::streams::Sender,
 ) -> errors::Result<()> {
     let working::Answered { status, headers, mut body, execution, node_status } = answered;
@@ -141,8 +144,9 @@
         standing: node_status,
     };
     sender.send(&head).await?;
+    let limit = bodies::Limit::begun(at, bodies::content_length(&headers));
     loop {
-        match body.chunk().await {
+        match limit.read(body.chunk()).await {
             Ok(Some(bytes)) => sender.send_bytes(bytes).await?,
             Ok(None) => {
                 execution.finish(work::Outcome::Answered);
@@ -152,7 +156,7 @@
                 log::info!(
                     "backend server's answer ended early: {err}; resetting the forwarding stream"
                 );
-                execution.abort(false);
+                execution.abort(matches!(err, bodies::Error::DeadlinePassed));
                 sender.reset();
                 return Ok(());
             }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
 
-use crate::{in_flight, instruments, settings, slots, suspects};
+use crate::{bodies, in_flight, instruments, linking, settings, slots, suspects};
 
 // A table may be locked only while all tables that are held have lower ranks.
 
@@ -32,6 +32,7 @@
     pub(crate) pool: pool::Pool,
     pub(crate) links: transport::pool::LinkPool,
     pub(crate) client: web::client::Client,
+    pub(crate) buffers: bodies::Buffers,
     pub(crate) instruments: instruments::Instruments,
     pub(crate) configuration: table::Table<Configuration>,
     pub(crate) directory: table::Table<directory::Directory>,
@@ -83,6 +84,8 @@
     pub(crate) balancer: balancer::Balancer,
     /// The targets whose hosts are probed.
     pub(crate) prober: prober::Prober,
+    /// The targets that this node uses, and the links that it opens to them.
+    pub(crate) links: linking::Links,
     /// Retries and hedges of a service, as a percentage of the requests for it.
     pub(crate) retry_percent: u32,
     /// The recent attempts at each service, which limit its retries and hedges.
@@ -143,6 +146,7 @@
         let routing = Routing {
             balancer: balancer::Balancer::new(policy, routing::toggles::Toggles::default()),
             prober: prober::Prober::new(rand::random()),
+            links: linking::Links::default(),
             retry_percent: settings.retry_percent,
             retry_limiters: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
@@ -156,6 +160,7 @@
             pool: pool::Pool::spawn(settings.workers, 16_384),
             links,
             client: web::client::Client::new(web::client::Limits::default()),
+            buffers: bodies::Buffers::new(),
             instruments,
             configuration: table::Table::new(CONFIGURATION, "configuration", configuration),
             directory: table::Table::new(DIRECTORY, "directory", directory),
