Pace messages to the host's network link, and refuse what would wait too long for it

Cause: answers of 5 KB to 89 nodes come near the 1.75 Mbit/s of such a target's host. Each QUIC connection finds the rate of the network by itself, and with dozens that seldom send nobody does: a host sent 148 KB in a second in which 425 packets were taken for lost, nothing came back for 300 ms though the round trip was estimated at 28 ms, and its senders took it for silent.

Ruled out: handshakes (links were open ahead, and lost packets stayed), the processor (0.045 of 0.1 core at most), slots (7.8 of 12 busy on average).

The change: the messages of all links to nodes wait in one queue that is paced to 70% of the host's link, which the setting link-mbps names; control messages and refusals do not wait. A node refuses at once what would wait for longer than 0.15 of its objective, as for a slot, and reports the wait as load, so other nodes send less. Without the setting nothing changes.

The tests of pacing and uplink are new with the mechanism.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -9,7 +9,7 @@
 /// Longest expected wait for a slot, as a fraction of the time until the objective. A few waiting
 /// requests keep all slots busy. In overload, a longer queue does not increase the throughput and
 /// only delays all requests.
-const MAX_WAIT_SHARE: f32 = 0.15;
+pub(crate) const MAX_WAIT_SHARE: f32 = 0.15;
 
 /// The admission controller of one target.
 ///
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -17,4 +17,5 @@
 mod service_times;
 mod short_load;
 mod suspects;
+pub mod uplink;
 pub mod work;
--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -32,4 +32,15 @@
         let before = self.in_flight + self.queued + 1 - self.slots;
         self.service_time * before / self.slots
     }
+
+    /// The report of a target whose answers wait for `backlog` until their host's network link has
+    /// room. It counts as many waiting requests as make a new request wait as long.
+    pub fn with_backlog(self, backlog: time::Duration) -> LoadReport {
+        if self.slots == 0 || self.service_time.is_zero() || backlog <= self.expected_wait() {
+            return self;
+        }
+        let before = backlog.div_duration_f32(self.service_time) * self.slots as f32;
+        let total = before as u32 + self.slots - 1;
+        LoadReport { queued: total.saturating_sub(self.in_flight).max(self.queued), ..self }
+    }
 }
--- a/crates/heatherwalk/src/dev.rs
+++ b/crates/heatherwalk/src/dev.rs
@@ -193,6 +193,7 @@
         policy: routing::policy::DEFAULT,
         linger: time::Duration::ZERO,
         retry_percent: routing::budget::RETRY_PERCENT,
+        link_rate: None,
         metrics: ports.take(),
         workers: 2,
         stop_limit: STOP_LIMIT,
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -314,6 +314,8 @@
         routing::budget::RETRY_PERCENT,
         |it| parse_range(it, 0, 100),
     );
+    let link_rate = reader
+        .optional("node", "link-mbps", "0.01 to 1000000", None, |it| parse_link_rate(it).map(Some));
     let floor_tokens = reader.optional("node", "floor-tokens", "on or off", true, parse_switch);
     let Common { me, metrics, workers, stop_limit } = common?;
     Some(node::settings::Settings {
@@ -329,6 +331,7 @@
         policy,
         linger: time::Duration::from_millis(linger),
         retry_percent,
+        link_rate,
         metrics,
         workers,
         stop_limit,
@@ -434,6 +437,12 @@
     text.parse().ok().filter(|it| (low..=high).contains(it))
 }
 
+/// Reads a rate in Mbit/s and returns bytes per second.
+fn parse_link_rate(text: &str) -> Option<u64> {
+    let mbps = text.parse::<f64>().ok().filter(|it| (0.01..=1e6).contains(it))?;
+    Some((mbps * 1e6 / 8.0) as u64)
+}
+
 fn parse_votes(text: &str) -> Option<VoterGroups> {
     let mut groups = VoterGroups::default();
     for word in text.split_whitespace() {
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -113,6 +113,7 @@
             policy: routing::policy::DEFAULT,
             linger: time::Duration::ZERO,
             retry_percent: routing::budget::RETRY_PERCENT,
+            link_rate: None,
             metrics: loopback(),
             workers: 2,
             stop_limit: STOP_LIMIT,
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -67,6 +67,7 @@
         let listen = listen.expect("the settings contain this host");
         let limits = transport::limits::Limits {
             max_handshakes: MAX_HANDSHAKES,
+            link_rate: settings.link_rate,
             ..transport::limits::Limits::default()
         };
         let endpoint = endpoint::Endpoint::bind(listen, identity, limits)?;
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -109,8 +109,12 @@
 ) -> errors::Result<()> {
     let at = state.instant(request.deadline + working::ANSWER_GRACE);
     match working::run(state, request, admission).await {
-        Ok(answered) => stream_answer(answered, at, sender).await,
+        Ok(mut answered) => {
+            answered.node_status = add_backlog(state, answered.node_status);
+            stream_answer(answered, at, sender).await
+        }
         Err(working::Error { failure, node_status }) => {
+            let node_status = add_backlog(state, node_status);
             let answer = match failure {
                 working::Failure::NotRun(reason) => {
                     state.instruments.count_refusal(reason);
@@ -130,8 +134,17 @@
     }
 }
 
-/// Sends an answer to the node that forwarded the request. It should be complete at `at`. If the body ends early, the stream is
-/// reset, so that a partial answer is never taken for a complete one.
+/// The status for other nodes, to which answers wait for this host's network link.
+fn add_backlog(
+    state: &state::State,
+    node_status: forwarding::NodeStatus,
+) -> forwarding::NodeStatus {
+    let load = node_status.load.with_backlog(state.links.endpoint().backlog());
+    forwarding::NodeStatus { load, ..node_status }
+}
+
+/// Sends an answer to the node that forwarded the request. It should be complete at `at`. If the
+/// body ends early, the stream is reset, so that a partial answer is never taken for a complete one.
 async fn stream_answer(
     answered: working::Answered,
     at: tokio::time::Instant,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -42,6 +42,9 @@
     pub linger: time::Duration,
     /// Retries and hedges of a service, as a percentage of the requests for it, from 0 to 100.
     pub retry_percent: u32,
+    /// The rate of the host's network link in bytes per second, to which messages to other nodes are
+    /// paced; none if it is not known.
+    pub link_rate: Option<u64>,
     /// The time limit of a planned stop, including `linger`.
     pub stop_limit: time::Duration,
 }
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time as std_time};
 
-use admission::work;
+use admission::{uplink, work};
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
 use tokio::sync::oneshot;
@@ -151,14 +151,18 @@
     Err(Error { failure, node_status })
 }
 
-/// Asks for admission on a worker.
+/// Asks for admission of a request of another node on a worker.
 pub(crate) async fn request_admission(
     state: &sync::Arc<state::State>,
     request: &LocalRequest,
 ) -> Admission {
     let (shared, head) = (sync::Arc::clone(state), request.head.clone());
     let deadline = request.deadline;
-    let offered = state.pool.run(move || offer(&shared, &head, deadline)).await;
+    let job = move || match check_uplink(&shared, &head, deadline) {
+        Some(reason) => Admission::Refuse(reason),
+        None => offer(&shared, &head, deadline),
+    };
+    let offered = state.pool.run(job).await;
     // When the workers' queue is full, the request was neither admitted nor sent.
     offered.unwrap_or(Admission::Refuse(forwarding::NotRun::Full))
 }
@@ -277,6 +281,28 @@
     }
 }
 
+/// Refuses a request whose answer would wait too long for this host's network link.
+fn check_uplink(
+    state: &state::State,
+    head: &forwarding::RequestHead,
+    deadline: time::Time,
+) -> Option<forwarding::NotRun> {
+    let backlog = state.links.endpoint().backlog();
+    let objective = std_time::Duration::from_micros(head.objective_us);
+    let left = deadline.since(state.now());
+    if !uplink::is_full(backlog, head.class, objective, left) {
+        return None;
+    }
+    log::info!(
+        target: "decision",
+        "admission request={} outcome=refuse reason=\"the host's network link is full\" \
+         backlog={backlog:?} objective_us={}",
+        head.id,
+        head.objective_us,
+    );
+    Some(forwarding::NotRun::Busy)
+}
+
 fn check_backend(
     state: &state::State,
     head: &forwarding::RequestHead,
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::{Semaphore, mpsc, watch};
 
-use crate::{codes, errors, identity, limits, links, names, tls};
+use crate::{codes, errors, identity, limits, links, names, pacer, tls};
 
 /// How long [`Endpoint::close`] waits for its last packets to be sent.
 const CLOSE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -32,6 +32,7 @@
     /// Counts the active streams: each of them holds a receiver of the channel.
     active_streams: sync::Arc<watch::Sender<()>>,
     accepting: watch::Sender<bool>,
+    pacer: sync::Arc<pacer::Pacer>,
 }
 
 impl Endpoint {
@@ -58,12 +59,14 @@
             incoming: tokio::sync::Mutex::new(receiver),
             active_streams: sync::Arc::new(watch::channel(()).0),
             accepting: watch::channel(true).0,
+            pacer: sync::Arc::new(pacer::Pacer::new(limits.link_rate)),
         };
         let acceptor = Acceptor {
             quic: shared.quic.clone(),
             limits,
             active_streams: shared.active_streams.clone(),
             links: sender,
+            pacer: sync::Arc::clone(&shared.pacer),
             handshakes: sync::Arc::new(Semaphore::new(limits.max_handshakes)),
         };
         tokio::spawn(acceptor.run(shared.accepting.subscribe()));
@@ -107,7 +110,8 @@
             Err(_) => return Err(errors::Error::TimedOut),
         };
         let active_streams = self.shared.active_streams.clone();
-        let link = links::Link::new(connection, self.shared.limits, active_streams)?;
+        let link =
+            links::Link::new(connection, self.shared.limits, active_streams, &self.shared.pacer)?;
         if link.host() == host {
             return Ok(link);
         }
@@ -115,6 +119,11 @@
         Err(errors::Error::WrongHost { expected: host.into(), found: link.host().into() })
     }
 
+    /// How long a message to a node would wait now for the host's network link.
+    pub fn backlog(&self) -> time::Duration {
+        self.shared.pacer.backlog()
+    }
+
     /// Waits for the next link from a peer whose handshake is complete. Returns `None` after the
     /// endpoint was closed.
     pub async fn accept(&self) -> Option<links::Link> {
@@ -161,6 +170,7 @@
     limits: limits::Limits,
     active_streams: sync::Arc<watch::Sender<()>>,
     links: mpsc::Sender<links::Link>,
+    pacer: sync::Arc<pacer::Pacer>,
     handshakes: sync::Arc<Semaphore>,
 }
 
@@ -191,7 +201,12 @@
             return incoming.refuse();
         };
         let addr = incoming.remote_address();
-        let handshake = accept_link(incoming, self.limits, self.active_streams.clone());
+        let handshake = accept_link(
+            incoming,
+            self.limits,
+            self.active_streams.clone(),
+            sync::Arc::clone(&self.pacer),
+        );
         let links = self.links.clone();
         tokio::spawn(async move {
             match handshake.await {
@@ -207,12 +222,13 @@
     incoming: quinn::Incoming,
     limits: limits::Limits,
     active_streams: sync::Arc<watch::Sender<()>>,
+    pacer: sync::Arc<pacer::Pacer>,
 ) -> errors::Result<links::Link> {
     let connecting = incoming.accept().map_err(errors::Error::Handshake)?;
     match tokio::time::timeout(limits.handshake_timeout, connecting).await {
         Ok(result) => {
             let connection = result.map_err(errors::Error::Handshake)?;
-            links::Link::new(connection, limits, active_streams)
+            links::Link::new(connection, limits, active_streams, &pacer)
         }
         Err(_) => Err(errors::Error::TimedOut),
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod links;
 mod names;
+pub mod pacer;
 pub mod pool;
 pub mod serving;
 pub mod streams;
--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -35,6 +35,9 @@
     pub max_partial: usize,
     /// The most incoming handshakes that are in progress, or complete and not yet accepted.
     pub max_handshakes: usize,
+    /// The rate of the host's network link in bytes per second, to which messages between nodes are
+    /// paced; none if it is not known.
+    pub link_rate: Option<u64>,
     /// The most open links of the endpoint. Further incoming links are refused.
     pub max_links: usize,
 }
@@ -59,6 +62,7 @@
             // A control serves about 1,140 nodes, plus those of another data centre as a fallback
             // control.
             max_links: 4_096,
+            link_rate: None,
         }
     }
 }
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use world::hosts;
 
-use crate::{codes, errors, identity, limits, streams, tls};
+use crate::{codes, errors, identity, limits, pacer, streams, tls};
 
 /// A connection to a peer. Clones share it. It closes when the last clone and the last of its
 /// streams are dropped.
@@ -37,6 +37,7 @@
     limits: limits::Limits,
     /// Counts the active streams of the endpoint by the channel's receivers.
     active_streams: sync::Arc<watch::Sender<()>>,
+    pacer: pacer::LinkPacer,
 }
 
 impl Traffic {
@@ -64,11 +65,13 @@
         connection: quinn::Connection,
         limits: limits::Limits,
         active_streams: sync::Arc<watch::Sender<()>>,
+        pacer: &sync::Arc<pacer::Pacer>,
     ) -> errors::Result<Link> {
         let peer = tls::verified_peer(&connection).inspect_err(|_| {
             connection.close(codes::Code::Identity.value(), b"no host and role in certificate");
         })?;
-        let shared = Shared { peer, partial: sync::Arc::default(), limits, active_streams };
+        let pacer = (peer.role == hosts::Role::Node).then(|| sync::Arc::clone(pacer));
+        let shared = Shared { peer, partial: sync::Arc::default(), limits, active_streams, pacer };
         Ok(Link { connection, shared: sync::Arc::new(shared) })
     }
 
@@ -150,7 +153,7 @@
         let limit = self.shared.limits.max_partial;
         let connection = self.connection.clone();
         let receiver = streams::Receiver::new(recv, connection, total, limit, active.clone());
-        (streams::Sender::new(send, active), receiver)
+        (streams::Sender::new(send, active, self.shared.pacer.clone()), receiver)
     }
 }
 
--- a/crates/transport/src/streams.rs
+++ b/crates/transport/src/streams.rs
@@ -9,7 +9,7 @@
 use serde::{Serialize, de};
 use tokio::sync::watch;
 
-use crate::{codec, codes, errors};
+use crate::{codec, codes, errors, pacer};
 
 /// The most bytes that one call of [`Receiver::recv_bytes`] returns.
 const MAX_CHUNK: usize = 64 * 1024;
@@ -22,6 +22,7 @@
     stream: quinn::SendStream,
     state: State,
     guard: ActiveGuard,
+    pacer: pacer::LinkPacer,
 }
 
 /// The receiving direction of a stream. Dropping it asks the sender to stop.
@@ -55,8 +56,12 @@
 }
 
 impl Sender {
-    pub(crate) fn new(stream: quinn::SendStream, guard: ActiveGuard) -> Sender {
-        Sender { stream, state: State::Open, guard }
+    pub(crate) fn new(
+        stream: quinn::SendStream,
+        guard: ActiveGuard,
+        pacer: pacer::LinkPacer,
+    ) -> Sender {
+        Sender { stream, state: State::Open, guard, pacer }
     }
 
     /// Sends a message, waiting while the receiver's window is full.
@@ -70,16 +75,28 @@
 
     /// Sends raw bytes, which the peer reads with [`Receiver::recv_bytes`]. No message may follow
     /// them. A dropped or failed future has the same effect as for [`Sender::send`].
-    pub async fn send_bytes(&mut self, bytes: Bytes) -> errors::Result<()> {
+    pub async fn send_bytes(&mut self, mut bytes: Bytes) -> errors::Result<()> {
         if self.state != State::Open {
             return Err(errors::Error::Partial);
         }
         self.state = State::Writing;
-        self.stream.write_chunk(bytes).await?;
+        while bytes.len() > pacer::PIECE_BYTES && self.pacer.is_some() {
+            let piece = bytes.split_to(pacer::PIECE_BYTES);
+            self.write(piece).await?;
+        }
+        self.write(bytes).await?;
         self.state = State::Open;
         Ok(())
     }
 
+    /// Writes a piece when the host's network link has room for it.
+    async fn write(&mut self, bytes: Bytes) -> errors::Result<()> {
+        if let Some(pacer) = &self.pacer {
+            pacer.pace(bytes.len()).await;
+        }
+        Ok(self.stream.write_chunk(bytes).await?)
+    }
+
     /// Ends the stream as complete. If an earlier write was dropped or has failed, it resets the
     /// stream and fails with [`errors::Error::Partial`].
     pub fn finish(mut self) -> errors::Result<()> {
--- /dev/null
+++ b/crates/transport/tests/pacing.rs
@@ -0,0 +1,103 @@
+//! The queue of messages for a host's network link.
+
+use std::{net, time};
+
+use bytes::Bytes;
+use transport::{endpoint, identity, limits, links};
+use world::hosts;
+
+/// 1.75 Mbit/s, in bytes per second.
+const LINK_RATE: u64 = 218_750;
+/// Longer than any step takes, also on a busy machine.
+const TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+fn bind(authority: &identity::Authority, host: &str, rate: Option<u64>) -> endpoint::Endpoint {
+    let identity = authority.issue(host, hosts::Role::Node).expect("issues");
+    let limits = limits::Limits { link_rate: rate, ..limits::Limits::default() };
+    let addr = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    endpoint::Endpoint::bind(addr, &identity, limits).expect("binds")
+}
+
+/// Links from one endpoint to `count` others, whose streams are read.
+async fn links(sender: &endpoint::Endpoint, count: usize) -> Vec<links::Link> {
+    let authority = identity::Authority::from_secret("pacing").expect("derives");
+    let mut links = Vec::new();
+    for index in 0..count {
+        let host = format!("jugla-{index}");
+        let peer = bind(&authority, &host, None);
+        let addr = peer.local_addr().expect("bound");
+        tokio::spawn(transport::serving::serve(peer, |_, _sender, mut receiver| async move {
+            while let Ok(Some(_)) = receiver.recv_bytes().await {}
+        }));
+        links.push(sender.connect(addr, &host).await.expect("connects"));
+    }
+    links
+}
+
+/// Sends a message of `bytes` over each link at the same time, and returns how long it took.
+async fn send_all(links: &[links::Link], bytes: usize) -> time::Duration {
+    let started_at = time::Instant::now();
+    let mut sends = tokio::task::JoinSet::new();
+    for link in links {
+        let link = link.clone();
+        sends.spawn(async move {
+            let (mut sender, _receiver) = link.open_stream().await.expect("opens");
+            sender.send_bytes(Bytes::from(vec![0; bytes])).await.expect("sends");
+            sender.finish().expect("finishes");
+        });
+    }
+    tokio::time::timeout(TIMEOUT, async { while sends.join_next().await.is_some() {} })
+        .await
+        .expect("in time");
+    started_at.elapsed()
+}
+
+/// Guards against answers over many links that together exceed the rate of the host's network link:
+/// most packets were lost and sent again, and the host counted as silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_links_exceed_the_network_link() {
+    let authority = identity::Authority::from_secret("pacing").expect("derives");
+    let sender = bind(&authority, "skulte-1", Some(LINK_RATE));
+    let links = links(&sender, 20).await;
+    let took = send_all(&links, 5_000).await;
+    // 100,000 bytes at 70% of the rate, less what may be sent at once.
+    assert!(took >= time::Duration::from_millis(550), "{took:?}");
+}
+
+/// Guards against requests that are refused or delayed on hosts whose link has room.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn messages_wait_without_a_backlog() {
+    let authority = identity::Authority::from_secret("pacing").expect("derives");
+    let unlimited = bind(&authority, "skulte-1", None);
+    send_all(&links(&unlimited, 4).await, 500_000).await;
+    assert_eq!(unlimited.backlog(), time::Duration::ZERO);
+    let sender = bind(&authority, "skulte-2", Some(LINK_RATE));
+    let links = links(&sender, 1).await;
+    send_all(&links, 1_000).await;
+    assert!(sender.backlog() <= time::Duration::from_millis(10), "{:?}", sender.backlog());
+}
+
+/// Guards against a queue that stays long after the requests in it were cancelled, so that the node
+/// goes on refusing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancelled_messages_keep_their_place() {
+    let authority = identity::Authority::from_secret("pacing").expect("derives");
+    let sender = bind(&authority, "skulte-1", Some(LINK_RATE));
+    let links = links(&sender, 1).await;
+    let mut sends = tokio::task::JoinSet::new();
+    for _ in 0..200 {
+        let link = links[0].clone();
+        sends.spawn(async move {
+            let (mut sender, _receiver) = link.open_stream().await.expect("opens");
+            // The task is aborted while it waits.
+            let _ = sender.send_bytes(Bytes::from(vec![0; 4_000])).await;
+        });
+    }
+    let started_at = time::Instant::now();
+    while sender.backlog() < time::Duration::from_secs(2) {
+        assert!(started_at.elapsed() < TIMEOUT, "the queue does not grow");
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    sends.shutdown().await;
+    assert!(sender.backlog() <= time::Duration::from_millis(200), "{:?}", sender.backlog());
+}
