Take a control for slow until its answers have shown otherwise

The limit on a control's silence followed from acknowledgements alone, and a node that has just attached has seen one or none.

--- a/crates/distribution/src/attach.rs
+++ b/crates/distribution/src/attach.rs
@@ -19,6 +19,9 @@
 /// How many times longer than usual an acknowledgement must take before the node tries another
 /// control: on a full link they are all late.
 pub const SUSPICION_FACTOR: u32 = 4;
+/// How long the acknowledgements of a control that has just been attached to are taken to need. It is
+/// long because a control is slow while its fleet starts, and falls with each acknowledgement.
+pub const INITIAL_ACK_DELAY: time::Duration = time::Duration::from_millis(500);
 /// How long an attempt to attach may take. An attempt during a partition hangs because its packets
 /// are dropped, and must not delay the next one for long after the partition ends.
 pub const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
--- a/crates/distribution/src/sessions.rs
+++ b/crates/distribution/src/sessions.rs
@@ -147,6 +147,7 @@
             effects.push(Effect::Close(previous));
         }
         self.unacknowledged = [asked].into();
+        self.ack_delay = self.ack_delay.max(attach::INITIAL_ACK_DELAY);
         self.drop_pending();
         self.ask_at = None;
         self.peer_request = None;
