Answer a claimed request before its deadline when the controls are slow

Callers saw: POST requests whose backend server had answered at once got no answer until up to 5 s later, long after their deadline.

Cause: the node waited for a control to confirm the stored answer before it passed the answer on, for up to SETTLE_TIMEOUT (5 s), whatever the deadline.

The node now waits for the confirmation at most half of the time that is left, and the answer is stored in the background as before.

--- a/crates/heatherwalk/tests/requests/faults.rs
+++ b/crates/heatherwalk/tests/requests/faults.rs
@@ -258,6 +258,32 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Guards against an answer that waits for the control to store it until after its deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_answer_is_not_held_by_a_slow_control() {
+    let limit = json!({"timeout_ms": 60_000});
+    let mut mesh = mesh::Mesh::spawn(1, mesh::document(&[("logs", json!({}), limit)])).await;
+    let relay = Arc::new(relay::Relay::spawn(mesh.listen).await);
+    let node = mesh.add_node(relay.addr).await;
+    let slowed = Arc::clone(&relay);
+    let handle = move |head: &str, _: &[u8]| {
+        if head.starts_with("POST") {
+            // The claim is granted by now. Its completion takes longer than the deadline.
+            slowed.delay(time::Duration::from_secs(60));
+        }
+        servers::Action::Send(servers::answer("200 OK", "", BODY))
+    };
+    let server = servers::Server::spawn(mesh.announce(node), "logs", 512, handle).await;
+    mesh.ready(node, &["logs"]).await;
+    let request = callers::post("/logs/1", "a").with("heatherwalk-deadline-ms", "2000");
+    let started = tokio::time::Instant::now();
+    let reply = callers::send(mesh.callers(node), request).await;
+    let elapsed = started.elapsed();
+    assert_eq!((reply.status, reply.text().as_bytes()), (200, BODY), "{reply}");
+    assert!(elapsed < time::Duration::from_secs(2), "answered after {elapsed:?}");
+    assert_eq!(server.counts.runs(), 1);
+}
+
 /// Guards against a request that waits in the queue for a slot until its deadline and is then
 /// reported as one that may have run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -408,7 +408,7 @@
             reservation.return_unused(answered.node_status.attempts).await;
             match claim {
                 None => Ok(Reply::Streamed(Box::new(answered))),
-                Some(claim) => store_answer(state, claim, answered).await,
+                Some(claim) => store_answer(state, claim, answered, deadline).await,
             }
         }
         Err(failed) => {
@@ -424,11 +424,13 @@
 }
 
 /// Stores an answer for resends before the caller gets it. An answer that is too large is streamed
-/// to the caller and stored without its body.
+/// to the caller and stored without its body. When the controls are slow to confirm, the caller gets
+/// the answer before its deadline all the same, and the answer is stored in the background.
 async fn store_answer(
     state: &sync::Arc<state::State>,
     claim: claiming::Claim,
     answered: sending::Answered,
+    deadline: time::Time,
 ) -> refusals::Result<Reply> {
     let sending::Answered { status, mut headers, body: source, node_status } = answered;
     headers::remove_reserved(&mut headers, state.settings.dialect.reserved);
@@ -450,10 +452,13 @@
     // A task of its own, so that the answer is stored also when the caller leaves meanwhile.
     let shared = sync::Arc::clone(state);
     let stored = tokio::spawn(async move { claiming::complete(&shared, &claim, answer).await });
-    if !stored.await.unwrap_or(false) {
+    // The other half of the time is left for the way to the caller.
+    let limit = deadline.since(state.now()) / 2;
+    let confirmed = tokio::time::timeout(limit, stored).await;
+    if !matches!(confirmed, Ok(Ok(true))) {
         log::warn!(
-            "no control confirmed the stored answer of a claimed request; resends may be told that \
-             its outcome is unknown"
+            "no control has yet confirmed the stored answer of a claimed request; resends may be \
+             told that its outcome is unknown"
         );
     }
     if collected == Collected::TooLarge {
