Add the setting [node] advertise for a node behind a relay

A node told others the address that it had bound, so that nothing could be put between two nodes. With [node] advertise it tells them another one; a control is already listed by the address in its section.

--- a/crates/heatherwalk/src/dev.rs
+++ b/crates/heatherwalk/src/dev.rs
@@ -185,6 +185,7 @@
         me,
         callers: ports.take(),
         announce: ports.take(),
+        advertise: None,
         ready: None,
         dialect: node::dialect::OWN,
         service: "".into(),
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -286,6 +286,7 @@
 ) -> Option<node::settings::Settings> {
     let callers = reader.required("node", "callers", ADDR, parse_addr);
     let announce = reader.required("node", "announce", ADDR, parse_addr);
+    let advertise = reader.optional("node", "advertise", ADDR, None, |it| parse_addr(it).map(Some));
     let ready = reader.optional("node", "ready", ADDR, None, |it| parse_addr(it).map(Some));
     let names = dialects::NODE.map(|it| it.name).join(" or ");
     let dialect = reader.optional("node", "dialect", &names, node::dialect::OWN, |text| {
@@ -319,6 +320,7 @@
     Some(node::settings::Settings {
         mesh,
         me,
+        advertise,
         callers: callers?,
         announce: announce?,
         ready,
--- a/crates/heatherwalk/tests/contracts/mesh.rs
+++ b/crates/heatherwalk/tests/contracts/mesh.rs
@@ -63,6 +63,7 @@
             me,
             callers: loopback(),
             announce: loopback(),
+            advertise: None,
             ready: None,
             dialect: node::dialect::OWN,
             service: "".into(),
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -105,6 +105,7 @@
             me,
             callers: loopback(),
             announce: loopback(),
+            advertise: None,
             ready: None,
             dialect: node::dialect::OWN,
             service: "".into(),
--- a/crates/heatherwalk/tests/settings.rs
+++ b/crates/heatherwalk/tests/settings.rs
@@ -21,6 +21,7 @@
 [node]
 callers = 127.0.0.1:8101
 announce = 127.0.0.1:8201
+advertise = 127.0.0.1:7301
 
 [control.skulte-c]
 region = vidzeme
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -14,6 +14,9 @@
     pub mesh: mesh::Mesh,
     /// This node's host, which `mesh` must contain.
     pub me: hosts::HostKey,
+    /// The address at which other processes reach this node; none if it is the address of its host,
+    /// on which the node listens. The two differ behind a relay.
+    pub advertise: Option<net::SocketAddr>,
     /// The address for callers' HTTP requests.
     pub callers: net::SocketAddr,
     /// The address for announcements of the backend server of this host.
@@ -47,8 +50,10 @@
 }
 
 impl Settings {
-    /// Replaces this host's address in `mesh` by the one that was bound.
-    pub(crate) fn set_listen_addr(&mut self, addr: net::SocketAddr) {
+    /// Replaces this host's address in `mesh`, by which other processes will know it: the one that
+    /// is advertised, or else `bound`.
+    pub(crate) fn set_listen_addr(&mut self, bound: net::SocketAddr) {
+        let addr = self.advertise.unwrap_or(bound);
         if let Some(host) = self.mesh.host(self.me) {
             let host = hosts::Host { addr, ..host.clone() };
             self.mesh.put_host(host);
