Add a randomized fault soak of real processes

cargo xtask soak runs the heatherwalk binary as separate processes on loopback behind UDP and TCP relays, injects the faults of a schedule that is a pure function of the seed, and checks what callers, backend servers and operators see.

--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -5,7 +5,7 @@
 mod admission;
 mod distribution;
 mod footprint;
-mod processes;
+pub(crate) mod processes;
 mod routing;
 
 /// Run a bench and print its results.
--- a/xtask/src/bench/processes.rs
+++ b/xtask/src/bench/processes.rs
@@ -82,6 +82,21 @@
 }
 
 impl Process {
+    /// Starts a process.
+    pub(crate) fn spawn(mut command: process::Command) -> io::Result<Process> {
+        command.spawn().map(Process)
+    }
+
+    /// The process, which has not been waited for unless [`Process::try_wait`] returned a status.
+    pub(crate) fn child(&self) -> &process::Child {
+        &self.0
+    }
+
+    /// The status of the process if it has ended.
+    pub(crate) fn try_wait(&mut self) -> io::Result<Option<process::ExitStatus>> {
+        self.0.try_wait()
+    }
+
     /// Reads CPU time and memory from `/proc`.
     pub(crate) fn usage(&self) -> eyre::Result<Usage> {
         let id = self.0.id();
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,7 +1,8 @@
-//! Development tasks: running the tests except the known failures, and running the benches.
+//! Development tasks: running the tests except the known failures, the benches and the fault soak.
 
 mod bench;
 mod known_red;
+mod soak;
 
 use std::process;
 
@@ -18,6 +19,7 @@
 #[argh(subcommand)]
 enum Task {
     Bench(bench::Args),
+    Soak(soak::Args),
     Test(TestArgs),
 }
 
@@ -30,6 +32,7 @@
     let args: Args = argh::from_env();
     match args.task {
         Task::Bench(args) => bench::run(&args),
+        Task::Soak(args) => soak::run(&args),
         Task::Test(TestArgs {}) => run_tests(),
     }
 }
--- /dev/null
+++ b/xtask/src/soak/callers.rs
@@ -0,0 +1,331 @@
+//! Callers: each uses its connection until the connection ends, and checks each answer.
+
+use std::{sync, sync::atomic, time};
+
+use rand::{Rng as _, SeedableRng as _, rngs};
+
+use super::{backends, connection, history, history::Cause, host_set, ledger, settings, tcp_relay};
+
+/// How much later than its deadline an answer may come, on a machine that is busy with other work.
+/// Times in which a fault held the node or its callers' connections are added.
+const SLACK: time::Duration = time::Duration::from_millis(1_500);
+/// How long before its process was signalled to end a request must have been sent, so that the node
+/// has certainly read it.
+const READ_TIME: time::Duration = time::Duration::from_millis(500);
+/// The pause before a new connection.
+const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// The most sends of one non-idempotent request.
+const MAX_SENDS: u32 = 3;
+/// The deadlines of requests, in milliseconds.
+const DEADLINES: [u64; 3] = [600, 1_500, 4_000];
+/// Reasons for which no request of these callers may be refused.
+const IMPOSSIBLE_REASONS: [&str; 10] = [
+    "bad-body",
+    "bad-deadline",
+    "bad-first-sent",
+    "bad-key",
+    "bad-parent",
+    "key-mismatch",
+    "key-required",
+    "no-home",
+    "no-route",
+    "too-old",
+];
+
+/// What all callers share.
+#[derive(Clone)]
+pub(crate) struct Context {
+    /// The relays in front of the nodes' ports for callers.
+    pub(crate) relays: sync::Arc<Vec<sync::Arc<tcp_relay::Relay>>>,
+    pub(crate) history: sync::Arc<history::History>,
+    pub(crate) ledger: sync::Arc<ledger::Ledger>,
+    pub(crate) stopping: sync::Arc<atomic::AtomicBool>,
+    /// The longest time by which the soak itself was late, in microseconds.
+    pub(crate) lag_us: sync::Arc<atomic::AtomicU64>,
+}
+
+/// A caller.
+pub(crate) struct Caller {
+    context: Context,
+    rng: rngs::StdRng,
+    /// The node that it uses.
+    node: usize,
+    /// The first half of its requests' IDs.
+    prefix: u64,
+    requests: u64,
+}
+
+/// A request as its caller knows it.
+#[derive(Clone, Debug)]
+struct Request {
+    service: settings::Service,
+    work: backends::Work,
+    send: ledger::SendId,
+    idempotent: bool,
+    deadline: time::Duration,
+    /// The size of the request's body in bytes.
+    size: usize,
+}
+
+/// Why a connection is not used any longer.
+enum Ended {
+    /// The last answer said so.
+    Closed,
+    /// It broke, or no answer came.
+    Broken,
+}
+
+impl Request {
+    fn encode(&self) -> Vec<u8> {
+        let Request { service, work, send, idempotent, deadline, size } = self;
+        let path = work.path(*service);
+        let (method, key) = match idempotent {
+            true => ("GET", String::new()),
+            false => ("POST", format!("idempotency-key: {}\r\n", work.id.0)),
+        };
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: soak\r\nheatherwalk-deadline-ms: {}\r\n\
+             {}: {}\r\ncontent-length: {size}\r\n{key}\r\n",
+            deadline.as_millis(),
+            backends::RESEND,
+            send.resend,
+        );
+        let mut bytes = head.into_bytes();
+        bytes.resize(bytes.len() + size, b'+');
+        bytes
+    }
+}
+
+impl Caller {
+    /// A caller of `node`, the `index`-th of all.
+    pub(crate) fn new(context: Context, seed: u64, index: u64, node: usize) -> Caller {
+        let rng = rngs::StdRng::seed_from_u64(seed.wrapping_add(index << 32));
+        Caller { context, rng, node, prefix: (index + 1) * 1_000_000, requests: 0 }
+    }
+
+    /// Sends requests until the callers are told to stop.
+    pub(crate) async fn run(mut self) {
+        while !self.is_stopping() {
+            let addr = self.context.relays[self.node].addr();
+            if let Ok(connection) = connection::Connection::open(addr).await {
+                let _ = self.use_connection(connection).await;
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.context.stopping.load(atomic::Ordering::Relaxed)
+    }
+
+    fn host(&self) -> host_set::HostId {
+        host_set::HostId(host_set::CONTROLS + self.node)
+    }
+
+    async fn use_connection(
+        &mut self,
+        mut connection: connection::Connection,
+    ) -> Result<(), Ended> {
+        while !self.is_stopping() {
+            if self.rng.random_ratio(1, 4) {
+                connection = self.send_once(connection).await?;
+            } else {
+                let count = if self.rng.random_ratio(1, 3) { 4 } else { 1 };
+                let requests: Vec<_> = (0..count).map(|_| self.next_request(true)).collect();
+                self.exchange(&mut connection, &requests).await?;
+            }
+            let pause = self.rng.random_range(10..120);
+            tokio::time::sleep(time::Duration::from_millis(pause)).await;
+        }
+        Ok(())
+    }
+
+    /// Sends a non-idempotent request, and sends it again on a new connection, perhaps to another
+    /// node, as long as it is not answered by a backend server. Returns the connection to go on
+    /// with.
+    async fn send_once(
+        &mut self,
+        mut connection: connection::Connection,
+    ) -> Result<connection::Connection, Ended> {
+        let mut request = self.next_request(false);
+        self.context.ledger.record_once(request.work.id);
+        loop {
+            let result = self.exchange(&mut connection, std::slice::from_ref(&request)).await;
+            let served = matches!(result, Ok(true));
+            if served || request.send.resend + 1 >= MAX_SENDS || self.is_stopping() {
+                return result.map(|_| connection);
+            }
+            if self.rng.random_ratio(1, 2) {
+                self.node = self.rng.random_range(0..self.context.relays.len());
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+            let addr = self.context.relays[self.node].addr();
+            connection = connection::Connection::open(addr).await.map_err(|_| Ended::Broken)?;
+            request.send.resend += 1;
+        }
+    }
+
+    fn next_request(&mut self, idempotent: bool) -> Request {
+        self.requests += 1;
+        let rng = &mut self.rng;
+        let id = ledger::WorkId(self.prefix + self.requests);
+        let service = settings::SERVICES[rng.random_range(0..settings::SERVICES.len())];
+        let size = match rng.random_range(0..20) {
+            0 => rng.random_range(50_000..200_000),
+            1..4 => rng.random_range(2_000..20_000),
+            _ => rng.random_range(10..500),
+        };
+        let duration = match rng.random_range(0..10) {
+            0 => rng.random_range(50..300),
+            _ => rng.random_range(0..15),
+        };
+        let deadline = DEADLINES[rng.random_range(0..DEADLINES.len())];
+        let body = if rng.random_ratio(1, 10) { rng.random_range(0..30_000) } else { 0 };
+        Request {
+            service,
+            work: backends::Work { id, size, duration: time::Duration::from_millis(duration) },
+            send: ledger::SendId { work: id, resend: 0 },
+            idempotent,
+            deadline: time::Duration::from_millis(deadline),
+            size: if idempotent { 0 } else { body },
+        }
+    }
+
+    /// Sends requests at once and reads their answers in order. Returns whether the last one was
+    /// answered by a backend server.
+    async fn exchange(
+        &self,
+        connection: &mut connection::Connection,
+        requests: &[Request],
+    ) -> Result<bool, Ended> {
+        let sent_at = time::Instant::now();
+        let bytes: Vec<u8> = requests.iter().flat_map(Request::encode).collect();
+        // A failure shows when the answer is read.
+        let _ = connection.send(&bytes).await;
+        let mut limit = SLACK;
+        // When all earlier requests of the connection had their answers.
+        let mut first_at = sent_at;
+        let mut served = false;
+        for (index, request) in requests.iter().enumerate() {
+            limit += request.deadline;
+            let result = self.read(connection, sent_at, limit).await;
+            let result = match result {
+                Some(it) => it,
+                None => {
+                    self.violate(request, &format!("no answer within {limit:?} of its send"));
+                    self.context.ledger.count(|it| it.broken += 1);
+                    return Err(Ended::Broken);
+                }
+            };
+            let answer = match result {
+                Ok(it) => it,
+                Err(err) => {
+                    self.check_break(request, &err, sent_at, first_at);
+                    self.context.ledger.count(|it| it.broken += 1);
+                    return Err(Ended::Broken);
+                }
+            };
+            served = self.check_answer(request, &answer);
+            first_at = time::Instant::now();
+            if answer.last {
+                // The rest was not read; it may be sent again.
+                let unread = u64::try_from(requests.len() - index - 1).unwrap_or_default();
+                self.context.ledger.count(|it| it.broken += unread);
+                return if served { Ok(true) } else { Err(Ended::Closed) };
+            }
+        }
+        Ok(served)
+    }
+
+    /// Reads an answer; none if it does not come within `limit` of `sent_at`, which is extended by
+    /// the time in which a fault held the node or the connection.
+    async fn read(
+        &self,
+        connection: &mut connection::Connection,
+        sent_at: time::Instant,
+        limit: time::Duration,
+    ) -> Option<connection::Result<connection::Answer>> {
+        let mut reading = std::pin::pin!(connection.read());
+        loop {
+            let lag = self.context.lag_us.load(atomic::Ordering::Relaxed);
+            let held = self.context.history.held(self.host(), sent_at);
+            let until = sent_at + limit + held + time::Duration::from_micros(lag);
+            if until <= time::Instant::now() {
+                return None;
+            }
+            if let Ok(it) = tokio::time::timeout_at(until.into(), &mut reading).await {
+                return Some(it);
+            }
+        }
+    }
+
+    /// Checks an answer. Returns whether a backend server gave it.
+    fn check_answer(&self, request: &Request, answer: &connection::Answer) -> bool {
+        let ledger = &self.context.ledger;
+        if answer.not_run {
+            ledger.record_not_run(request.send);
+            ledger.count(|it| it.refused += 1);
+            if IMPOSSIBLE_REASONS.contains(&answer.reason.as_str()) {
+                self.violate(request, &format!("refused as {}", answer.reason));
+            }
+            return false;
+        }
+        if answer.status != 200 {
+            ledger.count(|it| it.failed += 1);
+            let explained = answer.unknown && !answer.reason.is_empty();
+            if !explained {
+                self.violate(request, &format!("an answer that no page lists: {answer:?}"));
+            }
+            return false;
+        }
+        ledger.count(|it| it.served += 1);
+        if !answer.stored_cut && answer.body != request.work.answer(request.service) {
+            let start = String::from_utf8_lossy(&answer.body[..answer.body.len().min(100)]);
+            let length = answer.body.len();
+            self.violate(request, &format!("another answer, of {length} bytes: {start}"));
+        }
+        true
+    }
+
+    /// Checks that a fault explains a broken connection.
+    fn check_break(
+        &self,
+        request: &Request,
+        error: &connection::Error,
+        sent_at: time::Instant,
+        first_at: time::Instant,
+    ) {
+        let history = &self.context.history;
+        let host = self.host();
+        let hosts = host_set::HostSet::from(host);
+        let killed = history.was(Cause::Kill, hosts, sent_at);
+        let reset = history.was(Cause::CallerLink, hosts, sent_at);
+        // The process was told to end, or was not there, before it can have read the request.
+        let unread = history.down_since(host, sent_at).is_some_and(|it| it < first_at + READ_TIME);
+        let cut = matches!(error, connection::Error::Cut { .. })
+            && history
+                .was_anywhere(&[Cause::Backend, Cause::Kill, Cause::Link, Cause::Pause], sent_at);
+        if !(killed || reset || unread || cut) {
+            self.violate(request, &format!("its connection broke without a fault: {error}"));
+        }
+    }
+
+    fn violate(&self, request: &Request, text: &str) {
+        let method = if request.idempotent { "GET" } else { "POST" };
+        let path = request.work.path(request.service);
+        let host = self.host();
+        self.context.history.violate(format!("{method} {path} to {host}: {text}"));
+    }
+}
+
+/// Records by how much the soak itself is late, until it is dropped.
+pub(crate) async fn measure_lag(lag_us: sync::Arc<atomic::AtomicU64>) {
+    let pause = time::Duration::from_millis(20);
+    loop {
+        let started = time::Instant::now();
+        tokio::time::sleep(pause).await;
+        let late = started.elapsed().saturating_sub(pause).as_micros();
+        let late = u64::try_from(late).unwrap_or(u64::MAX);
+        lag_us.fetch_max(late, atomic::Ordering::Relaxed);
+    }
+}
