--- a/xtask/src/soak/callers.rs
+++ b/xtask/src/soak/callers.rs
@@ -202,12 +202,11 @@
         let bytes: Vec<u8> = requests.iter().flat_map(Request::encode).collect();
         // A failure shows when the answer is read.
         let _ = connection.send(&bytes).await;
-        let mut limit = SLACK;
-        // When all earlier requests of the connection had their answers.
-        let mut first_at = sent_at;
+        let mut limit = time::Duration::ZERO;
         let mut served = false;
         for (index, request) in requests.iter().enumerate() {
-            limit += request.deadline;
+            // An answer waits for those before it, which the node makes at the same time.
+            limit = limit.max(request.deadline + SLACK);
             let result = self.read(connection, sent_at, limit).await;
             let result = match result {
                 Some(it) => it,
@@ -220,13 +219,12 @@
             let answer = match result {
                 Ok(it) => it,
                 Err(err) => {
-                    self.check_break(request, &err, sent_at, first_at);
+                    self.check_break(request, &err, connection.alive_at(), sent_at);
                     self.context.ledger.count(|it| it.broken += 1);
                     return Err(Ended::Broken);
                 }
             };
             served = self.check_answer(request, &answer);
-            first_at = time::Instant::now();
             if answer.last {
                 // The rest was not read; it may be sent again.
                 let unread = u64::try_from(requests.len() - index - 1).unwrap_or_default();
@@ -287,25 +285,28 @@
         true
     }
 
-    /// Checks that a fault explains a broken connection.
+    /// Checks that a fault explains a connection that broke after `alive_at`.
     fn check_break(
         &self,
         request: &Request,
         error: &connection::Error,
+        alive_at: time::Instant,
         sent_at: time::Instant,
-        first_at: time::Instant,
     ) {
         let history = &self.context.history;
         let host = self.host();
         let hosts = host_set::HostSet::from(host);
-        let killed = history.was(Cause::Kill, hosts, sent_at);
-        let reset = history.was(Cause::CallerLink, hosts, sent_at);
+        let killed = history.was(Cause::Kill, hosts, alive_at);
+        let reset = history.was(Cause::CallerLink, hosts, alive_at);
         // The process was told to end, or was not there, before it can have read the request.
-        let unread = history.down_since(host, sent_at).is_some_and(|it| it < first_at + READ_TIME);
-        let cut = matches!(error, connection::Error::Cut { .. })
-            && history
-                .was_anywhere(&[Cause::Backend, Cause::Kill, Cause::Link, Cause::Pause], sent_at);
-        if !(killed || reset || unread || cut) {
+        let read_at = sent_at + READ_TIME + history.held(host, sent_at);
+        let unread = history.down_since(host, alive_at).is_some_and(|it| it < read_at);
+        let cut = matches!(error, connection::Error::Cut { .. });
+        // A node cuts an answer that has begun when the deadline passes.
+        let late = cut && sent_at.elapsed() >= request.deadline;
+        let causes = [Cause::Backend, Cause::Kill, Cause::Link, Cause::Pause];
+        let disturbed = cut && history.was_anywhere(&causes, alive_at);
+        if !(killed || reset || unread || late || disturbed) {
             self.violate(request, &format!("its connection broke without a fault: {error}"));
         }
     }
--- a/xtask/src/soak/connection.rs
+++ b/xtask/src/soak/connection.rs
@@ -1,7 +1,7 @@
 //! A caller's connection: sends HTTP/1.1 requests, pipelined if the caller likes, and reads their
 //! answers.
 
-use std::{io, net, str};
+use std::{io, net, str, time};
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -50,6 +50,7 @@
     stream: TcpStream,
     /// Bytes received and not yet read.
     buffer: Vec<u8>,
+    alive_at: time::Instant,
 }
 
 enum Framing {
@@ -61,7 +62,12 @@
     pub(crate) async fn open(addr: net::SocketAddr) -> io::Result<Connection> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        Ok(Connection { stream, buffer: Vec::new() })
+        Ok(Connection { stream, buffer: Vec::new(), alive_at: time::Instant::now() })
+    }
+
+    /// When it was last known to be open: when it was opened, or its last answer was read.
+    pub(crate) fn alive_at(&self) -> time::Instant {
+        self.alive_at
     }
 
     pub(crate) async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
@@ -83,6 +89,7 @@
         };
         let status = answer.status;
         answer.body = body.map_err(|cause| Error::Cut { status, received, cause })?;
+        self.alive_at = time::Instant::now();
         Ok(answer)
     }
 
