--- a/xtask/src/soak/callers.rs
+++ b/xtask/src/soak/callers.rs
@@ -49,6 +49,8 @@
     context: Context,
     rng: rngs::StdRng,
     /// The node that it uses.
+    home: usize,
+    /// The node of its connection: another one than `home` for some resends.
     node: usize,
     /// The first half of its requests' IDs.
     prefix: u64,
@@ -67,13 +69,8 @@
     size: usize,
 }
 
-/// Why a connection is not used any longer.
-enum Ended {
-    /// The last answer said so.
-    Closed,
-    /// It broke, or no answer came.
-    Broken,
-}
+/// A connection that is not used any longer: it broke, no answer came, or the last answer said so.
+struct Ended;
 
 impl Request {
     fn encode(&self) -> Vec<u8> {
@@ -100,12 +97,13 @@
     /// A caller of `node`, the `index`-th of all.
     pub(crate) fn new(context: Context, seed: u64, index: u64, node: usize) -> Caller {
         let rng = rngs::StdRng::seed_from_u64(seed.wrapping_add(index << 32));
-        Caller { context, rng, node, prefix: (index + 1) * 1_000_000, requests: 0 }
+        Caller { context, rng, home: node, node, prefix: (index + 1) * 1_000_000, requests: 0 }
     }
 
     /// Sends requests until the callers are told to stop.
     pub(crate) async fn run(mut self) {
         while !self.is_stopping() {
+            self.node = self.home;
             let addr = self.context.relays[self.node].addr();
             if let Ok(connection) = connection::Connection::open(addr).await {
                 let _ = self.use_connection(connection).await;
@@ -153,14 +151,15 @@
             let result = self.exchange(&mut connection, std::slice::from_ref(&request)).await;
             let served = matches!(result, Ok(true));
             if served || request.send.resend + 1 >= MAX_SENDS || self.is_stopping() {
-                return result.map(|_| connection);
+                let at_home = self.node == self.home;
+                return result.and(if at_home { Ok(connection) } else { Err(Ended) });
             }
             if self.rng.random_ratio(1, 2) {
                 self.node = self.rng.random_range(0..self.context.relays.len());
             }
             tokio::time::sleep(RECONNECT_PAUSE).await;
             let addr = self.context.relays[self.node].addr();
-            connection = connection::Connection::open(addr).await.map_err(|_| Ended::Broken)?;
+            connection = connection::Connection::open(addr).await.map_err(|_| Ended)?;
             request.send.resend += 1;
         }
     }
@@ -213,7 +212,7 @@
                 None => {
                     self.violate(request, &format!("no answer within {limit:?} of its send"));
                     self.context.ledger.count(|it| it.broken += 1);
-                    return Err(Ended::Broken);
+                    return Err(Ended);
                 }
             };
             let answer = match result {
@@ -221,7 +220,7 @@
                 Err(err) => {
                     self.check_break(request, &err, connection.alive_at(), sent_at);
                     self.context.ledger.count(|it| it.broken += 1);
-                    return Err(Ended::Broken);
+                    return Err(Ended);
                 }
             };
             served = self.check_answer(request, &answer);
@@ -229,7 +228,7 @@
                 // The rest was not read; it may be sent again.
                 let unread = u64::try_from(requests.len() - index - 1).unwrap_or_default();
                 self.context.ledger.count(|it| it.broken += unread);
-                return if served { Ok(true) } else { Err(Ended::Closed) };
+                return if served { Ok(true) } else { Err(Ended) };
             }
         }
         Ok(served)
