--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -6,7 +6,7 @@
 mod distribution;
 mod footprint;
 mod links;
-mod processes;
+pub(crate) mod processes;
 mod routing;
 
 /// Run a bench and print its results.
