--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -286,6 +286,7 @@
 ) -> Option<node::settings::Settings> {
     let callers = reader.required("node", "callers", ADDR, parse_addr);
     let announce = reader.required("node", "announce", ADDR, parse_addr);
+    let advertise = reader.optional("node", "advertise", ADDR, None, |it| parse_addr(it).map(Some));
     let ready = reader.optional("node", "ready", ADDR, None, |it| parse_addr(it).map(Some));
     let names = dialects::NODE.map(|it| it.name).join(" or ");
     let dialect = reader.optional("node", "dialect", &names, node::dialect::OWN, |text| {
@@ -314,11 +315,14 @@
         routing::budget::RETRY_PERCENT,
         |it| parse_range(it, 0, 100),
     );
+    let link_rate = reader
+        .optional("node", "link-mbps", "0.01 to 1000000", None, |it| parse_link_rate(it).map(Some));
     let floor_tokens = reader.optional("node", "floor-tokens", "on or off", true, parse_switch);
     let Common { me, metrics, workers, stop_limit } = common?;
     Some(node::settings::Settings {
         mesh,
         me,
+        advertise,
         callers: callers?,
         announce: announce?,
         ready,
@@ -329,6 +333,7 @@
         policy,
         linger: time::Duration::from_millis(linger),
         retry_percent,
+        link_rate,
         metrics,
         workers,
         stop_limit,
@@ -434,6 +439,12 @@
     text.parse().ok().filter(|it| (low..=high).contains(it))
 }
 
+/// Reads a rate in Mbit/s and returns bytes per second.
+fn parse_link_rate(text: &str) -> Option<u64> {
+    let mbps = text.parse::<f64>().ok().filter(|it| (0.01..=1e6).contains(it))?;
+    Some((mbps * 1e6 / 8.0) as u64)
+}
+
 fn parse_votes(text: &str) -> Option<VoterGroups> {
     let mut groups = VoterGroups::default();
     for word in text.split_whitespace() {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -476,7 +476,8 @@
 }
 
 /// Stores an answer for resends before the caller gets it. An answer that is too large is streamed
-/// to the caller and stored without its body.
+/// to the caller and stored without its body. When the controls are slow to confirm, the caller gets
+/// the answer before its deadline all the same, and the answer is stored in the background.
 async fn store_answer(
     state: &sync::Arc<state::State>,
     claim: claiming::Claim,
@@ -507,10 +508,13 @@
     // A task of its own, so that the answer is stored also when the caller leaves meanwhile.
     let shared = sync::Arc::clone(state);
     let stored = tokio::spawn(async move { claiming::complete(&shared, &claim, answer).await });
-    if !stored.await.unwrap_or(false) {
+    // The other half of the time is left for the way to the caller.
+    let limit = deadline.since(state.now()) / 2;
+    let confirmed = tokio::time::timeout(limit, stored).await;
+    if !matches!(confirmed, Ok(Ok(true))) {
         log::warn!(
-            "no control confirmed the stored answer of a claimed request; resends may be told that \
-             its outcome is unknown"
+            "no control has yet confirmed the stored answer of a claimed request; resends may be \
+             told that its outcome is unknown"
         );
     }
     if collected == Collected::TooLarge {
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -20,6 +20,10 @@
 const MIN_ADMISSION_INTERVAL: std_time::Duration = std_time::Duration::from_millis(5);
 /// How often a planned stop checks whether requests are in flight.
 const STOP_CHECK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(20);
+/// Most handshakes that other nodes may have in progress with a node. A refused node tries again
+/// with a growing delay. Without the limit, a target that many nodes connect to at the same time
+/// answers so slowly that their handshakes time out and are repeated.
+const MAX_HANDSHAKES: usize = 16;
 /// Longest time that a stop waits for other nodes to receive the last answers. An unreachable node
 /// receives none and would otherwise delay the stop up to its limit.
 const MAX_CLOSE_TIME: std_time::Duration = std_time::Duration::from_millis(500);
@@ -61,7 +65,11 @@
     ) -> Result<Node> {
         let listen = settings.mesh.host(settings.me).map(|it| it.addr);
         let listen = listen.expect("the settings contain this host");
-        let limits = transport::limits::Limits::default();
+        let limits = transport::limits::Limits {
+            max_handshakes: MAX_HANDSHAKES,
+            link_rate: settings.link_rate,
+            ..transport::limits::Limits::default()
+        };
         let endpoint = endpoint::Endpoint::bind(listen, identity, limits)?;
         // With port 0 the operating system chooses a port, which other processes have to know.
         let listen = endpoint.local_addr()?;
@@ -216,14 +224,12 @@
     let mut ticks = time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut count: u32 = 0;
-    let mut recorded = state.links.counts();
+    let mut recorded = RecordedLinks::default();
     loop {
         ticks.tick().await;
         count = count.wrapping_add(1);
         if count.is_multiple_of(HEARTBEAT_TICKS) {
-            let counts = state.links.counts();
-            state.instruments.count_links(counts.since(recorded));
-            recorded = counts;
+            recorded = record_links(&state, recorded);
         }
         let shared = sync::Arc::clone(&state);
         let job = move || {
@@ -242,6 +248,32 @@
     }
 }
 
+/// What was recorded of the node's links at the last heartbeat.
+#[derive(Clone, Copy, Default)]
+struct RecordedLinks {
+    attempts: pool::Counts,
+    traffic: links::Traffic,
+}
+
+/// Records in metrics and in the log what the node's links did since the last heartbeat. Links that
+/// closed meanwhile are not counted.
+fn record_links(state: &state::State, recorded: RecordedLinks) -> RecordedLinks {
+    let attempts = state.links.counts();
+    let (open, traffic) = state.links.traffic();
+    let added = traffic.since(recorded.traffic);
+    state.instruments.count_links(attempts.since(recorded.attempts));
+    state.instruments.count_traffic(added);
+    log::info!(
+        target: "decision",
+        "links open={open} sent_bytes={} received_bytes={} lost_packets={} typical_round_trip={:?}",
+        added.sent,
+        added.received,
+        added.lost,
+        reaching::typical_round_trip(state),
+    );
+    RecordedLinks { attempts, traffic }
+}
+
 /// Starts and refuses queued work when the timers of admission expire.
 async fn run_admission_ticks(state: sync::Arc<state::State>) {
     loop {
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use world::hosts;
 
-use crate::{codes, errors, identity, limits, streams, tls};
+use crate::{codes, errors, identity, limits, pacer, streams, tls};
 
 /// A connection to a peer. Clones share it. It closes when the last clone and the last of its
 /// streams are dropped.
@@ -26,6 +26,8 @@
     pub sent: u64,
     /// Bytes received from the peer.
     pub received: u64,
+    /// Sent packets that were taken for lost, so that their contents were sent again.
+    pub lost: u64,
 }
 
 struct Shared {
@@ -35,6 +37,7 @@
     limits: limits::Limits,
     /// Counts the active streams of the endpoint by the channel's receivers.
     active_streams: sync::Arc<watch::Sender<()>>,
+    pacer: pacer::LinkPacer,
 }
 
 impl Traffic {
@@ -43,6 +46,16 @@
         Traffic {
             sent: self.sent.saturating_sub(earlier.sent),
             received: self.received.saturating_sub(earlier.received),
+            lost: self.lost.saturating_sub(earlier.lost),
+        }
+    }
+
+    /// The sum with the traffic of another link.
+    pub fn plus(self, other: Traffic) -> Traffic {
+        Traffic {
+            sent: self.sent + other.sent,
+            received: self.received + other.received,
+            lost: self.lost + other.lost,
         }
     }
 }
@@ -52,11 +65,13 @@
         connection: quinn::Connection,
         limits: limits::Limits,
         active_streams: sync::Arc<watch::Sender<()>>,
+        pacer: &sync::Arc<pacer::Pacer>,
     ) -> errors::Result<Link> {
         let peer = tls::verified_peer(&connection).inspect_err(|_| {
             connection.close(codes::Code::Identity.value(), b"no host and role in certificate");
         })?;
-        let shared = Shared { peer, partial: sync::Arc::default(), limits, active_streams };
+        let pacer = (peer.role == hosts::Role::Node).then(|| sync::Arc::clone(pacer));
+        let shared = Shared { peer, partial: sync::Arc::default(), limits, active_streams, pacer };
         Ok(Link { connection, shared: sync::Arc::new(shared) })
     }
 
@@ -89,7 +104,11 @@
     /// The bytes transferred since the link was established.
     pub fn traffic(&self) -> Traffic {
         let stats = self.connection.stats();
-        Traffic { sent: stats.udp_tx.bytes, received: stats.udp_rx.bytes }
+        Traffic {
+            sent: stats.udp_tx.bytes,
+            received: stats.udp_rx.bytes,
+            lost: stats.path.lost_packets,
+        }
     }
 
     /// Opens a bidirectional stream, waiting while the peer's limit on open streams is reached. The
@@ -134,7 +153,7 @@
         let limit = self.shared.limits.max_partial;
         let connection = self.connection.clone();
         let receiver = streams::Receiver::new(recv, connection, total, limit, active.clone());
-        (streams::Sender::new(send, active), receiver)
+        (streams::Sender::new(send, active, self.shared.pacer.clone()), receiver)
     }
 }
 
