--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -40,7 +40,7 @@
             return self;
         }
         let before = backlog.div_duration_f32(self.service_time) * self.slots as f32;
-        let total = before as u32 + self.slots - 1;
+        let total = (before as u32).saturating_add(self.slots - 1);
         LoadReport { queued: total.saturating_sub(self.in_flight).max(self.queued), ..self }
     }
 }
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -233,7 +233,11 @@
         working::Failure::NotRun(forwarding::NotRun::Refused) => {
             guard.failed(estimates::Failure::Unreachable);
         }
-        working::Failure::NotRun(_) => guard.refused(to_load(&node_status.load)),
+        working::Failure::NotRun(_) if has_load(node_status) => {
+            guard.refused(to_load(&node_status.load));
+        }
+        // This node refused the request itself, which says nothing of the target.
+        working::Failure::NotRun(_) => drop(guard),
         working::Failure::Unknown(_) if state.now() >= deadline => {
             guard.failed(estimates::Failure::TimedOut);
         }
@@ -241,6 +245,11 @@
     }
 }
 
+/// Whether a target's node has reported its load.
+pub(crate) fn has_load(node_status: &forwarding::NodeStatus) -> bool {
+    node_status.load != admission::load::LoadReport::default()
+}
+
 /// Records the latency of an answered request when its route allows hedges. It is measured from
 /// the first attempt, also when the hedge won: the winner's own time would lower the percentile
 /// with each hedge.
--- a/crates/node/src/reaching.rs
+++ b/crates/node/src/reaching.rs
@@ -197,7 +197,10 @@
             if routing.prober.record_unanswered(now, key) {
                 log_change(host, "silent", "a probe was not answered");
             }
-            routing.balancer.estimates.mark_unresponsive(now, key);
+            // Without a further probe, nothing would readmit the target.
+            if routing.prober.is_probed(key) {
+                routing.balancer.estimates.mark_unresponsive(now, key);
+            }
         }
         Probed::Unconnected => state.routing.lock().prober.record_unconnected(now, key),
     }
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -207,7 +207,7 @@
         failed: FailedAttempt,
     ) -> working::Failure {
         let FailedAttempt { guard, failure, node_status } = failed;
-        if matches!(failure, working::Failure::NotRun(_)) {
+        if matches!(failure, working::Failure::NotRun(_)) && choosing::has_load(&node_status) {
             let wait = node_status.load.expected_wait();
             self.min_wait = Some(self.min_wait.map_or(wait, |it| it.min(wait)));
         }
--- a/crates/routing/src/dialer.rs
+++ b/crates/routing/src/dialer.rs
@@ -10,9 +10,9 @@
 /// The shortest time between the starts of two attempts of a node. Handshakes take processor time
 /// at both ends, which the requests that run meanwhile need as well.
 pub const START_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// The most attempts in flight. Fewer than a pool of links allows, so that a request for which a
-/// link has to be opened does not wait.
-pub const MAX_OPENING: usize = 2;
+/// The most attempts in flight. Together with those of [`prober`](crate::prober) they are fewer than
+/// a pool of links allows, so that a request for which a link has to be opened does not wait.
+pub const MAX_OPENING: usize = 1;
 /// How long the host that does not connect first waits for its peer.
 pub const PEER_GRACE: time::Duration = time::Duration::from_millis(1_000);
 /// The delay after the first failure. It doubles with each further one.
--- a/crates/routing/src/prober.rs
+++ b/crates/routing/src/prober.rs
@@ -117,11 +117,15 @@
     /// Marks a target's host as unresponsive because no link to it could be opened, which says
     /// nothing of its neighbours. Returns whether the host was not known to be unresponsive.
     pub fn mark_unconnected(&mut self, now: Time, target: targets::TargetKey) -> bool {
-        if self.probes.get(target).is_some_and(|it| it.unresponsive) {
-            return false;
+        match self.probes.get_mut(target) {
+            Some(probe) if probe.unresponsive => return false,
+            // The result of the probe in flight schedules the next one.
+            Some(probe) if probe.due_at().is_none() => probe.unresponsive = true,
+            _ => {
+                self.probes.insert(target, Probe { unresponsive: true, ..Probe::due(now) });
+                self.record_unconnected(now, target);
+            }
         }
-        self.probes.insert(target, Probe { unresponsive: true, ..Probe::due(now) });
-        self.record_unconnected(now, target);
         true
     }
 
@@ -140,6 +144,11 @@
         due.into_iter().map(|it| it.1).collect()
     }
 
+    /// Whether a target is probed, so that a result will follow.
+    pub fn is_probed(&self, target: targets::TargetKey) -> bool {
+        self.probes.contains_key(target)
+    }
+
     /// Returns when the next probe is due; `None` if no target waits for one, or if none can be
     /// sent before the result of another one is reported.
     pub fn next_due(&self) -> Option<Time> {
--- a/crates/routing/tests/probing.rs
+++ b/crates/routing/tests/probing.rs
@@ -298,3 +298,21 @@
     assert_eq!(rest.len(), 1, "the last neighbour is probed, and not the one without a link");
     assert_ne!(rest[0], unlinked);
 }
+
+/// Guards against a target that is set aside for ever: the failure of a link overwrote a probe in
+/// flight, and the result of the second probe found no entry to probe it again.
+#[test]
+fn a_failed_link_starts_a_second_probe() {
+    let mut arena = SlotMap::<targets::TargetKey, ()>::with_key();
+    let (silent, neighbour) = (arena.insert(()), arena.insert(()));
+    let mut prober = prober::Prober::new(1);
+    let start = Time::ZERO;
+    prober.mark_unresponsive(start, silent, [neighbour].into_iter());
+    let mut probed = prober.take_due(start);
+    assert!(prober.mark_unconnected(start, neighbour));
+    probed.extend(prober.take_due(start + time::Duration::from_secs(10)));
+    assert_eq!(probed.iter().filter(|it| **it == neighbour).count(), 1, "probes in flight");
+    assert!(prober.remove(neighbour) && !prober.is_probed(neighbour));
+    prober.record_unanswered(start, neighbour);
+    assert!(!prober.is_probed(neighbour), "a late result probes nothing");
+}
--- a/crates/transport/src/pacer.rs
+++ b/crates/transport/src/pacer.rs
@@ -15,6 +15,9 @@
 const MESSAGE_PERCENT: u64 = 70;
 /// How much may be sent at once after a pause, in time at the full rate.
 const BURST: time::Duration = time::Duration::from_millis(20);
+/// Longest queue. Messages that do not wait could otherwise lengthen it without end, and the node
+/// would refuse requests long after the load.
+const MAX_BACKLOG: time::Duration = time::Duration::from_secs(2);
 /// Messages of at most this size, such as refusals and probes, count but do not wait: they take less
 /// than half a packet, and relieve the queue.
 const UNDELAYED_BYTES: usize = 512;
@@ -65,7 +68,8 @@
     /// Adds a message to the queue and returns how long it waits.
     fn reserve(&self, now_us: u64, cost_us: u64) -> time::Duration {
         let burst_us = u64::try_from(BURST.as_micros()).unwrap_or(0);
-        let add = |idle_at: u64| Some(idle_at.max(now_us) + cost_us);
+        let latest = now_us + u64::try_from(MAX_BACKLOG.as_micros()).unwrap_or(0);
+        let add = |idle_at: u64| Some((idle_at.max(now_us) + cost_us).min(latest));
         let order = atomic::Ordering::Relaxed;
         let before = self.idle_at.fetch_update(order, order, add).unwrap_or(now_us);
         time::Duration::from_micros(before.saturating_sub(now_us + burst_us))
--- a/xtask/src/soak/backends.rs
+++ b/xtask/src/soak/backends.rs
@@ -13,6 +13,8 @@
 const MAX_BODY: usize = 1024 * 1024;
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(100);
 const ANNOUNCE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// How long the first half of an answer is ahead of its cut.
+const CUT_DELAY: time::Duration = time::Duration::from_millis(20);
 /// How much an endless answer sends at once, in bytes.
 const ENDLESS_CHUNK: usize = 8 * 1024;
 /// Keeps the bytes from filling the buffers of the soak's relays, where they would hide for seconds
@@ -223,7 +225,7 @@
     let behaviours: Vec<_> = shared.behaviours.borrow().values().copied().collect();
     for behaviour in behaviours {
         match behaviour {
-            Behaviour::Cut => return cut(&bytes).await,
+            Behaviour::Cut => return cut(&bytes),
             Behaviour::Endless => return endless(),
             Behaviour::Freeze => return std::future::pending().await,
             Behaviour::Late(millis) => {
@@ -238,13 +240,18 @@
 }
 
 /// An answer of a declared length that breaks off in its middle.
-async fn cut(bytes: &[u8]) -> web::exchange::Response {
+fn cut(bytes: &[u8]) -> web::exchange::Response {
     let mut answer = web::exchange::Response::empty(http::StatusCode::OK);
     let (sender, body) = web::body::Body::channel(2);
     answer.body = body;
     answer.headers.insert(http::header::CONTENT_LENGTH, bytes.len().into());
-    let _ = sender.send(Bytes::copy_from_slice(&bytes[..bytes.len() / 2])).await;
-    sender.abort();
+    let half = Bytes::copy_from_slice(&bytes[..bytes.len() / 2]);
+    tokio::spawn(async move {
+        let _ = sender.send(half).await;
+        // The server replaces an answer that fails before its first byte is written.
+        tokio::time::sleep(CUT_DELAY).await;
+        sender.abort();
+    });
     answer
 }
 
