--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -50,9 +50,8 @@
     /// build and run the binary in release mode
     #[argh(switch)]
     release: bool,
-    /// folder for the controls' data (default: in memory, so that what other work does to the disk
-    /// decides no check)
-    #[argh(option, default = "default_data_folder()")]
+    /// folder for the controls' data (default: that for temporary files)
+    #[argh(option, default = "std::env::temp_dir()")]
     data: path::PathBuf,
     /// print the schedule of each seed and run nothing
     #[argh(switch)]
@@ -98,11 +97,6 @@
     Ok(())
 }
 
-fn default_data_folder() -> path::PathBuf {
-    let memory = path::Path::new("/dev/shm");
-    if memory.is_dir() { memory.into() } else { std::env::temp_dir() }
-}
-
 /// Builds heatherwalk in debug mode, in which the order of locks is checked.
 fn build_debug() -> eyre::Result<path::PathBuf> {
     let mut cargo = process::Command::new(env!("CARGO"));
