Wait for a silent target when a request cannot move on

Cause: an idempotent request is given up when its target seems silent, so that it can be sent elsewhere; also if there is no other target, or the node is stopping and its callers go elsewhere by themselves. The sign is uncertain on a loaded network, and giving up cancels the work.

Now such a request waits for its answer, as a non-idempotent one does; the host is probed all the same.

--- a/crates/heatherwalk/tests/requests/silence.rs
+++ b/crates/heatherwalk/tests/requests/silence.rs
@@ -124,3 +124,19 @@
     probes unanswered and answered: (0, 0)
     ");
 }
+
+/// Guards against a request that is given up when its target seems silent, though no other target
+/// could take it and its answer is on the way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_only_target_is_given_up_when_it_seems_silent() {
+    let limit = json!({"timeout_ms": 10_000});
+    let mesh = mesh::Mesh::spawn(1, mesh::document(&[("logs", json!({}), limit)])).await;
+    let slow = mesh.stand_in("skulte-slow", "logs").await;
+    mesh.ready(0, &["logs"]).await;
+    slow.relay.delay(SLOW_DELAY);
+    let reply = callers::send(mesh.callers(0), callers::get("/logs/work")).await;
+    assert_eq!(reply.status, 200, "{reply}");
+    // The link was fast until now, so that the host seemed silent.
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    assert!(mesh.unanswered_probes(0) + mesh.answered_probes(0) > 0, "the host was not probed");
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -154,8 +154,8 @@
     received.ok_or(transport::errors::Error::TimedOut)
 }
 
-/// Waits for the head of the answer from the target's node. An idempotent request gives up when the
-/// node stops responding, so that it can be sent elsewhere.
+/// Waits for the head of the answer from the target's node. When the node stops responding, an
+/// idempotent request gives up if it can be sent elsewhere.
 async fn wait_for_answer(
     state: &sync::Arc<state::State>,
     request: &state::RoutedRequest,
@@ -167,11 +167,11 @@
     let received = tokio::select! {
         it = &mut received => it,
         () = wait_for_silence(state, link, link.traffic().received) => {
-            if request.head.idempotent {
+            if request.head.idempotent && may_move(state, request) {
                 return Err(working::Failure::Silent);
             }
-            // The request cannot be sent again and its answer may still come, so only the probes
-            // of the host begin now.
+            // The request is not sent again and its answer may still come, so only the probes of
+            // the host begin now.
             let (shared, key) = (sync::Arc::clone(state), target.key);
             state.pool.submit_or_run(move || reaching::report_unresponsive(&shared, key));
             received.await
@@ -186,6 +186,13 @@
     })
 }
 
+/// Whether a request that was sent may be given up to send it to another target. A node that is
+/// stopping answers what it has taken, and its callers are on their way to other nodes.
+fn may_move(state: &state::State, request: &state::RoutedRequest) -> bool {
+    let another_target = request.head.patience_us.is_some();
+    another_target && !state.backend.lock().leaving
+}
+
 /// The failure of a request that may have run when its stream broke.
 fn broken_stream(target: &choosing::Target, err: &transport::errors::Error) -> working::Failure {
     working::Failure::Unknown(format_compact!("node {}: {err}", target.host))
