--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -28,6 +28,7 @@
 /// The response in place of one that failed before any of its bytes were sent. The request may have
 /// run.
 const BROKEN_RESPONSE: &str = "HTTP/1.1 502 Bad Gateway\r\nheatherwalk-outcome: unknown\r\n\
+    heatherwalk-reason: broken\r\n\
     content-length: 0\r\n";
 /// How often a connection whose bytes are not read is checked for whether the caller has left.
 const CLOSE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
