--- a/crates/heatherwalk/tests/requests/silence.rs
+++ b/crates/heatherwalk/tests/requests/silence.rs
@@ -14,7 +14,7 @@
 /// The longest delay of a datagram in each direction.
 const SLOW_DELAY: time::Duration = time::Duration::from_millis(400);
 
-/// Guards against the storm of issue 19: one silent host made its node open a link to every other
+/// Guards against a storm of handshakes: one silent host made its node open a link to every other
 /// host of the data centre, to probe it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_silent_host_starts_no_connection_attempts() {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -93,7 +93,13 @@
     let started_at = state.now();
     // Used only up to the point where the other node may run the request.
     let unreachable = |err: transport::errors::Error| {
-        log::info!(target: "decision", "unreachable request={} host={} after={:?} error=\"{err}\"", request.head.id, target.host, state.now().since(started_at));
+        log::info!(
+            target: "decision",
+            "unreachable request={} host={} after={:?} error=\"{err}\"",
+            request.head.id,
+            target.host,
+            state.now().since(started_at),
+        );
         working::Failure::NotRun(forwarding::NotRun::Unreachable)
     };
     let link = open_link(state, target).await.map_err(unreachable)?;
--- a/crates/routing/tests/probing.rs
+++ b/crates/routing/tests/probing.rs
@@ -110,7 +110,7 @@
     (uplink.sent, unresponsive.len())
 }
 
-/// Guards against the probe storm of issue 19: one silent host made its node probe all hosts of the
+/// Guards against a storm of probes: one silent host made its node probe all hosts of the
 /// data centre with a handshake each, which filled the link, so that the probes timed out and were
 /// repeated. The bound is the same for any number of targets.
 #[test]
--- a/crates/transport/src/pacer.rs
+++ b/crates/transport/src/pacer.rs
@@ -33,6 +33,9 @@
     idle_at: atomic::AtomicU64,
 }
 
+/// The queue of a link, which is none for a link to a control: its messages go first.
+pub(crate) type LinkPacer = Option<sync::Arc<Pacer>>;
+
 /// A place in the queue. If it is dropped before its message is sent, the place is given back.
 struct Place<'a> {
     pacer: &'a Pacer,
@@ -89,6 +92,3 @@
         }
     }
 }
-
-/// The queue of a link, which is none for a link to a control: its messages go first.
-pub(crate) type LinkPacer = Option<sync::Arc<Pacer>>;
