--- a/xtask/src/soak/callers.rs
+++ b/xtask/src/soak/callers.rs
@@ -11,6 +11,10 @@
 /// How much later than its deadline an answer may come, on a machine that is busy with other work.
 /// Times in which a fault held the node or its callers' connections are added.
 const SLACK: time::Duration = time::Duration::from_millis(1_500);
+/// Answers larger than this, in bytes, are begun before they are complete.
+const LARGE_ANSWER: usize = 64 * 1_024;
+/// How much later than its deadline an answer that was begun may end while it makes progress.
+const MAX_LATE: time::Duration = time::Duration::from_secs(5);
 /// How long before its process was signalled to end a request must have been sent, so that the node
 /// has certainly read it.
 const READ_TIME: time::Duration = time::Duration::from_millis(500);
@@ -76,6 +80,11 @@
 struct Ended;
 
 impl Request {
+    /// How much later than its deadline the answer may come on a slow link.
+    fn lateness(&self) -> time::Duration {
+        if self.work.size > LARGE_ANSWER { MAX_LATE } else { time::Duration::ZERO }
+    }
+
     fn encode(&self) -> Vec<u8> {
         let Request { service, work, send, idempotent, deadline, size } = self;
         let path = work.path(*service);
@@ -208,7 +217,7 @@
         let mut served = false;
         for (index, request) in requests.iter().enumerate() {
             // An answer waits for those before it, which the node makes at the same time.
-            limit = limit.max(request.deadline + SLACK);
+            limit = limit.max(request.deadline + SLACK + request.lateness());
             let result = self.read(connection, sent_at, limit).await;
             let result = match result {
                 Some(it) => it,
