--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -6,12 +6,11 @@
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
 use replicated::claims;
-use routing::budget;
-use world::{config, contracts, document, requests, time};
+use world::{document, requests, time};
 
 use crate::{
-    answering, attaching, bodies, claiming, dialect, forward, headers, in_flight, instruments,
-    refusals, reservations, sending, state, suspects,
+    answering, claiming, confirming, dialect, headers, instruments, planning, refusals,
+    reservations, sending, state, storing, suspects,
 };
 
 /// Largest body of a request, in bytes, when the configuration sets no limit. Bodies are kept in
@@ -21,39 +20,6 @@
 /// one frame of at most 8 MiB.
 const MAX_BODY: usize = 7 * 1024 * 1024;
 
-/// How long before a caller gives up it gets an answer of the node's own, if there is no other. A
-/// caller that gives up closes its connection, which loses the answers to its other requests.
-const CALLER_LEAD: std_time::Duration = std_time::Duration::from_millis(25);
-/// The lead is at most this part of the time that the caller waits.
-const MIN_LEADS: u32 = 40;
-
-/// The route of a request and what follows from it.
-struct Plan {
-    config: sync::Arc<config::Config>,
-    route: contracts::RouteKey,
-    service: CompactString,
-    home: Option<CompactString>,
-    scheduling: Scheduling,
-    idempotent: bool,
-    reservation: reservations::Reservation,
-}
-
-/// The time, attempts and priority of a request. A call that a backend server makes on behalf of
-/// another request inherits them from that request.
-struct Scheduling {
-    class: requests::Class,
-    budget: budget::Budget,
-    deadline: time::Time,
-    /// Until when an answer is waited for.
-    answer_by: time::Time,
-    objective: time::Time,
-    weight: u32,
-    /// Whether it is a call of a request that was sent to another target before.
-    repeat: bool,
-    /// The request whose extra attempts this call has taken.
-    parent: Option<in_flight::RequestKey>,
-}
-
 /// A request as it arrived, with its whole body.
 struct Incoming {
     arrived: time::Time,
@@ -83,7 +49,7 @@
 }
 
 /// The answer for the caller.
-enum Reply {
+pub(crate) enum Reply {
     /// An answer that is streamed as it arrives.
     Streamed(Box<sending::Answered>),
     /// A complete answer, and the time that the backend server took.
@@ -178,7 +144,7 @@
     refusal: refusals::Refusal,
 ) -> refusals::Refusal {
     let Some(version) = refusal.version else { return refusal };
-    let confirmed = attaching::await_confirmation(state, version).await;
+    let confirmed = confirming::await_confirmation(state, version).await;
     let age = state.configuration.lock().updater.age(state.now());
     log::info!(
         target: "decision",
@@ -192,11 +158,12 @@
 fn prepare(state: &sync::Arc<state::State>, incoming: Incoming) -> refusals::Result<Prepared> {
     let Incoming { arrived, id, options, method, path, query, mut headers, body } = incoming;
     let dialect = &state.settings.dialect;
-    let host = host_name(&headers);
-    let plan = plan(state, arrived, &id, (&method, &host, &path), &options)?;
-    let Plan { config, route, service, home, scheduling, idempotent, reservation } = plan;
-    let Scheduling { class, budget, deadline, answer_by, objective, weight, repeat, .. } =
-        scheduling;
+    let host = planning::host_name(&headers);
+    let plan = planning::plan(state, arrived, &id, (&method, &host, &path), &options)?;
+    let planning::Plan { config, route, service, home, scheduling, idempotent, reservation } = plan;
+    let planning::Scheduling {
+        class, budget, deadline, answer_by, objective, weight, repeat, ..
+    } = scheduling;
     let fingerprint = requests::Fingerprint::of(&service, &method, &path, &body);
     let suspect = check_suspect(state, &fingerprint, &id)?;
     check_age(&headers)?;
@@ -237,147 +204,6 @@
     Ok(Prepared { step, reservation, deadline })
 }
 
-/// Routes a request by the running version of the configuration, and takes the extra attempts of a
-/// call from its parent.
-fn plan(
-    state: &sync::Arc<state::State>,
-    now: time::Time,
-    id: &str,
-    (method, host, path): (&str, &str, &str),
-    options: &dialect::RequestOptions,
-) -> refusals::Result<Plan> {
-    let config = state.running().ok_or_else(refusals::no_version)?;
-    let version = config.version();
-    let Some(route) = config.find_route(host, path) else {
-        log::info!(
-            target: "decision",
-            "no_route request={id} host={host} path={path} version={version}",
-        );
-        return Err(refusals::no_route(version));
-    };
-    let contract = config.route(route).ok_or_else(|| refusals::no_route(version))?;
-    let service = contract.service_at(next_split(state, contract));
-    let service = service.and_then(|it| config.service(it));
-    let service = service.ok_or_else(|| refusals::no_route(version))?;
-    // A caller that waits for longer than the route allows is answered in time in any case.
-    let limit = options.limit.filter(|it| *it <= contract.timeout + forward::REPORT_GRACE);
-    let lead = limit.map_or(std_time::Duration::ZERO, |it| CALLER_LEAD.min(it / MIN_LEADS));
-    // The targets stop a lead earlier than the node, so that their reports arrive in time.
-    let timeout = limit.map_or(contract.timeout, |it| (it - lead * 2).min(contract.timeout));
-    let mut scheduling = scheduling(state, now, contract, timeout, options.parent.as_ref())?;
-    if let Some(limit) = limit {
-        scheduling.answer_by = scheduling.answer_by.min(now + (limit - lead));
-    }
-    let budget = scheduling.budget;
-    let reservation =
-        reservations::Reservation::new(sync::Arc::clone(state), scheduling.parent, budget.attempts);
-    budget.check().map_err(|err| refusals::out_of_budget(&err))?;
-    log::info!(
-        target: "decision",
-        "route request={id} method={method} host={host} path={path} route={} service={} \
-         version={version} class={:?} depth={} left_ms={}",
-        contract.name,
-        service.name,
-        scheduling.class,
-        budget.depth,
-        scheduling.deadline.since(now).as_millis(),
-    );
-    Ok(Plan {
-        service: service.name.clone(),
-        home: service.home.clone(),
-        idempotent: contract.is_idempotent(method),
-        config,
-        route,
-        scheduling,
-        reservation,
-    })
-}
-
-/// The number by which a route that is split among services chooses a service. It grows with each
-/// request of such a route; a route with one service always gets zero.
-fn next_split(state: &state::State, route: &contracts::Route) -> u64 {
-    if route.split.len() < 2 {
-        return 0;
-    }
-    let mut routing = state.routing.lock();
-    routing.split_counter = routing.split_counter.wrapping_add(1);
-    routing.split_counter
-}
-
-/// The value of the `host` field, without its port, in lower case.
-fn host_name(headers: &http::HeaderMap) -> CompactString {
-    let text = headers::text(headers, http::header::HOST.as_str()).unwrap_or_default();
-    let name = text.rsplit_once(':').filter(|it| it.1.bytes().all(|it| it.is_ascii_digit()));
-    CompactString::from(name.map_or(text, |it| it.0)).to_lowercase()
-}
-
-/// The scheduling of a request: its route's contract, limited by the parent's for a call.
-fn scheduling(
-    state: &state::State,
-    now: time::Time,
-    contract: &contracts::Route,
-    timeout: std_time::Duration,
-    parent: Option<&dialect::Parent>,
-) -> refusals::Result<Scheduling> {
-    let own = Scheduling {
-        class: requests::Class::Caller,
-        budget: budget::Budget::new(timeout, contract.attempts),
-        deadline: now + timeout,
-        answer_by: now + timeout + forward::REPORT_GRACE,
-        objective: now + contract.objective,
-        weight: contract.weight,
-        repeat: false,
-        parent: None,
-    };
-    match parent {
-        None => Ok(own),
-        Some(dialect::Parent::Token(text)) => inherit_by_token(state, now, own, text),
-        Some(dialect::Parent::Name(id)) => match state.in_flight.lock().find(id) {
-            Some(parent) => Ok(inherit_by_id(now, own, parent)),
-            None => Ok(own),
-        },
-    }
-}
-
-/// The scheduling of a call that names its parent by a token. It takes the extra attempts that the
-/// parent has left.
-fn inherit_by_token(
-    state: &state::State,
-    now: time::Time,
-    own: Scheduling,
-    text: &str,
-) -> refusals::Result<Scheduling> {
-    let key = in_flight::decode(text).ok_or_else(refusals::bad_parent)?;
-    let mut requests = state.in_flight.lock();
-    // If it is missing, the parent was answered or its caller has left, so nobody waits for this
-    // call.
-    let parent = requests.get_mut(key).ok_or_else(refusals::bad_parent)?;
-    let deadline = parent.deadline.min(own.deadline);
-    let budget = parent.budget.take_for_call(deadline.since(now));
-    Ok(Scheduling { budget, parent: Some(key), ..inherit(own, deadline, parent) })
-}
-
-/// The scheduling of a call that names its parent by the parent's ID. Its own route sets the number
-/// of attempts.
-fn inherit_by_id(now: time::Time, own: Scheduling, parent: &in_flight::Request) -> Scheduling {
-    let deadline = parent.deadline.min(own.deadline);
-    let budget = own.budget.child_of(&parent.budget, deadline.since(now));
-    Scheduling { budget, ..inherit(own, deadline, parent) }
-}
-
-/// The priority of a call, which is that of its parent.
-fn inherit(own: Scheduling, deadline: time::Time, parent: &in_flight::Request) -> Scheduling {
-    Scheduling {
-        class: requests::Class::Internal,
-        deadline,
-        answer_by: deadline + forward::REPORT_GRACE,
-        objective: parent.objective,
-        weight: parent.weight,
-        repeat: parent.repeat,
-        ..own
-    }
-}
-
 fn check_age(headers: &http::HeaderMap) -> refusals::Result<()> {
     let Some(text) = headers::text(headers, headers::FIRST_SENT) else { return Ok(()) };
     let sent_s: u64 = text.parse().map_err(|_| refusals::bad_first_sent())?;
@@ -460,7 +286,7 @@
             reservation.return_unused(answered.node_status.attempts).await;
             match claim {
                 None => Ok(Reply::Streamed(Box::new(answered))),
-                Some(claim) => store_answer(state, claim, answered).await,
+                Some(claim) => storing::store_answer(state, claim, answered).await,
             }
         }
         Err(failed) => {
@@ -474,84 +300,3 @@
         }
     }
 }
-
-/// Stores an answer for resends before the caller gets it. An answer that is too large is streamed
-/// to the caller and stored without its body. When the controls are slow to confirm, the caller gets
-/// the answer before its deadline all the same, and the answer is stored in the background.
-async fn store_answer(
-    state: &sync::Arc<state::State>,
-    claim: claiming::Claim,
-    answered: sending::Answered,
-) -> refusals::Result<Reply> {
-    let at = answering::time_limit(state, &answered);
-    let sending::Answered { status, mut headers, body: source, node_status, deadline, answer_by } =
-        answered;
-    headers::remove_reserved(&mut headers, state.settings.dialect.reserved);
-    let (sender, mut copy) = web::body::Body::channel(answering::MAX_CHUNKS);
-    let length = bodies::content_length(&headers);
-    // A small body is read to its end before its answer is begun.
-    let large = length.filter(|it| *it > claims::MAX_BODY_BYTES as u64);
-    let limit = bodies::Limit::begun(at, large);
-    tokio::spawn(async move {
-        match answering::copy_body(source, &sender, length, limit).await {
-            Ok(()) => drop(sender.finish().await),
-            Err(_) => sender.abort(),
-        }
-    });
-    let (kept, collected) = collect(&mut copy).await;
-    if collected == Collected::Failed {
-        return Err(refusals::broken_answer(answering::is_late(state, deadline)));
-    }
-    let kept = Bytes::from(kept);
-    let whole = (collected == Collected::Whole).then(|| kept.clone());
-    let answer = claiming::to_stored(status, &headers, whole);
-    // A task of its own, so that the answer is stored also when the caller leaves meanwhile.
-    let shared = sync::Arc::clone(state);
-    let stored = tokio::spawn(async move { claiming::complete(&shared, &claim, answer).await });
-    // The other half of the time is left for the way to the caller.
-    let limit = deadline.since(state.now()) / 2;
-    let confirmed = tokio::time::timeout(limit, stored).await;
-    if !matches!(confirmed, Ok(Ok(true))) {
-        log::warn!(
-            "no control has yet confirmed the stored answer of a claimed request; resends may be \
-             told that its outcome is unknown"
-        );
-    }
-    if collected == Collected::TooLarge {
-        let rest = sending::Rest::Copied(copy);
-        let body = sending::Source { ahead: Some(kept), rest };
-        let answered =
-            sending::Answered { status, headers, body, node_status, deadline, answer_by };
-        return Ok(Reply::Streamed(Box::new(answered)));
-    }
-    let body = web::body::Body::full(kept);
-    let backend = std_time::Duration::from_micros(node_status.backend_us);
-    Ok(Reply::Complete(web::exchange::Response { status, headers, body }, backend))
-}
-
-/// How far a body could be collected.
-#[derive(Clone, Copy, Eq, PartialEq)]
-enum Collected {
-    /// The body ended early.
-    Failed,
-    /// The body is larger than a stored answer may be.
-    TooLarge,
-    /// The body was read to its end.
-    Whole,
-}
-
-/// Reads a body until it ends or exceeds the limit of stored answers.
-async fn collect(body: &mut web::body::Body) -> (Vec<u8>, Collected) {
-    let mut kept = Vec::new();
-    loop {
-        match body.chunk().await {
-            Ok(Some(bytes)) => kept.extend_from_slice(&bytes),
-            Ok(None) if kept.len() <= claims::MAX_BODY_BYTES => return (kept, Collected::Whole),
-            Ok(None) => return (kept, Collected::TooLarge),
-            Err(_) => return (kept, Collected::Failed),
-        }
-        if kept.len() > claims::MAX_BODY_BYTES {
-            return (kept, Collected::TooLarge);
-        }
-    }
-}
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -7,7 +7,7 @@
 use protocol::{forwarding, streams};
 use transport::errors;
 
-use crate::{attaching, bodies, headers, state, working};
+use crate::{bodies, headers, peer_versions, state, working};
 
 /// Serves one stream of another node. An error means that the stream broke.
 pub(crate) async fn serve(
@@ -39,7 +39,7 @@
         }
         streams::Open::PeerVersion(of) => {
             let shared = sync::Arc::clone(state);
-            let job = move || attaching::serve_peer(&shared, of);
+            let job = move || peer_versions::serve_peer(&shared, of);
             let answer = state.pool.run(job).await.unwrap_or(streams::PeerVersion::Absent);
             sender.send(&answer).await?;
             sender.finish()
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -5,7 +5,7 @@
 use rand::{Rng as _, rngs};
 use world::{mesh, requests, targets, time::Time};
 
-use crate::{estimates, policy, toggles};
+use crate::{estimates, policy, toggles, usable};
 
 /// Largest number of targets that one selection compares. They are kept on the stack, so that a
 /// selection does not allocate. For a larger service, the comparison starts at a random candidate.
@@ -13,8 +13,6 @@
 /// Age at which a latency estimate has half the weight of a new one; the other half goes to the
 /// mean of the service.
 pub const HALF_WEIGHT_AGE: time::Duration = time::Duration::from_secs(5);
-/// Expected latency while no target of the service has answered.
-const DEFAULT_LATENCY_MICROS: f32 = 10_000.0;
 /// Lower bound of [`Choice::max_wait`]: about the time of one refusal and one more send.
 const MAX_WAIT_FLOOR: time::Duration = time::Duration::from_millis(3);
 /// Share of its full load that a target gets at the very beginning of its cold start.
@@ -137,26 +135,6 @@
     toggles: toggles::Toggles,
 }
 
-/// The usable targets of one selection.
-struct UsableTargets {
-    stats: [policy::TargetStats; MAX_COMPARED],
-    /// Used length of `stats`, `weights` and `shares`.
-    len: usize,
-    /// How many of them are linked. These come first.
-    linked: usize,
-    ejected: usize,
-    /// Weight of each target's latency against the mean: 1 when just measured, 0 when unknown.
-    weights: [f32; MAX_COMPARED],
-    /// Share of its full load that each target gets, see [`Balancer::ramp_share`].
-    shares: [f32; MAX_COMPARED],
-    /// The ejected target with the fewest requests in flight.
-    best_ejected: Option<policy::TargetStats>,
-    /// An ejected target that is due for a trial request.
-    trial: Option<policy::TargetStats>,
-    /// The error to return if no target is usable.
-    error: Error,
-}
-
 impl Balancer {
     /// Creates a balancer without measurements.
     pub fn new(policy: policy::Policy, toggles: toggles::Toggles) -> Balancer {
@@ -217,7 +195,7 @@
     /// Returns the longest wait at the chosen target that still beats the next best target.
     fn max_wait(
         &self,
-        usable: &UsableTargets,
+        usable: &usable::UsableTargets,
         chosen: &policy::TargetStats,
         objective: f32,
     ) -> Option<time::Duration> {
@@ -236,8 +214,8 @@
         request: &Request<'_>,
         in_subset: bool,
         rng: &mut rngs::SmallRng,
-    ) -> UsableTargets {
-        let mut usable = UsableTargets {
+    ) -> usable::UsableTargets {
+        let mut usable = usable::UsableTargets {
             stats: [policy::TargetStats::default(); MAX_COMPARED],
             len: 0,
             linked: 0,
@@ -300,7 +278,7 @@
     ) -> (policy::TargetStats, Option<&estimates::Estimate>) {
         let estimate = self.estimates.get(candidate.key);
         let slots = (candidate.slots as f32 * share).max(1.0);
-        let latency = estimate.map_or(DEFAULT_LATENCY_MICROS, |it| it.latency);
+        let latency = estimate.map_or(usable::DEFAULT_LATENCY_MICROS, |it| it.latency);
         let in_flight = estimate.map_or(0.0, |it| it.in_flight as f32);
         let recent_load = estimate.map_or(0.0, |it| it.recent_load(now));
         let queue_ahead = (in_flight + recent_load + 1.0 - slots).max(0.0);
@@ -332,7 +310,7 @@
     fn choice(
         &self,
         request: &Request<'_>,
-        usable: &UsableTargets,
+        usable: &usable::UsableTargets,
         stats: &policy::TargetStats,
         kind: Kind,
     ) -> Choice {
@@ -347,132 +325,6 @@
     }
 }
 
-impl UsableTargets {
-    fn add(&mut self, stats: policy::TargetStats, share: f32, weight: f32, linked: bool) {
-        let last = self.len;
-        self.stats[last] = stats;
-        self.shares[last] = share;
-        self.weights[last] = weight;
-        self.len += 1;
-        if linked {
-            self.stats.swap(self.linked, last);
-            self.shares.swap(self.linked, last);
-            self.weights.swap(self.linked, last);
-            self.linked += 1;
-        }
-    }
-
-    /// Whether no target can get the request, not even an ejected one as a trial.
-    fn is_empty(&self) -> bool {
-        self.len == 0 && self.trial.is_none()
-    }
-
-    /// These targets, or if `other` has a usable one, those. The rest is combined.
-    fn or(self, other: UsableTargets) -> UsableTargets {
-        UsableTargets {
-            ejected: self.ejected + other.ejected,
-            best_ejected: self.best_ejected.or(other.best_ejected),
-            error: self.error.max(other.error),
-            ..other
-        }
-    }
-
-    /// How many targets the policy compares: the linked ones, or all if no linked one has a free
-    /// slot. The others only count for the longest wait.
-    fn compared(&self) -> usize {
-        let free = self.stats[..self.linked].iter().any(|it| it.queue_ahead <= 0.0);
-        if free { self.linked } else { self.len }
-    }
-
-    /// Leaves out targets in a cold start at random, of those that the policy compares. Each is
-    /// kept with a probability of its share divided by the largest one, so if all have started at
-    /// the same time, as after a restart of the whole service, all are kept.
-    fn skip_cold(&mut self, rng: &mut rngs::SmallRng) {
-        let compared = self.compared();
-        let largest = self.shares[..compared].iter().copied().fold(0.0, f32::max);
-        let mut kept = 0;
-        for index in 0..self.len {
-            let share = self.shares[index];
-            let skipped = index < compared && share < largest;
-            if skipped && rng.random::<f32>() * largest >= share {
-                self.linked -= usize::from(index < self.linked);
-                continue;
-            }
-            self.stats[kept] = self.stats[index];
-            self.weights[kept] = self.weights[index];
-            kept += 1;
-        }
-        self.len = kept;
-    }
-
-    fn add_ejected(
-        &mut self,
-        now: Time,
-        request: &Request<'_>,
-        stats: policy::TargetStats,
-        estimate: &estimates::Estimate,
-        trials: bool,
-    ) {
-        self.ejected += 1;
-        let linked = request.candidates[stats.index as usize].linked;
-        if trials && linked && self.trial.is_none() && estimate.trial_due(now, request.idempotent) {
-            self.trial = Some(stats);
-        }
-        let busy = |it: &policy::TargetStats| it.in_flight;
-        if self.best_ejected.is_none_or(|best| busy(&stats) < busy(&best)) {
-            self.best_ejected = Some(stats);
-        }
-    }
-
-    /// Moves each latency towards the mean of the usable targets, the further the older it is. A
-    /// target without a current estimate gets the mean, so that it is tried.
-    ///
-    /// Giving such a target the lowest latency instead raises the 99th percentile: that latency is
-    /// low by chance, and attracts requests to targets of which nothing is known.
-    fn shrink_to_mean(&mut self) {
-        let stats = &mut self.stats[..self.len];
-        let weights = &self.weights[..self.len];
-        let total: f32 = weights.iter().sum();
-        let sum: f32 = stats.iter().zip(weights).map(|(it, weight)| it.latency * weight).sum();
-        let mean = if total > 0.0 { sum / total } else { DEFAULT_LATENCY_MICROS };
-        for (it, weight) in stats.iter_mut().zip(weights) {
-            it.latency = mean + (it.latency - mean) * weight;
-        }
-        self.estimate_waits();
-    }
-
-    /// Computes the expected wait at each target. Targets that have not reported their service
-    /// times get the mean of the others.
-    fn estimate_waits(&mut self) {
-        let stats = &mut self.stats[..self.len];
-        fill_unknown(stats, |it| &mut it.service_time);
-        fill_unknown(stats, |it| &mut it.slot_time);
-        for it in stats {
-            it.wait = it.queue_ahead * it.slot_time / it.slots;
-        }
-    }
-}
-
-/// Sets times that are not known, which are zero, to the mean of the known ones, or to the target's
-/// latency if none is known.
-fn fill_unknown(stats: &mut [policy::TargetStats], time: fn(&mut policy::TargetStats) -> &mut f32) {
-    let (mut count, mut sum) = (0.0, 0.0);
-    for it in stats.iter_mut() {
-        let known = *time(it);
-        if known > 0.0 {
-            count += 1.0;
-            sum += known;
-        }
-    }
-    for it in stats {
-        let latency = it.latency;
-        let it = time(it);
-        if *it <= 0.0 {
-            *it = if count > 0.0 { sum / count } else { latency };
-        }
-    }
-}
-
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let kind = match self.kind {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod silence;
 pub mod subset;
 pub mod toggles;
+mod usable;
