Give each mesh of the process tests a token of its own

Ports of killed processes can be taken by another run of the tests, whose control would then answer as if it were the killed one.

--- a/crates/heatherwalk/tests/processes/harness.rs
+++ b/crates/heatherwalk/tests/processes/harness.rs
@@ -16,7 +16,6 @@
 /// The three data centres, each with a control.
 pub const DATA_CENTRES: [&str; 3] = ["skulte", "jugla", "imanta"];
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(40);
-const TOKEN: &str = "token-of-the-process-tests";
 /// The limit of concurrent cases: each has up to seven processes, and the machine is shared.
 const MAX_CASES: u32 = 2;
 static RUNNING: sync::Mutex<u32> = sync::Mutex::new(0);
@@ -53,6 +52,9 @@
     pub version: u64,
     client: web::client::Client,
     patches: u32,
+    /// The operators' token, which no other mesh has: the port of a killed control can be taken by a
+    /// control of another test run.
+    token: String,
     folder: tempfile::TempDir,
 }
 
@@ -126,7 +128,9 @@
         let backends = node_hosts
             .map(|it| backends::Backend::spawn(&it.name, it.announce, sync::Arc::clone(state)));
         let backends = backends.collect();
-        let mut mesh = Mesh { controls, nodes, backends, version: 0, client, patches: 0, folder };
+        let token = format!("token-{:032x}", rand::random::<u128>());
+        let mut mesh =
+            Mesh { controls, nodes, backends, version: 0, client, patches: 0, token, folder };
         mesh.write_settings();
         for i in 0..mesh.controls.len() {
             mesh.start_control(i);
@@ -152,9 +156,9 @@
         }
         for it in &self.controls {
             keys::issue_host(folder, &it.name, Role::Control, folder).expect("a key");
-            let (clients, data) = (it.clients, folder.join(&it.name));
+            let (clients, token, data) = (it.clients, &self.token, folder.join(&it.name));
             let role = format!(
-                "[control]\noperators = {clients}\ntoken = {TOKEN}\ndata = {}\n",
+                "[control]\noperators = {clients}\ntoken = {token}\ndata = {}\n",
                 data.display()
             );
             self.write_ini(it, "control", &(role + &shared));
@@ -266,7 +270,7 @@
     }
 
     async fn call(&self, call: &operators::Request) -> Option<operators::Reply> {
-        api_client::send(&self.client, TOKEN, call).await.ok()
+        api_client::send(&self.client, &self.token, call).await.ok()
     }
 
     /// Sends a patch to the running controls in turn until one answers.
