--- a/xtask/src/soak/history.rs
+++ b/xtask/src/soak/history.rs
@@ -4,6 +4,10 @@
 
 use super::{host_set, schedule};
 
+/// How long after its end a fault still explains a broken connection: a restarted process does not
+/// listen at once, and a relay passes on what it held while it was silent, such as the end of a
+/// connection whose process was killed meanwhile.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
 /// How long after its end a fault can still explain a failed request: links and leases that broke
 /// meanwhile are replaced within this time.
 const AFTERMATH: time::Duration = time::Duration::from_secs(5);
@@ -79,12 +83,13 @@
         }
     }
 
-    /// Whether a fault on one of `hosts` was in force between `from` and now.
+    /// Whether a fault on one of `hosts` was in force, or what it held was still on its way, between
+    /// `from` and now.
     pub(crate) fn was(&self, cause: Cause, hosts: host_set::HostSet, from: time::Instant) -> bool {
         let windows = self.lock();
         let mut of_hosts =
             windows.iter().filter(|it| it.cause == cause && it.hosts.intersects(hosts));
-        of_hosts.any(|it| it.to.is_none_or(|to| to >= from))
+        of_hosts.any(|it| it.to.is_none_or(|to| to + SETTLE_TIME >= from))
     }
 
     /// Whether a fault on any host was in force, or left its traces, between `from` and now.
@@ -103,7 +108,7 @@
         let windows = self.lock();
         let mut of_host =
             windows.iter().filter(|it| it.cause == Cause::Down && it.hosts.contains(host));
-        of_host.find(|it| it.to.is_none_or(|to| to >= from)).map(|it| it.from)
+        of_host.find(|it| it.to.is_none_or(|to| to + SETTLE_TIME >= from)).map(|it| it.from)
     }
 
     /// How long, between `from` and now, faults suspended `host` or held its callers' connections.
