Test the limit on accepted handshakes and the Retry-After without a load report

With the limit of 256 that was there before, 40 first packets of handshakes are answered with 144,000 bytes, and with 4 with at most 14,400. When a request that its own node gave up counts as a load report, as it did, its caller is told to come back after 10 ms in place of not at all.

--- a/crates/heatherwalk/tests/requests/silence.rs
+++ b/crates/heatherwalk/tests/requests/silence.rs
@@ -140,3 +140,42 @@
     tokio::time::sleep(time::Duration::from_millis(1_500)).await;
     assert!(mesh.unanswered_probes(0) + mesh.answered_probes(0) > 0, "the host was not probed");
 }
+
+/// A dialect whose refusals show how long the caller is asked to wait.
+const SHOWS_RETRY: node::dialect::Dialect = node::dialect::Dialect {
+    write_refusal: |refusal| {
+        let text = format!("{} {:?}", refusal.reason, refusal.retry_after);
+        web::exchange::Response::text(http::StatusCode::SERVICE_UNAVAILABLE, &text)
+    },
+    ..node::dialect::OWN
+};
+
+/// Guards against callers that come back after 10 ms although no target has said that it has a free
+/// slot, and against callers of a node without a configuration that come back at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_come_back_at_once_without_a_load_report() {
+    let limit = json!({"timeout_ms": 5_000});
+    let mut mesh = mesh::Mesh::spawn(1, mesh::document(&[("logs", json!({}), limit)])).await;
+    let shows_retry = |settings: &mut node::settings::Settings| {
+        settings.dialect = SHOWS_RETRY;
+        settings.floor_tokens = false;
+    };
+    let node = mesh.add_node_with(mesh.listen, shows_retry).await;
+    let silent = mesh.stand_in("skulte-silent", "logs").await;
+    silent.relay.silence();
+    let until = tokio::time::Instant::now() + mesh::TIMEOUT;
+    let reply = loop {
+        let reply = callers::send(mesh.callers(node), callers::get("/logs/work")).await;
+        // The node does not know the version or the target at first.
+        let starting = ["no-version", "no targets"].iter().any(|it| reply.text().contains(it));
+        if !starting || tokio::time::Instant::now() >= until {
+            break reply;
+        }
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    };
+    assert_eq!(reply.text(), "no-target None", "{reply}");
+    let nowhere = mesh::loopback();
+    let alone = mesh.add_node_with(nowhere, shows_retry).await;
+    let reply = callers::send(mesh.callers(alone), callers::get("/logs/work")).await;
+    assert_eq!(reply.text(), "no-version Some(300ms)", "{reply}");
+}
--- a/crates/transport/tests/links.rs
+++ b/crates/transport/tests/links.rs
@@ -510,3 +510,67 @@
     assert_eq!(in_time(receiver.recv::<u32>()).await.expect("whole"), Some(17));
     drop(old);
 }
+
+/// The first packets of handshakes with `count` different connection IDs.
+async fn first_packets(client: &endpoint::Endpoint, count: usize) -> Vec<Vec<u8>> {
+    let catcher = net::UdpSocket::bind(local()).expect("binds");
+    let at = addr_of(&catcher);
+    catcher.set_read_timeout(Some(TIMEOUT)).expect("sets");
+    let mut dials = tokio::task::JoinSet::new();
+    for _ in 0..count {
+        let client = client.clone();
+        dials.spawn(async move { client.connect(at, "imanta").await.is_ok() });
+    }
+    let catching = tokio::task::spawn_blocking(move || {
+        let mut packets = std::collections::BTreeMap::new();
+        let mut buffer = vec![0; 2_048];
+        while packets.len() < count {
+            let length = catcher.recv(&mut buffer).expect("a first packet");
+            // The ID follows the flags, the version and its own length; repetitions share it.
+            packets.entry(buffer[6..14].to_vec()).or_insert_with(|| buffer[..length].to_vec());
+        }
+        packets.into_values().collect()
+    });
+    catching.await.expect("no panic")
+}
+
+fn addr_of(socket: &net::UdpSocket) -> net::SocketAddr {
+    socket.local_addr().expect("bound")
+}
+
+/// Guards against a host that answers the handshakes of all its peers at once, so slowly that they
+/// time out and are repeated.
+#[tokio::test]
+async fn handshakes_of_peers_are_not_limited() {
+    /// The size of the first packet of a handshake, and of each answer to it.
+    const PACKET: u64 = 1_200;
+    /// A server sends at most three times what an unverified peer has sent.
+    const MAX_PACKETS: u64 = 3;
+    const PEERS: usize = 40;
+    let mesh = Mesh::start();
+    let identity = mesh.authority.issue("imanta", hosts::Role::Node).expect("issues");
+    let limits = limits::Limits { max_handshakes: 4, ..limits::Limits::default() };
+    let server = endpoint::Endpoint::bind(local(), &identity, limits).expect("binds");
+    let at = addr(&server);
+    // First packets of clients whose server does not answer; their handshakes never go on.
+    let packets = first_packets(&mesh.client, PEERS).await;
+    let mut received = 0;
+    let peers = silent_peers(PEERS);
+    for (peer, packet) in peers.iter().zip(&packets) {
+        peer.set_nonblocking(true).expect("sets");
+        peer.send_to(packet, at).expect("sends");
+    }
+    let until = tokio::time::Instant::now() + time::Duration::from_millis(500);
+    let mut buffer = vec![0; 2_048];
+    while tokio::time::Instant::now() < until {
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+        for peer in &peers {
+            while let Ok(count) = peer.recv(&mut buffer) {
+                // A refusal is a short packet.
+                received += if count > 200 { count as u64 } else { 0 };
+            }
+        }
+    }
+    let limit = 4 * MAX_PACKETS * PACKET;
+    assert!((1..=limit).contains(&received), "{received} bytes of handshakes, {limit} allowed");
+}
