--- /dev/null
+++ b/crates/transport/tests/links/main.rs
@@ -0,0 +1,5 @@
+//! Links over loopback.
+
+mod mesh;
+mod pools;
+mod streams;
