Make one piece of code serve where the same stood twice

dev and two test meshes filled in the same 17 settings of a node; they take node::settings::Settings::with_defaults now, and the settings file the same constants. The soak's backend servers repeated the announcements of the example server and use them now.

--- a/crates/heatherwalk/src/dev.rs
+++ b/crates/heatherwalk/src/dev.rs
@@ -181,23 +181,8 @@
         hosts::Host { name: name.into(), addr: ports.take(), data_centre, role: hosts::Role::Node };
     let me = mesh.put_host(host);
     let settings = node::settings::Settings {
-        mesh,
-        me,
-        callers: ports.take(),
-        announce: ports.take(),
-        advertise: None,
-        ready: None,
-        dialect: node::dialect::OWN,
-        service: "".into(),
-        lease: membership::local_target::ANNOUNCEMENT_LEASE,
-        floor_tokens: true,
-        policy: routing::policy::DEFAULT,
-        linger: time::Duration::ZERO,
-        retry_percent: routing::budget::RETRY_PERCENT,
-        link_rate: None,
-        metrics: ports.take(),
-        workers: 2,
         stop_limit: STOP_LIMIT,
+        ..node::settings::Settings::with_defaults(mesh, me, || ports.take())
     };
     let identity = authority.issue(name, hosts::Role::Node).map_err(roles::Error::from)?;
     let metrics = metrics::Metrics::new().map_err(roles::Error::from)?;
--- a/crates/heatherwalk/src/example.rs
+++ b/crates/heatherwalk/src/example.rs
@@ -92,7 +92,9 @@
     announce_until(settings, addr, drain).await;
 }
 
-async fn announce_until(
+/// Announces a server that listens at `addr`, again and again until the future is dropped, and says
+/// that it is draining while `drain` is true. The sender of `drain` has to outlive the future.
+pub async fn announce_until(
     settings: Settings,
     addr: net::SocketAddr,
     mut drain: watch::Receiver<bool>,
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -12,13 +12,11 @@
 const MAX_CONFIG_VOTERS: usize = 5;
 /// The most control hosts of one region that may vote on its claims.
 const MAX_CLAIMS_VOTERS: usize = 3;
-/// How long a planned stop waits for requests in flight, by default.
-const DEFAULT_STOP_LIMIT_MS: u64 = 30_000;
+/// The default of `stop-limit-ms`.
+const DEFAULT_STOP_LIMIT_MS: u64 = node::settings::DEFAULT_STOP_LIMIT.as_millis() as u64;
 /// The shortest election timeout, by default. It must be several times the latency between regions
 /// plus the time of a slow disk sync.
 const DEFAULT_ELECTION_MS: u64 = 1_000;
-/// Worker threads that make decisions, by default.
-const DEFAULT_WORKERS: usize = 2;
 
 /// The checked settings of one process.
 #[derive(Clone)]
@@ -144,7 +142,9 @@
     let addr = reader.required("host", "listen", ADDR, parse_addr);
     let metrics = reader.required("host", "metrics", ADDR, parse_addr);
     let workers =
-        reader.optional("host", "workers", "1 to 64", DEFAULT_WORKERS, |it| parse_range(it, 1, 64));
+        reader.optional("host", "workers", "1 to 64", node::settings::DEFAULT_WORKERS, |it| {
+            parse_range(it, 1, 64)
+        });
     let stop_limit =
         reader.optional("host", "stop-limit-ms", "0 to 600000", DEFAULT_STOP_LIMIT_MS, |it| {
             parse_range(it, 0, 600_000)
--- a/crates/heatherwalk/tests/contracts/mesh.rs
+++ b/crates/heatherwalk/tests/contracts/mesh.rs
@@ -59,23 +59,8 @@
         let me =
             mesh.put_host(hosts::Host { name: name.into(), addr: loopback(), data_centre, role });
         let settings = node::settings::Settings {
-            mesh,
-            me,
-            callers: loopback(),
-            announce: loopback(),
-            advertise: None,
-            ready: None,
-            dialect: node::dialect::OWN,
-            service: "".into(),
-            lease: membership::local_target::ANNOUNCEMENT_LEASE,
-            floor_tokens: true,
-            policy: routing::policy::DEFAULT,
-            linger: time::Duration::ZERO,
-            retry_percent: routing::budget::RETRY_PERCENT,
-            link_rate: None,
-            metrics: loopback(),
-            workers: 2,
             stop_limit: time::Duration::from_secs(1),
+            ..node::settings::Settings::with_defaults(mesh, me, loopback)
         };
         let identity = self.authority.issue(name, role).expect("issues");
         let meter = opentelemetry::global::meter("contracts");
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -101,23 +101,8 @@
         let host = hosts::Host { name: name.as_str().into(), addr: loopback(), data_centre, role };
         let me = mesh.put_host(host);
         let mut settings = node::settings::Settings {
-            mesh,
-            me,
-            callers: loopback(),
-            announce: loopback(),
-            advertise: None,
-            ready: None,
-            dialect: node::dialect::OWN,
-            service: "".into(),
-            lease: membership::local_target::ANNOUNCEMENT_LEASE,
-            floor_tokens: true,
-            policy: routing::policy::DEFAULT,
-            linger: time::Duration::ZERO,
-            retry_percent: routing::budget::RETRY_PERCENT,
-            link_rate: None,
-            metrics: loopback(),
-            workers: 2,
             stop_limit: STOP_LIMIT,
+            ..node::settings::Settings::with_defaults(mesh, me, loopback)
         };
         change(&mut settings);
         let identity = self.authority.issue(&name, role).expect("issues");
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,10 +3,16 @@
 use std::{net, time};
 
 use compact_str::CompactString;
+use membership::local_target;
 use world::{hosts, mesh};
 
 use crate::dialect;
 
+/// The default of [`Settings::workers`].
+pub const DEFAULT_WORKERS: usize = 2;
+/// The default of [`Settings::stop_limit`].
+pub const DEFAULT_STOP_LIMIT: time::Duration = time::Duration::from_secs(30);
+
 /// The settings of a node. They are taken as valid; the reader of the settings file checks them.
 #[derive(Clone)]
 pub struct Settings {
@@ -53,6 +59,34 @@
 }
 
 impl Settings {
+    /// The defaults of the settings file for the node `me` of `mesh`, with the product's own dialect.
+    /// `take_addr` is called for the address of each of its ports.
+    pub fn with_defaults(
+        mesh: mesh::Mesh,
+        me: hosts::HostKey,
+        mut take_addr: impl FnMut() -> net::SocketAddr,
+    ) -> Settings {
+        Settings {
+            mesh,
+            me,
+            callers: take_addr(),
+            announce: take_addr(),
+            advertise: None,
+            ready: None,
+            dialect: dialect::OWN,
+            service: CompactString::default(),
+            lease: local_target::ANNOUNCEMENT_LEASE,
+            floor_tokens: true,
+            policy: routing::policy::DEFAULT,
+            metrics: take_addr(),
+            workers: DEFAULT_WORKERS,
+            linger: time::Duration::ZERO,
+            retry_percent: routing::budget::RETRY_PERCENT,
+            link_rate: None,
+            stop_limit: DEFAULT_STOP_LIMIT,
+        }
+    }
+
     /// Replaces this host's address in `mesh`, by which other processes will know it: the one that
     /// is advertised, or else `bound`.
     pub(crate) fn set_listen_addr(&mut self, bound: net::SocketAddr) {
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -88,6 +88,7 @@
 impl Pending {
     /// Whether the response is complete, if its task has ended. May be called only once.
     fn take_result(&mut self) -> Option<bool> {
+        // Looks once and does not wait: whether the response has failed is only asked before it begins.
         match self.complete.try_recv() {
             Ok(complete) => Some(complete),
             Err(oneshot::error::TryRecvError::Empty) => None,
@@ -487,6 +488,8 @@
 /// sent.
 fn log_reset(failed: &Handle, responses: &mut mpsc::Receiver<Pending>) {
     let (mut lost, mut complete) = (0, 0);
+    // Empties the queue of at most MAX_PIPELINED responses without waiting. The task that fills it
+    // does not run meanwhile, so this loop ends.
     while let Ok(mut behind) = responses.try_recv() {
         lost += 1;
         complete += usize::from(behind.take_result() == Some(true));
--- a/xtask/src/soak/backends.rs
+++ b/xtask/src/soak/backends.rs
@@ -3,6 +3,7 @@
 use std::{collections, net, sync, time};
 
 use bytes::Bytes;
+use heatherwalk::example;
 use tokio::{sync::watch, task};
 
 use super::{hosts, ledger, schedule, settings, tcp_relay};
@@ -12,7 +13,6 @@
 /// The largest body of a request, in bytes.
 const MAX_BODY: usize = 1024 * 1024;
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(100);
-const ANNOUNCE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// How long the first half of an answer is ahead of its cut.
 const CUT_DELAY: time::Duration = time::Duration::from_millis(20);
 /// How much an endless answer sends at once, in bytes.
@@ -54,7 +54,8 @@
     service: settings::Service,
     ledger: sync::Arc<ledger::Ledger>,
     behaviours: watch::Sender<collections::BTreeMap<schedule::FaultId, Behaviour>>,
-    client: web::client::Client,
+    /// Whether it announces that it is leaving.
+    drain: watch::Sender<bool>,
     /// Where it listens, behind the relay.
     listen: net::SocketAddr,
 }
@@ -100,9 +101,8 @@
         let listen = hosts::free_port();
         let inbound = sync::Arc::new(tcp_relay::Relay::spawn(listen).await?);
         let outbound = tcp_relay::Relay::spawn(announce).await?;
-        let client = web::client::Client::new(web::client::Limits::default());
-        let behaviours = watch::Sender::default();
-        let shared = sync::Arc::new(Shared { service, ledger, behaviours, client, listen });
+        let (behaviours, drain) = (watch::Sender::default(), watch::Sender::default());
+        let shared = sync::Arc::new(Shared { service, ledger, behaviours, drain, listen });
         let mut task = task::JoinSet::new();
         task.spawn(supervise(sync::Arc::clone(&shared), inbound.addr(), outbound.addr()));
         Ok(Backend { shared, inbound, outbound, _task: task })
@@ -110,6 +110,7 @@
 
     pub(crate) fn add(&self, fault: schedule::FaultId, behaviour: Behaviour) {
         self.shared.behaviours.send_modify(|it| _ = it.insert(fault, behaviour));
+        self.shared.update_drain();
     }
 
     /// Disturbs its connections with its node, both those of requests and of announcements.
@@ -121,6 +122,7 @@
     /// Ends what a fault does.
     pub(crate) fn remove(&self, fault: schedule::FaultId) {
         self.shared.behaviours.send_modify(|it| _ = it.remove(&fault));
+        self.shared.update_drain();
         self.inbound.remove(fault);
         self.outbound.remove(fault);
     }
@@ -130,6 +132,11 @@
     fn has(&self, behaviour: Behaviour) -> bool {
         self.behaviours.borrow().values().any(|it| *it == behaviour)
     }
+
+    fn update_drain(&self) {
+        let drains = self.has(Behaviour::Drain);
+        self.drain.send_if_modified(|it| std::mem::replace(it, drains) != drains);
+    }
 }
 
 /// Runs the server, and replaces it after each crash.
@@ -147,59 +154,20 @@
             tokio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
+        let announcement = example::Settings {
+            service: shared.service.name.into(),
+            name: shared.service.name.into(),
+            announce,
+            slots: settings::SLOTS,
+        };
         tokio::select! {
-            () = announce_until_dropped(&shared, addr, announce) => {}
+            () = example::announce_until(announcement, addr, shared.drain.subscribe()) => {}
             _ = changes.wait_for(crashed) => {}
         }
         drop(server);
     }
 }
 
-async fn announce_until_dropped(shared: &Shared, addr: net::SocketAddr, announce: net::SocketAddr) {
-    let started = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
-    let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
-    let mut changes = shared.behaviours.subscribe();
-    let mut token = serde_json::Value::Null;
-    for sequence in 0_u64.. {
-        changes.mark_unchanged();
-        let announcement = serde_json::json!({
-            "service": shared.service.name, "addr": addr, "incarnation": incarnation,
-            "sequence": sequence, "slots": settings::SLOTS,
-            "drain": shared.has(Behaviour::Drain), "token": token,
-        });
-        let pause = match send(&shared.client, announce, &announcement).await {
-            Some(mut answer) => {
-                token = answer["token"].take();
-                time::Duration::from_millis(answer["renew_ms"].as_u64().unwrap_or(500))
-            }
-            None => RETRY_INTERVAL,
-        };
-        let _ = tokio::time::timeout(pause, changes.changed()).await;
-    }
-}
-
-async fn send(
-    client: &web::client::Client,
-    to: net::SocketAddr,
-    announcement: &serde_json::Value,
-) -> Option<serde_json::Value> {
-    let call = web::client::Call {
-        addr: to,
-        method: http::Method::POST,
-        path: "/announce".into(),
-        headers: http::HeaderMap::new(),
-        body: web::body::Body::full(announcement.to_string().into()),
-        deadline: tokio::time::Instant::now() + ANNOUNCE_TIMEOUT,
-        close_delimited: false,
-        reuse: web::client::Reuse::Allowed,
-    };
-    let answer = client.send(call).await.ok()?;
-    if answer.status != http::StatusCode::OK {
-        return None;
-    }
-    serde_json::from_slice(&answer.body.collect(MAX_BODY).await.ok()?).ok()
-}
-
 async fn answer(
     shared: sync::Arc<Shared>,
     request: web::exchange::Request,
