--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -12,8 +12,18 @@
 
 /// Steps this host's replica of the configuration log with an event.
 pub(crate) fn step_configuration(state: &state::State, event: events::Event) {
+    step_configuration_with(state, |_| event);
+}
+
+/// Steps this host's replica of the configuration log with the event that `make` returns, in the
+/// same lock.
+fn step_configuration_with(
+    state: &state::State,
+    make: impl FnOnce(&mut replica::Replica) -> events::Event,
+) {
     let (outputs, applied) = {
         let mut replica = state.configuration_replica.lock();
+        let event = make(&mut replica);
         let outputs = replica.step(
             state.now(),
             event,
@@ -103,20 +113,11 @@
 /// Requests a confirmed read: the commit index of a leader of the configuration group with a valid
 /// lease. The result goes to [`distributing::read_confirmed`] or [`distributing::read_failed`].
 pub(crate) fn confirm_read(state: &state::State, requester: distributing::ReadRequester) {
-    let (outputs, applied) = {
-        let mut replica = state.configuration_replica.lock();
+    step_configuration_with(state, |replica| {
         let token = replica.new_token();
         distributing::register_read(state, token, requester);
-        let event = events::Event::ConfirmRead { token };
-        let outputs = replica.step(
-            state.now(),
-            event,
-            state_machines::CONFIGURATION,
-            &state.configuration_state,
-        );
-        (outputs, replica.group().applied())
-    };
-    handle_configuration_outputs(state, outputs, applied);
+        events::Event::ConfirmRead { token }
+    });
 }
 
 /// Queues a proposal for the log on this host. The caller has to submit a job that runs
