Route requests only by a version that a control has confirmed lately

Callers saw requests handled by an old version up to 2.8 s after a later one was acknowledged (CONFIG): a node that had just become ready, or whose next versions waited on a full link, routed by whatever it ran.

Cause: the age of the running version was checked for refusals only.

Change: distribution::updater tells whether the running version is confirmed (at most 1.2 s old), unconfirmed (a control that knows better can be reached) or the node is cut off, in which case it serves what it has. With an unconfirmed version a request waits for the control's answer for at most 200 ms and is then refused as not run, with a Retry-After. A node is ready once its version was confirmed. Beats come each 500 ms instead of 1 s: a control that stops is noticed before the version is too old.

Evidence: distribution faults, routing. A node that is cut off, or whose control stops or has no leader, refuses nothing.

--- a/crates/distribution/src/attach.rs
+++ b/crates/distribution/src/attach.rs
@@ -70,6 +70,13 @@
     pub ack: Option<(messages::Ack, Time)>,
 }
 
+impl Link {
+    /// Whether the control reaches a leader, as of its last answer, and is not silent.
+    pub(crate) fn is_serving(&self) -> bool {
+        !self.suspected && self.ack.is_none_or(|(ack, _)| !ack.isolated)
+    }
+}
+
 /// An attempt to attach to a control.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt {
--- a/crates/distribution/src/swap.rs
+++ b/crates/distribution/src/swap.rs
@@ -100,6 +100,13 @@
             effects.push(updater::Effect::Confirm(link.control, link.session, running));
         }
         self.running = Some(next);
+        if self.running_since.is_none() {
+            // The first version may have been on its way for seconds. The answer to this beat comes
+            // behind the deltas that the control has sent meanwhile.
+            self.running_since = Some(now);
+            self.next_beat = now;
+            self.send_beat(now, effects);
+        }
     }
 
     /// Offers the backend server a token for the latest version that the node has.
--- a/crates/distribution/src/toggles.rs
+++ b/crates/distribution/src/toggles.rs
@@ -7,6 +7,9 @@
     /// A restarted node stops waiting for a token when its backend server does not announce itself
     /// within [`floor::ANNOUNCEMENT_TIMEOUT`](crate::floor::ANNOUNCEMENT_TIMEOUT).
     pub announcement_wait: bool,
+    /// A node routes requests only by a version that a control has confirmed lately, unless it is
+    /// cut off.
+    pub confirmed_routing: bool,
     /// A node runs a document only when its digest is the one that the control named.
     pub digest_check: bool,
     /// A control that lost its disk sends no versions before it has caught up with the log.
@@ -38,6 +41,7 @@
     fn default() -> Toggles {
         Toggles {
             announcement_wait: true,
+            confirmed_routing: true,
             digest_check: true,
             catch_up_wait: true,
             floor_token: true,
--- a/crates/distribution/src/updater.rs
+++ b/crates/distribution/src/updater.rs
@@ -8,8 +8,10 @@
 
 use crate::{attach, floor, messages, toggles};
 
-/// Time between two beats, which keep the session with the control alive.
-pub const BEAT_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time between two beats, which keep the session with the control alive. A beat that is due after
+/// a silent control's last answer is overdue by [`attach::SUSPICION_TIMEOUT`] before the running
+/// version is too old to route by, so the loss of a control refuses no request.
+pub const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// How long after a control's confirmation the running version counts as the latest. An accepted
 /// version has to be in force within 2 s, and a control may not know for 800 ms, the lease of a
 /// leader, that it is cut off. It is longer than [`BEAT_INTERVAL`], so that a confirmation lasts
@@ -20,6 +22,17 @@
 /// The longest random wait, in milliseconds, before a node asks again after an unusable snapshot.
 pub const MAX_RETRY_MS: u64 = 1_000;
 
+/// Whether requests may be routed by the running version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// It was the latest at most [`CONFIRMATION_LIMIT`] ago.
+    Confirmed,
+    /// A later one may be in force, and a control that knows it can be reached.
+    Unconfirmed,
+    /// No control that knows the latest version can be reached. The node serves what it has.
+    CutOff,
+}
+
 /// The settings of a node that matter for the distribution.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -109,6 +122,8 @@
     /// sent whose acknowledgement showed it. The acknowledgement itself may have been on its way
     /// for seconds.
     pub(crate) confirmed_at: Option<Time>,
+    /// When the first version was run; none before.
+    pub(crate) running_since: Option<Time>,
     /// How long an acknowledgement has taken lately. It follows a longer time at once and a shorter
     /// one slowly.
     pub(crate) ack_delay: time::Duration,
@@ -142,6 +157,7 @@
             // The process before the restart may have sent echoes until now.
             last_echo: now,
             confirmed_at: None,
+            running_since: None,
             ack_delay: time::Duration::ZERO,
             unacknowledged: collections::VecDeque::new(),
             next_beat: now,
@@ -184,6 +200,33 @@
         runs && self.age(now).is_some_and(|it| it < CONFIRMATION_LIMIT)
     }
 
+    /// Whether requests may be routed by the running version. A control that answers late is not
+    /// lost, so the node must not route by an old version meanwhile; a node that is cut off serves
+    /// what it has.
+    pub fn freshness(&self, now: Time) -> Freshness {
+        match self.running() {
+            Some(running) if self.is_confirmed(now, running.version()) => Freshness::Confirmed,
+            _ if !self.toggles.confirmed_routing || self.is_cut_off(now) => Freshness::CutOff,
+            _ => Freshness::Unconfirmed,
+        }
+    }
+
+    /// Whether the node may tell callers to come: its version was the latest when it, or the process
+    /// since its start, last heard so, or no control can tell.
+    pub fn is_ready(&self, now: Time) -> bool {
+        let known = self.confirmed_at.is_some() || self.freshness(now) == Freshness::CutOff;
+        self.running.is_some() && known
+    }
+
+    /// Whether no control that knows the latest version can be reached. A version that was never
+    /// confirmed may have been on its way for seconds, so a node that lost its control in that time
+    /// tries the others first.
+    fn is_cut_off(&self, now: Time) -> bool {
+        let reachable = self.attachment.link.is_some_and(|it| it.is_serving());
+        let since = self.running_since.map_or(time::Duration::ZERO, |it| now.since(it));
+        !reachable && (self.confirmed_at.is_some() || since >= attach::CONTACT_TIMEOUT)
+    }
+
     /// Asks the control now for a confirmation of the running version, unless it owes the node an
     /// acknowledgement already.
     pub fn ask_confirmation(&mut self, now: Time) -> Vec<Effect> {
--- a/crates/distribution/tests/faults/main.rs
+++ b/crates/distribution/tests/faults/main.rs
@@ -3,4 +3,5 @@
 
 mod attaching;
 mod cases;
+mod routing;
 mod sim;
--- a/crates/distribution/tests/faults/sim/mod.rs
+++ b/crates/distribution/tests/faults/sim/mod.rs
@@ -11,6 +11,8 @@
 
 /// The virtual time of one step of the simulation, in milliseconds.
 pub const STEP_MS: u64 = 50;
+/// The time within which an accepted version has to be in force, in milliseconds.
+const FORCE_MS: u64 = 2_000;
 /// The one-way latency of a message, in milliseconds.
 const LATENCY_MS: u64 = 2;
 
@@ -236,6 +238,20 @@
         wrong
     }
 
+    /// Whether a node would route a request by a version although a later one was accepted at least
+    /// [`FORCE_MS`] ago.
+    pub fn routes_by_old(&self, node: usize) -> bool {
+        let due = |at: &&Time| self.now().since(**at) >= time::Duration::from_millis(FORCE_MS);
+        let due = self.accepted_at.iter().filter(due).count() as u64;
+        self.may_route(node) && self.running(node) < due
+    }
+
+    /// Whether a node would route a request.
+    pub fn may_route(&self, node: usize) -> bool {
+        let freshness = self.nodes[node].updater.freshness(self.now());
+        self.running(node) > 0 && freshness != updater::Freshness::Unconfirmed
+    }
+
     pub fn all_run_latest(&self) -> bool {
         (0..self.nodes.len()).all(|it| self.running(it) == self.latest())
     }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -113,6 +113,9 @@
     let body = body.collect(max_body).await;
     let body = body.map_err(|err| refusals::bad_body(&err, version))?;
     let method = CompactString::from(method.as_str());
+    if !confirming::await_freshness(state, options.limit).await {
+        return Err(refusals::old_version());
+    }
     let incoming = Incoming { arrived, id, options, method, path, query, headers, body };
     let shared = sync::Arc::clone(state);
     // One job does everything up to the first attempt: each job costs a request about 0.2 ms of
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -79,9 +79,10 @@
     log::info!(
         target: "decision",
         "route request={id} method={method} host={host} path={path} route={} service={} \
-         version={version} class={:?} depth={} left_ms={}",
+         version={version} age={:?} class={:?} depth={} left_ms={}",
         contract.name,
         service.name,
+        state.configuration.lock().updater.age(now),
         scheduling.class,
         budget.depth,
         scheduling.deadline.since(now).as_millis(),
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -87,10 +87,11 @@
     Refusal::not_run(status, "no-version", detail).with_retry_after(NO_VERSION_RETRY)
 }
 
-/// Takes the place of a refusal by the configuration when the node's version may be old.
+/// The refusal when the node's version may be old: another one may send the request elsewhere, or
+/// allow it.
 pub(crate) fn old_version() -> Refusal {
-    let detail = "this node has not heard for a while whether its configuration is the latest, and \
-                  a later one may allow the request; send the request again";
+    let detail = "this node has not heard for a while whether its configuration is the latest; \
+                  send the request again";
     let status = http::StatusCode::SERVICE_UNAVAILABLE;
     Refusal::not_run(status, "old-version", detail).with_retry_after(OLD_VERSION_RETRY)
 }
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -192,12 +192,15 @@
     Ok(Some(web::server::Server::bind(addr, web::server::Limits::default(), router).await?))
 }
 
-/// A node is ready while it runs a version of the configuration and is not stopping.
+/// A node is ready while it runs a version of the configuration that it may route by, and is not
+/// stopping.
 fn readiness(state: &state::State) -> web::exchange::Response {
     let (status, text) = if state.backend.lock().leaving {
         (http::StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
     } else if state.running().is_none() {
         (http::StatusCode::SERVICE_UNAVAILABLE, "no version of the configuration yet\n")
+    } else if !state.configuration.lock().updater.is_ready(state.now()) {
+        (http::StatusCode::SERVICE_UNAVAILABLE, "no control has confirmed the version yet\n")
     } else {
         (http::StatusCode::OK, "ready\n")
     };
