Let a control take part in its group again after a failed write

Cause: a replica whose log could not be written took no part in its group until its process was restarted, which nobody did. The second transient failure took the group's majority for good.

Change: the replica keeps its settings and tries its files again with a tick each second. Log::reopen reads them and writes the log into a new file, since the operating system may return data of the old one that it has dropped. The group then starts as after a restart; the state machine keeps its state, and commands that are applied again change nothing. Reads that waited fail.

--- a/crates/agreement/src/reads.rs
+++ b/crates/agreement/src/reads.rs
@@ -31,6 +31,11 @@
 }
 
 impl group::Group {
+    /// Drops the pending reads, for a host that stops taking part in the group. Returns their tokens.
+    pub fn take_reads(&mut self) -> Vec<events::Token> {
+        mem::take(&mut self.reads.pending).into_values().map(|it| it.token).collect()
+    }
+
     pub(crate) fn confirm_read(&mut self, now: time::Time, token: events::Token) {
         if self.is_ready_leader(now) {
             let index = self.hard_state.commit;
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -80,7 +80,7 @@
     let ready = state.distributor.lock().is_ready();
     let mut replica = state.configuration_replica.lock();
     if ready && !replica.is_caught_up() && !replica.has_failed() {
-        replica.mark_caught_up();
+        replica.mark_caught_up(state.now());
     }
 }
 
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,6 +1,6 @@
 //! This host's replica of one replicated log, with its files and its state machine.
 
-use std::collections;
+use std::{collections, time as std_time};
 
 use agreement::{entries, events, group};
 use bytes::Bytes;
@@ -25,6 +25,9 @@
 /// The result of an operation on a replica.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// The time between two attempts to use a log again whose files could not be written.
+const REOPEN_INTERVAL: std_time::Duration = std_time::Duration::from_secs(1);
+
 /// The functions of a replicated state machine with state `M`.
 pub(crate) struct StateMachine<M> {
     /// Applies a committed command.
@@ -66,7 +69,23 @@
     pending_proposals: collections::BTreeMap<events::Token, oneshot::Sender<proposals::Outcome>>,
     next_token: u64,
     caught_up: bool,
-    failed: bool,
+    health: Health,
+    settings: agreement::settings::Settings,
+    host: CompactString,
+    /// The index of the last command in the state.
+    performed: entries::Index,
+}
+
+/// Whether the replica takes part in its group.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Health {
+    Working,
+    /// A file could not be written, as on a full disk. It takes part again once they can be.
+    Failed {
+        /// When to try again.
+        retry_at: time::Time,
+    },
+    Closed,
 }
 
 impl Replica {
@@ -84,13 +103,25 @@
     ) -> Result<Replica> {
         let mut log = storage::log::Log::open(folder, name)?;
         let restored = log.take_restored();
+        let mut performed = entries::Index::default();
         if let Some(snapshot) = &restored.snapshot {
             (machine.install)(state, &snapshot.data)?;
+            performed = snapshot.last.index;
         }
-        let group = group::Group::new(settings, host, log.disk_id(), restored, rand::random());
-        let pending_proposals = collections::BTreeMap::new();
+        let disk = log.disk_id();
+        let group = group::Group::new(settings.clone(), host, disk, restored, rand::random());
         let caught_up = log.is_caught_up();
-        Ok(Replica { group, log, pending_proposals, next_token: 0, caught_up, failed: false })
+        Ok(Replica {
+            group,
+            log,
+            pending_proposals: collections::BTreeMap::new(),
+            next_token: 0,
+            caught_up,
+            health: Health::Working,
+            settings,
+            host: host.clone(),
+            performed,
+        })
     }
 
     /// The group as this host knows it.
@@ -104,31 +135,74 @@
     }
 
     /// Records on disk that it holds everything that the group has committed. If that fails, the
-    /// replica has failed, and the host stops taking part in the group.
-    pub(crate) fn mark_caught_up(&mut self) {
+    /// replica has failed.
+    pub(crate) fn mark_caught_up(&mut self, now: time::Time) {
         match self.log.mark_caught_up() {
             Ok(()) => self.caught_up = true,
-            Err(err) => {
-                log::error!(
-                    "log {}: {err}; this host takes no part in the group until it is restarted",
-                    self.log.name(),
-                );
-                self.failed = true;
-            }
+            Err(err) => self.fail(now, &err.into()),
         }
     }
 
     /// Stops taking part in the group and closes the files. Waiting proposals get no outcome.
     pub(crate) fn close(&mut self) {
-        self.failed = true;
+        self.health = Health::Closed;
         self.pending_proposals.clear();
         self.log.close();
     }
 
-    /// Whether the replica was closed, or its files or its state machine failed. It then ignores
-    /// all events.
+    /// Whether the replica was closed, or its files or its state machine failed. It ignores all
+    /// events but ticks, with which it tries to use its files again.
     pub(crate) fn has_failed(&self) -> bool {
-        self.failed
+        self.health != Health::Working
+    }
+
+    /// Stops taking part in the group until the files can be used again. Other hosts must not rely
+    /// on what is not synced.
+    fn fail(&mut self, now: time::Time, error: &Error) {
+        log::error!(
+            "log {}: {error}; this host takes no part in the group, and tries its files again each second",
+            self.log.name(),
+        );
+        self.health = Health::Failed { retry_at: now + REOPEN_INTERVAL };
+        self.pending_proposals.clear();
+    }
+
+    /// Takes part in the group again, as after a restart of the process, if the files can be used.
+    /// The state keeps the commands that it has; those that are applied again change nothing.
+    fn reopen<M>(
+        &mut self,
+        machine: StateMachine<M>,
+        state: &tables::table::Table<M>,
+    ) -> Result<()> {
+        self.log.reopen()?;
+        let restored = self.log.take_restored();
+        if let Some(snapshot) =
+            restored.snapshot.as_ref().filter(|it| it.last.index > self.performed)
+        {
+            (machine.install)(&mut state.lock(), &snapshot.data)?;
+            self.performed = snapshot.last.index;
+        }
+        let (settings, disk) = (self.settings.clone(), self.log.disk_id());
+        self.group = group::Group::new(settings, &self.host, disk, restored, rand::random());
+        self.health = Health::Working;
+        log::warn!("log {}: the files can be written again", self.log.name());
+        Ok(())
+    }
+
+    /// Tries to use the files of a failed replica again when that is due.
+    fn retry<M>(
+        &mut self,
+        now: time::Time,
+        machine: StateMachine<M>,
+        state: &tables::table::Table<M>,
+    ) {
+        let Health::Failed { retry_at } = self.health else { return };
+        if now < retry_at {
+            return;
+        }
+        if let Err(err) = self.reopen(machine, state) {
+            self.fail(now, &err);
+        }
     }
 
     /// Returns a token for a proposal or a read; it is unique within this replica.
@@ -156,7 +230,7 @@
     }
 
     /// Steps the group with one event and performs the effects on the files and the state, in
-    /// order. After an error the replica has failed and ignores all later events.
+    /// order. After an error the replica has failed, and a later tick tries to use the files again.
     pub(crate) fn step<M>(
         &mut self,
         now: time::Time,
@@ -165,7 +239,13 @@
         state: &tables::table::Table<M>,
     ) -> Vec<Output> {
         let mut outputs = Vec::new();
-        if self.failed {
+        if matches!(event, events::Event::Tick) {
+            self.retry(now, machine, state);
+        }
+        if self.has_failed() {
+            if let events::Event::ConfirmRead { token } = event {
+                outputs.push(Output::ReadFailed(token));
+            }
             self.pending_proposals.clear();
             return outputs;
         }
@@ -174,14 +254,9 @@
             if let Err(err) =
                 self.perform_effects(now, event, machine, state, &mut events, &mut outputs)
             {
-                // Other hosts must not rely on data that is not synced, so the remaining effects,
-                // such as messages, are not performed.
-                log::error!(
-                    "log {}: {err}; this host takes no part in the group until it is restarted",
-                    self.log.name(),
-                );
-                self.failed = true;
-                self.pending_proposals.clear();
+                // The remaining effects, such as messages, are not performed.
+                self.fail(now, &err);
+                outputs.extend(self.group.take_reads().into_iter().map(Output::ReadFailed));
                 break;
             }
         }
@@ -205,11 +280,13 @@
                 events::Effect::InstallSnapshot(snapshot) => {
                     self.log.save_snapshot(&snapshot)?;
                     (machine.install)(&mut state.lock(), &snapshot.data)?;
+                    self.performed = snapshot.last.index;
                     outputs.push(Output::StateChanged);
                 }
                 events::Effect::Send { to, message } => outputs.push(Output::Send(to, message)),
                 events::Effect::Apply { index, payload } => {
                     let answer = (machine.apply)(&mut state.lock(), index, &payload)?;
+                    self.performed = index;
                     answers.insert(index, answer);
                     outputs.push(Output::StateChanged);
                 }
--- a/crates/heatherwalk/tests/contracts/files.rs
+++ b/crates/heatherwalk/tests/contracts/files.rs
@@ -2,7 +2,7 @@
 //! gets a fixture folder of its own; later builds still read this one, or name its format version
 //! when they refuse it.
 
-use std::{fmt::Write as _, fs, path};
+use std::{fmt::Write as _, fs, path, time};
 
 use agreement::entries;
 use bytes::Bytes;
@@ -19,6 +19,8 @@
 const SNAPSHOT_ENTRIES: u64 = 4_096;
 /// The number of concurrent proposals, well below the limit of streams on a link.
 const MAX_IN_FLIGHT: u64 = 64;
+/// Longer than a control takes to become the leader and to fail.
+const FAILED_FOR: time::Duration = time::Duration::from_secs(6);
 /// The name of a kind of damage, and a function that does it to a data folder.
 type Damage = (&'static str, fn(&path::Path));
 
@@ -186,3 +188,29 @@
         ["configuration/log", "configuration/snapshot", "claims/log"].into_iter().map(size).sum();
     assert!(total < 64 * 1024, "{total} bytes are too many for a fixture");
 }
+
+/// Guards against a control that takes no part in its group after one failed write: a disk that was
+/// full for 3 s took it out for good, and a second one the group.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_write_takes_a_control_out_for_good() {
+    let folder = tempfile::tempdir().expect("a folder");
+    // The control cannot write this file while a folder has its name.
+    let obstacle = folder.path().join("data/configuration/caught-up.new");
+    fs::create_dir_all(&obstacle).expect("creates");
+    let mesh = start(folder.path()).await.expect("opens");
+    let api = mesh.api();
+    let patch = json!({"services": {"logbook": {"slots": 1}}});
+    let failed_at = tokio::time::Instant::now();
+    let mut base = 0;
+    while failed_at.elapsed() < FAILED_FOR {
+        if api.patch(base, &format!("before-{base}"), &patch).await.0 == 200 {
+            base += 1;
+        }
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    let status = api.patch(base, "failed", &patch).await.0;
+    assert_ne!(status, 200, "the control has failed");
+    fs::remove_dir(&obstacle).expect("removes");
+    api.until(|| api.patch(base, "after", &patch), |it| it.0 == 200).await;
+    mesh.control.stop().await;
+}
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -14,8 +14,8 @@
 /// An open log on disk. Every change is synced before its function returns.
 ///
 /// After a failed write or sync, all further changes of the log and the snapshot fail with
-/// [`errors::Error::Unusable`]: a second sync may report success although the operating system has
-/// dropped the data.
+/// [`errors::Error::Unusable`] until [`Log::reopen`]: a second sync may report success although the
+/// operating system has dropped the data.
 #[derive(Debug)]
 pub struct Log<F = fn(faults::Operation) -> faults::Fault> {
     folder: path::PathBuf,
@@ -53,25 +53,14 @@
             }
             return Log::create(folder, name, faults, lock);
         };
-        let (mut reader, header) = records::Reader::open(&path, records::FileKind::Log, &bytes)?;
-        let expected = records::Header::new(name, header.disk_id());
-        reader.check_owner(&header, &expected)?;
-        let snapshot = snapshot.map(|it| read_snapshot(folder, &header, &it)).transpose()?;
-        let mut replay = replay::Replay::read(&mut reader)?;
-        let base = snapshot.as_ref().map_or(entries::Position::default(), |it| it.last);
-        if replay.base > base.index {
-            return Err(errors::Error::Missing { path: folder.join(SNAPSHOT) });
-        }
-        let Some(trimmed) = replay.discard_covered(base) else {
-            return Err(reader.corrupt("entries between the snapshot and the log are missing"));
-        };
+        let Content { header, snapshot, replay, trimmed, valid } =
+            Content::read(folder, name, &bytes, snapshot.as_deref())?;
         let file = if trimmed {
             write_log(folder, &header, &replay, &mut faults)?
         } else {
-            open_for_append(&path, reader.offset(), bytes.len(), &mut faults)?
+            open_for_append(&path, valid, bytes.len(), &mut faults)?
         };
-        let replay::Replay { hard_state, entries, .. } = replay;
-        let restored = events::Restored { hard_state, snapshot, entries };
+        let restored = restore(replay, snapshot);
         let folder = folder.to_path_buf();
         Ok(Log { folder, header, file, restored, unusable: false, faults, lock: Some(lock) })
     }
@@ -100,6 +89,24 @@
         &self.header.name
     }
 
+    /// Makes the log usable again after a failed change: reads the files, and replaces the log by a
+    /// new file with the same content. Of the old file, the operating system may have dropped data
+    /// that it still returns. What was read is returned by [`Log::take_restored`]; it has everything
+    /// that was synced before the failure.
+    pub fn reopen(&mut self) -> errors::Result<()> {
+        let path = self.folder.join(LOG);
+        let snapshot = files::read(&self.folder.join(SNAPSHOT))?;
+        let Some(bytes) = files::read(&path)? else {
+            return Err(errors::Error::Missing { path });
+        };
+        let name = self.header.name.clone();
+        let content = Content::read(&self.folder, &name, &bytes, snapshot.as_deref())?;
+        self.file = write_log(&self.folder, &content.header, &content.replay, &mut self.faults)?;
+        self.restored = restore(content.replay, content.snapshot);
+        self.unusable = false;
+        Ok(())
+    }
+
     /// Unlocks the folder for other processes. All further changes of the log and the snapshot fail
     /// with [`errors::Error::Unusable`].
     pub fn close(&mut self) {
@@ -199,6 +206,48 @@
     }
 }
 
+/// What the files of a log contain.
+struct Content {
+    header: records::Header,
+    snapshot: Option<events::Snapshot>,
+    replay: replay::Replay,
+    /// Whether the log has entries that the snapshot covers, which `replay` leaves out.
+    trimmed: bool,
+    /// The length of the complete records of the log, in bytes.
+    valid: usize,
+}
+
+impl Content {
+    /// Decodes the files of the log `name`.
+    fn read(
+        folder: &path::Path,
+        name: &str,
+        log: &[u8],
+        snapshot: Option<&[u8]>,
+    ) -> errors::Result<Content> {
+        let path = folder.join(LOG);
+        let (mut reader, header) = records::Reader::open(&path, records::FileKind::Log, log)?;
+        let expected = records::Header::new(name, header.disk_id());
+        reader.check_owner(&header, &expected)?;
+        let snapshot = snapshot.map(|it| read_snapshot(folder, &header, it)).transpose()?;
+        let mut replay = replay::Replay::read(&mut reader)?;
+        let base = snapshot.as_ref().map_or(entries::Position::default(), |it| it.last);
+        if replay.base > base.index {
+            return Err(errors::Error::Missing { path: folder.join(SNAPSHOT) });
+        }
+        let Some(trimmed) = replay.discard_covered(base) else {
+            return Err(reader.corrupt("entries between the snapshot and the log are missing"));
+        };
+        let valid = reader.offset();
+        Ok(Content { header, snapshot, replay, trimmed, valid })
+    }
+}
+
+fn restore(replay: replay::Replay, snapshot: Option<events::Snapshot>) -> events::Restored {
+    let replay::Replay { hard_state, entries, .. } = replay;
+    events::Restored { hard_state, snapshot, entries }
+}
+
 fn create_folder<F: FnMut(faults::Operation) -> faults::Fault>(
     folder: &path::Path,
     faults: &mut F,
--- a/crates/storage/tests/logs.rs
+++ b/crates/storage/tests/logs.rs
@@ -61,6 +61,17 @@
     }
 }
 
+/// What a copy of the folder restores, while the folder is locked.
+fn reopen_copy(folder: &path::Path) -> String {
+    let copy = tempfile::tempdir().expect("a temporary folder");
+    for file in ["log", "snapshot"] {
+        if folder.join(file).exists() {
+            fs::copy(folder.join(file), copy.path().join(file)).expect("copies");
+        }
+    }
+    reopen(copy.path())
+}
+
 /// Injects `fault` once, after as many operations as `left` is set to.
 fn fault_after(
     left: &cell::Cell<Option<u32>>,
@@ -209,6 +220,39 @@
     insta::assert_snapshot!(table);
 }
 
+/// Guards against a log that stays unusable after its disk was full for a time, and against one that
+/// loses synced entries when it is used again.
+#[test]
+fn usable_again() {
+    let mut table = String::new();
+    for fault in [faults::Fault::Fail, faults::Fault::Torn(30)] {
+        for failed_attempts in 0..3 {
+            let dir = folder();
+            fill(dir.path());
+            let left = cell::Cell::new(None);
+            let inject = fault_after(&left, fault);
+            let mut log = log::Log::open_with_faults(dir.path(), "versions", inject).expect("open");
+            left.set(Some(0));
+            log.append(&[entry(2, 5), entry(2, 6)]).expect_err("the disk is full");
+            for _ in 0..failed_attempts {
+                left.set(Some(0));
+                log.reopen().expect_err("the disk is still full");
+                log.append(&[entry(2, 5)]).expect_err("unusable");
+            }
+            log.reopen().expect("the disk has room");
+            let restored = show(&log.take_restored());
+            writeln!(table, "{fault:?}, {failed_attempts} attempts fail: {restored}")
+                .expect("text");
+            assert_eq!(restored, reopen_copy(dir.path()), "on disk");
+            log.truncate(entries::Index(5)).expect("usable");
+            log.append(&[entry(3, 5)]).expect("usable");
+            drop(log);
+            writeln!(table, "  later: {}", reopen(dir.path())).expect("text");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
 /// Guards against a compaction that loses entries, or that leaves an inconsistent log if any of its
 /// steps fails.
 #[test]
