Test that a node with an unconfirmed version refuses requests

A stand-in for a control gives a node its version and answers all messages but beats. The node must serve with a confirmed version, refuse requests as not run while nobody confirms it or a later one is known, and serve again afterwards. It covers the path from the HTTP request to the updater's decision, which the simulation of the distribution does not.

--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod servers;
 mod silence;
+mod stand_in_controls;
 mod stand_ins;
 mod unfinished;
 mod versions;
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -6,7 +6,7 @@
 use transport::identity;
 use world::{hosts, mesh};
 
-use crate::{callers, servers, stand_ins};
+use crate::{callers, servers, stand_in_controls, stand_ins};
 
 /// The limit of each step, longer than it takes on a busy machine.
 pub const TIMEOUT: time::Duration = time::Duration::from_secs(60);
@@ -130,6 +130,15 @@
         stand_ins::StandIn::spawn(&identity, self.listen, service).await
     }
 
+    /// Starts a stand-in for the control, which gives nodes `document` as version 1.
+    pub fn stand_in_control(
+        &self,
+        document: serde_json::Value,
+    ) -> stand_in_controls::StandInControl {
+        let identity = self.authority.issue("skulte-c", hosts::Role::Control).expect("issues");
+        stand_in_controls::StandInControl::spawn(&identity, document)
+    }
+
     /// The cancelled requests in a node's metrics: those whose caller disconnected.
     pub fn cancelled(&self, index: usize) -> u64 {
         self.counter(index, "heatherwalk_node_requests_total{", "outcome=\"cancelled\"")
--- /dev/null
+++ b/crates/heatherwalk/tests/requests/stand_in_controls.rs
@@ -0,0 +1,99 @@
+//! Stand-ins for a control. A stand-in gives its version to each node, keeps the registry of their
+//! targets, and acknowledges beats only while the test asks for it.
+
+use std::{
+    net,
+    sync::{Arc, atomic},
+};
+
+use distribution::messages as versions;
+use protocol::streams;
+use tokio::task;
+use transport::{endpoint, errors, identity, limits};
+use world::{document, time};
+
+use crate::mesh;
+
+/// A running stand-in.
+pub struct StandInControl {
+    pub addr: net::SocketAddr,
+    /// The version that it acknowledges beats with; 0 while it acknowledges none.
+    acknowledged: Arc<atomic::AtomicU64>,
+    _tasks: task::JoinSet<()>,
+}
+
+impl StandInControl {
+    /// Starts a stand-in with `document` as its version 1.
+    pub fn spawn(identity: &identity::Identity, document: serde_json::Value) -> StandInControl {
+        let bound = endpoint::Endpoint::bind(mesh::loopback(), identity, limits::Limits::default());
+        let endpoint = bound.expect("binds");
+        let addr = endpoint.local_addr().expect("has an address");
+        let acknowledged = Arc::new(atomic::AtomicU64::new(1));
+        let snapshot = snapshot(document);
+        let mut tasks = task::JoinSet::new();
+        let latest = Arc::clone(&acknowledged);
+        tasks.spawn(transport::serving::serve(endpoint, move |_, sender, receiver| {
+            let (snapshot, latest) = (snapshot.clone(), Arc::clone(&latest));
+            // The stream breaks when the node stops.
+            async move { drop(serve(snapshot, latest, sender, receiver).await) }
+        }));
+        StandInControl { addr, acknowledged, _tasks: tasks }
+    }
+
+    /// Acknowledges beats with this version from now on, or none.
+    pub fn acknowledge(&self, version: Option<u64>) {
+        self.acknowledged.store(version.unwrap_or(0), atomic::Ordering::SeqCst);
+    }
+}
+
+fn snapshot(document: serde_json::Value) -> versions::Snapshot {
+    let document: document::Document = serde_json::from_value(document).expect("a document");
+    let digest = document::digest(&document);
+    let of = versions::Numbered { version: document::Version(1), digest };
+    versions::Snapshot { of, document: document::canonical_json(&document).into() }
+}
+
+async fn serve(
+    snapshot: versions::Snapshot,
+    latest: Arc<atomic::AtomicU64>,
+    mut sender: transport::streams::Sender,
+    mut receiver: transport::streams::Receiver,
+) -> errors::Result<()> {
+    let Some(streams::Open::Attach) = receiver.recv().await? else { return Ok(()) };
+    let mut acks = 0;
+    while let Some(message) = receiver.recv::<streams::NodeMessage>().await? {
+        let (session, hello) = match message {
+            streams::NodeMessage::Event(it) => {
+                sender.send(&streams::ControlMessage::Event(it)).await?;
+                continue;
+            }
+            streams::NodeMessage::Version(versions::ToControl::Hello(it)) => {
+                (it.session, it.running.is_none())
+            }
+            streams::NodeMessage::Version(versions::ToControl::Beat(it)) => (it.session, false),
+            _ => continue,
+        };
+        let version = latest.load(atomic::Ordering::SeqCst);
+        if version > 0 {
+            acks += 1;
+            let at = time::Time::from_millis(acks);
+            let stamp = versions::Timestamp { epoch: 1, at };
+            let version = document::Version(version);
+            let ack = versions::Ack { session, stamp, isolated: false, version };
+            send_version(&mut sender, versions::ToNode::Ack(ack)).await?;
+        }
+        if hello {
+            let proof = versions::Proof::Current;
+            let message = versions::ToNode::Snapshot(session, proof, snapshot.clone());
+            send_version(&mut sender, message).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn send_version(
+    sender: &mut transport::streams::Sender,
+    message: versions::ToNode,
+) -> errors::Result<()> {
+    sender.send(&streams::ControlMessage::Version(message)).await
+}
--- a/crates/heatherwalk/tests/requests/versions.rs
+++ b/crates/heatherwalk/tests/requests/versions.rs
@@ -62,3 +62,32 @@
     a route that it has, old: 200
     ");
 }
+
+/// Guards against requests that are routed by a version which is old by then: callers reached the
+/// service of a route that an operator had moved 2.7 s before. The control answers other messages,
+/// so the node is not cut off from it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_version_that_may_be_old_routes_requests() {
+    let document = mesh::document(&[("logs", json!({}), json!({}))]);
+    let mut mesh = mesh::Mesh::spawn(0, document.clone()).await;
+    let control = mesh.stand_in_control(document);
+    let node = mesh.add_node_with(control.addr, |it| it.floor_tokens = false).await;
+    let handle = |_: &str, _: &[u8]| servers::Action::Send(servers::answer("200 OK", "", b"ok"));
+    let _server = servers::Server::spawn(mesh.announce(node), "logs", 512, handle).await;
+    let mut lines = Vec::new();
+    let steps = [("latest", Some(1), 200), ("unconfirmed", None, 503), ("older", Some(2), 503)];
+    for (name, acknowledged, status) in steps.into_iter().chain([("latest", Some(1), 200)]) {
+        control.acknowledge(acknowledged);
+        let until = tokio::time::Instant::now() + mesh::TIMEOUT;
+        let reply = loop {
+            let reply = callers::send(mesh.callers(node), callers::get("/logs/1")).await;
+            if reply.status == status || tokio::time::Instant::now() >= until {
+                break reply;
+            }
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        };
+        let not_run = reply.headers.contains_key("heatherwalk-not-run");
+        lines.push(format!("{name}: {reply}; not run: {not_run}"));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
