Keep to the rate of requests that a backend server names in its answers

Cause: nothing read what targets say in their answers; admission knew slots only.

Change: a dialect reads a notice from the answer's header fields. The node beside the target limits starts by a token bucket of that rate, with bursts of a quarter of a second; a request comes to a target only through it, wherever it began. Forecasts and refusals count the wait for a token, internal calls still start first, and the load report shows slots that the rate cannot keep busy as busy and a wait as queued work, so senders choose other targets and say when to come back.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -4,7 +4,9 @@
 
 use world::{contracts, requests::Class, time::Time};
 
-use crate::{limits, load, queue, requests, routes, service_times, short_load, suspects, work};
+use crate::{
+    limits, load, queue, rate, requests, routes, service_times, short_load, suspects, work,
+};
 
 /// Longest expected wait for a slot, as a fraction of the time until the objective. A few waiting
 /// requests keep all slots busy. In overload, a longer queue does not increase the throughput and
@@ -21,6 +23,8 @@
     limits: limits::Limits,
     ramp: Option<limits::Ramp>,
     draining: bool,
+    /// The limit on the rate of starts; none while the target asks for none.
+    pub(crate) rate: Option<rate::Bucket>,
     pub(crate) toggles: limits::Toggles,
     pub(crate) requests: requests::Requests,
     pub(crate) routes: routes::Routes,
@@ -84,6 +88,7 @@
             limits,
             ramp,
             draining: false,
+            rate: None,
             toggles,
             requests: requests::Requests::default(),
             routes: routes::Routes::default(),
@@ -152,7 +157,19 @@
         let waits = self.waiting() > 0;
         let step = self.limits.next_step(self.ramp, now).filter(|_| waits);
         let reserve = self.reserve_end().filter(|&it| waits && it > now);
-        [self.requests.next_timer(), step, reserve].into_iter().flatten().min()
+        let token = self.rate.filter(|_| waits).map(|it| now + it.wait(now, 0));
+        let token = token.filter(|&it| it > now);
+        [self.requests.next_timer(), step, reserve, token].into_iter().flatten().min()
+    }
+
+    /// Sets the requests per second that the target takes, or ends the limit. Requests that run
+    /// continue.
+    pub fn set_rate(&mut self, now: Time, rate: Option<f64>) -> Vec<work::Effect> {
+        match (&mut self.rate, rate) {
+            (Some(bucket), Some(rate)) => bucket.set_rate(now, rate),
+            (bucket, rate) => *bucket = rate.map(|it| rate::Bucket::new(now, it)),
+        }
+        self.advance(now)
     }
 
     /// Changes the limits. Running requests continue even if there are fewer slots; waiting
@@ -209,7 +226,7 @@
 
     /// Returns the load to report on answers.
     pub fn load(&self, now: Time) -> load::LoadReport {
-        load::LoadReport {
+        let load = load::LoadReport {
             in_flight: self.counts.running(),
             queued: u32::try_from(self.waiting()).unwrap_or(u32::MAX),
             slots: if self.draining { 0 } else { self.slots(now) },
@@ -217,6 +234,12 @@
             queued_calls: u32::try_from(self.internal_queue.len()).unwrap_or(u32::MAX),
             caller_time: time::Duration::from_micros(self.caller_times.get().unwrap_or(0)),
             call_time: time::Duration::from_micros(self.call_times.get().unwrap_or(0)),
+        };
+        match &self.rate {
+            Some(rate) => load
+                .with_free_slots(rate.busy_slots(load.service_time))
+                .with_wait(rate.wait(now, self.waiting())),
+            None => load,
         }
     }
 
--- a/crates/admission/src/dispatch.rs
+++ b/crates/admission/src/dispatch.rs
@@ -24,6 +24,9 @@
                 self.refuse(key, work::RefusalReason::Deadline, effects);
                 continue;
             }
+            if self.rate.as_mut().is_some_and(|it| !it.take(now)) {
+                break;
+            }
             self.start(now, flow, key);
             effects.push(work::Effect::Start(key));
         }
--- a/crates/admission/src/forecast.rs
+++ b/crates/admission/src/forecast.rs
@@ -22,7 +22,17 @@
         let serving = self.serving_slots(now, flow, class);
         // On average, the first of n busy slots becomes free after 1/n of the mean service time.
         let micros = self.routes.overall_mean() + self.queue(class).cost_ahead(flow);
-        time::Duration::from_micros(micros / u64::from(serving))
+        time::Duration::from_micros(micros / u64::from(serving)).max(self.rate_wait(now, class))
+    }
+
+    /// Returns the time until the target's limit on the rate lets a request of the class start if it
+    /// is queued now. Internal calls start first.
+    fn rate_wait(&self, now: Time, class: Class) -> time::Duration {
+        let ahead = match class {
+            Class::Caller => self.caller_queue.len() + self.internal_queue.len(),
+            Class::Internal => self.internal_queue.len(),
+        };
+        self.rate.map_or(time::Duration::ZERO, |it| it.wait(now, ahead))
     }
 
     /// Returns whether a short request would wait too long for the slots that long requests and
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limits;
 pub mod load;
 mod queue;
+mod rate;
 mod requests;
 mod routes;
 mod service_times;
--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -33,13 +33,20 @@
         self.service_time * before / self.slots
     }
 
-    /// The report of a target whose answers wait for `backlog` until their host's network link has
-    /// room. It counts as many waiting requests as make a new request wait as long.
-    pub fn with_backlog(self, backlog: time::Duration) -> LoadReport {
-        if self.slots == 0 || self.service_time.is_zero() || backlog <= self.expected_wait() {
+    /// The report of a target of which only `usable` slots can be kept busy: the others count as
+    /// busy, so that senders see no room there.
+    pub(crate) fn with_free_slots(self, usable: u32) -> LoadReport {
+        LoadReport { in_flight: self.in_flight + self.slots.saturating_sub(usable), ..self }
+    }
+
+    /// The report of a target where a new request, or its answer, waits for at least `wait`: for the
+    /// target's limit on the rate, or until its host's network link has room. It counts as many
+    /// waiting requests as make a new request wait as long.
+    pub fn with_wait(self, wait: time::Duration) -> LoadReport {
+        if self.slots == 0 || self.service_time.is_zero() || wait <= self.expected_wait() {
             return self;
         }
-        let before = backlog.div_duration_f32(self.service_time) * self.slots as f32;
+        let before = wait.div_duration_f32(self.service_time) * self.slots as f32;
         let total = (before as u32).saturating_add(self.slots - 1);
         LoadReport { queued: total.saturating_sub(self.in_flight).max(self.queued), ..self }
     }
--- a/crates/admission/tests/uplink.rs
+++ b/crates/admission/tests/uplink.rs
@@ -50,7 +50,7 @@
             service_time,
             ..load::LoadReport::default()
         };
-        let seen = report.with_backlog(MS(backlog));
+        let seen = report.with_wait(MS(backlog));
         let wait = seen.expected_wait();
         writeln!(out, "{in_flight}, {queued}, {slots}, {backlog}: {}, {wait:?}", seen.queued)
             .expect("text");
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod linking;
 mod mesh;
+mod notices;
 mod passing;
 mod relay;
 mod servers;
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use world::{targets, time};
 
-use crate::{attaching, in_flight, slots, state};
+use crate::{attaching, dialect, in_flight, slots, state};
 
 /// Largest body of an announcement, in bytes.
 const MAX_BODY: usize = 64 * 1024;
@@ -118,22 +118,7 @@
 async fn leave(state: sync::Arc<state::State>, instance: CompactString) -> web::exchange::Response {
     let job = {
         let state = sync::Arc::clone(&state);
-        move || {
-            let now = state.now();
-            let mut backend = state.backend.lock();
-            if backend.instance != instance {
-                log::info!(
-                    target: "decision",
-                    "leave of {instance} ignored: the backend server is {}",
-                    backend.instance,
-                );
-                return;
-            }
-            let previous = backend.local.entry().cloned();
-            let outcome = backend.local.backend_leaving(now);
-            drop(backend);
-            apply_outcome(&state, now, outcome, previous.as_ref());
-        }
+        move || mark_leaving(&state, &instance)
     };
     match state.pool.run(attaching::in_runtime(job)).await {
         Ok(()) => {
@@ -144,6 +129,33 @@
     }
 }
 
+/// Drains the backend server `instance`, which shuts down permanently.
+fn mark_leaving(state: &state::State, instance: &str) {
+    let now = state.now();
+    let mut backend = state.backend.lock();
+    if backend.instance != instance {
+        log::info!(
+            target: "decision",
+            "leave of {instance} ignored: the backend server is {}",
+            backend.instance,
+        );
+        return;
+    }
+    let previous = backend.local.entry().cloned();
+    let outcome = backend.local.backend_leaving(now);
+    drop(backend);
+    apply_outcome(state, now, outcome, previous.as_ref());
+}
+
+/// Keeps to what the backend server `instance` said of itself in an answer.
+pub(crate) fn apply_notice(state: &state::State, instance: &str) {
+    let now = state.now();
+    let backend = state.backend.lock();
+    // Another answer may have said something else since.
+    let rate = backend.notice.max_rate.filter(|_| backend.instance == instance);
+    state.admission.lock().set_rate(now, rate);
+}
+
 fn refuse(detail: &str) -> web::exchange::Response {
     log::warn!("refused an invalid announcement of a backend server: {}", detail.trim_end());
     let text = format!("{}\n", detail.trim_end());
@@ -243,6 +255,12 @@
         }
         backend.addr = Some(announcement.addr);
         backend.instance = announcement.instance.clone();
+        if matches!(
+            outcome.transition,
+            Some(local_target::Transition::Arrived | local_target::Transition::Restarted)
+        ) {
+            backend.notice = dialect::Notice::default();
+        }
         (outcome, previous)
     };
     // Only the announced process may get the token: one that was replaced would take it along when
@@ -295,9 +313,10 @@
 
 fn update_admission(state: &state::State, now: time::Time, transition: local_target::Transition) {
     let config = state.running();
-    let (entry, reports_cold) = {
+    let (entry, reports_cold, rate) = {
         let backend = state.backend.lock();
-        (backend.local.entry().cloned(), backend.local.reports_cold_start())
+        let local = &backend.local;
+        (local.entry().cloned(), local.reports_cold_start(), backend.notice.max_rate)
     };
     let Some(entry) = entry else { return };
     let mut admission = state.admission.lock();
@@ -321,6 +340,8 @@
         local_target::Transition::Resumed => admission.open(now, limits, Some(instant_ramp(now))),
         local_target::Transition::Outdated | local_target::Transition::Warm => {}
     }
+    // A new controller knows no limit.
+    admission.set_rate(now, rate);
 }
 
 /// A ramp that opens all slots at once, for a server that is already warm.
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -25,6 +25,8 @@
     pub add_context: fn(&mut http::HeaderMap, &RequestContext<'_>),
     /// Decides from the status and header fields whether an answer belongs to the request.
     pub classify: fn(http::StatusCode, &http::HeaderMap, &RequestContext<'_>) -> AnswerKind,
+    /// Reads what a backend server says of itself in the header fields of an answer.
+    pub parse_notice: fn(&http::HeaderMap) -> Notice,
     /// Writes the answer to a request that the node refuses.
     pub write_refusal: fn(&refusals::Refusal) -> web::exchange::Response,
     /// Reads the body of an announcement. The second argument is the name of the backend server in
@@ -83,6 +85,20 @@
     pub id: &'a str,
 }
 
+/// What a backend server says of itself in each of its answers, for as long as it holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// The requests per second that it takes from all hosts together; none without a limit.
+    pub max_rate: Option<f64>,
+}
+
+impl Notice {
+    /// Parses a number of requests per second. A text that is none is no limit.
+    pub fn parse_rate(text: &str) -> Option<f64> {
+        text.trim().parse().ok().filter(|it: &f64| it.is_finite() && *it >= 0.0)
+    }
+}
+
 /// Which request an answer belongs to, and whether that request ran.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
@@ -109,6 +125,9 @@
     add_origin: |_, _| {},
     add_context: add_own_context,
     classify: classify_own,
+    parse_notice: |fields| Notice {
+        max_rate: headers::text(fields, headers::MAX_RATE).and_then(Notice::parse_rate),
+    },
     write_refusal: write_own_refusal,
     parse_announcement: parse_own_announcement,
     write_renewal: |answer| {
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -139,7 +139,7 @@
     state: &state::State,
     node_status: forwarding::NodeStatus,
 ) -> forwarding::NodeStatus {
-    let load = node_status.load.with_backlog(state.links.endpoint().backlog());
+    let load = node_status.load.with_wait(state.links.endpoint().backlog());
     forwarding::NodeStatus { load, ..node_status }
 }
 
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -106,6 +106,13 @@
         }
     }
 
+    /// Sets the requests per second that the backend server takes, or ends the limit.
+    pub(crate) fn set_rate(&mut self, now: time::Time, rate: Option<f64>) {
+        let Some(controller) = &mut self.controller else { return };
+        let effects = controller.set_rate(now, rate);
+        self.notify(effects);
+    }
+
     /// Refuses new and queued work, because the backend server is leaving.
     pub(crate) fn drain(&mut self, now: time::Time) {
         let Some(controller) = &mut self.controller else { return };
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
 
-use crate::{bodies, in_flight, instruments, linking, settings, slots, suspects};
+use crate::{bodies, dialect, in_flight, instruments, linking, settings, slots, suspects};
 
 // A table may be locked only while all tables that are held have lower ranks.
 
@@ -73,6 +73,8 @@
     pub(crate) addr: Option<net::SocketAddr>,
     /// The name under which it announced itself, or empty.
     pub(crate) instance: CompactString,
+    /// What it said of itself in its last answer.
+    pub(crate) notice: dialect::Notice,
     /// Whether a planned stop has begun. The node is not ready any more, but still serves.
     pub(crate) leaving: bool,
     /// Whether the node refuses new work, after the linger time of a planned stop.
@@ -153,8 +155,14 @@
             split_counter: rand::random(),
             rng: rngs::SmallRng::from_os_rng(),
         };
-        let backend =
-            Backend { local, addr: None, instance: "".into(), leaving: false, stopping: false };
+        let backend = Backend {
+            local,
+            addr: None,
+            instance: "".into(),
+            notice: dialect::Notice::default(),
+            leaving: false,
+            stopping: false,
+        };
         let suspects = suspects::Suspects::default();
         State {
             pool: pool::Pool::spawn(settings.workers, 16_384),
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -116,6 +116,9 @@
     };
     let result = state.client.send_for_head(build_call(state, &request, &context)).await;
     let backend = state.now().since(sent_at);
+    if let Ok(answer) = &result {
+        record_notice(state, answer, &context);
+    }
     let node_status = node_status(state, execution.take_attempts(), backend);
     let failure = match result {
         Ok(answer) => {
@@ -239,6 +242,35 @@
     }
 }
 
+/// Records what the backend server says of itself, if its answer belongs to the request.
+fn record_notice(
+    state: &sync::Arc<state::State>,
+    answer: &web::exchange::Response,
+    context: &dialect::RequestContext<'_>,
+) {
+    let dialect = &state.settings.dialect;
+    if (dialect.classify)(answer.status, &answer.headers, context) == dialect::AnswerKind::Foreign {
+        return;
+    }
+    let notice = (dialect.parse_notice)(&answer.headers);
+    let changed = {
+        let mut backend = state.backend.lock();
+        // A server that replaced the one that answered has not said so.
+        if backend.instance != context.instance || backend.notice == notice {
+            return;
+        }
+        std::mem::replace(&mut backend.notice, notice)
+    };
+    log::info!(
+        target: "decision",
+        "backend_notice request={} max_rate={:?} before={changed:?}",
+        context.id,
+        notice.max_rate,
+    );
+    let (shared, instance) = (sync::Arc::clone(state), CompactString::from(context.instance));
+    state.pool.submit_or_run(move || backend::apply_notice(&shared, &instance));
+}
+
 fn node_status(
     state: &state::State,
     attempts: u8,
