Drain a backend server that says in its answers that it leaves

A target that leaves says so in all its answers (DRAIN: from 2 s after a node has passed such an answer on, no later request may reach the target). It was read nowhere; a target whose announcement is late or lost went on getting requests for as long as it answered.

Change: the notice of an answer drains the backend server like its leave, for this incarnation. It has to belong to the request and to the server that is announced now.

Evidence: requests notices::a_server_that_leaves_gets_requests; without the change the server gets requests to the end.

--- a/crates/heatherwalk/tests/requests/notices.rs
+++ b/crates/heatherwalk/tests/requests/notices.rs
@@ -1,4 +1,5 @@
-//! What backend servers say of themselves in their answers: the rate that they take.
+//! What backend servers say of themselves in their answers: the rate that they take, and that they
+//! leave.
 
 use std::{
     sync::{Arc, atomic},
@@ -72,3 +73,30 @@
     let runs = server.counts.runs() - before;
     assert!(runs > allowed, "only {runs} requests ran without a limit");
 }
+
+/// Guards against requests for a server that says in its answers that it leaves, while its
+/// announcements still say that it is ready.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_server_that_leaves_gets_requests() {
+    let document = mesh::document(&[("logs", json!({}), json!({}))]);
+    let mesh = mesh::Mesh::spawn(3, document).await;
+    let handle = |fields: &'static str| {
+        move |_: &str, _: &[u8]| servers::Action::Send(servers::answer("200 OK", fields, b"ok"))
+    };
+    let leaving = handle("heatherwalk-leaving: true\r\n");
+    let leaving = servers::Server::spawn(mesh.announce(1), "logs", 512, leaving).await;
+    mesh.ready(1, &["logs"]).await;
+    let staying = servers::Server::spawn(mesh.announce(2), "logs", 512, handle("")).await;
+    ready(&mesh).await;
+    let until = tokio::time::Instant::now() + mesh::TIMEOUT;
+    while leaving.counts.runs() == 0 {
+        callers::send(mesh.callers(1), callers::get("/logs/1")).await;
+        assert!(tokio::time::Instant::now() < until, "the server gets a first request");
+    }
+    tokio::time::sleep(NOTICED).await;
+    let before = leaving.counts.runs();
+    let (answered, refused) = send_many(&mesh).await;
+    assert_eq!(leaving.counts.runs(), before);
+    assert!(answered > 0 && staying.counts.runs() > 0);
+    assert_eq!(refused, 0, "the other server runs them");
+}
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -148,7 +148,10 @@
 }
 
 /// Keeps to what the backend server `instance` said of itself in an answer.
-pub(crate) fn apply_notice(state: &state::State, instance: &str) {
+pub(crate) fn apply_notice(state: &state::State, instance: &str, notice: dialect::Notice) {
+    if notice.leaving {
+        mark_leaving(state, instance);
+    }
     let now = state.now();
     let backend = state.backend.lock();
     // Another answer may have said something else since.
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -90,6 +90,8 @@
 pub struct Notice {
     /// The requests per second that it takes from all hosts together; none without a limit.
     pub max_rate: Option<f64>,
+    /// Whether it shuts down permanently and takes no new requests.
+    pub leaving: bool,
 }
 
 impl Notice {
@@ -127,6 +129,7 @@
     classify: classify_own,
     parse_notice: |fields| Notice {
         max_rate: headers::text(fields, headers::MAX_RATE).and_then(Notice::parse_rate),
+        leaving: headers::text(fields, headers::LEAVING) == Some("true"),
     },
     write_refusal: write_own_refusal,
     parse_announcement: parse_own_announcement,
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -18,6 +18,8 @@
 pub(crate) const NOT_RUN: &str = "heatherwalk-not-run";
 /// The requests per second that a backend server takes from all hosts together, in its answers.
 pub(crate) const MAX_RATE: &str = "heatherwalk-max-rate";
+/// Set to `true` in the answers of a backend server that shuts down permanently.
+pub(crate) const LEAVING: &str = "heatherwalk-leaving";
 /// Set to `unknown` in the answer to a request that may have run or is still running.
 pub(crate) const OUTCOME: &str = "heatherwalk-outcome";
 /// The reason of a refusal, in one word.
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -263,12 +263,13 @@
     };
     log::info!(
         target: "decision",
-        "backend_notice request={} max_rate={:?} before={changed:?}",
+        "backend_notice request={} max_rate={:?} leaving={} before={changed:?}",
         context.id,
         notice.max_rate,
+        notice.leaving,
     );
     let (shared, instance) = (sync::Arc::clone(state), CompactString::from(context.instance));
-    state.pool.submit_or_run(move || backend::apply_notice(&shared, &instance));
+    state.pool.submit_or_run(move || backend::apply_notice(&shared, &instance, notice));
 }
 
 fn node_status(
