Answer every request that a stopping node takes

In a planned stop, requests that came late in the grace were taken, passed on and cut at its end without an answer (LOST), among them requests that must not be repeated.

Cause: a connection announces its end with the response to its newest request. A caller that always has a request in progress, as with pipelining, so kept the connection open, and its requests were begun until the limit of the stop, which cuts them. A target may also work on a request for longer than the stop lasts.

Change: while the server stops, a connection with a response in progress begins no further request; that response announces the end, so what comes behind it counts as unread and is sent again. Requests of a stopping node have until 0.3 s before its limit, which their targets are told as the time left; what is still in progress then is answered as unknown.

--- a/crates/heatherwalk/tests/requests/leaving.rs
+++ b/crates/heatherwalk/tests/requests/leaving.rs
@@ -215,3 +215,38 @@
     let reply = callers::send(mesh.callers(0), callers::get("/logs/work")).await;
     assert_ne!(reply.status, 200, "the node has stopped");
 }
+
+/// Guards against requests that are cut without an answer at the end of a planned stop, among them
+/// some that must not be repeated: a node takes requests while it lingers, and a target may work on
+/// them for longer than the rest of the stop.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stop_cuts_requests_without_an_answer() {
+    let document = mesh::document(&[("logs", json!({}), json!({"timeout_ms": 60_000}))]);
+    let mut mesh = mesh::Mesh::spawn(2, document).await;
+    let linger = time::Duration::from_secs(2);
+    let change = |it: &mut node::settings::Settings| {
+        (it.linger, it.stop_limit) = (linger, linger * 2);
+    };
+    let node = mesh.add_node_with(mesh.listen, change).await;
+    let handle = |_: &str, _: &[u8]| servers::Action::Freeze;
+    let _server = servers::Server::spawn(mesh.announce(1), "logs", 64, handle).await;
+    mesh.ready(node, &["logs"]).await;
+    let addr = mesh.callers(node);
+    let mut calls = task::JoinSet::new();
+    let send = move |index: usize| async move {
+        let request = match index % 2 {
+            0 => callers::get("/logs/frozen"),
+            _ => callers::post("/logs/frozen", &format!("frozen-{index}")),
+        };
+        callers::send(addr, request).await.to_string()
+    };
+    (0..4).for_each(|it| _ = calls.spawn(send(it)));
+    tokio::time::sleep(linger / 4).await;
+    let stopping = tokio::spawn(mesh.nodes[node].take().expect("runs").stop());
+    tokio::time::sleep(linger / 4).await;
+    (4..8).for_each(|it| _ = calls.spawn(send(it)));
+    let mut replies = calls.join_all().await;
+    replies.sort_unstable();
+    stopping.await.expect("stops");
+    insta::assert_snapshot!(replies.join("\n"));
+}
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -67,7 +67,11 @@
     let id = id.unwrap_or_else(|| format_compact!("{:016x}", rand::random::<u64>()));
     let mut record = answering::RequestRecord::new(sync::Arc::clone(&state), id.clone());
     let is_head = request.method == http::Method::HEAD;
-    match handle(&state, request, id, options).await {
+    let result = tokio::select! {
+        it = handle(&state, request, id, options) => it,
+        () = end_of_stop(&state) => Err(refusals::stopping()),
+    };
+    match result {
         Ok(Reply::Streamed(answered)) => {
             record.record_head(std_time::Duration::from_micros(answered.node_status.backend_us));
             match answering::read_ahead(&record, *answered).await {
@@ -87,6 +91,16 @@
     }
 }
 
+/// Completes when a planned stop has begun and its requests must have been answered.
+async fn end_of_stop(state: &state::State) {
+    let mut stop_at = state.stop_at.subscribe();
+    // Fails when the state is dropped, and the request with it.
+    let Ok(at) = stop_at.wait_for(Option::is_some).await.map(|it| *it) else { return };
+    if let Some(at) = at {
+        tokio::time::sleep_until(at).await;
+    }
+}
+
 fn refuse(
     state: &state::State,
     mut record: answering::RequestRecord,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -196,7 +196,7 @@
 /// stopping answers what it has taken, and its callers are on their way to other nodes.
 fn may_move(state: &state::State, request: &state::RoutedRequest) -> bool {
     let another_target = request.head.patience_us.is_some();
-    another_target && !state.backend.lock().leaving
+    another_target && state.backend.lock().stop_by.is_none()
 }
 
 /// The failure of a request that may have run when its stream broke.
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -72,6 +72,7 @@
     if let Some(limit) = limit {
         scheduling.answer_by = scheduling.answer_by.min(now + (limit - lead));
     }
+    limit_to_stop(state, now, &mut scheduling);
     let budget = scheduling.budget;
     let reservation =
         reservations::Reservation::new(sync::Arc::clone(state), scheduling.parent, budget.attempts);
@@ -98,6 +99,18 @@
     })
 }
 
+/// Limits a request that a stopping node takes to the time until its stop, so that its caller gets an
+/// answer.
+fn limit_to_stop(state: &state::State, now: time::Time, scheduling: &mut Scheduling) {
+    let Some(stop_by) = state.backend.lock().stop_by else { return };
+    let lead = CALLER_LEAD.min(stop_by.since(now) / MIN_LEADS);
+    let deadline = now + stop_by.since(now).saturating_sub(lead);
+    scheduling.answer_by = scheduling.answer_by.min(stop_by);
+    scheduling.deadline = scheduling.deadline.min(deadline);
+    let left = u32::try_from(scheduling.deadline.since(now).as_millis()).unwrap_or(u32::MAX);
+    scheduling.budget.remaining_ms = scheduling.budget.remaining_ms.min(left);
+}
+
 /// The number by which a route that is split among services chooses a service. It grows with each
 /// request of such a route; a route with one service always gets zero.
 fn next_split(state: &state::State, route: &contracts::Route) -> u64 {
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -167,6 +167,18 @@
     Refusal::not_run(http::StatusCode::UNPROCESSABLE_ENTITY, "quarantined", detail)
 }
 
+/// The answer to a request that is still in progress at the end of a planned stop.
+pub(crate) fn stopping() -> Refusal {
+    Refusal {
+        status: http::StatusCode::GATEWAY_TIMEOUT,
+        run: RunStatus::Unknown,
+        reason: "stopping",
+        detail: "this node stops; the request may have run".into(),
+        retry_after: None,
+        version: None,
+    }
+}
+
 /// The refusal when an answer breaks off before it was begun. `late` says whether the deadline has
 /// passed.
 pub(crate) fn broken_answer(late: bool) -> Refusal {
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -24,6 +24,9 @@
 /// with a growing delay. Without the limit, a target that many nodes connect to at the same time
 /// answers so slowly that their handshakes time out and are repeated.
 const MAX_HANDSHAKES: usize = 16;
+/// How long before the limit of a planned stop the last requests are answered, so that the answers
+/// are written before the process ends.
+const STOP_MARGIN: std_time::Duration = std_time::Duration::from_millis(300);
 /// Longest time that a stop waits for other nodes to receive the last answers. An unreachable node
 /// receives none and would otherwise delay the stop up to its limit.
 const MAX_CLOSE_TIME: std_time::Duration = std_time::Duration::from_millis(500);
@@ -124,7 +127,10 @@
     pub async fn stop(mut self) {
         let limit = self.state.settings.stop_limit;
         let deadline = time::Instant::now() + limit;
-        self.state.backend.lock().leaving = true;
+        let answers = limit.saturating_sub(STOP_MARGIN);
+        let stop_by = self.state.now() + answers;
+        self.state.backend.lock().stop_by = Some(stop_by);
+        self.state.stop_at.send_replace(Some(self.state.instant(stop_by)));
         // Load balancers send callers here until they have seen that the node is not ready. The
         // backend server keeps working meanwhile.
         time::sleep(self.state.settings.linger.min(limit)).await;
@@ -195,7 +201,7 @@
 /// A node is ready while it runs a version of the configuration that it may route by, and is not
 /// stopping.
 fn readiness(state: &state::State) -> web::exchange::Response {
-    let (status, text) = if state.backend.lock().leaving {
+    let (status, text) = if state.backend.lock().stop_by.is_some() {
         (http::StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
     } else if state.running().is_none() {
         (http::StatusCode::SERVICE_UNAVAILABLE, "no version of the configuration yet\n")
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -44,6 +44,9 @@
     pub(crate) sessions: table::Table<Sessions>,
     /// Wakes the requests that wait for a confirmation of the running version.
     pub(crate) acknowledged: tokio::sync::Notify,
+    /// When requests that are still in progress are answered by the node, once a planned stop has
+    /// begun.
+    pub(crate) stop_at: tokio::sync::watch::Sender<Option<tokio::time::Instant>>,
     /// Wakes the task that probes unresponsive hosts when a probe may be due earlier than it knows.
     pub(crate) probe_wakeup: sync::Arc<tokio::sync::Notify>,
     pub(crate) started_at: std_time::Instant,
@@ -75,8 +78,9 @@
     pub(crate) instance: CompactString,
     /// What it said of itself in its last answer.
     pub(crate) notice: dialect::Notice,
-    /// Whether a planned stop has begun. The node is not ready any more, but still serves.
-    pub(crate) leaving: bool,
+    /// By when requests have to be answered, once a planned stop has begun. The node is not ready any
+    /// more, but still serves.
+    pub(crate) stop_by: Option<time::Time>,
     /// Whether the node refuses new work, after the linger time of a planned stop.
     pub(crate) stopping: bool,
 }
@@ -160,7 +164,7 @@
             addr: None,
             instance: "".into(),
             notice: dialect::Notice::default(),
-            leaving: false,
+            stop_by: None,
             stopping: false,
         };
         let suspects = suspects::Suspects::default();
@@ -183,6 +187,7 @@
             suspects: table::Table::new(SUSPECTS, "suspicion", suspects),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
             acknowledged: tokio::sync::Notify::new(),
+            stop_at: tokio::sync::watch::channel(None).0,
             probe_wakeup: sync::Arc::default(),
             started_at: std_time::Instant::now(),
             settings,
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -125,11 +125,14 @@
         self.inner.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Registers a new request and returns its number, or `None` if a response already announced
-    /// that the connection closes.
-    fn begin(&self) -> Option<u64> {
+    /// Registers a new request and returns its number, or `None` if it is not served: a response has
+    /// announced that the connection closes, or one in progress will do so since the server is
+    /// stopping. Otherwise a caller that always has a request in progress would keep the connection
+    /// open until the limit of the stop, which cuts its last requests.
+    fn begin(&self, stopping: bool) -> Option<u64> {
         let mut inner = self.lock();
-        if inner.close_sent {
+        inner.closing |= stopping;
+        if inner.close_sent || inner.closing && inner.active > 0 {
             return None;
         }
         inner.active += 1;
@@ -292,7 +295,7 @@
                     () = wait_for_close(socket) => None,
                 };
                 let Some(room) = room else { return ReadEnd::Disconnected };
-                let Some(number) = shared.begin() else {
+                let Some(number) = shared.begin(*stop.borrow()) else {
                     return await_responses(socket, shared).await;
                 };
                 last = start.last;
