--- a/crates/heatherwalk/tests/contracts/links.rs
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -45,15 +45,15 @@
     ];
     let peer = mesh.peer("jugla-1", hosts::Role::Node);
     let cases = [
-        ("garbage", frame(5, &[1, 0xff, 0xff, 0xff, 0xff]), true),
-        ("trailing byte", frame(3, &[1, 0, 0]), true),
-        ("truncated", frame(100, &[1, 0]), true),
+        ("garbage", frame(5, &[2, 0xff, 0xff, 0xff, 0xff]), true),
+        ("trailing byte", frame(3, &[2, 0, 0]), true),
+        ("truncated", frame(100, &[2, 0]), true),
         ("no frame", Bytes::from_static(&[0, 0]), true),
-        ("oversized", frame(8 * 1024 * 1024 + 1, &[1]), false),
+        ("oversized", frame(8 * 1024 * 1024 + 1, &[2]), false),
         ("largest length", frame(u32::MAX, &[]), false),
         ("no version", frame(0, &[]), false),
         ("version 0", frame(2, &[0, 0]), false),
-        ("version 2", frame(2, &[2, 0]), false),
+        ("version 1", frame(2, &[1, 0]), false),
     ];
     let mut out = String::new();
     for (process, addr, host) in processes {
@@ -73,7 +73,7 @@
         let link = connect(&peer, addr, host).await;
         let mut senders = Vec::new();
         let closed = async {
-            let part = frame(8 * 1024 * 1024, &vec![1; 7 * 1024 * 1024]);
+            let part = frame(8 * 1024 * 1024, &vec![2; 7 * 1024 * 1024]);
             for _ in 0..4 {
                 let (mut sender, answers) = link.open_stream().await?;
                 sender.send_bytes(part.clone()).await?;
