Believe a refusal on a kept connection only if it names its request

A faulty target wrote an earlier refusal once more on a kept connection, and callers were told that a request was not run which the target had run (REFUSED; reported by other operators).

It could happen here: a refusal counted as one of the request that was sent last, whatever it named. Non-idempotent requests use new connections, so it concerned idempotent ones: in the test a caller got 503, not run, for a request that ran, and the next one the answer to that.

Change: the client's connections remember whether they have carried a response. In the own dialect the name is heatherwalk-parent, which a backend server repeats. After a foreign answer its connection is not used again.

The contract test's backend server names its refusal now, as docs/backend-servers.md asks for kept connections; its expectations stay.

--- a/crates/heatherwalk/tests/contracts/callers.rs
+++ b/crates/heatherwalk/tests/contracts/callers.rs
@@ -55,7 +55,12 @@
     let parent = request.headers["heatherwalk-parent"].to_str().expect("text").to_owned();
     let body = request.body.collect(1024 * 1024).await.expect("a whole body");
     match request.path.as_str() {
-        "/logs/shed" => answer(503, "heatherwalk-not-run", "true"),
+        "/logs/shed" => {
+            let mut refusal = answer(503, "heatherwalk-not-run", "true");
+            // The connection is kept, so the refusal has to name its request.
+            refusal.headers.insert("heatherwalk-parent", parent.parse().expect("a value"));
+            refusal
+        }
         "/logs/call" => {
             let fields = [("heatherwalk-parent", parent.as_str())];
             let client = mesh::client();
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -10,6 +10,7 @@
 mod mesh;
 mod notices;
 mod passing;
+mod refusals;
 mod relay;
 mod servers;
 mod silence;
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -23,8 +23,9 @@
     pub add_origin: fn(&mut http::HeaderMap, &Origin<'_>),
     /// Adds header fields with the context of a request for the backend server that runs it.
     pub add_context: fn(&mut http::HeaderMap, &RequestContext<'_>),
-    /// Decides from the status and header fields whether an answer belongs to the request.
-    pub classify: fn(http::StatusCode, &http::HeaderMap, &RequestContext<'_>) -> AnswerKind,
+    /// Decides from the status and header fields whether an answer belongs to the request. The flag
+    /// says whether its connection has carried an answer before, so that this may be an extra one.
+    pub classify: fn(http::StatusCode, &http::HeaderMap, bool, &RequestContext<'_>) -> AnswerKind,
     /// Reads what a backend server says of itself in the header fields of an answer.
     pub parse_notice: fn(&http::HeaderMap) -> Notice,
     /// Writes the answer to a request that the node refuses.
@@ -173,10 +174,16 @@
 fn classify_own(
     _: http::StatusCode,
     fields: &http::HeaderMap,
-    _: &RequestContext<'_>,
+    kept: bool,
+    context: &RequestContext<'_>,
 ) -> AnswerKind {
-    match headers::text(fields, headers::NOT_RUN) {
-        Some("true") => AnswerKind::NotRun,
+    let named = headers::text(fields, headers::PARENT);
+    let refused = headers::text(fields, headers::NOT_RUN) == Some("true");
+    match named {
+        Some(it) if it != context.parent => AnswerKind::Foreign,
+        // It may be an earlier refusal that was written once more.
+        None if refused && kept => AnswerKind::Foreign,
+        _ if refused => AnswerKind::NotRun,
         _ => AnswerKind::Answered,
     }
 }
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -114,30 +114,34 @@
         parent: &parent,
         id: &request.head.id,
     };
+    let classify = |it: &web::client::Received| {
+        let web::client::Received { response, kept, .. } = it;
+        (state.settings.dialect.classify)(response.status, &response.headers, *kept, &context)
+    };
     let result = state.client.send_for_head(build_call(state, &request, &context)).await;
     let backend = state.now().since(sent_at);
-    if let Ok(answer) = &result {
-        record_notice(state, answer, &context);
+    if let Ok(received) = &result
+        && classify(received) != dialect::AnswerKind::Foreign
+    {
+        record_notice(state, &received.response.headers, &context);
     }
     let node_status = node_status(state, execution.take_attempts(), backend);
     let failure = match result {
-        Ok(answer) => {
-            let classify = state.settings.dialect.classify;
-            match classify(answer.status, &answer.headers, &context) {
-                dialect::AnswerKind::Answered => {
-                    let web::exchange::Response { status, headers, body } = answer;
-                    return Ok(Answered { status, headers, body, execution, node_status });
-                }
-                dialect::AnswerKind::NotRun => {
-                    execution.finish(work::Outcome::Failed);
-                    Failure::NotRun(forwarding::NotRun::Shed)
-                }
-                dialect::AnswerKind::Foreign => {
-                    execution.abort(false);
-                    Failure::Unknown("the backend server's answer is for another request".into())
-                }
+        Ok(received) => match classify(&received) {
+            dialect::AnswerKind::Answered => {
+                let web::exchange::Response { status, headers, body } = received.response;
+                return Ok(Answered { status, headers, body, execution, node_status });
             }
-        }
+            dialect::AnswerKind::NotRun => {
+                execution.finish(work::Outcome::Failed);
+                Failure::NotRun(forwarding::NotRun::Shed)
+            }
+            dialect::AnswerKind::Foreign => {
+                received.discard_connection();
+                execution.abort(false);
+                Failure::Unknown("the backend server's answer is for another request".into())
+            }
+        },
         Err(web::client::Error::NotSent(reason)) => {
             log::info!(target: "decision", "backend_refused request={} addr={addr} reason={reason:?}", request.head.id);
             execution.finish(work::Outcome::Failed);
@@ -242,17 +246,13 @@
     }
 }
 
-/// Records what the backend server says of itself, if its answer belongs to the request.
+/// Records what the backend server says of itself in the answer to a request.
 fn record_notice(
     state: &sync::Arc<state::State>,
-    answer: &web::exchange::Response,
+    headers: &http::HeaderMap,
     context: &dialect::RequestContext<'_>,
 ) {
-    let dialect = &state.settings.dialect;
-    if (dialect.classify)(answer.status, &answer.headers, context) == dialect::AnswerKind::Foreign {
-        return;
-    }
-    let notice = (dialect.parse_notice)(&answer.headers);
+    let notice = (state.settings.dialect.parse_notice)(headers);
     let changed = {
         let mut backend = state.backend.lock();
         // A server that replaced the one that answered has not said so.
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -12,7 +12,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
-use crate::{body as bodies, exchange, headers};
+use crate::{body as bodies, connector, exchange, headers};
 
 /// Why a request got no response. The text is the cause.
 #[derive(Clone, Debug, thiserror::Error)]
@@ -83,7 +83,27 @@
     single_use: HyperClient,
 }
 
-type HyperClient = legacy::Client<connect::HttpConnector, GothamBody>;
+/// The head of a response, and what is known of the connection that it came on.
+pub struct Received {
+    /// The response; its body may still be on its way.
+    pub response: exchange::Response,
+    /// Whether the connection has carried a response before. Without a name of its request in the
+    /// response, it may then be an extra one for an earlier request.
+    pub kept: bool,
+    connection: connect::CaptureConnection,
+}
+
+impl Received {
+    /// Closes the connection after the response, so that what may still come on it is not taken for
+    /// the response to another request.
+    pub fn discard_connection(&self) {
+        if let Some(connected) = self.connection.connection_metadata().as_ref() {
+            connected.poison();
+        }
+    }
+}
+
+type HyperClient = legacy::Client<connector::Connector, GothamBody>;
 
 impl Default for Limits {
     fn default() -> Limits {
@@ -109,7 +129,7 @@
     /// the server can stop working on the request.
     pub async fn send(&self, call: Call) -> Result<exchange::Response> {
         let deadline = call.deadline;
-        let response = self.send_for_head(call).await?;
+        let response = self.send_for_head(call).await?.response;
         let timer = Box::pin(tokio::time::sleep_until(deadline));
         let body = DeadlineBody { incoming: response.body.into_inner(), timer };
         Ok(exchange::Response { body: bodies::Body::new(body), ..response })
@@ -117,7 +137,7 @@
 
     /// Does the same as [`Client::send`], but the deadline is that of the head alone. Whoever reads
     /// the body limits its time.
-    pub async fn send_for_head(&self, call: Call) -> Result<exchange::Response> {
+    pub async fn send_for_head(&self, call: Call) -> Result<Received> {
         let (deadline, reuse) = (call.deadline, call.reuse);
         let close_delimited = call.close_delimited || call.method == http::Method::HEAD;
         let mut request = build_request(call)?;
@@ -134,15 +154,14 @@
             }
             Err(_) => return Err(Error::MaybeSent("deadline passed".into())),
         };
+        let kept = capture.connection_metadata().as_ref().is_none_or(connector::record_response);
         check_framing(&response, close_delimited)?;
-        Ok(to_response(response))
+        Ok(Received { response: to_response(response), kept, connection: capture })
     }
 }
 
 fn new_pool(limits: &Limits, pooled: usize) -> HyperClient {
-    let mut connector = connect::HttpConnector::new();
-    connector.set_connect_timeout(Some(limits.connect_timeout));
-    connector.set_nodelay(true);
+    let connector = connector::Connector::new(limits.connect_timeout);
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(limits.idle_timeout)
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod client;
 mod connection;
+mod connector;
 pub mod exchange;
 mod framing;
 pub mod headers;
