--- a/crates/web/tests/calling.rs
+++ b/crates/web/tests/calling.rs
@@ -205,3 +205,28 @@
     left.sort_unstable();
     assert_eq!(left, ["content-length", "idempotency-key"]);
 }
+
+/// Guards against a response whose head breaks off that is taken for a whole one: callers got a 200
+/// with an empty or a short body, framed as whole. It cuts the head of each response after each byte.
+#[tokio::test]
+async fn heads_that_end_early() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 10\r\nx: y\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx: y\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx: y\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nx: y\r\n\r\n",
+        "HTTP/1.1 200 OK\nx: y\n\n",
+    ];
+    let client = client::Client::new(client::Limits::default());
+    for head in heads {
+        for end in 0..head.len() {
+            let (addr, _requests) = backend(Reply::Close(&head[..end])).await;
+            for reuse in [client::Reuse::Allowed, client::Reuse::Never] {
+                let call = client::Call { close_delimited: true, ..call(addr, TIMEOUT, reuse) };
+                let outcome = outcome(&client, call).await;
+                assert_eq!(outcome, "maybe sent", "{reuse:?}: {:?}", &head[..end]);
+            }
+        }
+    }
+}
