--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -4,6 +4,8 @@
 //! Each request is served by hyper on an in-memory connection of its own. This connection ends
 //! after the response, so the end of a response is known without parsing it.
 
+mod responses;
+
 use std::{
     sync::{self, atomic},
     time,
@@ -25,11 +27,6 @@
 const MAX_PIPELINED: usize = 32;
 /// Bytes of a request or a response that its in-memory connection buffers.
 const DUPLEX_BYTES: usize = 64 * 1024;
-/// The response in place of one that failed before any of its bytes were sent. The request may have
-/// run.
-const BROKEN_RESPONSE: &str = "HTTP/1.1 502 Bad Gateway\r\nheatherwalk-outcome: unknown\r\n\
-    heatherwalk-reason: broken\r\n\
-    content-length: 0\r\n";
 /// How often a connection whose bytes are not read is checked for whether the caller has left.
 const CLOSE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// How long the caller may take to close the connection after the last response. If the server
@@ -75,29 +72,6 @@
     pub(crate) ambiguous: bool,
 }
 
-/// A response in progress.
-struct Pending {
-    output: tokio::io::ReadHalf<tokio::io::DuplexStream>,
-    /// Receives whether the response is complete once `output` has ended.
-    complete: oneshot::Receiver<bool>,
-    handle: Handle,
-    /// No request may follow this one on the connection.
-    last: bool,
-}
-
-impl Pending {
-    /// Whether the response is complete, if its task has ended. May be called only once.
-    fn take_result(&mut self) -> Option<bool> {
-        // Looks once and does not wait: whether the response has failed is only asked before it begins.
-        match self.complete.try_recv() {
-            Ok(complete) => Some(complete),
-            Err(oneshot::error::TryRecvError::Empty) => None,
-            // The task has panicked or was aborted.
-            Err(oneshot::error::TryRecvError::Closed) => Some(false),
-        }
-    }
-}
-
 /// Why reading requests ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ReadEnd {
@@ -207,7 +181,7 @@
     let mut tasks = task::JoinSet::new();
     let result = {
         let reader = read_requests(&mut socket, &limits, &shared, stop, queue, &mut tasks, service);
-        let writer = write_responses(writing.half.as_mut(), responses, &limits, &shared);
+        let writer = responses::write_responses(writing.half.as_mut(), responses, &limits, &shared);
         tokio::pin!(reader, writer);
         tokio::select! {
             end = &mut reader => match end {
@@ -267,7 +241,7 @@
     limits: &server::Limits,
     shared: &sync::Arc<Shared>,
     mut stop: watch::Receiver<bool>,
-    queue: mpsc::Sender<Pending>,
+    queue: mpsc::Sender<responses::Pending>,
     tasks: &mut task::JoinSet<()>,
     service: S,
 ) -> ReadEnd
@@ -405,7 +379,7 @@
     last: bool,
     tasks: &mut task::JoinSet<()>,
     service: S,
-) -> (Pending, tokio::io::WriteHalf<tokio::io::DuplexStream>)
+) -> (responses::Pending, tokio::io::WriteHalf<tokio::io::DuplexStream>)
 where
     S: Fn(http::Request<body::Incoming>, Handle) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = http::Response<GothamBody>> + Send + 'static,
@@ -413,7 +387,7 @@
     let (near, far) = tokio::io::duplex(DUPLEX_BYTES);
     let (output, input) = tokio::io::split(near);
     let (done, complete) = oneshot::channel();
-    let pending = Pending { output, complete, handle: handle.clone(), last };
+    let pending = responses::Pending { output, complete, handle: handle.clone(), last };
     let mut builder = http1::Builder::new();
     // The input ends with the request, while the response is still to come.
     builder.half_close(true).max_buf_size(limits.max_header);
@@ -432,75 +406,3 @@
     });
     (pending, input)
 }
-
-/// Writes the responses in the order of their requests. A response that fails before any of its
-/// bytes were sent is replaced with [`BROKEN_RESPONSE`]; one that fails later ends the connection.
-async fn write_responses(
-    writing: Option<&mut tcp::OwnedWriteHalf>,
-    mut responses: mpsc::Receiver<Pending>,
-    limits: &server::Limits,
-    shared: &Shared,
-) -> Result<(), &'static str> {
-    let Some(writing) = writing else { return Ok(()) };
-    let mut buffer = bytes::BytesMut::with_capacity(8 * 1024);
-    while let Some(mut pending) = responses.recv().await {
-        // A response that has failed while it waited for its turn is not begun.
-        let early = pending.take_result();
-        let mut begun = false;
-        while early != Some(false) {
-            buffer.clear();
-            let count = pending.output.read_buf(&mut buffer).await.unwrap_or(0);
-            if count == 0 {
-                break;
-            }
-            begun = true;
-            write_bytes(writing, &buffer, limits).await?;
-        }
-        let complete = match early {
-            Some(it) => it,
-            None => pending.complete.await.unwrap_or(false),
-        };
-        if !complete && begun {
-            log_reset(&pending.handle, &mut responses);
-            return Err("the handler did not complete the response");
-        }
-        if !complete {
-            let closes = pending.handle.closes() || pending.last;
-            let close = if closes { "connection: close\r\n" } else { "" };
-            let response = format!("{BROKEN_RESPONSE}{close}\r\n");
-            write_bytes(writing, response.as_bytes(), limits).await?;
-        }
-        shared.finish();
-    }
-    Ok(())
-}
-
-async fn write_bytes(
-    writing: &mut tcp::OwnedWriteHalf,
-    bytes: &[u8],
-    limits: &server::Limits,
-) -> Result<(), &'static str> {
-    let written = tokio::time::timeout(limits.idle_timeout, writing.write_all(bytes)).await;
-    match written {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) | Err(_) => Err("the caller did not read the response in time"),
-    }
-}
-
-/// Logs which responses are lost because the one before them failed after its first bytes were
-/// sent.
-fn log_reset(failed: &Handle, responses: &mut mpsc::Receiver<Pending>) {
-    let (mut lost, mut complete) = (0, 0);
-    // Empties the queue of at most MAX_PIPELINED responses without waiting. The task that fills it
-    // does not run meanwhile, so this loop ends.
-    while let Ok(mut behind) = responses.try_recv() {
-        lost += 1;
-        complete += usize::from(behind.take_result() == Some(true));
-    }
-    log::info!(
-        target: "decision",
-        "connection_reset reason=\"incomplete response\" response={} lost_behind={lost} \
-         of_these_complete={complete}",
-        failed.number,
-    );
-}
