--- a/crates/distribution/src/updater.rs
+++ b/crates/distribution/src/updater.rs
@@ -8,9 +8,9 @@
 
 use crate::{attach, floor, messages, toggles};
 
-/// Time between two beats, which keep the session with the control alive. A beat that is due after
-/// a silent control's last answer is overdue by [`attach::SUSPICION_TIMEOUT`] before the running
-/// version is too old to route by, so the loss of a control refuses no request.
+/// Time between two beats, which keep the session with the control alive. With
+/// [`attach::SUSPICION_TIMEOUT`] it is shorter than [`CONFIRMATION_LIMIT`], so that a control that
+/// stops is suspected before the running version is too old to route by.
 pub const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// How long after a control's confirmation the running version counts as the latest. An accepted
 /// version has to be in force within 2 s, and a control may not know for 800 ms, the lease of a
@@ -211,8 +211,8 @@
         }
     }
 
-    /// Whether the node may tell callers to come: its version was the latest when it, or the process
-    /// since its start, last heard so, or no control can tell.
+    /// Whether the node may tell callers to come: a control has confirmed a version since the start
+    /// of the process, or none can be reached that would.
     pub fn is_ready(&self, now: Time) -> bool {
         let known = self.confirmed_at.is_some() || self.freshness(now) == Freshness::CutOff;
         self.running.is_some() && known
