--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -253,7 +253,7 @@
     context: &dialect::RequestContext<'_>,
 ) {
     let notice = (state.settings.dialect.parse_notice)(headers);
-    let changed = {
+    let before = {
         let mut backend = state.backend.lock();
         // A server that replaced the one that answered has not said so.
         if backend.instance != context.instance || backend.notice == notice {
@@ -263,7 +263,7 @@
     };
     log::info!(
         target: "decision",
-        "backend_notice request={} max_rate={:?} leaving={} before={changed:?}",
+        "backend_notice request={} max_rate={:?} leaving={} before={before:?}",
         context.id,
         notice.max_rate,
         notice.leaving,
