Move the votes of a group from hosts that are gone to others that hold the log

The leader offered votes only to the hosts of its settings, and only added them.

The hosts of a group and its voters now change while it runs (Configure). The list in the log follows the wanted voters one at a time: first the vote of one that is no longer wanted is removed, then that of its successor added, each once the successor holds the log and answers. A leader that loses its vote leads until that is committed. A host that has missed changes follows a leader of its own cluster that it does not know.

--- a/crates/agreement/src/events.rs
+++ b/crates/agreement/src/events.rs
@@ -67,6 +67,14 @@
         /// The received message.
         message: messages::Message,
     },
+    /// The hosts of the group have changed. The list of voters in the log follows `voters` one
+    /// voter at a time, as soon as their disks hold the log.
+    Configure {
+        /// All hosts that replicate the log.
+        hosts: Vec<CompactString>,
+        /// The hosts that are to vote.
+        voters: Vec<CompactString>,
+    },
     /// Commands to append. One sync covers all of them.
     Propose(Vec<Proposal>),
     /// A linearizable read: the caller asks for the commit index of a leader whose lease is valid
--- a/crates/agreement/src/group.rs
+++ b/crates/agreement/src/group.rs
@@ -121,6 +121,7 @@
         match event {
             events::Event::Tick => self.tick(now),
             events::Event::Receive { from, message } => self.receive(now, &from, message),
+            events::Event::Configure { hosts, voters } => self.configure(hosts, voters),
             events::Event::Propose(proposals) => self.propose(now, proposals),
             events::Event::ConfirmRead { token } => self.confirm_read(now, token),
             events::Event::SnapshotTaken { index, data } => self.on_snapshot(now, index, data),
@@ -209,23 +210,28 @@
             );
             return self.step_down(now, self.hard_state.term, None);
         }
-        self.replace_disks(now);
+        if self.is_removed() {
+            log::info!("no longer a voter; stepping down in term {}", self.hard_state.term);
+            self.send_heartbeats(now);
+            return self.step_down(now, self.hard_state.term, None);
+        }
+        self.replace_voters(now);
         if now >= self.heartbeat_at {
             self.send_heartbeats(now);
         }
     }
 
     fn receive(&mut self, now: time::Time, from: &str, message: messages::Message) {
-        let Some(key) = self.members.find(from).filter(|&it| it != self.own_key) else {
-            log::warn!("ignoring a message from {from}, which is not a member of the group");
-            return;
-        };
         let foreign =
             message.cluster.is_some_and(|it| self.hard_state.cluster.is_some_and(|c| c != it));
         if foreign {
             log::warn!("ignoring a message from {from}, which belongs to another cluster");
             return;
         }
+        let Some(key) = self.sender_key(from, &message) else {
+            log::debug!("ignoring a message from {from}, which is not a member of the group");
+            return;
+        };
         let messages::Message { cluster, disk, term, body } = message;
         let sender = Sender { key, cluster, disk, term };
         match body {
@@ -248,6 +254,26 @@
         }
     }
 
+    /// The key of the sender of a message; none for this host and for a host that is not a member.
+    ///
+    /// A host that has missed changes of the members may not know the leader. It follows a leader or
+    /// candidate of its own cluster all the same, and learns the members from the log.
+    fn sender_key(
+        &mut self,
+        from: &str,
+        message: &messages::Message,
+    ) -> Option<members::MemberKey> {
+        if let Some(key) = self.members.find(from) {
+            return Some(key).filter(|&it| it != self.own_key);
+        }
+        let known = message.cluster.is_some() && message.cluster == self.hard_state.cluster;
+        let leads = matches!(
+            message.body,
+            messages::Body::Append(_) | messages::Body::Chunk(_) | messages::Body::Vote(_)
+        );
+        (known && leads).then(|| self.members.add(&from.into()))
+    }
+
     fn propose(&mut self, now: time::Time, proposals: Vec<events::Proposal>) {
         for events::Proposal { token, payload } in proposals {
             if let Some(refusal) = self.refusal(now) {
--- a/crates/agreement/src/members.rs
+++ b/crates/agreement/src/members.rs
@@ -75,6 +75,12 @@
         key
     }
 
+    /// Removes the hosts for which `keep` returns false.
+    pub(crate) fn retain(&mut self, keep: impl Fn(MemberKey, &Member) -> bool) {
+        self.arena.retain(|key, member| keep(key, member));
+        self.by_name.retain(|_, key| self.arena.contains_key(*key));
+    }
+
     pub(crate) fn find(&self, host: &str) -> Option<MemberKey> {
         self.by_name.get(host).copied()
     }
--- a/crates/agreement/src/membership.rs
+++ b/crates/agreement/src/membership.rs
@@ -1,7 +1,9 @@
-//! The lists of voters in the log, majorities, and the two-step replacement of a lost disk.
+//! The lists of voters in the log, majorities, and the two-step replacement of a voter that is gone
+//! or has lost its disk.
 
 use std::{mem, slice};
 
+use compact_str::CompactString;
 use world::time;
 
 use crate::{entries, events, group, members};
@@ -118,33 +120,64 @@
         self.voter_lists.resolved().find(|it| it.member == key).map(|it| it.disk)
     }
 
-    /// Proposes the next step of replacing a lost disk, if there is one.
+    /// Takes over the hosts of the group. A host that the log still lists as a voter, or that leads,
+    /// stays a member until it no longer does.
+    pub(crate) fn configure(
+        &mut self,
+        mut hosts: Vec<CompactString>,
+        mut voters: Vec<CompactString>,
+    ) {
+        hosts.iter().for_each(|it| _ = self.members.add(it));
+        let own_key = self.own_key;
+        let leader = self.leader;
+        let listed = &self.voter_lists.resolved;
+        self.members.retain(|key, member| {
+            key == own_key
+                || leader == Some(key)
+                || hosts.contains(&member.host)
+                || listed.iter().any(|it| it.member == key)
+        });
+        hosts.sort();
+        voters.sort();
+        (self.settings.hosts, self.settings.voters) = (hosts, voters);
+    }
+
+    /// Whether the newest list of voters does not have this host, and is committed. A leader that has
+    /// removed itself leads until then.
+    pub(crate) fn is_removed(&self) -> bool {
+        !self.is_voter() && self.voter_lists.latest_index() <= self.hard_state.commit
+    }
+
+    /// Proposes the next step of replacing a voter, if there is one.
     ///
     /// The first step removes the old disk from the list of voters. The second adds the new disk
     /// once the first is committed. In a single step the old majority {A, C} and the new majority
     /// {B, C'} would not intersect. Both steps wait until the new disk holds everything up to the
     /// commit index, which a late acknowledgement from a removed disk never shows.
-    pub(crate) fn replace_disks(&mut self, now: time::Time) {
+    pub(crate) fn replace_voters(&mut self, now: time::Time) {
         let committed = self.voter_lists.latest_index() <= self.hard_state.commit;
         if !committed || !self.is_ready_leader(now) || !self.settings.toggles.disk_ids {
             return;
         }
-        let Some(voters) = self.next_voters() else { return };
+        let Some(voters) = self.next_voters(now) else { return };
         log::info!("proposing a new list of voters: {voters:?}");
         self.append(entries::Payload::Voters(voters));
         self.replicate(now);
     }
 
-    /// The next list of voters, which differs from the newest one in a single voter; none if no
-    /// configured voter has a caught-up disk that is not listed.
-    fn next_voters(&self) -> Option<Vec<entries::Voter>> {
+    /// The next list of voters, which differs from the newest one in a single voter; none if every
+    /// host that is to vote is listed with its disk, or is not ready to be.
+    fn next_voters(&self, now: time::Time) -> Option<Vec<entries::Voter>> {
         let mut voters = self.voter_lists.latest().to_vec();
         for host in &self.settings.voters {
-            let Some(disk) = self.caught_up_disk(host) else { continue };
-            let position = voters.iter().position(|it| it.host == *host);
-            match position {
-                Some(position) if voters[position].disk == disk => continue,
-                Some(position) => _ = voters.remove(position),
+            let Some(disk) = self.caught_up_disk(now, host) else { continue };
+            let outgoing = voters
+                .iter()
+                .position(|it| it.host == *host)
+                .or_else(|| voters.iter().position(|it| !self.settings.voters.contains(&it.host)));
+            match outgoing {
+                Some(it) if voters[it].host == *host && voters[it].disk == disk => continue,
+                Some(it) => _ = voters.remove(it),
                 None => voters.push(entries::Voter { host: host.clone(), disk }),
             }
             return Some(voters);
@@ -152,11 +185,13 @@
         None
     }
 
-    /// The disk of another host, if it holds everything up to the commit index.
-    fn caught_up_disk(&self, host: &str) -> Option<entries::DiskId> {
+    /// The disk of another host, if it answers and holds everything up to the commit index.
+    fn caught_up_disk(&self, now: time::Time, host: &str) -> Option<entries::DiskId> {
         let key = self.members.find(host).filter(|&it| it != self.own_key)?;
         let member = self.members.get(key);
-        member.disk.filter(|_| member.progress.matched >= self.hard_state.commit)
+        let ready =
+            !self.is_unresponsive(now, key) && member.progress.matched >= self.hard_state.commit;
+        member.disk.filter(|_| ready)
     }
 
     /// The last known disk of a host, this one included.
--- a/crates/agreement/src/settings.rs
+++ b/crates/agreement/src/settings.rs
@@ -36,12 +36,13 @@
     }
 }
 
-/// Settings of a group. They must be the same on all of its hosts.
+/// Settings of a group. The times and limits must be the same on all of its hosts.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// All hosts that replicate the log: the voters and the learners.
     pub hosts: Vec<CompactString>,
-    /// The hosts that vote once the group has formed.
+    /// The hosts that form the group, and are to vote later. The list in the log can differ while
+    /// a voter is replaced.
     pub voters: Vec<CompactString>,
     /// Interval between a leader's heartbeats.
     pub heartbeat: time::Duration,
--- a/crates/agreement/src/status.rs
+++ b/crates/agreement/src/status.rs
@@ -1,5 +1,7 @@
 //! A summary of a group's state for operators.
 
+use std::time as std_time;
+
 use compact_str::CompactString;
 use world::time;
 
@@ -40,6 +42,11 @@
     pub matched: entries::Index,
     /// It has acknowledged nothing that was sent in the last few heartbeat intervals.
     pub silent: bool,
+    /// Time since the last message that it has acknowledged was sent, at most since this host
+    /// became the leader.
+    pub silence: std_time::Duration,
+    /// Its synced log holds everything that is committed.
+    pub current: bool,
 }
 
 impl group::Group {
@@ -67,6 +74,8 @@
             listed: self.listed_disk(key),
             matched: member.progress.matched,
             silent: self.is_unresponsive(now, key),
+            silence: now.since(member.progress.last_ack.unwrap_or_default().max(self.leader_since)),
+            current: member.progress.matched >= self.hard_state.commit,
         }
     }
 }
--- a/crates/agreement/tests/cases.rs
+++ b/crates/agreement/tests/cases.rs
@@ -1,5 +1,6 @@
 //! Fault injection into a simulated group of hosts, and the failures that occur with a toggle off.
 
+mod replaced_voters;
 mod sim;
 
 use std::fmt::Write as _;
--- a/crates/agreement/tests/sim/mod.rs
+++ b/crates/agreement/tests/sim/mod.rs
@@ -239,7 +239,21 @@
     /// The voters except the leader.
     pub fn followers(&self) -> Vec<usize> {
         let leader = self.leader();
-        (0..self.settings.voters.len()).filter(|&it| Some(it) != leader).collect()
+        let votes = |it: &usize| self.settings.voters.contains(&self.hosts[*it].name);
+        (0..self.hosts.len()).filter(votes).filter(|&it| Some(it) != leader).collect()
+    }
+
+    /// Moves the vote of the host `gone` to the host `successor`, as all running hosts are told.
+    pub fn move_vote(&mut self, gone: usize, successor: usize) {
+        let (gone, successor) = (&self.hosts[gone].name, self.hosts[successor].name.clone());
+        let voters = &mut self.settings.voters;
+        let seat = voters.iter_mut().find(|it| *it == gone).expect("a voter");
+        *seat = successor;
+        let (hosts, voters) = (self.settings.hosts.clone(), self.settings.voters.clone());
+        for host in 0..self.hosts.len() {
+            let event = events::Event::Configure { hosts: hosts.clone(), voters: voters.clone() };
+            self.step(host, event);
+        }
     }
 
     /// Whether the ready leader's list of voters has the current disk of each configured voter.
@@ -248,7 +262,8 @@
             return false;
         };
         let listed = |it: &entries::Voter| {
-            self.hosts.iter().any(|host| host.name == it.host && host.disk.id == it.disk)
+            let same = |host: &Host| host.name == it.host && host.disk.id == it.disk;
+            self.settings.voters.contains(&it.host) && self.hosts.iter().any(same)
         };
         group.voters().len() == self.settings.voters.len() && group.voters().iter().all(listed)
     }
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 use world::document;
 
-use crate::{distributing, replica, state, state_machines};
+use crate::{controls, distributing, replica, state, state_machines};
 
 /// Steps this host's replica of the configuration log with an event.
 pub(crate) fn step_configuration(state: &state::State, event: events::Event) {
@@ -209,6 +209,9 @@
             let command = quarantine::Command { at_ms, age_ms, evidence };
             state_machines::encode(&state_machines::Command::Evidence(command))
         }
+        proposals::Proposal::Controls(command) => {
+            state_machines::encode(&state_machines::Command::Controls(command))
+        }
         proposals::Proposal::Patch(patch) => {
             let command = versions::Command { at_ms, level, patch };
             state_machines::encode(&state_machines::Command::Patch(command))
@@ -245,6 +248,7 @@
     }
     if changed || distributing::has_unpublished_entries(state, applied) {
         distributing::publish(state, applied);
+        controls::follow(state);
     }
     for (token, index) in reads {
         match index {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,7 +3,9 @@
 //! versions to nodes and serves the operators' HTTP interface.
 
 mod attaching;
+mod controls;
 pub mod dialect;
+mod directory;
 mod distributing;
 mod groups;
 mod http;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -7,7 +7,7 @@
 use protocol::{operators, proposals, streams};
 use replicated::{quarantine, replacement, versions};
 use tokio::sync::oneshot;
-use world::{document, hosts, time};
+use world::{document, time};
 
 use crate::{distributing, groups, proposing, registering, state};
 
@@ -90,22 +90,7 @@
 
 /// Lists the controls of the mesh, for processes that discover them.
 pub(crate) fn hosts(state: &state::State) -> operators::ControlList {
-    let mesh = &state.settings.mesh;
-    let host_record = |host: &hosts::Host, votes| {
-        let centre = mesh.data_centre(host.data_centre)?;
-        Some(operators::ControlRecord {
-            name: host.name.clone(),
-            region: mesh.region(centre.region)?.name.clone(),
-            data_centre: centre.name.clone(),
-            addr: host.addr,
-            operators: None,
-            votes,
-        })
-    };
-    let controls = mesh.hosts().filter(|(_, it)| it.role == hosts::Role::Control);
-    let controls = controls
-        .filter_map(|(key, it)| host_record(it, state.settings.config_voters.contains(&key)))
-        .collect();
+    let controls = state.directory.lock().records();
     operators::ControlList { formed: true, controls }
 }
 
@@ -176,10 +161,11 @@
     }
     let own = registering::local_report(state);
     let now = state.now();
+    let peers: Vec<_> = state.directory.lock().peers().cloned().collect();
     let distributor = state.distributor.lock();
     let mut data_centres = vec![data_centre_progress(&own, version, 0)];
     let mut in_force = has_converged(&own, version);
-    for host in state.peer_queues.keys() {
+    for host in &peers {
         let Some((report, at)) = distributor.reports.get(host) else {
             in_force = false;
             continue;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -16,7 +16,7 @@
 const BACKOFF_BASE: time::Duration = time::Duration::from_millis(50);
 
 /// Sends the queued messages to another control, over one stream that is opened again when it
-/// breaks. Returns when the queue is closed or the settings don't name the host.
+/// breaks. Returns when the queue is closed or the directory does not have the host.
 pub(crate) async fn send(
     state: sync::Arc<state::State>,
     host: CompactString,
@@ -37,11 +37,17 @@
 /// Receives another control's messages and submits a job for each, until the stream ends.
 pub(crate) async fn receive(
     state: &sync::Arc<state::State>,
-    host: &str,
+    link: &transport::links::Link,
     receiver: &mut transport::streams::Receiver,
 ) -> transport::errors::Result<()> {
-    let host = CompactString::from(host);
+    let host = CompactString::from(link.host());
     while let Some(message) = receiver.recv::<streams::PeerMessage>().await? {
+        if let streams::PeerMessage::Introduction(record) = &message
+            && (record.name != host || record.addr.ip() != link.remote_addr().ip())
+        {
+            log::warn!("control {host} introduced itself as another one; closing its stream");
+            return Ok(());
+        }
         let job = {
             let state = sync::Arc::clone(state);
             let host = host.clone();
@@ -62,11 +68,15 @@
     host: &str,
     queue: &mut mpsc::Receiver<streams::PeerMessage>,
 ) -> transport::errors::Result<()> {
-    let mesh = &state.settings.mesh;
-    let Some(peer) = mesh.find_host(host).and_then(|it| mesh.host(it)) else { return Ok(()) };
-    let link = state.links.link_control(host, peer.addr).await?;
+    let (addr, own) = {
+        let directory = state.directory.lock();
+        (directory.addr(host), directory.own_record())
+    };
+    let (Some(addr), Some(own)) = (addr, own) else { return Ok(()) };
+    let link = state.links.link_control(host, addr).await?;
     let (mut sender, _receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Peer).await?;
+    sender.send(&streams::PeerMessage::Introduction(own)).await?;
     // Messages queued while there was no link are out of date, and the protocols send them again.
     // The queue is bounded and `try_recv` doesn't wait, so this loop ends.
     while queue.try_recv().is_ok() {}
@@ -96,6 +106,16 @@
         streams::PeerMessage::PartRequests(requests) => {
             registering::send_parts_to_peer(state, &host, &requests);
         }
+        streams::PeerMessage::Introduction(record) => {
+            let now = state.now();
+            state.directory.lock().introduce(now, &record);
+        }
+        streams::PeerMessage::Leaving => {
+            log::info!("control {host} is about to stop");
+            let now = state.now();
+            state.directory.lock().record_leaving(now, host);
+            state.controls_changed.notify_one();
+        }
         streams::PeerMessage::Parts(parts) => registering::merge_parts(state, &parts),
         streams::PeerMessage::Report(report) => {
             let now = state.now();
--- a/crates/control/src/proposing.rs
+++ b/crates/control/src/proposing.rs
@@ -101,9 +101,9 @@
     host: &CompactString,
     request: proposals::Proposal,
 ) -> transport::errors::Result<Option<proposals::Outcome>> {
-    let mesh = &state.settings.mesh;
-    let Some(peer) = mesh.find_host(host).and_then(|it| mesh.host(it)) else { return Ok(None) };
-    let link = state.links.link_control(host, peer.addr).await?;
+    let addr = state.directory.lock().addr(host);
+    let Some(addr) = addr else { return Ok(None) };
+    let link = state.links.link_control(host, addr).await?;
     let (mut sender, mut receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Propose(request)).await?;
     sender.finish()?;
@@ -113,7 +113,8 @@
 /// The hosts that hold a group's log, in the order of their network latency from this host, which
 /// comes first.
 fn member_hosts(state: &state::State, group: &proposals::GroupId) -> Vec<CompactString> {
-    let mesh = &state.settings.mesh;
+    let directory = state.directory.lock();
+    let mesh = directory.mesh();
     let region = match group {
         proposals::GroupId::Configuration => None,
         proposals::GroupId::Claims(name) => match mesh.find_region(name) {
--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -44,14 +44,16 @@
     state.distributor.lock().send(key, streams::ControlMessage::Heartbeat(answer));
 }
 
-/// Sends the unreachable data centres and the registry's digests to a node that has just attached.
+/// Sends the controls, the unreachable data centres and the registry's digests to a node that has just attached.
 /// The node then asks for the parts that differ from its own.
 pub(crate) fn send_registry(state: &state::State, key: subscribers::SubscriberKey) {
     let registry = state.registry.lock();
     let digests = registry.targets().digests();
     let unreachable = registry.unreachable_peers();
     drop(registry);
+    let controls = state.directory.lock().records();
     let mut distributor = state.distributor.lock();
+    distributor.send(key, streams::ControlMessage::Controls(controls));
     for it in unreachable {
         distributor.send(key, streams::ControlMessage::Reach(it));
     }
@@ -77,9 +79,10 @@
 /// Compares another control's digests with the registry and requests the parts that differ. The
 /// message also shows that the sender's data centre can be reached.
 pub(crate) fn compare_digests(state: &state::State, host: &str, digests: &[messages::Digest]) {
-    let Some(data_centre) = state.data_centre_of(host) else { return };
+    let data_centre = state.directory.lock().data_centre(host).cloned();
+    let Some(data_centre) = data_centre else { return };
     let mut registry = state.registry.lock();
-    let reach = registry.mark_alive(state.now(), data_centre);
+    let reach = registry.mark_alive(state.now(), &data_centre);
     let missing = registry.targets().compare(digests);
     drop(registry);
     if let Some(reach) = reach {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -239,6 +239,11 @@
         state: &tables::table::Table<M>,
     ) -> Vec<Output> {
         let mut outputs = Vec::new();
+        if let events::Event::Configure { hosts, voters } = &event {
+            // Reopening the files creates the group anew.
+            self.settings.hosts.clone_from(hosts);
+            self.settings.voters.clone_from(voters);
+        }
         if matches!(event, events::Event::Tick) {
             self.retry(now, machine, state);
         }
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -1,6 +1,6 @@
 //! A running control: startup, background tasks and graceful shutdown.
 
-use std::{collections, net, path, sync, time as std_time};
+use std::{net, path, sync, time as std_time};
 
 use protocol::{proposals, streams};
 use replicated::claims;
@@ -9,8 +9,8 @@
 use world::hosts;
 
 use crate::{
-    attaching, distributing, groups, http, instruments, peers, proposing, registering, replica,
-    settings, state,
+    attaching, controls, directory, distributing, groups, http, instruments, peers, proposing,
+    registering, replica, settings, state,
 };
 
 /// Interval between ticks of the groups, well below their heartbeat interval of 200 ms.
@@ -69,14 +69,14 @@
         let listen = listen.expect("the settings contain this host");
         let limits = transport::limits::Limits::default();
         let endpoint = endpoint::Endpoint::bind(listen, identity, limits)?;
-        let (senders, receivers) = peer_queues(&settings);
+        let (new_peers, peers) = mpsc::unbounded_channel();
         let links = pool::LinkPool::new(endpoint.clone());
-        let state = sync::Arc::new(state::State::open(settings, links, senders, instruments)?);
+        let state = sync::Arc::new(state::State::open(settings, links, new_peers, instruments)?);
+        controls::follow(&state);
         let operators = bind_operators(&state).await?;
         let mut tasks = task::JoinSet::new();
-        for (host, receiver) in receivers {
-            tasks.spawn(peers::send(sync::Arc::clone(&state), host, receiver));
-        }
+        tasks.spawn(send_to_peers(sync::Arc::clone(&state), peers));
+        tasks.spawn(controls::maintain(sync::Arc::clone(&state)));
         let shared = sync::Arc::clone(&state);
         tasks.spawn(serving::serve(endpoint.clone(), move |link, sender, receiver| {
             serve_stream(sync::Arc::clone(&shared), link, sender, receiver)
@@ -98,10 +98,11 @@
         self.operators.local_addr()
     }
 
-    /// Stops the control: lets operators' requests in flight finish, for at most
+    /// Stops the control: hands its seats over if another control can take them, lets operators' requests in flight finish, for at most
     /// [`stop_limit`](settings::Settings::stop_limit), then ends all tasks, closes the logs and
     /// closes the streams of other processes at once.
     pub async fn stop(mut self) {
+        controls::hand_over(&self.state).await;
         let limit = self.state.settings.stop_limit;
         let stopped = self.operators.stop(limit).await;
         log::info!(
@@ -126,24 +127,16 @@
     }
 }
 
-type PeerReceivers = Vec<(compact_str::CompactString, mpsc::Receiver<streams::PeerMessage>)>;
-
-fn peer_queues(
-    settings: &settings::Settings,
-) -> (
-    collections::BTreeMap<compact_str::CompactString, mpsc::Sender<streams::PeerMessage>>,
-    PeerReceivers,
+/// Sends the queued messages to each other control, in a task for each, until it is aborted.
+async fn send_to_peers(
+    state: sync::Arc<state::State>,
+    mut new_peers: mpsc::UnboundedReceiver<directory::NewPeer>,
 ) {
-    let mut senders = collections::BTreeMap::new();
-    let mut receivers = Vec::new();
-    for (key, host) in settings.mesh.hosts() {
-        if key != settings.me && host.role == hosts::Role::Control {
-            let (sender, receiver) = mpsc::channel(state::PEER_QUEUE_MESSAGES);
-            senders.insert(host.name.clone(), sender);
-            receivers.push((host.name.clone(), receiver));
-        }
+    let mut tasks = task::JoinSet::new();
+    while let Some((host, queue)) = new_peers.recv().await {
+        tasks.spawn(peers::send(sync::Arc::clone(&state), host, queue));
+        while tasks.try_join_next().is_some() {}
     }
-    (senders, receivers)
 }
 
 async fn bind_operators(state: &sync::Arc<state::State>) -> Result<web::server::Server> {
@@ -182,9 +175,20 @@
             attaching::serve(state, link, sender, receiver).await
         }
         (streams::Open::Peer, hosts::Role::Control) => {
-            peers::receive(state, link.host(), &mut receiver).await
+            peers::receive(state, link, &mut receiver).await
         }
         (streams::Open::Propose(request), role) => {
+            let refused = matches!(
+                &request,
+                proposals::Proposal::Controls(it)
+                    if role != hosts::Role::Control
+                        || !controls::may_propose(it, link.host(), link.remote_addr())
+            );
+            if refused {
+                log::warn!("refused a change of the controls that {} proposed", link.host());
+                sender.send(&proposals::Outcome::Unavailable).await?;
+                return sender.finish();
+            }
             let outcome = match role {
                 // Another control finds the leader itself; for a node, this control does.
                 hosts::Role::Control => proposing::propose_locally(state, request).await,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,6 @@
 //! The tables of a control and the order in which they are locked.
 
-use std::{collections, time as std_time};
+use std::time as std_time;
 
 use compact_str::CompactString;
 use membership::registry;
@@ -11,11 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use world::{hosts, time};
 
-use crate::{distributing, instruments, replica, settings, state_machines};
-
-/// Capacity of the send queue to one other control, in messages. Messages for a full queue are
-/// dropped, which every protocol between controls tolerates.
-pub(crate) const PEER_QUEUE_MESSAGES: usize = 1_024;
+use crate::{directory, distributing, instruments, replica, settings, state_machines};
 
 // The lock order: a thread locks these tables in increasing rank only.
 const CONFIGURATION_REPLICA_RANK: rank::Rank = rank::Rank(10);
@@ -27,6 +23,7 @@
 const EVIDENCE_RANK: rank::Rank = rank::Rank(45);
 const REGISTRY_RANK: rank::Rank = rank::Rank(50);
 const DISTRIBUTOR_RANK: rank::Rank = rank::Rank(60);
+const DIRECTORY_RANK: rank::Rank = rank::Rank(70);
 
 /// A proposal that waits for the next write to the log, so that one sync covers many.
 pub(crate) type QueuedProposal = (proposals::Proposal, oneshot::Sender<proposals::Outcome>);
@@ -37,9 +34,6 @@
     pub(crate) location: Location,
     pub(crate) pool: pool::Pool,
     pub(crate) links: transport::pool::LinkPool,
-    /// The send queues to the other controls, by host.
-    pub(crate) peer_queues:
-        collections::BTreeMap<CompactString, mpsc::Sender<streams::PeerMessage>>,
     pub(crate) instruments: instruments::Instruments,
     pub(crate) configuration_replica: table::Table<replica::Replica>,
     pub(crate) configuration_queue: table::Table<Vec<QueuedProposal>>,
@@ -51,6 +45,9 @@
     pub(crate) evidence: table::Table<overlay::Overlay>,
     pub(crate) registry: table::Table<registry::Registry>,
     pub(crate) distributor: table::Table<distributing::Distributor>,
+    pub(crate) directory: table::Table<directory::Directory>,
+    /// Wakes the task that keeps the list of controls.
+    pub(crate) controls_changed: tokio::sync::Notify,
     pub(crate) started: std_time::Instant,
 }
 
@@ -67,7 +64,7 @@
     pub(crate) fn open(
         settings: settings::Settings,
         links: transport::pool::LinkPool,
-        peer_queues: collections::BTreeMap<CompactString, mpsc::Sender<streams::PeerMessage>>,
+        new_peers: mpsc::UnboundedSender<directory::NewPeer>,
         instruments: instruments::Instruments,
     ) -> replica::Result<State> {
         let location = Location::from_settings(&settings);
@@ -106,7 +103,6 @@
             location,
             pool: pool::Pool::spawn(settings.workers, 16_384),
             links,
-            peer_queues,
             instruments,
             configuration_replica: table::Table::new(
                 CONFIGURATION_REPLICA_RANK,
@@ -130,6 +126,12 @@
             evidence: table::Table::new(EVIDENCE_RANK, "evidence", overlay::Overlay::default()),
             registry: table::Table::new(REGISTRY_RANK, "registry", registry),
             distributor: table::Table::new(DISTRIBUTOR_RANK, "distributor", distributor),
+            directory: table::Table::new(
+                DIRECTORY_RANK,
+                "directory",
+                directory::Directory::open(&settings, new_peers),
+            ),
+            controls_changed: tokio::sync::Notify::new(),
             started,
             settings,
         })
@@ -140,28 +142,19 @@
         time::Time::ZERO + self.started.elapsed()
     }
 
-    /// Queues a message for another control. Drops it when the queue is full or the host is not a
-    /// control.
+    /// Queues a message for another control. Drops it when the queue is full or the host is not
+    /// known.
     pub(crate) fn send_peer(&self, host: &str, message: streams::PeerMessage) {
-        let Some(queue) = self.peer_queues.get(host) else { return };
-        if queue.try_send(message).is_err() {
-            log::debug!("the send queue to control {host} is full; a message to it was dropped");
-        }
+        self.directory.lock().send(host, message);
     }
 
     /// Queues a message for each of the other controls.
     pub(crate) fn send_peers(&self, message: &streams::PeerMessage) {
-        for host in self.peer_queues.keys() {
-            self.send_peer(host, message.clone());
+        let directory = self.directory.lock();
+        for host in directory.peers() {
+            directory.send(host, message.clone());
         }
     }
-
-    /// The name of a host's data centre; `None` for a host that the settings don't name.
-    pub(crate) fn data_centre_of(&self, host: &str) -> Option<&CompactString> {
-        let mesh = &self.settings.mesh;
-        let host = mesh.host(mesh.find_host(host)?)?;
-        Some(&mesh.data_centre(host.data_centre)?.name)
-    }
 }
 
 impl Location {
--- a/crates/control/src/state_machines.rs
+++ b/crates/control/src/state_machines.rs
@@ -3,7 +3,7 @@
 use agreement::entries;
 use bytes::Bytes;
 use protocol::proposals;
-use replicated::{claims, quarantine, versions};
+use replicated::{claims, controls, quarantine, versions};
 use serde::{Deserialize, Serialize};
 
 use crate::replica;
@@ -13,6 +13,7 @@
 pub(crate) struct ConfigurationState {
     pub(crate) versions: versions::Versions,
     pub(crate) quarantine: quarantine::Quarantine,
+    pub(crate) controls: controls::Controls,
 }
 
 /// A command in the configuration log. It is stored as postcard, so the order of the variants is
@@ -21,6 +22,7 @@
 pub(crate) enum Command {
     Evidence(quarantine::Command),
     Patch(versions::Command),
+    Controls(controls::Command),
 }
 
 /// The state machine of the configuration log.
@@ -28,7 +30,7 @@
     apply: apply_configuration,
     encode: |state| encode(state),
     install: |state, data| {
-        *state = postcard::from_bytes(data)?;
+        *state = decode_configuration(data)?;
         Ok(())
     },
 };
@@ -51,6 +53,16 @@
     Ok(postcard::to_stdvec(value)?.into())
 }
 
+/// Decodes a snapshot. One that was written before the controls were part of the state ends after the
+/// quarantine.
+fn decode_configuration(data: &[u8]) -> replica::Result<ConfigurationState> {
+    let (versions, rest) = postcard::take_from_bytes(data)?;
+    let (quarantine, rest) = postcard::take_from_bytes(rest)?;
+    let controls =
+        if rest.is_empty() { controls::Controls::default() } else { postcard::from_bytes(rest)? };
+    Ok(ConfigurationState { versions, quarantine, controls })
+}
+
 fn apply_configuration(
     state: &mut ConfigurationState,
     index: entries::Index,
@@ -59,5 +71,6 @@
     Ok(match postcard::from_bytes(payload)? {
         Command::Evidence(it) => proposals::Answer::Evidence(state.quarantine.apply(index.0, &it)),
         Command::Patch(it) => proposals::Answer::Patch(state.versions.apply(index.0, &it)),
+        Command::Controls(it) => proposals::Answer::Controls(state.controls.apply(&it)),
     })
 }
--- a/crates/heatherwalk/src/roles.rs
+++ b/crates/heatherwalk/src/roles.rs
@@ -93,14 +93,7 @@
 }
 
 fn put_control(mesh: &mut mesh::Mesh, record: &messages::ControlRecord) -> hosts::HostKey {
-    let region = mesh.add_region(&record.region);
-    let data_centre = mesh.add_data_centre(&record.data_centre, region);
-    mesh.put_host(hosts::Host {
-        name: record.name.clone(),
-        addr: record.addr,
-        data_centre,
-        role: hosts::Role::Control,
-    })
+    mesh.put_control(&record.name, &record.region, &record.data_centre, record.addr)
 }
 
 /// Runs a control until `stop` completes, then shuts it down gracefully.
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -140,6 +140,8 @@
 ) {
     let now = state.now();
     match message {
+        // The list of controls in the settings stays in use.
+        streams::ControlMessage::Controls(_) => {}
         streams::ControlMessage::Digests(digests) => {
             let parts = state.directory.lock().parts_to_request(&digests, MAX_PARTS);
             request_parts(state, parts);
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -42,9 +42,9 @@
     pub addr: net::SocketAddr,
     /// The address of its operators' interface, by which lists of seeds name it. Only set by a
     /// control that introduces itself.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub operators: Option<net::SocketAddr>,
-    /// Whether it is one of the voters that form the groups.
+    /// Whether it holds the seat of a voter in the configuration group.
     pub votes: bool,
 }
 
--- a/crates/protocol/src/proposals.rs
+++ b/crates/protocol/src/proposals.rs
@@ -4,7 +4,7 @@
 //! repeats: a patch its request ID, a claim its attempt ID, a crash its incarnation.
 
 use compact_str::CompactString;
-use replicated::{claims, quarantine, versions};
+use replicated::{claims, controls, quarantine, versions};
 use serde::{Deserialize, Serialize};
 
 /// Identifies a group of replicas and its log.
@@ -30,6 +30,8 @@
     },
     /// Changes the configuration.
     Patch(versions::Patch),
+    /// Changes the list of controls.
+    Controls(controls::Command),
 }
 
 /// An action on the claim of a non-idempotent request.
@@ -54,6 +56,8 @@
     Evidence(quarantine::Answer),
     /// The answer to [`Proposal::Patch`].
     Patch(versions::Answer),
+    /// The answer to [`Proposal::Controls`].
+    Controls(controls::Answer),
 }
 
 /// The outcome of sending a [`Proposal`] to a control.
@@ -73,7 +77,9 @@
     pub fn group(&self) -> GroupId {
         match self {
             Proposal::Claim(it) => GroupId::Claims(it.home.clone()),
-            Proposal::Evidence { .. } | Proposal::Patch(_) => GroupId::Configuration,
+            Proposal::Controls(_) | Proposal::Evidence { .. } | Proposal::Patch(_) => {
+                GroupId::Configuration
+            }
         }
     }
 }
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use world::{document, requests};
 
-use crate::{forwarding, proposals};
+use crate::{forwarding, operators, proposals};
 
 /// The first message on each stream, which states its purpose.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -82,6 +82,8 @@
     Standings(Vec<Suspect>),
     /// A message about the distribution of versions.
     Version(distribution::messages::ToNode),
+    /// The controls of the mesh. Replaces the previous list.
+    Controls(Vec<operators::ControlRecord>),
 }
 
 /// A request that may crash backend servers, according to the evidence.
@@ -119,6 +121,11 @@
     PartRequests(Vec<membership::messages::PartRequest>),
     /// The versions that the nodes attached to the sender run.
     Report(VersionReport),
+    /// The sender's own record; the first message on each stream. A control that has missed changes
+    /// of the list of controls thus learns where the others are.
+    Introduction(operators::ControlRecord),
+    /// The sender is about to stop, and another control may take over its seats.
+    Leaving,
 }
 
 /// The versions that the nodes attached to a control run.
--- a/crates/replicated/src/lib.rs
+++ b/crates/replicated/src/lib.rs
@@ -1,11 +1,12 @@
-//! The replicated state machines: configuration versions, claims of non-idempotent requests, and
-//! the quarantine of requests that crash backend servers.
+//! The replicated state machines: configuration versions, the controls of the mesh, claims of
+//! non-idempotent requests, and the quarantine of requests that crash backend servers.
 //!
 //! Each is deterministic: applying the same commands in the same order yields the same encoded
 //! state on every replica.
 
 pub mod claims;
 pub mod clock;
+pub mod controls;
 pub mod overlay;
 pub mod quarantine;
 pub mod replacement;
--- a/crates/world/src/mesh.rs
+++ b/crates/world/src/mesh.rs
@@ -1,6 +1,6 @@
 //! The mesh as one process knows it: arenas of regions, data centres, hosts and links.
 
-use std::{collections, time};
+use std::{collections, net, time};
 
 use compact_str::CompactString;
 use slotmap::SlotMap;
@@ -68,6 +68,28 @@
         key
     }
 
+    /// Adds a control, or replaces the host with the same name, which keeps its key. Adds its data
+    /// centre and region if they are new.
+    pub fn put_control(
+        &mut self,
+        name: &str,
+        region: &str,
+        data_centre: &str,
+        addr: net::SocketAddr,
+    ) -> hosts::HostKey {
+        let region = self.add_region(region);
+        let data_centre = self.add_data_centre(data_centre, region);
+        let role = hosts::Role::Control;
+        self.put_host(hosts::Host { name: name.into(), addr, data_centre, role })
+    }
+
+    /// Removes the host called `name`. Its key is not used again.
+    pub fn remove_host(&mut self, name: &str) {
+        if let Some(key) = self.host_names.remove(name) {
+            self.hosts.remove(key);
+        }
+    }
+
     /// Sets the one-way latency between two data centres, adding their link if it is new.
     pub fn put_link(
         &mut self,
