--- a/crates/control/src/controls.rs
+++ b/crates/control/src/controls.rs
@@ -48,10 +48,11 @@
     let configuration = state.configuration_state.lock();
     let directory = state.directory.lock();
     let list = &configuration.controls;
-    if list.is_empty() {
-        return leads.then(|| controls::Command::Form(initial_list(&state.settings, &directory)));
+    if list.is_empty() && leads {
+        return Some(controls::Command::Form(initial_list(&state.settings, &directory)));
     }
     let own = directory.own_record()?;
+    // A control that is in no list gets no log, so it cannot know whether there is one.
     if list.get(&own.name).is_none_or(|it| it.place != place(&own)) {
         return Some(controls::Command::Join { name: own.name.clone(), place: place(&own) });
     }
