Check what a host claims to know against what was committed a lease ago

The check of the simulation allowed for messages that wait: for 400 ms on any link, and without limit in a process that was suspended. A follower dates what it knows by the arrival of the leader's message, so a message that waited renews its claim.

Now a host that claims contact must have applied what was committed a lease ago. New cases: a host is frozen while the leader's messages wait for it and is cut off before it runs again, and a link from the leader on which messages take 300 to 3,000 ms.

suspended_machines passes: with clocks that stand still while a machine is suspended, two hosts claim a valid lease at once; with clocks that go on, none does. The clocks of the processes are of the first kind.

--- a/crates/agreement/tests/cases.rs
+++ b/crates/agreement/tests/cases.rs
@@ -28,7 +28,7 @@
 /// kind of fault that the design names.
 #[test]
 fn faults() {
-    let cases: [Case; 18] = [
+    let cases: [Case; 21] = [
         ("none", 3, 2, |sim| sim.run(4_000)),
         ("one voter", 1, 0, |sim| sim.run(1_000)),
         ("leader killed", 3, 0, |sim| {
@@ -50,6 +50,15 @@
             sim.hosts[leader].faults.frozen = false;
             sim.run(1_000);
         }),
+        ("follower frozen, then cut off", 3, 1, |sim| frozen_then_cut(sim, follower(sim))),
+        ("learner frozen, then cut off", 3, 1, |sim| frozen_then_cut(sim, 3)),
+        ("messages of the leader wait", 3, 1, |sim| {
+            let (leader, follower) = (leader_of(sim), follower(sim));
+            for waits in [300, 700, 1_500, 3_000] {
+                sim.slow_links.extend([((leader, follower), waits), ((leader, 3), waits)]);
+                sim.run(waits + 2_000);
+            }
+        }),
         ("leader cut off", 5, 0, cut_leader),
         ("voter restarts in a lease", 3, 0, |sim| early_candidate(sim, true)),
         ("leader cannot send", 3, 0, |sim| {
@@ -216,6 +225,17 @@
     lose_acknowledged(sim, |sim, host| sim.hosts[host].faults.power_loss = true);
 }
 
+/// Freezes a host while messages of the leader wait for it, and cuts it off before it runs again, so
+/// that it gets no later ones.
+fn frozen_then_cut(sim: &mut sim::Sim, host: usize) {
+    sim.hosts[host].faults.frozen = true;
+    sim.run(300);
+    sim.isolate(host);
+    sim.run(3_000);
+    sim.hosts[host].faults.frozen = false;
+    sim.run(2_000);
+}
+
 fn cut_leader(sim: &mut sim::Sim) {
     sim.isolate(leader_of(sim));
     sim.run(5_000);
@@ -290,3 +310,28 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Guards against a clock that stands still while its machine is suspended: a leader that runs again
+/// would still count on its lease, which the others have waited for meanwhile.
+#[test]
+fn suspended_machines() {
+    let mut table = String::new();
+    for steady in [false, true] {
+        let mut sim = sim::Sim::new(7, 3, 1, |_| {});
+        sim.steady_clocks = steady;
+        await_leader(&mut sim);
+        sim.run(1_000);
+        let leader = leader_of(&sim);
+        sim.hosts[leader].faults.frozen = true;
+        sim.run(5_000);
+        sim.isolate(leader);
+        sim.hosts[leader].faults.frozen = false;
+        sim.run(1_000);
+        sim.recover_and_check();
+        writeln!(table, "clocks stand still {steady}, seed 7: {:?}", sim.violations).expect("text");
+        let found = sim.violations.iter().any(|it| it.contains("both claim a valid lease"));
+        assert_eq!(found, steady, "{:?}", sim.violations);
+        assert!(steady || sim.violations.is_empty(), "{:?}", sim.violations);
+    }
+    insta::assert_snapshot!(table);
+}
--- a/crates/agreement/tests/sim/effects.rs
+++ b/crates/agreement/tests/sim/effects.rs
@@ -109,7 +109,8 @@
         for _ in 0..copies {
             let slow = self.rng.random_bool(self.fault_rate);
             let delay = self.rng.random_range(500..if slow { MAX_DELAY_US } else { 2_000 });
-            self.enqueue(delay, from, to, message.clone());
+            let added = self.slow_links.get(&(from, to)).map_or(0, |it| it * 1_000);
+            self.enqueue(delay + added, from, to, message.clone());
         }
     }
 
--- a/crates/agreement/tests/sim/mod.rs
+++ b/crates/agreement/tests/sim/mod.rs
@@ -40,10 +40,10 @@
     /// The applied commands by index.
     pub state: collections::BTreeMap<u64, Bytes>,
     pub faults: Faults,
-    /// When the process was last suspended or not running, in simulated microseconds.
-    down_at: u64,
     /// Offset of the host's clock in microseconds; clocks of different hosts are not comparable.
     clock_offset: u64,
+    /// For how long the host's clock has stood still, in microseconds.
+    stopped_us: u64,
 }
 
 /// Event counts of a run, for the snapshot.
@@ -69,6 +69,11 @@
     pub fault_rate: f64,
     /// Messages with entries above this index are lost.
     pub entry_limit: Option<u64>,
+    /// Links, from and to, on which every message takes this much longer, in milliseconds.
+    pub slow_links: collections::BTreeMap<(usize, usize), u64>,
+    /// Whether clocks stand still while their host is frozen, as the steady clock of a machine does
+    /// that is suspended.
+    pub steady_clocks: bool,
     /// Whether a command and a read are issued on every tick.
     pub under_load: bool,
     /// The leader and its term, when no other leader may be elected.
@@ -121,6 +126,8 @@
             cut_links: collections::BTreeSet::new(),
             fault_rate: 0.0,
             entry_limit: None,
+            slow_links: collections::BTreeMap::new(),
+            steady_clocks: false,
             under_load: true,
             expected_leader: None,
             counts: Counts::default(),
@@ -140,8 +147,8 @@
                 group: None,
                 state,
                 faults,
-                down_at: 0,
                 clock_offset,
+                stopped_us: 0,
             });
         }
         (0..sim.hosts.len()).for_each(|it| sim.restart(it));
@@ -153,7 +160,8 @@
     }
 
     fn clock(&self, host: usize) -> time::Time {
-        time::Time::from_micros(self.now + self.hosts[host].clock_offset)
+        let it = &self.hosts[host];
+        time::Time::from_micros(self.now + it.clock_offset - it.stopped_us)
     }
 
     pub fn kill(&mut self, host: usize) {
@@ -207,6 +215,7 @@
     pub fn heal(&mut self) {
         (self.fault_rate, self.entry_limit, self.expected_leader) = (0.0, None, None);
         self.cut_links.clear();
+        self.slow_links.clear();
         for host in 0..self.hosts.len() {
             self.hosts[host].faults = Faults::default();
             self.restart(host);
@@ -271,6 +280,7 @@
                 self.receive(from, to, message);
             }
             self.now = tick_end;
+            self.stop_clocks();
             (0..self.hosts.len()).for_each(|it| self.step(it, events::Event::Tick));
             if self.under_load {
                 self.send_load();
@@ -280,26 +290,29 @@
         done(self)
     }
 
+    /// Lets the clocks of frozen hosts stand still for a tick.
+    fn stop_clocks(&mut self) {
+        if !self.steady_clocks {
+            return;
+        }
+        for host in self.hosts.iter_mut().filter(|it| it.faults.frozen) {
+            host.stopped_us += TICK_MS * 1_000;
+        }
+    }
+
     /// Records each host that claims to know what is committed, but has not applied what was
-    /// committed a lease and the longest delay of a message ago. A process that ran again only
-    /// since then may have received messages that waited for longer.
+    /// committed a lease ago, however long the messages to it have waited.
     fn check_contact(&mut self) {
-        for host in 0..self.hosts.len() {
-            if !self.is_live(host) {
-                self.hosts[host].down_at = self.now;
-            }
-        }
         let lease = self.settings.lease.as_micros() as u64;
-        let due = self.now.saturating_sub(lease + MAX_DELAY_US);
+        let due = self.now.saturating_sub(lease);
         let newest_at = &mut self.history.newest_at;
         newest_at.push_back((self.now, self.history.newest));
         while newest_at.get(1).is_some_and(|it| it.0 <= due) {
             newest_at.pop_front();
         }
         let Some(&(_, newest)) = newest_at.front().filter(|it| it.0 <= due) else { return };
-        let runs = |it: &usize| self.is_live(*it) && self.hosts[*it].down_at <= due;
-        let live = (0..self.hosts.len()).filter(runs);
         let lags = |it: &status::Status| !it.isolated && it.applied.0 < newest;
+        let live = (0..self.hosts.len()).filter(|&it| self.is_live(it));
         let lagging: Vec<_> = live.filter(|&it| lags(&self.status(it))).collect();
         let text = |host| format!("h{host} lags and claims contact");
         self.violations.extend(lagging.into_iter().map(text));
