Date all decisions by a clock that counts suspensions

A machine may be suspended for seconds, and the steady clock does not count that time (the users' page on clocks). A leader that runs again then still counts on its lease while the others have elected another one, and confirms reads of old versions. The same holds for a follower's contact, a node's confirmation, the leases of the registry and announcements, and the time that a request has left.

Now tables::clock reads CLOCK_BOOTTIME, and the state of a node and of a control date everything by it. Instants for timers are made as of now from what is left. A clock starts at an hour, so that what a control knew before a node started has a date. A process whose machine was suspended says so, with for how long.

--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -230,6 +230,11 @@
     let mut interval = tick_interval(GROUP_TICK_INTERVAL);
     loop {
         interval.tick().await;
+        if let Some(duration) = state.clock.take_suspension() {
+            log::warn!(
+                "the machine was suspended for {duration:?}; what was known before is older"
+            );
+        }
         let shared = sync::Arc::clone(&state);
         // Waiting for the job keeps ticks from queueing up behind a slow disk.
         if state.pool.run(move || groups::tick(&shared)).await.is_err() {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,7 @@
 use protocol::{proposals, streams};
 use rand::{SeedableRng as _, rngs};
 use replicated::{claims, overlay};
-use tables::{pool, rank, table};
+use tables::{clock, pool, rank, table};
 use tokio::sync::{mpsc, oneshot};
 use world::{hosts, time};
 
@@ -51,7 +51,7 @@
     pub(crate) evidence: table::Table<overlay::Overlay>,
     pub(crate) registry: table::Table<registry::Registry>,
     pub(crate) distributor: table::Table<distributing::Distributor>,
-    pub(crate) started: std_time::Instant,
+    pub(crate) clock: clock::Clock,
 }
 
 /// The names of this control's host, data centre and region.
@@ -92,9 +92,9 @@
                 &mut claims_state,
             )?),
         };
-        let started = std_time::Instant::now();
+        let clock = clock::Clock::start();
         let registry = registry::Registry::new(
-            time::Time::ZERO,
+            clock.now(),
             location.data_centre.clone(),
             membership::toggles::Toggles::default(),
         );
@@ -130,14 +130,14 @@
             evidence: table::Table::new(EVIDENCE_RANK, "evidence", overlay::Overlay::default()),
             registry: table::Table::new(REGISTRY_RANK, "registry", registry),
             distributor: table::Table::new(DISTRIBUTOR_RANK, "distributor", distributor),
-            started,
+            clock,
             settings,
         })
     }
 
-    /// The monotonic time since the start of this process.
+    /// The time on this process's clock.
     pub(crate) fn now(&self) -> time::Time {
-        time::Time::ZERO + self.started.elapsed()
+        self.clock.now()
     }
 
     /// Queues a message for another control. Drops it when the queue is full or the host is not a
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -237,6 +237,11 @@
     loop {
         ticks.tick().await;
         count = count.wrapping_add(1);
+        if let Some(duration) = state.clock.take_suspension() {
+            log::warn!(
+                "the machine was suspended for {duration:?}; what was known before is older"
+            );
+        }
         if count.is_multiple_of(HEARTBEAT_TICKS) {
             recorded = record_links(&state, recorded);
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,6 +1,6 @@
 //! The shared state of a node: its tables, and the order in which they are locked.
 
-use std::{collections, net, sync, time as std_time};
+use std::{collections, net, sync};
 
 use compact_str::CompactString;
 use distribution::{attach, updater};
@@ -8,7 +8,7 @@
 use protocol::{forwarding, streams};
 use rand::{SeedableRng as _, rngs};
 use routing::{balancer, budget, hedge, prober};
-use tables::{pool, rank, table};
+use tables::{clock, pool, rank, table};
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
 
@@ -49,7 +49,7 @@
     pub(crate) stop_at: tokio::sync::watch::Sender<Option<tokio::time::Instant>>,
     /// Wakes the task that probes unresponsive hosts when a probe may be due earlier than it knows.
     pub(crate) probe_wakeup: sync::Arc<tokio::sync::Notify>,
-    pub(crate) started_at: std_time::Instant,
+    pub(crate) clock: clock::Clock,
 }
 
 /// The node's host and data centre.
@@ -119,6 +119,7 @@
         links: transport::pool::LinkPool,
         instruments: instruments::Instruments,
     ) -> State {
+        let clock = clock::Clock::start();
         let location = Location::of(&settings);
         let updater = updater::Updater::new(
             updater::Settings {
@@ -129,7 +130,7 @@
                 tokens: settings.floor_tokens,
             },
             attachment(&settings, &location),
-            time::Time::ZERO,
+            clock.now(),
         );
         let configuration = Configuration {
             updater,
@@ -189,21 +190,20 @@
             acknowledged: tokio::sync::Notify::new(),
             stop_at: tokio::sync::watch::channel(None).0,
             probe_wakeup: sync::Arc::default(),
-            started_at: std_time::Instant::now(),
+            clock,
             settings,
             location,
         }
     }
 
-    /// The time since the node started, on the monotonic clock.
+    /// The time on this process's clock.
     pub(crate) fn now(&self) -> time::Time {
-        time::Time::ZERO + self.started_at.elapsed()
+        self.clock.now()
     }
 
     /// Converts a time of this node to an instant for tokio's timers.
     pub(crate) fn instant(&self, at: time::Time) -> tokio::time::Instant {
-        let since = at.since(time::Time::ZERO);
-        tokio::time::Instant::from_std(self.started_at + since)
+        tokio::time::Instant::from_std(self.clock.instant(at))
     }
 
     /// The version of the configuration that the node runs, if any.
