Take the age of a control's knowledge off a confirmation

Callers saw a route denied (404) by a version older than one acknowledged 3 s before. A node dates a confirmation by the message that the acknowledgement answers, as if the control had known everything at that moment. A control knows what its leader last told it, up to a lease and two heartbeats ago, and the two ages had to be added up by hand in the constants of two crates: 1.2 s and the lease of 0.8 s, which is wrong with any other lease.

Now the acknowledgement carries the age of what the control knows, the node takes it off, and one limit in one place holds for the sum: 1.8 s of the 2 s within which an accepted version has to be in force. A control records its date only once all entries that it had applied are published: before, one worker could confirm by the date of entries that another worker had yet to publish.

a_control_that_knows_late_confirms_an_old_version: with messages of the leader that wait for 100 to 700 ms, nodes claimed an age of 100 ms for a version that was 0.2 s old and more; with the age taken off none does. A node still refuses nothing while it is cut off.

Acknowledgements grow by the encoding of a number, one to two bytes.

--- a/crates/control/src/distributing.rs
+++ b/crates/control/src/distributing.rs
@@ -271,14 +271,21 @@
     confirm_reads(state, reads);
 }
 
-/// Records until when this control knows what the configuration group has committed, if it hears
-/// nothing more.
-pub(crate) fn record_contact(state: &state::State, until: time::Time) {
+/// Records what this control knows of the configuration group after it has applied the log up to
+/// `applied`. Knows no more than before while another worker has yet to publish these entries.
+pub(crate) fn record_contact(
+    state: &state::State,
+    contact: relay::Contact,
+    applied: entries::Index,
+) {
     let now = state.now();
     let reads = {
         let mut distributor = state.distributor.lock();
         let distributor = &mut *distributor;
-        let effects = distributor.relay.update_contact(now, until, &mut distributor.rng);
+        if distributor.applied_index < applied {
+            return;
+        }
+        let effects = distributor.relay.update_contact(now, contact, &mut distributor.rng);
         perform_effects(distributor, effects)
     };
     confirm_reads(state, reads);
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -3,6 +3,7 @@
 use agreement::{entries, events};
 use bytes::Bytes;
 use compact_str::CompactString;
+use distribution::relay;
 use protocol::{proposals, streams};
 use replicated::{claims, quarantine, versions};
 use tokio::sync::oneshot;
@@ -65,13 +66,19 @@
     }
 }
 
-/// Steps all replicas with a tick, and tells the distributor until when this control knows what the
+/// Steps all replicas with a tick, and tells the distributor as of when this control knows what the
 /// configuration group has committed.
 pub(crate) fn tick(state: &state::State) {
     step_configuration(state, events::Event::Tick);
     step_claims(state, events::Event::Tick);
-    let until = state.configuration_replica.lock().group().contact_until(state.now());
-    distributing::record_contact(state, until);
+    let (contact, applied) = {
+        let replica = state.configuration_replica.lock();
+        let group = replica.group();
+        let now = state.now();
+        let known_at = group.current_at(now).unwrap_or_default();
+        (relay::Contact { known_at, until: group.contact_until(now) }, group.applied())
+    };
+    distributing::record_contact(state, contact, applied);
 }
 
 /// Records on disk that this host has caught up with the configuration log, so that after a restart
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -43,6 +43,15 @@
     pub level: u32,
 }
 
+/// What a control knows of the versions that are accepted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Contact {
+    /// When the control last knew every accepted version, on its own clock.
+    pub known_at: Time,
+    /// Until when it counts as not isolated, if it hears nothing more from the leader.
+    pub until: Time,
+}
+
 /// The answer of the leader to [`Effect::ConfirmCurrent`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaderCheck {
@@ -82,7 +91,7 @@
     /// Versions that are committed but not yet synced on this control's disk, in order.
     unsynced: collections::VecDeque<(messages::Delta, Head)>,
     pub(crate) ready: bool,
-    contact_until: Time,
+    contact: Contact,
     pub(crate) subscribers: Subscribers,
     contacts: collections::BTreeMap<CompactString, LastContact>,
     /// The time in the last acknowledgement.
@@ -106,7 +115,7 @@
             window: deltas.into_iter().collect(),
             unsynced: collections::VecDeque::new(),
             ready,
-            contact_until: Time::ZERO,
+            contact: Contact::default(),
             subscribers: Subscribers::default(),
             contacts: collections::BTreeMap::new(),
             last_stamp: Time::ZERO,
@@ -119,15 +128,20 @@
         self.toggles = toggles;
     }
 
-    /// Records until when the control knows what is committed, if it hears nothing more from the
-    /// leader. A control that has just started knows nothing.
+    /// Records what the control knows of the versions that are accepted. It must have passed on all
+    /// versions that it knew at that time. A control that has just started knows nothing.
     ///
     /// When it has found a leader, starts again the sessions of the nodes that wait for a version:
     /// otherwise they would try the other controls until they ask again.
-    pub fn update_contact(&mut self, now: Time, until: Time, rng: &mut impl Rng) -> Vec<Effect> {
+    pub fn update_contact(
+        &mut self,
+        now: Time,
+        contact: Contact,
+        rng: &mut impl Rng,
+    ) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let found = self.is_isolated(now) && now < until;
-        self.contact_until = until;
+        let found = self.is_isolated(now) && now < contact.until;
+        self.contact = contact;
         if !found {
             return effects;
         }
@@ -143,7 +157,7 @@
     /// Whether the control does not know what is committed. That is so too when its log has not been
     /// stepped for long, as with a disk that hangs.
     fn is_isolated(&self, now: Time) -> bool {
-        now >= self.contact_until
+        now >= self.contact.until
     }
 
     /// The control has caught up with the log, and sends versions from now on.
@@ -355,11 +369,13 @@
         // A node recognizes an acknowledgement that it has had by its time.
         self.last_stamp = now.max(self.last_stamp + time::Duration::from_micros(1));
         let unsynced = self.unsynced.back().map(|(_, it)| it.of.version);
+        let age_us = now.since(self.contact.known_at).as_micros();
         let ack = messages::Ack {
             session: subscriber.hello.session,
             stamp: messages::Timestamp { epoch: self.epoch, at: self.last_stamp },
             isolated: self.is_isolated(now) || !self.ready,
             version: unsynced.unwrap_or_default().max(self.head.of.version),
+            age_ms: u32::try_from(age_us.div_ceil(1_000)).unwrap_or(u32::MAX),
         };
         effects.push(Effect::Send(key, messages::ToNode::Ack(ack)));
     }
--- a/crates/distribution/src/sessions.rs
+++ b/crates/distribution/src/sessions.rs
@@ -1,5 +1,7 @@
 //! A node's sessions with controls: hellos, acknowledgements and beats.
 
+use std::time;
+
 use rand::Rng;
 use world::time::Time;
 
@@ -89,7 +91,9 @@
         }
         self.restore_attached(now, effects);
         if self.running().is_some_and(|it| it.version() >= ack.version) {
-            self.confirmed_at = asked.max(self.confirmed_at);
+            let age = time::Duration::from_millis(ack.age_ms.into());
+            let known = asked.and_then(|it| it.checked_sub(age));
+            self.confirmed_at = known.max(self.confirmed_at);
         }
     }
 
--- a/crates/distribution/src/updater.rs
+++ b/crates/distribution/src/updater.rs
@@ -12,11 +12,11 @@
 /// [`attach::SUSPICION_TIMEOUT`] it is shorter than [`CONFIRMATION_LIMIT`], so that a control that
 /// stops is suspected before the running version is too old to route by.
 pub const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// How long after a control's confirmation the running version counts as the latest. An accepted
-/// version has to be in force within 2 s, and a control may not know for 800 ms, the lease of a
-/// leader, that it is cut off. It is longer than [`BEAT_INTERVAL`], so that a confirmation lasts
-/// until the next one.
-pub const CONFIRMATION_LIMIT: time::Duration = time::Duration::from_millis(1_200);
+/// The age up to which the running version counts as the latest. An accepted version has to be in
+/// force within 2 s, and the age includes that of the control's knowledge; a tenth allows for clocks
+/// that differ in speed and for the way to the backend server. It is longer than [`BEAT_INTERVAL`],
+/// so that a confirmation lasts until the next one.
+pub const CONFIRMATION_LIMIT: time::Duration = time::Duration::from_millis(1_800);
 /// How long a peer may take to send a snapshot before the node asks its control again.
 pub const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// The longest random wait, in milliseconds, before a node asks again after an unusable snapshot.
@@ -119,8 +119,8 @@
     /// When the last acknowledgement arrived that was echoed to the home control.
     pub(crate) last_echo: Time,
     /// When the running version was last known to be the latest: the time at which the message was
-    /// sent whose acknowledgement showed it. The acknowledgement itself may have been on its way
-    /// for seconds.
+    /// sent whose acknowledgement showed it, less the age of what the control knew then. The
+    /// acknowledgement itself may have been on its way for seconds.
     pub(crate) confirmed_at: Option<Time>,
     /// When the first version was run; none before.
     pub(crate) running_since: Option<Time>,
--- a/crates/distribution/tests/faults/routing.rs
+++ b/crates/distribution/tests/faults/routing.rs
@@ -131,3 +131,20 @@
         assert!(sim.all_run_latest(), "phase {phase}");
     }
 }
+
+/// Guards against a node that takes what its control knew a while ago for what it knows now: the
+/// messages of the leader wait on their way to the control.
+#[test]
+fn a_control_that_knows_late_confirms_an_old_version() {
+    for lag in [100, 400, 700] {
+        for phase in (0..1_000).step_by(50) {
+            let mut sim = restarted(toggles::Toggles::default(), 2);
+            sim.run(10_000 + phase);
+            sim.controls[0].lag_ms = lag;
+            let old = run_series(&mut sim, 5_000);
+            assert_eq!(old, 0, "messages wait for {lag} ms, phase {phase}");
+            assert_eq!(sim.breaches, Vec::<String>::new(), "{lag} ms, phase {phase}");
+            assert!(sim.all_run_latest(), "{lag} ms, phase {phase}");
+        }
+    }
+}
--- a/crates/distribution/tests/faults/sim/mod.rs
+++ b/crates/distribution/tests/faults/sim/mod.rs
@@ -24,8 +24,10 @@
     pub leader: bool,
     /// Whether it learns what the leader commits. It may hear from the leader all the same.
     pub learns: bool,
-    /// Until when it counts what it has learned as all that is committed.
-    contact_until: Time,
+    /// How long the leader's messages to it wait, in milliseconds.
+    pub lag_ms: u64,
+    /// When it last knew all that is committed.
+    known_at: Time,
     /// Whether its disk syncs what it has learned.
     pub syncs: bool,
     /// Whether it has caught up with the log since it lost its disk.
@@ -283,7 +285,8 @@
             relay,
             leader: true,
             learns: true,
-            contact_until: Time::ZERO,
+            lag_ms: 0,
+            known_at: Time::ZERO,
             syncs: true,
             ready,
             epoch: self.serial,
@@ -354,13 +357,18 @@
         let now = self.now();
         let latest = self.latest();
         let it = &mut self.controls[index];
+        let due = Time::from_millis(self.now_ms - it.lag_ms);
         if !it.leader {
-            it.contact_until = now;
+            it.known_at = Time::ZERO;
         } else if it.learns || it.learned == latest {
-            it.contact_until = now + LEASE;
+            it.known_at = due;
         }
-        let mut effects = it.relay.update_contact(now, it.contact_until, &mut self.rng);
+        let contact = relay::Contact { known_at: it.known_at, until: it.known_at + LEASE };
+        let mut effects = it.relay.update_contact(now, contact, &mut self.rng);
         while it.leader && it.learns && it.learned < latest {
+            if self.accepted_at[it.learned as usize] > due {
+                break;
+            }
             let (delta, head) = self.log[it.learned as usize].clone();
             it.learned += 1;
             effects.extend(it.relay.committed(now, delta, head, &mut self.rng));
--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -55,7 +55,8 @@
     let rng = &mut rng;
     let mut now = Time::from_millis(60_000);
     let mut relay = relay::Relay::new(1, head(1, 0), [delta(1)], true);
-    relay.update_contact(now, Time::from_millis(1_000_000_000), rng);
+    let until = Time::from_millis(1_000_000_000);
+    relay.update_contact(now, relay::Contact { known_at: now, until }, rng);
     let mut out = String::new();
     for version in 2..=1_500 {
         relay.committed(now, delta(version), head(version, 1), rng);
--- a/crates/heatherwalk/tests/requests/stand_in_controls.rs
+++ b/crates/heatherwalk/tests/requests/stand_in_controls.rs
@@ -79,7 +79,7 @@
             let at = time::Time::from_millis(acks);
             let stamp = versions::Timestamp { epoch: 1, at };
             let version = document::Version(version);
-            let ack = versions::Ack { session, stamp, isolated: false, version };
+            let ack = versions::Ack { session, stamp, isolated: false, version, age_ms: 0 };
             send_version(&mut sender, versions::ToNode::Ack(ack)).await?;
         }
         if hello {
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -312,7 +312,7 @@
         ],
     );
     let delta = versions::Delta { to: numbered(), patch: "{}".into() };
-    let ack = versions::Ack { session, stamp, isolated: true, version: highest };
+    let ack = versions::Ack { session, stamp, isolated: true, version: highest, age_ms: 300 };
     let proof = versions::Proof::Heard;
     for down in [
         versions::ToNode::Ack(ack),
--- a/crates/world/src/time.rs
+++ b/crates/world/src/time.rs
@@ -38,6 +38,12 @@
     pub const fn since(self, earlier: Time) -> time::Duration {
         time::Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the point that is `duration` earlier, unless that is before the origin.
+    pub fn checked_sub(self, duration: time::Duration) -> Option<Time> {
+        let micros = u64::try_from(duration.as_micros()).ok()?;
+        self.0.checked_sub(micros).map(Time)
+    }
 }
 
 impl ops::Add<time::Duration> for Time {
--- a/xtask/src/bench/distribution.rs
+++ b/xtask/src/bench/distribution.rs
@@ -403,7 +403,8 @@
         _ => None,
     })?;
     let stamp = messages::Timestamp { epoch: 1, at: now };
-    let ack = messages::Ack { session, stamp, isolated: false, version: head.of.version };
+    let ack =
+        messages::Ack { session, stamp, isolated: false, version: head.of.version, age_ms: 100 };
     node.message(now, control, messages::ToNode::Ack(ack), rng);
     Some((node, control, session))
 }
--- a/xtask/src/bench/distribution/model.rs
+++ b/xtask/src/bench/distribution/model.rs
@@ -107,7 +107,8 @@
         let version = first.head.of.version;
         let mut relay = relay::Relay::new(1, first.head.clone(), [first.delta.clone()], true);
         let now = Time::from_millis(60_000);
-        relay.update_contact(now, now + FOREVER, &mut rngs::SmallRng::seed_from_u64(seed));
+        let contact = relay::Contact { known_at: now, until: now + FOREVER };
+        relay.update_contact(now, contact, &mut rngs::SmallRng::seed_from_u64(seed));
         let new_node = |index| {
             let settings = updater::Settings {
                 node: format!("node-{index}").into(),
