--- a/crates/agreement/tests/sim/mod.rs
+++ b/crates/agreement/tests/sim/mod.rs
@@ -3,13 +3,13 @@
 
 mod effects;
 
-use std::collections;
+use std::{collections, time};
 
 use agreement::{entries, events, group, messages, settings, status};
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use rand::{Rng as _, SeedableRng as _, rngs, seq::IndexedRandom as _};
-use world::time;
+use world::time::Time;
 
 const TICK_MS: u64 = 20;
 /// The longest delay of a message that is not held by a frozen host, in microseconds.
@@ -40,10 +40,10 @@
     /// The applied commands by index.
     pub state: collections::BTreeMap<u64, Bytes>,
     pub faults: Faults,
-    /// When the process was last suspended or not running, in simulated microseconds.
-    down_at: u64,
     /// Offset of the host's clock in microseconds; clocks of different hosts are not comparable.
     clock_offset: u64,
+    /// For how long the host's clock has stood still, in microseconds.
+    stopped_us: u64,
 }
 
 /// Event counts of a run, for the snapshot.
@@ -69,6 +69,11 @@
     pub fault_rate: f64,
     /// Messages with entries above this index are lost.
     pub entry_limit: Option<u64>,
+    /// Links, from and to, on which every message takes this much longer, in milliseconds.
+    pub slow_links: collections::BTreeMap<(usize, usize), u64>,
+    /// Whether clocks stand still while their host is frozen, as the steady clock of a machine does
+    /// that is suspended.
+    pub steady_clocks: bool,
     /// Whether a command and a read are issued on every tick.
     pub under_load: bool,
     /// The leader and its term, when no other leader may be elected.
@@ -94,8 +99,8 @@
     committed: collections::BTreeMap<u64, Bytes>,
     /// The highest index reported as committed to a proposer.
     newest: u64,
-    /// That index at each tick, with the time, for as long as [`Sim::check_contact`] needs it.
-    newest_at: collections::VecDeque<(u64, u64)>,
+    /// That index after each change, with the time.
+    newest_at: Vec<(u64, u64)>,
     /// Disks that replaced lost ones.
     replaced: collections::BTreeSet<entries::DiskId>,
 }
@@ -121,6 +126,8 @@
             cut_links: collections::BTreeSet::new(),
             fault_rate: 0.0,
             entry_limit: None,
+            slow_links: collections::BTreeMap::new(),
+            steady_clocks: false,
             under_load: true,
             expected_leader: None,
             counts: Counts::default(),
@@ -140,8 +147,8 @@
                 group: None,
                 state,
                 faults,
-                down_at: 0,
                 clock_offset,
+                stopped_us: 0,
             });
         }
         (0..sim.hosts.len()).for_each(|it| sim.restart(it));
@@ -152,8 +159,9 @@
         Disk { id: entries::DiskId(self.rng.random()), restored: events::Restored::default() }
     }
 
-    fn clock(&self, host: usize) -> time::Time {
-        time::Time::from_micros(self.now + self.hosts[host].clock_offset)
+    fn clock(&self, host: usize) -> Time {
+        let it = &self.hosts[host];
+        Time::from_micros(self.now + it.clock_offset - it.stopped_us)
     }
 
     pub fn kill(&mut self, host: usize) {
@@ -207,6 +215,7 @@
     pub fn heal(&mut self) {
         (self.fault_rate, self.entry_limit, self.expected_leader) = (0.0, None, None);
         self.cut_links.clear();
+        self.slow_links.clear();
         for host in 0..self.hosts.len() {
             self.hosts[host].faults = Faults::default();
             self.restart(host);
@@ -286,6 +295,7 @@
                 self.receive(from, to, message);
             }
             self.now = tick_end;
+            self.stop_clocks();
             (0..self.hosts.len()).for_each(|it| self.step(it, events::Event::Tick));
             if self.under_load {
                 self.send_load();
@@ -295,31 +305,44 @@
         done(self)
     }
 
-    /// Records each host that claims to know what is committed, but has not applied what was
-    /// committed a lease and the longest delay of a message ago. A process that ran again only
-    /// since then may have received messages that waited for longer.
-    fn check_contact(&mut self) {
-        for host in 0..self.hosts.len() {
-            if !self.is_live(host) {
-                self.hosts[host].down_at = self.now;
-            }
+    /// Lets the clocks of frozen hosts stand still for a tick.
+    fn stop_clocks(&mut self) {
+        if !self.steady_clocks {
+            return;
         }
-        let lease = self.settings.lease.as_micros() as u64;
-        let due = self.now.saturating_sub(lease + MAX_DELAY_US);
-        let newest_at = &mut self.history.newest_at;
-        newest_at.push_back((self.now, self.history.newest));
-        while newest_at.get(1).is_some_and(|it| it.0 <= due) {
-            newest_at.pop_front();
+        for host in self.hosts.iter_mut().filter(|it| it.faults.frozen) {
+            host.stopped_us += TICK_MS * 1_000;
         }
-        let Some(&(_, newest)) = newest_at.front().filter(|it| it.0 <= due) else { return };
-        let runs = |it: &usize| self.is_live(*it) && self.hosts[*it].down_at <= due;
-        let live = (0..self.hosts.len()).filter(runs);
-        let lags = |it: &status::Status| !it.isolated && it.applied.0 < newest;
-        let lagging: Vec<_> = live.filter(|&it| lags(&self.status(it))).collect();
+    }
+
+    /// Records each host that claims to know what is committed, but has not applied what was
+    /// committed at the time for which it claims that, however long the messages to it have waited.
+    fn check_contact(&mut self) {
+        let live = (0..self.hosts.len()).filter(|&it| self.is_live(it));
+        let lagging: Vec<_> = live.filter(|&it| self.lags(it)).collect();
         let text = |host| format!("h{host} lags and claims contact");
         self.violations.extend(lagging.into_iter().map(text));
     }
 
+    fn lags(&self, host: usize) -> bool {
+        let status = self.status(host);
+        let Some(age) = self.age(host).filter(|_| !status.isolated) else {
+            return !status.isolated;
+        };
+        let limit = self.settings.lease + self.settings.heartbeat * 2;
+        let due = self.now - age.min(limit).as_micros() as u64;
+        let earlier = self.history.newest_at.partition_point(|it| it.0 < due);
+        let newest = self.history.newest_at[..earlier].last().map_or(0, |it| it.1);
+        status.applied.0 < newest
+    }
+
+    /// How long ago a running host knew everything that was committed, as it says.
+    pub fn age(&self, host: usize) -> Option<time::Duration> {
+        let now = self.clock(host);
+        let group = self.hosts[host].group.as_ref()?;
+        group.current_at(now).map(|it| now.since(it))
+    }
+
     fn send_load(&mut self) {
         let live: Vec<_> = (0..self.hosts.len()).filter(|&it| self.is_live(it)).collect();
         let Some(&host) = live.choose(&mut self.rng) else { return };
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,7 @@
 use protocol::{proposals, streams};
 use rand::{SeedableRng as _, rngs};
 use replicated::{claims, overlay};
-use tables::{pool, rank, table};
+use tables::{clock, pool, rank, table};
 use tokio::sync::{mpsc, oneshot};
 use world::{hosts, time};
 
@@ -48,7 +48,7 @@
     pub(crate) directory: table::Table<directory::Directory>,
     /// Wakes the task that keeps the list of controls.
     pub(crate) controls_changed: tokio::sync::Notify,
-    pub(crate) started: std_time::Instant,
+    pub(crate) clock: clock::Clock,
 }
 
 /// The names of this control's host, data centre and region.
@@ -89,9 +89,9 @@
                 &mut claims_state,
             )?),
         };
-        let started = std_time::Instant::now();
+        let clock = clock::Clock::start();
         let registry = registry::Registry::new(
-            time::Time::ZERO,
+            clock.now(),
             location.data_centre.clone(),
             membership::toggles::Toggles::default(),
         );
@@ -132,14 +132,14 @@
                 directory::Directory::open(&settings, new_peers),
             ),
             controls_changed: tokio::sync::Notify::new(),
-            started,
+            clock,
             settings,
         })
     }
 
-    /// The monotonic time since the start of this process.
+    /// The time on this process's clock.
     pub(crate) fn now(&self) -> time::Time {
-        time::Time::ZERO + self.started.elapsed()
+        self.clock.now()
     }
 
     /// Queues a message for another control. Drops it when the queue is full or the host is not
