--- a/crates/world/tests/documents.rs
+++ b/crates/world/tests/documents.rs
@@ -161,3 +161,67 @@
         }
     }
 }
+
+/// Guards against a number in a label that changes when its document is written and read again.
+/// Its digest then differs from the announced one, and no process can take the version.
+#[test]
+fn a_number_changes_when_it_is_read_again() {
+    let fractions = (1..=1_000).map(|it| format!("{}", f64::from(it) / 7_919.0 * 1e-8));
+    let odd = ["18446744073709551616", "1.7976931348623157e308", "5e-324", "3.51663698760141e-9"];
+    let mut changed = Vec::new();
+    for number in fractions.chain(odd.map(String::from)) {
+        let text = format!(r#"{{"labels":{{"note":{number}}}}}"#);
+        let first: document::Document = serde_json::from_str(&text).expect("a document");
+        let written = document::canonical_json(&first);
+        let second: document::Document = serde_json::from_str(&written).expect("a document");
+        if document::digest(&first) != document::digest(&second) {
+            changed.push(format!("{written} became {}", document::canonical_json(&second)));
+        }
+    }
+    assert!(changed.is_empty(), "{} numbers: {changed:#?}", changed.len());
+}
+
+/// Guards against a document that is accepted with a number beyond its type, or with a value that is
+/// nested more deeply than the processes that get the document can read.
+#[test]
+fn an_odd_value_is_accepted_and_cannot_be_read() {
+    let deep = |levels| format!("{}{}", "[".repeat(levels), "]".repeat(levels));
+    let label = |value: &str| format!(r#"{{"services":{{"x":{{"labels":{{"note":{value}}}}}}}}}"#);
+    let slots = |value: &str| format!(r#"{{"services":{{"x":{{"slots":{value}}}}}}}"#);
+    let cases = [
+        ("nested 120 levels", label(&deep(120))),
+        ("nested 125 levels", label(&deep(125))),
+        ("nested 100000 levels", label(&deep(100_000))),
+        ("nested in the place of a number", slots(&deep(100_000))),
+        ("unknown field, nested", format!(r#"{{"odd":{}}}"#, deep(100_000))),
+        ("number above a float", label("1e400")),
+        ("number above 64 bits", label("18446744073709551616")),
+        ("slots above 64 bits", slots("18446744073709551616")),
+        ("slots above 32 bits", slots("4294967296")),
+        ("negative slots", slots("-1")),
+        ("slots as a float", slots("1e400")),
+        ("slots not a number", slots("NaN")),
+        ("revision above 64 bits", r#"{"revision":18446744073709551616}"#.to_owned()),
+        ("name of a megabyte", format!(r#"{{"services":{{"{}":{{}}}}}}"#, "s".repeat(1 << 20))),
+        ("empty name", r#"{"services":{"":{}}}"#.to_owned()),
+        ("control character in a name", r#"{"services":{"a\u0000b":{}}}"#.to_owned()),
+    ];
+    let mut out = String::new();
+    for (name, patch) in cases {
+        let read = serde_json::from_str(&patch).map_err(|err| format!("not JSON: {err}"));
+        let merged = read.and_then(|it| {
+            document::merge(&base(), &it).map_err(|it| format!("{} faults", it.len()))
+        });
+        let text = match merged {
+            Ok(it) => {
+                let written = document::canonical_json(&it);
+                let again: Result<document::Document, _> = serde_json::from_str(&written);
+                assert_eq!(again.ok(), Some(it), "{name}: not the same when it is read again");
+                "accepted, and read again".to_owned()
+            }
+            Err(refusal) => format!("refused: {refusal}"),
+        };
+        writeln!(out, "{name}: {text}").expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
