Let a backend server return after an announcement with an odd sequence

Callers saw: after one announcement of another writer with the incarnation of the backend server and a sequence that it never reaches, the target leaves the registry when the announcement's lease ends and stays away until the backend server restarts. Its renewals are answered with 200 meanwhile.

Cause: LocalTarget::announce ignores any sequence below the highest one, for the life of the incarnation and without a word. The node took the address and the name from the announcement that was ignored, too.

Change: once the lease has ended, two announcements whose sequences are below the latest one, and grow, show that the process counts on there. One alone may be a late one, as before. An ignored announcement is the transition Late, which is logged, and no longer changes the address.

Evidence: an_odd_announcement_hides_the_next_ones: gone for good before; after the change the target misses one announcement after the lease. An odd drain hides it for the lease and one announcement more.

--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -44,6 +44,8 @@
     Resumed,
     /// Its cold start is over.
     Warm,
+    /// The announcement was ignored, since a later one of the same process arrived before it.
+    Late,
     /// The announcement was ignored, since it came from a process that another has replaced.
     Outdated,
 }
@@ -84,6 +86,9 @@
     state_since: Time,
     /// When its last announcement arrived.
     last_contact: Time,
+    /// The sequence of the last announcement that was below the latest one and arrived after the
+    /// lease of that one had ended.
+    late_sequence: Option<u64>,
 }
 
 impl LocalTarget {
@@ -143,9 +148,12 @@
             return self.outcome(now, Transition::Restarted);
         }
         // A later announcement can overtake an earlier one on the way.
-        if announcement.sequence < backend.latest.sequence {
-            return Outcome::default();
+        if announcement.sequence < backend.latest.sequence
+            && !backend.counts_anew(announcement.sequence)
+        {
+            return Outcome { transition: Some(Transition::Late), event: None };
         }
+        backend.late_sequence = None;
         backend.last_contact = now;
         backend.latest = announcement.clone();
         let state = announced_state(now, backend, self.stopping);
@@ -281,8 +289,15 @@
         let latest = announcement.clone();
         let cold = latest.cold_ms.map_or(objects::SLOW_START, time::Duration::from_millis);
         let warm_at = now + cold;
-        let mut backend =
-            Backend { latest, entry, warm_at, leaving: false, state_since: now, last_contact: now };
+        let mut backend = Backend {
+            latest,
+            entry,
+            warm_at,
+            leaving: false,
+            state_since: now,
+            last_contact: now,
+            late_sequence: None,
+        };
         backend.entry.state = announced_state(now, &backend, self.stopping);
         self.backend = Some(backend);
         self.raise_order();
@@ -319,6 +334,18 @@
     }
 }
 
+impl Backend {
+    /// Whether an announcement with a sequence below the latest one is no late one. That is so when
+    /// the lease of the latest one has ended and another with a lower sequence arrived since: the
+    /// process goes on counting there, and the latest one had another writer.
+    fn counts_anew(&mut self, sequence: u64) -> bool {
+        if self.entry.state != objects::State::Gone {
+            return false;
+        }
+        self.late_sequence.replace(sequence).is_some_and(|it| it < sequence)
+    }
+}
+
 /// The state that a backend server that announces itself is in.
 fn announced_state(now: Time, backend: &Backend, stopping: bool) -> objects::State {
     if backend.latest.drain || backend.leaving || stopping {
--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 
 use membership::{local_target, messages, toggles};
-use world::time::Time;
+use world::{targets::State, time::Time};
 
 fn location() -> local_target::Location {
     local_target::Location {
@@ -168,3 +168,38 @@
     note("the next process", &local);
     insta::assert_snapshot!(out);
 }
+
+/// Guards against an announcement of another writer, with values that no later one reaches, that
+/// hides the backend server for good. The next proper announcements must bring it back once the odd
+/// one's lease has ended.
+#[test]
+fn an_odd_announcement_hides_the_next_ones() {
+    let proper = |sequence| messages::Announcement { sequence, ..announcement(50) };
+    let odd = [
+        ("sequence", messages::Announcement { sequence: u64::MAX, ..announcement(50) }),
+        ("drain", messages::Announcement { sequence: u64::MAX, drain: true, ..announcement(50) }),
+    ];
+    let mut out = String::new();
+    for (name, odd) in odd {
+        let mut local = node(toggles::Toggles::default());
+        let mut last = messages::Order::default();
+        let warm = |sequence| messages::Announcement { cold_ms: Some(0), ..proper(sequence) };
+        local.announce(Time::ZERO, &warm(4));
+        local.announce(Time::from_millis(100), &odd);
+        let mut hidden = 0;
+        for sequence in 5..20 {
+            let now = Time::from_millis((sequence - 4) * 500);
+            local.tick(now);
+            local.announce(now, &warm(sequence));
+            let entry = local.entry().expect("an entry");
+            assert!(entry.order >= last, "{name}: the order went back to {:?}", entry.order);
+            last = entry.order;
+            hidden += u32::from(entry.state != State::Serving);
+        }
+        let state = local.entry().map(|it| it.state);
+        writeln!(out, "odd {name}: hidden for {hidden} announcements, then {state:?}")
+            .expect("text");
+        assert_eq!(state, Some(State::Serving), "odd {name}");
+    }
+    insta::assert_snapshot!(out);
+}
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -256,8 +256,10 @@
             );
             return None;
         }
-        backend.addr = Some(announcement.addr);
-        backend.instance = announcement.instance.clone();
+        if outcome.transition != Some(local_target::Transition::Late) {
+            backend.addr = Some(announcement.addr);
+            backend.instance = announcement.instance.clone();
+        }
         if matches!(
             outcome.transition,
             Some(local_target::Transition::Arrived | local_target::Transition::Restarted)
@@ -341,7 +343,9 @@
         local_target::Transition::Draining => admission.drain(now),
         local_target::Transition::Lost => admission.close(),
         local_target::Transition::Resumed => admission.open(now, limits, Some(instant_ramp(now))),
-        local_target::Transition::Outdated | local_target::Transition::Warm => {}
+        local_target::Transition::Late
+        | local_target::Transition::Outdated
+        | local_target::Transition::Warm => {}
     }
     // A new controller knows no limit.
     admission.set_rate(now, rate);
