Take the end of a cold start from later announcements, too

Callers saw: a target whose first announcement names a cold start of years stays in the state Starting for the life of its incarnation, whatever its later announcements say.

Cause: warm_at was set from the first announcement only.

Change: each announcement that names the time left may bring warm_at forward, never back.

Evidence: an_odd_cold_start_outlasts_the_next_announcements fails before (Starting 500 ms after the last announced end) and passes now.

--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -155,6 +155,10 @@
         }
         backend.late_sequence = None;
         backend.last_contact = now;
+        // The first announcement may have named a longer time than the ones that follow.
+        if let Some(cold) = announcement.cold_ms {
+            backend.warm_at = backend.warm_at.min(now + time::Duration::from_millis(cold));
+        }
         backend.latest = announcement.clone();
         let state = announced_state(now, backend, self.stopping);
         let before = backend.entry.state;
--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -169,6 +169,20 @@
     insta::assert_snapshot!(out);
 }
 
+/// Guards against a cold start that never ends since the first announcement named a time of years.
+/// The next announcements of the same process say that it is warm.
+#[test]
+fn an_odd_cold_start_outlasts_the_next_announcements() {
+    let cold = |cold_ms| messages::Announcement { cold_ms: Some(cold_ms), ..announcement(50) };
+    let mut local = node(toggles::Toggles::default());
+    local.announce(Time::ZERO, &cold(u64::MAX));
+    local.announce(Time::from_millis(500), &cold(1_000));
+    local.announce(Time::from_millis(1_000), &cold(500));
+    assert_eq!(local.entry().map(|it| it.state), Some(State::Starting));
+    local.tick(Time::from_millis(1_500));
+    assert_eq!(local.entry().map(|it| it.state), Some(State::Serving));
+}
+
 /// Guards against an announcement of another writer, with values that no later one reaches, that
 /// hides the backend server for good. The next proper announcements must bring it back once the odd
 /// one's lease has ended.
