Refuse registry entries that cannot be those of targets

Callers saw: in a release build, an entry with the last sequence that a u64 holds stays a target for good. Its removal, when its lease ends, wraps to sequence 0 and is not newer than the entry. The job that removes it panics in a debug build. Entries with port 0, a multicast address, four billion slots or a name of a megabyte are listed as targets.

Cause: orders were raised with an unchecked addition, in the registry and on the node, and an event was merged whatever its entry says.

Change: Entry::check, in Targets::merge, which controls and nodes share; Order::next, which goes on with the next incarnation at the end of the sequences; a known order out of its range is ignored. What a name and an address may be stands once, in world::bounds, for documents and settings too. A refused entry is logged with an excerpt of its host: once for each heartbeat of its node at most, or for each exchange of digests.

Evidence: the table an_odd_entry_hides_the_others, an_order_wraps and the case "odd start".

Not covered: an entry of a member with exactly the last order of the range, (2^53, 2^53), hides later ones of its host until its tombstone expires.

--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -4,6 +4,7 @@
 use distribution::subscribers;
 use membership::{messages, targets};
 use protocol::streams;
+use world::bounds;
 
 use crate::state;
 
@@ -16,7 +17,8 @@
 /// attached nodes, unless the registry has a later one.
 pub(crate) fn receive_node_event(state: &state::State, event: &messages::Event) {
     let merge = state.registry.lock().apply_event(state.now(), event);
-    if merge == targets::MergeResult::NotNewer {
+    log_refused(event, merge);
+    if !merge.is_change() {
         return;
     }
     log_event(event);
@@ -28,7 +30,8 @@
 /// registry has a later one.
 pub(crate) fn receive_peer_event(state: &state::State, event: &messages::Event) {
     let merge = state.registry.lock().apply_event(state.now(), event);
-    if merge != targets::MergeResult::NotNewer {
+    log_refused(event, merge);
+    if merge.is_change() {
         log_event(event);
         state.distributor.lock().broadcast(&streams::ControlMessage::Event(event.clone()));
     }
@@ -182,6 +185,12 @@
     }
 }
 
+fn log_refused(event: &messages::Event, merge: targets::MergeResult) {
+    if let targets::MergeResult::Refused(err) = merge {
+        log::warn!("refused a registry entry of {}: {err}", bounds::excerpt(&event.entry.host));
+    }
+}
+
 fn log_event(event: &messages::Event) {
     let entry = &event.entry;
     log::info!(
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -3,7 +3,7 @@
 use std::{net, path, time};
 
 use compact_str::{CompactString, format_compact};
-use world::{hosts, mesh};
+use world::{bounds, hosts, mesh};
 
 use super::{Result, ini_reader};
 use crate::{dialects, discovery};
@@ -397,9 +397,7 @@
 }
 
 fn parse_name(text: &str) -> Option<CompactString> {
-    let allowed = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
-    let valid = (1..=64).contains(&text.len()) && text.chars().all(allowed);
-    valid.then(|| text.into())
+    bounds::is_name(text).then(|| text.into())
 }
 
 fn parse_level(text: &str) -> Option<log::LevelFilter> {
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -257,7 +257,7 @@
         now: Time,
         answer: &messages::HeartbeatAnswer,
     ) -> Option<messages::Event> {
-        if let Some(known) = answer.known
+        if let Some(known) = answer.known.filter(|it| it.is_valid())
             && self.toggles.known_orders
         {
             self.known_order = self.known_order.max(known);
@@ -274,12 +274,11 @@
 
     /// Replaces the backend server by the process that announced itself.
     fn start_backend(&mut self, now: Time, announcement: &messages::Announcement) {
-        let former = self.entry().map_or(0, |it| it.order.incarnation);
+        let former = self.entry().map(|it| it.order);
+        self.known_order = self.known_order.max(former.unwrap_or_default());
         // The clock of the host may have been set back between the two starts.
-        let incarnation = match &self.backend {
-            Some(_) => announcement.incarnation.max(former + 1),
-            None => announcement.incarnation,
-        };
+        let incarnation = announcement.incarnation.max(former.map_or(0, |it| it.incarnation + 1));
+        let incarnation = incarnation.min(messages::MAX_ORDER);
         let entry = messages::Entry {
             host: self.location.host.clone(),
             data_centre: self.location.data_centre.clone(),
@@ -329,8 +328,7 @@
             return;
         };
         let order = &mut backend.entry.order;
-        let base = (*order).max(known_order);
-        *order = messages::Order { sequence: base.sequence + 1, ..base };
+        *order = (*order).max(known_order).next();
     }
 
     fn event(&self, now: Time) -> Option<messages::Event> {
--- a/crates/membership/src/messages.rs
+++ b/crates/membership/src/messages.rs
@@ -4,13 +4,37 @@
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
-use world::targets;
+use world::{bounds, targets};
 
 /// The number of parts into which a data centre's entries are divided for comparison. With 1,140
 /// entries of 100 B in a data centre, a part is about 7 KB, which a node may receive in a little
 /// over a second.
 pub const PARTS: usize = 16;
 
+/// The largest incarnation and sequence of an order. As a time in microseconds, it is in the year
+/// 2255.
+pub const MAX_ORDER: u64 = 1 << 53;
+
+/// Why an entry is refused. It is that of another writer, or of a faulty process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum EntryError {
+    /// The address is not that of one process.
+    #[error("its address cannot be connected to")]
+    Address,
+    /// A name is empty, too long or has other characters than a name may have.
+    #[error("its {0} is not a name")]
+    Name(&'static str),
+    /// The order is above [`MAX_ORDER`], so that no later one may ever exceed it.
+    #[error("its incarnation or sequence is out of range")]
+    Order,
+    /// The number of slots is 0 or above [`bounds::MAX_SLOTS`].
+    #[error("its number of slots is out of range")]
+    Slots,
+}
+
+/// The result of a check of this module.
+pub type Result<T, E = EntryError> = std::result::Result<T, E>;
+
 /// Tells which of two entries of a host is newer: the incarnation is compared first, then the
 /// sequence.
 ///
@@ -140,7 +164,49 @@
     pub stale: bool,
 }
 
+impl Order {
+    /// Whether the order is within its range, so that later ones exceed it.
+    pub fn is_valid(self) -> bool {
+        self.incarnation <= MAX_ORDER && self.sequence <= MAX_ORDER
+    }
+
+    /// The next order. After the last sequence, it is the first one of the next incarnation.
+    pub fn next(self) -> Order {
+        if self.sequence < MAX_ORDER {
+            return Order { sequence: self.sequence + 1, ..self };
+        }
+        Order { incarnation: self.incarnation.saturating_add(1), sequence: 0 }
+    }
+}
+
 impl Entry {
+    /// Checks that the entry can be that of a target, since it may come from another writer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is out of its bounds.
+    pub fn check(&self) -> Result<()> {
+        let names = [
+            ("host", &self.host),
+            ("data centre", &self.data_centre),
+            ("service", &self.service),
+            ("registrar", &self.registrar),
+        ];
+        if let Some((field, _)) = names.iter().find(|(_, name)| !bounds::is_name(name)) {
+            return Err(EntryError::Name(field));
+        }
+        if !bounds::is_unicast(self.addr) {
+            return Err(EntryError::Address);
+        }
+        if !self.order.is_valid() {
+            return Err(EntryError::Order);
+        }
+        if !(1..=bounds::MAX_SLOTS).contains(&self.slots) {
+            return Err(EntryError::Slots);
+        }
+        Ok(())
+    }
+
     /// A hash of all fields. It is the same in every process and build, because processes compare
     /// it.
     pub fn digest(&self) -> u64 {
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -87,12 +87,12 @@
         messages::HeartbeatAnswer { known, wanted }
     }
 
-    /// Merges an event from an attached node or another control. Unless the result is
-    /// [`targets::MergeResult::NotNewer`], the caller passes the event on: a node's to the other
-    /// controls and the attached nodes, another control's to the attached nodes only.
+    /// Merges an event from an attached node or another control. If the result is a change, the
+    /// caller passes the event on: a node's to the other controls and the attached nodes, another
+    /// control's to the attached nodes only.
     pub fn apply_event(&mut self, now: Time, event: &messages::Event) -> targets::MergeResult {
         let merge = self.targets.merge(now, event);
-        if merge == targets::MergeResult::NotNewer {
+        if !merge.is_change() {
             return merge;
         }
         let entry = &event.entry;
@@ -169,7 +169,7 @@
             };
             let mut entry = target.entry.clone();
             entry.state = objects::State::Gone;
-            entry.order.sequence += 1;
+            entry.order = entry.order.next();
             let event = messages::Event { entry, age_ms: 0 };
             self.targets.merge(now, &event);
             events.push(event);
--- a/crates/membership/src/targets.rs
+++ b/crates/membership/src/targets.rs
@@ -40,6 +40,15 @@
     TombstoneOnly,
     /// Nothing, since the event is not newer than what is held.
     NotNewer,
+    /// Nothing, since the entry cannot be that of a target.
+    Refused(messages::EntryError),
+}
+
+impl MergeResult {
+    /// Whether the event changed what is held, so that it has to be passed on.
+    pub fn is_change(self) -> bool {
+        !matches!(self, MergeResult::NotNewer | MergeResult::Refused(_))
+    }
 }
 
 /// The targets that a process knows.
@@ -105,6 +114,9 @@
     /// entry of a host is the one that is kept.
     pub fn merge(&mut self, now: Time, event: &messages::Event) -> MergeResult {
         let entry = &event.entry;
+        if let Err(err) = entry.check() {
+            return MergeResult::Refused(err);
+        }
         self.expire_tombstones(now);
         if self.held_entry(&entry.host).is_some_and(|held| !self.is_newer(entry, held)) {
             return MergeResult::NotNewer;
--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -192,6 +192,7 @@
     let odd = [
         ("sequence", messages::Announcement { sequence: u64::MAX, ..announcement(50) }),
         ("drain", messages::Announcement { sequence: u64::MAX, drain: true, ..announcement(50) }),
+        ("start", announcement(u64::MAX)),
     ];
     let mut out = String::new();
     for (name, odd) in odd {
@@ -217,3 +218,19 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against an order at the end of its range that ends the job which raises it, or wraps to a
+/// low one, so that the registry takes no later entry of the host.
+#[test]
+fn an_order_wraps() {
+    let mut local = node(toggles::Toggles::default());
+    local.announce(Time::ZERO, &announcement(50));
+    for known in [(50, u64::MAX), (51, messages::MAX_ORDER), (u64::MAX, u64::MAX)] {
+        let order = messages::Order { incarnation: known.0, sequence: known.1 };
+        let answer = messages::HeartbeatAnswer { known: Some(order), wanted: true };
+        let event = local.heartbeat_answered(Time::from_millis(10), &answer).expect("an event");
+        assert_eq!(event.entry.check(), Ok(()), "known {known:?}: {:?}", event.entry.order);
+    }
+    let order = local.entry().map(|it| (it.order.incarnation, it.order.sequence));
+    assert_eq!(order, Some((52, 0)), "only an order within the range has to be passed");
+}
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -146,6 +146,10 @@
         }
         streams::ControlMessage::Event(event) => {
             let merge = state.directory.lock().apply_event(now, &event);
+            if let membership::targets::MergeResult::Refused(err) = merge {
+                let host = world::bounds::excerpt(&event.entry.host);
+                log::warn!("refused a registry entry of {host} from a control: {err}");
+            }
             forget_removed(state, merge);
         }
         streams::ControlMessage::EvidenceTaken(sequence) => {
--- a/crates/world/src/document.rs
+++ b/crates/world/src/document.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
 
-use crate::{faults, patches};
+use crate::{bounds, faults, patches};
 
 /// Highest feature level of a document that this build supports.
 pub const LEVEL: u32 = 1;
@@ -18,8 +18,6 @@
 pub const MAX_SERVICES: usize = 4_096;
 /// Largest number of routes in a document.
 pub const MAX_ROUTES: usize = 16_384;
-/// Longest name of a service, route or region.
-pub const MAX_NAME_BYTES: usize = 64;
 /// Longest host of a route.
 pub const MAX_HOST_BYTES: usize = 255;
 /// Largest value of a route's priority, which is the least urgent one.
@@ -417,12 +415,12 @@
     }
 
     fn check_name(&mut self, path: impl FnOnce() -> CompactString, name: &str) {
-        let allowed = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
-        if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(allowed) {
+        if bounds::is_name(name) {
             return;
         }
         let detail = format_compact!(
-            "name {name:?} must have 1 to {MAX_NAME_BYTES} ASCII letters, digits, '-', '_' or '.'"
+            "name {name:?} must have 1 to {} ASCII letters, digits, '-', '_' or '.'",
+            bounds::MAX_NAME_BYTES,
         );
         self.push(path(), faults::FaultKind::Form, detail);
     }
@@ -473,7 +471,7 @@
 fn check_service(name: &str, spec: &ServiceSpec, old: Option<&ServiceSpec>, faults: &mut Faults) {
     let path = |field: &str| format_compact!("services.{name}.{field}");
     faults.check_name(|| format_compact!("services.{name}"), name);
-    faults.check_range(|| path("slots"), spec.slots, 1, 1_024);
+    faults.check_range(|| path("slots"), spec.slots, 1, bounds::MAX_SLOTS);
     faults.check_range(|| path("queue"), spec.queue, 0, 256);
     faults.check_range(|| path("timeout_ms"), spec.timeout_ms, 1, 600_000);
     if let Some(home) = &spec.home {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -1,6 +1,7 @@
 //! The objects of a service mesh: regions, data centres, hosts, the links between them, and the
 //! contracts that the configuration makes with callers. Nothing here does I/O or reads a clock.
 
+pub mod bounds;
 pub mod config;
 pub mod contracts;
 pub mod data_centres;
