Refuse announcements that cannot be those of this host's backend server

Callers saw: after one announcement of another writer with a start in the future, the proper renewals of the backend server are answered with 409 until the lease of the odd one ends, 2 s or what the settings say; meanwhile requests go to the address that the odd one names, such as a multicast address. An announcement of a service that nobody names replaces the backend server in the same way, and the requests in flight become suspects of a crash. A refused announcement writes as many log lines as are sent, of up to 64 KiB each.

Cause: the start, the sequence, the cold start and the name of the process had no bounds; an address only had to be specified. The service was never compared with the one that the node's settings name.

Change: announcements::check bounds each field, with a typed error. If the settings name the host's service, another one is accepted only while the running configuration names it. At most one refusal a second is logged, with an excerpt of its reason and the number of those that were skipped.

Evidence: announcements::an_odd_entry_hides_the_others, with a good announcement between any two odd ones: before, the good one after "last start" gets 409; after, all 27 odd ones are refused and each good one gets 200. Nesting of 60,000 levels, 1e400, 2^64, NaN, port 65536 and duplicate fields were refused before.

--- a/crates/heatherwalk/tests/contracts/announcements.rs
+++ b/crates/heatherwalk/tests/contracts/announcements.rs
@@ -139,3 +139,76 @@
     api.until(|| api.get("/v1/targets"), |it| it.1 == json!([])).await;
     mesh.control.stop().await;
 }
+
+/// Guards against an odd announcement of another writer that replaces the backend server which is
+/// announced, or that keeps the next proper announcement out.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_entry_hides_the_others() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node_of("skulte-1", "logbook").await;
+    let client = mesh::client();
+    let start = time::SystemTime::now().duration_since(time::UNIX_EPOCH).expect("after 1970");
+    let start = u64::try_from(start.as_micros()).expect("a time of this century");
+    let good = json!({"service": "logbook", "addr": "127.0.0.1:9000", "incarnation": start,
+        "slots": 6, "cold_ms": 0, "sequence": 5});
+    let with = |fields: &[(&str, Value)]| {
+        let mut body = good.clone();
+        fields.iter().for_each(|(name, value)| body[*name] = value.clone());
+        body.to_string()
+    };
+    let raw = |name: &str, text: &str| with(&[(name, "@".into())]).replace("\"@\"", text);
+    let deep = "[".repeat(60_000);
+    let day_us = 86_400_000_000_u64;
+    let cases = [
+        ("nested", raw("slots", &deep)),
+        ("unknown field, nested", raw("odd", &deep)),
+        ("slots above a float", raw("slots", "1e400")),
+        ("slots above 64 bits", raw("slots", "18446744073709551616")),
+        ("a million slots", with(&[("slots", 1_000_000.into())])),
+        ("slots not a number", raw("slots", "NaN")),
+        ("negative start", raw("incarnation", "-1")),
+        ("start above 64 bits", raw("incarnation", "18446744073709551616")),
+        ("last start", with(&[("incarnation", u64::MAX.into())])),
+        ("start in two days", with(&[("incarnation", (start + 2 * day_us).into())])),
+        ("last sequence", with(&[("sequence", u64::MAX.into())])),
+        ("sequence above 64 bits", raw("sequence", "18446744073709551616")),
+        ("negative cold start", raw("cold_ms", "-1")),
+        ("cold start of a century", with(&[("cold_ms", (36_525 * 86_400_000_u64).into())])),
+        ("port 0", with(&[("addr", "127.0.0.1:0".into())])),
+        ("port 65536", with(&[("addr", "127.0.0.1:65536".into())])),
+        ("unspecified address", with(&[("addr", "0.0.0.0:80".into())])),
+        ("multicast address", with(&[("addr", "224.0.0.1:80".into())])),
+        ("broadcast address", with(&[("addr", "255.255.255.255:80".into())])),
+        ("empty service", with(&[("service", "".into())])),
+        ("long service", with(&[("service", "s".repeat(60_000).into())])),
+        ("control character", with(&[("service", "log\u{0}book".into())])),
+        ("service that is not named", with(&[("service", "none".into())])),
+        (
+            "start of such a service",
+            with(&[("service", "none".into()), ("incarnation", (start + 9).into())]),
+        ),
+        ("control character in the instance", with(&[("instance", "a\r\nb".into())])),
+        ("long instance", with(&[("instance", "i".repeat(60_000).into())])),
+        ("unknown state", with(&[("drain", "odd".into())])),
+    ];
+    let announce = async |body: &str| {
+        let answer = mesh::http(&client, node.announce(), "POST /announce", &[], body.as_bytes());
+        answer.await
+    };
+    let mut out = String::new();
+    for (name, body) in cases {
+        assert_eq!(announce(&good.to_string()).await.0, 200, "before {name}");
+        let (status, _, text) = announce(&body).await;
+        assert!(text.len() < 1_000, "{name}: the answer has {} bytes", text.len());
+        let text = if status == 200 { "accepted" } else { text.trim() };
+        // A column depends on the digits of the start.
+        let text = text.split(" at line ").next().unwrap_or_default();
+        let (next, _, _) = announce(&good.to_string()).await;
+        writeln!(out, "{name}: {status} {text}; then {next}").expect("text");
+    }
+    api.until(|| api.get("/v1/targets"), |it| it.1[0]["service"] == "logbook").await;
+    insta::assert_snapshot!(out);
+    mesh.control.stop().await;
+}
--- a/crates/heatherwalk/tests/contracts/mesh.rs
+++ b/crates/heatherwalk/tests/contracts/mesh.rs
@@ -51,6 +51,11 @@
 
     /// Starts a node that attaches to the control.
     pub async fn node(&self, name: &str) -> node::running::Node {
+        self.node_of(name, "").await
+    }
+
+    /// Starts a node whose settings name the service of its host, unless it is empty.
+    pub async fn node_of(&self, name: &str, service: &str) -> node::running::Node {
         let mut mesh = mesh::Mesh::default();
         put_controls(&mut mesh, self.control.listen().expect("bound"), 1);
         let region = mesh.add_region("vidzeme");
@@ -59,6 +64,7 @@
         let me =
             mesh.put_host(hosts::Host { name: name.into(), addr: loopback(), data_centre, role });
         let settings = node::settings::Settings {
+            service: service.into(),
             stop_limit: time::Duration::from_secs(1),
             ..node::settings::Settings::with_defaults(mesh, me, loopback)
         };
--- /dev/null
+++ b/crates/node/src/announcements.rs
@@ -0,0 +1,105 @@
+//! The bounds of announcements, which may come from another writer than the backend server.
+
+use std::time as std_time;
+
+use compact_str::CompactString;
+use world::{bounds, time};
+
+use crate::backend;
+
+/// How far the start of a backend server may be ahead of this host's clock, which may have been set
+/// back since. A start that is further ahead would keep the announcements of the real one out.
+const MAX_AHEAD: std_time::Duration = std_time::Duration::from_secs(24 * 60 * 60);
+/// The largest sequence. A number of nanoseconds since the Unix epoch fits.
+const MAX_SEQUENCE: u64 = i64::MAX as u64;
+/// The longest cold start.
+const MAX_COLD: std_time::Duration = std_time::Duration::from_secs(60 * 60);
+/// The longest name of a backend server's process, in bytes. It is sent with each request.
+const MAX_INSTANCE_BYTES: usize = 256;
+/// The shortest time between two log lines about refused announcements.
+const LOG_INTERVAL: std_time::Duration = std_time::Duration::from_secs(1);
+
+/// Why an announcement is refused.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The address is not that of one process.
+    #[error("addr must be an IP address and a port that can be connected to")]
+    Address,
+    /// The cold start is longer than any that ends.
+    #[error("cold_ms must be at most one hour")]
+    ColdStart,
+    /// The name of the process cannot be sent in a header.
+    #[error("instance must have at most {MAX_INSTANCE_BYTES} visible ASCII characters")]
+    Instance,
+    /// The sequence leaves no room for later ones.
+    #[error("sequence must be below 2^63")]
+    Sequence,
+    /// The service is not a name.
+    #[error("service must have 1 to 64 ASCII letters, digits, '-', '_' or '.'")]
+    Service,
+    /// The number of slots is out of range.
+    #[error("slots must be 1 to {}", bounds::MAX_SLOTS)]
+    Slots,
+    /// The start is in the future.
+    #[error("incarnation must not be more than a day ahead of this host's clock")]
+    Start,
+    /// Neither the settings nor the running configuration name the service.
+    #[error("service {0:?} is neither this host's nor one of the configuration's")]
+    UnknownService(CompactString),
+}
+
+/// The result of a check of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Limits the log lines about refused announcements: whoever sends them decides how many there are.
+#[derive(Debug, Default)]
+pub(crate) struct RefusalLog {
+    next_at: time::Time,
+    skipped: u64,
+}
+
+impl RefusalLog {
+    /// Counts a refusal. Returns how many were skipped since the last line if this one is logged.
+    pub(crate) fn count(&mut self, now: time::Time) -> Option<u64> {
+        if now < self.next_at {
+            self.skipped += 1;
+            return None;
+        }
+        self.next_at = now + LOG_INTERVAL;
+        Some(std::mem::take(&mut self.skipped))
+    }
+}
+
+/// Checks the bounds of an announcement, which limit what every registry of the mesh has to store.
+/// `unix_time` is the time since the Unix epoch by this host's clock.
+///
+/// # Errors
+///
+/// Returns the first field that is out of its bounds.
+pub fn check(announcement: &backend::Announcement, unix_time: std_time::Duration) -> Result<()> {
+    let backend::Announcement { service, instance, .. } = announcement;
+    if !(1..=bounds::MAX_SLOTS).contains(&announcement.slots) {
+        return Err(Error::Slots);
+    }
+    if !bounds::is_name(service) {
+        return Err(Error::Service);
+    }
+    if !bounds::is_unicast(announcement.addr) {
+        return Err(Error::Address);
+    }
+    let latest = (unix_time + MAX_AHEAD).as_micros();
+    if announcement.incarnation.is_some_and(|it| u128::from(it) > latest) {
+        return Err(Error::Start);
+    }
+    if announcement.sequence > MAX_SEQUENCE {
+        return Err(Error::Sequence);
+    }
+    if announcement.cold_ms.is_some_and(|it| u128::from(it) > MAX_COLD.as_millis()) {
+        return Err(Error::ColdStart);
+    }
+    let printable = instance.bytes().all(|it| it.is_ascii_graphic());
+    if !printable || instance.len() > MAX_INSTANCE_BYTES {
+        return Err(Error::Instance);
+    }
+    Ok(())
+}
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -4,21 +4,17 @@
 
 use admission::limits;
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use membership::{local_target, messages};
 use protocol::streams;
 use replicated::quarantine;
 use serde::{Deserialize, Serialize};
-use world::{targets, time};
+use world::{bounds, targets, time};
 
-use crate::{attaching, dialect, in_flight, slots, state};
+use crate::{announcements, attaching, dialect, in_flight, slots, state};
 
 /// Largest body of an announcement, in bytes.
 const MAX_BODY: usize = 64 * 1024;
-/// The most slots that a service can have in a configuration document.
-const MAX_SLOTS: u32 = 1_024;
-/// The longest name of a service in a configuration document, in bytes.
-const MAX_SERVICE_NAME: usize = 64;
 
 /// An announcement that a backend server sends to its node as JSON.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -95,10 +91,10 @@
     };
     let announcement = match (state.settings.dialect.parse_announcement)(&body, &instance) {
         Ok(it) => it,
-        Err(detail) => return refuse(&detail),
+        Err(detail) => return refuse(&state, &detail),
     };
-    if let Err(detail) = check_bounds(&announcement) {
-        return refuse(detail);
+    if let Err(err) = check(&state, &announcement) {
+        return refuse(&state, &format_compact!("{err}"));
     }
     let job = {
         let state = sync::Arc::clone(&state);
@@ -136,7 +132,8 @@
     if backend.instance != instance {
         log::info!(
             target: "decision",
-            "leave of {instance} ignored: the backend server is {}",
+            "leave of {} ignored: the backend server is {}",
+            bounds::excerpt(instance),
             backend.instance,
         );
         return;
@@ -159,10 +156,15 @@
     state.admission.lock().set_rate(now, rate);
 }
 
-fn refuse(detail: &str) -> web::exchange::Response {
-    log::warn!("refused an invalid announcement of a backend server: {}", detail.trim_end());
-    let text = format!("{}\n", detail.trim_end());
-    web::exchange::Response::text(http::StatusCode::BAD_REQUEST, &text)
+fn refuse(state: &state::State, detail: &str) -> web::exchange::Response {
+    let detail = bounds::excerpt(detail);
+    if let Some(skipped) = state.backend.lock().refusals.count(state.now()) {
+        log::warn!(
+            "refused an invalid announcement of a backend server, and {skipped} others before it: \
+             {detail}",
+        );
+    }
+    web::exchange::Response::text(http::StatusCode::BAD_REQUEST, &format!("{detail}\n"))
 }
 
 fn queue_full(error: &dyn std::fmt::Display) -> web::exchange::Response {
@@ -213,20 +215,20 @@
     apply_outcome(state, now, outcome, None);
 }
 
-/// Checks the bounds of an announcement. They limit what every registry of the mesh has to store.
-fn check_bounds(announcement: &Announcement) -> Result<(), &'static str> {
-    if !(1..=MAX_SLOTS).contains(&announcement.slots) {
-        return Err("slots must be 1 to 1024\n");
-    }
-    let service = &announcement.service;
-    let allowed = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
-    if service.is_empty() || service.len() > MAX_SERVICE_NAME || !service.chars().all(allowed) {
-        return Err("service must have 1 to 64 ASCII letters, digits, '-', '_' or '.'\n");
+/// Checks an announcement. If the settings name the host's service, another one has to be in the
+/// running configuration: the announcement of an unknown one is that of another writer, and must not
+/// replace the backend server.
+fn check(state: &state::State, announcement: &Announcement) -> announcements::Result<()> {
+    announcements::check(announcement, unix_time())?;
+    let (own, service) = (&state.settings.service, &announcement.service);
+    if own.is_empty() || own == service {
+        return Ok(());
     }
-    if announcement.addr.port() == 0 || announcement.addr.ip().is_unspecified() {
-        return Err("addr must be an IP address and a port that can be connected to\n");
+    let config = state.running();
+    match config.is_some_and(|it| it.document().services.contains_key(service)) {
+        true => Ok(()),
+        false => Err(announcements::Error::UnknownService(service.clone())),
     }
-    Ok(())
 }
 
 /// Applies an announcement. Returns none when a later incarnation has been announced.
@@ -285,13 +287,15 @@
     let known = backend.local.entry().map(|it| it.order.incarnation);
     match known.filter(|_| backend.instance == announcement.instance) {
         Some(it) => it,
-        None => {
-            let since = std_time::SystemTime::now().duration_since(std_time::UNIX_EPOCH);
-            since.map_or(0, |it| u64::try_from(it.as_micros()).unwrap_or(u64::MAX))
-        }
+        None => u64::try_from(unix_time().as_micros()).unwrap_or(u64::MAX),
     }
 }
 
+/// The time since the Unix epoch by this host's clock.
+fn unix_time() -> std_time::Duration {
+    std_time::SystemTime::now().duration_since(std_time::UNIX_EPOCH).unwrap_or_default()
+}
+
 /// Applies an outcome: logs it, reports a crash, updates admission and informs the registry.
 /// `previous` is the registry entry before the outcome.
 fn apply_outcome(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The node: the process beside each backend server. It takes callers' requests, chooses targets,
 //! forwards requests to other nodes and admits work for its own backend server.
 
+pub mod announcements;
 mod answering;
 mod attaching;
 pub mod backend;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,7 +12,9 @@
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
 
-use crate::{bodies, dialect, in_flight, instruments, linking, settings, slots, suspects};
+use crate::{
+    announcements, bodies, dialect, in_flight, instruments, linking, settings, slots, suspects,
+};
 
 // A table may be locked only while all tables that are held have lower ranks.
 
@@ -78,6 +80,8 @@
     pub(crate) instance: CompactString,
     /// What it said of itself in its last answer.
     pub(crate) notice: dialect::Notice,
+    /// Limits the log lines about refused announcements.
+    pub(crate) refusals: announcements::RefusalLog,
     /// By when requests have to be answered, once a planned stop has begun. The node is not ready any
     /// more, but still serves.
     pub(crate) stop_by: Option<time::Time>,
@@ -164,6 +168,7 @@
             addr: None,
             instance: "".into(),
             notice: dialect::Notice::default(),
+            refusals: announcements::RefusalLog::default(),
             stop_by: None,
             stopping: false,
         };
--- a/crates/world/src/bounds.rs
+++ b/crates/world/src/bounds.rs
@@ -10,7 +10,7 @@
 pub const MAX_SLOTS: u32 = 1_024;
 
 /// Longest excerpt of a text of another writer in a log line or an answer, in characters.
-const EXCERPT_CHARS: usize = 160;
+const EXCERPT_CHARS: usize = 256;
 
 /// Whether a text may be the name of a host, data centre, region, service or route.
 pub fn is_name(text: &str) -> bool {
@@ -18,10 +18,11 @@
     (1..=MAX_NAME_BYTES).contains(&text.len()) && text.chars().all(allowed)
 }
 
-/// The beginning of a text of another writer, for a log line or an answer. Control characters are
-/// escaped.
+/// The beginning of a text of another writer, for a log line or an answer. Control characters, which
+/// could end a line, are replaced.
 pub fn excerpt(text: &str) -> CompactString {
-    text.chars().take(EXCERPT_CHARS).flat_map(char::escape_debug).collect()
+    let visible = |it: char| if it.is_control() { char::REPLACEMENT_CHARACTER } else { it };
+    text.chars().take(EXCERPT_CHARS).map(visible).collect()
 }
 
 /// Whether a connection to an address can reach one process: the port is not 0, and the IP address
