Check the records of controls that other processes send

Callers saw: before a mesh is formed, anybody who reaches the operators' port of a starting control can post a record at the address of a seed and becomes a voter in its place; the real seed is then no member, and a group of three runs on two votes. A record with port 0, without a name or at an address of nobody is listed. Records at 65,535 ports make a list of 11.9 MB, which no other control can receive, so none of them leaves the discovery.

Cause: PeerTable::insert took each record as it came, and discovery used each list and each hosts.json that is JSON of the right shape.

Change: records::check bounds names, addresses and the number of controls. An introduction has to come from the IP address of the operators' port that it names; a record that a control sent itself is not replaced by one that others pass on, and the own one by none. Only a seed takes the name of another record. Invalid records are dropped from the lists of seeds, and a stored list that has one is discovered again. Refusals are logged once a second at most.

A control whose connections come from another IP address than its operators' port listens on is now found only by polling it, that is, as a seed.

After: an_odd_record_replaces_a_control (15 records, from a host and passed on by a seed: the voters are the seeds), odd_records_fill_the_list, an_odd_stored_list_is_used.

--- a/crates/heatherwalk/src/discovery.rs
+++ b/crates/heatherwalk/src/discovery.rs
@@ -7,6 +7,7 @@
 
 mod introductions;
 mod peer_table;
+mod records;
 
 use std::{fs, io, io::Write as _, net, path, time};
 
@@ -14,6 +15,7 @@
 use protocol::operators;
 
 pub use peer_table::PeerTable;
+pub use records::Error as RecordError;
 
 /// The file with the list of controls, in a control's data folder.
 const FILE: &str = "hosts.json";
@@ -132,7 +134,7 @@
 fn load(folder: &path::Path) -> Result<Option<operators::ControlList>> {
     let file = folder.join(FILE);
     match fs::read(&file) {
-        Ok(bytes) => match serde_json::from_slice(&bytes) {
+        Ok(bytes) => match records::parse_stored(&bytes) {
             Ok(hosts) => Ok(Some(hosts)),
             // A power loss can leave an incomplete file. The seeds have the whole list.
             Err(err) => {
--- a/crates/heatherwalk/src/discovery/peer_table.rs
+++ b/crates/heatherwalk/src/discovery/peer_table.rs
@@ -4,7 +4,7 @@
 
 use protocol::operators;
 
-use super::Seeds;
+use super::{Seeds, records};
 
 /// Minimum time between a control's start and its forming of the list, so that controls that are
 /// not seeds can announce themselves. The hosts of a new mesh start within a third of a second.
@@ -15,43 +15,113 @@
 pub struct PeerTable {
     seeds: Seeds,
     /// Records by the address of the operator port, which is also how the settings name the seeds.
-    known: collections::BTreeMap<net::SocketAddr, operators::ControlRecord>,
+    known: collections::BTreeMap<net::SocketAddr, Known>,
     /// The complete list, if a control that has it has returned it.
     formed: Option<operators::ControlList>,
     me: operators::ControlRecord,
 }
 
+#[derive(Clone, Debug)]
+struct Known {
+    record: operators::ControlRecord,
+    /// Whether the control itself sent the record. One that others pass on does not replace it.
+    direct: bool,
+}
+
 impl PeerTable {
     /// A table that holds only the control's own record `me`.
     pub fn new(seeds: Seeds, me: operators::ControlRecord) -> PeerTable {
-        let mut table = PeerTable { seeds, known: collections::BTreeMap::new(), formed: None, me };
-        table.insert(table.me.clone());
-        table
+        let mut known = collections::BTreeMap::new();
+        if let Some(operators) = me.operators {
+            let votes = seeds.addrs.contains(&operators);
+            let record = operators::ControlRecord { votes, ..me.clone() };
+            known.insert(operators, Known { record, direct: true });
+        }
+        PeerTable { seeds, known, formed: None, me }
     }
 
-    /// Adds the record of a control, or replaces an earlier one of the same operator port. Only a
-    /// seed becomes a voter. A record without an operator port is ignored.
-    pub fn insert(&mut self, mut record: operators::ControlRecord) {
-        let Some(operators) = record.operators else { return };
-        record.votes = self.seeds.addrs.contains(&operators);
-        self.known.insert(operators, record);
+    /// Adds the record of a control that introduces itself from the address `from`, if that is
+    /// known, or replaces its earlier one. Only a seed becomes a voter. A record without an
+    /// operators' port is ignored.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the record is refused: it may be that of another writer.
+    pub fn introduce(
+        &mut self,
+        record: operators::ControlRecord,
+        from: Option<net::SocketAddr>,
+    ) -> records::Result<()> {
+        let Some(operators) = record.operators else { return Ok(()) };
+        if from.is_some_and(|it| !records::is_origin(operators, it)) {
+            return Err(records::Error::Origin);
+        }
+        self.put(operators, record, true)
     }
 
-    /// Adds the controls that a seed returned. A complete list takes precedence over the table.
-    pub fn merge(&mut self, hosts: operators::ControlList) {
+    /// Adds the controls that the seed at the address `source` returned. A complete list takes
+    /// precedence over the table. Records that are refused are left out.
+    pub fn merge(&mut self, source: net::SocketAddr, hosts: operators::ControlList) {
         if hosts.formed {
             self.formed = Some(hosts);
             return;
         }
         for it in hosts.controls {
-            self.insert(it);
+            let Some(operators) = it.operators else { continue };
+            let name = it.name.clone();
+            if let Err(err) = self.put(operators, it, operators == source) {
+                log::debug!("left out control {name}, which {source} returned: {err}");
+            }
         }
     }
 
+    fn put(
+        &mut self,
+        operators: net::SocketAddr,
+        mut record: operators::ControlRecord,
+        direct: bool,
+    ) -> records::Result<()> {
+        records::check(&record)?;
+        record.votes = self.seeds.addrs.contains(&operators);
+        let own = self.me.operators == Some(operators);
+        let heard = self.known.get(&operators).is_some_and(|it| it.direct);
+        if own || heard && !direct {
+            return Ok(());
+        }
+        let new = !record.votes && !self.known.contains_key(&operators);
+        if new && self.known.len() >= records::MAX_CONTROLS {
+            return Err(records::Error::Full);
+        }
+        self.free_name(operators, &record)?;
+        self.known.insert(operators, Known { record, direct });
+        Ok(())
+    }
+
+    /// Makes the record's name free for it. Only a seed takes the name of another control, and only
+    /// from one that is no seed.
+    fn free_name(
+        &mut self,
+        operators: net::SocketAddr,
+        record: &operators::ControlRecord,
+    ) -> records::Result<()> {
+        let mut others = self.known.iter().filter(|(addr, _)| **addr != operators);
+        let Some((&addr, other)) = others.find(|(_, it)| it.record.name == record.name) else {
+            return Ok(());
+        };
+        if !record.votes || other.record.votes || self.me.name == record.name {
+            return Err(records::Error::NameInUse);
+        }
+        self.known.remove(&addr);
+        Ok(())
+    }
+
     /// The controls known so far. The list is never marked as formed: other processes get the
     /// complete list only from a control that has started.
     pub fn snapshot(&self) -> operators::ControlList {
-        operators::ControlList { formed: false, controls: self.known.values().cloned().collect() }
+        operators::ControlList {
+            formed: false,
+            controls: self.known.values().map(|it| it.record.clone()).collect(),
+        }
     }
 
     /// The complete list of controls, or `None` while it is not known. `elapsed` is the time since
--- a/crates/heatherwalk/tests/discovery.rs
+++ b/crates/heatherwalk/tests/discovery.rs
@@ -70,10 +70,10 @@
         };
         let mut table = discovery::PeerTable::new(seeds, record(case.me));
         for &it in case.introduced {
-            table.insert(record(it));
+            table.introduce(record(it), Some(addr(it))).expect("a valid record");
         }
         if let Some(formed) = case.formed {
-            table.merge(formed);
+            table.merge(addr(1), formed);
         }
         assert!(!table.snapshot().formed, "{}: a snapshot is never a formed list", case.name);
         let result = table.complete_list(time::Duration::from_millis(case.elapsed_ms));
@@ -88,3 +88,119 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against an odd record of another writer that replaces a control in the list from which a
+/// new mesh is formed, that becomes a voter, or that keeps the next proper record out.
+#[test]
+fn an_odd_record_replaces_a_control() {
+    let odd = |change: fn(&mut operators::ControlRecord)| {
+        let mut record = record(9);
+        change(&mut record);
+        record
+    };
+    let name = |name: &str| operators::ControlRecord { name: name.into(), ..record(9) };
+    let as_seed = operators::ControlRecord { operators: Some(addr(2)), ..record(9) };
+    let no_port = (net::Ipv4Addr::new(10, 9, 0, 1), 0).into();
+    let cases = [
+        ("a fourth control", record(9)),
+        ("port 0", odd(|it| it.addr.set_port(0))),
+        ("operators' port 0", operators::ControlRecord { operators: Some(no_port), ..record(9) }),
+        ("unspecified address", odd(|it| it.addr.set_ip(net::Ipv4Addr::UNSPECIFIED.into()))),
+        ("multicast address", odd(|it| it.addr.set_ip(net::Ipv4Addr::new(224, 0, 0, 1).into()))),
+        ("broadcast address", odd(|it| it.addr.set_ip(net::Ipv4Addr::BROADCAST.into()))),
+        ("empty name", name("")),
+        ("name of a megabyte", name(&"n".repeat(1 << 20))),
+        ("control character in the name", name("a\nb")),
+        ("region of a megabyte", odd(|it| it.region = "r".repeat(1 << 20).into())),
+        ("empty data centre", odd(|it| it.data_centre = "".into())),
+        ("says that it votes", odd(|it| it.votes = true)),
+        ("at a seed's operators' port", as_seed),
+        ("with a seed's name", name("control-2")),
+        ("with the own name", name("control-1")),
+    ];
+    let mut out = String::new();
+    for (name, odd) in cases {
+        let seeds = discovery::Seeds {
+            addrs: vec![addr(1), addr(2), addr(3)],
+            bootstrap: true,
+            claims: true,
+        };
+        let mut table = discovery::PeerTable::new(seeds, record(1));
+        // The odd record comes before and after the seed's own, from another host.
+        let first = table.introduce(odd.clone(), Some(addr(9)));
+        for it in [2, 3] {
+            table.introduce(record(it), Some(addr(it))).expect("a valid record");
+        }
+        let second = table.introduce(odd.clone(), Some(addr(9)));
+        // A seed passes it on that does not check what others send.
+        table.merge(addr(3), operators::ControlList { formed: false, controls: vec![odd] });
+        let hosts = table.complete_list(time::Duration::from_secs(1)).expect("all seeds are known");
+        let voters = hosts.controls.iter().filter(|it| it.votes);
+        let voters: Vec<_> = voters.map(|it| (it.name.to_string(), it.addr)).collect();
+        assert_eq!(voters, [1, 2, 3].map(|it| (format!("control-{it}"), addr(it))), "{name}");
+        let text = |result: Result<(), discovery::RecordError>| match result {
+            Ok(()) => "accepted".to_owned(),
+            Err(err) => format!("refused: {err}"),
+        };
+        let (first, second, count) = (text(first), text(second), hosts.controls.len());
+        writeln!(out, "{name}: {first}, then {second}; {count} controls").expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a list of controls that grows with each record of another writer, until it can no
+/// longer be sent.
+#[test]
+fn odd_records_fill_the_list() {
+    let seeds = discovery::Seeds { addrs: vec![addr(1), addr(2)], bootstrap: true, claims: true };
+    let mut table = discovery::PeerTable::new(seeds, record(1));
+    let mut refused = 0;
+    for port in 1..=u16::MAX {
+        let operators = net::SocketAddr::from((net::Ipv4Addr::new(10, 9, 0, 1), port));
+        let name = format!("{}-{port}", "n".repeat(58)).into();
+        let record = operators::ControlRecord { name, operators: Some(operators), ..record(9) };
+        refused += u32::from(table.introduce(record, Some(operators)).is_err());
+    }
+    table.introduce(record(2), Some(addr(2))).expect("a seed always finds room");
+    let bytes = serde_json::to_vec(&table.snapshot()).expect("JSON").len();
+    assert!(refused > 60_000, "{refused} refused");
+    assert!(bytes < 512 * 1024, "{bytes} bytes");
+}
+
+/// Guards against a stored list of controls that is damaged, or written by somebody else, and ends
+/// the control or sends it to addresses of nobody. The list is then discovered again.
+#[tokio::test]
+async fn an_odd_stored_list_is_used() {
+    let good = serde_json::to_value(formed(&[1, 2, 3])).expect("JSON");
+    let edit = |path: &str, value: serde_json::Value| {
+        let mut list = good.clone();
+        *list.pointer_mut(path).expect("a field") = value;
+        list.to_string()
+    };
+    let cases = [
+        ("good", good.to_string()),
+        ("empty file", String::new()),
+        ("cut", good.to_string()[..90].to_owned()),
+        ("nested", "[".repeat(100_000)),
+        ("port 65536", edit("/controls/0/addr", "10.1.0.1:65536".into())),
+        ("port 0", edit("/controls/0/addr", "10.1.0.1:0".into())),
+        ("multicast address", edit("/controls/0/addr", "224.0.0.1:7000".into())),
+        ("empty name", edit("/controls/0/name", "".into())),
+        ("name of a megabyte", edit("/controls/0/name", "n".repeat(1 << 20).into())),
+        ("not formed", edit("/formed", false.into())),
+        ("no controls", edit("/controls", serde_json::json!([]))),
+    ];
+    let mut out = String::new();
+    for (name, text) in cases {
+        let folder = tempfile::tempdir().expect("a folder");
+        std::fs::write(folder.path().join("hosts.json"), text).expect("written");
+        // The only seed is the control itself: a list that is not used is formed again.
+        let listen: net::SocketAddr = (net::Ipv4Addr::LOCALHOST, 0).into();
+        let seeds = discovery::Seeds { addrs: vec![listen], bootstrap: true, claims: true };
+        let mut me = record(1);
+        me.operators = Some(listen);
+        let joined = discovery::join(&seeds, me, listen, folder.path()).await.expect("a list");
+        writeln!(out, "{name}: {} controls", joined.controls.len()).expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
--- a/crates/node/src/announcements.rs
+++ b/crates/node/src/announcements.rs
@@ -1,23 +1,21 @@
 //! The bounds of announcements, which may come from another writer than the backend server.
 
-use std::time as std_time;
+use std::time;
 
 use compact_str::CompactString;
-use world::{bounds, time};
+use world::bounds;
 
 use crate::backend;
 
 /// How far the start of a backend server may be ahead of this host's clock, which may have been set
 /// back since. A start that is further ahead would keep the announcements of the real one out.
-const MAX_AHEAD: std_time::Duration = std_time::Duration::from_secs(24 * 60 * 60);
+const MAX_AHEAD: time::Duration = time::Duration::from_secs(24 * 60 * 60);
 /// The largest sequence. A number of nanoseconds since the Unix epoch fits.
 const MAX_SEQUENCE: u64 = i64::MAX as u64;
 /// The longest cold start.
-const MAX_COLD: std_time::Duration = std_time::Duration::from_secs(60 * 60);
+const MAX_COLD: time::Duration = time::Duration::from_secs(60 * 60);
 /// The longest name of a backend server's process, in bytes. It is sent with each request.
 const MAX_INSTANCE_BYTES: usize = 256;
-/// The shortest time between two log lines about refused announcements.
-const LOG_INTERVAL: std_time::Duration = std_time::Duration::from_secs(1);
 
 /// Why an announcement is refused.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -51,32 +49,13 @@
 /// The result of a check of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Limits the log lines about refused announcements: whoever sends them decides how many there are.
-#[derive(Debug, Default)]
-pub(crate) struct RefusalLog {
-    next_at: time::Time,
-    skipped: u64,
-}
-
-impl RefusalLog {
-    /// Counts a refusal. Returns how many were skipped since the last line if this one is logged.
-    pub(crate) fn count(&mut self, now: time::Time) -> Option<u64> {
-        if now < self.next_at {
-            self.skipped += 1;
-            return None;
-        }
-        self.next_at = now + LOG_INTERVAL;
-        Some(std::mem::take(&mut self.skipped))
-    }
-}
-
 /// Checks the bounds of an announcement, which limit what every registry of the mesh has to store.
 /// `unix_time` is the time since the Unix epoch by this host's clock.
 ///
 /// # Errors
 ///
 /// Returns the first field that is out of its bounds.
-pub fn check(announcement: &backend::Announcement, unix_time: std_time::Duration) -> Result<()> {
+pub fn check(announcement: &backend::Announcement, unix_time: time::Duration) -> Result<()> {
     let backend::Announcement { service, instance, .. } = announcement;
     if !(1..=bounds::MAX_SLOTS).contains(&announcement.slots) {
         return Err(Error::Slots);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,11 +10,9 @@
 use routing::{balancer, budget, hedge, prober};
 use tables::{pool, rank, table};
 use tokio::sync::mpsc;
-use world::{config, contracts, document, hosts, requests, time};
+use world::{config, contracts, document, hosts, log_limits, requests, time};
 
-use crate::{
-    announcements, bodies, dialect, in_flight, instruments, linking, settings, slots, suspects,
-};
+use crate::{bodies, dialect, in_flight, instruments, linking, settings, slots, suspects};
 
 // A table may be locked only while all tables that are held have lower ranks.
 
@@ -81,7 +79,7 @@
     /// What it said of itself in its last answer.
     pub(crate) notice: dialect::Notice,
     /// Limits the log lines about refused announcements.
-    pub(crate) refusals: announcements::RefusalLog,
+    pub(crate) refusals: log_limits::LogLimit,
     /// By when requests have to be answered, once a planned stop has begun. The node is not ready any
     /// more, but still serves.
     pub(crate) stop_by: Option<time::Time>,
@@ -168,7 +166,7 @@
             addr: None,
             instance: "".into(),
             notice: dialect::Notice::default(),
-            refusals: announcements::RefusalLog::default(),
+            refusals: log_limits::LogLimit::default(),
             stop_by: None,
             stopping: false,
         };
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod hosts;
 pub mod links;
+pub mod log_limits;
 pub mod mesh;
 pub mod patches;
 pub mod requests;
