--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -44,6 +44,8 @@
     Resumed,
     /// Its cold start is over.
     Warm,
+    /// The announcement was ignored, since a later one of the same process arrived before it.
+    Late,
     /// The announcement was ignored, since it came from a process that another has replaced.
     Outdated,
 }
@@ -84,6 +86,9 @@
     state_since: Time,
     /// When its last announcement arrived.
     last_contact: Time,
+    /// The sequence of the last announcement that was below the latest one and arrived after the
+    /// lease of that one had ended.
+    late_sequence: Option<u64>,
 }
 
 impl LocalTarget {
@@ -143,10 +148,17 @@
             return self.outcome(now, Transition::Restarted);
         }
         // A later announcement can overtake an earlier one on the way.
-        if announcement.sequence < backend.latest.sequence {
-            return Outcome::default();
+        if announcement.sequence < backend.latest.sequence
+            && !backend.counts_anew(announcement.sequence)
+        {
+            return Outcome { transition: Some(Transition::Late), event: None };
         }
+        backend.late_sequence = None;
         backend.last_contact = now;
+        // The first announcement may have named a longer time than the ones that follow.
+        if let Some(cold) = announcement.cold_ms {
+            backend.warm_at = backend.warm_at.min(now + time::Duration::from_millis(cold));
+        }
         backend.latest = announcement.clone();
         let state = announced_state(now, backend, self.stopping);
         let before = backend.entry.state;
@@ -245,7 +257,7 @@
         now: Time,
         answer: &messages::HeartbeatAnswer,
     ) -> Option<messages::Event> {
-        if let Some(known) = answer.known
+        if let Some(known) = answer.known.filter(|it| it.is_valid())
             && self.toggles.known_orders
         {
             self.known_order = self.known_order.max(known);
@@ -262,12 +274,11 @@
 
     /// Replaces the backend server by the process that announced itself.
     fn start_backend(&mut self, now: Time, announcement: &messages::Announcement) {
-        let former = self.entry().map_or(0, |it| it.order.incarnation);
+        let former = self.entry().map(|it| it.order);
+        self.known_order = self.known_order.max(former.unwrap_or_default());
         // The clock of the host may have been set back between the two starts.
-        let incarnation = match &self.backend {
-            Some(_) => announcement.incarnation.max(former + 1),
-            None => announcement.incarnation,
-        };
+        let incarnation = announcement.incarnation.max(former.map_or(0, |it| it.incarnation + 1));
+        let incarnation = incarnation.min(messages::MAX_ORDER);
         let entry = messages::Entry {
             host: self.location.host.clone(),
             data_centre: self.location.data_centre.clone(),
@@ -281,8 +292,15 @@
         let latest = announcement.clone();
         let cold = latest.cold_ms.map_or(objects::SLOW_START, time::Duration::from_millis);
         let warm_at = now + cold;
-        let mut backend =
-            Backend { latest, entry, warm_at, leaving: false, state_since: now, last_contact: now };
+        let mut backend = Backend {
+            latest,
+            entry,
+            warm_at,
+            leaving: false,
+            state_since: now,
+            last_contact: now,
+            late_sequence: None,
+        };
         backend.entry.state = announced_state(now, &backend, self.stopping);
         self.backend = Some(backend);
         self.raise_order();
@@ -310,8 +328,7 @@
             return;
         };
         let order = &mut backend.entry.order;
-        let base = (*order).max(known_order);
-        *order = messages::Order { sequence: base.sequence + 1, ..base };
+        *order = (*order).max(known_order).next();
     }
 
     fn event(&self, now: Time) -> Option<messages::Event> {
@@ -319,6 +336,18 @@
     }
 }
 
+impl Backend {
+    /// Whether an announcement with a sequence below the latest one is no late one. That is so when
+    /// the lease of the latest one has ended and another with a lower sequence arrived since: the
+    /// process goes on counting there, and the latest one had another writer.
+    fn counts_anew(&mut self, sequence: u64) -> bool {
+        if self.entry.state != objects::State::Gone {
+            return false;
+        }
+        self.late_sequence.replace(sequence).is_some_and(|it| it < sequence)
+    }
+}
+
 /// The state that a backend server that announces itself is in.
 fn announced_state(now: Time, backend: &Backend, stopping: bool) -> objects::State {
     if backend.latest.drain || backend.leaving || stopping {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,7 +10,7 @@
 use routing::{balancer, budget, hedge, prober};
 use tables::{clock, pool, rank, table};
 use tokio::sync::mpsc;
-use world::{config, contracts, document, hosts, requests, time};
+use world::{config, contracts, document, hosts, log_limits, requests, time};
 
 use crate::{bodies, dialect, in_flight, instruments, linking, settings, slots, suspects};
 
@@ -78,6 +78,8 @@
     pub(crate) instance: CompactString,
     /// What it said of itself in its last answer.
     pub(crate) notice: dialect::Notice,
+    /// Limits the log lines about refused announcements.
+    pub(crate) refusals: log_limits::LogLimit,
     /// By when requests have to be answered, once a planned stop has begun. The node is not ready any
     /// more, but still serves.
     pub(crate) stop_by: Option<time::Time>,
@@ -165,6 +167,7 @@
             addr: None,
             instance: "".into(),
             notice: dialect::Notice::default(),
+            refusals: log_limits::LogLimit::default(),
             stop_by: None,
             stopping: false,
         };
