Take what a request waited on the way off its time

A forwarded request says how much time is left, and the receiving node counted it from the arrival.

Change: the head carries when its times were true, by the sender's clock. transport::ages keeps the smallest difference between arrival and sending of each link over a window of 10 to 20 s; what a message has beyond it was waiting, and is taken off the deadline, the objective and the longest wait. A new process has new links, so origins of clocks are never mixed. A suspension counts only if the clocks of both ends count it.

--- a/crates/heatherwalk/tests/contracts/links.rs
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -188,21 +188,9 @@
     }
 }
 
-/// Guards against a node that admits an offered request, gets no body for it and does not report
-/// that it was not run.
-#[tokio::test(flavor = "multi_thread")]
-async fn an_offer_without_a_body_is_not_run() {
-    let mesh = mesh::Mesh::start(1).await;
-    let api = mesh.api();
-    api.create().await;
-    let node = mesh.node("skulte-1").await;
-    let _server =
-        mesh::backend(node.announce(), heatherwalk::example::echo("skulte-1".into())).await;
-    api.until(|| api.get("/v1/targets"), |it| it.1[0]["service"] == "logbook").await;
-    api.until(|| api.get("/v1/status"), |it| it.1["converged"] == 1).await;
-    let peer = mesh.peer("jugla-1", hosts::Role::Node);
-    let link = connect(&peer, node.listen().expect("bound"), "skulte-1").await;
-    let head = forwarding::RequestHead {
+/// The head of a request with 300 ms left `sent` after the start of the sender's clock.
+fn offer(sent: time::Duration) -> forwarding::RequestHead {
+    forwarding::RequestHead {
         id: "offered".into(),
         service: "logbook".into(),
         route: "logs".into(),
@@ -211,6 +199,7 @@
         fields: Vec::new(),
         class: requests::Class::Caller,
         weight: 1,
+        sent: world::time::Time::ZERO + sent,
         budget: routing::budget::Budget { attempts: 0, depth: 1, remaining_ms: 300 },
         objective_us: 300_000,
         movable: false,
@@ -219,7 +208,24 @@
         fingerprint: requests::Fingerprint([1; 32]),
         repeat: false,
         suspect: false,
-    };
+    }
+}
+
+/// Guards against a node that admits an offered request, gets no body for it and does not report
+/// that it was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_offer_without_a_body_is_not_run() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let _server =
+        mesh::backend(node.announce(), heatherwalk::example::echo("skulte-1".into())).await;
+    api.until(|| api.get("/v1/targets"), |it| it.1[0]["service"] == "logbook").await;
+    api.until(|| api.get("/v1/status"), |it| it.1["converged"] == 1).await;
+    let peer = mesh.peer("jugla-1", hosts::Role::Node);
+    let link = connect(&peer, node.listen().expect("bound"), "skulte-1").await;
+    let head = offer(time::Duration::ZERO);
     let (mut sender, mut answers) = link.open_stream().await.expect("opens");
     sender.send(&streams::Open::Offer { head }).await.expect("sends");
     let admitted = in_time(answers.recv::<forwarding::AnswerHead>()).await.expect("an answer");
@@ -232,6 +238,45 @@
     drop(sender);
 }
 
+/// Guards against a request whose time starts anew at the next node, so that it runs although it has
+/// waited on the way until its caller left.
+#[tokio::test(flavor = "multi_thread")]
+async fn time_on_the_way_does_not_count() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let _server =
+        mesh::backend(node.announce(), heatherwalk::example::echo("skulte-1".into())).await;
+    api.until(|| api.get("/v1/targets"), |it| it.1[0]["service"] == "logbook").await;
+    api.until(|| api.get("/v1/status"), |it| it.1["converged"] == 1).await;
+    let peer = mesh.peer("jugla-1", hosts::Role::Node);
+    let link = connect(&peer, node.listen().expect("bound"), "skulte-1").await;
+    let started_at = time::Instant::now();
+    // The sender's clock began an hour before. Each offer but the first leaves this test later than
+    // its head says, as one that waits in a queue.
+    let origin = time::Duration::from_secs(3_600);
+    let mut outcomes = String::new();
+    for waited in [0, 400, 0, 1_500] {
+        let sent = origin + started_at.elapsed();
+        tokio::time::sleep(time::Duration::from_millis(waited)).await;
+        let (mut sender, mut answers) = link.open_stream().await.expect("opens");
+        sender.send(&streams::Open::Offer { head: offer(sent) }).await.expect("sends");
+        let answer = in_time(answers.recv::<forwarding::AnswerHead>()).await.expect("an answer");
+        let outcome = match answer {
+            Some(forwarding::AnswerHead::NotRun { reason, .. }) => format!("{reason:?}"),
+            other => format!("{other:?}"),
+        };
+        writeln!(outcomes, "waited {waited} ms of 300: {outcome}").expect("text");
+    }
+    insta::assert_snapshot!(outcomes, @r"
+    waited 0 ms of 300: Some(Admitted)
+    waited 400 ms of 300: Late
+    waited 0 ms of 300: Some(Admitted)
+    waited 1500 ms of 300: Late
+    ");
+}
+
 /// Guards against an error at start that doesn't name the address in use.
 #[tokio::test(flavor = "multi_thread")]
 async fn port_in_use() {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -201,6 +201,7 @@
         fields: headers::encode(&headers),
         class,
         weight,
+        sent: arrived,
         budget,
         objective_us: 0,
         movable: true,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -104,7 +104,11 @@
     };
     let link = open_link(state, target).await.map_err(unreachable)?;
     let (mut sender, mut receiver) = link.open_stream().await.map_err(unreachable)?;
-    let (head, body) = (request.head.clone(), request.body.clone());
+    let (mut head, body) = (request.head.clone(), request.body.clone());
+    // To open the link has taken time.
+    let now = state.now();
+    head.elapse(now.since(head.sent));
+    head.sent = now;
     let admit_first = !target.same_centre && (body.len() >= MIN_OFFER_BYTES || !head.idempotent);
     if admit_first {
         sender.send(&streams::Open::Offer { head }).await.map_err(unreachable)?;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -220,7 +220,7 @@
     mut receiver: transport::streams::Receiver,
 ) {
     let result = match receiver.recv::<streams::Open>().await {
-        Ok(Some(open)) => serving::serve(&state, open, sender, receiver).await,
+        Ok(Some(open)) => serving::serve(&state, &link, open, sender, receiver).await,
         Ok(None) => Ok(()),
         Err(err) => Err(err),
     };
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -181,23 +181,24 @@
         max_wait: Option<time::Duration>,
     ) -> state::RoutedRequest {
         let mut request = self.request.clone();
-        self.set_wait_limits(state, &mut request.head, max_wait);
-        request.head.budget =
-            self.request.head.budget.split_for_send(request.deadline.since(state.now()));
+        let now = state.now();
+        self.set_wait_limits(now, &mut request.head, max_wait);
+        request.head.sent = now;
+        request.head.budget = self.request.head.budget.split_for_send(request.deadline.since(now));
         request
     }
 
     /// Sets how long the request may wait for a slot at the target.
     fn set_wait_limits(
         &self,
-        state: &state::State,
+        now: world::time::Time,
         head: &mut forwarding::RequestHead,
         max_wait: Option<time::Duration>,
     ) {
         let micros = |it: time::Duration| u64::try_from(it.as_micros()).unwrap_or(u64::MAX);
         head.movable = self.reroutes < MAX_REROUTES && max_wait.is_some();
         head.patience_us = max_wait.map(micros);
-        head.objective_us = micros(self.request.objective.since(state.now()));
+        head.objective_us = micros(self.request.objective.since(now));
     }
 
     /// Records an attempt without an answer in the estimates of its target and in this state.
@@ -291,7 +292,7 @@
     if chosen.target.host == state.location.host {
         // Asks for admission in the same job: each job costs a request about 0.2 ms of waiting.
         let mut head = retries.request.head.clone();
-        retries.set_wait_limits(state, &mut head, chosen.max_wait);
+        retries.set_wait_limits(state.now(), &mut head, chosen.max_wait);
         chosen.admission = Some(working::offer(state, &head, retries.request.deadline));
     }
     Ok(NextAttempt { retries, chosen })
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -12,6 +12,7 @@
 /// Serves one stream of another node. An error means that the stream broke.
 pub(crate) async fn serve(
     state: &sync::Arc<state::State>,
+    link: &transport::links::Link,
     open: streams::Open,
     mut sender: transport::streams::Sender,
     receiver: transport::streams::Receiver,
@@ -20,7 +21,7 @@
         streams::Open::Request { head, body } => {
             // The sender cancels a request by no longer reading its answer.
             let cancelled = sender.cancelled();
-            let request = local_request(state, head, body);
+            let request = local_request(state, link, head, body);
             tokio::select! {
                 it = run_request(state, request, None, sender) => it,
                 () = cancelled => Ok(()),
@@ -28,8 +29,9 @@
         }
         streams::Open::Offer { head } => {
             let cancelled = sender.cancelled();
+            let request = local_request(state, link, head, bytes::Bytes::new());
             tokio::select! {
-                it = serve_offer(state, head, sender, receiver) => it,
+                it = serve_offer(state, request, sender, receiver) => it,
                 () = cancelled => Ok(()),
             }
         }
@@ -52,25 +54,28 @@
     }
 }
 
+/// A request of another node. What it has waited on the way is taken off the time that it has left.
 fn local_request(
     state: &state::State,
-    head: forwarding::RequestHead,
+    link: &transport::links::Link,
+    mut head: forwarding::RequestHead,
     body: bytes::Bytes,
 ) -> working::LocalRequest {
+    let now = state.now();
+    head.elapse(link.waited(head.sent, now));
     let left = std_time::Duration::from_millis(head.budget.remaining_ms.into());
-    let deadline = state.now() + left;
+    let deadline = now + left;
     working::LocalRequest { head, body, deadline, answer_by: deadline + working::ANSWER_GRACE }
 }
 
 /// Admits a request before its body is sent, then receives the body and runs the request.
 async fn serve_offer(
     state: &sync::Arc<state::State>,
-    head: forwarding::RequestHead,
+    mut request: working::LocalRequest,
     mut sender: transport::streams::Sender,
     mut receiver: transport::streams::Receiver,
 ) -> errors::Result<()> {
-    let idempotent = head.idempotent;
-    let mut request = local_request(state, head, bytes::Bytes::new());
+    let idempotent = request.head.idempotent;
     let mut admission = working::request_admission(state, &request).await;
     if !idempotent {
         // The body is asked for only once a slot is free: until then the sender may still choose
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -1,8 +1,10 @@
 //! Requests that one node forwards to the node of a target, and their answers.
 
+use std::time as std_time;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
-use world::requests;
+use world::{requests, time};
 
 /// An HTTP header field of a request or an answer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,6 +35,9 @@
     pub class: requests::Class,
     /// Weight of the route against other routes whose requests wait at the same target.
     pub weight: u32,
+    /// When the times of this head were true, by the sender's clock: `budget.remaining_ms`,
+    /// `objective_us` and `patience_us` count from here.
+    pub sent: time::Time,
     /// The remaining extra sends, call depth and time.
     pub budget: routing::budget::Budget,
     /// Time left until the route's latency objective, in microseconds. A later answer counts as
@@ -54,6 +59,17 @@
     pub suspect: bool,
 }
 
+impl RequestHead {
+    /// Takes time that has passed since `sent` off the times of the head.
+    pub fn elapse(&mut self, elapsed: std_time::Duration) {
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let millis = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+        self.budget.remaining_ms = self.budget.remaining_ms.saturating_sub(millis);
+        self.objective_us = self.objective_us.saturating_sub(micros);
+        self.patience_us = self.patience_us.map(|it| it.saturating_sub(micros));
+    }
+}
+
 /// Why a request was not run at a target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum NotRun {
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -140,6 +140,7 @@
         fields: vec![forwarding::Field { name: "x-a".into(), value: vec![0xff] }],
         class: requests::Class::Internal,
         weight: 7,
+        sent: time::Time::from_micros(1_000_000),
         budget: routing::budget::Budget { attempts: 2, depth: 3, remaining_ms: 1_900 },
         objective_us: 300_000,
         movable: true,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,6 +2,7 @@
 //! identify a process, and the encoding of messages into frames. This crate transfers bytes and
 //! messages of any serde type. The messages themselves, and decisions about them, are elsewhere.
 
+pub mod ages;
 pub mod codec;
 pub mod codes;
 pub mod endpoint;
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -7,9 +7,9 @@
 };
 
 use tokio::sync::watch;
-use world::hosts;
+use world::{hosts, time::Time};
 
-use crate::{codes, errors, identity, limits, pacer, streams, tls};
+use crate::{ages, codes, errors, identity, limits, pacer, streams, tls};
 
 /// A connection to a peer. Clones share it. It closes when the last clone and the last of its
 /// streams are dropped.
@@ -38,6 +38,7 @@
     /// Counts the active streams of the endpoint by the channel's receivers.
     active_streams: sync::Arc<watch::Sender<()>>,
     pacer: pacer::LinkPacer,
+    ages: sync::Mutex<ages::Ages>,
 }
 
 impl Traffic {
@@ -71,7 +72,14 @@
             connection.close(codes::Code::Identity.value(), b"no host and role in certificate");
         })?;
         let pacer = (peer.role == hosts::Role::Node).then(|| sync::Arc::clone(pacer));
-        let shared = Shared { peer, partial: sync::Arc::default(), limits, active_streams, pacer };
+        let shared = Shared {
+            peer,
+            partial: sync::Arc::default(),
+            limits,
+            active_streams,
+            pacer,
+            ages: sync::Mutex::default(),
+        };
         Ok(Link { connection, shared: sync::Arc::new(shared) })
     }
 
@@ -111,6 +119,14 @@
         }
     }
 
+    /// How long a message has waited on the way that the peer sent at `sent`, by its clock, and that
+    /// arrived at `arrived`, by the caller's; see [`ages`].
+    pub fn waited(&self, sent: Time, arrived: Time) -> time::Duration {
+        // The ages are plain numbers, which a panic elsewhere leaves whole.
+        let mut ages = self.shared.ages.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        ages.record(sent, arrived)
+    }
+
     /// Opens a bidirectional stream, waiting while the peer's limit on open streams is reached. The
     /// peer accepts the stream only after its first byte was sent.
     pub async fn open_stream(&self) -> errors::Result<(streams::Sender, streams::Receiver)> {
