Keep what a leader knew when it steps down

A leader that stepped down counted itself isolated at once, although it had had everything that was committed a moment before: its nodes were told to look for another control in the middle of an election. The cause is that a host kept two dates, that of its majority as leader and that of its last leader as follower, and dropped the first with the role.

--- a/crates/agreement/src/election.rs
+++ b/crates/agreement/src/election.rs
@@ -153,6 +153,9 @@
         term: entries::Term,
         leader: Option<members::MemberKey>,
     ) {
+        if self.role == events::Role::Leader {
+            self.keep_contact(now);
+        }
         if term > self.hard_state.term {
             self.hard_state.term = term;
             self.hard_state.vote = None;
--- a/crates/agreement/src/lease.rs
+++ b/crates/agreement/src/lease.rs
@@ -66,6 +66,13 @@
         self.contact.last_leased = self.contact.last_leased.max(answered);
     }
 
+    /// Keeps the date of what a leader knows that steps down: it has applied everything that was
+    /// committed by then.
+    pub(crate) fn keep_contact(&mut self, now: time::Time) {
+        self.contact.last_leased = self.contact.last_leased.max(self.current_at(now));
+        self.contact.commit = self.contact.commit.max(self.hard_state.commit);
+    }
+
     /// The time of a reply that this host sends at `now`.
     pub(crate) fn reply_time(&self, now: time::Time) -> messages::ReplyTime {
         messages::ReplyTime { nonce: self.nonce, at: now }
--- a/crates/agreement/tests/cases.rs
+++ b/crates/agreement/tests/cases.rs
@@ -257,6 +257,27 @@
     insta::assert_snapshot!(table);
 }
 
+/// Guards against a leader that counts itself isolated as soon as it steps down, although it knew
+/// everything that was committed a moment ago: its nodes would leave it.
+#[test]
+fn a_deposed_leader_forgets_what_it_knew() {
+    for seed in SEEDS {
+        // Without pre-vote, a follower that was cut off deposes the leader with its higher term.
+        let mut sim = sim::Sim::new(seed, 3, 0, |it| it.toggles.pre_vote = false);
+        await_leader(&mut sim);
+        sim.run(1_000);
+        let leader = leader_of(&sim);
+        let term = sim.status(leader).term;
+        sim.isolate(follower(&sim));
+        sim.run(5_000);
+        sim.cut_links.clear();
+        let deposed = |it: &sim::Sim| it.status(leader).term > term;
+        assert!(sim.run_until(5_000, deposed), "seed {seed}: not deposed within 5 s");
+        assert!(!sim.status(leader).isolated, "seed {seed}");
+        assert_eq!(sim.violations, [""; 0], "seed {seed}");
+    }
+}
+
 /// Freezes a host while messages of the leader wait for it, and cuts it off before it runs again, so
 /// that it gets no later ones.
 fn frozen_then_cut(sim: &mut sim::Sim, host: usize) {
