Log when a control becomes isolated and when it is in contact again

A control's own output did not say when its nodes got no confirmation, nor how old its knowledge was then; an engineer saw only that nodes changed their control. Now each change is a line with that age.

--- a/crates/control/src/distributing.rs
+++ b/crates/control/src/distributing.rs
@@ -48,6 +48,8 @@
     /// The last log entry whose evidence is merged into this control's view of the evidence.
     evidence_index: u64,
     ready: bool,
+    /// Whether this control was isolated when its contact was last recorded.
+    isolated: bool,
 }
 
 impl Distributor {
@@ -72,6 +74,7 @@
             applied_index: entries::Index::default(),
             evidence_index: 0,
             ready,
+            isolated: true,
         }
     }
 
@@ -285,12 +288,27 @@
         if distributor.applied_index < applied {
             return;
         }
+        log_contact(&mut distributor.isolated, now, contact);
         let effects = distributor.relay.update_contact(now, contact, &mut distributor.rng);
         perform_effects(distributor, effects)
     };
     confirm_reads(state, reads);
 }
 
+/// Logs when this control becomes isolated or is no longer so, with the age of what it knows.
+fn log_contact(isolated: &mut bool, now: time::Time, contact: relay::Contact) {
+    let was_isolated = std::mem::replace(isolated, contact.until <= now);
+    if was_isolated == *isolated {
+        return;
+    }
+    let age = now.since(contact.known_at);
+    if *isolated {
+        log::warn!(target: "decision", "isolated: nodes get no confirmation; age={age:?}");
+    } else {
+        log::info!(target: "decision", "in contact with a leader: nodes get confirmations; age={age:?}");
+    }
+}
+
 /// Whether this control has not yet shown that it has caught up with the log, and has no read in
 /// progress. Any read that succeeds shows it.
 pub(crate) fn needs_catch_up_read(state: &state::State) -> bool {
