--- a/crates/heatherwalk/tests/discovery.rs
+++ b/crates/heatherwalk/tests/discovery.rs
@@ -204,3 +204,70 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against an odd introduction that stops a starting control, or keeps the next proper one
+/// out: the control must form the list with the other seed, and with nobody else.
+#[tokio::test]
+async fn an_odd_introduction_stops_the_exchange() {
+    let bound = [(); 2].map(|()| net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)));
+    let bound = bound.map(|it| it.expect("a free port"));
+    let [own, other] = bound.each_ref().map(|it| it.local_addr().expect("bound"));
+    drop(bound);
+    let seeds = discovery::Seeds { addrs: vec![own, other], bootstrap: true, claims: true };
+    let at =
+        |host, operators| operators::ControlRecord { operators: Some(operators), ..record(host) };
+    let folder = tempfile::tempdir().expect("a folder");
+    let joined = discovery::join(&seeds, at(1, own), own, folder.path());
+    let deep = "[".repeat(500_000);
+    let text = |it: &operators::ControlRecord| serde_json::to_string(it).expect("JSON");
+    let good = text(&at(2, other));
+    let bodies = [
+        ("nothing", "null".to_owned()),
+        ("nested", deep.clone()),
+        ("nested name", good.replace("\"control-2\"", &deep)),
+        ("not JSON", "\u{0}\u{1}".to_owned()),
+        ("port 65536", good.replace(":7000", ":65536")),
+        ("votes as a number", good.replace("false", "1e400")),
+        ("two megabytes", "x".repeat(2 << 20)),
+        ("another host's port", text(&record(3))),
+        ("the own port", text(&at(3, own))),
+        ("the own name", text(&at(1, other))),
+        ("the other seed", good),
+    ];
+    let exchange = async {
+        let client = web::client::Client::new(web::client::Limits::default());
+        let mut out = String::new();
+        for (name, body) in bodies {
+            let answer = loop {
+                if let Ok(it) = client.send(introduction(own, body.clone())).await {
+                    break it;
+                }
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            };
+            let body = answer.body.collect(1 << 20).await.expect("a body");
+            let hosts: Result<operators::ControlList, _> = serde_json::from_slice(&body);
+            let names = hosts.map(|it| it.controls.into_iter().map(|it| it.name.to_string()));
+            let names = names.map(Iterator::collect::<Vec<_>>);
+            writeln!(out, "{name}: {} {names:?}", answer.status).expect("text");
+        }
+        out
+    };
+    let (joined, out) = tokio::join!(joined, exchange);
+    let mut names: Vec<_> =
+        joined.expect("a list").controls.into_iter().map(|it| it.name).collect();
+    names.sort();
+    insta::assert_snapshot!(format!("{out}the list: {names:?}"));
+}
+
+fn introduction(to: net::SocketAddr, body: String) -> web::client::Call {
+    web::client::Call {
+        addr: to,
+        method: http::Method::POST,
+        path: operators::HOSTS_PATH.into(),
+        headers: http::HeaderMap::new(),
+        body: web::body::Body::full(body.into()),
+        deadline: tokio::time::Instant::now() + time::Duration::from_secs(5),
+        close_delimited: false,
+        reuse: web::client::Reuse::Never,
+    }
+}
