Refuse a start without a date beside a backend server that names its own

Callers saw: an announcement of another writer that leaves the start out and has another name replaces the backend server. Its renewals get 409 until the lease of the odd one ends, 5 s on the platform, and its requests in flight become suspects of a crash.

Cause: an announcement without a start counts as a start at the time of its arrival, which is later than the one that the backend server names.

Change: such an announcement is refused with 409 while a backend server that has named its start is announced and not lost. Where no announcement names a start, nothing changes.

Evidence: an_announcement_without_a_start_hides_the_others fails before (200 in place of 409) and passes now.

--- a/crates/heatherwalk/tests/contracts/announcements.rs
+++ b/crates/heatherwalk/tests/contracts/announcements.rs
@@ -6,6 +6,12 @@
 
 use crate::mesh;
 
+/// The wall clock in microseconds since the Unix epoch.
+fn unix_us() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).expect("after 1970");
+    u64::try_from(since.as_micros()).expect("a time of this century")
+}
+
 /// Guards against an announcement that is accepted or refused contrary to the document.
 #[tokio::test(flavor = "multi_thread")]
 async fn announcements() {
@@ -149,8 +155,7 @@
     api.create().await;
     let node = mesh.node_of("skulte-1", "logbook").await;
     let client = mesh::client();
-    let start = time::SystemTime::now().duration_since(time::UNIX_EPOCH).expect("after 1970");
-    let start = u64::try_from(start.as_micros()).expect("a time of this century");
+    let start = unix_us();
     let good = json!({"service": "logbook", "addr": "127.0.0.1:9000", "incarnation": start,
         "slots": 6, "cold_ms": 0, "sequence": 5});
     let with = |fields: &[(&str, Value)]| {
@@ -212,3 +217,33 @@
     insta::assert_snapshot!(out);
     mesh.control.stop().await;
 }
+
+/// Guards against an announcement of another writer, without a start, that counts as the latest
+/// start and keeps the proper announcements out until its lease ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_announcement_without_a_start_hides_the_others() {
+    let mesh = mesh::Mesh::start(1).await;
+    // A dialect whose announcements may leave the start out.
+    let parse = |body: &bytes::Bytes, _: &str| {
+        serde_json::from_slice(body).map_err(|err| compact_str::format_compact!("{err}"))
+    };
+    let dialect = node::dialect::Dialect { parse_announcement: parse, ..node::dialect::OWN };
+    let node = mesh.node_with("skulte-1", |it| it.dialect = dialect).await;
+    let client = mesh::client();
+    let announce = async |instance: &str, start: Option<u64>| {
+        let body = json!({"service": "logbook", "addr": "127.0.0.1:9000", "slots": 6,
+            "instance": instance, "incarnation": start});
+        let body = body.to_string();
+        mesh::http(&client, node.announce(), "POST /announce", &[], body.as_bytes()).await.0
+    };
+    assert_eq!(announce("i-1", None).await, 200, "the first, without a start");
+    assert_eq!(announce("i-2", None).await, 200, "another, without a start");
+    assert_eq!(announce("i-3", Some(100)).await, 409, "one with a start, which is lower");
+    let start = unix_us();
+    assert_eq!(announce("i-3", Some(start)).await, 200, "it is later");
+    assert_eq!(announce("i-4", None).await, 409, "another, without a start");
+    assert_eq!(announce("i-3", Some(start)).await, 200, "its renewal");
+    assert_eq!(announce("i-3", None).await, 200, "its renewal, without the start");
+    assert_eq!(announce("i-4", Some(unix_us())).await, 200, "another, with a start");
+    mesh.control.stop().await;
+}
--- a/crates/heatherwalk/tests/contracts/mesh.rs
+++ b/crates/heatherwalk/tests/contracts/mesh.rs
@@ -56,6 +56,15 @@
 
     /// Starts a node whose settings name the service of its host, unless it is empty.
     pub async fn node_of(&self, name: &str, service: &str) -> node::running::Node {
+        self.node_with(name, |it| it.service = service.into()).await
+    }
+
+    /// Starts a node with changed settings.
+    pub async fn node_with(
+        &self,
+        name: &str,
+        change: impl FnOnce(&mut node::settings::Settings),
+    ) -> node::running::Node {
         let mut mesh = mesh::Mesh::default();
         put_controls(&mut mesh, self.control.listen().expect("bound"), 1);
         let region = mesh.add_region("vidzeme");
@@ -63,11 +72,11 @@
         let role = hosts::Role::Node;
         let me =
             mesh.put_host(hosts::Host { name: name.into(), addr: loopback(), data_centre, role });
-        let settings = node::settings::Settings {
-            service: service.into(),
+        let mut settings = node::settings::Settings {
             stop_limit: time::Duration::from_secs(1),
             ..node::settings::Settings::with_defaults(mesh, me, loopback)
         };
+        change(&mut settings);
         let identity = self.authority.issue(name, role).expect("issues");
         let meter = opentelemetry::global::meter("contracts");
         let instruments = node::instruments::Instruments::new(&meter);
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -239,6 +239,15 @@
     let now = state.now();
     let (outcome, previous) = {
         let mut backend = state.backend.lock();
+        if lacks_start(&backend, announcement) {
+            log::info!(
+                target: "decision",
+                "announcement of {} refused: it names no start, and that of {} did",
+                bounds::excerpt(&announcement.instance),
+                backend.instance,
+            );
+            return None;
+        }
         let incarnation = incarnation(&backend, announcement);
         let message = messages::Announcement {
             service: announcement.service.clone(),
@@ -260,6 +269,7 @@
         }
         if outcome.transition != Some(local_target::Transition::Late) {
             backend.addr = Some(announcement.addr);
+            backend.dated |= announcement.incarnation.is_some();
             backend.instance = announcement.instance.clone();
         }
         if matches!(
@@ -267,6 +277,7 @@
             Some(local_target::Transition::Arrived | local_target::Transition::Restarted)
         ) {
             backend.notice = dialect::Notice::default();
+            backend.dated = announcement.incarnation.is_some();
         }
         (outcome, previous)
     };
@@ -278,6 +289,14 @@
     Some(AnnounceAnswer { renew_ms, token })
 }
 
+/// Whether an announcement would replace the backend server without naming a start, although that
+/// one has named its own: it is that of another writer, unless the backend server is lost.
+fn lacks_start(backend: &state::Backend, announcement: &Announcement) -> bool {
+    let live = backend.local.entry().is_some_and(|it| it.state != targets::State::Gone);
+    let other = backend.instance != announcement.instance;
+    live && other && backend.dated && announcement.incarnation.is_none()
+}
+
 /// The incarnation of an announcement. If it names none, a new name starts a new incarnation at the
 /// current time, and the known name keeps its incarnation.
 fn incarnation(backend: &state::Backend, announcement: &Announcement) -> u64 {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -74,6 +74,8 @@
     pub(crate) local: local_target::LocalTarget,
     /// The address that it listens on; none before its first announcement.
     pub(crate) addr: Option<net::SocketAddr>,
+    /// Whether one of its announcements has named its start.
+    pub(crate) dated: bool,
     /// The name under which it announced itself, or empty.
     pub(crate) instance: CompactString,
     /// What it said of itself in its last answer.
@@ -164,6 +166,7 @@
         let backend = Backend {
             local,
             addr: None,
+            dated: false,
             instance: "".into(),
             notice: dialect::Notice::default(),
             refusals: log_limits::LogLimit::default(),
