Forget the digest of a data centre without entries

Callers saw: nothing yet. A node whose entries name another data centre each time leaves one digest of 16 parts for each name, in every control and node, for the life of the process; all of them are sent every 5 s.

Cause: the digests were created with the first entry of a data centre and never removed.

Change: a digest of empty parts is removed; compare already takes an absent one for it.

Evidence: odd_data_centres_fill_the_digests: 1,001 digests for two entries before, two after.

--- a/crates/membership/src/targets.rs
+++ b/crates/membership/src/targets.rs
@@ -265,6 +265,10 @@
         }
         if let Some(parts) = self.digests.get_mut(&entry.data_centre) {
             parts[entry.part()] ^= entry.digest();
+            // A comparison takes an absent digest as one of empty parts.
+            if *parts == [0; messages::PARTS] {
+                self.digests.remove(&entry.data_centre);
+            }
         }
     }
 
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -439,3 +439,20 @@
     assert_eq!(due.events.len(), 1);
     assert_eq!(list(registry.targets()), "[]");
 }
+
+/// Guards against a host whose entries name ever new data centres and so fill the memory and the
+/// digests that are sent.
+#[test]
+fn odd_data_centres_fill_the_digests() {
+    let mut registry = registry(Time::ZERO, "skulte");
+    registry.apply_event(Time::ZERO, &serving("skulte-2", (50, 1)));
+    for sequence in 1..=1_000 {
+        let mut event = serving("skulte-1", (50, sequence));
+        event.entry.data_centre = format!("odd-{sequence}").into();
+        registry.apply_event(Time::ZERO, &event);
+    }
+    assert_eq!(registry.targets().digests().len(), 2, "those of the two entries that are held");
+    let gone = event(entry("skulte-1", "skulte", (51, 1), objects::State::Gone));
+    registry.apply_event(Time::ZERO, &gone);
+    assert_eq!(registry.targets().digests().len(), 1);
+}
