Ask on after a complete list of controls without a voter

Callers saw: a seed, or whoever answers at its address, that returns a complete list without controls ends the discovery. A node then knows no control and never gets a version; a control stores the list and starts no group.

Cause: a list counted as complete by its flag alone.

Change: a complete list has a voter, from a seed and in the stored file.

Evidence: an_odd_list_ends_the_search ends at the third of five answers before, and at the first usable one now; the case "no voters" of an_odd_stored_list_is_used.

--- a/crates/heatherwalk/src/discovery/introductions.rs
+++ b/crates/heatherwalk/src/discovery/introductions.rs
@@ -86,6 +86,10 @@
         .inspect_err(|err| log::debug!("no list of controls from {addr}; it is asked again: {err}"))
         .ok()?;
     records::retain_valid(&mut hosts, addr);
+    if hosts.formed && !records::is_complete(&hosts) {
+        log::debug!("the list of controls from {addr} has no voter; it is asked again");
+        return None;
+    }
     Some(hosts)
 }
 
--- a/crates/heatherwalk/src/discovery/records.rs
+++ b/crates/heatherwalk/src/discovery/records.rs
@@ -58,7 +58,7 @@
 pub(super) fn parse_stored(bytes: &[u8]) -> Result<operators::ControlList, CompactString> {
     let hosts: operators::ControlList =
         serde_json::from_slice(bytes).map_err(|err| format_compact!("{err}"))?;
-    if !hosts.formed || hosts.controls.is_empty() {
+    if !is_complete(&hosts) {
         return Err("the list is not complete".into());
     }
     for it in &hosts.controls {
@@ -69,6 +69,11 @@
     Ok(hosts)
 }
 
+/// Whether a list is the complete one of a mesh, which has a voter.
+pub(super) fn is_complete(hosts: &operators::ControlList) -> bool {
+    hosts.formed && hosts.controls.iter().any(|it| it.votes)
+}
+
 /// Whether the process at the address `from` may introduce a control with this operators' port.
 pub(super) fn is_origin(operators: net::SocketAddr, from: net::SocketAddr) -> bool {
     operators.ip().to_canonical() == from.ip().to_canonical()
--- a/crates/heatherwalk/tests/discovery.rs
+++ b/crates/heatherwalk/tests/discovery.rs
@@ -189,6 +189,7 @@
         ("name of a megabyte", edit("/controls/0/name", "n".repeat(1 << 20).into())),
         ("not formed", edit("/formed", false.into())),
         ("no controls", edit("/controls", serde_json::json!([]))),
+        ("no voters", serde_json::to_string(&formed(&[4, 5])).expect("JSON")),
     ];
     let mut out = String::new();
     for (name, text) in cases {
@@ -271,3 +272,46 @@
         reuse: web::client::Reuse::Never,
     }
 }
+
+/// Guards against an odd list of a seed that a node takes for the complete one, so that it knows no
+/// control or the address of nobody. It must go on asking until a list can be used.
+#[tokio::test]
+async fn an_odd_list_ends_the_search() {
+    let good = serde_json::to_value(formed(&[1, 2, 3])).expect("JSON");
+    let edit = |path: &str, value: serde_json::Value| {
+        let mut list = good.clone();
+        *list.pointer_mut(path).expect("a field") = value;
+        list.to_string()
+    };
+    let mut odd = formed(&[1, 2, 3]);
+    odd.controls
+        .push(operators::ControlRecord { addr: (net::Ipv4Addr::BROADCAST, 0).into(), ..record(9) });
+    let odd = serde_json::to_string(&odd).expect("JSON");
+    let lists = [
+        "[".repeat(100_000),
+        edit("/controls/0/addr", "10.1.0.1:65536".into()),
+        edit("/controls", serde_json::json!([])),
+        serde_json::to_string(&formed(&[4, 5])).expect("JSON"),
+        odd,
+    ];
+    let count = lists.len();
+    let asked = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let counter = std::sync::Arc::clone(&asked);
+    let router = web::routers::catch_all(move |_| {
+        let next = counter.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let body = lists[next.min(lists.len() - 1)].clone().into();
+        std::future::ready(web::exchange::Response::full(
+            http::StatusCode::OK,
+            &mime::APPLICATION_JSON,
+            body,
+        ))
+    });
+    let addr = (net::Ipv4Addr::LOCALHOST, 0).into();
+    let limits = web::server::Limits::default();
+    let server = web::server::Server::bind(addr, limits, router).await.expect("binds");
+    let seeds =
+        discovery::Seeds { addrs: vec![server.local_addr()], bootstrap: false, claims: true };
+    let found = discovery::find_controls(&seeds).await;
+    assert_eq!(asked.load(std::sync::atomic::Ordering::Relaxed), count);
+    assert_eq!(found, formed(&[1, 2, 3]), "without the odd record");
+}
