--- a/crates/heatherwalk/tests/processes/harness.rs
+++ b/crates/heatherwalk/tests/processes/harness.rs
@@ -1,5 +1,7 @@
 //! A mesh of real processes on loopback.
 
+mod files;
+
 use std::{fs, net, path, process, sync, thread, time};
 
 use bytes::Bytes;
@@ -55,6 +57,8 @@
     /// The operators' token, which no other mesh has: the port of a killed control can be taken by a
     /// control of another test run.
     token: String,
+    /// The seeds that the settings name; none when they list the controls.
+    seeds: Option<Vec<net::SocketAddr>>,
     folder: tempfile::TempDir,
 }
 
@@ -89,16 +93,43 @@
     pub attempt: CompactString,
 }
 
+/// How the processes of a mesh find its controls.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Finding {
+    /// The settings list them.
+    Listed,
+    /// The settings name the first controls as seeds.
+    Seeds,
+}
+
 /// Runs a case on a mesh with nodes in these data centres.
 pub fn run(
     data_centres: &[&'static str],
     state: &sync::Arc<backends::State>,
     case: impl AsyncFnOnce(&mut Mesh),
+) {
+    run_with(Finding::Listed, data_centres, state, case);
+}
+
+/// Like [`run`], but the settings name seeds, by which the processes find the controls.
+pub fn run_seeded(
+    data_centres: &[&'static str],
+    state: &sync::Arc<backends::State>,
+    case: impl AsyncFnOnce(&mut Mesh),
+) {
+    run_with(Finding::Seeds, data_centres, state, case);
+}
+
+fn run_with(
+    finding: Finding,
+    data_centres: &[&'static str],
+    state: &sync::Arc<backends::State>,
+    case: impl AsyncFnOnce(&mut Mesh),
 ) {
     let _permit = Permit::acquire();
     let runtime = runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
     runtime.expect("a runtime").block_on(async {
-        let mut mesh = Mesh::start(data_centres, state).await;
+        let mut mesh = Mesh::start(finding, data_centres, state).await;
         case(&mut mesh).await;
         mesh.check_versions();
     });
@@ -114,7 +145,11 @@
 }
 
 impl Mesh {
-    async fn start(data_centres: &[&'static str], state: &sync::Arc<backends::State>) -> Mesh {
+    async fn start(
+        finding: Finding,
+        data_centres: &[&'static str],
+        state: &sync::Arc<backends::State>,
+    ) -> Mesh {
         let folder = tempfile::tempdir().expect("a folder");
         keys::create_authority(folder.path()).expect("an authority");
         let control = |it: &&'static str| hosts::Host::new(format_compact!("{it}-c"), it);
@@ -129,9 +164,21 @@
             .map(|it| backends::Backend::spawn(&it.name, it.announce, sync::Arc::clone(state)));
         let backends = backends.collect();
         let token = format!("token-{:032x}", rand::random::<u128>());
-        let mut mesh =
-            Mesh { controls, nodes, backends, version: 0, client, patches: 0, token, folder };
-        mesh.write_settings();
+        let addrs = || controls.iter().map(|it| it.clients).collect();
+        let seeds = (finding == Finding::Seeds).then(addrs);
+        let mut mesh = Mesh {
+            controls,
+            nodes,
+            backends,
+            version: 0,
+            client,
+            patches: 0,
+            token,
+            seeds,
+            folder,
+        };
+        mesh.write_keys();
+        mesh.write_settings(true);
         for i in 0..mesh.controls.len() {
             mesh.start_control(i);
         }
@@ -144,43 +191,14 @@
         mesh
     }
 
-    fn write_settings(&self) {
-        let folder = self.folder.path();
-        let mut shared = String::new();
-        for it in &self.controls {
-            let hosts::Host { name, data_centre, listen, .. } = it;
-            shared += &format!(
-                "[control.{name}]\nregion = vidzeme\ndata-centre = {data_centre}\n\
-                 address = {listen}\nvotes = configuration claims\n"
-            );
-        }
-        for it in &self.controls {
-            keys::issue_host(folder, &it.name, Role::Control, folder).expect("a key");
-            let (clients, token, data) = (it.clients, &self.token, folder.join(&it.name));
-            let role = format!(
-                "[control]\noperators = {clients}\ntoken = {token}\ndata = {}\n",
-                data.display()
-            );
-            self.write_ini(it, "control", &(role + &shared));
-        }
-        for it in &self.nodes {
-            keys::issue_host(folder, &it.name, Role::Node, folder).expect("a key");
-            let hosts::Host { clients, announce, .. } = it;
-            let role = format!("[node]\ncallers = {clients}\nannounce = {announce}\n");
-            self.write_ini(it, "node", &(role + &shared));
-        }
-    }
-
-    fn write_ini(&self, host: &hosts::Host, role: &str, rest: &str) {
-        let folder = self.folder.path().display();
-        let hosts::Host { name, data_centre, listen, metrics, .. } = host;
-        let text = format!(
-            "[host]\nname = {name}\nrole = {role}\nregion = vidzeme\n\
-             data-centre = {data_centre}\nlisten = {listen}\nmetrics = {metrics}\n\
-             [log]\nlevel = info\n[identity]\nauthority = {folder}/authority.pem\n\
-             certificate = {folder}/{name}.pem\nkey = {folder}/{name}.key\n{rest}"
-        );
-        fs::write(self.file(name, "ini"), text).expect("written");
+    /// Starts a control with an empty disk and addresses of its own, which is no part of the mesh.
+    pub fn add_control(&mut self, name: &str, data_centre: &'static str) -> usize {
+        let control = self.controls.len();
+        self.controls.push(hosts::Host::new(name.into(), data_centre));
+        self.issue_key(&self.controls[control], Role::Control);
+        self.write_settings(false);
+        self.start_control(control);
+        control
     }
 
     fn file(&self, name: &str, extension: &str) -> path::PathBuf {
--- a/crates/heatherwalk/tests/processes/outages.rs
+++ b/crates/heatherwalk/tests/processes/outages.rs
@@ -66,3 +66,33 @@
         mesh.wait_in_force().await;
     });
 }
+
+/// Guards against a control that is replaced by one with another name and other addresses, and whose
+/// vote is lost for good: the group then had no majority once another disk was lost.
+#[test]
+fn a_replaced_control_ends_the_group() {
+    harness::run_seeded(&harness::DATA_CENTRES, &no_delay(), async |mesh| {
+        mesh.next_version().await;
+        mesh.controls[0].kill();
+        mesh.set_seeds(&[1, 2]);
+        let newcomer = mesh.add_control("skulte-d", "skulte");
+        wait_votes(mesh, newcomer).await;
+        mesh.controls[1].kill();
+        mesh.delete_data(1);
+        mesh.start_control(1);
+        mesh.next_version().await;
+        wait_votes(mesh, 1).await;
+        mesh.next_version().await;
+        mesh.wait_in_force().await;
+        mesh.wait_serving().await;
+    });
+}
+
+/// Waits until a control votes in the configuration group.
+async fn wait_votes(mesh: &harness::Mesh, control: usize) {
+    harness::eventually("the control votes", async || {
+        let votes = mesh.gauge(&mesh.controls[control], "heatherwalk_control_votes").await;
+        votes == Some(1)
+    })
+    .await;
+}
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -181,6 +181,10 @@
             attaching::apply_effects(state, effects);
             state.acknowledged.notify_waiters();
         }
+        // The node uses the controls that it found at its start.
+        streams::ControlMessage::Controls(list) => {
+            log::debug!("ignored a list of {} controls", list.len());
+        }
     }
 }
 
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -42,7 +42,8 @@
     pub addr: net::SocketAddr,
     /// The address of its operators' interface, by which lists of seeds name it. Only set by a
     /// control that introduces itself.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    // Always written: the encoding of links does not tell which fields are there.
+    #[serde(default)]
     pub operators: Option<net::SocketAddr>,
     /// Whether it is one of the voters that form the groups.
     pub votes: bool,
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use world::{document, requests};
 
-use crate::{forwarding, proposals};
+use crate::{forwarding, operators, proposals};
 
 /// The first message on each stream, which states its purpose.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -82,6 +82,9 @@
     Standings(Vec<Suspect>),
     /// A message about the distribution of versions.
     Version(distribution::messages::ToNode),
+    /// All controls of the mesh. Replaces the previous list. Sent when the node attaches and at each
+    /// change.
+    Controls(Vec<operators::ControlRecord>),
 }
 
 /// A request that may crash backend servers, according to the evidence.
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use distribution::{floor, messages as versions};
 use membership::messages as registry;
-use protocol::{forwarding, proposals, streams};
+use protocol::{forwarding, operators, proposals, streams};
 use replicated::{claims, quarantine, versions as patches};
 use serde::{Serialize, de};
 use transport::codec;
@@ -90,6 +90,19 @@
     versions::Snapshot { of: numbered(), document: "{}".into() }
 }
 
+fn control_records() -> Vec<operators::ControlRecord> {
+    let seed = operators::ControlRecord {
+        name: "c1".into(),
+        region: "region".into(),
+        data_centre: "dc".into(),
+        addr: ([10, 0, 0, 1], 7_000).into(),
+        operators: Some(([10, 0, 0, 1], 7_001).into()),
+        votes: true,
+    };
+    let other = operators::ControlRecord { operators: None, votes: false, ..seed.clone() };
+    vec![seed, other]
+}
+
 fn patch() -> patches::Patch {
     patches::Patch {
         base: document::Version(6),
@@ -309,6 +322,7 @@
             streams::ControlMessage::Part(part()),
             streams::ControlMessage::Reach(reach),
             streams::ControlMessage::Standings(vec![standing]),
+            streams::ControlMessage::Controls(control_records()),
         ],
     );
     let delta = versions::Delta { to: numbered(), patch: "{}".into() };
