--- a/crates/distribution/src/attach.rs
+++ b/crates/distribution/src/attach.rs
@@ -1,6 +1,6 @@
 //! Chooses the control that a node is attached to: the home control where possible.
 
-use std::time;
+use std::{iter, mem, time};
 
 use compact_str::CompactString;
 use rand::Rng;
@@ -51,6 +51,28 @@
     pub source: floor::Source,
     /// Until when it comes after the others in the choice.
     cooldown_until: Time,
+    /// Whether the last list of controls did not have it, so that it is not tried any more.
+    pub gone: bool,
+}
+
+/// A control in the list that a node learns of. The list is in the order of preference.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// The name of the control's host.
+    pub name: CompactString,
+    /// Whether it is in the node's own data centre.
+    pub local: bool,
+}
+
+/// What a node reaches.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reach {
+    /// It is attached to a control that reaches a leader, as of its last answer.
+    Leader,
+    /// It is attached to a control that reaches no leader.
+    Control,
+    /// It is attached to no control, or to a silent one.
+    Nothing,
 }
 
 /// The session with the control that the node is attached to.
@@ -60,6 +82,8 @@
     pub control: ControlKey,
     /// The session with it.
     pub session: messages::SessionId,
+    /// Whether the hello of the session named it as the node's home control.
+    pub home: bool,
     /// When its last message arrived.
     pub last_contact: Time,
     /// When the last packet of its connection arrived. A long message arrives in many packets.
@@ -84,6 +108,8 @@
     pub control: ControlKey,
     /// The session that a hello asked for, once the connection is open.
     pub session: Option<messages::SessionId>,
+    /// Whether that hello named it as the node's home control.
+    pub home: bool,
     /// When the attempt began.
     pub since: Time,
 }
@@ -124,11 +150,50 @@
         self.controls.get(key).map_or(floor::Source::Foster, |it| it.source)
     }
 
+    /// The home control; none before there is any control.
+    pub fn home(&self) -> Option<&Control> {
+        self.order.iter().map(|it| &self.controls[*it]).find(|it| it.source == floor::Source::Home)
+    }
+
+    /// Replaces the controls by those of `listed`, of which those that stay keep their state. One
+    /// that is gone comes last and is not tried any more. If the node is attached to it, it stays so
+    /// until another control answers. It keeps its key until the next list that lacks it, or longer
+    /// while it is in use. An empty list changes nothing. Returns whether another control is the home
+    /// control.
+    pub fn update(&mut self, listed: &[Listed]) -> bool {
+        let Some(home) = self.next_home(listed) else { return false };
+        let changed = self.home().is_none_or(|it| it.name != home);
+        self.drop_gone(listed);
+        let before = mem::take(&mut self.order);
+        let others = listed.iter().map(|it| &it.name).filter(|it| **it != home);
+        for name in iter::once(&home).chain(others) {
+            let source = if *name == home { floor::Source::Home } else { floor::Source::Foster };
+            self.put(&before, name, source);
+        }
+        for key in before {
+            if !self.order.contains(&key) {
+                self.controls[key].source = floor::Source::Foster;
+                self.controls[key].gone = true;
+                self.order.push(key);
+            }
+        }
+        changed
+    }
+
     /// Keys of all controls, in the order of preference.
     pub fn keys(&self) -> impl Iterator<Item = ControlKey> {
         self.order.iter().copied()
     }
 
+    /// What the node reaches.
+    pub fn reach(&self) -> Reach {
+        match self.link {
+            Some(link) if link.is_serving() => Reach::Leader,
+            Some(link) if !link.suspected => Reach::Control,
+            Some(_) | None => Reach::Nothing,
+        }
+    }
+
     /// Starts an attempt when none is under way and a better control than the attached one may be
     /// tried now. Returns the control to connect to.
     pub fn start_attempt(&mut self, now: Time) -> Option<ControlKey> {
@@ -136,7 +201,7 @@
             return None;
         }
         let control = self.choose(now)?;
-        self.attempt = Some(Attempt { control, session: None, since: now });
+        self.attempt = Some(Attempt { control, session: None, home: false, since: now });
         Some(control)
     }
 
@@ -229,6 +294,7 @@
         self.link = Some(Link {
             control: attempt.control,
             session,
+            home: attempt.home,
             last_contact: now,
             last_packet: now,
             suspected: false,
@@ -246,10 +312,41 @@
     }
 
     fn add(&mut self, name: CompactString, source: floor::Source) {
-        let key = self.controls.insert(Control { name, source, cooldown_until: Time::ZERO });
+        let control = Control { name, source, cooldown_until: Time::ZERO, gone: false };
+        let key = self.controls.insert(control);
         self.order.push(key);
     }
 
+    /// Puts a control of a new list after those that are there. One of `before` keeps its key.
+    fn put(&mut self, before: &[ControlKey], name: &CompactString, source: floor::Source) {
+        let known = before.iter().find(|it| self.controls[**it].name == *name);
+        let Some(&key) = known else { return self.add(name.clone(), source) };
+        self.controls[key].source = source;
+        self.controls[key].gone = false;
+        if !self.order.contains(&key) {
+            self.order.push(key);
+        }
+    }
+
+    /// The home control of a new list. The present one stays while it is listed: a change costs its
+    /// nodes a time in which they take no version without a token. It gives way to a control of the
+    /// node's own data centre only if it is in another one.
+    fn next_home(&self, listed: &[Listed]) -> Option<CompactString> {
+        let first = listed.iter().find(|it| it.local).or(listed.first())?;
+        let present = self.home().and_then(|home| listed.iter().find(|it| it.name == home.name));
+        let stays = present.filter(|it| it.local || !first.local);
+        Some(stays.unwrap_or(first).name.clone())
+    }
+
+    /// Drops the controls that an earlier list did not have either, except those in use.
+    fn drop_gone(&mut self, listed: &[Listed]) {
+        let used = [self.link.map(|it| it.control), self.attempt.map(|it| it.control)];
+        self.controls.retain(|key, it| {
+            !it.gone || used.contains(&Some(key)) || listed.iter().any(|l| l.name == it.name)
+        });
+        self.order.retain(|it| self.controls.contains_key(*it));
+    }
+
     /// The best control to attach to, unless the node has it or a better one already.
     fn choose(&self, now: Time) -> Option<ControlKey> {
         let rank = |key: ControlKey| {
@@ -257,7 +354,8 @@
             if until > now { until } else { Time::ZERO }
         };
         // When all controls cool down, the one whose cooldown ends first is tried.
-        let best = self.order.iter().copied().min_by_key(|it| rank(*it))?;
+        let listed = self.order.iter().copied().filter(|it| !self.controls[*it].gone);
+        let best = listed.min_by_key(|it| rank(*it))?;
         let Some(link) = self.link else { return Some(best) };
         let place = |key| self.order.iter().position(|it| *it == key);
         let better = rank(link.control) > Time::ZERO || place(best) < place(link.control);
--- a/crates/distribution/src/floor.rs
+++ b/crates/distribution/src/floor.rs
@@ -24,10 +24,8 @@
     Foster,
 }
 
-/// What a backend server keeps in memory for its node across a restart of the node's process.
-///
-/// It guarantees that each version that the node ran either is at most `version` or came from its
-/// home control. Versions from the home control can be above `version`.
+/// A version that bounds those that the node ran. Each of them either is at most `version` or came
+/// from the node's home control, whose versions can be above `version`.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Token {
     /// The latest version that the node had when it made the token.
@@ -36,6 +34,20 @@
     pub epoch: u64,
 }
 
+/// Identifies a home control in floor tokens: a hash of its host's name.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HomeId(pub u64);
+
+/// What a backend server keeps in memory for its node across a restart of the node's process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoredToken {
+    /// The versions that the node ran.
+    pub token: Token,
+    /// The home control that `token` speaks of. The home control of a restarted node can be another
+    /// one, which does not have the versions that this one handed out.
+    pub home: HomeId,
+}
+
 /// What a node knows of the token that its backend server holds.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Floor {
@@ -49,43 +61,56 @@
     Held(Token),
 }
 
-/// The text is not a token of the form `1.VERSION.EPOCH`, with both numbers in hexadecimal.
+/// The text is not a token of the form `2.VERSION.EPOCH.HOME`, with the numbers in hexadecimal.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("floor token is not of the form 1.VERSION.EPOCH with hexadecimal numbers")]
+#[error("floor token is not of the form 2.VERSION.EPOCH.HOME with hexadecimal numbers")]
 pub struct TokenError;
 
 /// The result of parsing a token.
 pub type Result<T, E = TokenError> = std::result::Result<T, E>;
 
-impl Token {
+impl HomeId {
+    /// The identity of the control of this host: the 64-bit FNV-1a hash of its name, which is the
+    /// same in each process and build.
+    pub fn of(host: &str) -> HomeId {
+        const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0100_0000_01b3;
+        let add = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+        HomeId(host.bytes().fold(OFFSET_BASIS, add))
+    }
+}
+
+impl StoredToken {
     /// The token as text. It is opaque to the backend server.
     pub fn encode(&self) -> CompactString {
         format_compact!("{self}")
     }
 }
 
-impl fmt::Display for Token {
+impl fmt::Display for StoredToken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "1.{:x}.{:x}", self.version.0, self.epoch)
+        let Token { version, epoch } = self.token;
+        write!(f, "2.{:x}.{epoch:x}.{:x}", version.0, self.home.0)
     }
 }
 
-impl str::FromStr for Token {
+impl str::FromStr for StoredToken {
     type Err = TokenError;
 
-    fn from_str(text: &str) -> Result<Token> {
+    fn from_str(text: &str) -> Result<StoredToken> {
         let mut parts = text.split('.');
         let mut next = || parts.next().ok_or(TokenError);
-        if next()? != "1" {
+        if next()? != "2" {
             return Err(TokenError);
         }
         let number = |it: &str| u64::from_str_radix(it, 16).map_err(|_| TokenError);
         let version = document::Version(number(next()?)?);
         let epoch = number(next()?)?;
+        let home = HomeId(number(next()?)?);
         if next().is_ok() {
             return Err(TokenError);
         }
-        Ok(Token { version, epoch })
+        Ok(StoredToken { token: Token { version, epoch }, home })
     }
 }
 
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -1,7 +1,7 @@
 //! Distribution of configuration versions from controls to nodes.
 //!
 //! A node is attached to one control at a time. Its *home control* is the one of its own data
-//! centre. While that one cannot be reached, or cannot reach a leader, the node attaches to a
+//! centre; after a replacement that is another host. While that one cannot be reached, or cannot reach a leader, the node attaches to a
 //! control of another data centre, a *fallback control*.
 //!
 //! The control's side is [`relay`]: it sends each committed version to the attached nodes. The
@@ -14,6 +14,7 @@
 
 pub mod attach;
 pub mod floor;
+mod homes;
 pub mod messages;
 pub mod relay;
 mod serving;
--- a/crates/distribution/src/sessions.rs
+++ b/crates/distribution/src/sessions.rs
@@ -18,10 +18,11 @@
     ) {
         let Some(mut link) = self.attachment.link else { return };
         link.session = messages::SessionId(rng.random());
+        link.home = self.trusted_source(link.control) == floor::Source::Home;
         self.attachment.link = Some(link);
         self.unacknowledged = [now].into();
         self.drop_pending();
-        effects.push(Effect::SendHello(link.control, self.new_hello(link.control, link.session)));
+        effects.push(Effect::SendHello(link.control, self.new_hello(link.session, link.home)));
     }
 
     /// Opens a new session when a node without a version has learned something about its floor
@@ -179,15 +180,15 @@
     /// The hello for a new session, with what the node has now.
     pub(crate) fn new_hello(
         &mut self,
-        control: attach::ControlKey,
         session: messages::SessionId,
+        home: bool,
     ) -> messages::Hello {
         self.reported_floor = self.floor;
         messages::Hello {
             session,
             node: self.settings.node.clone(),
             data_centre: self.settings.data_centre.clone(),
-            home: self.attachment.source(control) == floor::Source::Home,
+            home,
             level: self.settings.level,
             running: self.running().map(|it| updater::numbered(it)),
             floor: self.floor,
@@ -201,9 +202,7 @@
             return;
         }
         self.next_beat = now + updater::BEAT_INTERVAL;
-        if self.attachment.source(link.control) == floor::Source::Home {
-            self.last_echo = link.ack.map_or(self.last_echo, |(_, at)| at.max(self.last_echo));
-        }
+        self.record_echo(&link);
         let highest =
             self.running().map_or(self.min_version, |it| it.version().max(self.min_version));
         let echo = link.ack.map(|(ack, _)| ack.stamp);
--- a/crates/distribution/src/swap.rs
+++ b/crates/distribution/src/swap.rs
@@ -62,7 +62,7 @@
         let Some(link) = self.attachment.link else { return };
         self.awaiting_snapshot = false;
         let source = self.attachment.source(link.control);
-        if !self.may_take(snapshot.of.version, source, proof) {
+        if !self.may_take(snapshot.of.version, self.trusted_source(link.control), proof) {
             if let Some(head) = self.head() {
                 let version = head.config.version();
                 effects.push(updater::Effect::Received(link.control, link.session, version));
@@ -112,7 +112,9 @@
     /// Offers the backend server a token for the latest version that the node has.
     pub(crate) fn offer_token(&mut self, effects: &mut Vec<updater::Effect>) {
         let Some(head) = self.head() else { return };
+        let Some(home) = self.home_id() else { return };
         let token = floor::Token { version: head.config.version(), epoch: self.settings.epoch };
+        let token = floor::StoredToken { token, home };
         effects.push(updater::Effect::OfferToken(token.encode()));
         self.offered_token = Some(token);
         self.offered_config = self.pending.clone();
@@ -152,8 +154,10 @@
     fn may_run(&self, now: Time, next: &updater::SourcedConfig) -> bool {
         match next.source {
             _ if !self.settings.tokens => true,
-            floor::Source::Home => true,
-            floor::Source::Foster => self.is_covered(next) && self.contact_expired(now),
+            floor::Source::Home if self.is_home_settled(now) => true,
+            floor::Source::Home | floor::Source::Foster => {
+                self.is_covered(next) && self.contact_expired(now)
+            }
         }
     }
 
@@ -170,7 +174,7 @@
         let floor::Floor::Held(token) = self.floor else { return false };
         let covers = |it: &floor::Token| it.version >= next.config.version();
         let offer = self.offered_token.as_ref().filter(|_| self.toggles.offer_check);
-        covers(&token) && offer.is_none_or(covers)
+        covers(&token) && offer.is_none_or(|it| covers(&it.token))
     }
 
     /// Whether the home control no longer relies on its last contact with the node. An isolated
--- a/crates/distribution/src/updater.rs
+++ b/crates/distribution/src/updater.rs
@@ -111,13 +111,19 @@
     pub(crate) floor: floor::Floor,
     /// The floor that the last hello reported.
     pub(crate) reported_floor: floor::Floor,
+    /// When the backend server last renewed its announcement.
+    pub(crate) renewed_at: Time,
+    /// The home control that the held token names.
+    pub(crate) floor_home: Option<floor::HomeId>,
     /// The token offered in the answer to that renewal.
-    pub(crate) offered_token: Option<floor::Token>,
+    pub(crate) offered_token: Option<floor::StoredToken>,
     /// The lowest version that the node accepts while it runs none: the highest that it ran or that
     /// a token named.
     pub(crate) min_version: document::Version,
     /// When the last acknowledgement arrived that was echoed to the home control.
     pub(crate) last_echo: Time,
+    /// When the last acknowledgement arrived that was echoed to a former home control.
+    pub(crate) former_echo: Option<Time>,
     /// When the running version was last known to be the latest: the time at which the message was
     /// sent whose acknowledgement showed it. The acknowledgement itself may have been on its way
     /// for seconds.
@@ -152,10 +158,13 @@
             started: now,
             floor,
             reported_floor: floor,
+            renewed_at: now,
+            floor_home: None,
             offered_token: None,
             min_version: document::Version(0),
             // The process before the restart may have sent echoes until now.
             last_echo: now,
+            former_echo: None,
             confirmed_at: None,
             running_since: None,
             ack_delay: time::Duration::ZERO,
@@ -258,6 +267,7 @@
             effects.push(Effect::Connect(control));
         }
         self.expire_announcement_wait(now, rng, &mut effects);
+        self.report_home(now, rng, &mut effects);
         self.try_run(now, &mut effects);
         self.send_beat(now, &mut effects);
         if self.peer_request.is_some_and(|it| it.until <= now) {
@@ -274,12 +284,13 @@
     /// The connection to a control is open: says hello on it.
     pub fn connected(&mut self, control: attach::ControlKey, rng: &mut impl Rng) -> Vec<Effect> {
         let session = messages::SessionId(rng.random());
+        let home = self.trusted_source(control) == floor::Source::Home;
         let Some(attempt) = &mut self.attachment.attempt else { return Vec::new() };
         if attempt.control != control {
             return Vec::new();
         }
-        attempt.session = Some(session);
-        vec![Effect::SendHello(control, self.new_hello(control, session))]
+        (attempt.session, attempt.home) = (Some(session), home);
+        vec![Effect::SendHello(control, self.new_hello(session, home))]
     }
 
     /// A connection could not be opened, or broke: another control is tried after a backoff.
@@ -373,10 +384,9 @@
             return effects;
         }
         // A malformed token counts as none, so that the node asks for more proof.
-        self.floor = match token.and_then(|it| it.parse().ok()) {
-            Some(token) => floor::Floor::Held(token),
-            None => floor::Floor::Absent,
-        };
+        let held: Option<floor::StoredToken> = token.and_then(|it| it.parse().ok());
+        self.floor = held.map_or(floor::Floor::Absent, |it| floor::Floor::Held(it.token));
+        self.record_floor_home(now, held.map(|it| it.home));
         self.offered_token = None;
         self.min_version = self.min_version.max(self.floor.version());
         self.report_floor(now, rng, &mut effects);
--- a/crates/distribution/tests/faults/cases.rs
+++ b/crates/distribution/tests/faults/cases.rs
@@ -27,7 +27,9 @@
 /// - `cut C...`: cuts the node off from these controls and no others
 /// - `disconnect`: breaks the node's connections
 /// - `expect V`: checks that the node runs version V
+/// - `find-home C`: at its next start, the node finds a list with control C as its home control
 /// - `isolate C`, `isolate C 0`: cuts a control off from the leader, or ends that
+/// - `replace-home C`: the node learns that control C has replaced its home control
 /// - `restart`, `restart-both`: restarts the node, alone or with its backend server
 /// - `run MS`: lets this many milliseconds pass
 /// - `settle`: see [`settle`]
@@ -47,6 +49,8 @@
             "expect" => assert_eq!(sim.running(0), number, "{script}"),
             "isolate" => sim.isolate(numbers[0], numbers.get(1) != Some(&0)),
             "cut" => sim.cut(0, &numbers),
+            "find-home" => _ = sim.find_home(0, numbers[0]),
+            "replace-home" => sim.replace_home(0, numbers[0]),
             "restart" => sim.restart(0, false),
             "unresponsive" => sim.nodes[0].unresponsive = true,
             "announce" => sim.nodes[0].unresponsive = false,
@@ -62,7 +66,7 @@
 }
 
 #[rustfmt::skip]
-const CASES: [(&str, &str, TurnOff); 17] = [
+const CASES: [(&str, &str, TurnOff); 21] = [
     ("floor_token: fallback, restart, isolated home behind",
         "settle; isolate 0; cut 0; run 6000; accept 2; await 8; restart; cut 1 2; run 10000", |it| it.floor_token = false),
     ("offer_check: loses fallback between offer and renewal, then gets the version again",
@@ -95,6 +99,16 @@
         "settle; accept 1; run 2000; accept 1; await 8; isolate 0; crash 0 7; restart; cut 1 2; run 10000", |it| it.catch_up_wait = false),
     ("partitioned data centre restarts",
         "settle; isolate 0; cut 1 2; accept 2; run 5000; crash 0; restart; run 3000; expect 6", |_| {}),
+    ("home_identity: home, restart, its successor is isolated and behind",
+        "settle; isolate 1; accept 1; await 7; find-home 1; restart; cut 0 2; run 10000", |it| it.home_identity = false),
+    ("home_identity: successor of home, restart with the former home, isolated and behind",
+        "settle; isolate 0; run 4000; replace-home 1; run 4000; cut 0 2; find-home 0; accept 1; await 7; restart; cut 1 2; run 10000",
+        |it| it.home_identity = false),
+    ("home_identity: successor of home, loses token, restart with the former home, isolated and behind",
+        "settle; unsync 0; replace-home 1; accept 1; run 600; find-home 0; isolate 0; restart-both; cut 1 2; run 10000",
+        |it| it.home_identity = false),
+    ("a replaced home, no announcement",
+        "settle; unresponsive; restart; run 6000; replace-home 1; accept 1; run 4000; expect 7", |_| {}),
     ("fallback, then an isolated home behind",
         "settle; isolate 0; cut 0; accept 2; await 8; cut 1 2; run 10000; expect 8", |_| {}),
     ("node waits for a home that lost its disk",
--- a/crates/distribution/tests/faults/main.rs
+++ b/crates/distribution/tests/faults/main.rs
@@ -3,5 +3,6 @@
 
 mod attaching;
 mod cases;
+mod homes;
 mod routing;
 mod sim;
--- a/crates/distribution/tests/faults/sim/mod.rs
+++ b/crates/distribution/tests/faults/sim/mod.rs
@@ -177,6 +177,25 @@
             Node { token, unresponsive, cut, highest, ..self.new_node(node, old.home) };
     }
 
+    /// A node learns that its home control was replaced by `home`, which it finds at later starts
+    /// too.
+    pub fn replace_home(&mut self, node: usize, home: usize) {
+        let gone = self.find_home(node, home);
+        let others = (0..3).filter(|it| *it != gone && *it != home);
+        let listed = std::iter::once(home)
+            .chain(others)
+            .map(|it| attach::Listed { name: format!("control-{it}").into(), local: it == home });
+        let listed: Vec<_> = listed.collect();
+        let now = self.now();
+        let effects = self.nodes[node].updater.update_controls(now, &listed, &mut self.rng);
+        self.perform(node, effects);
+    }
+
+    /// From its next start on, a node finds a list with this home control. Returns the one before.
+    pub fn find_home(&mut self, node: usize, home: usize) -> usize {
+        std::mem::replace(&mut self.nodes[node].home, home)
+    }
+
     /// Restarts a control with the versions on its disk, or with only the first `kept` as after a
     /// loss of its disk. A control that restarts before it has caught up after such a loss must
     /// still do so.
--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -122,9 +122,22 @@
 #[test]
 fn tokens_proofs_and_backoff() {
     let mut out = String::new();
-    for text in ["1.1f.a", "1.0.0", "", "1.1f", "1.1f.a.b", "2.1.1", "1.x.1", "1.-1.1", "1.f.1f.a"]
-    {
-        writeln!(out, "{text:?}: {:?}", text.parse::<floor::Token>()).expect("text");
+    for text in [
+        "2.1f.a.3",
+        "2.0.0.0",
+        "",
+        "2.1f",
+        "2.1f.a",
+        "2.1f.a.b.c",
+        "1.1f.a",
+        "1.1.1.1",
+        "3.1.1.1",
+        "2.x.1.1",
+        "2.-1.1.1",
+        "2.1.1.x",
+        "2.1.1.",
+    ] {
+        writeln!(out, "{text:?}: {:?}", text.parse::<floor::StoredToken>()).expect("text");
     }
     let token = floor::Token { version: document::Version(7), epoch: 1 };
     let floors = [
--- a/crates/heatherwalk/tests/contracts/announcements.rs
+++ b/crates/heatherwalk/tests/contracts/announcements.rs
@@ -104,7 +104,7 @@
         tokio::time::sleep(time::Duration::from_millis(50)).await;
     };
     let text = token.as_str().expect("text");
-    assert!(text.starts_with("1.1."), "format 1, version 1: {text}");
+    assert!(text.starts_with("2.1."), "format 2, version 1: {text}");
     let (_, _, again) = announce(100, false, &token).await;
     assert_eq!(serde_json::from_str::<Value>(&again).expect("JSON")["token"], token);
     let (status, _, refused) = announce(99, false, &Value::Null).await;
--- a/xtask/src/bench/distribution.rs
+++ b/xtask/src/bench/distribution.rs
@@ -391,10 +391,12 @@
         epoch: 2,
         tokens: true,
     };
-    let attachment = attach::Attachment::new("control-skulte".into(), Vec::new());
+    let home = "control-skulte";
+    let attachment = attach::Attachment::new(home.into(), Vec::new());
     let mut node = updater::Updater::new(settings, attachment, now);
-    let token = floor::Token { version: head.of.version, epoch: 1 }.encode();
-    node.renewal(now, Some(&token), rng);
+    let token = floor::Token { version: head.of.version, epoch: 1 };
+    let token = floor::StoredToken { token, home: floor::HomeId::of(home) };
+    node.renewal(now, Some(&token.encode()), rng);
     node.tick(now, rng);
     let control = node.attachment().keys().next()?;
     let effects = node.connected(control, rng);
--- a/xtask/src/bench/distribution/model.rs
+++ b/xtask/src/bench/distribution/model.rs
@@ -116,11 +116,14 @@
                 epoch: 2,
                 tokens: true,
             };
-            let attachment = attach::Attachment::new("control-skulte".into(), Vec::new());
+            let home = "control-skulte";
+            let attachment = attach::Attachment::new(home.into(), Vec::new());
+            let token = floor::Token { version, epoch: 1 };
+            let token = floor::StoredToken { token, home: floor::HomeId::of(home) };
             Node {
                 updater: updater::Updater::new(settings, attachment, now),
                 session: None,
-                token: floor::Token { version, epoch: 1 }.encode().into(),
+                token: token.encode().into(),
                 confirms_only: false,
                 running: document::Version(0),
                 bytes: 0,
