--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -45,7 +45,7 @@
     // Always written: the encoding of links does not tell which fields are there.
     #[serde(default)]
     pub operators: Option<net::SocketAddr>,
-    /// Whether it is one of the voters that form the groups.
+    /// Whether it holds the seat of a voter in the configuration group.
     pub votes: bool,
 }
 
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -122,6 +122,11 @@
     PartRequests(Vec<membership::messages::PartRequest>),
     /// The versions that the nodes attached to the sender run.
     Report(VersionReport),
+    /// The sender's own record; the first message on each stream. A control that has missed changes
+    /// of the list of controls thus learns where the others are.
+    Introduction(operators::ControlRecord),
+    /// The sender is about to stop, and another control may take over its seats.
+    Leaving,
 }
 
 /// The versions that the nodes attached to a control run.
