--- a/crates/heatherwalk/src/discovery.rs
+++ b/crates/heatherwalk/src/discovery.rs
@@ -2,9 +2,10 @@
 //!
 //! The controls that start a new mesh exchange their host records. Those at the seeds' addresses
 //! become the voters of the groups. Every other process polls the seeds until one of them returns
-//! the complete list of controls. A control stores the list in its data folder and needs no seed at
-//! later starts.
+//! the complete list of controls. A control stores the list in its data folder and waits for no seed
+//! at later starts. A node that reaches no control while it runs asks the seeds again.
 
+mod following;
 mod introductions;
 mod peer_table;
 
@@ -13,6 +14,7 @@
 use compact_str::{CompactString, ToCompactString as _};
 use protocol::operators;
 
+pub use following::{ask_seeds, follow};
 pub use peer_table::PeerTable;
 
 /// The file with the list of controls, in a control's data folder.
--- a/crates/heatherwalk/src/main.rs
+++ b/crates/heatherwalk/src/main.rs
@@ -4,8 +4,10 @@
 
 use compact_str::CompactString;
 use eyre::WrapErr as _;
-use heatherwalk::{api_client, args, dev, exit_codes, keys, logs, operators, roles, settings};
-use tokio::{runtime, signal};
+use heatherwalk::{
+    api_client, args, dev, discovery, exit_codes, keys, logs, operators, roles, settings,
+};
+use tokio::{runtime, signal, sync::watch};
 use world::{hosts, mesh};
 
 fn main() -> process::ExitCode {
@@ -84,7 +86,7 @@
             let identity = roles::load_identity(&process.identity, &host, hosts::Role::Control)?;
             start_runtime(process.threads)?.block_on(async {
                 let stop = stop_signal();
-                tokio::spawn(check_on_hangup(file.into()));
+                reload_on_hangup(file.into(), process.seeds.clone());
                 if let Some(seeds) = &process.seeds {
                     roles::find_peers(&mut settings, seeds).await?;
                 }
@@ -97,11 +99,11 @@
             let identity = roles::load_identity(&process.identity, &host, hosts::Role::Node)?;
             start_runtime(process.threads.or(Some(NODE_THREADS)))?.block_on(async {
                 let stop = stop_signal();
-                tokio::spawn(check_on_hangup(file.into()));
+                let seeds = reload_on_hangup(file.into(), process.seeds.clone());
                 if let Some(seeds) = &process.seeds {
                     roles::find_controls(&mut settings, seeds).await;
                 }
-                roles::run_node(*settings, &identity, stop).await
+                roles::run_node(*settings, &identity, seeds, stop).await
             })?;
         }
         _ => eyre::bail!("{file}: [host] role is not {name}; run the command of the file's role"),
@@ -125,18 +127,34 @@
     })
 }
 
-/// Checks the settings file at each SIGHUP and logs its faults. The running role keeps the settings
-/// that it started with, since none of them can change while its ports and links are open.
-async fn check_on_hangup(file: CompactString) {
+/// Reads the settings file at each SIGHUP and logs its faults. The running role takes new seeds from
+/// it, which the returned receiver has, and otherwise keeps the settings that it started with, since
+/// none of them can change while its ports and links are open.
+fn reload_on_hangup(
+    file: CompactString,
+    seeds: Option<discovery::Seeds>,
+) -> Option<watch::Receiver<discovery::Seeds>> {
+    let (sender, receiver) = seeds.map(watch::channel).unzip();
+    tokio::spawn(handle_hangups(file, sender));
+    receiver
+}
+
+async fn handle_hangups(file: CompactString, seeds: Option<watch::Sender<discovery::Seeds>>) {
     let Ok(mut signals) = signal::unix::signal(signal::unix::SignalKind::hangup()) else {
         log::error!("cannot handle SIGHUP, which will end this process if it is sent");
         return;
     };
     while signals.recv().await.is_some() {
         match settings::load(&file) {
-            Ok(_) => log::info!(
-                "SIGHUP: {file} is valid; it takes effect at the next start of this process"
-            ),
+            Ok(settings) => {
+                log::info!(
+                    "SIGHUP: {file} is valid; its seeds count from now on, the rest from the next \
+                     start of this process"
+                );
+                if let Some((sender, new)) = seeds.as_ref().zip(settings.seeds()) {
+                    sender.send_replace(new.clone());
+                }
+            }
             Err(err) => log::error!(
                 "SIGHUP: this process keeps its settings, but cannot start with this file: {err}"
             ),
--- a/crates/heatherwalk/src/roles.rs
+++ b/crates/heatherwalk/src/roles.rs
@@ -3,6 +3,7 @@
 use std::{net, sync, time};
 
 use protocol::operators as messages;
+use tokio::{sync::watch, task};
 use transport::identity;
 use world::{hosts, mesh};
 
@@ -113,17 +114,24 @@
     .await
 }
 
-/// Runs a node until `stop` completes, then shuts it down gracefully.
+/// Runs a node until `stop` completes, then shuts it down gracefully. With seeds, it asks them for
+/// controls whenever it reaches none.
 pub async fn run_node(
     settings: node::settings::Settings,
     identity: &identity::Identity,
+    seeds: Option<watch::Receiver<discovery::Seeds>>,
     stop: impl Future<Output = ()>,
 ) -> Result<()> {
     let (addr, limit) = (settings.metrics, settings.stop_limit);
     with_metrics(addr, limit, async |meter| {
         let instruments = node::instruments::Instruments::new(meter);
         let node = node::running::Node::spawn(settings, identity, instruments).await?;
+        let mut tasks = task::JoinSet::new();
+        if let Some(seeds) = seeds {
+            tasks.spawn(discovery::follow(node.controls(), seeds));
+        }
         stop.await;
+        tasks.shutdown().await;
         node.stop().await;
         Ok(())
     })
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -27,6 +27,14 @@
     Node(Box<node::settings::Settings>, Process),
 }
 
+impl Settings {
+    /// The seeds; none when the file lists the controls.
+    pub fn seeds(&self) -> Option<&discovery::Seeds> {
+        let (Settings::Control(_, process) | Settings::Node(_, process)) = self;
+        process.seeds.as_ref()
+    }
+}
+
 /// The settings of the process itself, which both roles have.
 #[derive(Clone, Debug)]
 pub struct Process {
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod calls;
+mod controls;
 mod faults;
 mod hedges;
 mod leaving;
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -135,10 +135,24 @@
         &self,
         document: serde_json::Value,
     ) -> stand_in_controls::StandInControl {
-        let identity = self.authority.issue("skulte-c", hosts::Role::Control).expect("issues");
+        self.stand_in_control_of("skulte-c", document)
+    }
+
+    /// Starts a stand-in like `stand_in_control`, for the control of this host.
+    pub fn stand_in_control_of(
+        &self,
+        host: &str,
+        document: serde_json::Value,
+    ) -> stand_in_controls::StandInControl {
+        let identity = self.authority.issue(host, hosts::Role::Control).expect("issues");
         stand_in_controls::StandInControl::spawn(&identity, document)
     }
 
+    /// The controls that a node knows.
+    pub fn controls(&self, index: usize) -> node::running::Controls {
+        self.node(index).controls()
+    }
+
     /// The cancelled requests in a node's metrics: those whose caller disconnected.
     pub fn cancelled(&self, index: usize) -> u64 {
         self.counter(index, "heatherwalk_node_requests_total{", "outcome=\"cancelled\"")
--- a/crates/heatherwalk/tests/requests/stand_in_controls.rs
+++ b/crates/heatherwalk/tests/requests/stand_in_controls.rs
@@ -1,5 +1,5 @@
 //! Stand-ins for a control. A stand-in gives its version to each node, keeps the registry of their
-//! targets, and acknowledges beats only while the test asks for it.
+//! targets, acknowledges beats only while the test asks for it, and sends lists of controls.
 
 use std::{
     net,
@@ -7,8 +7,8 @@
 };
 
 use distribution::messages as versions;
-use protocol::streams;
-use tokio::task;
+use protocol::{operators, streams};
+use tokio::{sync::watch, task};
 use transport::{endpoint, errors, identity, limits};
 use world::{document, time};
 
@@ -19,6 +19,10 @@
     pub addr: net::SocketAddr,
     /// The version that it acknowledges beats with; 0 while it acknowledges none.
     acknowledged: Arc<atomic::AtomicU64>,
+    /// The list of controls that is sent to each node; none before the test sets it.
+    controls: watch::Sender<Option<Vec<operators::ControlRecord>>>,
+    /// How many sessions nodes have opened.
+    sessions: Arc<atomic::AtomicU64>,
     _tasks: task::JoinSet<()>,
 }
 
@@ -31,13 +35,30 @@
         let acknowledged = Arc::new(atomic::AtomicU64::new(1));
         let snapshot = snapshot(document);
         let mut tasks = task::JoinSet::new();
-        let latest = Arc::clone(&acknowledged);
+        let controls = watch::channel(None).0;
+        let sessions = Arc::new(atomic::AtomicU64::new(0));
+        let state = State {
+            snapshot,
+            latest: Arc::clone(&acknowledged),
+            controls: controls.clone(),
+            sessions: Arc::clone(&sessions),
+        };
         tasks.spawn(transport::serving::serve(endpoint, move |_, sender, receiver| {
-            let (snapshot, latest) = (snapshot.clone(), Arc::clone(&latest));
+            let state = state.clone();
             // The stream breaks when the node stops.
-            async move { drop(serve(snapshot, latest, sender, receiver).await) }
+            async move { drop(serve(state, sender, receiver).await) }
         }));
-        StandInControl { addr, acknowledged, _tasks: tasks }
+        StandInControl { addr, acknowledged, controls, sessions, _tasks: tasks }
+    }
+
+    /// Sends this list of controls to each node, with its next acknowledgement.
+    pub fn list_controls(&self, controls: Vec<operators::ControlRecord>) {
+        self.controls.send_replace(Some(controls));
+    }
+
+    /// How many sessions nodes have opened.
+    pub fn sessions(&self) -> u64 {
+        self.sessions.load(atomic::Ordering::SeqCst)
     }
 
     /// Acknowledges beats with this version from now on, or none.
@@ -53,13 +74,23 @@
     versions::Snapshot { of, document: document::canonical_json(&document).into() }
 }
 
-async fn serve(
+/// What the streams of a stand-in share.
+#[derive(Clone)]
+struct State {
     snapshot: versions::Snapshot,
     latest: Arc<atomic::AtomicU64>,
+    controls: watch::Sender<Option<Vec<operators::ControlRecord>>>,
+    sessions: Arc<atomic::AtomicU64>,
+}
+
+async fn serve(
+    state: State,
     mut sender: transport::streams::Sender,
     mut receiver: transport::streams::Receiver,
 ) -> errors::Result<()> {
     let Some(streams::Open::Attach) = receiver.recv().await? else { return Ok(()) };
+    let mut controls = state.controls.subscribe();
+    controls.mark_changed();
     let mut acks = 0;
     while let Some(message) = receiver.recv::<streams::NodeMessage>().await? {
         let (session, hello) = match message {
@@ -68,12 +99,13 @@
                 continue;
             }
             streams::NodeMessage::Version(versions::ToControl::Hello(it)) => {
+                state.sessions.fetch_add(1, atomic::Ordering::SeqCst);
                 (it.session, it.running.is_none())
             }
             streams::NodeMessage::Version(versions::ToControl::Beat(it)) => (it.session, false),
             _ => continue,
         };
-        let version = latest.load(atomic::Ordering::SeqCst);
+        let version = state.latest.load(atomic::Ordering::SeqCst);
         if version > 0 {
             acks += 1;
             let at = time::Time::from_millis(acks);
@@ -81,10 +113,17 @@
             let version = document::Version(version);
             let ack = versions::Ack { session, stamp, isolated: false, version };
             send_version(&mut sender, versions::ToNode::Ack(ack)).await?;
+            let list = match controls.has_changed() {
+                Ok(true) => controls.borrow_and_update().clone(),
+                Ok(false) | Err(_) => None,
+            };
+            if let Some(list) = list {
+                sender.send(&streams::ControlMessage::Controls(list)).await?;
+            }
         }
         if hello {
             let proof = versions::Proof::Current;
-            let message = versions::ToNode::Snapshot(session, proof, snapshot.clone());
+            let message = versions::ToNode::Snapshot(session, proof, state.snapshot.clone());
             send_version(&mut sender, message).await?;
         }
     }
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -132,7 +132,7 @@
 ) -> Result<Chosen> {
     let now = state.now();
     let service = &request.head.service;
-    let mesh = &state.settings.mesh;
+    let mesh = state.mesh.lock();
     let directory = state.directory.lock();
     let subset = linking::use_service(state, &directory, service);
     let candidates: Vec<_> = directory
--- a/crates/node/src/claiming.rs
+++ b/crates/node/src/claiming.rs
@@ -7,7 +7,7 @@
 use replicated::claims;
 use world::time;
 
-use crate::{headers, state};
+use crate::{controls, headers, state};
 
 /// Pause before a proposal that got no answer is sent again.
 const RETRY_INTERVAL: std_time::Duration = std_time::Duration::from_millis(50);
@@ -147,16 +147,10 @@
     state: &state::State,
     request: &proposals::Proposal,
 ) -> transport::errors::Result<Option<proposals::Outcome>> {
-    let control = {
-        let attached = state.sessions.lock().attached;
-        let table = state.configuration.lock();
-        let control = attached.and_then(|it| table.updater.attachment().control(it));
-        control.map(|it| it.name.clone())
-    };
-    let mesh = &state.settings.mesh;
-    let peer = control.and_then(|it| mesh.find_host(&it)).and_then(|it| mesh.host(it));
-    let Some(peer) = peer else { return Ok(None) };
-    let link = state.links.link_control(&peer.name, peer.addr).await?;
+    let attached = state.sessions.lock().attached;
+    let control = attached.and_then(|it| controls::find(state, it));
+    let Some((name, addr)) = control else { return Ok(None) };
+    let link = state.links.link_control(&name, addr).await?;
     let (mut sender, mut receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Propose(request.clone())).await?;
     sender.finish()?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod choosing;
 mod claiming;
 mod confirming;
+mod controls;
 pub mod dialect;
 mod forward;
 mod headers;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -2,12 +2,13 @@
 
 use std::{net, sync, time as std_time};
 
-use protocol::streams;
+use distribution::attach;
+use protocol::{operators, streams};
 use tokio::{task, time};
 use transport::{endpoint, errors, links, pool};
 
 use crate::{
-    attaching, backend, callers, instruments, linking, reaching, serving, settings, state,
+    attaching, backend, callers, controls, instruments, linking, reaching, serving, settings, state,
 };
 
 /// How often the timers of the version updater and of the backend server's lease are checked. Also
@@ -58,6 +59,31 @@
     ticks: task::JoinSet<()>,
 }
 
+/// The controls of a running node, for the process to add some that the seeds name. It outlives the
+/// node without effect.
+#[derive(Clone)]
+pub struct Controls(sync::Weak<state::State>);
+
+impl Controls {
+    /// What the node reaches; none after its stop, or when the workers' queue is full.
+    pub async fn reach(&self) -> Option<attach::Reach> {
+        let state = self.0.upgrade()?;
+        let shared = sync::Arc::clone(&state);
+        let job = move || shared.configuration.lock().updater.attachment().reach();
+        state.pool.run(job).await.ok()
+    }
+
+    /// Adds controls to those that the node knows.
+    pub async fn add(&self, records: Vec<operators::ControlRecord>) {
+        let Some(state) = self.0.upgrade() else { return };
+        let shared = sync::Arc::clone(&state);
+        let job = attaching::in_runtime(move || controls::add(&shared, &records));
+        if state.pool.run(job).await.is_err() {
+            log::warn!("worker queue is full; the controls that the seeds named were not added");
+        }
+    }
+}
+
 impl Node {
     /// Binds the ports and starts to serve. The settings must contain the node's own host. Fails
     /// when a port cannot be bound.
@@ -106,6 +132,11 @@
         Ok(Node { state, endpoint, callers, announce, ready, serving, ticks })
     }
 
+    /// The controls that the node knows.
+    pub fn controls(&self) -> Controls {
+        Controls(sync::Arc::downgrade(&self.state))
+    }
+
     /// The address that other nodes and controls connect to.
     pub fn listen(&self) -> Result<net::SocketAddr> {
         Ok(self.endpoint.local_addr()?)
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -6,7 +6,7 @@
 use protocol::streams;
 use tokio::sync::mpsc;
 
-use crate::{attaching, state};
+use crate::{attaching, controls, state};
 
 /// Most messages that are queued for a control.
 const CONTROL_QUEUE: usize = 256;
@@ -60,13 +60,8 @@
     state: &sync::Arc<state::State>,
     control: attach::ControlKey,
 ) -> transport::errors::Result<()> {
-    let peer = {
-        let table = state.configuration.lock();
-        let name = table.updater.attachment().control(control).map(|it| it.name.clone());
-        name.and_then(|it| state.settings.mesh.find_host(&it))
-    };
-    let Some(peer) = peer.and_then(|it| state.settings.mesh.host(it)) else { return Ok(()) };
-    let link = state.links.link_control(&peer.name, peer.addr).await?;
+    let Some((name, addr)) = controls::find(state, control) else { return Ok(()) };
+    let link = state.links.link_control(&name, addr).await?;
     let (mut sender, mut receiver) = link.open_stream().await?;
     sender.send(&streams::Open::Attach).await?;
     let (outbox, mut queue) = mpsc::channel(CONTROL_QUEUE);
@@ -181,10 +176,7 @@
             attaching::apply_effects(state, effects);
             state.acknowledged.notify_waiters();
         }
-        // The node uses the controls that it found at its start.
-        streams::ControlMessage::Controls(list) => {
-            log::debug!("ignored a list of {} controls", list.len());
-        }
+        streams::ControlMessage::Controls(list) => controls::replace(state, control, &list),
     }
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -10,13 +10,16 @@
 use routing::{balancer, budget, hedge, prober};
 use tables::{pool, rank, table};
 use tokio::sync::mpsc;
-use world::{config, contracts, document, hosts, requests, time};
+use world::{config, contracts, document, mesh, requests, time};
 
-use crate::{bodies, dialect, in_flight, instruments, linking, settings, slots, suspects};
+use crate::{
+    bodies, controls, dialect, in_flight, instruments, linking, settings, slots, suspects,
+};
 
 // A table may be locked only while all tables that are held have lower ranks.
 
 const CONFIGURATION: rank::Rank = rank::Rank(10);
+const MESH: rank::Rank = rank::Rank(15);
 const DIRECTORY: rank::Rank = rank::Rank(20);
 const BACKEND: rank::Rank = rank::Rank(25);
 const ROUTING: rank::Rank = rank::Rank(30);
@@ -35,6 +38,8 @@
     pub(crate) buffers: bodies::Buffers,
     pub(crate) instruments: instruments::Instruments,
     pub(crate) configuration: table::Table<Configuration>,
+    /// The mesh of the settings, with the controls as the node knows them now.
+    pub(crate) mesh: table::Table<mesh::Mesh>,
     pub(crate) directory: table::Table<directory::Directory>,
     pub(crate) backend: table::Table<Backend>,
     pub(crate) routing: table::Table<Routing>,
@@ -128,7 +133,7 @@
                 epoch: rand::random(),
                 tokens: settings.floor_tokens,
             },
-            attachment(&settings, &location),
+            controls::attachment(&settings.mesh, &location),
             time::Time::ZERO,
         );
         let configuration = Configuration {
@@ -175,6 +180,7 @@
             buffers: bodies::Buffers::new(),
             instruments,
             configuration: table::Table::new(CONFIGURATION, "configuration", configuration),
+            mesh: table::Table::new(MESH, "mesh", settings.mesh.clone()),
             directory: table::Table::new(DIRECTORY, "directory", directory),
             backend: table::Table::new(BACKEND, "backend server", backend),
             routing: table::Table::new(ROUTING, "routing", routing),
@@ -254,22 +260,6 @@
     }
 }
 
-/// The controls that the node can attach to: first that of its own data centre, then the others by
-/// latency.
-fn attachment(settings: &settings::Settings, location: &Location) -> attach::Attachment {
-    let mesh = &settings.mesh;
-    let mut controls: Vec<_> = mesh
-        .hosts()
-        .filter(|(_, it)| it.role == hosts::Role::Control)
-        .map(|(_, it)| (mesh.latency(location.centre_key, it.data_centre), it))
-        .map(|(latency, it)| (it.data_centre != location.centre_key, latency, it.name.clone()))
-        .collect();
-    controls.sort();
-    let mut names = controls.into_iter().map(|it| it.2);
-    let home = names.next().unwrap_or_default();
-    attach::Attachment::new(home, names.collect())
-}
-
 /// A request with its route and everything that forwarding needs.
 #[derive(Clone, Debug)]
 pub(crate) struct RoutedRequest {
