--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 
 use membership::{local_target, messages, toggles};
-use world::time::Time;
+use world::{targets::State, time::Time};
 
 fn location() -> local_target::Location {
     local_target::Location {
@@ -168,3 +168,69 @@
     note("the next process", &local);
     insta::assert_snapshot!(out);
 }
+
+/// Guards against a cold start that never ends since the first announcement named a time of years.
+/// The next announcements of the same process say that it is warm.
+#[test]
+fn an_odd_cold_start_outlasts_the_next_announcements() {
+    let cold = |cold_ms| messages::Announcement { cold_ms: Some(cold_ms), ..announcement(50) };
+    let mut local = node(toggles::Toggles::default());
+    local.announce(Time::ZERO, &cold(u64::MAX));
+    local.announce(Time::from_millis(500), &cold(1_000));
+    local.announce(Time::from_millis(1_000), &cold(500));
+    assert_eq!(local.entry().map(|it| it.state), Some(State::Starting));
+    local.tick(Time::from_millis(1_500));
+    assert_eq!(local.entry().map(|it| it.state), Some(State::Serving));
+}
+
+/// Guards against an announcement of another writer, with values that no later one reaches, that
+/// hides the backend server for good. The next proper announcements must bring it back once the odd
+/// one's lease has ended.
+#[test]
+fn an_odd_announcement_hides_the_next_ones() {
+    let proper = |sequence| messages::Announcement { sequence, ..announcement(50) };
+    let odd = [
+        ("sequence", messages::Announcement { sequence: u64::MAX, ..announcement(50) }),
+        ("drain", messages::Announcement { sequence: u64::MAX, drain: true, ..announcement(50) }),
+        ("start", announcement(u64::MAX)),
+    ];
+    let mut out = String::new();
+    for (name, odd) in odd {
+        let mut local = node(toggles::Toggles::default());
+        let mut last = messages::Order::default();
+        let warm = |sequence| messages::Announcement { cold_ms: Some(0), ..proper(sequence) };
+        local.announce(Time::ZERO, &warm(4));
+        local.announce(Time::from_millis(100), &odd);
+        let mut hidden = 0;
+        for sequence in 5..20 {
+            let now = Time::from_millis((sequence - 4) * 500);
+            local.tick(now);
+            local.announce(now, &warm(sequence));
+            let entry = local.entry().expect("an entry");
+            assert!(entry.order >= last, "{name}: the order went back to {:?}", entry.order);
+            last = entry.order;
+            hidden += u32::from(entry.state != State::Serving);
+        }
+        let state = local.entry().map(|it| it.state);
+        writeln!(out, "odd {name}: hidden for {hidden} announcements, then {state:?}")
+            .expect("text");
+        assert_eq!(state, Some(State::Serving), "odd {name}");
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against an order at the end of its range that ends the job which raises it, or wraps to a
+/// low one, so that the registry takes no later entry of the host.
+#[test]
+fn an_order_wraps() {
+    let mut local = node(toggles::Toggles::default());
+    local.announce(Time::ZERO, &announcement(50));
+    for known in [(50, u64::MAX), (51, messages::MAX_ORDER), (u64::MAX, u64::MAX)] {
+        let order = messages::Order { incarnation: known.0, sequence: known.1 };
+        let answer = messages::HeartbeatAnswer { known: Some(order), wanted: true };
+        let event = local.heartbeat_answered(Time::from_millis(10), &answer).expect("an event");
+        assert_eq!(event.entry.check(), Ok(()), "known {known:?}: {:?}", event.entry.order);
+    }
+    let order = local.entry().map(|it| (it.order.incarnation, it.order.sequence));
+    assert_eq!(order, Some((52, 0)), "only an order within the range has to be passed");
+}
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -251,7 +251,7 @@
     mut receiver: transport::streams::Receiver,
 ) {
     let result = match receiver.recv::<streams::Open>().await {
-        Ok(Some(open)) => serving::serve(&state, open, sender, receiver).await,
+        Ok(Some(open)) => serving::serve(&state, &link, open, sender, receiver).await,
         Ok(None) => Ok(()),
         Err(err) => Err(err),
     };
@@ -268,6 +268,11 @@
     loop {
         ticks.tick().await;
         count = count.wrapping_add(1);
+        if let Some(duration) = state.clock.take_suspension() {
+            log::warn!(
+                "the machine was suspended for {duration:?}; what was known before is older"
+            );
+        }
         if count.is_multiple_of(HEARTBEAT_TICKS) {
             recorded = record_links(&state, recorded);
         }
