--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -42,6 +42,7 @@
     pub addr: net::SocketAddr,
     /// The address of its operators' interface, by which lists of seeds name it. Only set by a
     /// control that introduces itself.
+    // Always written: the encoding of links does not tell which fields are there.
     #[serde(default)]
     pub operators: Option<net::SocketAddr>,
     /// Whether it holds the seat of a voter in the configuration group.
