Refuse at the first node what full services would refuse

Cause: the refusals themselves. At 16 to 18 s, 8,159 tries became 20,072 sends between nodes, of which 18,115 were refused: 8,885 for want of a slot, 7,488 because the link of the target's host was full, 1,734 as late. A refused send takes a message each way and often 4 KB of body. These filled the links (250 KB a second from the average node, whose link has 358 for all that it sends; 4,653 packets lost), half of the sends took over 32 ms and one in ten over 120 ms, calls waited on the same links and held slots for longer (service times at 16 to 18 s: logbook 142 ms, launchdesk 121 ms, sondelab 115 ms; 119, 91 and 77 ms after), and refused callers came back. Nothing ends this while the load lasts.

Change: routing::throttle. A node that is refused more often than three sends for each admitted request of a service, over the last second, refuses the rest at once as not run; reroutes are held back from two on. Calls, paid retries, the own host's target and a target that has just reported a free slot are exempt. A node that is always refused still sends twice a second.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -5,12 +5,24 @@
 use compact_str::CompactString;
 use protocol::forwarding;
 use routing::{balancer, estimates};
-use world::{targets, time};
+use world::{requests, targets, time};
 
 use crate::{linking, reaching, state, working};
 
 /// A result of choosing a target.
-pub(crate) type Result<T, E = balancer::Error> = std::result::Result<T, E>;
+pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a request is not sent to a target.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// No target can get the request.
+    #[error(transparent)]
+    NoTarget(#[from] balancer::Error),
+    /// Targets of the service have refused most requests of late. Holds the time in which a target
+    /// usually serves a request.
+    #[error("the targets of the service refuse most requests")]
+    Full(std_time::Duration),
+}
 
 /// An attempt that is about to be made.
 pub(crate) struct Chosen {
@@ -37,6 +49,10 @@
     sent_at: time::Time,
     /// The expected latency of the link to the target's data centre.
     link: std_time::Duration,
+    /// Whether it is a caller's request, whose admission is recorded.
+    caller: bool,
+    /// Whether the target is on another host.
+    remote: bool,
     pending: bool,
 }
 
@@ -53,12 +69,24 @@
             let now = self.state.now();
             let peers = self.service_targets();
             let mut routing = self.state.routing.lock();
+            self.record_admission(&mut routing, now, true);
             let estimates = &mut routing.balancer.estimates;
             let change = estimates.record_answer(now, self.target, &sample, peers.into_iter());
             self.log_change(change);
         });
     }
 
+    /// Records whether the target had room for a caller's request. What happens on this host costs
+    /// no message, so it doesn't count in the throttle.
+    fn record_admission(&self, routing: &mut state::Routing, now: time::Time, admitted: bool) {
+        if !self.caller {
+            return;
+        }
+        if self.remote {
+            routing.throttle(&self.service).record(now, admitted);
+        }
+    }
+
     /// Records that the target's node refused the request, with the load that it reported.
     fn refused(mut self, load: estimates::Load) {
         self.pending = false;
@@ -123,12 +151,14 @@
     pub(crate) same_centre: bool,
 }
 
-/// Chooses a target that the request was not sent to yet, and counts the attempt as in flight.
-/// The error says why no target can be chosen.
+/// Chooses a target that the request was not sent to yet, and counts the attempt as in flight. A send
+/// that was paid for from the request's attempts is not held back. The error says why no target can
+/// be chosen.
 pub(crate) fn choose(
     state: &sync::Arc<state::State>,
     request: &state::RoutedRequest,
     tried: &[targets::TargetKey],
+    paid: bool,
 ) -> Result<Chosen> {
     let now = state.now();
     let service = &request.head.service;
@@ -160,9 +190,10 @@
         objective: request.objective.since(now),
     };
     let own = directory.of_service(service).find(|it| it.1.entry.host == state.location.host);
+    let own = own.map(|it| it.0);
     let mut routing = state.routing.lock();
     let routing = &mut *routing;
-    if let Some((own, _)) = own {
+    if let Some(own) = own {
         let load = to_load(&state.admission.lock().load(now));
         routing.balancer.estimates.record_load(now, own, load);
     }
@@ -175,6 +206,14 @@
             tried.len(),
         );
     })?;
+    // A call is not held back: the work of the request that it is made for would be lost.
+    let caller = request.head.class == requests::Class::Caller;
+    let remote = own != Some(choice.target);
+    if caller && remote && !paid {
+        let candidate = candidates.iter().find(|it| it.key == choice.target);
+        let slots = candidate.map_or(0, |it| it.slots);
+        check_throttle(now, routing, request, (choice.target, slots), !tried.is_empty())?;
+    }
     let trial = choice.reason.kind == balancer::Kind::Trial;
     routing.balancer.estimates.record_send(choice.target, trial);
     if tried.is_empty() {
@@ -182,7 +221,7 @@
         if request.head.repeat { limiter.record_repeat(now) } else { limiter.record_first(now) }
     }
     let Some(target) = directory.get(choice.target) else {
-        return Err(balancer::Error::NoTargets);
+        return Err(balancer::Error::NoTargets.into());
     };
     let entry = &target.entry;
     let link = candidates.iter().find(|it| it.key == choice.target).map(|it| it.link);
@@ -202,6 +241,8 @@
         trial,
         sent_at: now,
         link: link.unwrap_or_default(),
+        caller,
+        remote,
         pending: true,
     };
     let target = Target {
@@ -217,6 +258,32 @@
     Ok(Chosen { target, guard, admission: None, max_wait: choice.max_wait, hedge_at })
 }
 
+/// Refuses a part of the requests to a service whose targets refuse most of them, unless the chosen
+/// target has just reported a free slot.
+fn check_throttle(
+    now: time::Time,
+    routing: &mut state::Routing,
+    request: &state::RoutedRequest,
+    (target, slots): (targets::TargetKey, u32),
+    again: bool,
+) -> Result<()> {
+    let service = &request.head.service;
+    let estimate = routing.balancer.estimates.get(target);
+    let throttle = routing.throttles.entry(service.clone()).or_default();
+    if estimate.is_some_and(|it| it.has_room(now, slots))
+        || throttle.try_send(now, again, &mut routing.rng)
+    {
+        return Ok(());
+    }
+    log::info!(
+        target: "decision",
+        "held request={} service={service} again={again} reason=\"its targets refuse most requests\"",
+        request.head.id,
+    );
+    let micros = estimate.map_or(0.0, |it| it.caller_time);
+    Err(Error::Full(std_time::Duration::from_secs_f32(micros / 1e6)))
+}
+
 /// Records the outcome of an attempt without an answer in the target's estimates.
 pub(crate) fn record_failure(
     state: &state::State,
@@ -225,6 +292,11 @@
     failure: &working::Failure,
     node_status: &forwarding::NodeStatus,
 ) {
+    if let working::Failure::NotRun(reason) = failure
+        && (reason.is_overload() || reason.was_shed())
+    {
+        guard.record_admission(&mut state.routing.lock(), state.now(), false);
+    }
     match failure {
         working::Failure::Silent => guard.failed(estimates::Failure::Silent),
         working::Failure::NotRun(forwarding::NotRun::Unreachable) => {
--- a/crates/node/src/hedging.rs
+++ b/crates/node/src/hedging.rs
@@ -86,7 +86,7 @@
 ) -> Option<choosing::Chosen> {
     // The target is chosen first, so that no extra attempt is taken when there is none. A target
     // that is not used afterwards is recorded as a cancelled attempt.
-    let chosen = choosing::choose(state, &retries.request, &retries.tried).ok()?;
+    let chosen = choosing::choose(state, &retries.request, &retries.tried, true).ok()?;
     let now = state.now();
     let toggles = routing::toggles::Toggles::default();
     let budget = &mut retries.request.head.budget;
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -91,6 +91,8 @@
     possible_crashes: u32,
     /// Attempts that ended before a backend server saw the request, bounded by [`MAX_REROUTES`].
     reroutes: u8,
+    /// Whether the next attempt was paid for from the request's attempts.
+    paid: bool,
     /// The shortest wait for a slot that one of the refusing targets reported.
     min_wait: Option<time::Duration>,
 }
@@ -114,6 +116,7 @@
             maybe_run: None,
             possible_crashes: 0,
             reroutes: 0,
+            paid: false,
             min_wait: None,
         },
     )
@@ -239,6 +242,7 @@
                 if !reason.was_shed() && self.reroutes < MAX_REROUTES =>
             {
                 self.reroutes += 1;
+                self.paid = false;
                 return Ok(self);
             }
             // The targets have no free slot in time. Retries are for failed targets and links;
@@ -254,6 +258,7 @@
         }
         match decide_retry(state, &mut self.request, outcome) {
             retry::Decision::Elsewhere => {
+                self.paid = true;
                 self.request.head.repeat |= match &failure {
                     working::Failure::NotRun(reason) => reason.was_shed(),
                     working::Failure::Silent | working::Failure::Unknown(_) => true,
@@ -286,8 +291,13 @@
 }
 
 fn choose_target(state: &sync::Arc<state::State>, mut retries: RetryState) -> Result<NextAttempt> {
-    let chosen = choosing::choose(state, &retries.request, &retries.tried);
-    let mut chosen = chosen.map_err(|err| retries.give_up(format_compact!("{err}")))?;
+    let chosen = choosing::choose(state, &retries.request, &retries.tried, retries.paid);
+    let mut chosen = chosen.map_err(|err| {
+        if let choosing::Error::Full(pause) = err {
+            retries.min_wait.get_or_insert(pause);
+        }
+        retries.give_up(format_compact!("{err}"))
+    })?;
     retries.tried.push(chosen.target.key);
     if chosen.target.host == state.location.host {
         // Asks for admission in the same job: each job costs a request about 0.2 ms of waiting.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -7,7 +7,7 @@
 use membership::{directory, local_target};
 use protocol::{forwarding, streams};
 use rand::{SeedableRng as _, rngs};
-use routing::{balancer, budget, hedge, prober};
+use routing::{balancer, budget, hedge, prober, throttle};
 use tables::{pool, rank, table};
 use tokio::sync::mpsc;
 use world::{config, contracts, document, hosts, requests, time};
@@ -96,6 +96,8 @@
     pub(crate) retry_percent: u32,
     /// The recent attempts at each service, which limit its retries and hedges.
     pub(crate) retry_limiters: collections::HashMap<CompactString, budget::RetryLimiter>,
+    /// The recent outcomes of each service's sends to other hosts, which limit further ones.
+    pub(crate) throttles: collections::HashMap<CompactString, throttle::Throttle>,
     /// The latencies of routes that allow hedges.
     pub(crate) latencies: collections::HashMap<contracts::RouteKey, hedge::LatencyHistogram>,
     /// Counts the requests of routes that are split among services, from a random start.
@@ -155,6 +157,7 @@
             links: linking::Links::default(),
             retry_percent: settings.retry_percent,
             retry_limiters: collections::HashMap::new(),
+            throttles: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
             split_counter: rand::random(),
             rng: rngs::SmallRng::from_os_rng(),
@@ -230,6 +233,11 @@
             .or_insert_with(|| budget::RetryLimiter::new(percent))
     }
 
+    /// The recent outcomes of sends to a service, which limit further ones.
+    pub(crate) fn throttle(&mut self, service: &CompactString) -> &mut throttle::Throttle {
+        self.throttles.entry(service.clone()).or_default()
+    }
+
     /// Moves the latencies of routes to their keys in a new version of the configuration.
     pub(crate) fn remap_routes(
         &mut self,
--- a/crates/routing/src/estimates.rs
+++ b/crates/routing/src/estimates.rs
@@ -10,7 +10,7 @@
 use slotmap::SecondaryMap;
 use world::{targets, time::Time};
 
-use crate::toggles;
+use crate::{peers, toggles};
 
 /// Answers needed before a target can be ejected as slow, and before it counts in the median.
 pub const MIN_ANSWERS: u32 = 3;
@@ -41,6 +41,8 @@
 pub const MAX_FORECAST_AGE: time::Duration = time::Duration::from_secs(1);
 /// Time since the last answer at which a load report has half of its weight.
 pub const HALF_TRUST_AGE: time::Duration = time::Duration::from_millis(500);
+/// Age up to which a load report shows a free slot for certain enough to send at once.
+const ROOM_AGE: time::Duration = time::Duration::from_millis(100);
 /// Largest number of targets that a median is taken over; of a larger service, the first ones.
 pub const MAX_PEERS: usize = 64;
 
@@ -189,6 +191,12 @@
         self.queued_calls * (1.0 - age).max(0.0)
     }
 
+    /// Returns whether the target has just reported a free slot, of which it has `slots`.
+    pub fn has_room(&self, now: Time, slots: u32) -> bool {
+        let load = self.in_flight as f32 + self.other_load;
+        now.since(self.load_at) < ROOM_AGE && load < slots as f32
+    }
+
     /// Returns whether a trial request may be sent.
     ///
     /// A trial may fail or be answered late, so idempotent requests, which can be sent again, are
@@ -358,9 +366,9 @@
         self.arena.entry(key).map(|it| it.or_default())
     }
 
-    fn summarize(&self, peers: impl Iterator<Item = targets::TargetKey>) -> PeerSummary {
+    fn summarize(&self, peers: impl Iterator<Item = targets::TargetKey>) -> peers::PeerSummary {
         let mut latencies = [0.0_f32; MAX_PEERS];
-        let (mut known, mut summary) = (0, PeerSummary::default());
+        let (mut known, mut summary) = (0, peers::PeerSummary::default());
         for key in peers.take(MAX_PEERS) {
             summary.peers += 1;
             let Some(estimate) = self.arena.get(key) else {
@@ -382,22 +390,6 @@
     }
 }
 
-/// Summary of the targets of a service.
-#[derive(Clone, Copy, Debug, Default)]
-struct PeerSummary {
-    peers: usize,
-    ejected: usize,
-    median: Option<f32>,
-}
-
-impl PeerSummary {
-    /// Returns whether one more target may be ejected. At most half of the targets are: if more are
-    /// slow, overload is the likely cause, and the rest could not take their load.
-    fn may_eject(&self) -> bool {
-        (self.ejected + 1) * 2 <= self.peers
-    }
-}
-
 impl Estimate {
     fn end_send(&mut self, trial: bool) {
         self.in_flight = self.in_flight.saturating_sub(1);
--- /dev/null
+++ b/crates/routing/tests/throttling.rs
@@ -0,0 +1,120 @@
+//! What many nodes send to a service that is full.
+
+use std::{fmt::Write as _, time};
+
+use rand::{Rng as _, SeedableRng as _, rngs};
+use routing::throttle;
+use world::time::Time;
+
+const NODES: usize = 70;
+/// Requests that the targets of the service admit in each step.
+const CAPACITY: u32 = 10;
+/// Targets that a request may be sent to.
+const SENDS: usize = 3;
+const STEP: time::Duration = time::Duration::from_millis(10);
+const STEPS_A_SECOND: u64 = 100;
+
+/// What happened in one second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Second {
+    requests: u32,
+    sends: u32,
+    admitted: u32,
+    held: u32,
+}
+
+/// A service and the nodes that send to it.
+struct Mesh {
+    throttles: Vec<throttle::Throttle>,
+    enabled: bool,
+    rng: rngs::SmallRng,
+    steps: u64,
+}
+
+impl Mesh {
+    fn new(enabled: bool) -> Mesh {
+        let throttles = vec![throttle::Throttle::default(); NODES];
+        Mesh { throttles, enabled, rng: rngs::SmallRng::seed_from_u64(5_011), steps: 0 }
+    }
+
+    /// Plays a second with `demand` requests in each step. Of the requests that are sent while there
+    /// is room, one in ten finds a full target.
+    fn play(&mut self, demand: u32) -> Second {
+        let mut second = Second::default();
+        for _ in 0..STEPS_A_SECOND {
+            let now = Time::ZERO + STEP * u32::try_from(self.steps).expect("small");
+            self.steps += 1;
+            let mut room = CAPACITY;
+            for _ in 0..demand {
+                second.requests += 1;
+                self.send(now, &mut room, &mut second);
+            }
+        }
+        second
+    }
+
+    fn send(&mut self, now: Time, room: &mut u32, second: &mut Second) {
+        let throttle = &mut self.throttles[self.rng.random_range(0..NODES)];
+        for send in 0..SENDS {
+            if self.enabled && !throttle.try_send(now, send > 0, &mut self.rng) {
+                second.held += 1;
+                return;
+            }
+            second.sends += 1;
+            let admitted = *room > 0 && self.rng.random_range(0..10) > 0;
+            throttle.record(now, admitted);
+            if admitted {
+                *room -= 1;
+                second.admitted += 1;
+                return;
+            }
+        }
+    }
+}
+
+/// Guards against a full service whose refusals take the network: each request was sent to three
+/// targets. Guards also against requests that are held back though there is room, and for long after
+/// the load.
+#[test]
+fn refusals_take_the_network() {
+    let mut out = String::new();
+    for enabled in [false, true] {
+        let mut mesh = Mesh::new(enabled);
+        writeln!(out, "throttle {enabled}").expect("text");
+        let mut before = 0;
+        for demand in [5, 9, 20, 20, 20, 50, 50, 50, 5, 5, 5, 9] {
+            let second = mesh.play(demand);
+            let settled = std::mem::replace(&mut before, demand) == demand;
+            writeln!(out, "  {second:?}").expect("text");
+            let useful = (demand * 100).min(CAPACITY * 100);
+            if enabled && settled {
+                // The stated number of sends, and a tenth for chance.
+                assert!(f64::from(second.sends) <= 3.3 * f64::from(useful), "{second:?}");
+                assert!(f64::from(second.admitted) >= 0.95 * f64::from(useful), "{second:?}");
+            }
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a node that never sends again after all of its sends were refused.
+#[test]
+fn nothing_is_sent_after_refusals() {
+    let mut rng = rngs::SmallRng::seed_from_u64(1);
+    let mut throttle = throttle::Throttle::default();
+    let mut sent = Vec::new();
+    for second in 0..4 {
+        let mut count = 0;
+        for step in 0..50 {
+            let now = Time::from_millis(second * 1_000 + step * 20);
+            if throttle.try_send(now, false, &mut rng) {
+                count += 1;
+                throttle.record(now, false);
+            }
+        }
+        sent.push(count);
+    }
+    assert!(sent.iter().all(|&it| it > 0), "{sent:?}");
+    let later = Time::from_millis(4_000) + throttle::WINDOW;
+    assert!((0..5).all(|_| throttle.try_send(later, false, &mut rng)), "the window is over");
+}
