Let refusals count in the choice of a target

What callers saw: half of the sends to logbook were refused while most of its slots were free.

Cause: choice by late news. A load report fades within 1 s, and a node gets one of a target less than once a second, so the fastest targets seem free to all nodes again and again.

Change: each node remembers for 2 s how often a target had no room for callers' requests (routing::admissions); each refusal that is expected before an admission costs one objective in the comparison of expected ends. The longest wait that a sender accepts does not count it.

Tried in herding only: to draw one, two or three targets by their capacity and take the earliest.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -82,6 +82,7 @@
         if !self.caller {
             return;
         }
+        routing.balancer.estimates.record_admission(now, self.target, admitted);
         if self.remote {
             routing.throttle(&self.service).record(now, admitted);
         }
--- /dev/null
+++ b/crates/routing/src/admissions.rs
@@ -0,0 +1,42 @@
+//! How often a target has refused callers' requests of late.
+
+use std::time;
+
+use world::time::Time;
+
+/// Weight of the newest outcome, in an exponentially weighted moving average.
+const NEWEST_WEIGHT: f32 = 0.3;
+/// Age at which the outcomes no longer count, so that the target is tried again.
+const MAX_AGE: time::Duration = time::Duration::from_secs(2);
+/// Largest number of refusals that are expected before an admission.
+const MAX_REFUSALS: f32 = 4.0;
+
+/// The recent outcomes of a node's sends to one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Admissions {
+    /// Moving average: 1 when all were refused.
+    refused: f32,
+    updated: Time,
+}
+
+impl Admissions {
+    /// Records that the target admitted a request or refused it for want of room.
+    pub(crate) fn record(&mut self, now: Time, admitted: bool) {
+        let outcome = if admitted { 0.0 } else { 1.0 };
+        let refused = self.refused(now);
+        self.refused = refused + NEWEST_WEIGHT * (outcome - refused);
+        self.updated = now;
+    }
+
+    /// Returns how many refusals are expected before the target admits a request.
+    pub(crate) fn expected_refusals(&self, now: Time) -> f32 {
+        let refused = self.refused(now);
+        (refused / (1.0 - refused).max(f32::EPSILON)).min(MAX_REFUSALS)
+    }
+
+    /// The share of refused requests. It falls evenly to zero as the outcomes get older.
+    fn refused(&self, now: Time) -> f32 {
+        let age = now.since(self.updated).as_secs_f32() / MAX_AGE.as_secs_f32();
+        self.refused * (1.0 - age).max(0.0)
+    }
+}
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -202,7 +202,9 @@
         let others = usable.stats[..usable.len].iter().filter(|it| it.index != chosen.index);
         let ends = others.map(|it| policy::expected_end(&self.policy, it, objective));
         let next = ends.min_by(f32::total_cmp)?;
-        let without_wait = policy::expected_end(&self.policy, chosen, objective) - chosen.wait;
+        // Refusals count in the choice only: this request is about to be admitted or refused.
+        let admitted = policy::TargetStats { wait: 0.0, refusals: 0.0, ..*chosen };
+        let without_wait = policy::expected_end(&self.policy, &admitted, objective);
         // Moving to the other target costs the round trip to the refusing one.
         let micros = (next + chosen.round_trip - without_wait).max(0.0);
         Some(time::Duration::from_secs_f32(micros / 1e6).max(MAX_WAIT_FLOOR))
@@ -302,6 +304,13 @@
             service_time,
             slot_time: estimate.map_or(0.0, |it| it.service_time),
             wait: 0.0,
+            refusals: match class {
+                requests::Class::Caller => {
+                    estimate.map_or(0.0, |it| it.admissions.expected_refusals(now))
+                }
+                // Calls are refused at their deadline only, or where another target is better.
+                requests::Class::Internal => 0.0,
+            },
             local: candidate.link <= mesh::LOCAL_LATENCY,
         };
         (stats, estimate)
--- a/crates/routing/src/estimates.rs
+++ b/crates/routing/src/estimates.rs
@@ -10,7 +10,7 @@
 use slotmap::SecondaryMap;
 use world::{targets, time::Time};
 
-use crate::{peers, toggles};
+use crate::{admissions, peers, toggles};
 
 /// Answers needed before a target can be ejected as slow, and before it counts in the median.
 pub const MIN_ANSWERS: u32 = 3;
@@ -130,6 +130,8 @@
     pub caller_time: f32,
     /// Mean time that an internal call runs, like `service_time`.
     pub call_time: f32,
+    /// Whether the target has had room for callers' requests.
+    pub(crate) admissions: admissions::Admissions,
     /// Waiting internal calls, as last reported.
     queued_calls: f32,
     /// Running and waiting requests of other nodes, as last reported.
@@ -277,6 +279,13 @@
         }
     }
 
+    /// Records whether the target had room for a caller's request.
+    pub fn record_admission(&mut self, now: Time, key: targets::TargetKey, admitted: bool) {
+        if let Some(estimate) = self.entry(key) {
+            estimate.admissions.record(now, admitted);
+        }
+    }
+
     /// Records that the target refused a request without running it. A refusal shows load and is
     /// no failure.
     pub fn record_refusal(&mut self, now: Time, key: targets::TargetKey, load: Load, trial: bool) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 //! them. Nothing here does I/O or reads a clock: the time, and random numbers or their seed, are
 //! arguments.
 
+mod admissions;
 pub mod balancer;
 pub mod budget;
 pub mod dialer;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -42,6 +42,8 @@
     pub queue_ahead: f32,
     /// Expected wait for a free slot, in microseconds.
     pub wait: f32,
+    /// Refusals that are expected before the target admits a request.
+    pub refusals: f32,
     /// Expected time that a request of this class runs, in microseconds.
     pub service_time: f32,
     /// Expected time that a request of any class runs, in microseconds.
@@ -50,6 +52,10 @@
     pub local: bool,
 }
 
+/// What a refusal costs in [`expected_end`], as a share of the objective: the way there and back, and
+/// one of the few targets that a request may be sent to.
+const REFUSAL_COST: f32 = 1.0;
+
 /// Input of a policy's function.
 #[derive(Clone, Copy, Debug)]
 pub struct PickInput<'a> {
@@ -130,10 +136,15 @@
 }
 
 /// Returns the time until a request to this target is expected to be answered, in microseconds,
-/// plus the penalty if the target is in another data centre. `objective` is in microseconds.
+/// plus the penalty if the target is in another data centre, and the cost of the refusals that are
+/// expected there. `objective` is in microseconds.
+///
+/// Load reports are old: a fast target seems free to all nodes as soon as their reports have faded.
+/// Refusals show each node how often it is not, so that free slots of slower targets are used.
 pub fn expected_end(policy: &Policy, stats: &TargetStats, objective: f32) -> f32 {
     let penalty = if stats.local { 0.0 } else { policy.remote_penalty * objective };
-    stats.round_trip + stats.wait + stats.service_time + penalty
+    let refusals = REFUSAL_COST * objective * stats.refusals;
+    stats.round_trip + stats.wait + stats.service_time + penalty + refusals
 }
 
 fn pick_earliest(policy: &Policy, input: &PickInput<'_>, rng: &mut rngs::SmallRng) -> usize {
