--- a/crates/replicated/src/controls.rs
+++ b/crates/replicated/src/controls.rs
@@ -27,7 +27,7 @@
 }
 
 /// The seats that a control holds. The number of seats of a mesh never changes: they move from one
-/// control to another of the same data centre.
+/// control to another of the same data centre, or with a control to another data centre.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Seats {
     /// It is to vote in the configuration group.
@@ -59,7 +59,8 @@
 pub enum Command {
     /// Sets the controls of a mesh that has none yet.
     Form(Vec<Control>),
-    /// Adds a control without a seat, or gives the control of that name another address.
+    /// Adds a control without a seat, or gives the control of that name another place. It keeps its
+    /// seats: operators start a control elsewhere under its old name when a data centre is lost.
     Join {
         /// The name of its host.
         name: CompactString,
@@ -157,11 +158,6 @@
 
     fn join(&mut self, name: &CompactString, place: &Place) -> Answer {
         if let Some(known) = self.list.get_mut(name) {
-            // A seat belongs to its data centre.
-            let moved = known.place.data_centre != place.data_centre;
-            if moved && known.seats.any() {
-                return Answer::Rejected;
-            }
             if known.place == *place {
                 return Answer::Unchanged;
             }
