--- a/crates/distribution/src/homes.rs
+++ b/crates/distribution/src/homes.rs
@@ -38,9 +38,11 @@
     }
 
     /// Whether the versions of a control are the home control's to the floor token that the backend
-    /// server holds.
+    /// server holds. Without tokens, no control is home: a restarted node refuses what its home
+    /// control could vouch for, so that one has to wait for a leader like the others.
     pub(crate) fn trusted_source(&self, control: attach::ControlKey) -> floor::Source {
         match self.attachment.source(control) {
+            _ if !self.settings.tokens => floor::Source::Foster,
             floor::Source::Home if self.is_other_home(self.floor_home) => floor::Source::Foster,
             it => it,
         }
--- a/crates/distribution/tests/faults/attaching.rs
+++ b/crates/distribution/tests/faults/attaching.rs
@@ -155,6 +155,25 @@
     }
 }
 
+/// Guards against a node that asks its home control for ever for a version that it refuses: while that
+/// one was isolated, it offered the restarted node its version with a proof that does not count
+/// without floor tokens, and repeated that when it had a leader again.
+#[test]
+fn a_refused_proof_is_repeated() {
+    let mut sim = sim::Sim::new(1, &[0], toggles::Toggles::default());
+    sim.tokens = false;
+    sim.restart(0, false);
+    sim.run(4_000);
+    sim.cut(0, &[1, 2]);
+    sim.isolate(0, true);
+    sim.restart(0, false);
+    sim.run(2_000);
+    assert_eq!(sim.running(0), 0, "no proof that the version is current");
+    sim.isolate(0, false);
+    assert!(sim.run_until(2_000, sim::Sim::all_run_latest), "it runs {}", sim.running(0));
+    assert_eq!(sim.breaches, Vec::<String>::new());
+}
+
 /// Guards against nodes without a version that leave their control for another one while none has a
 /// leader, and so miss the moment in which it gets one. After a loss of power of all machines, each
 /// node attached 4 times and ran a version 0.8 s after the election.
--- a/crates/distribution/tests/faults/homes.rs
+++ b/crates/distribution/tests/faults/homes.rs
@@ -95,6 +95,8 @@
 fn random_replacements() {
     for seed in 0..500 {
         let mut sim = sim::Sim::new(seed, &[0, 0], toggles::Toggles::default());
+        sim.tokens = !seed.is_multiple_of(5);
+        (0..2).for_each(|it| sim.restart(it, false));
         for step in 0..60 {
             if step % 20 == 19 && step < 40 {
                 (0..2).for_each(|it| sim.replace_home(it, step / 20 + 1));
