--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -2,7 +2,7 @@
 
 use std::{net, path, sync, time as std_time};
 
-use protocol::{proposals, streams};
+use protocol::{operators, proposals, streams};
 use replicated::claims;
 use tokio::{sync::mpsc, task, time};
 use transport::{endpoint, errors, links, pool, serving};
@@ -53,6 +53,44 @@
     tasks: task::JoinSet<()>,
 }
 
+/// The other controls that a running control knows, for the process to add some that the seeds
+/// name. It outlives the control without effect.
+#[derive(Clone)]
+pub struct Peers(sync::Weak<state::State>);
+
+impl Peers {
+    /// Whether the control knows a leader of the configuration group; none after its stop, or when
+    /// the workers' queue is full.
+    pub async fn knows_leader(&self) -> Option<bool> {
+        let state = self.0.upgrade()?;
+        let shared = sync::Arc::clone(&state);
+        let job = move || {
+            let now = shared.now();
+            shared.configuration_replica.lock().group().status(now).leader.is_some()
+        };
+        state.pool.run(job).await.ok()
+    }
+
+    /// Connects to the controls among these that are not known by name. They learn of this one by
+    /// that. Nothing proves the records before a link is open, so no known address is replaced.
+    pub async fn add(&self, records: Vec<operators::ControlRecord>) {
+        let Some(state) = self.0.upgrade().filter(|_| !records.is_empty()) else { return };
+        let shared = sync::Arc::clone(&state);
+        let job = move || {
+            let now = shared.now();
+            let mut directory = shared.directory.lock();
+            for record in &records {
+                if directory.addr(&record.name).is_none() {
+                    directory.introduce(now, record);
+                }
+            }
+        };
+        if state.pool.run(job).await.is_err() {
+            log::warn!("worker queue is full; the controls that the seeds named were not added");
+        }
+    }
+}
+
 impl Control {
     /// Opens the logs, binds the ports and starts the tasks of a control.
     ///
@@ -88,6 +126,11 @@
         Ok(Control { state, endpoint, operators, tasks })
     }
 
+    /// The other controls that this one knows.
+    pub fn peers(&self) -> Peers {
+        Peers(sync::Arc::downgrade(&self.state))
+    }
+
     /// The address on which other processes connect.
     pub fn listen(&self) -> Result<net::SocketAddr> {
         Ok(self.endpoint.local_addr()?)
--- a/crates/heatherwalk/src/discovery.rs
+++ b/crates/heatherwalk/src/discovery.rs
@@ -3,7 +3,7 @@
 //! The controls that start a new mesh exchange their host records. Those at the seeds' addresses
 //! become the voters of the groups. Every other process polls the seeds until one of them returns
 //! the complete list of controls. A control stores the list in its data folder and waits for no seed
-//! at later starts. A node that reaches no control while it runs asks the seeds again.
+//! at later starts. A process that reaches none of the controls that it knows asks the seeds again.
 
 mod following;
 mod introductions;
@@ -15,7 +15,7 @@
 use compact_str::{CompactString, ToCompactString as _};
 use protocol::operators;
 
-pub use following::{ask_seeds, follow};
+pub use following::{follow_control, follow_node};
 pub use peer_table::PeerTable;
 pub use records::Error as RecordError;
 
@@ -90,7 +90,7 @@
 ) -> Result<operators::ControlList> {
     if let Some(hosts) = load(folder)? {
         log::info!(
-            "using the stored list of {} controls; the seeds are not asked",
+            "using the stored list of {} controls; the seeds are asked if that leads to no leader",
             hosts.controls.len()
         );
         return Ok(hosts);
--- a/crates/heatherwalk/src/discovery/following.rs
+++ b/crates/heatherwalk/src/discovery/following.rs
@@ -9,9 +9,9 @@
 
 use super::{Seeds, introductions};
 
-/// Pause between two checks of what a node reaches.
+/// Pause between two checks of what the process reaches.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
-/// How long a node reaches no control before it asks the seeds.
+/// How long a node reaches no control, or a control no leader, before it asks the seeds.
 const NOTHING_LIMIT: time::Duration = time::Duration::from_secs(2);
 /// How long a node reaches no leader, but a control, before it asks the seeds. An election takes
 /// about 2 s, and a data centre can be cut off for an hour.
@@ -22,7 +22,7 @@
 
 /// Asks all seeds at once for the controls that they know. Returns each of them once; none when no
 /// seed that belongs to a formed mesh answers in time.
-pub async fn ask_seeds(seeds: &Seeds) -> Vec<operators::ControlRecord> {
+async fn ask_seeds(seeds: &Seeds) -> Vec<operators::ControlRecord> {
     let client = web::client::Client::new(web::client::Limits::default());
     let mut questions = tokio::task::JoinSet::new();
     for &addr in &seeds.addrs {
@@ -36,43 +36,79 @@
     found.into_values().collect()
 }
 
-/// Asks the seeds while the node reaches no control, or for long no leader, and adds the controls
-/// that they name. `seeds` changes with the settings. Runs until it is dropped.
-pub async fn follow(controls: node::running::Controls, seeds: watch::Receiver<Seeds>) {
-    let mut lost: Option<time::Instant> = None;
-    let mut rounds = 0;
+/// Asks the seeds while a node reaches no control, or for long no leader, and adds the controls that
+/// they name. `seeds` changes with the settings. Runs until it is dropped.
+pub async fn follow_node(controls: node::running::Controls, seeds: watch::Receiver<Seeds>) {
+    let mut schedule = Schedule::default();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let limit = match controls.reach().await {
-            Some(attach::Reach::Leader) => {
-                (lost, rounds) = (None, 0);
-                continue;
-            }
-            Some(attach::Reach::Control) => NO_LEADER_LIMIT,
-            Some(attach::Reach::Nothing) => NOTHING_LIMIT,
+        let Some(reach) = controls.reach().await else { continue };
+        if schedule.is_due(time::Instant::now(), reach) {
+            let found = ask_current(&seeds).await;
+            controls.add(found).await;
+        }
+    }
+}
+
+/// Asks the seeds while a control knows no leader, and adds the controls that they name: those of its
+/// stored list may all be gone, and the others may have dropped this one from theirs. `seeds` changes
+/// with the settings. Runs until it is dropped.
+pub async fn follow_control(peers: control::running::Peers, seeds: watch::Receiver<Seeds>) {
+    let mut schedule = Schedule::default();
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let reach = match peers.knows_leader().await {
+            Some(true) => attach::Reach::Leader,
+            Some(false) => attach::Reach::Nothing,
             None => continue,
         };
-        if lost.get_or_insert_with(time::Instant::now).elapsed() < limit {
-            continue;
-        }
-        let asked = seeds.borrow().clone();
-        let found = ask_seeds(&asked).await;
-        log::info!(
-            target: "decision",
-            "asked {} seeds for controls, since none was reached for {limit:?}; they name {}",
-            asked.addrs.len(),
-            found.len(),
-        );
-        if !found.is_empty() {
-            controls.add(found).await;
+        if schedule.is_due(time::Instant::now(), reach) {
+            let found = ask_current(&seeds).await;
+            peers.add(found).await;
         }
-        tokio::time::sleep(pause(limit, rounds)).await;
-        rounds = MAX_DOUBLINGS.min(rounds + 1);
     }
 }
 
-/// A random time around the limit, doubled for each round before.
-fn pause(limit: time::Duration, rounds: u32) -> time::Duration {
-    let limit = limit * (1 << rounds);
-    rand::rng().random_range(limit / 2..=limit * 3 / 2)
+async fn ask_current(seeds: &watch::Receiver<Seeds>) -> Vec<operators::ControlRecord> {
+    let seeds = seeds.borrow().clone();
+    let found = ask_seeds(&seeds).await;
+    let names: Vec<_> = found.iter().map(|it| it.name.as_str()).collect();
+    log::info!(
+        target: "decision",
+        "asked {} seeds for controls, since none of those known was reached; they name {names:?}",
+        seeds.addrs.len(),
+    );
+    found
+}
+
+/// When the seeds are asked.
+#[derive(Clone, Copy, Debug, Default)]
+struct Schedule {
+    /// Since when the process reaches no leader.
+    lost: Option<time::Instant>,
+    /// The next round of questions; none before the first one.
+    next: Option<time::Instant>,
+    rounds: u32,
+}
+
+impl Schedule {
+    /// Whether the seeds are to be asked now. If so, the next round is after a random pause.
+    fn is_due(&mut self, now: time::Instant, reach: attach::Reach) -> bool {
+        let limit = match reach {
+            attach::Reach::Leader => {
+                *self = Schedule::default();
+                return false;
+            }
+            attach::Reach::Control => NO_LEADER_LIMIT,
+            attach::Reach::Nothing => NOTHING_LIMIT,
+        };
+        let lost = *self.lost.get_or_insert(now);
+        if now.duration_since(lost) < limit || self.next.is_some_and(|it| now < it) {
+            return false;
+        }
+        let pause = limit * (1 << self.rounds);
+        self.next = Some(now + rand::rng().random_range(pause / 2..=pause * 3 / 2));
+        self.rounds = MAX_DOUBLINGS.min(self.rounds + 1);
+        true
+    }
 }
--- a/crates/heatherwalk/src/main.rs
+++ b/crates/heatherwalk/src/main.rs
@@ -86,11 +86,11 @@
             let identity = roles::load_identity(&process.identity, &host, hosts::Role::Control)?;
             start_runtime(process.threads)?.block_on(async {
                 let stop = stop_signal();
-                reload_on_hangup(file.into(), process.seeds.clone());
+                let seeds = reload_on_hangup(file.into(), process.seeds.clone());
                 if let Some(seeds) = &process.seeds {
                     roles::find_peers(&mut settings, seeds).await?;
                 }
-                roles::run_control(*settings, &identity, stop).await
+                roles::run_control(*settings, &identity, seeds, stop).await
             })?;
         }
         settings::Settings::Node(mut settings, process) if name == "node" => {
--- a/crates/heatherwalk/src/roles.rs
+++ b/crates/heatherwalk/src/roles.rs
@@ -97,17 +97,24 @@
     mesh.put_control(&record.name, &record.region, &record.data_centre, record.addr)
 }
 
-/// Runs a control until `stop` completes, then shuts it down gracefully.
+/// Runs a control until `stop` completes, then shuts it down gracefully. With seeds, it asks them
+/// for other controls whenever it knows no leader.
 pub async fn run_control(
     settings: control::settings::Settings,
     identity: &identity::Identity,
+    seeds: Option<watch::Receiver<discovery::Seeds>>,
     stop: impl Future<Output = ()>,
 ) -> Result<()> {
     let (addr, limit) = (settings.metrics, settings.stop_limit);
     with_metrics(addr, limit, async |meter| {
         let instruments = control::instruments::Instruments::new(meter);
         let control = control::running::Control::spawn(settings, identity, instruments).await?;
+        let mut tasks = task::JoinSet::new();
+        if let Some(seeds) = seeds {
+            tasks.spawn(discovery::follow_control(control.peers(), seeds));
+        }
         stop.await;
+        tasks.shutdown().await;
         control.stop().await;
         Ok(())
     })
@@ -128,7 +135,7 @@
         let node = node::running::Node::spawn(settings, identity, instruments).await?;
         let mut tasks = task::JoinSet::new();
         if let Some(seeds) = seeds {
-            tasks.spawn(discovery::follow(node.controls(), seeds));
+            tasks.spawn(discovery::follow_node(node.controls(), seeds));
         }
         stop.await;
         tasks.shutdown().await;
--- a/crates/heatherwalk/tests/processes/hosts.rs
+++ b/crates/heatherwalk/tests/processes/hosts.rs
@@ -63,6 +63,11 @@
         self.signal("-CONT");
     }
 
+    /// Makes the process read its settings again, by SIGHUP.
+    pub fn reload(&self) {
+        self.signal("-HUP");
+    }
+
     /// Stops the process as planned, by SIGTERM. Returns whether it reported success.
     pub async fn stop(&mut self) -> bool {
         self.signal("-TERM");
--- a/crates/heatherwalk/tests/requests/controls.rs
+++ b/crates/heatherwalk/tests/requests/controls.rs
@@ -84,7 +84,7 @@
         claims: false,
     };
     let (settings, current) = watch::channel(seeds(&unformed));
-    let following = tokio::spawn(discovery::follow(mesh.controls(node), current));
+    let following = tokio::spawn(discovery::follow_node(mesh.controls(node), current));
     drop(first);
     tokio::time::sleep(time::Duration::from_secs(5)).await;
     assert_eq!(second.sessions(), 0, "the list of a mesh that is not formed counts");
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -75,7 +75,7 @@
 
     /// Adds controls to those that the node knows.
     pub async fn add(&self, records: Vec<operators::ControlRecord>) {
-        let Some(state) = self.0.upgrade() else { return };
+        let Some(state) = self.0.upgrade().filter(|_| !records.is_empty()) else { return };
         let shared = sync::Arc::clone(&state);
         let job = attaching::in_runtime(move || controls::add(&shared, &records));
         if state.pool.run(job).await.is_err() {
