--- a/crates/control/src/controls.rs
+++ b/crates/control/src/controls.rs
@@ -52,8 +52,10 @@
         return Some(controls::Command::Form(initial_list(&state.settings, &directory)));
     }
     let own = directory.own_record()?;
-    // A control that is in no list gets no log, so it cannot know whether there is one.
-    if list.get(&own.name).is_none_or(|it| it.place != place(&own)) {
+    // A control that is in no list gets no log, so it cannot know whether there is one. While no
+    // leader is known, its own list may be from before it was removed.
+    let listed = list.get(&own.name).is_some_and(|it| it.place == place(&own));
+    if !listed || status.leader.is_none() {
         return Some(controls::Command::Join { name: own.name.clone(), place: place(&own) });
     }
     if !leads {
