Let refusals of calls count in the choice of a target

Cause: the same choice by late news.

Change: the outcomes of calls are remembered like those of callers' requests, apart from them, as calls get slots first.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -49,8 +49,7 @@
     sent_at: time::Time,
     /// The expected latency of the link to the target's data centre.
     link: std_time::Duration,
-    /// Whether it is a caller's request, whose admission is recorded.
-    caller: bool,
+    class: requests::Class,
     /// Whether the target is on another host.
     remote: bool,
     pending: bool,
@@ -76,14 +75,12 @@
         });
     }
 
-    /// Records whether the target had room for a caller's request. What happens on this host costs
-    /// no message, so it doesn't count in the throttle.
+    /// Records whether the target had room for the request. What happens on this host costs no message,
+    /// and calls are not held back, so neither counts in the throttle.
     fn record_admission(&self, routing: &mut state::Routing, now: time::Time, admitted: bool) {
-        if !self.caller {
-            return;
-        }
-        routing.balancer.estimates.record_admission(now, self.target, admitted);
-        if self.remote {
+        let estimates = &mut routing.balancer.estimates;
+        estimates.record_admission(now, self.target, self.class, admitted);
+        if self.remote && self.class == requests::Class::Caller {
             routing.throttle(&self.service).record(now, admitted);
         }
     }
@@ -242,7 +239,7 @@
         trial,
         sent_at: now,
         link: link.unwrap_or_default(),
-        caller,
+        class: request.head.class,
         remote,
         pending: true,
     };
--- a/crates/routing/src/admissions.rs
+++ b/crates/routing/src/admissions.rs
@@ -1,8 +1,8 @@
-//! How often a target has refused callers' requests of late.
+//! How often a target has refused requests of late.
 
 use std::time;
 
-use world::time::Time;
+use world::{requests, time::Time};
 
 /// Weight of the newest outcome, in an exponentially weighted moving average.
 const NEWEST_WEIGHT: f32 = 0.3;
@@ -11,9 +11,17 @@
 /// Largest number of refusals that are expected before an admission.
 const MAX_REFUSALS: f32 = 4.0;
 
-/// The recent outcomes of a node's sends to one target.
+/// The recent outcomes of a node's sends to one target. Callers' requests and internal calls are told
+/// apart, since calls get slots first.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Admissions {
+    callers: Outcomes,
+    calls: Outcomes,
+}
+
+/// The outcomes of one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcomes {
     /// Moving average: 1 when all were refused.
     refused: f32,
     updated: Time,
@@ -21,19 +29,28 @@
 
 impl Admissions {
     /// Records that the target admitted a request or refused it for want of room.
-    pub(crate) fn record(&mut self, now: Time, admitted: bool) {
-        let outcome = if admitted { 0.0 } else { 1.0 };
-        let refused = self.refused(now);
-        self.refused = refused + NEWEST_WEIGHT * (outcome - refused);
-        self.updated = now;
+    pub(crate) fn record(&mut self, now: Time, class: requests::Class, admitted: bool) {
+        let outcomes = match class {
+            requests::Class::Caller => &mut self.callers,
+            requests::Class::Internal => &mut self.calls,
+        };
+        let refused = outcomes.refused(now);
+        let newest = if admitted { 0.0 } else { 1.0 };
+        outcomes.refused = refused + NEWEST_WEIGHT * (newest - refused);
+        outcomes.updated = now;
     }
 
     /// Returns how many refusals are expected before the target admits a request.
-    pub(crate) fn expected_refusals(&self, now: Time) -> f32 {
-        let refused = self.refused(now);
+    pub(crate) fn expected_refusals(&self, now: Time, class: requests::Class) -> f32 {
+        let refused = match class {
+            requests::Class::Caller => self.callers.refused(now),
+            requests::Class::Internal => self.calls.refused(now),
+        };
         (refused / (1.0 - refused).max(f32::EPSILON)).min(MAX_REFUSALS)
     }
+}
 
+impl Outcomes {
     /// The share of refused requests. It falls evenly to zero as the outcomes get older.
     fn refused(&self, now: Time) -> f32 {
         let age = now.since(self.updated).as_secs_f32() / MAX_AGE.as_secs_f32();
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -304,13 +304,7 @@
             service_time,
             slot_time: estimate.map_or(0.0, |it| it.service_time),
             wait: 0.0,
-            refusals: match class {
-                requests::Class::Caller => {
-                    estimate.map_or(0.0, |it| it.admissions.expected_refusals(now))
-                }
-                // Calls are refused at their deadline only, or where another target is better.
-                requests::Class::Internal => 0.0,
-            },
+            refusals: estimate.map_or(0.0, |it| it.admissions.expected_refusals(now, class)),
             local: candidate.link <= mesh::LOCAL_LATENCY,
         };
         (stats, estimate)
--- a/crates/routing/src/estimates.rs
+++ b/crates/routing/src/estimates.rs
@@ -8,7 +8,7 @@
 use std::time;
 
 use slotmap::SecondaryMap;
-use world::{targets, time::Time};
+use world::{requests, targets, time::Time};
 
 use crate::{admissions, peers, toggles};
 
@@ -130,7 +130,7 @@
     pub caller_time: f32,
     /// Mean time that an internal call runs, like `service_time`.
     pub call_time: f32,
-    /// Whether the target has had room for callers' requests.
+    /// Whether the target has had room for requests.
     pub(crate) admissions: admissions::Admissions,
     /// Waiting internal calls, as last reported.
     queued_calls: f32,
@@ -279,10 +279,16 @@
         }
     }
 
-    /// Records whether the target had room for a caller's request.
-    pub fn record_admission(&mut self, now: Time, key: targets::TargetKey, admitted: bool) {
+    /// Records whether the target had room for a request.
+    pub fn record_admission(
+        &mut self,
+        now: Time,
+        key: targets::TargetKey,
+        class: requests::Class,
+        admitted: bool,
+    ) {
         if let Some(estimate) = self.entry(key) {
-            estimate.admissions.record(now, admitted);
+            estimate.admissions.record(now, class, admitted);
         }
     }
 
--- a/crates/routing/tests/herding.rs
+++ b/crates/routing/tests/herding.rs
@@ -198,7 +198,7 @@
             call_time: time::Duration::ZERO,
         };
         let estimates = &mut self.nodes[send.node].estimates;
-        estimates.record_admission(now, key, admitted);
+        estimates.record_admission(now, key, requests::Class::Caller, admitted);
         if admitted {
             let elapsed = now.since(send.sent);
             let link = mesh::LOCAL_LATENCY;
