--- a/crates/world/src/time.rs
+++ b/crates/world/src/time.rs
@@ -7,7 +7,8 @@
 
 /// A point on one process's monotonic clock, in microseconds since an arbitrary origin.
 ///
-/// The times of two processes are not comparable, so messages between processes carry durations.
+/// The times of two processes are not comparable, so messages between processes carry durations, or
+/// a time that is only compared with others of the same sender.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
