--- a/crates/agreement/src/lease.rs
+++ b/crates/agreement/src/lease.rs
@@ -52,12 +52,10 @@
     /// a ready leader, or as leader a majority, has answered: messages may wait for long on their way,
     /// so the time of their arrival shows nothing.
     pub fn current_at(&self, now: time::Time) -> Option<time::Time> {
-        match self.role {
-            events::Role::Leader => {
-                self.majority_ack_time(now).filter(|_| self.committed_own_term())
-            }
-            _ => self.contact.last_current,
-        }
+        let leads = self.role == events::Role::Leader && self.committed_own_term();
+        let led_at = if leads { self.majority_ack_time(now) } else { None };
+        // A leader that has yet to commit an entry of its term knows what it knew as a follower.
+        led_at.max(self.contact.last_current)
     }
 
     /// Dates what a ready leader has named as committed by this host's reply that it answers.
--- a/crates/agreement/tests/cases.rs
+++ b/crates/agreement/tests/cases.rs
@@ -278,6 +278,25 @@
     }
 }
 
+/// Guards against a new leader that forgets what it knew as a follower until it has committed an entry of
+/// its term.
+#[test]
+fn a_new_leader_forgets_what_it_knew() {
+    for seed in SEEDS {
+        let mut sim = sim::Sim::new(seed, 3, 0, |_| {});
+        await_leader(&mut sim);
+        sim.run(1_000);
+        let old = leader_of(&sim);
+        sim.isolate(old);
+        let elected = |it: &sim::Sim| it.leader().is_some_and(|host| host != old);
+        // The other follower gets the request for its vote, but no entry of the new term.
+        sim.entry_limit = Some(sim.status(old).last.index.0);
+        assert!(sim.run_until(10_000, elected), "seed {seed}: no leader within 10 s");
+        assert!(sim.age(leader_of(&sim)).is_some(), "seed {seed}");
+        assert_eq!(sim.violations, [""; 0], "seed {seed}");
+    }
+}
+
 /// Freezes a host while messages of the leader wait for it, and cuts it off before it runs again, so
 /// that it gets no later ones.
 fn frozen_then_cut(sim: &mut sim::Sim, host: usize) {
