Keep the number of voters when several votes move at once

Callers see: no patch is accepted any more and no configuration is read, for good. The list of voters in the log can be empty, and then nobody can be elected.

Cause: next_voters (crates/agreement/src/membership.rs) removes a voter without a seat whenever a host with a seat is not listed. After the first removal the host that is to follow is still not listed, so the next step removes another voter without a seat instead of adding the host. With two seats moved before the list has followed, one voter is left; with three, none.

A voter is removed only while the list is full, so the freed vote is given before the next one is taken. The list has at least one voter less than there are seats.

--- a/crates/agreement/src/membership.rs
+++ b/crates/agreement/src/membership.rs
@@ -169,14 +169,19 @@
     /// host that is to vote is listed with its disk, or is not ready to be.
     fn next_voters(&self, now: time::Time) -> Option<Vec<entries::Voter>> {
         let mut voters = self.voter_lists.latest().to_vec();
+        let seats = self.settings.voters.len();
         for host in &self.settings.voters {
             let Some(disk) = self.caught_up_disk(now, host) else { continue };
-            let outgoing = voters
-                .iter()
-                .position(|it| it.host == *host)
-                .or_else(|| voters.iter().position(|it| !self.settings.voters.contains(&it.host)));
+            let listed = voters.iter().position(|it| it.host == *host);
+            let outgoing = match listed {
+                Some(it) if voters[it].disk == disk => continue,
+                Some(it) => Some(it),
+                // The vote that the last step has freed is given first. Several moves at once would
+                // otherwise remove one voter after the other.
+                None if voters.len() < seats => None,
+                None => voters.iter().position(|it| !self.settings.voters.contains(&it.host)),
+            };
             match outgoing {
-                Some(it) if voters[it].host == *host && voters[it].disk == disk => continue,
                 Some(it) => _ = voters.remove(it),
                 None => voters.push(entries::Voter { host: host.clone(), disk }),
             }
--- a/crates/agreement/tests/replaced_voters/mod.rs
+++ b/crates/agreement/tests/replaced_voters/mod.rs
@@ -86,3 +86,29 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Guards against a list of voters that loses one voter after the other, down to none, when several
+/// votes move before the list has followed the first move.
+#[test]
+fn votes_that_move_at_once_empty_the_list_of_voters() {
+    let mut table = String::new();
+    for moves in 1..=3 {
+        for seed in 1..=4 {
+            let mut sim = sim::Sim::new(seed, 3, 3, |_| {});
+            assert!(sim.run_until(10_000, |it| it.ready_leader().is_some()), "no leader");
+            sim.run(1_000);
+            (0..moves).for_each(|it| sim.move_vote(it, it + 3));
+            let mut fewest = 3;
+            for _ in 0..200 {
+                sim.run(20);
+                let voters = sim.hosts.iter().filter_map(|it| it.group.as_ref());
+                fewest = voters.map(|it| it.voters().len()).fold(fewest, usize::min);
+            }
+            sim.recover_and_check();
+            writeln!(table, "{moves} moves, seed {seed}: at least {fewest} voters").expect("text");
+            assert_eq!(sim.violations, [""; 0], "{moves} moves, seed {seed}");
+            assert_eq!(fewest, 2, "{moves} moves, seed {seed}");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
