Let a control join again that was removed while it was down

Callers see: after such a control returns it stays isolated for good: it answers reads of the configuration with 503, and the nodes whose home it is are sent to others. The next lost control of its data centre has no successor.

Cause: a control without a seat is removed after 10 s of silence, and the leader then sends it no log. The list on its own disk still names it, so next_command (crates/control/src/controls.rs) does not propose to join. It has no vote, so it sends no vote request by which others would find it either. The list is a belief with no date.

Evidence: configuration::removed_control_returns kills a control for 13 s.

A control joins also when it has not known what is committed for as long as removal takes, or not since its start. Joining again changes nothing for a control that is in the list.

--- a/crates/control/src/controls.rs
+++ b/crates/control/src/controls.rs
@@ -41,9 +41,10 @@
 /// follows from the state of the others.
 fn next_command(state: &state::State) -> Option<controls::Command> {
     let now = state.now();
-    let (status, leads) = {
+    let (status, leads, current_at) = {
         let replica = state.configuration_replica.lock();
-        (replica.group().status(now), replica.group().is_ready_leader(now))
+        let group = replica.group();
+        (group.status(now), group.is_ready_leader(now), group.current_at(now))
     };
     let configuration = state.configuration_state.lock();
     let directory = state.directory.lock();
@@ -52,12 +53,10 @@
         return Some(controls::Command::Form(initial_list(&state.settings, &directory)));
     }
     let own = directory.own_record()?;
-    // A control that is in no list gets no log, so it cannot know whether there is one.
-    if list.get(&own.name).is_none_or(|it| it.place != place(&own)) {
-        return Some(controls::Command::Join { name: own.name.clone(), place: place(&own) });
-    }
-    if !leads {
-        return None;
+    let silence = current_at.map(|it| now.since(it));
+    let join = list.next_join(&own.name, &place(&own), silence);
+    if join.is_some() || !leads {
+        return join;
     }
     let observe = |it: &status::MemberStatus| controls::Observation {
         name: it.host.clone(),
--- a/crates/heatherwalk/tests/processes/configuration.rs
+++ b/crates/heatherwalk/tests/processes/configuration.rs
@@ -6,6 +6,9 @@
 
 use crate::{backends, harness};
 
+/// How long a control is down in which it is removed: the removal takes 10 s.
+const REMOVAL_WAIT: time::Duration = time::Duration::from_secs(13);
+
 fn no_delay() -> sync::Arc<backends::State> {
     backends::State::new(time::Duration::ZERO, None, 0)
 }
@@ -114,6 +117,21 @@
     });
 }
 
+/// Guards against a control that was removed while it was down, still finds itself in the list on its
+/// disk when it returns, and stays isolated.
+#[test]
+fn removed_control_returns() {
+    harness::run(&harness::DATA_CENTRES, &no_delay(), async |mesh| {
+        let added = mesh.add_control("jugla");
+        wait_current(mesh, added).await;
+        mesh.controls[added].kill();
+        tokio::time::sleep(REMOVAL_WAIT).await;
+        mesh.next_version().await;
+        mesh.start_control(added);
+        wait_current(mesh, added).await;
+    });
+}
+
 /// Guards against a control that claims to be current after it was suspended, and against nodes
 /// of a suspended control that don't converge, or go back to an older version when it resumes.
 #[test]
--- a/crates/heatherwalk/tests/processes/harness.rs
+++ b/crates/heatherwalk/tests/processes/harness.rs
@@ -104,6 +104,14 @@
     });
 }
 
+fn control_section(host: &hosts::Host, votes: &str) -> String {
+    let hosts::Host { name, data_centre, listen, .. } = host;
+    format!(
+        "[control.{name}]\nregion = vidzeme\ndata-centre = {data_centre}\n\
+         address = {listen}\nvotes = {votes}\n"
+    )
+}
+
 /// Waits until a condition holds.
 pub async fn eventually(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let until = time::Instant::now() + TIMEOUT;
@@ -148,20 +156,10 @@
         let folder = self.folder.path();
         let mut shared = String::new();
         for it in &self.controls {
-            let hosts::Host { name, data_centre, listen, .. } = it;
-            shared += &format!(
-                "[control.{name}]\nregion = vidzeme\ndata-centre = {data_centre}\n\
-                 address = {listen}\nvotes = configuration claims\n"
-            );
+            shared += &control_section(it, "configuration claims");
         }
         for it in &self.controls {
-            keys::issue_host(folder, &it.name, Role::Control, folder).expect("a key");
-            let (clients, token, data) = (it.clients, &self.token, folder.join(&it.name));
-            let role = format!(
-                "[control]\noperators = {clients}\ntoken = {token}\ndata = {}\n",
-                data.display()
-            );
-            self.write_ini(it, "control", &(role + &shared));
+            self.write_control(it, &shared);
         }
         for it in &self.nodes {
             keys::issue_host(folder, &it.name, Role::Node, folder).expect("a key");
@@ -171,6 +169,28 @@
         }
     }
 
+    fn write_control(&self, host: &hosts::Host, shared: &str) {
+        let folder = self.folder.path();
+        keys::issue_host(folder, &host.name, Role::Control, folder).expect("a key");
+        let (clients, token, data) = (host.clients, &self.token, folder.join(&host.name));
+        let role = format!(
+            "[control]\noperators = {clients}\ntoken = {token}\ndata = {}\n",
+            data.display()
+        );
+        self.write_ini(host, "control", &(role + shared));
+    }
+
+    /// Adds and starts a control without a vote, which only its own settings name. Returns its index.
+    pub fn add_control(&mut self, data_centre: &'static str) -> usize {
+        let added = hosts::Host::new(format_compact!("{data_centre}-c2"), data_centre);
+        let voters = self.controls.iter().map(|it| control_section(it, "configuration claims"));
+        let shared: String = voters.chain([control_section(&added, "none")]).collect();
+        self.write_control(&added, &shared);
+        self.controls.push(added);
+        self.start_control(self.controls.len() - 1);
+        self.controls.len() - 1
+    }
+
     fn write_ini(&self, host: &hosts::Host, role: &str, rest: &str) {
         let folder = self.folder.path().display();
         let hosts::Host { name, data_centre, listen, metrics, .. } = host;
--- a/crates/replicated/src/controls.rs
+++ b/crates/replicated/src/controls.rs
@@ -209,6 +209,21 @@
         self.iter().any(|it| can_succeed(control, it))
     }
 
+    /// The command by which a control joins, if it has to: this list does not have it at `place`, or
+    /// the list may be too old to tell. `silence` is the time since the control last knew what is
+    /// committed, if it did since its start. One that was removed meanwhile gets no log, so it cannot
+    /// know of that.
+    pub fn next_join(
+        &self,
+        name: &CompactString,
+        place: &Place,
+        silence: Option<time::Duration>,
+    ) -> Option<Command> {
+        let listed = self.get(name).is_some_and(|it| it.place == *place);
+        let recent = silence.is_some_and(|it| it < REMOVAL_SILENCE);
+        (!listed || !recent).then(|| Command::Join { name: name.clone(), place: place.clone() })
+    }
+
     /// The next change that follows from what the leader observes of the other controls, if any.
     ///
     /// A seat moves when its holder is about to stop or has answered nothing for [`MAX_SILENCE`], to
--- a/crates/replicated/tests/controls.rs
+++ b/crates/replicated/tests/controls.rs
@@ -102,3 +102,27 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Guards against a control that is removed while it is down, still finds itself in the list on its
+/// disk, and never joins again.
+#[test]
+fn a_removed_control_that_returns_never_joins() {
+    let mut controls = formed();
+    controls.apply(&join("j2", "jugla", 4));
+    let silences = [None, Some(0), Some(9_999), Some(10_000)];
+    let cases = [
+        ("listed", CompactString::from("j2"), place("jugla", 4)),
+        ("at another address", "j2".into(), place("jugla", 5)),
+        ("not listed", "s2".into(), place("skulte", 6)),
+    ];
+    let mut table = String::new();
+    for (case, name, place) in &cases {
+        for silence in silences {
+            let silence = silence.map(time::Duration::from_millis);
+            let joins = controls.next_join(name, place, silence).is_some();
+            writeln!(table, "{case}, last heard of a leader {silence:?} ago: {joins}")
+                .expect("text");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
