Take the newest list of controls in the lock of the replica that follows it

Callers see: a control that joined gets no log, or a seat that has moved gets no vote, until the next change of the list.

Cause: follow (crates/control/src/controls.rs) copied the list, released its lock and then stepped the group. Two threads that apply two changes can step the groups in the other order, and the older list stays in use, as the directory already has the newer revision.

Evidence: suspected from reading the code; no run shows it.

The event is now made from the state in the lock of the replica (rank 10 or 20, then 30), so the last step of a group always has the newest list.

--- a/crates/control/src/controls.rs
+++ b/crates/control/src/controls.rs
@@ -117,9 +117,17 @@
     };
     let text: Vec<_> = list.iter().map(|it| (&it.name, it.seats.configuration)).collect();
     log::info!(target: "decision", "controls, revision {}: {text:?}", list.revision());
-    groups::step_configuration(state, configure(&list, |_| true, |it| it.configuration));
+    // Two threads can follow two revisions at the same time, so each takes the newest list in the lock
+    // of the replica.
+    groups::step_configuration_with(state, |_| {
+        let configuration = state.configuration_state.lock();
+        configure(&configuration.controls, |_| true, |it| it.configuration)
+    });
     let region = &state.location.region;
-    groups::step_claims(state, configure(&list, |it| it.place.region == *region, |it| it.claims));
+    groups::step_claims_with(state, || {
+        let configuration = state.configuration_state.lock();
+        configure(&configuration.controls, |it| it.place.region == *region, |it| it.claims)
+    });
     let records = state.directory.lock().records();
     state.distributor.lock().broadcast(&streams::ControlMessage::Controls(records));
 }
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -18,7 +18,7 @@
 
 /// Steps this host's replica of the configuration log with the event that `make` returns, in the
 /// same lock.
-fn step_configuration_with(
+pub(crate) fn step_configuration_with(
     state: &state::State,
     make: impl FnOnce(&mut replica::Replica) -> events::Event,
 ) {
@@ -38,9 +38,18 @@
 
 /// Steps this host's replica of its region's claims log with an event. Does nothing without one.
 pub(crate) fn step_claims(state: &state::State, event: events::Event) {
+    step_claims_with(state, || event);
+}
+
+/// Steps this host's replica of its region's claims log with the event that `make` returns, in the
+/// same lock. Does nothing without a replica.
+pub(crate) fn step_claims_with(state: &state::State, make: impl FnOnce() -> events::Event) {
     let Some(replica) = &state.claims_replica else { return };
-    let outputs =
-        replica.lock().step(state.now(), event, state_machines::CLAIMS, &state.claims_state);
+    let outputs = {
+        let mut replica = replica.lock();
+        let event = make();
+        replica.step(state.now(), event, state_machines::CLAIMS, &state.claims_state)
+    };
     handle_claims_outputs(state, outputs);
 }
 
