Do not apply commands again after the files of a log were opened again

Callers see: a control whose disk refused writes for a while can follow an older list of controls than the log has.

Evidence: suspected from reading the code; no run shows it.

Commands up to the last one that the state has are skipped.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -168,7 +168,7 @@
     }
 
     /// Takes part in the group again, as after a restart of the process, if the files can be used.
-    /// The state keeps the commands that it has; those that are applied again change nothing.
+    /// The state keeps the commands that it has; they are not applied again.
     fn reopen<M>(
         &mut self,
         machine: StateMachine<M>,
@@ -289,6 +289,8 @@
                     outputs.push(Output::StateChanged);
                 }
                 events::Effect::Send { to, message } => outputs.push(Output::Send(to, message)),
+                // The state has it already: the log was opened again.
+                events::Effect::Apply { index, .. } if index <= self.performed => {}
                 events::Effect::Apply { index, payload } => {
                     let answer = (machine.apply)(&mut state.lock(), index, &payload)?;
                     self.performed = index;
