Do not remove all targets when a control runs again after a pause

Callers see: after a control was suspended or frozen for more than 4 s, all targets whose leases it holds are removed everywhere for about a second, until their nodes announce them again. Requests to these services are refused meanwhile if they have no other target.

Cause: Registry::expire_leases (crates/membership/src/registry.rs) takes the time since the last heartbeat that was handled for the silence of the node. After a pause the heartbeats wait in the control's sockets. Since the clock counts suspensions this holds for suspended machines, too.

Evidence: a_suspended_control_removes_all_targets fails when the leases are not renewed. That the control notices the pause (run_maintenance in crates/control/src/running.rs) is not covered by a test.

After a wait for the maintenance that took 2 s or more, all leases and contacts begin again.

--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -117,6 +117,12 @@
     }
 }
 
+/// Renews all leases after a pause of this process.
+pub(crate) fn resume(state: &state::State, pause: std::time::Duration) {
+    log::warn!("this control did not run for {pause:?}; the leases of the nodes begin again");
+    state.registry.lock().resume(state.now());
+}
+
 /// Removes targets whose leases have ended, marks unreachable data centres, and sends the
 /// registry's digests when they are due.
 pub(crate) fn tick(state: &state::State) {
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -17,6 +17,8 @@
 const GROUP_TICK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(25);
 /// Interval between runs of the timers of the registry, the distributor and the claims.
 const MAINTENANCE_INTERVAL: std_time::Duration = std_time::Duration::from_millis(500);
+/// A wait for such a run that takes this long means that the process did not run meanwhile.
+const MIN_PAUSE: std_time::Duration = std_time::Duration::from_secs(2);
 
 /// An error from starting a control or reading its address.
 #[derive(Debug, thiserror::Error)]
@@ -253,9 +255,14 @@
 async fn run_maintenance(state: sync::Arc<state::State>) {
     let mut interval = tick_interval(MAINTENANCE_INTERVAL);
     loop {
+        let waiting_since = state.now();
         interval.tick().await;
         let shared = sync::Arc::clone(&state);
         let job = move || {
+            let pause = shared.now().since(waiting_since);
+            if pause >= MIN_PAUSE {
+                registering::resume(&shared, pause);
+            }
             registering::tick(&shared);
             registering::send_report(&shared);
             registering::record_metrics(&shared);
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -134,6 +134,13 @@
         }
     }
 
+    /// Renews all leases and contacts after a time in which this control did not run: the silence of
+    /// the others shows nothing then, as their messages wait.
+    pub fn resume(&mut self, now: Time) {
+        self.leases.values_mut().for_each(|it| *it = now + NODE_LEASE);
+        self.peers.values_mut().for_each(|it| it.last_contact = now);
+    }
+
     /// Ends leases, marks the entries of unreachable data centres as stale, and starts an exchange
     /// of digests when one is due.
     pub fn tick(&mut self, now: Time) -> Due {
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -439,3 +439,18 @@
     assert_eq!(due.events.len(), 1);
     assert_eq!(list(registry.targets()), "[]");
 }
+
+/// Guards against a control that was suspended and removes the targets of all nodes when it resumes:
+/// it has had no heartbeat because it did not run.
+#[test]
+fn a_suspended_control_removes_all_targets() {
+    let mut control = registry(Time::ZERO, "skulte");
+    for host in ["skulte-1", "skulte-2"] {
+        control.apply_event(Time::ZERO, &serving(host, (1, 1)));
+    }
+    let resumed = Time::ZERO + time::Duration::from_secs(6);
+    control.resume(resumed);
+    assert!(control.tick(resumed).events.is_empty(), "their heartbeats wait in its sockets");
+    let due = control.tick(resumed + registry::NODE_LEASE);
+    assert_eq!(due.events.len(), 2, "no heartbeat came after it either");
+}
