Hold the leases of nodes by control and not by data centre

Callers see: with a second control in a data centre, as a newcomer that is to replace another, each target of that data centre is removed everywhere every 4 s until its node announces it again. Requests are refused meanwhile if the service has no other target.

Cause: an entry named the data centre of the control that holds the lease of its node (Entry::registrar). Registry::apply_event (crates/membership/src/registry.rs) of each control of that data centre took the lease, but only one of them gets the heartbeats; expire_leases of the others then removed the target.

Evidence: a_second_control_of_a_data_centre_removes_targets fails before the change: the second control removes the target after 4 s, though the first one has a heartbeat each second.

The registrar is now the control itself. The silence of a control is reported by its name, too.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -89,12 +89,6 @@
         Some(self.mesh.host(self.mesh.find_host(host)?)?.addr)
     }
 
-    /// The name of a control's data centre.
-    pub(crate) fn data_centre(&self, host: &str) -> Option<&CompactString> {
-        let host = self.mesh.host(self.mesh.find_host(host)?)?;
-        Some(&self.mesh.data_centre(host.data_centre)?.name)
-    }
-
     /// Queues a message for another control. Drops it when the queue is full or the host is not
     /// known.
     pub(crate) fn send(&self, host: &str, message: streams::PeerMessage) {
--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -80,16 +80,14 @@
 }
 
 /// Compares another control's digests with the registry and requests the parts that differ. The
-/// message also shows that the sender's data centre can be reached.
+/// message also shows that the sender can be reached.
 pub(crate) fn compare_digests(state: &state::State, host: &str, digests: &[messages::Digest]) {
-    let data_centre = state.directory.lock().data_centre(host).cloned();
-    let Some(data_centre) = data_centre else { return };
     let mut registry = state.registry.lock();
-    let reach = registry.mark_alive(state.now(), &data_centre);
+    let reach = registry.mark_alive(state.now(), host);
     let missing = registry.targets().compare(digests);
     drop(registry);
     if let Some(reach) = reach {
-        log::info!(target: "decision", "data centre {data_centre} can be heard again");
+        log::info!(target: "decision", "control {host} can be heard again");
         state.distributor.lock().broadcast(&streams::ControlMessage::Reach(reach));
     }
     if !missing.is_empty() {
@@ -123,7 +121,7 @@
     state.registry.lock().resume(state.now());
 }
 
-/// Removes targets whose leases have ended, marks unreachable data centres, and sends the
+/// Removes targets whose leases have ended, marks unreachable controls, and sends the
 /// registry's digests when they are due.
 pub(crate) fn tick(state: &state::State) {
     let due = state.registry.lock().tick(state.now());
@@ -138,7 +136,7 @@
         state.distributor.lock().broadcast(&streams::ControlMessage::Event(event.clone()));
     }
     for reach in due.unreachable {
-        log::info!(target: "decision", "data centre {} is silent", reach.data_centre);
+        log::info!(target: "decision", "control {} is silent", reach.registrar);
         state.distributor.lock().broadcast(&streams::ControlMessage::Reach(reach));
     }
     if let Some(digests) = due.digests {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -92,7 +92,7 @@
         let clock = clock::Clock::start();
         let registry = registry::Registry::new(
             clock.now(),
-            location.data_centre.clone(),
+            location.host.clone(),
             membership::toggles::Toggles::default(),
         );
         // A host that lost its disk and joined the group again may still lack versions.
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -52,9 +52,9 @@
         if part.settled { self.targets.drop_absent(part) } else { Vec::new() }
     }
 
-    /// Marks the entries under a data centre's leases as stale or not, as the control reports.
+    /// Marks the entries under a control's leases as stale or not, as the attached control reports.
     pub fn set_reachability(&mut self, report: &messages::Reachability) {
-        self.targets.set_stale(&report.data_centre, report.stale);
+        self.targets.set_stale(&report.registrar, report.stale);
     }
 
     /// The targets of a service in all states, draining and stale ones included.
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -92,7 +92,7 @@
 }
 
 impl LocalTarget {
-    /// A node without a backend server, attached to the control of the data centre `registrar`.
+    /// A node without a backend server, attached to the control `registrar`.
     pub fn new(
         location: Location,
         registrar: CompactString,
@@ -230,7 +230,7 @@
         Outcome { transition: Some(Transition::Draining), event: self.event(now) }
     }
 
-    /// The node attached to the control of the data centre `registrar`, which holds its lease from
+    /// The node attached to the control `registrar`, which holds its lease from
     /// now on. Returns the changed entry; none when nothing changed or there is no backend server.
     pub fn attach(&mut self, now: Time, registrar: CompactString) -> Option<messages::Event> {
         if self.registrar == registrar {
--- a/crates/membership/src/messages.rs
+++ b/crates/membership/src/messages.rs
@@ -90,8 +90,8 @@
     pub slots: u32,
     /// Whether the target is starting, serving, draining or gone.
     pub state: targets::State,
-    /// The name of the data centre whose control holds the node's lease: the node's own, or another
-    /// one while that control cannot be reached.
+    /// The name of the control that holds the node's lease. A data centre can have several controls,
+    /// and the others must not end the lease.
     pub registrar: CompactString,
 }
 
@@ -154,12 +154,12 @@
     pub settled: bool,
 }
 
-/// Whether the control of a data centre can be reached from the sending control.
+/// Whether a control can be reached from the sending control.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Reachability {
-    /// The name of that data centre.
-    pub data_centre: CompactString,
-    /// Whether that control is unreachable, so that the entries under its leases may be out of
+    /// The name of that control.
+    pub registrar: CompactString,
+    /// Whether it is unreachable, so that the entries under its leases may be out of
     /// date.
     pub stale: bool,
 }
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -21,24 +21,25 @@
 pub struct Due {
     /// The removals of targets whose leases ended, to the other controls and the attached nodes.
     pub events: Vec<messages::Event>,
-    /// The data centres that became unreachable, to the attached nodes.
+    /// The controls that became unreachable, to the attached nodes.
     pub unreachable: Vec<messages::Reachability>,
     /// The digests to the other controls and the attached nodes, when an exchange is due.
     pub digests: Option<Vec<messages::Digest>>,
 }
 
-/// The registry of a data centre's control, with the entries that other controls reported.
+/// The registry of a control, with the entries that other controls reported.
 ///
 /// It holds the leases of the nodes that are attached to its control: nodes of its own data centre,
 /// and of others whose home control cannot be reached. It keeps nothing on disk; after a restart,
 /// the nodes' heartbeats and the other controls' digests fill it again.
 #[derive(Clone, Debug)]
 pub struct Registry {
-    data_centre: CompactString,
+    /// The name of the control.
+    name: CompactString,
     targets: targets::Targets,
     /// When the lease of each attached node ends, by the names of their hosts.
     leases: collections::BTreeMap<CompactString, Time>,
-    /// The other controls, by the names of their data centres.
+    /// The other controls, by name.
     peers: collections::BTreeMap<CompactString, Peer>,
     started: Time,
     last_exchange: Time,
@@ -52,10 +53,10 @@
 }
 
 impl Registry {
-    /// The empty registry of this data centre's control, which started at `now`.
-    pub fn new(now: Time, data_centre: CompactString, toggles: toggles::Toggles) -> Registry {
+    /// The empty registry of the control `name`, which started at `now`.
+    pub fn new(now: Time, name: CompactString, toggles: toggles::Toggles) -> Registry {
         Registry {
-            data_centre,
+            name,
             targets: targets::Targets::new(toggles),
             leases: collections::BTreeMap::new(),
             peers: collections::BTreeMap::new(),
@@ -80,7 +81,7 @@
         let held = self.targets.find_host(&heartbeat.host);
         let known = self.targets.newest_order(&heartbeat.host);
         let digest = held.map(|it| it.entry.digest());
-        if held.is_some_and(|it| it.entry.registrar == self.data_centre) {
+        if held.is_some_and(|it| it.entry.registrar == self.name) {
             self.leases.insert(heartbeat.host.clone(), now + NODE_LEASE);
         }
         let wanted = heartbeat.digest.is_some() && heartbeat.digest != digest;
@@ -96,7 +97,7 @@
             return merge;
         }
         let entry = &event.entry;
-        if entry.registrar != self.data_centre || entry.state == objects::State::Gone {
+        if entry.registrar != self.name || entry.state == objects::State::Gone {
             self.leases.remove(&entry.host);
             return merge;
         }
@@ -109,17 +110,17 @@
 
     /// Records that a message of another control arrived. When that control was unreachable
     /// before, returns what to tell the attached nodes.
-    pub fn mark_alive(&mut self, now: Time, data_centre: &str) -> Option<messages::Reachability> {
+    pub fn mark_alive(&mut self, now: Time, name: &str) -> Option<messages::Reachability> {
         let peer = Peer { last_contact: now, stale: false };
-        let former = self.peers.insert(data_centre.into(), peer);
+        let former = self.peers.insert(name.into(), peer);
         if !former.is_some_and(|it| it.stale) {
             return None;
         }
-        self.targets.set_stale(data_centre, false);
-        Some(messages::Reachability { data_centre: data_centre.into(), stale: false })
+        self.targets.set_stale(name, false);
+        Some(messages::Reachability { registrar: name.into(), stale: false })
     }
 
-    /// The data centres that are unreachable at present, to tell a node that attaches.
+    /// The controls that are unreachable at present, to tell a node that attaches.
     pub fn unreachable_peers(&self) -> Vec<messages::Reachability> {
         let stale = self.peers.iter().filter(|(_, it)| it.stale);
         stale.map(|(name, _)| reachability(name)).collect()
@@ -141,7 +142,7 @@
         self.peers.values_mut().for_each(|it| it.last_contact = now);
     }
 
-    /// Ends leases, marks the entries of unreachable data centres as stale, and starts an exchange
+    /// Ends leases, marks the entries of unreachable controls as stale, and starts an exchange
     /// of digests when one is due.
     pub fn tick(&mut self, now: Time) -> Due {
         let mut due = Due::default();
@@ -155,7 +156,7 @@
             }
         }
         for it in &due.unreachable {
-            self.targets.set_stale(&it.data_centre, true);
+            self.targets.set_stale(&it.registrar, true);
         }
         if now.since(self.last_exchange) >= EXCHANGE_INTERVAL {
             self.last_exchange = now;
@@ -185,6 +186,6 @@
     }
 }
 
-fn reachability(data_centre: &CompactString) -> messages::Reachability {
-    messages::Reachability { data_centre: data_centre.clone(), stale: true }
+fn reachability(name: &CompactString) -> messages::Reachability {
+    messages::Reachability { registrar: name.clone(), stale: true }
 }
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -454,3 +454,21 @@
     let due = control.tick(resumed + registry::NODE_LEASE);
     assert_eq!(due.events.len(), 2, "no heartbeat came after it either");
 }
+
+/// Guards against two controls of a data centre of which one removes the targets whose nodes send
+/// their heartbeats to the other.
+#[test]
+fn a_second_control_of_a_data_centre_removes_targets() {
+    let at = |millis| Time::ZERO + time::Duration::from_millis(millis);
+    let (mut first, mut second) = (registry(at(0), "skulte"), registry(at(0), "skulte-c2"));
+    let announced = serving("skulte-1", (1, 1));
+    first.apply_event(at(0), &announced);
+    second.apply_event(at(0), &announced);
+    for second_count in 1..=10 {
+        let now = at(second_count * 1_000);
+        first.heartbeat(now, &heartbeat(&announced));
+        assert!(first.tick(now).events.is_empty());
+        let removed = second.tick(now).events;
+        assert!(removed.is_empty(), "after {second_count} s: {removed:?}");
+    }
+}
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -181,13 +181,7 @@
     let Some(name) = name.filter(|_| changed) else { return };
     log::info!(target: "decision", "attached to control {name}");
     state.directory.lock().forget_requests();
-    let mesh = &state.settings.mesh;
-    let centre = mesh
-        .find_host(&name)
-        .and_then(|it| mesh.host(it))
-        .and_then(|it| mesh.data_centre(it.data_centre));
-    let Some(centre) = centre else { return };
-    let event = state.backend.lock().local.attach(state.now(), centre.name.clone());
+    let event = state.backend.lock().local.attach(state.now(), name);
     if let Some(event) = event {
         state.send_control(streams::NodeMessage::Event(event));
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -148,8 +148,10 @@
             data_centre: location.data_centre.clone(),
             addr: addr.expect("the settings contain this host"),
         };
-        let mut local =
-            local_target::LocalTarget::new(own_location, location.data_centre.clone(), toggles);
+        let controls = configuration.updater.attachment();
+        let home = controls.keys().next().and_then(|it| controls.control(it));
+        let home = home.map(|it| it.name.clone()).unwrap_or_default();
+        let mut local = local_target::LocalTarget::new(own_location, home, toggles);
         local.set_lease(settings.lease);
         let policy = settings.policy;
         let routing = Routing {
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -299,7 +299,7 @@
     }
     let standing = streams::Suspect { fingerprint: fingerprint(), refused_ms: 1_000 };
     let known = Some(registry::Order { incarnation: 300, sequence: 2 });
-    let reach = registry::Reachability { data_centre: "dc".into(), stale: true };
+    let reach = registry::Reachability { registrar: "dc".into(), stale: true };
     table.all(
         "ControlMessage",
         &[
