Do not let nodes drop targets that their control has missed in a pause

Callers see: targets that joined while a control was suspended are dropped by the nodes that attach to it right after, until its next exchange with another control.

A control that was suspended has missed events, as one that has just started.

Evidence: a_suspended_control_counts_as_settled fails before the change. That nodes attach to such a control before its next exchange is suspected; no run shows it.

After a pause the registry counts as just started.

--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -136,8 +136,10 @@
     }
 
     /// Renews all leases and contacts after a time in which this control did not run: the silence of
-    /// the others shows nothing then, as their messages wait.
+    /// the others shows nothing then, as their messages wait. The registry may lack entries, too, as
+    /// after a start.
     pub fn resume(&mut self, now: Time) {
+        self.started = now;
         self.leases.values_mut().for_each(|it| *it = now + NODE_LEASE);
         self.peers.values_mut().for_each(|it| it.last_contact = now);
     }
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -455,6 +455,20 @@
     assert_eq!(due.events.len(), 2, "no heartbeat came after it either");
 }
 
+/// Guards against nodes that drop the targets which a control has missed while it was suspended.
+#[test]
+fn a_suspended_control_counts_as_settled() {
+    let mut control = registry(Time::ZERO, "skulte");
+    control.apply_event(Time::ZERO, &serving("skulte-1", (1, 1)));
+    let other = registry(Time::ZERO, "jugla");
+    let request = other.targets().compare(&control.targets().digests());
+    let resumed = Time::ZERO + registry::STALE_AFTER;
+    assert!(control.part(resumed, &request[0]).settled);
+    control.resume(resumed);
+    assert!(!control.part(resumed, &request[0]).settled);
+    assert!(control.part(resumed + registry::STALE_AFTER, &request[0]).settled);
+}
+
 /// Guards against two controls of a data centre of which one removes the targets whose nodes send
 /// their heartbeats to the other.
 #[test]
