--- a/crates/control/src/controls.rs
+++ b/crates/control/src/controls.rs
@@ -41,9 +41,10 @@
 /// follows from the state of the others.
 fn next_command(state: &state::State) -> Option<controls::Command> {
     let now = state.now();
-    let (status, leads) = {
+    let (status, leads, current_at) = {
         let replica = state.configuration_replica.lock();
-        (replica.group().status(now), replica.group().is_ready_leader(now))
+        let group = replica.group();
+        (group.status(now), group.is_ready_leader(now), group.current_at(now))
     };
     let configuration = state.configuration_state.lock();
     let directory = state.directory.lock();
@@ -52,14 +53,10 @@
         return Some(controls::Command::Form(initial_list(&state.settings, &directory)));
     }
     let own = directory.own_record()?;
-    // A control that is in no list gets no log, so it cannot know whether there is one. While no
-    // leader is known, its own list may be from before it was removed.
-    let listed = list.get(&own.name).is_some_and(|it| it.place == place(&own));
-    if !listed || status.leader.is_none() {
-        return Some(controls::Command::Join { name: own.name.clone(), place: place(&own) });
-    }
-    if !leads {
-        return None;
+    let silence = current_at.map(|it| now.since(it));
+    let join = list.next_join(&own.name, &place(&own), silence);
+    if join.is_some() || !leads {
+        return join;
     }
     let observe = |it: &status::MemberStatus| controls::Observation {
         name: it.host.clone(),
@@ -120,9 +117,17 @@
     };
     let text: Vec<_> = list.iter().map(|it| (&it.name, it.seats.configuration)).collect();
     log::info!(target: "decision", "controls, revision {}: {text:?}", list.revision());
-    groups::step_configuration(state, configure(&list, |_| true, |it| it.configuration));
+    // Two threads can follow two revisions at the same time, so each takes the newest list in the lock
+    // of the replica.
+    groups::step_configuration_with(state, |_| {
+        let configuration = state.configuration_state.lock();
+        configure(&configuration.controls, |_| true, |it| it.configuration)
+    });
     let region = &state.location.region;
-    groups::step_claims(state, configure(&list, |it| it.place.region == *region, |it| it.claims));
+    groups::step_claims_with(state, || {
+        let configuration = state.configuration_state.lock();
+        configure(&configuration.controls, |it| it.place.region == *region, |it| it.claims)
+    });
     let records = state.directory.lock().records();
     state.distributor.lock().broadcast(&streams::ControlMessage::Controls(records));
 }
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -456,3 +456,50 @@
     registry.apply_event(Time::ZERO, &gone);
     assert_eq!(registry.targets().digests().len(), 1);
 }
+
+/// Guards against a control that was suspended and removes the targets of all nodes when it resumes:
+/// it has had no heartbeat because it did not run.
+#[test]
+fn a_suspended_control_removes_all_targets() {
+    let mut control = registry(Time::ZERO, "skulte");
+    for host in ["skulte-1", "skulte-2"] {
+        control.apply_event(Time::ZERO, &serving(host, (1, 1)));
+    }
+    let resumed = Time::ZERO + time::Duration::from_secs(6);
+    control.resume(resumed);
+    assert!(control.tick(resumed).events.is_empty(), "their heartbeats wait in its sockets");
+    let due = control.tick(resumed + registry::NODE_LEASE);
+    assert_eq!(due.events.len(), 2, "no heartbeat came after it either");
+}
+
+/// Guards against nodes that drop the targets which a control has missed while it was suspended.
+#[test]
+fn a_suspended_control_counts_as_settled() {
+    let mut control = registry(Time::ZERO, "skulte");
+    control.apply_event(Time::ZERO, &serving("skulte-1", (1, 1)));
+    let other = registry(Time::ZERO, "jugla");
+    let request = other.targets().compare(&control.targets().digests());
+    let resumed = Time::ZERO + registry::STALE_AFTER;
+    assert!(control.part(resumed, &request[0]).settled);
+    control.resume(resumed);
+    assert!(!control.part(resumed, &request[0]).settled);
+    assert!(control.part(resumed + registry::STALE_AFTER, &request[0]).settled);
+}
+
+/// Guards against two controls of a data centre of which one removes the targets whose nodes send
+/// their heartbeats to the other.
+#[test]
+fn a_second_control_of_a_data_centre_removes_targets() {
+    let at = |millis| Time::ZERO + time::Duration::from_millis(millis);
+    let (mut first, mut second) = (registry(at(0), "skulte"), registry(at(0), "skulte-c2"));
+    let announced = serving("skulte-1", (1, 1));
+    first.apply_event(at(0), &announced);
+    second.apply_event(at(0), &announced);
+    for second_count in 1..=10 {
+        let now = at(second_count * 1_000);
+        first.heartbeat(now, &heartbeat(&announced));
+        assert!(first.tick(now).events.is_empty());
+        let removed = second.tick(now).events;
+        assert!(removed.is_empty(), "after {second_count} s: {removed:?}");
+    }
+}
