--- a/crates/agreement/src/group.rs
+++ b/crates/agreement/src/group.rs
@@ -124,7 +124,7 @@
         match event {
             events::Event::Tick => self.tick(now),
             events::Event::Receive { from, message } => self.receive(now, &from, message),
-            events::Event::Configure { hosts, voters } => self.configure(hosts, voters),
+            events::Event::Configure { hosts, voters } => self.configure(now, hosts, voters),
             events::Event::Propose(proposals) => self.propose(now, proposals),
             events::Event::ConfirmRead { token } => self.confirm_read(now, token),
             events::Event::SnapshotTaken { index, data } => self.on_snapshot(now, index, data),
--- a/crates/agreement/src/members.rs
+++ b/crates/agreement/src/members.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
     pub(crate) host: CompactString,
+    /// When the host became a member; the origin of the clock for those of the settings.
+    pub(crate) added: time::Time,
     /// The disk in the host's latest acknowledgement; none before the first one.
     pub(crate) disk: Option<entries::DiskId>,
     pub(crate) progress: Progress,
@@ -71,7 +73,8 @@
         if let Some(&key) = self.by_name.get(host) {
             return key;
         }
-        let member = Member { host: host.clone(), disk: None, progress: Progress::default() };
+        let (added, progress) = Default::default();
+        let member = Member { host: host.clone(), added, disk: None, progress };
         let key = self.arena.insert(member);
         self.by_name.insert(host.clone(), key);
         key
--- a/crates/agreement/src/membership.rs
+++ b/crates/agreement/src/membership.rs
@@ -124,10 +124,16 @@
     /// stays a member until it no longer does.
     pub(crate) fn configure(
         &mut self,
+        now: time::Time,
         mut hosts: Vec<CompactString>,
         mut voters: Vec<CompactString>,
     ) {
-        hosts.iter().for_each(|it| _ = self.members.add(it));
+        for host in &hosts {
+            if self.members.find(host).is_none() {
+                let key = self.members.add(host);
+                self.members.get_mut(key).added = now;
+            }
+        }
         let own_key = self.own_key;
         let leader = self.leader;
         let listed = &self.voter_lists.resolved;
--- a/crates/agreement/src/status.rs
+++ b/crates/agreement/src/status.rs
@@ -42,8 +42,8 @@
     pub matched: entries::Index,
     /// It has acknowledged nothing that was sent in the last few heartbeat intervals.
     pub silent: bool,
-    /// Time since the last message that it has acknowledged was sent, at most since this host
-    /// became the leader.
+    /// Time since the last message that it has acknowledged was sent, at most since this host became
+    /// the leader or that one a member.
     pub silence: std_time::Duration,
     /// Its synced log holds everything that is committed.
     pub current: bool,
@@ -68,13 +68,14 @@
 
     fn member_status(&self, now: time::Time, key: members::MemberKey) -> MemberStatus {
         let member = self.members.get(key);
+        let since = self.leader_since.max(member.added);
         MemberStatus {
             host: member.host.clone(),
             disk: member.disk,
             listed: self.listed_disk(key),
             matched: member.progress.matched,
             silent: self.is_unresponsive(now, key),
-            silence: now.since(member.progress.last_ack.unwrap_or_default().max(self.leader_since)),
+            silence: now.since(member.progress.last_ack.unwrap_or_default().max(since)),
             current: member.progress.matched >= self.hard_state.commit,
         }
     }
--- a/crates/agreement/tests/replaced_voters/mod.rs
+++ b/crates/agreement/tests/replaced_voters/mod.rs
@@ -1,6 +1,6 @@
 //! Voters that are gone for good, and whose votes other hosts take over.
 
-use std::fmt::Write as _;
+use std::{fmt::Write as _, time};
 
 use crate::sim;
 
@@ -112,3 +112,19 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Guards against a newcomer that counts as silent since the last election, and is removed before it
+/// can answer.
+#[test]
+fn a_newcomer_is_silent_since_the_election() {
+    let mut sim = sim::Sim::new(1, 3, 1, |it| it.hosts.truncate(3));
+    assert!(sim.run_until(10_000, |it| it.ready_leader().is_some()), "no leader");
+    sim.run(12_000);
+    sim.kill(3);
+    sim.settings.hosts.push(sim.hosts[3].name.clone());
+    sim.configure();
+    sim.run(100);
+    let members = sim.status(sim.ready_leader().expect("a leader")).members;
+    let newcomer = members.iter().find(|it| it.host == sim.hosts[3].name).expect("a member");
+    assert!(newcomer.silence <= time::Duration::from_millis(200), "{:?}", newcomer.silence);
+}
--- a/crates/agreement/tests/sim/mod.rs
+++ b/crates/agreement/tests/sim/mod.rs
@@ -258,6 +258,11 @@
         let voters = &mut self.settings.voters;
         let seat = voters.iter_mut().find(|it| *it == gone).expect("a voter");
         *seat = successor;
+        self.configure();
+    }
+
+    /// Tells all running hosts the hosts and voters of the settings.
+    pub fn configure(&mut self) {
         let (hosts, voters) = (self.settings.hosts.clone(), self.settings.voters.clone());
         for host in 0..self.hosts.len() {
             let event = events::Event::Configure { hosts: hosts.clone(), voters: voters.clone() };
