Send the bad frames of the test in protocol version 3, and refuse version 2

The cases tested what a process does with a bad payload; with the new version their frames were refused for the version instead. One case more.

--- a/crates/heatherwalk/tests/contracts/links.rs
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -45,15 +45,16 @@
     ];
     let peer = mesh.peer("jugla-1", hosts::Role::Node);
     let cases = [
-        ("garbage", frame(5, &[2, 0xff, 0xff, 0xff, 0xff]), true),
-        ("trailing byte", frame(3, &[2, 0, 0]), true),
-        ("truncated", frame(100, &[2, 0]), true),
+        ("garbage", frame(5, &[3, 0xff, 0xff, 0xff, 0xff]), true),
+        ("trailing byte", frame(3, &[3, 0, 0]), true),
+        ("truncated", frame(100, &[3, 0]), true),
         ("no frame", Bytes::from_static(&[0, 0]), true),
-        ("oversized", frame(8 * 1024 * 1024 + 1, &[2]), false),
+        ("oversized", frame(8 * 1024 * 1024 + 1, &[3]), false),
         ("largest length", frame(u32::MAX, &[]), false),
         ("no version", frame(0, &[]), false),
         ("version 0", frame(2, &[0, 0]), false),
         ("version 1", frame(2, &[1, 0]), false),
+        ("version 2", frame(2, &[2, 0]), false),
     ];
     let mut out = String::new();
     for (process, addr, host) in processes {
