--- a/crates/agreement/src/group.rs
+++ b/crates/agreement/src/group.rs
@@ -57,8 +57,8 @@
 impl Group {
     /// Creates the replica of `host` from the state restored from its disk, as a follower.
     ///
-    /// `seed` determines all random choices: election timeouts, the cluster ID and the nonce of this
-    /// process.
+    /// `seed` determines all random choices: election timeouts, the cluster ID and the nonce of
+    /// this process.
     pub fn new(
         settings: settings::Settings,
         host: &CompactString,
@@ -259,8 +259,8 @@
 
     /// The key of the sender of a message; none for this host and for a host that is not a member.
     ///
-    /// A host that has missed changes of the members may not know the leader. It follows a leader or
-    /// candidate of its own cluster all the same, and learns the members from the log.
+    /// A host that has missed changes of the members may not know the leader. It follows a leader
+    /// or candidate of its own cluster all the same, and learns the members from the log.
     fn sender_key(
         &mut self,
         from: &str,
--- a/crates/agreement/src/lease.rs
+++ b/crates/agreement/src/lease.rs
@@ -11,12 +11,14 @@
     pub(crate) started: Option<time::Time>,
     /// When the last heartbeat, entries or snapshot chunk from a leader arrived.
     pub(crate) last_heartbeat: Option<time::Time>,
-    /// When this host sent the latest reply that a ready leader had had when it named its commit index.
-    /// A leader is ready when it knows what is committed; a snapshot chunk names no commit index.
+    /// When this host sent the latest reply that a ready leader had had when it named its commit
+    /// index. A leader is ready when it knows what is committed; a snapshot chunk names no commit
+    /// index.
     pub(crate) last_leased: Option<time::Time>,
     /// The highest commit index that a leader has named.
     pub(crate) commit: entries::Index,
-    /// The latest such time for which this host has applied everything that the leader had committed.
+    /// The latest such time for which this host has applied everything that the leader had
+    /// committed.
     pub(crate) last_current: Option<time::Time>,
 }
 
@@ -30,9 +32,9 @@
         self.has_lease(now) || !self.settings.toggles.lease_check
     }
 
-    /// Whether this host cannot tell what is committed: it has not had everything that a ready leader
-    /// had committed for as long as its contact lasts. A heartbeat alone does not show that, since it
-    /// can arrive long before the entries that this host has missed.
+    /// Whether this host cannot tell what is committed: it has not had everything that a ready
+    /// leader had committed for as long as its contact lasts. A heartbeat alone does not show that,
+    /// since it can arrive long before the entries that this host has missed.
     pub fn is_isolated(&self, now: time::Time) -> bool {
         now >= self.contact_until(now)
     }
@@ -48,9 +50,9 @@
     }
 
     /// The latest time for which this host knows that it has applied everything that was committed
-    /// by then; none before the first contact. It is the time at which this host sent a message that
-    /// a ready leader, or as leader a majority, has answered: messages may wait for long on their way,
-    /// so the time of their arrival shows nothing.
+    /// by then; none before the first contact. It is the time at which this host sent a message
+    /// that a ready leader, or as leader a majority, has answered: messages may wait for long on
+    /// their way, so the time of their arrival shows nothing.
     pub fn current_at(&self, now: time::Time) -> Option<time::Time> {
         let leads = self.role == events::Role::Leader && self.committed_own_term();
         let led_at = if leads { self.majority_ack_time(now) } else { None };
--- a/crates/agreement/src/membership.rs
+++ b/crates/agreement/src/membership.rs
@@ -120,8 +120,8 @@
         self.voter_lists.resolved().find(|it| it.member == key).map(|it| it.disk)
     }
 
-    /// Takes over the hosts of the group. A host that the log still lists as a voter, or that leads,
-    /// stays a member until it no longer does.
+    /// Takes over the hosts of the group. A host that the log still lists as a voter, or that
+    /// leads, stays a member until it no longer does.
     pub(crate) fn configure(
         &mut self,
         now: time::Time,
@@ -148,8 +148,8 @@
         (self.settings.hosts, self.settings.voters) = (hosts, voters);
     }
 
-    /// Whether the newest list of voters does not have this host, and is committed. A leader that has
-    /// removed itself leads until then.
+    /// Whether the newest list of voters does not have this host, and is committed. A leader that
+    /// has removed itself leads until then.
     pub(crate) fn is_removed(&self) -> bool {
         !self.is_voter() && self.voter_lists.latest_index() <= self.hard_state.commit
     }
--- a/crates/agreement/src/messages.rs
+++ b/crates/agreement/src/messages.rs
@@ -25,9 +25,9 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct SendTime(pub time::Time);
 
-/// When a host sent a reply to a leader, by its own clock. The leader returns the latest one unchanged,
-/// so that the host can date what it learns by its own clock: a message may wait for long on its way,
-/// but a leader that returns this time was right at that time.
+/// When a host sent a reply to a leader, by its own clock. The leader returns the latest one
+/// unchanged, so that the host can date what it learns by its own clock: a message may wait for
+/// long on its way, but a leader that returns this time was right at that time.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplyTime {
     /// Random number of the replying process. The clocks of two processes are not comparable.
@@ -118,8 +118,8 @@
     /// The latest reply that the leader had from the receiver; none before the first one of its
     /// leadership.
     pub answered: Option<ReplyTime>,
-    /// Whether the leader had a valid lease and had committed an entry of its term when it sent this
-    /// message, so that no host could know a higher commit index.
+    /// Whether the leader had a valid lease and had committed an entry of its term when it sent
+    /// this message, so that no host could know a higher commit index.
     pub leased: bool,
     /// Term and index of the entry that precedes `entries`.
     pub prev: entries::Position,
--- a/crates/agreement/src/reads.rs
+++ b/crates/agreement/src/reads.rs
@@ -24,7 +24,8 @@
 }
 
 impl group::Group {
-    /// Drops the pending reads, for a host that stops taking part in the group. Returns their tokens.
+    /// Drops the pending reads, for a host that stops taking part in the group. Returns their
+    /// tokens.
     pub fn take_reads(&mut self) -> Vec<events::Token> {
         mem::take(&mut self.reads.pending).into_values().map(|it| it.token).collect()
     }
--- a/crates/agreement/src/replication.rs
+++ b/crates/agreement/src/replication.rs
@@ -123,8 +123,8 @@
         self.send(sender.key, messages::Body::AppendReply { stamp, sent, outcome });
     }
 
-    /// Follows the sender of entries or of a snapshot as the leader of its term. Returns false if the
-    /// term is below this host's.
+    /// Follows the sender of entries or of a snapshot as the leader of its term. Returns false if
+    /// the term is below this host's.
     pub(crate) fn accept_leader(&mut self, now: time::Time, sender: group::Sender) -> bool {
         if sender.term < self.hard_state.term {
             return false;
@@ -225,7 +225,8 @@
     }
 
     /// Records that a member acknowledged the message sent at `stamp`, by a reply that it sent at
-    /// `sent` on its own clock. Returns false if the reply does not belong to this host's current leadership; a higher term makes it step down.
+    /// `sent` on its own clock. Returns false if the reply does not belong to this host's current
+    /// leadership; a higher term makes it step down.
     pub(crate) fn record_ack(
         &mut self,
         now: time::Time,
--- a/crates/agreement/src/status.rs
+++ b/crates/agreement/src/status.rs
@@ -42,8 +42,8 @@
     pub matched: entries::Index,
     /// It has acknowledged nothing that was sent in the last few heartbeat intervals.
     pub silent: bool,
-    /// Time since the last message that it has acknowledged was sent, at most since this host became
-    /// the leader or that one a member.
+    /// Time since the last message that it has acknowledged was sent, at most since this host
+    /// became the leader or that one a member.
     pub silence: std_time::Duration,
     /// Its synced log holds everything that is committed.
     pub current: bool,
--- a/crates/agreement/tests/cases.rs
+++ b/crates/agreement/tests/cases.rs
@@ -279,8 +279,8 @@
     }
 }
 
-/// Guards against a new leader that forgets what it knew as a follower until it has committed an entry of
-/// its term.
+/// Guards against a new leader that forgets what it knew as a follower until it has committed an
+/// entry of its term.
 #[test]
 fn a_new_leader_forgets_what_it_knew() {
     for seed in SEEDS {
@@ -298,8 +298,8 @@
     }
 }
 
-/// Freezes a host while messages of the leader wait for it, and cuts it off before it runs again, so
-/// that it gets no later ones.
+/// Freezes a host while messages of the leader wait for it, and cuts it off before it runs again,
+/// so that it gets no later ones.
 fn frozen_then_cut(sim: &mut sim::Sim, host: usize) {
     sim.hosts[host].faults.frozen = true;
     sim.run(300);
@@ -384,8 +384,8 @@
     insta::assert_snapshot!(table);
 }
 
-/// Guards against a clock that stands still while its machine is suspended: a leader that runs again
-/// would still count on its lease, which the others have waited for meanwhile.
+/// Guards against a clock that stands still while its machine is suspended: a leader that runs
+/// again would still count on its lease, which the others have waited for meanwhile.
 #[test]
 fn suspended_machines() {
     let mut table = String::new();
--- a/crates/agreement/tests/replaced_voters/mod.rs
+++ b/crates/agreement/tests/replaced_voters/mod.rs
@@ -113,8 +113,8 @@
     insta::assert_snapshot!(table);
 }
 
-/// Guards against a newcomer that counts as silent since the last election, and is removed before it
-/// can answer.
+/// Guards against a newcomer that counts as silent since the last election, and is removed before
+/// it can answer.
 #[test]
 fn a_newcomer_is_silent_since_the_election() {
     let mut sim = sim::Sim::new(1, 3, 1, |it| it.hosts.truncate(3));
--- a/crates/control/src/controls.rs
+++ b/crates/control/src/controls.rs
@@ -117,8 +117,8 @@
     };
     let text: Vec<_> = list.iter().map(|it| (&it.name, it.seats.configuration)).collect();
     log::info!(target: "decision", "controls, revision {}: {text:?}", list.revision());
-    // Two threads can follow two revisions at the same time, so each takes the newest list in the lock
-    // of the replica.
+    // Two threads can follow two revisions at the same time, so each takes the newest list in the
+    // lock of the replica.
     groups::step_configuration_with(state, |_| {
         let configuration = state.configuration_state.lock();
         configure(&configuration.controls, |_| true, |it| it.configuration)
@@ -179,8 +179,8 @@
     log::warn!("the seats of this control were not taken over within {HANDOVER_LIMIT:?}");
 }
 
-/// Tells the other controls that this one is about to stop. Returns false when no control could take
-/// over its seats.
+/// Tells the other controls that this one is about to stop. Returns false when no control could
+/// take over its seats.
 fn announce_stop(state: &state::State) -> bool {
     let host = &state.location.host;
     if !state.configuration_state.lock().controls.has_successor(host) {
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -1,8 +1,8 @@
 //! The other controls that this one knows: where they are, and the send queues to them.
 //!
-//! Which controls there are is replicated state ([`replicated::controls`]); the directory follows it.
-//! Until the first list is in the log, it has the controls of the settings. A control that has missed
-//! changes of the list also learns of those that connect to it.
+//! Which controls there are is replicated state ([`replicated::controls`]); the directory follows
+//! it. Until the first list is in the log, it has the controls of the settings. A control that has
+//! missed changes of the list also learns of those that connect to it.
 
 use std::{collections, time as std_time};
 
--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -47,8 +47,8 @@
     state.distributor.lock().send(key, streams::ControlMessage::Heartbeat(answer));
 }
 
-/// Sends the controls, the unreachable data centres and the registry's digests to a node that has just attached.
-/// The node then asks for the parts that differ from its own.
+/// Sends the controls, the unreachable data centres and the registry's digests to a node that has
+/// just attached. The node then asks for the parts that differ from its own.
 pub(crate) fn send_registry(state: &state::State, key: subscribers::SubscriberKey) {
     let registry = state.registry.lock();
     let digests = registry.targets().digests();
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -145,9 +145,9 @@
         self.operators.local_addr()
     }
 
-    /// Stops the control: hands its seats over if another control can take them, lets operators' requests in flight finish, for at most
-    /// [`stop_limit`](settings::Settings::stop_limit), then ends all tasks, closes the logs and
-    /// closes the streams of other processes at once.
+    /// Stops the control: hands its seats over if another control can take them, lets operators'
+    /// requests in flight finish, for at most [`stop_limit`](settings::Settings::stop_limit), then
+    /// ends all tasks, closes the logs and closes the streams of other processes at once.
     pub async fn stop(mut self) {
         controls::hand_over(&self.state).await;
         let limit = self.state.settings.stop_limit;
@@ -225,20 +225,8 @@
             peers::receive(state, link, &mut receiver).await
         }
         (streams::Open::Propose(request), role) => {
-            let refused = matches!(
-                &request,
-                proposals::Proposal::Controls(it)
-                    if role != hosts::Role::Control
-                        || !controls::may_propose(it, link.host(), link.remote_addr())
-            );
-            if refused {
-                log::warn!("refused a change of the controls that {} proposed", link.host());
-                sender.send(&proposals::Outcome::Unavailable).await?;
-                return sender.finish();
-            }
             let outcome = match role {
-                // Another control finds the leader itself; for a node, this control does.
-                hosts::Role::Control => proposing::propose_locally(state, request).await,
+                hosts::Role::Control => propose_for_control(state, link, request).await,
                 hosts::Role::Node => propose_for_node(state, link.host(), request).await,
             };
             sender.send(&outcome).await?;
@@ -255,8 +243,24 @@
     }
 }
 
+/// Proposes a change for another control, which finds the leader itself. Of the list of controls it
+/// may change nothing but its own place.
+async fn propose_for_control(
+    state: &sync::Arc<state::State>,
+    link: &links::Link,
+    request: proposals::Proposal,
+) -> proposals::Outcome {
+    if let proposals::Proposal::Controls(command) = &request
+        && !controls::may_propose(command, link.host(), link.remote_addr())
+    {
+        log::warn!("refused a change of the controls that {} proposed", link.host());
+        return proposals::Outcome::Unavailable;
+    }
+    proposing::propose_locally(state, request).await
+}
+
 /// Proposes a claim or evidence for a node. Refuses patches, since only operators may change the
-/// configuration.
+/// configuration, and changes of the controls.
 async fn propose_for_node(
     state: &sync::Arc<state::State>,
     host: &str,
@@ -266,6 +270,10 @@
         log::warn!("refused a patch that node {host} proposed; patches come from operators only");
         return proposals::Outcome::Unavailable;
     }
+    if matches!(request, proposals::Proposal::Controls(_)) {
+        log::warn!("refused a change of the controls that node {host} proposed");
+        return proposals::Outcome::Unavailable;
+    }
     let is_claim = matches!(
         &request,
         proposals::Proposal::Claim(it) if matches!(it.action, claims::Action::Claim { .. })
--- a/crates/control/src/state_machines.rs
+++ b/crates/control/src/state_machines.rs
@@ -53,8 +53,8 @@
     Ok(postcard::to_stdvec(value)?.into())
 }
 
-/// Decodes a snapshot. One that was written before the controls were part of the state ends after the
-/// quarantine.
+/// Decodes a snapshot. One that was written before the controls were part of the state ends after
+/// the quarantine.
 fn decode_configuration(data: &[u8]) -> replica::Result<ConfigurationState> {
     let (versions, rest) = postcard::take_from_bytes(data)?;
     let (quarantine, rest) = postcard::take_from_bytes(rest)?;
--- a/crates/distribution/src/attach.rs
+++ b/crates/distribution/src/attach.rs
@@ -12,15 +12,15 @@
 /// Time without a message after which a control counts as unreachable. Until this long after its
 /// last contact with a node, an isolated home control relies on the version that the node reported.
 pub const CONTACT_TIMEOUT: time::Duration = time::Duration::from_secs(3);
-/// The shortest time for which a control may owe an acknowledgement, with nothing else arriving from
-/// it, until the node tries another one beside it. An accepted version has to be in force within
-/// 2 s, of which up to 1 s passes before the next beat.
+/// The shortest time for which a control may owe an acknowledgement, with nothing else arriving
+/// from it, until the node tries another one beside it. An accepted version has to be in force
+/// within 2 s, of which up to 1 s passes before the next beat.
 pub const SUSPICION_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// How many times longer than usual an acknowledgement must take before the node tries another
 /// control: on a full link they are all late.
 pub const SUSPICION_FACTOR: u32 = 4;
-/// How long the acknowledgements of a control that has just been attached to are taken to need. It is
-/// long because a control is slow while its fleet starts, and falls with each acknowledgement.
+/// How long the acknowledgements of a control that has just been attached to are taken to need. It
+/// is long because a control is slow while its fleet starts, and falls with each acknowledgement.
 pub const INITIAL_ACK_DELAY: time::Duration = time::Duration::from_millis(500);
 /// How long an attempt to attach may take. An attempt during a partition hangs because its packets
 /// are dropped, and must not delay the next one for long after the partition ends.
@@ -156,10 +156,10 @@
     }
 
     /// Replaces the controls by those of `listed`, of which those that stay keep their state. One
-    /// that is gone comes last and is not tried any more. If the node is attached to it, it stays so
-    /// until another control answers. It keeps its key until the next list that lacks it, or longer
-    /// while it is in use. An empty list changes nothing. Returns whether another control is the home
-    /// control.
+    /// that is gone comes last and is not tried any more. If the node is attached to it, it stays
+    /// so until another control answers. It keeps its key until the next list that lacks it, or
+    /// longer while it is in use. An empty list changes nothing. Returns whether another control is
+    /// the home control.
     pub fn update(&mut self, listed: &[Listed]) -> bool {
         let Some(home) = self.next_home(listed) else { return false };
         let changed = self.home().is_none_or(|it| it.name != home);
@@ -242,8 +242,8 @@
         self.restore_attached(now)
     }
 
-    /// Ends the cooldown of the attached control, which has shown that it serves. Returns the control
-    /// of an attempt that is no longer needed; its connection is to be closed.
+    /// Ends the cooldown of the attached control, which has shown that it serves. Returns the
+    /// control of an attempt that is no longer needed; its connection is to be closed.
     pub fn restore_attached(&mut self, now: Time) -> Option<ControlKey> {
         let link = self.link?;
         let control = self.controls.get_mut(link.control)?;
--- a/crates/distribution/src/homes.rs
+++ b/crates/distribution/src/homes.rs
@@ -1,11 +1,11 @@
 //! What a node's home control means when the controls of the mesh change.
 //!
 //! Rules R2 and R3 rely on the home control having each version that it handed out. That is true of
-//! one host, not of whichever control is in the node's data centre. A floor token therefore names the
-//! home control that it speaks of, and a new home control counts as a fallback control until the
-//! backend server holds a token that names it. A former home control, to a restarted node that found
-//! an older list of controls, can still be home; so the node also waits until that control no longer
-//! relies on its last contact with the node.
+//! one host, not of whichever control is in the node's data centre. A floor token therefore names
+//! the home control that it speaks of, and a new home control counts as a fallback control until
+//! the backend server holds a token that names it. A former home control, to a restarted node that
+//! found an older list of controls, can still be home; so the node also waits until that control no
+//! longer relies on its last contact with the node.
 
 use rand::Rng;
 use world::time::Time;
@@ -48,8 +48,9 @@
         }
     }
 
-    /// Whether the home control's versions may run without a token that covers them: each token that
-    /// the backend server may return names it, and a former home control relies on nothing any more.
+    /// Whether the home control's versions may run without a token that covers them: each token
+    /// that the backend server may return names it, and a former home control relies on nothing any
+    /// more.
     ///
     /// A backend server that renews no announcement would keep the node at its version for as long
     /// as that lasts, so its token does not count here. If it returns later with that token, only a
@@ -81,8 +82,8 @@
         }
     }
 
-    /// Records that the last acknowledgement of a control is echoed to it, which counts for one that
-    /// takes itself for the node's home control.
+    /// Records that the last acknowledgement of a control is echoed to it, which counts for one
+    /// that takes itself for the node's home control.
     pub(crate) fn record_echo(&mut self, link: &attach::Link) {
         let Some((_, at)) = link.ack.filter(|_| link.home) else { return };
         self.last_echo = at.max(self.last_echo);
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -1,8 +1,8 @@
 //! Distribution of configuration versions from controls to nodes.
 //!
 //! A node is attached to one control at a time. Its *home control* is the one of its own data
-//! centre; after a replacement that is another host. While that one cannot be reached, or cannot reach a leader, the node attaches to a
-//! control of another data centre, a *fallback control*.
+//! centre; after a replacement that is another host. While that one cannot be reached, or cannot
+//! reach a leader, the node attaches to a control of another data centre, a *fallback control*.
 //!
 //! The control's side is [`relay`]: it sends each committed version to the attached nodes. The
 //! node's side is [`updater`]: it decides when a received version may run. A restarted node must
--- a/crates/distribution/src/messages.rs
+++ b/crates/distribution/src/messages.rs
@@ -159,7 +159,7 @@
     pub isolated: bool,
     /// The latest version that the control knows. It sends a version only once that is synced.
     pub version: document::Version,
-    /// How long ago the control knew that no later version was accepted, in milliseconds, rounded up.
-    /// Without meaning while it is isolated.
+    /// How long ago the control knew that no later version was accepted, in milliseconds, rounded
+    /// up. Without meaning while it is isolated.
     pub age_ms: u32,
 }
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -154,8 +154,8 @@
         effects
     }
 
-    /// Whether the control does not know what is committed. That is so too when its log has not been
-    /// stepped for long, as with a disk that hangs.
+    /// Whether the control does not know what is committed. That is so too when its log has not
+    /// been stepped for long, as with a disk that hangs.
     fn is_isolated(&self, now: Time) -> bool {
         now >= self.contact.until
     }
@@ -362,8 +362,9 @@
         effects
     }
 
-    /// Acknowledges a hello or a beat. Nothing else may be acknowledged, since a node takes the time
-    /// of its oldest unacknowledged message for the time at which the control knew the version.
+    /// Acknowledges a hello or a beat. Nothing else may be acknowledged, since a node takes the
+    /// time of its oldest unacknowledged message for the time at which the control knew the
+    /// version.
     fn send_ack(&mut self, now: Time, key: SubscriberKey, effects: &mut Vec<Effect>) {
         let Some(subscriber) = self.subscribers.get(key) else { return };
         // A node recognizes an acknowledgement that it has had by its time.
--- a/crates/distribution/src/toggles.rs
+++ b/crates/distribution/src/toggles.rs
@@ -23,8 +23,8 @@
     /// An isolated home control sends a version to a restarted node without a token only when the
     /// node contacted it within the last 3 s, and only a version at least as high as the node ran.
     pub contact_check: bool,
-    /// A new home control counts as a fallback control until the floor token names it, and until its
-    /// predecessor no longer relies on what it knows of the node.
+    /// A new home control counts as a fallback control until the floor token names it, and until
+    /// its predecessor no longer relies on what it knows of the node.
     pub home_identity: bool,
     /// A node that runs a version accepts only higher ones.
     pub higher_only: bool,
--- a/crates/distribution/src/updater.rs
+++ b/crates/distribution/src/updater.rs
@@ -13,9 +13,9 @@
 /// stops is suspected before the running version is too old to route by.
 pub const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// The age up to which the running version counts as the latest. An accepted version has to be in
-/// force within 2 s, and the age includes that of the control's knowledge; a tenth allows for clocks
-/// that differ in speed and for the way to the backend server. It is longer than [`BEAT_INTERVAL`],
-/// so that a confirmation lasts until the next one.
+/// force within 2 s, and the age includes that of the control's knowledge; a tenth allows for
+/// clocks that differ in speed and for the way to the backend server. It is longer than
+/// [`BEAT_INTERVAL`], so that a confirmation lasts until the next one.
 pub const CONFIRMATION_LIMIT: time::Duration = time::Duration::from_millis(1_800);
 /// How long a peer may take to send a snapshot before the node asks its control again.
 pub const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -203,7 +203,8 @@
         self.confirmed_at.map(|it| now.since(it))
     }
 
-    /// Whether the node runs this version, and it was the latest at most [`CONFIRMATION_LIMIT`] ago.
+    /// Whether the node runs this version, and it was the latest at most [`CONFIRMATION_LIMIT`]
+    /// ago.
     pub fn is_confirmed(&self, now: Time, version: document::Version) -> bool {
         let runs = self.running().is_some_and(|it| it.version() == version);
         runs && self.age(now).is_some_and(|it| it < CONFIRMATION_LIMIT)
--- a/crates/distribution/tests/faults/attaching.rs
+++ b/crates/distribution/tests/faults/attaching.rs
@@ -29,8 +29,9 @@
     }
 }
 
-/// Guards against a node that waits 3 s for a control that has stopped, while an accepted version has
-/// to be in force within 2 s: nodes of a frozen control denied routes that were accepted 2.8 s before.
+/// Guards against a node that waits 3 s for a control that has stopped, while an accepted version
+/// has to be in force within 2 s: nodes of a frozen control denied routes that were accepted 2.8 s
+/// before.
 #[test]
 fn a_stopped_control_delays_a_version() {
     let mut worst = time::Duration::ZERO;
@@ -50,8 +51,8 @@
     assert!(worst <= time::Duration::from_millis(1_900), "{worst:?}");
 }
 
-/// Guards against nodes that leave a control which is slow while its fleet starts: 23 of 68 nodes did
-/// after a loss of power, two of them before they had a version, which was then sent twice.
+/// Guards against nodes that leave a control which is slow while its fleet starts: 23 of 68 nodes
+/// did after a loss of power, two of them before they had a version, which was then sent twice.
 #[test]
 fn a_slow_start_makes_nodes_change_their_control() {
     for delay in [200, 600, 1_000] {
@@ -68,8 +69,8 @@
     }
 }
 
-/// Guards against a node that leaves a control whose answers take long, as on a full link: the change
-/// of control would load the link further.
+/// Guards against a node that leaves a control whose answers take long, as on a full link: the
+/// change of control would load the link further.
 #[test]
 fn slow_answers_make_a_node_change_its_control() {
     let mut out = String::new();
@@ -155,9 +156,9 @@
     }
 }
 
-/// Guards against a node that asks its home control for ever for a version that it refuses: while that
-/// one was isolated, it offered the restarted node its version with a proof that does not count
-/// without floor tokens, and repeated that when it had a leader again.
+/// Guards against a node that asks its home control for ever for a version that it refuses: while
+/// that one was isolated, it offered the restarted node its version with a proof that does not
+/// count without floor tokens, and repeated that when it had a leader again.
 #[test]
 fn a_refused_proof_is_repeated() {
     let mut sim = sim::Sim::new(1, &[0], toggles::Toggles::default());
--- a/crates/distribution/tests/faults/homes.rs
+++ b/crates/distribution/tests/faults/homes.rs
@@ -60,7 +60,8 @@
 }
 
 /// Guards against a node that goes back to an older version, or gets none, at some moment after its
-/// home control was replaced. It restarts the node at each 200 ms, alone or with its backend server.
+/// home control was replaced. It restarts the node at each 200 ms, alone or with its backend
+/// server.
 #[test]
 fn restart_after_a_replacement() {
     for at in (0..10_000).step_by(200) {
--- a/crates/distribution/tests/faults/routing.rs
+++ b/crates/distribution/tests/faults/routing.rs
@@ -35,8 +35,8 @@
     sim
 }
 
-/// Guards against a node that routes by the snapshot that it has just received, although the versions
-/// after it were accepted while the snapshot was on its way over a full link.
+/// Guards against a node that routes by the snapshot that it has just received, although the
+/// versions after it were accepted while the snapshot was on its way over a full link.
 #[test]
 fn a_snapshot_is_old_when_it_arrives() {
     let mut out = String::new();
@@ -115,8 +115,8 @@
     insta::assert_snapshot!(out);
 }
 
-/// Guards against a control that confirms its version as the latest although its log lags behind what
-/// the leader has committed: its nodes routed by the old version for as long as it lagged.
+/// Guards against a control that confirms its version as the latest although its log lags behind
+/// what the leader has committed: its nodes routed by the old version for as long as it lagged.
 #[test]
 fn a_control_that_lags_confirms_its_version() {
     for phase in (0..1_000).step_by(50) {
--- a/crates/heatherwalk/src/discovery.rs
+++ b/crates/heatherwalk/src/discovery.rs
@@ -2,8 +2,9 @@
 //!
 //! The controls that start a new mesh exchange their host records. Those at the seeds' addresses
 //! become the voters of the groups. Every other process polls the seeds until one of them returns
-//! the complete list of controls. A control stores the list in its data folder and waits for no seed
-//! at later starts. A process that reaches none of the controls that it knows asks the seeds again.
+//! the complete list of controls. A control stores the list in its data folder and waits for no
+//! seed at later starts. A process that reaches none of the controls that it knows asks the seeds
+//! again.
 
 mod following;
 mod introductions;
--- a/crates/heatherwalk/src/discovery/following.rs
+++ b/crates/heatherwalk/src/discovery/following.rs
@@ -36,8 +36,8 @@
     found.into_values().collect()
 }
 
-/// Asks the seeds while a node reaches no control, or for long no leader, and adds the controls that
-/// they name. `seeds` changes with the settings. Runs until it is dropped.
+/// Asks the seeds while a node reaches no control, or for long no leader, and adds the controls
+/// that they name. `seeds` changes with the settings. Runs until it is dropped.
 pub async fn follow_node(controls: node::running::Controls, seeds: watch::Receiver<Seeds>) {
     let mut schedule = Schedule::default();
     loop {
@@ -50,9 +50,9 @@
     }
 }
 
-/// Asks the seeds while a control knows no leader, and adds the controls that they name: those of its
-/// stored list may all be gone, and the others may have dropped this one from theirs. `seeds` changes
-/// with the settings. Runs until it is dropped.
+/// Asks the seeds while a control knows no leader, and adds the controls that they name: those of
+/// its stored list may all be gone, and the others may have dropped this one from theirs. `seeds`
+/// changes with the settings. Runs until it is dropped.
 pub async fn follow_control(peers: control::running::Peers, seeds: watch::Receiver<Seeds>) {
     let mut schedule = Schedule::default();
     loop {
--- a/crates/heatherwalk/src/main.rs
+++ b/crates/heatherwalk/src/main.rs
@@ -127,9 +127,9 @@
     })
 }
 
-/// Reads the settings file at each SIGHUP and logs its faults. The running role takes new seeds from
-/// it, which the returned receiver has, and otherwise keeps the settings that it started with, since
-/// none of them can change while its ports and links are open.
+/// Reads the settings file at each SIGHUP and logs its faults. The running role takes new seeds
+/// from it, which the returned receiver has, and otherwise keeps the settings that it started with,
+/// since none of them can change while its ports and links are open.
 fn reload_on_hangup(
     file: CompactString,
     seeds: Option<discovery::Seeds>,
--- a/crates/heatherwalk/tests/contracts/links.rs
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -239,8 +239,8 @@
     drop(sender);
 }
 
-/// Guards against a request whose time starts anew at the next node, so that it runs although it has
-/// waited on the way until its caller left.
+/// Guards against a request whose time starts anew at the next node, so that it runs although it
+/// has waited on the way until its caller left.
 #[tokio::test(flavor = "multi_thread")]
 async fn time_on_the_way_does_not_count() {
     let mesh = mesh::Mesh::start(1).await;
--- a/crates/heatherwalk/tests/processes/configuration.rs
+++ b/crates/heatherwalk/tests/processes/configuration.rs
@@ -117,8 +117,8 @@
     });
 }
 
-/// Guards against a control that was removed while it was down, still finds itself in the list on its
-/// disk when it returns, and stays isolated.
+/// Guards against a control that was removed while it was down, still finds itself in the list on
+/// its disk when it returns, and stays isolated.
 #[test]
 fn removed_control_returns() {
     harness::run_seeded(&harness::DATA_CENTRES, &no_delay(), async |mesh| {
--- a/crates/heatherwalk/tests/processes/harness.rs
+++ b/crates/heatherwalk/tests/processes/harness.rs
@@ -54,8 +54,8 @@
     pub version: u64,
     client: web::client::Client,
     patches: u32,
-    /// The operators' token, which no other mesh has: the port of a killed control can be taken by a
-    /// control of another test run.
+    /// The operators' token, which no other mesh has: the port of a killed control can be taken by
+    /// a control of another test run.
     token: String,
     /// The seeds that the settings name; none when they list the controls.
     seeds: Option<Vec<net::SocketAddr>>,
--- a/crates/heatherwalk/tests/processes/outages.rs
+++ b/crates/heatherwalk/tests/processes/outages.rs
@@ -67,8 +67,8 @@
     });
 }
 
-/// Guards against a control that is replaced by one with another name and other addresses, and whose
-/// vote is lost for good: the group then had no majority once another disk was lost.
+/// Guards against a control that is replaced by one with another name and other addresses, and
+/// whose vote is lost for good: the group then had no majority once another disk was lost.
 #[test]
 fn a_replaced_control_ends_the_group() {
     harness::run_seeded(&harness::DATA_CENTRES, &no_delay(), async |mesh| {
@@ -136,8 +136,8 @@
     });
 }
 
-/// Guards against a control that was replaced while it was down, as all others were: its stored list
-/// names none that runs, and none of these knows it. It has to take its seeds, also new ones.
+/// Guards against a control that was replaced while it was down, as all others were: its stored
+/// list names none that runs, and none of these knows it. It has to take its seeds, also new ones.
 #[test]
 fn a_stored_list_of_replaced_controls() {
     harness::run_seeded(&harness::DATA_CENTRES, &no_delay(), async |mesh| {
--- a/crates/heatherwalk/tests/requests/controls.rs
+++ b/crates/heatherwalk/tests/requests/controls.rs
@@ -44,8 +44,8 @@
     bound.await.expect("binds")
 }
 
-/// Guards against a node that knows only the controls of its start: it stayed with one that had been
-/// replaced, and was lost with it.
+/// Guards against a node that knows only the controls of its start: it stayed with one that had
+/// been replaced, and was lost with it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_node_does_not_learn_of_a_new_control() {
     let mut mesh = mesh::Mesh::spawn(0, json!({})).await;
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -7,8 +7,8 @@
 
 use crate::{messages, targets, toggles};
 
-/// Most entries that the parts which a node asks for have between two digests of its control: 112 KB,
-/// or 22 KB/s, so that many nodes can start at the same time.
+/// Most entries that the parts which a node asks for have between two digests of its control: 112
+/// KB, or 22 KB/s, so that many nodes can start at the same time.
 pub const EXCHANGE_ENTRIES: usize = 1_120;
 
 /// The targets of all data centres, as the control that the node is attached to reports them.
@@ -76,10 +76,10 @@
         &self.targets
     }
 
-    /// The parts to ask the control for now, at most `limit`, given its digests `theirs`. Parts of the
-    /// node's own data centre come first: a node that has just started needs these targets before
-    /// the rest. A part that the control was asked for before is not asked for again: on a full link
-    /// it may take longer than until the next digests.
+    /// The parts to ask the control for now, at most `limit`, given its digests `theirs`. Parts of
+    /// the node's own data centre come first: a node that has just started needs these targets
+    /// before the rest. A part that the control was asked for before is not asked for again: on a
+    /// full link it may take longer than until the next digests.
     pub fn parts_to_request(
         &mut self,
         theirs: &[messages::Digest],
@@ -104,8 +104,8 @@
         self.asked.clone()
     }
 
-    /// Forgets which parts were asked for: their answers do not come any more, since the session with
-    /// the control has ended or the request was not sent.
+    /// Forgets which parts were asked for: their answers do not come any more, since the session
+    /// with the control has ended or the request was not sent.
     pub fn forget_requests(&mut self) {
         self.asked.clear();
         self.wanted.clear();
--- a/crates/membership/src/messages.rs
+++ b/crates/membership/src/messages.rs
@@ -90,8 +90,8 @@
     pub slots: u32,
     /// Whether the target is starting, serving, draining or gone.
     pub state: targets::State,
-    /// The name of the control that holds the node's lease. A data centre can have several controls,
-    /// and the others must not end the lease.
+    /// The name of the control that holds the node's lease. A data centre can have several
+    /// controls, and the others must not end the lease.
     pub registrar: CompactString,
 }
 
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -135,9 +135,9 @@
         }
     }
 
-    /// Renews all leases and contacts after a time in which this control did not run: the silence of
-    /// the others shows nothing then, as their messages wait. The registry may lack entries, too, as
-    /// after a start.
+    /// Renews all leases and contacts after a time in which this control did not run: the silence
+    /// of the others shows nothing then, as their messages wait. The registry may lack entries,
+    /// too, as after a start.
     pub fn resume(&mut self, now: Time) {
         self.started = now;
         self.leases.values_mut().for_each(|it| *it = now + NODE_LEASE);
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -377,8 +377,8 @@
     assert!(key(objects::State::Gone, (90, 2)).is_empty());
 }
 
-/// Guards against an odd entry that is listed as a target, that no later entry of its host replaces,
-/// or that hides the entries beside it.
+/// Guards against an odd entry that is listed as a target, that no later entry of its host
+/// replaces, or that hides the entries beside it.
 #[test]
 fn an_odd_entry_hides_the_others() {
     let good = || entry("skulte-1", "skulte", (50, 1), objects::State::Serving);
@@ -457,8 +457,8 @@
     assert_eq!(registry.targets().digests().len(), 1);
 }
 
-/// Guards against a control that was suspended and removes the targets of all nodes when it resumes:
-/// it has had no heartbeat because it did not run.
+/// Guards against a control that was suspended and removes the targets of all nodes when it
+/// resumes: it has had no heartbeat because it did not run.
 #[test]
 fn a_suspended_control_removes_all_targets() {
     let mut control = registry(Time::ZERO, "skulte");
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -216,8 +216,8 @@
 }
 
 /// Checks an announcement. If the settings name the host's service, another one has to be in the
-/// running configuration: the announcement of an unknown one is that of another writer, and must not
-/// replace the backend server.
+/// running configuration: the announcement of an unknown one is that of another writer, and must
+/// not replace the backend server.
 fn check(state: &state::State, announcement: &Announcement) -> announcements::Result<()> {
     announcements::check(announcement, unix_time())?;
     let (own, service) = (&state.settings.service, &announcement.service);
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -154,8 +154,8 @@
     (running.map(|it| it.version()).unwrap_or_default(), bytes.min(MAX_BODY))
 }
 
-/// The refusal to answer with. A request that the running version does not allow is refused for good
-/// only if no later version can be in force; otherwise the caller is asked to send it again.
+/// The refusal to answer with. A request that the running version does not allow is refused for
+/// good only if no later version can be in force; otherwise the caller is asked to send it again.
 async fn check_version(
     state: &sync::Arc<state::State>,
     refusal: refusals::Refusal,
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -75,8 +75,8 @@
         });
     }
 
-    /// Records whether the target had room for the request. What happens on this host costs no message,
-    /// and calls are not held back, so neither counts in the throttle.
+    /// Records whether the target had room for the request. What happens on this host costs no
+    /// message, and calls are not held back, so neither counts in the throttle.
     fn record_admission(&self, routing: &mut state::Routing, now: time::Time, admitted: bool) {
         let estimates = &mut routing.balancer.estimates;
         estimates.record_admission(now, self.target, self.class, admitted);
@@ -149,9 +149,9 @@
     pub(crate) same_centre: bool,
 }
 
-/// Chooses a target that the request was not sent to yet, and counts the attempt as in flight. A send
-/// that was paid for from the request's attempts is not held back. The error says why no target can
-/// be chosen.
+/// Chooses a target that the request was not sent to yet, and counts the attempt as in flight. A
+/// send that was paid for from the request's attempts is not held back. The error says why no
+/// target can be chosen.
 pub(crate) fn choose(
     state: &sync::Arc<state::State>,
     request: &state::RoutedRequest,
--- a/crates/node/src/controls.rs
+++ b/crates/node/src/controls.rs
@@ -88,8 +88,8 @@
     attaching::apply_effects(state, effects);
 }
 
-/// The controls of the mesh for which `is_kept`: first those of the own data centre, then the others
-/// by latency.
+/// The controls of the mesh for which `is_kept`: first those of the own data centre, then the
+/// others by latency.
 fn listed(
     mesh: &mesh::Mesh,
     location: &state::Location,
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -149,7 +149,8 @@
 }
 
 /// Sends an answer to the node that forwarded the request. It should be complete at `at`. If the
-/// body ends early, the stream is reset, so that a partial answer is never taken for a complete one.
+/// body ends early, the stream is reset, so that a partial answer is never taken for a complete
+/// one.
 async fn stream_answer(
     answered: working::Answered,
     at: tokio::time::Instant,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -87,8 +87,8 @@
     pub(crate) notice: dialect::Notice,
     /// Limits the log lines about refused announcements.
     pub(crate) refusals: log_limits::LogLimit,
-    /// By when requests have to be answered, once a planned stop has begun. The node is not ready any
-    /// more, but still serves.
+    /// By when requests have to be answered, once a planned stop has begun. The node is not ready
+    /// any more, but still serves.
     pub(crate) stop_by: Option<time::Time>,
     /// Whether the node refuses new work, after the linger time of a planned stop.
     pub(crate) stopping: bool,
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -82,8 +82,8 @@
     Standings(Vec<Suspect>),
     /// A message about the distribution of versions.
     Version(distribution::messages::ToNode),
-    /// All controls of the mesh. Replaces the previous list. Sent when the node attaches and at each
-    /// change.
+    /// All controls of the mesh. Replaces the previous list. Sent when the node attaches and at
+    /// each change.
     Controls(Vec<operators::ControlRecord>),
 }
 
--- a/crates/replicated/src/controls.rs
+++ b/crates/replicated/src/controls.rs
@@ -102,7 +102,8 @@
     pub leaving: bool,
 }
 
-/// The controls of the mesh, by the names of their hosts. Empty until the first leader has set them.
+/// The controls of the mesh, by the names of their hosts. Empty until the first leader has set
+/// them.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Controls {
     list: collections::BTreeMap<CompactString, Control>,
@@ -205,10 +206,10 @@
         self.iter().any(|it| can_succeed(control, it))
     }
 
-    /// The command by which a control joins, if it has to: this list does not have it at `place`, or
-    /// the list may be too old to tell. `silence` is the time since the control last knew what is
-    /// committed, if it did since its start. One that was removed meanwhile gets no log, so it cannot
-    /// know of that.
+    /// The command by which a control joins, if it has to: this list does not have it at `place`,
+    /// or the list may be too old to tell. `silence` is the time since the control last knew what
+    /// is committed, if it did since its start. One that was removed meanwhile gets no log, so it
+    /// cannot know of that.
     pub fn next_join(
         &self,
         name: &CompactString,
@@ -222,9 +223,9 @@
 
     /// The next change that follows from what the leader observes of the other controls, if any.
     ///
-    /// A seat moves when its holder is about to stop or has answered nothing for [`MAX_SILENCE`], to
-    /// a control of the same data centre whose disk holds the log. Whether the holder is gone or cut
-    /// off makes no difference: it can join again without a seat.
+    /// A seat moves when its holder is about to stop or has answered nothing for [`MAX_SILENCE`],
+    /// to a control of the same data centre whose disk holds the log. Whether the holder is gone or
+    /// cut off makes no difference: it can join again without a seat.
     pub fn next_change(&self, observed: &[Observation]) -> Option<Command> {
         self.next_move(observed).or_else(|| self.next_removal(observed))
     }
--- a/crates/routing/src/admissions.rs
+++ b/crates/routing/src/admissions.rs
@@ -11,8 +11,8 @@
 /// Largest number of refusals that are expected before an admission.
 const MAX_REFUSALS: f32 = 4.0;
 
-/// The recent outcomes of a node's sends to one target. Callers' requests and internal calls are told
-/// apart, since calls get slots first.
+/// The recent outcomes of a node's sends to one target. Callers' requests and internal calls are
+/// told apart, since calls get slots first.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Admissions {
     callers: Outcomes,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -52,8 +52,8 @@
     pub local: bool,
 }
 
-/// What a refusal costs in [`expected_end`], as a share of the objective: the way there and back, and
-/// one of the few targets that a request may be sent to.
+/// What a refusal costs in [`expected_end`], as a share of the objective: the way there and back,
+/// and one of the few targets that a request may be sent to.
 const REFUSAL_COST: f32 = 1.0;
 
 /// Input of a policy's function.
--- a/crates/routing/src/throttle.rs
+++ b/crates/routing/src/throttle.rs
@@ -1,18 +1,18 @@
 //! Limits what a node sends to the targets of a service that refuse most of it, also known as
 //! adaptive throttling.
 //!
-//! A refusal costs a message each way, and the body of the request. When the targets are full, these
-//! messages take the network links from the requests that could be served, whose calls and answers
-//! are then late, so that the targets are full for longer. So a node that is refused too often
-//! refuses a part of the requests itself.
+//! A refusal costs a message each way, and the body of the request. When the targets are full,
+//! these messages take the network links from the requests that could be served, whose calls and
+//! answers are then late, so that the targets are full for longer. So a node that is refused too
+//! often refuses a part of the requests itself.
 
 use std::time;
 
 use rand::{Rng as _, rngs};
 use world::time::Time;
 
-/// How long an outcome counts. Load changes within seconds, and after its end requests are held back
-/// for as long.
+/// How long an outcome counts. Load changes within seconds, and after its end requests are held
+/// back for as long.
 pub const WINDOW: time::Duration = time::Duration::from_secs(1);
 /// Sends per admitted request up to which nothing is held back.
 const SENDS_PER_ADMISSION: f32 = 3.0;
--- a/crates/routing/tests/herding.rs
+++ b/crates/routing/tests/herding.rs
@@ -9,7 +9,8 @@
 
 const NODES: usize = 70;
 const SLOTS: usize = 6;
-/// How long a request runs at each target, in milliseconds. Together they serve 420 requests a second.
+/// How long a request runs at each target, in milliseconds. Together they serve 420 requests a
+/// second.
 const SERVICE_MS: [u64; 10] = [100, 100, 100, 100, 170, 170, 170, 240, 240, 240];
 const ONE_WAY: time::Duration = time::Duration::from_millis(5);
 const OBJECTIVE: time::Duration = time::Duration::from_millis(300);
@@ -216,8 +217,8 @@
     }
 }
 
-/// Guards against nodes that all send to the fastest targets, which are full and refuse, while slower
-/// ones that could answer in time have free slots: their load reports are old.
+/// Guards against nodes that all send to the fastest targets, which are full and refuse, while
+/// slower ones that could answer in time have free slots: their load reports are old.
 #[test]
 fn free_slots_of_slower_targets_are_not_used() {
     let mut out = String::new();
--- a/crates/routing/tests/throttling.rs
+++ b/crates/routing/tests/throttling.rs
@@ -37,8 +37,8 @@
         Mesh { throttles, enabled, rng: rngs::SmallRng::seed_from_u64(5_011), steps: 0 }
     }
 
-    /// Plays a second with `demand` requests in each step. Of the requests that are sent while there
-    /// is room, one in ten finds a full target.
+    /// Plays a second with `demand` requests in each step. Of the requests that are sent while
+    /// there is room, one in ten finds a full target.
     fn play(&mut self, demand: u32) -> Second {
         let mut second = Second::default();
         for _ in 0..STEPS_A_SECOND {
@@ -73,8 +73,8 @@
 }
 
 /// Guards against a full service whose refusals take the network: each request was sent to three
-/// targets. Guards also against requests that are held back though there is room, and for long after
-/// the load.
+/// targets. Guards also against requests that are held back though there is room, and for long
+/// after the load.
 #[test]
 fn refusals_take_the_network() {
     let mut out = String::new();
--- a/crates/tables/src/clock.rs
+++ b/crates/tables/src/clock.rs
@@ -11,9 +11,9 @@
 /// readings.
 const MIN_SUSPENSION: time::Duration = time::Duration::from_millis(50);
 
-/// The clock that all decisions of a process are dated by. It never steps, and it counts the time for
-/// which the machine is suspended: [`time::Instant`] does not, so that a lease which ended meanwhile
-/// would still be valid.
+/// The clock that all decisions of a process are dated by. It never steps, and it counts the time
+/// for which the machine is suspended: [`time::Instant`] does not, so that a lease which ended
+/// meanwhile would still be valid.
 #[derive(Debug)]
 pub struct Clock {
     steady_start: time::Instant,
--- a/crates/tables/tests/clock.rs
+++ b/crates/tables/tests/clock.rs
@@ -15,8 +15,8 @@
     time::Duration::from_secs_f64(seconds.expect("seconds"))
 }
 
-/// Guards against a clock that counts something else than the system does for the machine, which is the
-/// time with its suspensions.
+/// Guards against a clock that counts something else than the system does for the machine, which is
+/// the time with its suspensions.
 #[test]
 fn counts_the_time_since_the_machine_started() {
     let clock = clock::Clock::start();
@@ -28,16 +28,16 @@
     assert!(elapsed <= most - before + RESOLUTION, "{elapsed:?}");
 }
 
-/// Guards against a date of another process's knowledge that falls before the origin of the clock: it
-/// would be taken for the time of the start.
+/// Guards against a date of another process's knowledge that falls before the origin of the clock:
+/// it would be taken for the time of the start.
 #[test]
 fn has_times_before_its_start() {
     let start = clock::Clock::start().now();
     assert!(start.since(Time::ZERO) >= time::Duration::from_secs(60), "{start}");
 }
 
-/// Guards against timers that end before or long after the time that they stand for, and against one
-/// for a time that has passed.
+/// Guards against timers that end before or long after the time that they stand for, and against
+/// one for a time that has passed.
 #[test]
 fn converts_times_to_instants() {
     let clock = clock::Clock::start();
--- a/crates/transport/src/ages.rs
+++ b/crates/transport/src/ages.rs
@@ -1,8 +1,9 @@
-//! How long the messages of a peer have waited on the way, in queues of either end or of the network.
+//! How long the messages of a peer have waited on the way, in queues of either end or of the
+//! network.
 //!
-//! The clocks of two processes have different origins, so the difference between the time of arrival
-//! and the time of sending says nothing by itself. The smallest difference of late is that of a
-//! message that did not wait; what a message has beyond it was waiting.
+//! The clocks of two processes have different origins, so the difference between the time of
+//! arrival and the time of sending says nothing by itself. The smallest difference of late is that
+//! of a message that did not wait; what a message has beyond it was waiting.
 
 use std::time;
 
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -119,8 +119,8 @@
         }
     }
 
-    /// How long a message has waited on the way that the peer sent at `sent`, by its clock, and that
-    /// arrived at `arrived`, by the caller's; see [`ages`].
+    /// How long a message has waited on the way that the peer sent at `sent`, by its clock, and
+    /// that arrived at `arrived`, by the caller's; see [`ages`].
     pub fn waited(&self, sent: Time, arrived: Time) -> time::Duration {
         // The ages are plain numbers, which a panic elsewhere leaves whole.
         let mut ages = self.shared.ages.lock().unwrap_or_else(sync::PoisonError::into_inner);
--- a/crates/transport/tests/ages.rs
+++ b/crates/transport/tests/ages.rs
@@ -34,8 +34,8 @@
     (from_ms..until_ms).step_by(100).map(|it| (it, took(it))).collect()
 }
 
-/// Guards against a wait on the way that is not seen, or seen where there is none: in a queue, after
-/// a pause of either end, and with clocks of any origin.
+/// Guards against a wait on the way that is not seen, or seen where there is none: in a queue,
+/// after a pause of either end, and with clocks of any origin.
 #[test]
 fn waits_on_the_way() {
     let late_origin = Clocks {
@@ -81,7 +81,8 @@
     assert!(u128::from(last) <= limit, "a longer link seems full until {last} ms");
 }
 
-/// Guards against a queue that is forgotten while it lasts: it is seen in full for a window at least.
+/// Guards against a queue that is forgotten while it lasts: it is seen in full for a window at
+/// least.
 #[test]
 fn a_lasting_queue_is_forgotten() {
     for start in (10_000..20_000).step_by(700) {
--- a/crates/world/src/bounds.rs
+++ b/crates/world/src/bounds.rs
@@ -18,8 +18,8 @@
     (1..=MAX_NAME_BYTES).contains(&text.len()) && text.chars().all(allowed)
 }
 
-/// The beginning of a text of another writer, for a log line or an answer. Control characters, which
-/// could end a line, are replaced.
+/// The beginning of a text of another writer, for a log line or an answer. Control characters,
+/// which could end a line, are replaced.
 pub fn excerpt(text: &str) -> CompactString {
     let visible = |it: char| if it.is_control() { char::REPLACEMENT_CHARACTER } else { it };
     text.chars().take(EXCERPT_CHARS).map(visible).collect()
--- a/crates/world/tests/documents.rs
+++ b/crates/world/tests/documents.rs
@@ -181,8 +181,8 @@
     assert!(changed.is_empty(), "{} numbers: {changed:#?}", changed.len());
 }
 
-/// Guards against a document that is accepted with a number beyond its type, or with a value that is
-/// nested more deeply than the processes that get the document can read.
+/// Guards against a document that is accepted with a number beyond its type, or with a value that
+/// is nested more deeply than the processes that get the document can read.
 #[test]
 fn an_odd_value_is_accepted_and_cannot_be_read() {
     let deep = |levels| format!("{}{}", "[".repeat(levels), "]".repeat(levels));
--- a/xtask/src/bench/distribution.rs
+++ b/xtask/src/bench/distribution.rs
@@ -25,8 +25,8 @@
 const RATE_BOUND: f64 = 6_000.0;
 /// Virtual time after which a run ends even if the nodes haven't converged.
 const RUN_LIMIT: time::Duration = time::Duration::from_secs(3_600);
-/// Product of the services and of the nodes that apply deltas, of which there are at least four. The
-/// other nodes only confirm deltas, which keeps the bench short.
+/// Product of the services and of the nodes that apply deltas, of which there are at least four.
+/// The other nodes only confirm deltas, which keeps the bench short.
 const APPLIED_SERVICES: usize = 2_000;
 /// Accepted changes per second, which are 19,000 a day.
 const CHANGES_PER_S: f64 = 19_000.0 / 86_400.0;
