Keep the known address of a control whose record has none that can be used

A control whose settings leave the port to the system names port 0 in the list of controls.

The cases of the transport's bad_frames are sent in the present version, as they were meant.

--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -99,18 +99,16 @@
     /// Fails when the data folder cannot be created, a log cannot be opened or a port cannot be
     /// bound.
     pub async fn spawn(
-        mut settings: settings::Settings,
+        settings: settings::Settings,
         identity: &transport::identity::Identity,
         instruments: instruments::Instruments,
     ) -> Result<Control> {
         let folder = settings.data_folder.clone();
         std::fs::create_dir_all(&folder).map_err(|source| Error::Folder { folder, source })?;
-        let own = settings.mesh.host(settings.me).expect("the settings contain this host").clone();
+        let listen = settings.mesh.host(settings.me).map(|it| it.addr);
+        let listen = listen.expect("the settings contain this host");
         let limits = transport::limits::Limits::default();
-        let endpoint = endpoint::Endpoint::bind(own.addr, identity, limits)?;
-        // Others are told the address; with port 0 in the settings, the system has chosen one.
-        let listen = endpoint.local_addr()?;
-        settings.mesh.put_host(hosts::Host { addr: listen, ..own });
+        let endpoint = endpoint::Endpoint::bind(listen, identity, limits)?;
         let (new_peers, peers) = mpsc::unbounded_channel();
         let links = pool::LinkPool::new(endpoint.clone());
         let state = sync::Arc::new(state::State::open(settings, links, new_peers, instruments)?);
--- a/crates/node/src/controls.rs
+++ b/crates/node/src/controls.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use distribution::attach;
 use protocol::operators;
-use world::{hosts, mesh};
+use world::{bounds, hosts, mesh};
 
 use crate::{attaching, state};
 
@@ -74,7 +74,12 @@
         let table = &mut *table;
         let mut mesh = state.mesh.lock();
         for record in records.iter().filter(|it| it.name != state.location.host) {
-            mesh.put_control(&record.name, &record.region, &record.data_centre, record.addr);
+            if bounds::is_unicast(record.addr) {
+                mesh.put_control(&record.name, &record.region, &record.data_centre, record.addr);
+            } else {
+                // The address known so far stays in use.
+                log::warn!("control {} cannot be reached at {}", record.name, record.addr);
+            }
         }
         let before = names(table.updater.attachment());
         let is_listed = |name: &str| records.iter().any(|it| it.name == name);
--- a/crates/transport/tests/links/streams.rs
+++ b/crates/transport/tests/links/streams.rs
@@ -88,8 +88,8 @@
     let cases: [(&str, &'static [u8]); 4] = [
         ("too long", &[0xff, 0xff, 0xff, 0xff]),
         ("other version", &[0, 0, 0, 2, 9, 1]),
-        ("trailing byte", &[0, 0, 0, 3, 1, 1, 1]),
-        ("not the type", &[0, 0, 0, 2, 1, 0xff]),
+        ("trailing byte", &[0, 0, 0, 3, 3, 1, 1]),
+        ("not the type", &[0, 0, 0, 2, 3, 0xff]),
     ];
     let mut out = String::new();
     for (name, bytes) in cases {
