Keep the leave of a backend server that has not announced itself yet

The node now keeps the name of the last process that left without being announced, and drains it when it announces itself.

contracts: a_leave_before_the_first_announcement_is_forgotten passes; without the change it times out waiting for the state draining (an earlier form of the test).

--- a/crates/heatherwalk/tests/contracts/announcements.rs
+++ b/crates/heatherwalk/tests/contracts/announcements.rs
@@ -146,6 +146,31 @@
     mesh.control.stop().await;
 }
 
+/// Guards against a backend server that gets requests after its leave was answered: a node that has
+/// just started hears of the leave before it has had an announcement.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leave_before_the_first_announcement_is_forgotten() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let client = mesh::client();
+    let leave = mesh::http(&client, node.announce(), "POST /leave?of=logbook-1", &[], b"").await;
+    assert_eq!(leave.0, 200, "{}", leave.2);
+    for (instance, incarnation, state) in
+        [("logbook-1", 100, "draining"), ("logbook-2", 101, "starting")]
+    {
+        let body = json!({"service": "logbook", "addr": "127.0.0.1:1", "slots": 6,
+            "incarnation": incarnation, "instance": instance});
+        let body = body.to_string();
+        let path = format!("POST /announce?of={instance}");
+        let answer = mesh::http(&client, node.announce(), &path, &[], body.as_bytes()).await;
+        assert_eq!(answer.0, 200, "{}", answer.2);
+        api.until(|| api.get("/v1/targets"), |it| it.1[0]["state"] == state).await;
+    }
+    mesh.control.stop().await;
+}
+
 /// Guards against an odd announcement of another writer that replaces the backend server which is
 /// announced, or that keeps the next proper announcement out.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/src/announcements.rs
+++ b/crates/node/src/announcements.rs
@@ -76,9 +76,13 @@
     if announcement.cold_ms.is_some_and(|it| u128::from(it) > MAX_COLD.as_millis()) {
         return Err(Error::ColdStart);
     }
-    let printable = instance.bytes().all(|it| it.is_ascii_graphic());
-    if !printable || instance.len() > MAX_INSTANCE_BYTES {
+    if !is_instance(instance) {
         return Err(Error::Instance);
     }
     Ok(())
 }
+
+/// Whether a text may be the name of a backend server's process.
+pub fn is_instance(text: &str) -> bool {
+    text.len() <= MAX_INSTANCE_BYTES && text.bytes().all(|it| it.is_ascii_graphic())
+}
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -132,10 +132,13 @@
     if backend.instance != instance {
         log::info!(
             target: "decision",
-            "leave of {} ignored: the backend server is {}",
+            "leave of {} kept for its announcement: the backend server is {:?}",
             bounds::excerpt(instance),
             backend.instance,
         );
+        if announcements::is_instance(instance) {
+            backend.left = instance.into();
+        }
         return;
     }
     let previous = backend.local.entry().cloned();
@@ -285,6 +288,13 @@
     // it ends.
     let token = attaching::renew_token(state, announcement.token.as_deref());
     apply_outcome(state, now, outcome, previous.as_ref());
+    let left = {
+        let backend = state.backend.lock();
+        !backend.left.is_empty() && backend.left == backend.instance
+    };
+    if left {
+        mark_leaving(state, &announcement.instance);
+    }
     let renew_ms = u64::try_from(local_target::RENEWAL_INTERVAL.as_millis()).unwrap_or(u64::MAX);
     Some(AnnounceAnswer { renew_ms, token })
 }
