--- a/crates/control/src/controls.rs
+++ b/crates/control/src/controls.rs
@@ -144,17 +144,11 @@
     events::Event::Configure { hosts, voters }
 }
 
-/// Whether a control that is connected as `host` from `addr` may propose this change. It may only
-/// join, under its own name and at its own address; all else the leader decides.
-pub(crate) fn may_propose(
-    command: &controls::Command,
-    host: &str,
-    addr: std::net::SocketAddr,
-) -> bool {
-    match command {
-        controls::Command::Join { name, place } => name == host && place.addr.ip() == addr.ip(),
-        _ => false,
-    }
+/// Whether a control that is connected as `host` may propose this change. It may only join, under the
+/// name of its certificate; all else the leader decides. Its address is not checked: the others may
+/// reach it by one that is translated on the way, and a link to it proves the name.
+pub(crate) fn may_propose(command: &controls::Command, host: &str) -> bool {
+    matches!(command, controls::Command::Join { name, .. } if name == host)
 }
 
 /// Before a planned stop, lets another control of the data centre take over this one's seats, if
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -43,7 +43,7 @@
     let host = CompactString::from(link.host());
     while let Some(message) = receiver.recv::<streams::PeerMessage>().await? {
         if let streams::PeerMessage::Introduction(record) = &message
-            && (record.name != host || record.addr.ip() != link.remote_addr().ip())
+            && record.name != host
         {
             log::warn!("control {host} introduced itself as another one; closing its stream");
             return Ok(());
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -249,7 +249,7 @@
     request: proposals::Proposal,
 ) -> proposals::Outcome {
     if let proposals::Proposal::Controls(command) = &request
-        && !controls::may_propose(command, link.host(), link.remote_addr())
+        && !controls::may_propose(command, link.host())
     {
         log::warn!("refused a change of the controls that {} proposed", link.host());
         return proposals::Outcome::Unavailable;
