--- a/crates/control/src/dialect.rs
+++ b/crates/control/src/dialect.rs
@@ -41,7 +41,7 @@
     let base = base.ok_or("heatherwalk-base must name the revision that the document replaces")?;
     let value = serde_json::from_slice(body).map_err(|err| format_compact!("{err}"))?;
     let document = document::parse(&value).map_err(|it| format_compact!("{it:?}"))?;
-    Ok(replacement::Replacement { base, document })
+    Ok(replacement::Replacement { base, document, unknown: Vec::new() })
 }
 
 fn encode_answer(answer: &operators::PatchAnswer) -> web::exchange::Response {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod settings;
 mod state;
 mod state_machines;
+mod unknown_values;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -54,6 +54,7 @@
     replacement: replacement::Replacement,
 ) -> operators::PatchAnswer {
     let (base, revision) = (replacement.base, replacement.document.revision);
+    log_unknown(state, &replacement.unknown);
     let answer = match try_replace(state, replacement).await {
         Some(answer) => patch_answer(answer),
         None => operators::PatchAnswer::Unavailable {
@@ -67,6 +68,19 @@
     answer
 }
 
+fn log_unknown(state: &state::State, unknown: &[replacement::Unknown]) {
+    for it in unknown {
+        if state.unknown_values.lock().insert(it) {
+            log::warn!(
+                "{} is {:?}, which this build does not know; it is kept and has the most careful \
+                 meaning",
+                it.place,
+                it.value,
+            );
+        }
+    }
+}
+
 async fn try_replace(
     state: &sync::Arc<state::State>,
     replacement: replacement::Replacement,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -11,7 +11,9 @@
 use tokio::sync::{mpsc, oneshot};
 use world::{hosts, time};
 
-use crate::{directory, distributing, instruments, replica, settings, state_machines};
+use crate::{
+    directory, distributing, instruments, replica, settings, state_machines, unknown_values,
+};
 
 // The lock order: a thread locks these tables in increasing rank only.
 const CONFIGURATION_REPLICA_RANK: rank::Rank = rank::Rank(10);
@@ -24,6 +26,7 @@
 const REGISTRY_RANK: rank::Rank = rank::Rank(50);
 const DISTRIBUTOR_RANK: rank::Rank = rank::Rank(60);
 const DIRECTORY_RANK: rank::Rank = rank::Rank(70);
+const UNKNOWN_VALUES_RANK: rank::Rank = rank::Rank(80);
 
 /// A proposal that waits for the next write to the log, so that one sync covers many.
 pub(crate) type QueuedProposal = (proposals::Proposal, oneshot::Sender<proposals::Outcome>);
@@ -46,6 +49,8 @@
     pub(crate) registry: table::Table<registry::Registry>,
     pub(crate) distributor: table::Table<distributing::Distributor>,
     pub(crate) directory: table::Table<directory::Directory>,
+    /// The unknown values of documents that were logged.
+    pub(crate) unknown_values: table::Table<unknown_values::UnknownValues>,
     /// Wakes the task that keeps the list of controls.
     pub(crate) controls_changed: tokio::sync::Notify,
     pub(crate) clock: clock::Clock,
@@ -131,6 +136,11 @@
                 "directory",
                 directory::Directory::open(&settings, new_peers),
             ),
+            unknown_values: table::Table::new(
+                UNKNOWN_VALUES_RANK,
+                "unknown values",
+                unknown_values::UnknownValues::default(),
+            ),
             controls_changed: tokio::sync::Notify::new(),
             clock,
             settings,
--- a/crates/replicated/src/replacement.rs
+++ b/crates/replicated/src/replacement.rs
@@ -13,6 +13,18 @@
     pub base: u64,
     /// The new document. Its revision must be above the current one.
     pub document: document::Document,
+    /// Values of the document that its front end keeps and does not know.
+    pub unknown: Vec<Unknown>,
+}
+
+/// A value that a front end has not met before. It has the most careful meaning that its place
+/// allows, and is shown again as it was written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Unknown {
+    /// The value as it was written.
+    pub value: CompactString,
+    /// The first field of the document that holds the value.
+    pub place: CompactString,
 }
 
 /// How to proceed with a replacement.
