--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -55,14 +55,13 @@
 }
 
 impl Mesh {
-    /// Starts a control, `nodes` nodes and the first version.
-    pub async fn spawn(nodes: usize, document: serde_json::Value) -> Mesh {
+    /// Starts a control without a configuration.
+    pub async fn spawn_empty() -> Mesh {
         let folder = tempfile::tempdir().expect("makes a folder");
         let authority = identity::Authority::create().expect("makes an authority");
         let control = spawn_control(&authority, folder.path().into()).await;
         let listen = control.listen().expect("listens");
-        create(control.operators_addr(), document).await;
-        let mut mesh = Mesh {
+        Mesh {
             control: Some(control),
             listen,
             nodes: Vec::new(),
@@ -70,7 +69,19 @@
             authority,
             idle: None,
             _folder: folder,
-        };
+        }
+    }
+
+    /// Creates the first version.
+    pub async fn create(&self, document: serde_json::Value) {
+        create(self.control.as_ref().expect("runs").operators_addr(), document).await;
+    }
+
+    /// Starts a control, `nodes` nodes and the first version.
+    pub async fn spawn(nodes: usize, document: serde_json::Value) -> Mesh {
+        let mut mesh = Mesh::spawn_empty().await;
+        mesh.create(document).await;
+        let listen = mesh.listen;
         for _ in 0..nodes {
             mesh.add_node(listen).await;
         }
--- a/crates/heatherwalk/tests/requests/versions.rs
+++ b/crates/heatherwalk/tests/requests/versions.rs
@@ -11,10 +11,15 @@
 
 /// Asks until the answer has this status, since a busy machine may delay a confirmation. Returns
 /// the last answer.
-async fn await_status(mesh: &mesh::Mesh, request: callers::Request, status: u16) -> callers::Reply {
+async fn await_status(
+    mesh: &mesh::Mesh,
+    node: usize,
+    request: callers::Request,
+    status: u16,
+) -> callers::Reply {
     let until = tokio::time::Instant::now() + mesh::TIMEOUT;
     loop {
-        let reply = callers::send(mesh.callers(1), request.clone()).await;
+        let reply = callers::send(mesh.callers(node), request.clone()).await;
         if reply.status == status || tokio::time::Instant::now() >= until {
             return reply;
         }
@@ -41,7 +46,7 @@
     let cases = [("a route", callers::get("/unknown"), 404), ("a limit", large, 413)];
     let mut lines = Vec::new();
     for (name, request, status) in &cases {
-        let reply = await_status(&mesh, request.clone(), *status).await;
+        let reply = await_status(&mesh, 1, request.clone(), *status).await;
         lines.push(format!("{name}, confirmed: {reply}"));
     }
     mesh.control.take().expect("runs").stop().await;
@@ -91,3 +96,38 @@
     }
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Guards against a node that denies requests for good before operators have created the first
+/// version: callers do not send a request again after a 404 or a 413.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_without_a_configuration_denies_requests() {
+    let mut mesh = mesh::Mesh::spawn_empty().await;
+    let change = |it: &mut node::settings::Settings| {
+        it.dialect = platform::callers::DIALECT;
+        it.floor_tokens = false;
+    };
+    mesh.add_node_with(mesh.listen, change).await;
+    let mut large = callers::post("/logs/1", "large");
+    large.body = vec![b'x'; 1_200_000].into();
+    let cases = [("a route", callers::get("/unknown")), ("a limit", large)];
+    let mut lines = std::collections::BTreeSet::new();
+    // Longer than the node takes to attach to the control.
+    let until = tokio::time::Instant::now() + SILENCE;
+    while tokio::time::Instant::now() < until {
+        for (name, request) in &cases {
+            let reply = callers::send(mesh.callers(0), request.clone()).await;
+            let pause = reply.headers.contains_key("retry-after");
+            lines.insert(format!("{name}: {reply}; says when to ask again: {pause}"));
+        }
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    let mut lines = Vec::from_iter(lines);
+    mesh.create(mesh::document(&[("logs", json!({}), json!({}))])).await;
+    let reply = await_status(&mesh, 0, callers::get("/unknown"), 404).await;
+    lines.push(format!("a route, first version: {reply}"));
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    a limit: 503; says when to ask again: true
+    a route: 503; says when to ask again: true
+    a route, first version: 404
+    ");
+}
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -145,13 +145,14 @@
     }
 }
 
-/// The largest body of a request, in bytes, with the version of the configuration that sets it.
-fn body_limit(state: &state::State) -> (document::Version, usize) {
+/// The largest body of a request, in bytes, with the version of the configuration that sets it, if
+/// there is one.
+fn body_limit(state: &state::State) -> (Option<document::Version>, usize) {
     let running = state.running();
     let limits = running.as_ref().and_then(|it| it.document().limits);
     let bytes =
         limits.map_or(DEFAULT_MAX_BODY, |it| usize::try_from(it.body_bytes).unwrap_or(MAX_BODY));
-    (running.map(|it| it.version()).unwrap_or_default(), bytes.min(MAX_BODY))
+    (running.map(|it| it.version()), bytes.min(MAX_BODY))
 }
 
 /// The refusal to answer with. A request that the running version does not allow is refused for
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -121,11 +121,12 @@
 }
 
 /// The refusal of a body that cannot be read, or that is larger than `version` allows.
-pub(crate) fn bad_body(error: &web::body::Error, version: document::Version) -> Refusal {
+pub(crate) fn bad_body(error: &web::body::Error, version: Option<document::Version>) -> Refusal {
     let detail = format_compact!("the request's body cannot be used: {error}");
     let refuse = |status| Refusal::not_run(status, "bad-body", &detail);
-    match error {
-        web::body::Error::TooLarge { .. } => {
+    match (error, version) {
+        (web::body::Error::TooLarge { .. }, None) => no_version(),
+        (web::body::Error::TooLarge { .. }, Some(version)) => {
             refuse(http::StatusCode::PAYLOAD_TOO_LARGE).by_version(version)
         }
         _ => refuse(http::StatusCode::BAD_REQUEST),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -227,9 +227,11 @@
         tokio::time::Instant::from_std(self.clock.instant(at))
     }
 
-    /// The version of the configuration that the node runs, if any.
+    /// The version of the configuration that the node runs, if any. Version 0, the empty document
+    /// from before the first configuration, counts as none: it would deny all requests for good.
     pub(crate) fn running(&self) -> Option<sync::Arc<config::Config>> {
-        self.configuration.lock().running.clone()
+        let running = self.configuration.lock().running.clone();
+        running.filter(|it| it.version() > document::Version::default())
     }
 
     /// Queues a message for the control that the node is attached to. Returns false when there is
