--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod controller;
 mod dispatch;
+pub mod downlink;
 mod forecast;
 pub mod limits;
 pub mod load;
--- a/crates/heatherwalk/src/settings/roles.rs
+++ b/crates/heatherwalk/src/settings/roles.rs
@@ -12,6 +12,7 @@
 const MAX_CONFIG_VOTERS: usize = 5;
 /// The most control hosts of one region that may vote on its claims.
 const MAX_CLAIMS_VOTERS: usize = 3;
+const BYTES_PER_MB: usize = 1_024 * 1_024;
 /// The default of `stop-limit-ms`.
 const DEFAULT_STOP_LIMIT_MS: u64 = node::settings::DEFAULT_STOP_LIMIT.as_millis() as u64;
 /// The shortest election timeout, by default. It must be several times the latency between regions
@@ -325,6 +326,13 @@
     );
     let link_rate = reader
         .optional("node", "link-mbps", "0.01 to 1000000", None, |it| parse_link_rate(it).map(Some));
+    let body_memory = reader.optional(
+        "node",
+        "body-memory-mb",
+        "8 to 65536",
+        node::settings::DEFAULT_BODY_MEMORY / BYTES_PER_MB,
+        |it| parse_range(it, 8, 65_536),
+    );
     let floor_tokens = reader.optional("node", "floor-tokens", "on or off", true, parse_switch);
     let Common { me, metrics, workers, stop_limit } = common?;
     Some(node::settings::Settings {
@@ -342,6 +350,7 @@
         linger: time::Duration::from_millis(linger),
         retry_percent,
         link_rate,
+        body_memory: body_memory * BYTES_PER_MB,
         metrics,
         workers,
         stop_limit,
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -18,4 +18,5 @@
 mod stand_in_controls;
 mod stand_ins;
 mod unfinished;
+mod uploads;
 mod versions;
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -137,8 +137,18 @@
 
     /// Starts a stand-in for the node of a target of `service`.
     pub async fn stand_in(&self, host: &str, service: &str) -> stand_ins::StandIn {
+        self.stand_in_that(host, service, stand_ins::Behaviour::Answers).await
+    }
+
+    /// Starts a stand-in like `stand_in`, which does this with requests.
+    pub async fn stand_in_that(
+        &self,
+        host: &str,
+        service: &str,
+        behaviour: stand_ins::Behaviour,
+    ) -> stand_ins::StandIn {
         let identity = self.authority.issue(host, hosts::Role::Node).expect("issues");
-        stand_ins::StandIn::spawn(&identity, self.listen, service).await
+        stand_ins::StandIn::spawn(&identity, self.listen, service, behaviour).await
     }
 
     /// Starts a stand-in for the control, which gives nodes `document` as version 1.
--- a/crates/heatherwalk/tests/requests/stand_ins.rs
+++ b/crates/heatherwalk/tests/requests/stand_ins.rs
@@ -1,7 +1,11 @@
 //! Stand-ins for the nodes of targets. A stand-in names the address of a relay to the control, so
 //! that a test can delay or silence the link to it.
 
-use std::{net, time};
+use std::{
+    net,
+    sync::{self, atomic},
+    time,
+};
 
 use distribution::{floor, messages as versions};
 use membership::messages;
@@ -15,19 +19,31 @@
 const CONTROL: &str = "skulte-c";
 const BEAT_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// A running stand-in with one target, which answers each request with 200 and an empty body.
+/// A running stand-in with one target.
 pub struct StandIn {
     /// The relay through which other nodes reach it.
     pub relay: relay::Relay,
+    /// The bytes of bodies that it has received.
+    pub body_bytes: sync::Arc<atomic::AtomicUsize>,
     _tasks: task::JoinSet<()>,
 }
 
+/// What a stand-in does with requests.
+#[derive(Clone, Copy, Debug)]
+pub enum Behaviour {
+    /// Answers each with 200 and an empty body.
+    Answers,
+    /// Refuses each as not run, without a free slot.
+    Refuses,
+}
+
 impl StandIn {
     /// Starts the stand-in `host` and returns when the control knows its target.
     pub async fn spawn(
         identity: &identity::Identity,
         control: net::SocketAddr,
         service: &str,
+        behaviour: Behaviour,
     ) -> StandIn {
         let bound = endpoint::Endpoint::bind(mesh::loopback(), identity, limits::Limits::default());
         let endpoint = bound.expect("binds");
@@ -44,16 +60,21 @@
         };
         let mut tasks = task::JoinSet::new();
         let links = pool::LinkPool::new(endpoint.clone());
-        tasks.spawn(transport::serving::serve(endpoint, |_, sender, receiver| async move {
-            // The stream of a request that the other node has given up breaks.
-            let _ = answer(sender, receiver).await;
+        let body_bytes = sync::Arc::new(atomic::AtomicUsize::new(0));
+        let counter = sync::Arc::clone(&body_bytes);
+        tasks.spawn(transport::serving::serve(endpoint, move |_, sender, receiver| {
+            let counter = sync::Arc::clone(&counter);
+            async move {
+                // The stream of a request that the other node has given up breaks.
+                let _ = answer(sender, receiver, behaviour, &counter).await;
+            }
         }));
         let (known_tx, known_rx) = oneshot::channel();
         tasks.spawn(async move {
             attach(&links, control, entry, known_tx).await.expect("stays attached");
         });
         known_rx.await.expect("registers its target");
-        StandIn { relay, _tasks: tasks }
+        StandIn { relay, body_bytes, _tasks: tasks }
     }
 }
 
@@ -108,20 +129,38 @@
 async fn answer(
     mut sender: transport::streams::Sender,
     mut receiver: transport::streams::Receiver,
+    behaviour: Behaviour,
+    body_bytes: &atomic::AtomicUsize,
 ) -> errors::Result<()> {
-    match receiver.recv::<streams::Open>().await? {
-        Some(streams::Open::Probe) => sender.send(&streams::ProbeReply).await?,
-        Some(streams::Open::Offer { .. }) => {
+    let order = atomic::Ordering::SeqCst;
+    match (receiver.recv::<streams::Open>().await?, behaviour) {
+        (Some(streams::Open::Probe), _) => sender.send(&streams::ProbeReply).await?,
+        (Some(streams::Open::Offer { .. }), Behaviour::Answers) => {
             sender.send(&forwarding::AnswerHead::Admitted).await?;
-            while receiver.recv_bytes().await?.is_some() {}
+            while let Some(bytes) = receiver.recv_bytes().await? {
+                body_bytes.fetch_add(bytes.len(), order);
+            }
+            sender.send(&answered()).await?;
+        }
+        (Some(streams::Open::Request { body, .. }), Behaviour::Answers) => {
+            body_bytes.fetch_add(body.len(), order);
             sender.send(&answered()).await?;
         }
-        Some(streams::Open::Request { .. }) => sender.send(&answered()).await?,
+        (Some(streams::Open::Offer { .. }), Behaviour::Refuses) => sender.send(&refused()).await?,
+        (Some(streams::Open::Request { body, .. }), Behaviour::Refuses) => {
+            body_bytes.fetch_add(body.len(), order);
+            sender.send(&refused()).await?;
+        }
         _ => return Ok(()),
     }
     sender.finish()
 }
 
+fn refused() -> forwarding::AnswerHead {
+    let standing = forwarding::NodeStatus::default();
+    forwarding::AnswerHead::NotRun { reason: forwarding::NotRun::Busy, standing }
+}
+
 fn answered() -> forwarding::AnswerHead {
     let standing = forwarding::NodeStatus::default();
     forwarding::AnswerHead::Answered { status: 200, fields: Vec::new(), standing }
--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -110,11 +110,11 @@
             }
         }
         if kept.len() > bodies::MAX_BUFFERED {
-            answered.body.ahead = Some(reservation.hold(kept));
+            answered.body.ahead = Some(reservation.hold(Bytes::from(kept)));
             return Ok(answered);
         }
     }
-    let ahead = (!kept.is_empty()).then(|| reservation.hold(kept));
+    let ahead = (!kept.is_empty()).then(|| reservation.hold(Bytes::from(kept)));
     answered.body = sending::Source { ahead, rest: sending::Rest::Ended };
     Ok(answered)
 }
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -1,4 +1,4 @@
-//! Limits of the time and the memory that the bodies of answers take.
+//! Limits of the time and the memory that the bodies of requests and answers take.
 
 use std::{sync, time as std_time};
 
@@ -36,7 +36,7 @@
 /// A result of reading or passing on a body.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// The memory for bodies that are read ahead, shared by all requests of a process.
+/// Memory for bodies, shared by all requests of a process.
 pub(crate) struct Buffers(sync::Arc<tokio_sync::Semaphore>);
 
 /// Memory for one body. It is given back when this is dropped.
@@ -44,7 +44,7 @@
 
 /// A body that was read ahead, with the memory that it takes.
 struct Buffered {
-    bytes: Vec<u8>,
+    bytes: Bytes,
     _reservation: Reservation,
 }
 
@@ -60,25 +60,48 @@
 }
 
 impl Buffers {
-    /// The memory of a process that has just started.
-    pub(crate) fn new() -> Buffers {
-        Buffers(sync::Arc::new(tokio_sync::Semaphore::new(MAX_BUFFERED_TOTAL)))
+    /// The memory for answers that are read ahead, in a process that has just started.
+    pub(crate) fn for_answers() -> Buffers {
+        Buffers::with_bytes(MAX_BUFFERED_TOTAL)
     }
 
-    /// Reserves the memory for a body with this declared length, or for the largest one that may be
-    /// buffered. Returns none for a larger one, or when other bodies take the memory.
+    /// Memory of this size.
+    pub(crate) fn with_bytes(bytes: usize) -> Buffers {
+        Buffers(sync::Arc::new(tokio_sync::Semaphore::new(bytes)))
+    }
+
+    /// Reserves the memory for an answer with this declared length, or for the largest one that may
+    /// be buffered. Returns none for a larger one, or when other bodies take the memory.
     pub(crate) fn reserve(&self, length: Option<u64>) -> Option<Reservation> {
         let length = length.map_or(Ok(MAX_BUFFERED), usize::try_from);
-        let length = length.ok().filter(|it| *it <= MAX_BUFFERED)?;
-        let count = u32::try_from(length).ok()?;
+        self.try_acquire(length.ok().filter(|it| *it <= MAX_BUFFERED)?)
+    }
+
+    /// Reserves nothing yet, for a body whose length is not known.
+    pub(crate) fn reserve_none(&self) -> Option<Reservation> {
+        self.try_acquire(0)
+    }
+
+    fn try_acquire(&self, bytes: usize) -> Option<Reservation> {
+        let count = u32::try_from(bytes).ok()?;
         let permit = sync::Arc::clone(&self.0).try_acquire_many_owned(count).ok()?;
         Some(Reservation(permit))
     }
 }
 
 impl Reservation {
+    /// Reserves more. Returns false when other bodies take the memory.
+    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
+        let Ok(count) = u32::try_from(bytes) else { return false };
+        let more = sync::Arc::clone(self.0.semaphore()).try_acquire_many_owned(count);
+        more.map(|it| self.0.merge(it)).is_ok()
+    }
+
     /// Gives back what `bytes` do not take, and the rest when they are dropped.
-    pub(crate) fn hold(mut self, bytes: Vec<u8>) -> Bytes {
+    pub(crate) fn hold(mut self, bytes: Bytes) -> Bytes {
+        if bytes.is_empty() {
+            return bytes;
+        }
         let unused = self.0.num_permits().saturating_sub(bytes.len());
         drop(self.0.split(unused));
         Bytes::from_owner(Buffered { bytes, _reservation: self })
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -124,7 +124,7 @@
     let arrived = state.now();
     let options = options.map_err(|detail| refusals::bad_deadline(&detail))?;
     let (version, max_body) = body_limit(state);
-    let body = body.collect(max_body).await;
+    let body = collect_body(state, body, max_body).await;
     let body = body.map_err(|err| refusals::bad_body(&err, version))?;
     let method = CompactString::from(method.as_str());
     if !confirming::await_freshness(state, options.limit).await {
@@ -145,6 +145,18 @@
     }
 }
 
+/// Reads the body of a request, as far as the memory for bodies allows.
+async fn collect_body(
+    state: &state::State,
+    body: web::body::Body,
+    limit: usize,
+) -> Result<Bytes, web::body::Error> {
+    let memory = state.request_bodies.reserve_none();
+    let mut memory = memory.ok_or(web::body::Error::NoMemory)?;
+    let body = body.collect_within(limit, |it| memory.grow(it)).await?;
+    Ok(memory.hold(body))
+}
+
 /// The largest body of a request, in bytes, with the version of the configuration that sets it, if
 /// there is one.
 fn body_limit(state: &state::State) -> (Option<document::Version>, usize) {
@@ -186,6 +198,7 @@
     let suspect = check_suspect(state, &fingerprint, &id)?;
     check_age(&headers)?;
     headers::remove_reserved(&mut headers, dialect.reserved);
+    headers::set_length(&mut headers, body.len());
     (dialect.add_origin)(&mut headers, &dialect::Origin { service: &state.settings.service });
     let version = config.version();
     let contract = config.route(route).ok_or_else(|| refusals::no_route(version))?;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -20,6 +20,9 @@
 /// the target has admitted the request. Links between data centres are paid by the byte, and this
 /// is about four times the size of a request's head.
 const MIN_OFFER_BYTES: usize = 1_024;
+/// Smallest body of a request, in bytes, that is sent within a data centre only after the target has
+/// admitted the request. It takes a host's link longer than the two messages of an offer.
+const MIN_NEAR_OFFER_BYTES: usize = 8 * 1_024;
 /// Extra time to receive packets after an idle timeout has passed. A process that was suspended
 /// sees its timer expire before it has read the packets that arrived meanwhile.
 const LATE_TIMER_GRACE: std_time::Duration = std_time::Duration::from_millis(30);
@@ -109,8 +112,7 @@
     let now = state.now();
     head.elapse(now.since(head.sent));
     head.sent = now;
-    let admit_first = !target.same_centre && (body.len() >= MIN_OFFER_BYTES || !head.idempotent);
-    if admit_first {
+    if is_offered(target, &head, body.len()) {
         sender.send(&streams::Open::Offer { head }).await.map_err(unreachable)?;
         match wait_for_admission(state, target, &link, &mut receiver).await.map_err(unreachable)? {
             forwarding::AnswerHead::Admitted => {}
@@ -127,6 +129,14 @@
     Ok((answer, receiver))
 }
 
+/// Whether the body of a request is sent only after the target has admitted the request.
+fn is_offered(target: &choosing::Target, head: &forwarding::RequestHead, bytes: usize) -> bool {
+    match target.same_centre {
+        true => bytes >= MIN_NEAR_OFFER_BYTES,
+        false => bytes >= MIN_OFFER_BYTES || !head.idempotent,
+    }
+}
+
 /// Returns the link to the target's host. Connects first if none is open.
 async fn open_link(
     state: &state::State,
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -39,6 +39,21 @@
     }
 }
 
+/// Sets the length of a body that has been received in whole, so that the node of a target knows it
+/// before the body follows. A request without a body keeps its fields.
+pub(crate) fn set_length(headers: &mut http::HeaderMap, bytes: usize) {
+    if bytes > 0 {
+        headers.insert(http::header::CONTENT_LENGTH, http::HeaderValue::from(bytes));
+    }
+}
+
+/// The length of a request's body as its sender declares it, in bytes; zero without one.
+pub(crate) fn body_length(fields: &[forwarding::Field]) -> u64 {
+    let field = fields.iter().find(|it| it.name == http::header::CONTENT_LENGTH.as_str());
+    let text = field.and_then(|it| std::str::from_utf8(&it.value).ok());
+    text.and_then(|it| it.parse().ok()).unwrap_or(0)
+}
+
 /// Encodes the fields of a request or an answer for a message between nodes.
 pub(crate) fn encode(headers: &http::HeaderMap) -> Vec<forwarding::Field> {
     headers
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod announcements;
 mod answering;
+mod arrivals;
 mod attaching;
 pub mod backend;
 mod bodies;
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -125,6 +125,7 @@
     let detail = format_compact!("the request's body cannot be used: {error}");
     let refuse = |status| Refusal::not_run(status, "bad-body", &detail);
     match (error, version) {
+        (web::body::Error::NoMemory, _) => no_memory(),
         (web::body::Error::TooLarge { .. }, None) => no_version(),
         (web::body::Error::TooLarge { .. }, Some(version)) => {
             refuse(http::StatusCode::PAYLOAD_TOO_LARGE).by_version(version)
@@ -133,6 +134,13 @@
     }
 }
 
+fn no_memory() -> Refusal {
+    let detail =
+        "the bodies of other requests take the memory of this node; send the request again";
+    let status = http::StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "no-memory", detail).with_retry_after(MAX_RETRY_AFTER)
+}
+
 pub(crate) fn too_old() -> Refusal {
     let detail = "the request was first sent longer ago than claims are kept, so it cannot be \
                   told whether it ran before; this resend was not run";
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -7,7 +7,7 @@
 use protocol::{forwarding, streams};
 use transport::errors;
 
-use crate::{bodies, headers, peer_versions, state, working};
+use crate::{arrivals, bodies, headers, peer_versions, state, working};
 
 /// Serves one stream of another node. An error means that the stream broke.
 pub(crate) async fn serve(
@@ -77,35 +77,32 @@
 ) -> errors::Result<()> {
     let idempotent = request.head.idempotent;
     let mut admission = working::request_admission(state, &request).await;
+    let arrival = match &admission {
+        working::Admission::Refuse(_) => None,
+        _ => arrivals::Arrival::expect(state, &request),
+    };
     if !idempotent {
         // The body is asked for only once a slot is free: until then the sender may still choose
         // another target.
         admission = working::wait_for_slot(admission).await;
     }
-    if !matches!(admission, working::Admission::Refuse(_)) {
-        sender.send(&forwarding::AnswerHead::Admitted).await?;
-        let until = state.instant(request.deadline);
-        let body = read_body(&mut receiver);
-        match tokio::time::timeout_at(until, body).await {
-            Ok(body) => request.body = body?,
-            // Gives the slot back.
-            Err(_) => admission = working::Admission::Refuse(forwarding::NotRun::Late),
+    match arrival {
+        _ if matches!(admission, working::Admission::Refuse(_)) => {}
+        Some(arrival) => {
+            sender.send(&forwarding::AnswerHead::Admitted).await?;
+            let until = state.instant(request.deadline);
+            match tokio::time::timeout_at(until, arrival.receive(&mut receiver)).await {
+                Ok(body) => request.body = body?,
+                // Gives the slot back.
+                Err(_) => admission = working::Admission::Refuse(forwarding::NotRun::Late),
+            }
         }
+        // No memory is left for the body.
+        None => admission = working::Admission::Refuse(forwarding::NotRun::Full),
     }
     run_request(state, request, Some(admission), sender).await
 }
 
-async fn read_body(receiver: &mut transport::streams::Receiver) -> errors::Result<bytes::Bytes> {
-    let mut body = bytes::BytesMut::new();
-    while let Some(bytes) = receiver.recv_bytes().await? {
-        body.extend_from_slice(&bytes);
-        if body.len() > transport::codec::MAX_LENGTH {
-            return Err(errors::Error::Memory);
-        }
-    }
-    Ok(body.freeze())
-}
-
 async fn run_request(
     state: &sync::Arc<state::State>,
     request: working::LocalRequest,
@@ -139,12 +136,13 @@
     }
 }
 
-/// The status for other nodes, to which answers wait for this host's network link.
+/// The status for other nodes, whose bodies and answers wait for this host's network link.
 fn add_backlog(
     state: &state::State,
     node_status: forwarding::NodeStatus,
 ) -> forwarding::NodeStatus {
-    let load = node_status.load.with_wait(state.links.endpoint().backlog());
+    let arriving = state.downlink.lock().backlog();
+    let load = node_status.load.with_wait(state.links.endpoint().backlog().max(arriving));
     forwarding::NodeStatus { load, ..node_status }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,8 @@
 
 /// The default of [`Settings::workers`].
 pub const DEFAULT_WORKERS: usize = 2;
+/// The default of [`Settings::body_memory`].
+pub const DEFAULT_BODY_MEMORY: usize = 32 * 1024 * 1024;
 /// The default of [`Settings::stop_limit`].
 pub const DEFAULT_STOP_LIMIT: time::Duration = time::Duration::from_secs(30);
 
@@ -54,6 +56,8 @@
     /// The rate of the host's network link in bytes per second, to which messages to other nodes are
     /// paced; none if it is not known.
     pub link_rate: Option<u64>,
+    /// The most bytes that the bodies of requests take in memory. Requests beyond it are refused.
+    pub body_memory: usize,
     /// The time limit of a planned stop, including `linger`.
     pub stop_limit: time::Duration,
 }
@@ -83,6 +87,7 @@
             linger: time::Duration::ZERO,
             retry_percent: routing::budget::RETRY_PERCENT,
             link_rate: None,
+            body_memory: DEFAULT_BODY_MEMORY,
             stop_limit: DEFAULT_STOP_LIMIT,
         }
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, net, sync};
 
+use admission::downlink;
 use compact_str::CompactString;
 use distribution::{attach, updater};
 use membership::{directory, local_target};
@@ -24,6 +25,7 @@
 const BACKEND: rank::Rank = rank::Rank(25);
 const ROUTING: rank::Rank = rank::Rank(30);
 const ADMISSION: rank::Rank = rank::Rank(40);
+const DOWNLINK: rank::Rank = rank::Rank(45);
 const IN_FLIGHT: rank::Rank = rank::Rank(50);
 const SUSPECTS: rank::Rank = rank::Rank(60);
 const SESSIONS: rank::Rank = rank::Rank(70);
@@ -35,7 +37,10 @@
     pub(crate) pool: pool::Pool,
     pub(crate) links: transport::pool::LinkPool,
     pub(crate) client: web::client::Client,
+    /// The memory for answers that are read ahead.
     pub(crate) buffers: bodies::Buffers,
+    /// The memory for the bodies of requests, of this host's callers and of other nodes.
+    pub(crate) request_bodies: bodies::Buffers,
     pub(crate) instruments: instruments::Instruments,
     pub(crate) configuration: table::Table<Configuration>,
     /// The mesh of the settings, with the controls as the node knows them now.
@@ -44,6 +49,8 @@
     pub(crate) backend: table::Table<Backend>,
     pub(crate) routing: table::Table<Routing>,
     pub(crate) admission: table::Table<slots::LocalController>,
+    /// The bodies that other nodes are sending to this host.
+    pub(crate) downlink: table::Table<downlink::Downlink>,
     pub(crate) in_flight: table::Table<in_flight::Requests>,
     pub(crate) suspects: table::Table<suspects::Suspects>,
     pub(crate) sessions: table::Table<Sessions>,
@@ -189,11 +196,13 @@
             stopping: false,
         };
         let suspects = suspects::Suspects::default();
+        let downlink = downlink::Downlink::new(links.endpoint().message_rate());
         State {
             pool: pool::Pool::spawn(settings.workers, 16_384),
             links,
             client: web::client::Client::new(web::client::Limits::default()),
-            buffers: bodies::Buffers::new(),
+            buffers: bodies::Buffers::for_answers(),
+            request_bodies: bodies::Buffers::with_bytes(settings.body_memory),
             instruments,
             configuration: table::Table::new(CONFIGURATION, "configuration", configuration),
             mesh: table::Table::new(MESH, "mesh", settings.mesh.clone()),
@@ -201,6 +210,7 @@
             backend: table::Table::new(BACKEND, "backend server", backend),
             routing: table::Table::new(ROUTING, "routing", routing),
             admission: table::Table::new(ADMISSION, "admission", slots::LocalController::default()),
+            downlink: table::Table::new(DOWNLINK, "downlink", downlink),
             in_flight: table::Table::new(
                 IN_FLIGHT,
                 "requests in flight",
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -167,7 +167,7 @@
 ) -> Admission {
     let (shared, head) = (sync::Arc::clone(state), request.head.clone());
     let deadline = request.deadline;
-    let job = move || match check_uplink(&shared, &head, deadline) {
+    let job = move || match check_network_link(&shared, &head, deadline) {
         Some(reason) => Admission::Refuse(reason),
         None => offer(&shared, &head, deadline),
     };
@@ -316,8 +316,8 @@
     }
 }
 
-/// Refuses a request whose answer would wait too long for this host's network link.
-fn check_uplink(
+/// Refuses a request whose body or answer would wait too long for this host's network link.
+fn check_network_link(
     state: &state::State,
     head: &forwarding::RequestHead,
     deadline: time::Time,
@@ -325,14 +325,19 @@
     let backlog = state.links.endpoint().backlog();
     let objective = std_time::Duration::from_micros(head.objective_us);
     let left = deadline.since(state.now());
-    if !uplink::is_full(backlog, head.class, objective, left) {
+    let arriving = *state.downlink.lock();
+    let has_body = headers::body_length(&head.fields) > 0;
+    let refused = uplink::is_full(backlog, head.class, objective, left)
+        || has_body && arriving.is_full(head.class, objective, left);
+    if !refused {
         return None;
     }
     log::info!(
         target: "decision",
         "admission request={} outcome=refuse reason=\"the host's network link is full\" \
-         backlog={backlog:?} objective_us={}",
+         backlog={backlog:?} arriving={:?} objective_us={}",
         head.id,
+        arriving.backlog(),
         head.objective_us,
     );
     Some(forwarding::NotRun::Busy)
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -119,6 +119,11 @@
         Err(errors::Error::WrongHost { expected: host.into(), found: link.host().into() })
     }
 
+    /// Bytes of messages that the host's network link carries in a second, if its rate is known.
+    pub fn message_rate(&self) -> Option<u64> {
+        self.shared.pacer.rate()
+    }
+
     /// How long a message to a node would wait now for the host's network link.
     pub fn backlog(&self) -> time::Duration {
         self.shared.pacer.backlog()
--- a/crates/transport/src/pacer.rs
+++ b/crates/transport/src/pacer.rs
@@ -50,6 +50,11 @@
         Pacer { rate, start: time::Instant::now(), idle_at: atomic::AtomicU64::new(0) }
     }
 
+    /// Bytes of messages that the network link carries in a second, if its rate is known.
+    pub fn rate(&self) -> Option<u64> {
+        self.rate
+    }
+
     /// How long a message would wait now.
     pub fn backlog(&self) -> time::Duration {
         let idle_at = self.idle_at.load(atomic::Ordering::Relaxed);
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -24,6 +24,9 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The reader has no memory for the body.
+    #[error("no memory is left for the body")]
+    NoMemory,
     /// The body ended before it was complete, or could not be read. The text is the cause.
     #[error("the body is incomplete: {0}")]
     Truncated(CompactString),
@@ -83,16 +86,26 @@
 
     /// Reads the whole body, or fails with [`Error::TooLarge`] if it has more than `limit` bytes.
     /// Up to `limit` further bytes are then read and discarded, for at most half a second.
-    pub async fn collect(mut self, limit: usize) -> Result<Bytes> {
+    pub async fn collect(self, limit: usize) -> Result<Bytes> {
+        self.collect_within(limit, |_| true).await
+    }
+
+    /// Reads the whole body like [`Body::collect`]. `reserve` is called with the size of each chunk
+    /// before it is kept; when it returns false, the call fails with [`Error::NoMemory`].
+    pub async fn collect_within(
+        mut self,
+        limit: usize,
+        reserve: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes> {
         let declared = body::Body::size_hint(&self.0).lower();
-        if usize::try_from(declared).is_ok_and(|it| it <= limit)
-            && let Some(bytes) = self.try_collect(limit).await?
-        {
-            return Ok(bytes);
+        let collected = match usize::try_from(declared) {
+            Ok(declared) if declared <= limit => self.try_collect(limit, reserve).await,
+            _ => Err(Error::TooLarge { limit }),
+        };
+        if let Err(Error::TooLarge { .. } | Error::NoMemory) = collected {
+            let _ = tokio::time::timeout(DISCARD_TIMEOUT, self.discard(limit)).await;
         }
-        let discard = self.discard(limit);
-        let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
-        Err(Error::TooLarge { limit })
+        collected
     }
 
     pub(crate) fn new<B>(body: B) -> Body
@@ -106,15 +119,22 @@
         self.0
     }
 
-    async fn try_collect(&mut self, limit: usize) -> Result<Option<Bytes>> {
+    async fn try_collect(
+        &mut self,
+        limit: usize,
+        mut reserve: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes> {
         let mut all = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
             if all.len() + chunk.len() > limit {
-                return Ok(None);
+                return Err(Error::TooLarge { limit });
+            }
+            if !reserve(chunk.len()) {
+                return Err(Error::NoMemory);
             }
             all.extend_from_slice(&chunk);
         }
-        Ok(Some(all.freeze()))
+        Ok(all.freeze())
     }
 
     /// Reads and drops chunks until the body ends or they exceed `limit` bytes.
--- a/crates/web/src/exchange.rs
+++ b/crates/web/src/exchange.rs
@@ -60,6 +60,7 @@
     pub fn body_error(error: &body::Error) -> Response {
         let status = match error {
             body::Error::TooLarge { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
+            body::Error::NoMemory => http::StatusCode::SERVICE_UNAVAILABLE,
             body::Error::Gone | body::Error::Truncated(_) => http::StatusCode::BAD_REQUEST,
         };
         Response::text(status, &error.to_string())
