End the throttle when a target reports that half of its slots are free

Cause: the throttle judges a service by the outcomes of the last second, and the requests that it holds back count as refused.

Change: when a target on another host answers and at most half of its slots are taken by other requests, the node forgets the outcomes of the service. A full target has a free slot at times, but not half of them.

--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -33,6 +33,13 @@
         self.service_time * before / self.slots
     }
 
+    /// Returns whether at most half of the slots are taken by other requests than the one that the
+    /// report answers. A full target has a free slot at times, but not half of them.
+    pub fn is_half_free(&self) -> bool {
+        let others = self.in_flight.saturating_sub(1).saturating_add(self.queued);
+        others.saturating_mul(2) <= self.slots && self.slots > 0
+    }
+
     /// The report of a target of which only `usable` slots can be kept busy: the others count as
     /// busy, so that senders see no room there.
     pub(crate) fn with_free_slots(self, usable: u32) -> LoadReport {
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -59,6 +59,7 @@
     /// Records that the head of an answer arrived, and the time that it took.
     pub(crate) fn answered(mut self, node_status: &forwarding::NodeStatus) {
         let load = to_load(&node_status.load);
+        let half_free = node_status.load.is_half_free();
         self.pending = false;
         let elapsed = self.state.now().since(self.sent_at);
         let state = sync::Arc::clone(&self.state);
@@ -69,6 +70,9 @@
             let peers = self.service_targets();
             let mut routing = self.state.routing.lock();
             self.record_admission(&mut routing, now, true);
+            if self.remote && half_free {
+                routing.throttle(&self.service).clear();
+            }
             let estimates = &mut routing.balancer.estimates;
             let change = estimates.record_answer(now, self.target, &sample, peers.into_iter());
             self.log_change(change);
--- a/crates/routing/src/throttle.rs
+++ b/crates/routing/src/throttle.rs
@@ -12,7 +12,7 @@
 use world::time::Time;
 
 /// How long an outcome counts. Load changes within seconds, and after its end requests are held
-/// back for as long.
+/// back for as long, unless a target reports that it has room.
 pub const WINDOW: time::Duration = time::Duration::from_secs(1);
 /// Sends per admitted request up to which nothing is held back.
 const SENDS_PER_ADMISSION: f32 = 3.0;
@@ -52,6 +52,12 @@
         bucket.admitted = bucket.admitted.saturating_add(admitted.into());
     }
 
+    /// Forgets the outcomes so far: a target has reported that most of its slots are free, so the
+    /// load is over.
+    pub fn clear(&mut self) {
+        self.buckets = Default::default();
+    }
+
     /// Returns whether a request may be sent, and records it if it is held back. `again` says that
     /// another target has refused it.
     ///
--- a/crates/routing/tests/throttling.rs
+++ b/crates/routing/tests/throttling.rs
@@ -27,14 +27,19 @@
 struct Mesh {
     throttles: Vec<throttle::Throttle>,
     enabled: bool,
+    /// Whether a node learns from an answer that the targets have room.
+    reports: bool,
+    /// Whether half of the capacity of the last step was not used.
+    half_free: bool,
     rng: rngs::SmallRng,
     steps: u64,
 }
 
 impl Mesh {
-    fn new(enabled: bool) -> Mesh {
+    fn new(enabled: bool, reports: bool) -> Mesh {
         let throttles = vec![throttle::Throttle::default(); NODES];
-        Mesh { throttles, enabled, rng: rngs::SmallRng::seed_from_u64(5_011), steps: 0 }
+        let rng = rngs::SmallRng::seed_from_u64(5_011);
+        Mesh { throttles, enabled, reports, half_free: true, rng, steps: 0 }
     }
 
     /// Plays a second with `demand` requests in each step. Of the requests that are sent while
@@ -49,6 +54,7 @@
                 second.requests += 1;
                 self.send(now, &mut room, &mut second);
             }
+            self.half_free = room * 2 >= CAPACITY;
         }
         second
     }
@@ -64,6 +70,9 @@
             let admitted = *room > 0 && self.rng.random_range(0..10) > 0;
             throttle.record(now, admitted);
             if admitted {
+                if self.reports && self.half_free {
+                    throttle.clear();
+                }
                 *room -= 1;
                 second.admitted += 1;
                 return;
@@ -79,7 +88,7 @@
 fn refusals_take_the_network() {
     let mut out = String::new();
     for enabled in [false, true] {
-        let mut mesh = Mesh::new(enabled);
+        let mut mesh = Mesh::new(enabled, false);
         writeln!(out, "throttle {enabled}").expect("text");
         let mut before = 0;
         for demand in [5, 9, 20, 20, 20, 50, 50, 50, 5, 5, 5, 9] {
@@ -118,3 +127,22 @@
     let later = Time::from_millis(4_000) + throttle::WINDOW;
     assert!((0..5).all(|_| throttle.try_send(later, false, &mut rng)), "the window is over");
 }
+
+/// Guards against requests that are held back for a second after the load, although the answers
+/// show that the targets have room, and against reports that end the throttle during the load.
+#[test]
+fn requests_are_held_back_after_the_load() {
+    let mut out = String::new();
+    for reports in [false, true] {
+        let mut mesh = Mesh::new(true, reports);
+        writeln!(out, "reports {reports}").expect("text");
+        for demand in [20, 20, 50, 50, 5, 5, 20, 20] {
+            let second = mesh.play(demand);
+            writeln!(out, "  {second:?}").expect("text");
+            if reports && demand == 5 {
+                assert!(second.held * 5 <= second.requests, "{second:?}");
+            }
+        }
+    }
+    insta::assert_snapshot!(out);
+}
