Keep to an acknowledged leave after a restart of the node

Cause: the leave was a belief of one process. The node kept it in memory only and answered 200 at once. After its restart, a status report from before the leave counted as the first announcement of a new target. The registry told the node the order of the former entry but not its state, and the node raised its own order above that, so every other node took the target back.

Change: an entry names the announcement that its state follows from, and whether its process leaves for good. Of two entries of one process the leaving one is newer, whatever their orders, in every registry and at every node. The answer to a heartbeat carries the held entry when it differs; a node that has just started sends no entry before it has that answer, and keeps to a leave or a later drain that it finds there. A drain or a leave is acknowledged only when a control has recorded it, otherwise with 503 after 800 ms. Without a control the node still serves what others send. Entries and heartbeat answers change on the wire, so the protocol version is 4.

The literal frames of links::bad_frames name the version of the codec now, and "version 3" is one more case that is refused.

--- a/crates/heatherwalk/tests/contracts/announcements.rs
+++ b/crates/heatherwalk/tests/contracts/announcements.rs
@@ -171,6 +171,70 @@
     mesh.control.stop().await;
 }
 
+/// Guards against a backend server that gets requests again after its leave was acknowledged: its
+/// node restarts, and an announcement from before the leave arrives late. The next process at the
+/// same address gets requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leave_before_a_restart_of_the_node_is_forgotten() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let client = mesh::client();
+    let announce = async |node: &node::running::Node, instance: &str, incarnation: u64| {
+        let body = json!({"service": "logbook", "addr": "127.0.0.1:1", "slots": 6, "cold_ms": 0,
+            "incarnation": incarnation, "instance": instance, "sequence": 1});
+        let body = body.to_string();
+        let path = format!("POST /announce?of={instance}");
+        mesh::http(&client, node.announce(), &path, &[], body.as_bytes()).await.0
+    };
+    let state = async || api.get("/v1/targets").await.1[0]["state"].clone();
+    let node = mesh.node("skulte-1").await;
+    assert_eq!(announce(&node, "logbook-1", 100).await, 200);
+    api.until(|| api.get("/v1/targets"), |it| it.1[0]["state"] == "serving").await;
+    let leave = mesh::http(&client, node.announce(), "POST /leave?of=logbook-1", &[], b"").await;
+    assert_eq!(leave.0, 200, "{}", leave.2);
+    assert_eq!(state().await, "draining", "the acknowledged leave is recorded");
+    drop(node);
+    let node = mesh.node("skulte-1").await;
+    let end = time::Instant::now() + time::Duration::from_secs(4);
+    while time::Instant::now() < end {
+        assert_eq!(announce(&node, "logbook-1", 100).await, 200);
+        let answer = mesh::http(&client, node.callers(), "GET /logs", &[], b"").await;
+        assert_ne!(answer.0, 200);
+        let seen = state().await;
+        assert!(seen != "serving" && seen != "starting", "the target is {seen}");
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    assert_eq!(announce(&node, "logbook-2", 101).await, 200);
+    api.until(|| api.get("/v1/targets"), |it| it.1[0]["state"] == "serving").await;
+    mesh.control.stop().await;
+}
+
+/// Guards against a leave that is acknowledged although no control has recorded it, so that it is
+/// lost when the node restarts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leave_that_no_control_has_recorded_is_acknowledged() {
+    let mesh = mesh::Mesh::start(1).await;
+    let api = mesh.api();
+    api.create().await;
+    let node = mesh.node("skulte-1").await;
+    let client = mesh::client();
+    let body = json!({"service": "logbook", "addr": "127.0.0.1:1", "slots": 6,
+        "incarnation": 100, "instance": "logbook-1"});
+    let body = body.to_string();
+    let path = "POST /announce?of=logbook-1";
+    let answer = mesh::http(&client, node.announce(), path, &[], body.as_bytes()).await;
+    assert_eq!(answer.0, 200, "{}", answer.2);
+    api.until(|| api.get("/v1/targets"), |it| it.1[0]["state"] == "starting").await;
+    mesh.control.stop().await;
+    for line in ["POST /leave?of=logbook-1", "POST /leave?of=logbook-1"] {
+        let answer = mesh::http(&client, node.announce(), line, &[], b"").await;
+        assert_eq!(answer.0, 503, "{}", answer.2);
+    }
+    let refused = mesh::http(&client, node.callers(), "GET /logs", &[], b"").await;
+    assert_ne!(refused.0, 200, "the node drains the backend server all the same");
+}
+
 /// Guards against an odd announcement of another writer that replaces the backend server which is
 /// announced, or that keeps the next proper announcement out.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/heatherwalk/tests/contracts/links.rs
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -6,7 +6,7 @@
 use distribution::{floor, messages};
 use protocol::{forwarding, operators, proposals, streams};
 use replicated::{claims, versions};
-use transport::{endpoint, errors, identity, limits, links};
+use transport::{codec, endpoint, errors, identity, limits, links};
 use world::{document, hosts, requests};
 
 use crate::mesh;
@@ -45,16 +45,17 @@
     ];
     let peer = mesh.peer("jugla-1", hosts::Role::Node);
     let cases = [
-        ("garbage", frame(5, &[3, 0xff, 0xff, 0xff, 0xff]), true),
-        ("trailing byte", frame(3, &[3, 0, 0]), true),
-        ("truncated", frame(100, &[3, 0]), true),
+        ("garbage", frame(5, &[codec::VERSION, 0xff, 0xff, 0xff, 0xff]), true),
+        ("trailing byte", frame(3, &[codec::VERSION, 0, 0]), true),
+        ("truncated", frame(100, &[codec::VERSION, 0]), true),
         ("no frame", Bytes::from_static(&[0, 0]), true),
-        ("oversized", frame(8 * 1024 * 1024 + 1, &[3]), false),
+        ("oversized", frame(8 * 1024 * 1024 + 1, &[codec::VERSION]), false),
         ("largest length", frame(u32::MAX, &[]), false),
         ("no version", frame(0, &[]), false),
         ("version 0", frame(2, &[0, 0]), false),
         ("version 1", frame(2, &[1, 0]), false),
         ("version 2", frame(2, &[2, 0]), false),
+        ("version 3", frame(2, &[3, 0]), false),
     ];
     let mut out = String::new();
     for (process, addr, host) in processes {
--- a/crates/heatherwalk/tests/requests/stand_in_controls.rs
+++ b/crates/heatherwalk/tests/requests/stand_in_controls.rs
@@ -92,12 +92,25 @@
     let mut controls = state.controls.subscribe();
     controls.mark_changed();
     let mut acks = 0;
+    let mut held = None;
     while let Some(message) = receiver.recv::<streams::NodeMessage>().await? {
         let (session, hello) = match message {
             streams::NodeMessage::Event(it) => {
+                held = Some(it.entry.clone());
                 sender.send(&streams::ControlMessage::Event(it)).await?;
                 continue;
             }
+            streams::NodeMessage::Heartbeat(it) => {
+                let digest = held.as_ref().map(membership::messages::Entry::digest);
+                let answer = membership::messages::HeartbeatAnswer {
+                    known: held.as_ref().map(|it| it.order),
+                    wanted: it.digest.is_some() && it.digest != digest,
+                    digest,
+                    held: held.clone().filter(|_| it.digest != digest),
+                };
+                sender.send(&streams::ControlMessage::Heartbeat(answer)).await?;
+                continue;
+            }
             streams::NodeMessage::Version(versions::ToControl::Hello(it)) => {
                 state.sessions.fetch_add(1, atomic::Ordering::SeqCst);
                 (it.session, it.running.is_none())
--- a/crates/heatherwalk/tests/requests/stand_ins.rs
+++ b/crates/heatherwalk/tests/requests/stand_ins.rs
@@ -56,6 +56,7 @@
             order: messages::Order { incarnation: 1, sequence: 0 },
             slots: 512,
             state: targets::State::Serving,
+            announced: messages::Announced { incarnation: 1, sequence: 0, leaving: false },
             registrar: "skulte".into(),
         };
         let mut tasks = task::JoinSet::new();
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -68,6 +68,10 @@
     backend: Option<Backend>,
     /// The newest order that the registry has reported for this host.
     known_order: messages::Order,
+    /// What the registry answered to the first heartbeat of this process, and when.
+    first_answer: Option<(Time, Option<messages::Entry>)>,
+    /// The digest of the entry that the registry holds, as of its last answer.
+    held_digest: Option<u64>,
     /// Whether the node itself is stopping, which drains the backend server.
     stopping: bool,
     lease: time::Duration,
@@ -80,8 +84,6 @@
     entry: messages::Entry,
     /// When its cold start ends.
     warm_at: Time,
-    /// Whether it shuts down permanently. No later announcement of this incarnation revokes that.
-    leaving: bool,
     /// When it entered its state.
     state_since: Time,
     /// When its last announcement arrived.
@@ -104,6 +106,8 @@
             registrar,
             backend: None,
             known_order,
+            first_answer: None,
+            held_digest: None,
             stopping: false,
             lease: ANNOUNCEMENT_LEASE,
             toggles,
@@ -135,8 +139,7 @@
     /// after a newer one of the same process, changes nothing.
     pub fn announce(&mut self, now: Time, announcement: &messages::Announcement) -> Outcome {
         let Some(backend) = &mut self.backend else {
-            self.start_backend(now, announcement);
-            return self.outcome(now, Transition::Arrived);
+            return self.announce_first(now, announcement);
         };
         if announcement.incarnation != backend.latest.incarnation {
             let gone = backend.entry.state == objects::State::Gone;
@@ -170,6 +173,7 @@
         }
         backend.entry.slots = announcement.slots;
         backend.entry.service = announcement.service.clone();
+        backend.entry.announced.sequence = announcement.sequence;
         self.set_state(now, state);
         let transition = match (before, state) {
             (objects::State::Gone, _) => Some(Transition::Returned),
@@ -210,14 +214,18 @@
 
     /// The backend server shuts down permanently: it finishes its requests and gets no new ones.
     pub fn backend_leaving(&mut self, now: Time) -> Outcome {
-        if let Some(backend) = &mut self.backend {
-            backend.leaving = true;
-        }
-        if !self.takes_work() {
+        let Some(backend) = &mut self.backend else {
+            return Outcome::default();
+        };
+        if std::mem::replace(&mut backend.entry.announced.leaving, true) {
             return Outcome::default();
         }
-        self.set_state(now, objects::State::Draining);
-        Outcome { transition: Some(Transition::Draining), event: self.event(now) }
+        if self.takes_work() {
+            self.set_state(now, objects::State::Draining);
+            return self.outcome(now, Transition::Draining);
+        }
+        self.raise_order();
+        Outcome { transition: None, event: self.event(now) }
     }
 
     /// The node begins a planned stop: the backend server drains, and no renewal revokes that.
@@ -249,27 +257,82 @@
         messages::Heartbeat { host: self.location.host.clone(), digest }
     }
 
-    /// Handles the answer to a heartbeat. When the registry wants the entry, it returns an event
-    /// that replaces what the registry holds, such as a removal after a lease ended, or what the
-    /// node's process announced before its restart.
-    pub fn heartbeat_answered(
-        &mut self,
-        now: Time,
-        answer: &messages::HeartbeatAnswer,
-    ) -> Option<messages::Event> {
+    /// Whether the registry has answered a heartbeat of this process. Until then, the entry may
+    /// contradict what the node's former process announced, and is not to be sent.
+    pub fn knows_registry(&self) -> bool {
+        self.first_answer.is_some()
+    }
+
+    /// Whether the registry holds the entry that the node announces, as of its last answer.
+    pub fn is_registered(&self) -> bool {
+        self.held_digest.is_some() && self.held_digest == self.entry().map(messages::Entry::digest)
+    }
+
+    /// Handles the answer to a heartbeat. When the registry wants the entry, the outcome has an
+    /// event that replaces what the registry holds, such as a removal after a lease ended, or what
+    /// the node's process announced before its restart. What the backend server announced to that
+    /// process and what is later than the announcements since is kept to.
+    pub fn heartbeat_answered(&mut self, now: Time, answer: &messages::HeartbeatAnswer) -> Outcome {
+        self.held_digest = answer.digest;
         if let Some(known) = answer.known.filter(|it| it.is_valid())
             && self.toggles.known_orders
         {
             self.known_order = self.known_order.max(known);
         }
-        if !answer.wanted {
-            return None;
+        let first = self.first_answer.is_none();
+        if first {
+            self.first_answer = Some((now, answer.held.clone()));
         }
-        let backend = self.backend.as_ref()?;
+        let transition = answer.held.as_ref().and_then(|held| self.keep_to(now, held, first));
+        let Some(backend) = self.backend.as_ref().filter(|_| answer.wanted) else {
+            return Outcome { transition, event: None };
+        };
         if backend.entry.order <= self.known_order {
             self.raise_order();
         }
-        self.event(now)
+        Outcome { transition, event: self.event(now) }
+    }
+
+    /// Handles the first announcement since the node started. It may be a late one, which the
+    /// registry can tell when it has answered a heartbeat.
+    fn announce_first(&mut self, now: Time, announcement: &messages::Announcement) -> Outcome {
+        let answer = self.first_answer.clone();
+        let held = answer.and_then(|(at, held)| held.filter(|_| now.since(at) < self.lease));
+        let replaced = |it: &messages::Entry| {
+            it.state != objects::State::Gone && announcement.incarnation < it.announced.incarnation
+        };
+        if held.as_ref().is_some_and(replaced) {
+            return Outcome { transition: Some(Transition::Outdated), event: None };
+        }
+        self.start_backend(now, announcement);
+        let held = self.first_answer.as_ref().and_then(|it| it.1.clone());
+        if let Some(held) = held {
+            self.keep_to(now, &held, true);
+        }
+        self.outcome(now, Transition::Arrived)
+    }
+
+    /// Keeps to what the registry holds of the same process: that it shuts down permanently, and,
+    /// when the node has just started, an announcement that is later than the one that it got.
+    /// Returns what this changed.
+    fn keep_to(&mut self, now: Time, held: &messages::Entry, started: bool) -> Option<Transition> {
+        let backend = self.backend.as_mut()?;
+        if held.announced.incarnation != backend.latest.incarnation {
+            return None;
+        }
+        backend.entry.announced.leaving |= held.announced.leaving;
+        let later = held.announced.sequence > backend.latest.sequence;
+        if started && later && held.state == objects::State::Draining {
+            backend.latest.sequence = held.announced.sequence;
+            backend.latest.drain = true;
+            backend.entry.announced.sequence = held.announced.sequence;
+        }
+        let drains = announced_state(now, backend, self.stopping) == objects::State::Draining;
+        if !drains || !self.takes_work() {
+            return None;
+        }
+        self.set_state(now, objects::State::Draining);
+        Some(Transition::Draining)
     }
 
     /// Replaces the backend server by the process that announced itself.
@@ -287,6 +350,11 @@
             order: messages::Order { incarnation, sequence: 0 },
             slots: announcement.slots,
             state: objects::State::Starting,
+            announced: messages::Announced {
+                incarnation: announcement.incarnation,
+                sequence: announcement.sequence,
+                leaving: false,
+            },
             registrar: self.registrar.clone(),
         };
         let latest = announcement.clone();
@@ -296,7 +364,6 @@
             latest,
             entry,
             warm_at,
-            leaving: false,
             state_since: now,
             last_contact: now,
             late_sequence: None,
@@ -350,7 +417,7 @@
 
 /// The state that a backend server that announces itself is in.
 fn announced_state(now: Time, backend: &Backend, stopping: bool) -> objects::State {
-    if backend.latest.drain || backend.leaving || stopping {
+    if backend.latest.drain || backend.entry.announced.leaving || stopping {
         return objects::State::Draining;
     }
     if now < backend.warm_at {
--- a/crates/membership/src/messages.rs
+++ b/crates/membership/src/messages.rs
@@ -73,6 +73,21 @@
     pub cold_ms: Option<u64>,
 }
 
+/// The announcement that put a target into its state, as the backend server numbered it. The
+/// [`Order`] of an entry cannot tell this, because a node that restarts counts anew.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Announced {
+    /// The [`Announcement::incarnation`] of the process.
+    pub incarnation: u64,
+    /// The [`Announcement::sequence`] of the announcement.
+    pub sequence: u64,
+    /// Whether the process has said that it shuts down permanently. Nothing that it announced
+    /// before revokes that, however late it arrives.
+    pub leaving: bool,
+}
+
 /// The registry's record of one host's backend server.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Entry {
@@ -90,6 +105,8 @@
     pub slots: u32,
     /// Whether the target is starting, serving, draining or gone.
     pub state: targets::State,
+    /// The announcement that the state follows from.
+    pub announced: Announced,
     /// The name of the control that holds the node's lease. A data centre can have several
     /// controls, and the others must not end the lease.
     pub registrar: CompactString,
@@ -116,12 +133,18 @@
 }
 
 /// The control's answer to a heartbeat.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeartbeatAnswer {
     /// The newest order that the registry has seen for the host, removed entries included.
     pub known: Option<Order>,
     /// Whether the node must send its entry, because the registry holds another one or none.
     pub wanted: bool,
+    /// The [`Entry::digest`] of the entry that the registry holds.
+    pub digest: Option<u64>,
+    /// The newest entry that the registry has seen for the host, removed ones included, unless it
+    /// is the one that the heartbeat names. A node that restarted learns from it what its former
+    /// process announced.
+    pub held: Option<Entry>,
 }
 
 /// The hashes of a data centre's entries, one for each part. Removed entries do not count.
@@ -224,6 +247,9 @@
         hash.number(self.order.sequence);
         hash.number(self.slots.into());
         hash.number(self.state as u64);
+        hash.number(self.announced.incarnation);
+        hash.number(self.announced.sequence);
+        hash.number(self.announced.leaving.into());
         hash.0
     }
 
@@ -236,10 +262,16 @@
         (hash.0 >> 32) as usize % PARTS
     }
 
-    /// Whether this entry is newer than `held` and replaces it. Two entries can share an order when
-    /// a lease ends while the node makes a change. Every registry then keeps the same one of them,
-    /// and prefers a removal.
+    /// Whether this entry is newer than `held` and replaces it. Of two entries of one process, the
+    /// one that says that it shuts down permanently is newer, whatever their orders: a node that
+    /// restarted after the leave may have taken a late announcement for a new one. Two entries can
+    /// share an order when a lease ends while the node makes a change. Every registry then keeps
+    /// the same one of them, and prefers a removal.
     pub fn replaces(&self, held: &Entry) -> bool {
+        let (announced, former) = (self.announced, held.announced);
+        if announced.incarnation == former.incarnation && announced.leaving != former.leaving {
+            return announced.leaving;
+        }
         let rank = |it: &Entry| (it.order, it.state, it.digest());
         rank(self) > rank(held)
     }
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -78,14 +78,17 @@
         now: Time,
         heartbeat: &messages::Heartbeat,
     ) -> messages::HeartbeatAnswer {
-        let held = self.targets.find_host(&heartbeat.host);
-        let known = self.targets.newest_order(&heartbeat.host);
-        let digest = held.map(|it| it.entry.digest());
-        if held.is_some_and(|it| it.entry.registrar == self.name) {
+        let target = self.targets.find_host(&heartbeat.host);
+        let digest = target.map(|it| it.entry.digest());
+        if target.is_some_and(|it| it.entry.registrar == self.name) {
             self.leases.insert(heartbeat.host.clone(), now + NODE_LEASE);
         }
-        let wanted = heartbeat.digest.is_some() && heartbeat.digest != digest;
-        messages::HeartbeatAnswer { known, wanted }
+        let held = self.targets.held_entry(&heartbeat.host);
+        let known = held.map(|it| it.order);
+        let agreed = heartbeat.digest.is_some() && heartbeat.digest == digest;
+        let wanted = heartbeat.digest.is_some() && !agreed;
+        let held = held.filter(|_| !agreed).cloned();
+        messages::HeartbeatAnswer { known, wanted, digest, held }
     }
 
     /// Merges an event from an attached node or another control. If the result is a change, the
--- a/crates/membership/src/targets.rs
+++ b/crates/membership/src/targets.rs
@@ -100,11 +100,6 @@
         self.arena.iter()
     }
 
-    /// The newest order seen for a host, from its target or its tombstone.
-    pub fn newest_order(&self, host: &str) -> Option<messages::Order> {
-        self.held_entry(host).map(|it| it.order)
-    }
-
     /// How many tombstones are kept.
     pub fn tombstones(&self) -> usize {
         self.tombstones.len()
@@ -237,7 +232,7 @@
     }
 
     /// The newest entry of a host, from its target or its tombstone.
-    fn held_entry(&self, host: &str) -> Option<&messages::Entry> {
+    pub fn held_entry(&self, host: &str) -> Option<&messages::Entry> {
         let live = self.find_host(host).map(|it| &it.entry);
         live.or_else(|| self.tombstones.get(host).map(|it| &it.entry))
     }
--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -53,8 +53,9 @@
         Step::Attach(registrar) => event(local.attach(now, (*registrar).into())),
         Step::Answer(known, wanted) => {
             let order = |(incarnation, sequence)| messages::Order { incarnation, sequence };
-            let answer = messages::HeartbeatAnswer { known: known.map(order), wanted: *wanted };
-            event(local.heartbeat_answered(now, &answer))
+            let (known, wanted) = (known.map(order), *wanted);
+            let answer = messages::HeartbeatAnswer { known, wanted, ..Default::default() };
+            local.heartbeat_answered(now, &answer)
         }
     }
 }
@@ -227,8 +228,10 @@
     local.announce(Time::ZERO, &announcement(50));
     for known in [(50, u64::MAX), (51, messages::MAX_ORDER), (u64::MAX, u64::MAX)] {
         let order = messages::Order { incarnation: known.0, sequence: known.1 };
-        let answer = messages::HeartbeatAnswer { known: Some(order), wanted: true };
-        let event = local.heartbeat_answered(Time::from_millis(10), &answer).expect("an event");
+        let answer =
+            messages::HeartbeatAnswer { known: Some(order), wanted: true, ..Default::default() };
+        let outcome = local.heartbeat_answered(Time::from_millis(10), &answer);
+        let event = outcome.event.expect("an event");
         assert_eq!(event.entry.check(), Ok(()), "known {known:?}: {:?}", event.entry.order);
     }
     let order = local.entry().map(|it| (it.order.incarnation, it.order.sequence));
--- a/crates/membership/tests/registries.rs
+++ b/crates/membership/tests/registries.rs
@@ -15,6 +15,7 @@
         order: messages::Order { incarnation: order.0, sequence: order.1 },
         slots: 6,
         state,
+        announced: messages::Announced { incarnation: order.0, ..Default::default() },
         registrar: registrar.into(),
     }
 }
@@ -161,7 +162,7 @@
             let removed = control.tick(now).events.len();
             if !(2..8).contains(&second) {
                 let answer = control.heartbeat(now, &node.heartbeat());
-                if let Some(event) = node.heartbeat_answered(now, &answer) {
+                if let Some(event) = node.heartbeat_answered(now, &answer).event {
                     control.apply_event(now, &event);
                 }
             }
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -8,7 +8,7 @@
 use protocol::streams;
 use world::config;
 
-use crate::{peer_versions, sessions, slots, state};
+use crate::{backend, peer_versions, sessions, slots, state};
 
 /// Runs the timers of the version updater. To be called at least every 100 ms.
 pub(crate) fn tick(state: &sync::Arc<state::State>) {
@@ -24,8 +24,7 @@
 /// Sends the heartbeat of the registry and the evidence that is due, and records the age of the
 /// running version. To be called every second.
 pub(crate) fn heartbeat(state: &state::State) {
-    let heartbeat = state.backend.lock().local.heartbeat();
-    state.send_control(streams::NodeMessage::Heartbeat(heartbeat));
+    send_heartbeat(state);
     send_evidence(state);
     let now = state.now();
     let table = state.configuration.lock();
@@ -35,6 +34,12 @@
     }
 }
 
+/// Sends the heartbeat of the registry.
+pub(crate) fn send_heartbeat(state: &state::State) {
+    let heartbeat = state.backend.lock().local.heartbeat();
+    state.send_control(streams::NodeMessage::Heartbeat(heartbeat));
+}
+
 /// Sends the evidence that the control has not acknowledged yet. Does nothing while the node is
 /// attached to no control.
 pub(crate) fn send_evidence(state: &state::State) {
@@ -183,7 +188,7 @@
     state.directory.lock().forget_requests();
     let event = state.backend.lock().local.attach(state.now(), name);
     if let Some(event) = event {
-        state.send_control(streams::NodeMessage::Event(event));
+        backend::send_event(state, event);
     }
     heartbeat(state);
 }
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -15,6 +15,9 @@
 
 /// Largest body of an announcement, in bytes.
 const MAX_BODY: usize = 64 * 1024;
+/// How long the answer to a drain or a leave is held back until a control has recorded it. A
+/// backend server takes a second without an answer as a failure.
+const RECORD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(800);
 
 /// An announcement that a backend server sends to its node as JSON.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -98,9 +101,12 @@
     }
     let job = {
         let state = sync::Arc::clone(&state);
+        let announcement = announcement.clone();
         move || announce(&state, &announcement)
     };
+    let drain = announcement.drain;
     match state.pool.run(attaching::in_runtime(job)).await {
+        Ok(Some(_)) if drain && !await_record(&state).await => not_recorded(),
         Ok(None) => {
             let text = "a later incarnation of this backend server is announced; stop this \
                         process, or announce again when the other has been silent for 2 s\n";
@@ -117,7 +123,8 @@
         move || mark_leaving(&state, &instance)
     };
     match state.pool.run(attaching::in_runtime(job)).await {
-        Ok(()) => {
+        Ok(true) if !await_record(&state).await => not_recorded(),
+        Ok(_) => {
             let none = AnnounceAnswer { renew_ms: 0, token: None };
             (state.settings.dialect.write_renewal)(&none)
         }
@@ -125,8 +132,66 @@
     }
 }
 
-/// Drains the backend server `instance`, which shuts down permanently.
-fn mark_leaving(state: &state::State, instance: &str) {
+/// Waits until a control has recorded the entry of the backend server. Returns false when none has
+/// in time. Before that, the entry is known to this process alone, and its restart would bring the
+/// former one back.
+async fn await_record(state: &state::State) -> bool {
+    let recorded = async {
+        loop {
+            let answered = state.registered.notified();
+            tokio::pin!(answered);
+            answered.as_mut().enable();
+            if state.backend.lock().local.is_registered() {
+                return;
+            }
+            answered.await;
+        }
+    };
+    tokio::time::timeout(RECORD_TIMEOUT, recorded).await.is_ok()
+}
+
+fn not_recorded() -> web::exchange::Response {
+    log::info!(
+        target: "decision",
+        "drain of the backend server not acknowledged: no control recorded it within \
+         {RECORD_TIMEOUT:?}",
+    );
+    let text = "the backend server gets no new requests, but no control has recorded that yet; \
+                send this again\n";
+    web::exchange::Response::text(http::StatusCode::SERVICE_UNAVAILABLE, text)
+}
+
+/// Handles the registry's answer to a heartbeat.
+pub(crate) fn registry_answered(state: &state::State, answer: &messages::HeartbeatAnswer) {
+    let now = state.now();
+    let (outcome, previous) = {
+        let mut backend = state.backend.lock();
+        let previous = backend.local.entry().cloned();
+        (backend.local.heartbeat_answered(now, answer), previous)
+    };
+    if let Some(held) = outcome.transition.and(answer.held.as_ref()) {
+        log::info!(
+            target: "decision",
+            "the registry holds a later announcement of the backend server: {:?}",
+            held.announced,
+        );
+    }
+    apply_outcome(state, now, outcome, previous.as_ref());
+    state.registered.notify_waiters();
+}
+
+/// Sends a change of the entry to the registry. Before the registry has answered a heartbeat, the
+/// change may be that of a late announcement, so it is left to the answer to ask for the entry.
+pub(crate) fn send_event(state: &state::State, event: messages::Event) {
+    if state.backend.lock().local.knows_registry() {
+        // If this message is dropped, the digest of the next heartbeat makes up for it.
+        state.send_control(streams::NodeMessage::Event(event));
+    }
+}
+
+/// Drains the backend server `instance`, which shuts down permanently. Returns whether it is the
+/// one of this host; otherwise the leave is kept for its announcement.
+fn mark_leaving(state: &state::State, instance: &str) -> bool {
     let now = state.now();
     let mut backend = state.backend.lock();
     if backend.instance != instance {
@@ -139,12 +204,14 @@
         if announcements::is_instance(instance) {
             backend.left = instance.into();
         }
-        return;
+        return false;
     }
     let previous = backend.local.entry().cloned();
     let outcome = backend.local.backend_leaving(now);
     drop(backend);
     apply_outcome(state, now, outcome, previous.as_ref());
+    attaching::send_heartbeat(state);
+    previous.is_some()
 }
 
 /// Keeps to what the backend server `instance` said of itself in an answer.
@@ -294,6 +361,8 @@
     };
     if left {
         mark_leaving(state, &announcement.instance);
+    } else if announcement.drain && !state.backend.lock().local.is_registered() {
+        attaching::send_heartbeat(state);
     }
     let renew_ms = u64::try_from(local_target::RENEWAL_INTERVAL.as_millis()).unwrap_or(u64::MAX);
     Some(AnnounceAnswer { renew_ms, token })
@@ -344,8 +413,7 @@
         update_admission(state, now, transition);
     }
     if let Some(event) = outcome.event {
-        // If this message is dropped, the digest of the next heartbeat makes up for it.
-        state.send_control(streams::NodeMessage::Event(event));
+        send_event(state, event);
     }
 }
 
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -6,7 +6,7 @@
 use protocol::streams;
 use tokio::sync::mpsc;
 
-use crate::{attaching, controls, state};
+use crate::{attaching, backend, controls, state};
 
 /// Most messages that are queued for a control.
 const CONTROL_QUEUE: usize = 256;
@@ -151,10 +151,7 @@
             state.suspects.lock().acknowledge(sequence);
         }
         streams::ControlMessage::Heartbeat(answer) => {
-            let event = state.backend.lock().local.heartbeat_answered(now, &answer);
-            if let Some(event) = event {
-                state.send_control(streams::NodeMessage::Event(event));
-            }
+            backend::registry_answered(state, &answer);
         }
         streams::ControlMessage::Part(part) => {
             let (removed, parts) = {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -54,6 +54,9 @@
     pub(crate) in_flight: table::Table<in_flight::Requests>,
     pub(crate) suspects: table::Table<suspects::Suspects>,
     pub(crate) sessions: table::Table<Sessions>,
+    /// Wakes the announcements that wait until a control has recorded the entry of the backend
+    /// server.
+    pub(crate) registered: tokio::sync::Notify,
     /// Wakes the requests that wait for a confirmation of the running version.
     pub(crate) acknowledged: tokio::sync::Notify,
     /// When requests that are still in progress are answered by the node, once a planned stop has
@@ -219,6 +222,7 @@
             suspects: table::Table::new(SUSPECTS, "suspicion", suspects),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
             acknowledged: tokio::sync::Notify::new(),
+            registered: tokio::sync::Notify::new(),
             stop_at: tokio::sync::watch::channel(None).0,
             probe_wakeup: sync::Arc::default(),
             clock,
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -69,6 +69,7 @@
         order: registry::Order { incarnation: 300, sequence: 2 },
         slots: 6,
         state: targets::State::Draining,
+        announced: registry::Announced { incarnation: 299, sequence: 7, leaving: true },
         registrar: "dc".into(),
     };
     registry::Event { entry, age_ms: 1_500 }
@@ -319,7 +320,12 @@
             streams::ControlMessage::Digests(vec![digest()]),
             streams::ControlMessage::Event(event()),
             streams::ControlMessage::EvidenceTaken(4),
-            streams::ControlMessage::Heartbeat(registry::HeartbeatAnswer { known, wanted: true }),
+            streams::ControlMessage::Heartbeat(registry::HeartbeatAnswer {
+                known,
+                wanted: true,
+                digest: Some(300),
+                held: Some(event().entry),
+            }),
             streams::ControlMessage::Part(part()),
             streams::ControlMessage::Reach(reach),
             streams::ControlMessage::Standings(vec![standing]),
--- a/xtask/src/bench/footprint/stand_in.rs
+++ b/xtask/src/bench/footprint/stand_in.rs
@@ -186,6 +186,11 @@
         order: messages::Order { incarnation: 1_790_000_000_000_000, sequence: 1 },
         slots: 12,
         state: targets::State::Serving,
+        announced: messages::Announced {
+            incarnation: 1_790_000_000_000_000,
+            sequence: 1,
+            leaving: false,
+        },
         registrar: data_centre.clone(),
         data_centre,
     }
