Tell requests apart by caller, virtual host and query

Cause: a fingerprint had service, method, path and body. Requests that differ in the caller, the virtual host or the query had the same one, so an answer to one of them cleared the evidence against another. The caller is not in the path, but a target is told of it and may crash over it.

Change: the fingerprint is that of what a target receives and a resend repeats: the content (service, method, path with query, body), the virtual host of the route, and the fields that the dialect adds about the origin. The project's own dialect adds none, so there the same request through another host is the same request. A claim keeps to the content, because a resend may come through another host.

The same cause elsewhere: claims left out the query too, so a request got the stored answer of another one with the same key. Routes, limits, hedges and retry limits have keys of their own and were read; they hold.

Evidence in the log of an earlier build has the earlier fingerprints and is not matched any more.

--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -6,6 +6,7 @@
 mod controls;
 mod faults;
 mod hedges;
+mod identity;
 mod leaving;
 mod linking;
 mod mesh;
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -194,24 +194,28 @@
     let planning::Scheduling {
         class, budget, deadline, answer_by, objective, weight, repeat, ..
     } = scheduling;
-    let fingerprint = requests::Fingerprint::of(&service, &method, &path, &body);
+    let version = config.version();
+    let contract = config.route(route).ok_or_else(|| refusals::no_route(version))?;
+    let path = match query {
+        Some(query) => format_compact!("{path}?{query}"),
+        None => path,
+    };
+    let content = requests::Fingerprint::of(&service, &method, &path, &body);
+    let virtual_host = contract.host.as_deref().unwrap_or_default();
+    let origin = dialect::Origin { service: &state.settings.service };
+    let fingerprint = content.as_received(virtual_host, &dialect.describe_origin(&origin));
     let suspect = check_suspect(state, &fingerprint, &id)?;
     check_age(&headers)?;
     headers::remove_reserved(&mut headers, dialect.reserved);
     headers::set_length(&mut headers, body.len());
-    (dialect.add_origin)(&mut headers, &dialect::Origin { service: &state.settings.service });
-    let version = config.version();
-    let contract = config.route(route).ok_or_else(|| refusals::no_route(version))?;
+    (dialect.add_origin)(&mut headers, &origin);
     let keyless = contract.keyless;
     let head = forwarding::RequestHead {
         id,
         service,
         route: contract.name.clone(),
         method,
-        path: match query {
-            Some(query) => format_compact!("{path}?{query}"),
-            None => path,
-        },
+        path,
         fields: headers::encode(&headers),
         class,
         weight,
@@ -226,7 +230,7 @@
         suspect,
     };
     let request =
-        state::RoutedRequest { config, route, head, deadline, answer_by, objective, body };
+        state::RoutedRequest { config, route, head, content, deadline, answer_by, objective, body };
     let step = match options.key {
         _ if idempotent => Step::Send(Box::new(sending::choose_first(state, request))),
         Some(key) => Step::Claim { request: Box::new(request), home, key },
--- a/crates/node/src/claiming.rs
+++ b/crates/node/src/claiming.rs
@@ -49,7 +49,7 @@
     // The claims table measures this limit from when it applies the claim, which is later than now.
     let left = request.deadline.since(state.now()).as_millis();
     let action = claims::Action::Claim {
-        fingerprint: request.fingerprint(),
+        fingerprint: request.content,
         limit_ms: u64::try_from(left).unwrap_or(u64::MAX),
     };
     let answer = propose_until(state, &claim, action, request.deadline).await;
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -40,6 +40,18 @@
     pub close_delimited: bool,
 }
 
+impl Dialect {
+    /// What a backend server is told about the origin of a request, as bytes to compare.
+    pub(crate) fn describe_origin(&self, origin: &Origin<'_>) -> Vec<u8> {
+        let mut fields = http::HeaderMap::new();
+        (self.add_origin)(&mut fields, origin);
+        let line = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+            [name.as_str().as_bytes(), b":", value.as_bytes(), b"\n"].concat()
+        };
+        fields.iter().flat_map(line).collect()
+    }
+}
+
 /// What a caller's header fields say about its request.
 #[derive(Clone, Debug, Default)]
 pub struct RequestOptions {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -303,6 +303,8 @@
     pub(crate) config: sync::Arc<config::Config>,
     pub(crate) route: contracts::RouteKey,
     pub(crate) head: forwarding::RequestHead,
+    /// The fingerprint of the content, which a resend at another host shares.
+    pub(crate) content: requests::Fingerprint,
     pub(crate) deadline: time::Time,
     /// Until when an answer is waited for. Then the caller gets one of the node's own.
     pub(crate) answer_by: time::Time,
@@ -321,9 +323,4 @@
     pub(crate) fn retry(&self) -> routing::retry::Request {
         routing::retry::Request { idempotent: self.head.idempotent, deadline: self.deadline }
     }
-
-    /// The fingerprint, which equal requests share.
-    pub(crate) fn fingerprint(&self) -> requests::Fingerprint {
-        self.head.fingerprint
-    }
 }
--- a/crates/world/src/requests.rs
+++ b/crates/world/src/requests.rs
@@ -17,23 +17,35 @@
     Internal,
 }
 
-/// Identifies equal requests: the SHA-256 of service, method, path and body.
-///
-/// The idempotency key is left out, since a caller may send a crashing request under a new key.
+/// Identifies equal requests by the SHA-256 of what makes them equal.
 #[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Fingerprint(pub [u8; 32]);
 
 impl Fingerprint {
-    /// Computes the fingerprint of a request.
+    /// Computes the fingerprint of a request's content, which is the same at whatever host the
+    /// request is sent. The path includes the query.
     pub fn of(service: &str, method: &str, path: &str, body: &[u8]) -> Fingerprint {
-        let mut sha = sha2::Sha256::new();
-        for part in [service.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
-            // The length prefix makes ("a", "bc") differ from ("ab", "c").
-            sha.update((part.len() as u64).to_le_bytes());
-            sha.update(part);
-        }
-        Fingerprint(sha.finalize().into())
+        digest(&[service.as_bytes(), method.as_bytes(), path.as_bytes(), body])
     }
+
+    /// Computes the fingerprint of a request as a backend server gets it, from that of its content,
+    /// the virtual host of its route, and what the backend server is told about its caller. Whether
+    /// a request crashes a backend server can depend on each of these.
+    ///
+    /// The idempotency key is left out, since a caller may send a crashing request under a new key.
+    pub fn as_received(self, host: &str, caller: &[u8]) -> Fingerprint {
+        digest(&[&self.0, host.as_bytes(), caller])
+    }
+}
+
+fn digest(parts: &[&[u8]]) -> Fingerprint {
+    let mut sha = sha2::Sha256::new();
+    for part in parts {
+        // The length prefix makes ("a", "bc") differ from ("ab", "c").
+        sha.update((part.len() as u64).to_le_bytes());
+        sha.update(part);
+    }
+    Fingerprint(sha.finalize().into())
 }
 
 impl fmt::Debug for Fingerprint {
