Keep the evidence of a crash until the target is known to live

Cause: two beliefs. Only an answer that broke before its head made the node ask whether the target is alive; one that broke within the body did not. The crash was then noticed when the next process announced itself, and a broken request counted as a suspect for 2.5 s only.

Change: each end of a request by a broken connection asks whether the target is alive, in the head and in the body, at the node of the target for local and for forwarded requests. A broken request, also one whose caller has left, stays a suspect until the target renews its announcement a whole lease later, whatever the lease is: by then a crash would have ended the lease or shown another process. At most 1,024 are kept.

Looked at and found sound: a request that ends by its deadline is no suspect, since a crash before it breaks the connection; a reset and bytes that are no answer take the path of a broken head. Not covered: a target that crashes within an answer without a length, whose connection the operating system closes in order.

Evidence: requests::crashes::a_crash_leaves_no_evidence_in_a_quiet_ service fails on for a body with a length, one in chunks and a caller that has left (4 crashes, the limit is 3) and passes now for these and for a break before the head, forwarded and local.

--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod calls;
 mod controls;
+mod crashes;
 mod faults;
 mod hedges;
 mod identity;
--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -237,10 +237,11 @@
         }
     }
 
-    /// Records that the body ended early, which frees the slot of a request run here.
+    /// Records that the body ended early, which frees the slot of a request run here. The caller is
+    /// not kept waiting until it is known whether the backend server is alive.
     fn abort(self, error: &bodies::Error) {
         if let sending::Rest::Local(_, execution) = self.rest {
-            execution.abort(matches!(error, bodies::Error::DeadlinePassed));
+            tokio::spawn(execution.abort(matches!(error, bodies::Error::DeadlinePassed)));
         }
     }
 }
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -354,7 +354,11 @@
     // Only the announced process may get the token: one that was replaced would take it along when
     // it ends.
     let token = attaching::renew_token(state, announcement.token.as_deref());
+    let late = outcome.transition == Some(local_target::Transition::Late);
     apply_outcome(state, now, outcome, previous.as_ref());
+    if !late {
+        state.in_flight.lock().renew(now, state.settings.lease);
+    }
     let left = {
         let backend = state.backend.lock();
         !backend.left.is_empty() && backend.left == backend.instance
@@ -460,7 +464,7 @@
 /// Reports the fingerprints of the requests that were in flight when the backend server crashed.
 fn report_crash(state: &state::State, now: time::Time, previous: Option<&messages::Entry>) {
     let Some(previous) = previous else { return };
-    let suspects = state.in_flight.lock().take_suspects(now);
+    let suspects = state.in_flight.lock().take_suspects();
     if suspects.is_empty() {
         return;
     }
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -33,19 +33,19 @@
     pub(crate) summary: CompactString,
 }
 
-/// The requests in flight, and those whose connection broke at most [`BROKEN_AGE`] ago.
+/// The requests in flight, and those that broke and may have crashed the backend server.
 #[derive(Debug, Default)]
 pub(crate) struct Requests {
     arena: SlotMap<RequestKey, Request>,
     by_id: collections::HashMap<CompactString, RequestKey>,
-    /// Requests whose connection broke, with the time of the break. A crash breaks the connections
-    /// before the node notices it.
-    recently_broken: Vec<(time::Time, Request)>,
+    /// Requests that ended without a whole answer, with the time of that, oldest first. A crash
+    /// breaks the connections before the node notices it.
+    broken: collections::VecDeque<(time::Time, Request)>,
 }
 
-/// How long a request whose connection broke counts as in flight at a crash. A crash is noticed at
-/// the latest when the announcement's lease ends, so this is the lease plus one renewal.
-const BROKEN_AGE: std::time::Duration = std::time::Duration::from_millis(2_500);
+/// Most broken requests that are kept, which bounds their memory. Beyond that, the oldest is
+/// dropped.
+const MAX_BROKEN: usize = 1_024;
 
 impl Requests {
     /// Adds a request. The backend server gets the encoded key as the parent of the request's
@@ -77,22 +77,30 @@
         Some(request)
     }
 
-    /// Removes a request whose connection broke, and keeps it for [`BROKEN_AGE`] as a suspect of a
-    /// crash.
-    pub(crate) fn remove_broken(&mut self, now: time::Time, key: RequestKey) -> Option<Request> {
-        let request = self.remove(key)?;
-        self.recently_broken.retain(|it| now.since(it.0) < BROKEN_AGE);
-        self.recently_broken.push((now, request.clone()));
-        Some(request)
+    /// Removes a request that ended without a whole answer, and keeps it as a suspect of a crash
+    /// until [`Requests::renew`] shows that there was none.
+    pub(crate) fn remove_broken(&mut self, now: time::Time, key: RequestKey) {
+        let Some(request) = self.remove(key) else { return };
+        self.broken.push_back((now, request));
+        if self.broken.len() > MAX_BROKEN {
+            self.broken.pop_front();
+        }
+    }
+
+    /// Forgets the broken requests that have not crashed the backend server, because it has renewed
+    /// its announcement: those that broke a whole `lease` ago. Had one of them crashed it, the
+    /// lease would have ended or another process would have announced itself by now.
+    pub(crate) fn renew(&mut self, now: time::Time, lease: std::time::Duration) {
+        while self.broken.front().is_some_and(|it| now.since(it.0) >= lease) {
+            self.broken.pop_front();
+        }
     }
 
     /// The requests that were in flight when the backend server crashed: those still in flight, and
-    /// those that broke at most [`BROKEN_AGE`] ago. The latter are returned only once.
-    pub(crate) fn take_suspects(&mut self, now: time::Time) -> Vec<Request> {
-        let recently_broken = std::mem::take(&mut self.recently_broken);
-        let recent =
-            recently_broken.into_iter().filter(|it| now.since(it.0) < BROKEN_AGE).map(|it| it.1);
-        recent.chain(self.arena.values().cloned()).collect()
+    /// the broken ones. The latter are returned only once.
+    pub(crate) fn take_suspects(&mut self) -> Vec<Request> {
+        let broken = std::mem::take(&mut self.broken);
+        broken.into_iter().map(|it| it.1).chain(self.arena.values().cloned()).collect()
     }
 
     /// The number of requests in flight.
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -173,8 +173,8 @@
                 log::info!(
                     "backend server's answer ended early: {err}; resetting the forwarding stream"
                 );
-                execution.abort(matches!(err, bodies::Error::DeadlinePassed));
                 sender.reset();
+                execution.abort(matches!(err, bodies::Error::DeadlinePassed)).await;
                 return Ok(());
             }
         }
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -1,6 +1,6 @@
 //! Admits requests to the backend server of this host and runs them there.
 
-use std::{sync, time as std_time};
+use std::{net, sync, time as std_time};
 
 use admission::{uplink, work};
 use compact_str::{CompactString, format_compact};
@@ -63,6 +63,7 @@
 /// [`Execution::abort`] means that the caller has left.
 pub(crate) struct Execution {
     state: sync::Arc<state::State>,
+    addr: net::SocketAddr,
     permit: Option<slots::Permit>,
     key: in_flight::RequestKey,
     suspect: bool,
@@ -104,7 +105,7 @@
     let Some(addr) = addr else {
         return Err(refused(forwarding::NotRun::Absent));
     };
-    let execution = start_execution(state, &request, permit);
+    let execution = start_execution(state, &request, addr, permit);
     let sent_at = state.now();
     let parent = in_flight::encode(execution.key);
     let context = dialect::RequestContext {
@@ -138,7 +139,7 @@
             }
             dialect::AnswerKind::Foreign => {
                 received.discard_connection();
-                execution.abort(false);
+                execution.abort(false).await;
                 Failure::Unknown("the backend server's answer is for another request".into())
             }
         },
@@ -150,10 +151,7 @@
         }
         Err(web::client::Error::MaybeSent(reason)) => {
             let timed_out = state.now() >= request.deadline;
-            execution.abort(timed_out);
-            if !timed_out {
-                check_alive(state, addr).await;
-            }
+            execution.abort(timed_out).await;
             Failure::Unknown(reason)
         }
     };
@@ -211,14 +209,18 @@
     }
 
     /// Records that the connection broke or the deadline passed before the answer was complete,
-    /// and frees the slot.
-    pub(crate) fn abort(mut self, timed_out: bool) {
+    /// and frees the slot. If the connection broke, with the head of the answer or within its body,
+    /// the backend server may have crashed, so this checks whether it is alive.
+    pub(crate) async fn abort(mut self, timed_out: bool) {
         self.done = true;
         if let Some(permit) = self.permit.take() {
             let outcome = if timed_out { work::Outcome::TimedOut } else { work::Outcome::Failed };
             permit.finish(outcome);
         }
         self.record_abort(timed_out);
+        if !timed_out {
+            check_alive(&self.state, self.addr).await;
+        }
     }
 
     fn record_abort(&self, timed_out: bool) {
@@ -413,6 +415,7 @@
 fn start_execution(
     state: &sync::Arc<state::State>,
     request: &LocalRequest,
+    addr: net::SocketAddr,
     permit: slots::Permit,
 ) -> Execution {
     let head = &request.head;
@@ -430,7 +433,8 @@
     let now = state.now();
     let status = state.suspects.lock().status(now, &head.fingerprint);
     let suspect = head.suspect || status == suspects::Status::Suspect;
-    Execution { state: sync::Arc::clone(state), permit: Some(permit), key, suspect, done: false }
+    let (state, permit) = (sync::Arc::clone(state), Some(permit));
+    Execution { state, addr, permit, key, suspect, done: false }
 }
 
 fn build_call(
@@ -458,7 +462,7 @@
 
 /// Connects to the backend server after a broken connection and marks it as lost when that fails.
 /// Otherwise a crash would be noticed only when the lease of its announcement ends.
-async fn check_alive(state: &sync::Arc<state::State>, addr: std::net::SocketAddr) {
+async fn check_alive(state: &sync::Arc<state::State>, addr: net::SocketAddr) {
     let connect = tokio::time::timeout(PROBE_TIMEOUT, tokio::net::TcpStream::connect(addr)).await;
     // A live process accepts a connection from its own host without delay.
     if !matches!(connect, Ok(Ok(_))) {
