Take an unnamed answer only as the first one of its connection

Cause: in the project's own dialect, an answer that names no request counted as that to the request in work, unless it was a refusal.

An answer that names its request keeps its connection, as before.

an_earlier_refusal_is_taken_for_a_later_one reached its case over an unnamed answer on a kept connection, which no longer exists; its server names all answers but the repeated refusal now.

Cost: a backend server that names no answer gets a new connection for each request. Those of the users' platform name all.

--- a/crates/heatherwalk/src/example.rs
+++ b/crates/heatherwalk/src/example.rs
@@ -1,7 +1,7 @@
 //! An example backend server for `heatherwalk dev` and for tests. It does what every backend server
 //! has to do beside its node: it serves HTTP requests and announces itself.
 
-use std::{net, sync, time};
+use std::{net, pin::Pin, sync, time};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -13,6 +13,9 @@
 /// The longest wait for the answer to an announcement.
 const ANNOUNCE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// The header that names a request to its backend server, which repeats it in the answer.
+const PARENT: &str = "heatherwalk-parent";
+
 /// The result of starting an example server.
 pub type Result<T, E = web::server::Error> = std::result::Result<T, E>;
 
@@ -47,7 +50,7 @@
         F: Future<Output = web::exchange::Response> + Send + 'static,
     {
         let addr = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-        let router = web::routers::catch_all(handler);
+        let router = web::routers::catch_all(name_answers(handler));
         let limits = web::server::Limits::default();
         let web = web::server::Server::bind(addr, limits, router).await?;
         let mut announcing = task::JoinSet::new();
@@ -74,6 +77,27 @@
     }
 }
 
+/// A handler whose answers name their requests, so that their connections are used again.
+fn name_answers<H, F>(
+    handler: H,
+) -> impl Fn(web::exchange::Request) -> Pin<Box<dyn Future<Output = web::exchange::Response> + Send>>
+where
+    H: Fn(web::exchange::Request) -> F + Send + Sync + 'static,
+    F: Future<Output = web::exchange::Response> + Send + 'static,
+{
+    move |request| {
+        let parent = request.headers.get(PARENT).cloned();
+        let answer = handler(request);
+        Box::pin(async move {
+            let mut answer = answer.await;
+            if let Some(parent) = parent {
+                answer.headers.insert(PARENT, parent);
+            }
+            answer
+        })
+    }
+}
+
 /// A handler that answers with `name` and the request's method and path.
 pub fn echo(
     name: CompactString,
--- a/crates/heatherwalk/tests/requests/calls.rs
+++ b/crates/heatherwalk/tests/requests/calls.rs
@@ -161,6 +161,7 @@
     let dialect = node::dialect::Dialect {
         parse_announcement: node::dialect::OWN.parse_announcement,
         classify: node::dialect::OWN.classify,
+        names_request: node::dialect::OWN.names_request,
         write_renewal: node::dialect::OWN.write_renewal,
         ..platform::callers::DIALECT
     };
--- a/crates/heatherwalk/tests/requests/refusals.rs
+++ b/crates/heatherwalk/tests/requests/refusals.rs
@@ -17,7 +17,8 @@
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 /// Serves a connection: refuses its first request, and runs each later one, but writes the refusal
-/// once more before the answer.
+/// once more before the answer. All answers but the repeated refusal name their request, so that the
+/// connection is used again.
 async fn serve(mut stream: TcpStream, runs: Arc<atomic::AtomicUsize>) {
     let mut refused = false;
     while let Some(head) = read_head(&mut stream).await {
@@ -27,13 +28,22 @@
         }
         let repeated = answer == REFUSAL && refused;
         refused |= answer == REFUSAL;
-        let _ = stream.write_all(answer).await;
         if repeated {
-            let _ = stream.write_all(ANSWER).await;
+            let _ = stream.write_all(REFUSAL).await;
+            let _ = stream.write_all(&named(ANSWER, &head)).await;
+        } else {
+            let _ = stream.write_all(&named(answer, &head)).await;
         }
     }
 }
 
+/// The answer with the name of the request that has this head.
+fn named(answer: &[u8], head: &str) -> Vec<u8> {
+    let parent = head.lines().find(|it| it.starts_with("heatherwalk-parent")).expect("a name");
+    let text = std::str::from_utf8(answer).expect("text");
+    text.replacen("\r\n", &format!("\r\n{parent}\r\n"), 1).into_bytes()
+}
+
 async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     while !bytes.ends_with(b"\r\n\r\n") {
@@ -78,3 +88,56 @@
     lines.dedup();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Serves a connection: answers each other request with a second copy of the answer before. The
+/// first copy names its request if `names`.
+async fn serve_twice(mut stream: TcpStream, names: bool) {
+    while let Some(head) = read_head(&mut stream).await {
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        let length = path.len();
+        let plain = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{path}");
+        let first = if names { named(plain.as_bytes(), &head) } else { plain.clone().into() };
+        let _ = stream.write_all(&first).await;
+        // The copy is not written before the next request has been sent on the connection.
+        if read_head(&mut stream).await.is_none() {
+            return;
+        }
+        let _ = stream.write_all(plain.as_bytes()).await;
+    }
+}
+
+/// Guards against a second copy of an answer that comes on a connection which is in use again, and
+/// reaches the next caller as the answer to its own request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_second_copy_of_an_answer_reaches_the_next_caller() {
+    let document = mesh::document(&[("logs", json!({}), json!({}))]);
+    let mut mesh = mesh::Mesh::spawn(1, document).await;
+    for names in [false, true] {
+        let node = mesh.add_node(mesh.listen).await;
+        let listener = TcpListener::bind(mesh::loopback()).await.expect("binds");
+        let addr = listener.local_addr().expect("has an address");
+        let mut tasks = task::JoinSet::new();
+        tasks.spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve_twice(stream, names));
+            }
+        });
+        let announce = mesh.announce(node);
+        let settings =
+            example::Settings { service: "logs".into(), name: "logs".into(), announce, slots: 1 };
+        tasks.spawn(example::announce(settings, addr));
+        let mut served = 0;
+        let until = tokio::time::Instant::now() + mesh::TIMEOUT;
+        for number in 0.. {
+            let path = format!("/logs/work-{number}");
+            let reply = callers::send(mesh.callers(node), callers::get(&path)).await;
+            let own = reply.status != 200 || reply.text() == path;
+            assert!(own, "names {names}, {path}: the answer is that to {}", reply.text());
+            served += usize::from(reply.status == 200);
+            if served >= 6 {
+                break;
+            }
+            assert!(tokio::time::Instant::now() < until, "names {names}: {reply}");
+        }
+    }
+}
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -26,6 +26,9 @@
     /// Decides from the status and header fields whether an answer belongs to the request. The flag
     /// says whether its connection has carried an answer before, so that this may be an extra one.
     pub classify: fn(http::StatusCode, &http::HeaderMap, bool, &RequestContext<'_>) -> AnswerKind,
+    /// Whether the header fields of an answer name its request. The connection of one that does not
+    /// is not used again: a second copy of it could not be told from the next answer.
+    pub names_request: fn(&http::HeaderMap) -> bool,
     /// Reads what a backend server says of itself in the header fields of an answer.
     pub parse_notice: fn(&http::HeaderMap) -> Notice,
     /// Writes the answer to a request that the node refuses.
@@ -140,6 +143,7 @@
     add_origin: |_, _| {},
     add_context: add_own_context,
     classify: classify_own,
+    names_request: |fields| fields.contains_key(headers::PARENT),
     parse_notice: |fields| Notice {
         max_rate: headers::text(fields, headers::MAX_RATE).and_then(Notice::parse_rate),
         leaving: headers::text(fields, headers::LEAVING) == Some("true"),
@@ -193,8 +197,8 @@
     let refused = headers::text(fields, headers::NOT_RUN) == Some("true");
     match named {
         Some(it) if it != context.parent => AnswerKind::Foreign,
-        // It may be an earlier refusal that was written once more.
-        None if refused && kept => AnswerKind::Foreign,
+        // It may be an earlier answer that was written once more.
+        None if kept => AnswerKind::Foreign,
         _ if refused => AnswerKind::NotRun,
         _ => AnswerKind::Answered,
     }
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -126,6 +126,11 @@
     {
         record_notice(state, &received.response.headers, &context);
     }
+    if let Ok(received) = &result
+        && !(state.settings.dialect.names_request)(&received.response.headers)
+    {
+        received.discard_connection();
+    }
     let node_status = node_status(state, execution.take_attempts(), backend);
     let failure = match result {
         Ok(received) => match classify(&received) {
