Find the end of a head where its parser finds it

Cause: the framer asked the parser whether the head was complete, dropped the length that it returned, and looked for the first CRLF CRLF instead.

Change: the length of the parser is used; hyper parses the same bytes with the same parser.

Evidence: web pipelining::a_head_with_bare_line_feeds_hides_a_request fails on (400 for the first of three requests) and passes now, with bare LF and with CRLF.

--- a/crates/web/src/framing.rs
+++ b/crates/web/src/framing.rs
@@ -130,12 +130,12 @@
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut request = httparse::Request::new(&mut fields);
         let head = match request.parse(&self.buffer) {
-            Ok(httparse::Status::Complete(_)) => read_head(&request),
+            Ok(httparse::Status::Complete(end)) => read_head(&request).map(|it| (it, end)),
             Ok(httparse::Status::Partial) if self.buffer.len() <= self.limit => return Event::More,
             // The head is too large or malformed; hyper answers with the matching error.
             Ok(httparse::Status::Partial) | Err(_) => None,
         };
-        let Some(Head { length, start }) = head else {
+        let Some((Head { length, start }, end)) = head else {
             self.state = State::Unframed;
             return Event::Start(Start { last: true, ambiguous: false });
         };
@@ -143,12 +143,8 @@
             self.state = State::Unframed;
             return Event::Start(start);
         }
-        let end = self.buffer.windows(4).position(|it| it == b"\r\n\r\n").map(|it| it + 4);
-        // The head is passed on like the body; all its bytes are in the buffer.
-        let Some(end) = end else {
-            self.state = State::Unframed;
-            return Event::Start(Start { last: true, ambiguous: false });
-        };
+        // The head is passed on like the body; all its bytes are in the buffer. Its end is where the
+        // parser found it: lines may end with a bare LF, and the body may have an empty line.
         self.expect_request(end, length);
         Event::Start(start)
     }
--- a/crates/web/tests/serving/pipelining.rs
+++ b/crates/web/tests/serving/pipelining.rs
@@ -49,6 +49,29 @@
     }
 }
 
+/// Guards against a request that is hidden in the body of another one and is served: the lines of
+/// the head before end with a bare LF, so that its end is taken for somewhere else.
+#[tokio::test]
+async fn a_head_with_bare_line_feeds_hides_a_request() {
+    let hidden = "POST /hidden HTTP/1.1\r\ncontent-length: 0\r\n\r\n";
+    let length = hidden.len();
+    for line_end in ["\n", "\r\n"] {
+        let server = start(limits(), echo).await;
+        // The body of the first request begins with an empty line; the head and this line are as
+        // long as the head would be without it.
+        let first = format!("POST /first HTTP/1.1\ncontent-length: 8\n\n\r\n\r\nbody");
+        let first = first.replacen('\n', line_end, 3);
+        let second = format!("POST /second HTTP/1.1\r\ncontent-length: {length}\r\n\r\n{hidden}");
+        let last = "GET /last HTTP/1.1\r\nconnection: close\r\n\r\n";
+        let text = format!("{first}{second}{last}");
+        let mut stream = open(&server, text.as_bytes()).await;
+        let (responses, _) = read_all(&mut stream).await;
+        let bodies: Vec<_> = responses.split("\r\n\r\n").skip(1).collect();
+        let paths: Vec<_> = bodies.iter().filter_map(|it| it.split(' ').nth(1)).collect();
+        assert_eq!(paths, ["/first", "/second", "/last"], "{line_end:?}: {responses}");
+    }
+}
+
 /// Guards against a response that fails before any byte of it was sent and resets the connection,
 /// which costs the responses before and behind it.
 #[tokio::test]
