Refuse two routes whose hosts differ in letter case only

Cause: the check for duplicates compared hosts as they are written, the lookup of routes in lower case.

Change: the check compares in lower case too. A version with such routes that an earlier build accepted is refused by nodes of this one.

--- a/crates/world/src/document.rs
+++ b/crates/world/src/document.rs
@@ -549,7 +549,9 @@
 fn check_prefixes(candidate: &Document, faults: &mut Faults) {
     let mut seen = collections::BTreeMap::new();
     for (name, spec) in &candidate.routes {
-        let Some(first) = seen.insert((&spec.host, &spec.prefix), name) else { continue };
+        // Requests name hosts in any letter case.
+        let host = spec.host.as_ref().map(CompactString::to_lowercase);
+        let Some(first) = seen.insert((host, &spec.prefix), name) else { continue };
         let detail = format_compact!("{:?} is already the prefix of {first:?}", spec.prefix);
         let path = format_compact!("routes.{name}.prefix");
         faults.push(path, faults::FaultKind::Duplicate, detail);
--- a/crates/world/tests/documents.rs
+++ b/crates/world/tests/documents.rs
@@ -25,6 +25,16 @@
         ("remove a service in use", r#"{"services":{"sondelab":null}}"#),
         ("two faults", r#"{"services":{"a b":{"slots":0}}}"#),
         ("same prefix", r#"{"routes":{"x":{"prefix":"/logs","service":"sondelab"}}}"#),
+        (
+            "same host in another letter case",
+            r#"{"routes":{"x":{"host":"a.example","prefix":"/x","service":"sondelab"},
+                "y":{"host":"A.Example","prefix":"/x","service":"logbook"}}}"#,
+        ),
+        (
+            "another host",
+            r#"{"routes":{"x":{"host":"a.example","prefix":"/x","service":"sondelab"},
+                "y":{"host":"b.example","prefix":"/x","service":"logbook"}}}"#,
+        ),
         ("new home", r#"{"services":{"logbook":{"home":"tas"}}}"#),
         ("unknown field", r#"{"services":{"logbook":{"slotz":3}}}"#),
         ("level", r#"{"level":9}"#),
