Take the announced end of a backend server for no crash

A request was refused for an hour though nothing had crashed: two backend servers that ran it said that they leave, ended as announced, and left it unfinished.

Cause: the end of a backend server counted as a crash whether it had been announced or not, and the requests in work became suspects. Keeping broken requests for a whole lease would have made it more frequent.

Change: the end of a backend server that drains or leaves is no evidence. It gets no new requests then, so a request that crashes targets is still found at the others.

--- a/crates/heatherwalk/tests/requests/crashes.rs
+++ b/crates/heatherwalk/tests/requests/crashes.rs
@@ -123,6 +123,34 @@
     tasks.join_all().await;
 }
 
+/// Guards against a request that is refused for an hour since two backend servers that ran it have
+/// ended as announced, and left it unfinished.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_end_of_a_backend_server_that_leaves_is_evidence() {
+    let services = ["leaves".to_owned()];
+    let mesh = spawn(&services, LEASE).await;
+    for run in 0..MAX_CRASHES {
+        let handle = answer_of(Way::BeforeHead);
+        let server = servers::Server::spawn(mesh.announce(1), "leaves", 512, handle).await;
+        mesh.ready(0, &["leaves"]).await;
+        tokio::time::sleep(REPORT_DELAY).await;
+        let request = callers::get(&format!("/leaves{CRASHING}"));
+        let mut answer = task::JoinSet::new();
+        let addr = mesh.callers(0);
+        answer.spawn(async move { callers::send(addr, request).await });
+        tokio::select! {
+            reply = answer.join_next() => panic!("run {run}: {reply:?}"),
+            () = server.counts.wait(servers::Counts::runs, 1) => {}
+        }
+        let leave = b"POST /leave HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        let left = callers::exchange(mesh.announce(1), leave).await;
+        assert!(left.starts_with("HTTP/1.1 200"), "{left}");
+        drop(server);
+        let reply = answer.join_next().await.expect("a reply").expect("no panic");
+        assert!(reply.status >= 500, "{reply}");
+    }
+}
+
 /// Guards against an innocent request that is refused for an hour: its answers break off though the
 /// server lives, or it ended long before the server did.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -465,7 +465,8 @@
 fn report_crash(state: &state::State, now: time::Time, previous: Option<&messages::Entry>) {
     let Some(previous) = previous else { return };
     let suspects = state.in_flight.lock().take_suspects();
-    if suspects.is_empty() {
+    // A backend server that drains gets no new requests, and its end is no crash: it was announced.
+    if suspects.is_empty() || previous.state == targets::State::Draining {
         return;
     }
     for it in &suspects {
