Let the soak play a forgotten leave and a crash within an answer

Each schedule that is long enough has two rare faults now, at one node each: its backend server leaves for good, the node is killed after the acknowledgement and starts again, and announcements from before the leave go on arriving; and its backend server crashes within its answers. The soak checks that a server that has left gets no request.

--- a/crates/heatherwalk/src/example.rs
+++ b/crates/heatherwalk/src/example.rs
@@ -121,11 +121,16 @@
 pub async fn announce_until(
     settings: Settings,
     addr: net::SocketAddr,
-    mut drain: watch::Receiver<bool>,
+    drain: watch::Receiver<bool>,
 ) {
-    let client = web::client::Client::new(web::client::Limits::default());
+    let announce = settings.announce;
+    renew(announce, announcement(settings, addr), drain).await;
+}
+
+/// The announcement of a server that starts now and listens at `addr`.
+pub fn announcement(settings: Settings, addr: net::SocketAddr) -> backend::Announcement {
     let started = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
-    let mut announcement = backend::Announcement {
+    backend::Announcement {
         service: settings.service,
         addr,
         incarnation: Some(u64::try_from(started.as_micros()).unwrap_or(u64::MAX)),
@@ -135,10 +140,19 @@
         slots: settings.slots,
         drain: false,
         token: None,
-    };
+    }
+}
+
+/// Sends an announcement again and again until the future is dropped, like [`announce_until`].
+pub async fn renew(
+    to: net::SocketAddr,
+    mut announcement: backend::Announcement,
+    mut drain: watch::Receiver<bool>,
+) {
+    let client = web::client::Client::new(web::client::Limits::default());
     loop {
         announcement.drain = *drain.borrow_and_update();
-        let pause = match send(&client, settings.announce, &announcement).await {
+        let pause = match send(&client, to, &announcement).await {
             Some(answer) => {
                 announcement.token = answer.token;
                 time::Duration::from_millis(answer.renew_ms)
@@ -150,7 +164,8 @@
     }
 }
 
-async fn send(
+/// Sends an announcement once. Returns the answer of a node that accepts it.
+pub async fn send(
     client: &web::client::Client,
     to: net::SocketAddr,
     announcement: &backend::Announcement,
--- a/xtask/src/soak/backends.rs
+++ b/xtask/src/soak/backends.rs
@@ -6,7 +6,7 @@
 use heatherwalk::example;
 use tokio::{sync::watch, task};
 
-use super::{hosts, ledger, schedule, settings, tcp_relay};
+use super::{history, host_set, hosts, ledger, schedule, settings, tcp_relay};
 
 /// The header in which a caller numbers the sends of a request.
 pub(crate) const RESEND: &str = "x-resend";
@@ -21,11 +21,23 @@
 /// that the node has reset the connection.
 const ENDLESS_PAUSE: time::Duration = time::Duration::from_millis(2);
 
+/// How long a crashed server that nothing else holds back stays away.
+const RESTART_DELAY: time::Duration = time::Duration::from_millis(300);
+/// How long an answer to a leave is waited for.
+const LEAVE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// The pause between two late announcements.
+const LATE_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// How long after the acknowledgement of its leave a server may still get requests: 2 s, and what
+/// a busy machine adds.
+const MAX_LEAVING: time::Duration = time::Duration::from_millis(3_500);
+
 /// How a backend server misbehaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Behaviour {
     /// Runs requests, and ends its connections and announcements at once until it comes back.
     Crash,
+    /// Ends in the middle of each answer, and comes back a moment later.
+    CrashWithin,
     /// Breaks off in the middle of each answer.
     Cut,
     /// Announces that it is leaving.
@@ -36,6 +48,8 @@
     Freeze,
     /// Answers this many milliseconds later.
     Late(u64),
+    /// Leaves for good, goes on serving, and sends announcements from before the leave.
+    Leave,
     /// Answers that it did not run the request.
     Shed,
 }
@@ -52,7 +66,13 @@
 
 struct Shared {
     service: settings::Service,
+    host: host_set::HostId,
     ledger: sync::Arc<ledger::Ledger>,
+    history: sync::Arc<history::History>,
+    /// When its node acknowledged that it leaves.
+    left: sync::Mutex<Option<time::Instant>>,
+    /// Ends the server.
+    crash: tokio::sync::Notify,
     behaviours: watch::Sender<collections::BTreeMap<schedule::FaultId, Behaviour>>,
     /// Whether it announces that it is leaving.
     drain: watch::Sender<bool>,
@@ -92,17 +112,28 @@
 }
 
 impl Backend {
-    /// Starts a backend server of `service` for the node that takes announcements at `announce`.
+    /// Starts a backend server of `service` beside `node`.
     pub(crate) async fn spawn(
         service: settings::Service,
-        announce: net::SocketAddr,
+        node: &hosts::Host,
         ledger: sync::Arc<ledger::Ledger>,
+        history: sync::Arc<history::History>,
     ) -> std::io::Result<Backend> {
         let listen = hosts::free_port();
         let inbound = sync::Arc::new(tcp_relay::Relay::spawn(listen).await?);
-        let outbound = tcp_relay::Relay::spawn(announce).await?;
+        let outbound = tcp_relay::Relay::spawn(node.addrs.announce).await?;
         let (behaviours, drain) = (watch::Sender::default(), watch::Sender::default());
-        let shared = sync::Arc::new(Shared { service, ledger, behaviours, drain, listen });
+        let shared = sync::Arc::new(Shared {
+            service,
+            host: node.id,
+            ledger,
+            history,
+            left: sync::Mutex::default(),
+            crash: tokio::sync::Notify::new(),
+            behaviours,
+            drain,
+            listen,
+        });
         let mut task = task::JoinSet::new();
         task.spawn(supervise(sync::Arc::clone(&shared), inbound.addr(), outbound.addr()));
         Ok(Backend { shared, inbound, outbound, _task: task })
@@ -139,9 +170,71 @@
     }
 }
 
+impl Shared {
+    /// Records a request that arrives though the server has left. A node that was suspended, or
+    /// could not be reached by the server, may have had it before.
+    fn check_left(&self, path: &str) {
+        let left = *self.left.lock().expect("no holder panics");
+        let Some(left) = left.filter(|it| it.elapsed() > MAX_LEAVING) else { return };
+        let hosts = host_set::HostSet::from(self.host);
+        if !self.history.was(history::Cause::Pause, hosts, left) {
+            let since = left.elapsed();
+            self.history.violate(format!("{path} reaches {} {since:?} after its leave", self.host));
+        }
+    }
+}
+
+/// Leaves, and sends announcements from before that until the fault ends.
+async fn leave(
+    shared: &Shared,
+    announce: net::SocketAddr,
+    announcement: &node::backend::Announcement,
+) {
+    let client = web::client::Client::new(web::client::Limits::default());
+    let mut changes = shared.behaviours.subscribe();
+    let late = async {
+        while !send_leave(&client, announce, &announcement.instance).await {
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+        *shared.left.lock().expect("no holder panics") = Some(time::Instant::now());
+        loop {
+            tokio::time::sleep(LATE_INTERVAL).await;
+            let _ = example::send(&client, announce, announcement).await;
+        }
+    };
+    tokio::select! {
+        () = late => {}
+        _ = changes.wait_for(|it| !it.values().any(|it| *it == Behaviour::Leave)) => {}
+    }
+    *shared.left.lock().expect("no holder panics") = None;
+}
+
+async fn send_leave(client: &web::client::Client, announce: net::SocketAddr, name: &str) -> bool {
+    let call = web::client::Call {
+        addr: announce,
+        method: http::Method::POST,
+        path: format!("/leave?of={name}").into(),
+        headers: http::HeaderMap::new(),
+        body: web::body::Body::empty(),
+        deadline: tokio::time::Instant::now() + LEAVE_TIMEOUT,
+        close_delimited: false,
+        reuse: web::client::Reuse::Never,
+    };
+    client.send(call).await.is_ok_and(|it| it.status == http::StatusCode::OK)
+}
+
+/// Why a server ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Crash,
+    CrashWithin,
+    Leave,
+}
+
 /// Runs the server, and replaces it after each crash.
 async fn supervise(shared: sync::Arc<Shared>, addr: net::SocketAddr, announce: net::SocketAddr) {
     let mut changes = shared.behaviours.subscribe();
+    let mut leaving = shared.behaviours.subscribe();
     let crashed =
         |it: &collections::BTreeMap<_, Behaviour>| it.values().any(|it| *it == Behaviour::Crash);
     loop {
@@ -154,17 +247,32 @@
             tokio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
-        let announcement = example::Settings {
+        let settings = example::Settings {
             service: shared.service.name.into(),
             name: shared.service.name.into(),
             announce,
             slots: settings::SLOTS,
         };
-        tokio::select! {
-            () = example::announce_until(announcement, addr, shared.drain.subscribe()) => {}
-            _ = changes.wait_for(crashed) => {}
+        let mut announcement = example::announcement(settings, addr);
+        announcement.instance =
+            compact_str::format_compact!("{}", announcement.incarnation.unwrap_or_default());
+        let leaves = |it: &collections::BTreeMap<_, Behaviour>| {
+            it.values().any(|it| *it == Behaviour::Leave)
+        };
+        let renewed = example::renew(announce, announcement.clone(), shared.drain.subscribe());
+        let end = tokio::select! {
+            () = renewed => End::Crash,
+            _ = changes.wait_for(crashed) => End::Crash,
+            () = shared.crash.notified() => End::CrashWithin,
+            _ = leaving.wait_for(leaves) => End::Leave,
+        };
+        if end == End::Leave {
+            leave(&shared, announce, &announcement).await;
         }
         drop(server);
+        if end == End::CrashWithin {
+            tokio::time::sleep(RESTART_DELAY).await;
+        }
     }
 }
 
@@ -176,6 +284,7 @@
         // A probe of a route that an operator added.
         return web::exchange::Response::text(http::StatusCode::OK, "probed");
     };
+    let request_path = request.path.clone();
     let resend = request.headers.get(RESEND).and_then(|it| it.to_str().ok()?.parse().ok());
     let send = ledger::SendId { work: work.id, resend: resend.unwrap_or(0) };
     if request.body.collect(MAX_BODY).await.is_err() {
@@ -187,19 +296,28 @@
         answer.headers.insert("heatherwalk-not-run", value);
         return answer;
     }
+    shared.check_left(&request_path);
     shared.ledger.record_run(send);
     tokio::time::sleep(work.duration).await;
     let bytes = work.answer(shared.service);
     let behaviours: Vec<_> = shared.behaviours.borrow().values().copied().collect();
     for behaviour in behaviours {
         match behaviour {
+            Behaviour::CrashWithin => {
+                let crashing = sync::Arc::clone(&shared);
+                tokio::spawn(async move {
+                    tokio::time::sleep(CUT_DELAY).await;
+                    crashing.crash.notify_one();
+                });
+                return cut(&bytes);
+            }
             Behaviour::Cut => return cut(&bytes),
             Behaviour::Endless => return endless(),
             Behaviour::Freeze => return std::future::pending().await,
             Behaviour::Late(millis) => {
                 tokio::time::sleep(time::Duration::from_millis(millis)).await;
             }
-            Behaviour::Crash | Behaviour::Drain | Behaviour::Shed => {}
+            Behaviour::Crash | Behaviour::Drain | Behaviour::Leave | Behaviour::Shed => {}
         }
     }
     let mut answer = web::exchange::Response::empty(http::StatusCode::OK);
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -1,9 +1,16 @@
 //! The kinds of faults: how often each comes, which hosts it affects, and how it begins and ends.
 
+use std::{sync, time};
+
 use rand::{Rng as _, rngs, seq::IndexedRandom as _};
 
 use super::{backends, history, host_set, hosts, network, operators, schedule, tcp_relay, world};
 
+/// The time from a leave until the node is killed, which is enough for its acknowledgement.
+const LEAVE_TIME: time::Duration = time::Duration::from_millis(1_000);
+/// The time from then until the node is started again.
+const DOWN_TIME: time::Duration = time::Duration::from_millis(300);
+
 /// A kind of fault.
 pub(crate) struct Kind {
     pub(crate) name: &'static str,
@@ -245,6 +252,43 @@
     },
 ];
 
+/// Kinds that come at most once in a schedule, chosen apart from the others, whose schedules they
+/// leave as they were.
+pub(crate) static RARE: [Kind; 2] = [
+    Kind {
+        name: "backend server leaves, its node restarts, and announcements are late",
+        length_ms: (4_000, 7_000),
+        cause: Some(history::Cause::Kill),
+        pick: one_node,
+        begin: |world, fault| {
+            behave(world, fault, backends::Behaviour::Leave);
+            for id in fault.hosts.iter() {
+                tokio::spawn(restart_after_leave(sync::Arc::clone(&world.hosts[id.0])));
+            }
+        },
+        ..BACKEND
+    },
+    Kind {
+        name: "backend server crashes within its answers",
+        pick: one_node,
+        begin: |world, fault| behave(world, fault, backends::Behaviour::CrashWithin),
+        ..BACKEND
+    },
+];
+
+/// Kills a node when the leave of its backend server has been acknowledged, and starts it again.
+async fn restart_after_leave(host: sync::Arc<hosts::Host>) {
+    tokio::time::sleep(LEAVE_TIME).await;
+    host.take_down(hosts::Signal::Kill);
+    tokio::time::sleep(DOWN_TIME).await;
+    host.bring_up();
+}
+
+fn one_node(rng: &mut rngs::StdRng, sizes: host_set::Sizes) -> host_set::HostSet {
+    let nodes: Vec<_> = sizes.nodes().collect();
+    nodes.choose_multiple(rng, 1).copied().collect()
+}
+
 fn limit(world: &world::World, fault: &schedule::Fault, effect: network::Effect) {
     world.network.add(fault.id, network::Rule::around(fault.hosts, effect));
 }
--- a/xtask/src/soak/schedule.rs
+++ b/xtask/src/soak/schedule.rs
@@ -69,6 +69,7 @@
             let first = Fault { id: FaultId(0), start, length: duration, kind, hosts, amount };
             faults.extend(series(first, if kind.once { 1 } else { count }, length));
         }
+        faults.extend(rare_faults(seed, sizes, length));
         faults.sort_by_key(|it| it.start);
         for (index, fault) in faults.iter_mut().enumerate() {
             fault.id = FaultId(index);
@@ -77,6 +78,22 @@
     }
 }
 
+/// A fault of each rare kind, at a time of its own, if there is enough time.
+fn rare_faults(
+    seed: u64,
+    sizes: host_set::Sizes,
+    length: time::Duration,
+) -> impl Iterator<Item = Fault> {
+    // Other random numbers than those of the frequent kinds, whose schedules stay the same.
+    let mut rng = rngs::StdRng::seed_from_u64(!seed);
+    faults::RARE.iter().filter_map(move |kind| {
+        let hosts = (kind.pick)(&mut rng, sizes);
+        let duration = random_millis(&mut rng, kind.length_ms);
+        let start = length.checked_sub(duration)?.mul_f64(rng.random());
+        Some(Fault { id: FaultId(0), start, length: duration, kind, hosts, amount: 0 })
+    })
+}
+
 /// `count` faults like `first`, one after the other, as far as they end within `length`.
 fn series(first: Fault, count: u32, length: time::Duration) -> impl Iterator<Item = Fault> {
     let step = first.length + SERIES_PAUSE;
--- a/xtask/src/soak/world.rs
+++ b/xtask/src/soak/world.rs
@@ -78,7 +78,8 @@
         let hosts: Vec<_> = sizes.hosts().zip(&addrs).zip(files).map(host).collect();
         let monitor = sync::Arc::new(monitor::Monitor::default());
         let tasks = spawn_tasks(&hosts, &history, &monitor);
-        let (relays, backends) = spawn_around(&hosts[host_set::CONTROLS..], &ledger).await?;
+        let (relays, backends) =
+            spawn_around(&hosts[host_set::CONTROLS..], &ledger, &history).await?;
         let controls = addrs[..host_set::CONTROLS].iter().map(|it| it.clients).collect();
         let operators = operators::Operators::spawn(controls, sync::Arc::clone(&history)).await?;
         let client = web::client::Client::new(web::client::Limits::default());
@@ -163,13 +164,15 @@
 async fn spawn_around(
     nodes: &[sync::Arc<hosts::Host>],
     ledger: &sync::Arc<ledger::Ledger>,
+    history: &sync::Arc<history::History>,
 ) -> io::Result<(Vec<sync::Arc<tcp_relay::Relay>>, Vec<backends::Backend>)> {
     let (mut relays, mut backends) = (Vec::new(), Vec::new());
     for (index, host) in nodes.iter().enumerate() {
         let relay = tcp_relay::Relay::spawn(host.addrs.clients).await?;
         relays.push(sync::Arc::new(relay));
         let (service, ledger) = (settings::service_of(index), sync::Arc::clone(ledger));
-        backends.push(backends::Backend::spawn(service, host.addrs.announce, ledger).await?);
+        let history = sync::Arc::clone(history);
+        backends.push(backends::Backend::spawn(service, host, ledger, history).await?);
     }
     Ok((relays, backends))
 }
