--- a/crates/admission/src/work.rs
+++ b/crates/admission/src/work.rs
@@ -15,7 +15,11 @@
 pub struct Work {
     /// The route of the request.
     pub route: contracts::RouteKey,
-    /// Weight of the route for its share of an overloaded target, from 1 to 100.
+    /// The team of the request; the null key without one.
+    pub team: contracts::TeamKey,
+    /// Priority of the request from 0, the most urgent one.
+    pub rank: u32,
+    /// Weight of the request for its share of an overloaded target, from 1 to 100.
     pub weight: u32,
     /// Whether the request comes from a caller or is an internal call.
     pub class: requests::Class,
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -59,6 +59,8 @@
         let objective = Time::MAX;
         work::Work {
             route,
+            team: contracts::TeamKey::default(),
+            rank: 0,
             weight: 10,
             class,
             deadline,
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -232,8 +232,9 @@
         }
         (open, role) => {
             log::warn!(
-                "reset a stream from {}: its role {role:?} may not open {open:?}",
+                "reset a stream from {}: its role {role:?} may not open a stream of this kind: {}",
                 link.host(),
+                open.kind(),
             );
             sender.reset();
             Ok(())
--- a/crates/heatherwalk/tests/contracts/links.rs
+++ b/crates/heatherwalk/tests/contracts/links.rs
@@ -200,10 +200,14 @@
         path: "/logs/a".into(),
         fields: Vec::new(),
         class: requests::Class::Caller,
-        weight: 1,
+        context: requests::Context {
+            worth: 1,
+            objective: world::time::Time::ZERO + sent + time::Duration::from_millis(300),
+            deadline: world::time::Time::ZERO + sent + time::Duration::from_millis(300),
+            ..requests::Context::default()
+        },
         sent: world::time::Time::ZERO + sent,
         budget: routing::budget::Budget { attempts: 0, depth: 1, remaining_ms: 300 },
-        objective_us: 300_000,
         movable: false,
         patience_us: None,
         idempotent: false,
--- a/crates/heatherwalk/tests/requests/callers.rs
+++ b/crates/heatherwalk/tests/requests/callers.rs
@@ -90,9 +90,36 @@
     }
 }
 
-/// Sends a request and reads the reply to its end.
+/// A caller that keeps its connection open and sends its requests one after the other.
+pub struct Kept {
+    addr: net::SocketAddr,
+    client: web::client::Client,
+}
+
+impl Kept {
+    /// A caller of the node with this address.
+    pub fn new(addr: net::SocketAddr) -> Kept {
+        Kept { addr, client: web::client::Client::new(web::client::Limits::default()) }
+    }
+
+    /// Sends a request on the open connection, if there is one, and reads the reply to its end.
+    pub async fn send(&self, request: Request) -> Reply {
+        send_by(&self.client, self.addr, request, web::client::Reuse::Allowed).await
+    }
+}
+
+/// Sends a request on a new connection and reads the reply to its end.
 pub async fn send(addr: net::SocketAddr, request: Request) -> Reply {
     let client = web::client::Client::new(web::client::Limits::default());
+    send_by(&client, addr, request, web::client::Reuse::Never).await
+}
+
+async fn send_by(
+    client: &web::client::Client,
+    addr: net::SocketAddr,
+    request: Request,
+    reuse: web::client::Reuse,
+) -> Reply {
     let call = web::client::Call {
         addr,
         method: request.method,
@@ -101,7 +128,7 @@
         body: web::body::Body::full(request.body),
         deadline: tokio::time::Instant::now() + mesh::TIMEOUT,
         close_delimited: false,
-        reuse: web::client::Reuse::Never,
+        reuse,
     };
     let Ok(answer) = client.send(call).await else { return Reply::default() };
     let body = answer.body.collect(16 * 1024 * 1024).await.ok();
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -19,6 +19,7 @@
 mod silence;
 mod stand_in_controls;
 mod stand_ins;
+mod teams;
 mod unfinished;
 mod uploads;
 mod versions;
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -74,7 +74,13 @@
 
     /// Creates the first version.
     pub async fn create(&self, document: serde_json::Value) {
-        create(self.control.as_ref().expect("runs").operators_addr(), document).await;
+        self.patch(0, document).await;
+    }
+
+    /// Sends a patch on version `base` until it is accepted.
+    pub async fn patch(&self, base: u64, patch: serde_json::Value) {
+        let control = self.control.as_ref().expect("runs").operators_addr();
+        send_patch(control, base, patch).await;
     }
 
     /// Starts a control, `nodes` nodes and the first version.
@@ -285,10 +291,10 @@
     control::running::Control::spawn(settings, &identity, instruments).await.expect("starts")
 }
 
-async fn create(control: net::SocketAddr, document: serde_json::Value) {
+async fn send_patch(control: net::SocketAddr, base: u64, patch: serde_json::Value) {
     let client = web::client::Client::new(web::client::Limits::default());
     let body = serde_json::json!({
-        "base": 0, "request_id": "create", "operator": "tests", "patch": document,
+        "base": base, "request_id": format!("on {base}"), "operator": "tests", "patch": patch,
     });
     let call = operators::Request {
         control,
@@ -302,7 +308,7 @@
         if reply.as_ref().is_ok_and(|it| it.status == 200) {
             return;
         }
-        assert!(tokio::time::Instant::now() < until, "no first version: {reply:?}");
+        assert!(tokio::time::Instant::now() < until, "not accepted: {reply:?}");
         tokio::time::sleep(time::Duration::from_millis(50)).await;
     }
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -9,8 +9,8 @@
 use world::{document, requests, time};
 
 use crate::{
-    answering, bodies, claiming, confirming, dialect, headers, instruments, planning, refusals,
-    reservations, sending, state, storing, suspects,
+    answering, authenticating, bodies, claiming, confirming, dialect, headers, instruments,
+    planning, refusals, reservations, sending, state, storing, suspects,
 };
 
 /// Largest body of a request, in bytes, when the configuration sets no limit. Bodies are kept in
@@ -74,7 +74,9 @@
     state: sync::Arc<state::State>,
     request: web::exchange::Request,
 ) -> web::exchange::Response {
-    let options = (state.settings.dialect.parse_request)(&request.headers);
+    let options = (state.settings.dialect.parse_request)(&request.headers).map(|it| {
+        dialect::RequestOptions { credential: authenticating::read(&request.headers), ..it }
+    });
     let id = options.as_ref().ok().and_then(|it| it.id.clone());
     let id = id.unwrap_or_else(|| format_compact!("{:016x}", rand::random::<u64>()));
     let mut record = answering::RequestRecord::new(sync::Arc::clone(&state), id.clone());
@@ -203,9 +205,8 @@
     let host = planning::host_name(&headers);
     let plan = planning::plan(state, arrived, &id, (&method, &host, &path), &options)?;
     let planning::Plan { config, route, service, home, scheduling, idempotent, reservation } = plan;
-    let planning::Scheduling {
-        class, budget, deadline, answer_by, objective, weight, repeat, ..
-    } = scheduling;
+    let planning::Scheduling { class, budget, context, answer_by, repeat, .. } = scheduling;
+    let deadline = context.deadline;
     let version = config.version();
     let contract = config.route(route).ok_or_else(|| refusals::no_route(version))?;
     let path = match query {
@@ -214,11 +215,12 @@
     };
     let content = requests::Fingerprint::of(&service, &method, &path, &body);
     let virtual_host = contract.host.as_deref().unwrap_or_default();
-    let origin = dialect::Origin { service: &state.settings.service };
+    let origin = dialect::Origin { service: &state.settings.service, team: &context.team };
     let fingerprint = content.as_received(virtual_host, &dialect.describe_origin(&origin));
     let suspect = check_suspect(state, &fingerprint, &id)?;
     check_age(&headers)?;
     headers::remove_reserved(&mut headers, dialect.reserved);
+    authenticating::remove_key(&config, &mut headers);
     headers::set_length(&mut headers, body.len());
     (dialect.add_origin)(&mut headers, &origin);
     let keyless = contract.keyless;
@@ -230,10 +232,9 @@
         path,
         fields: headers::encode(&headers),
         class,
-        weight,
+        context,
         sent: arrived,
         budget,
-        objective_us: 0,
         movable: true,
         patience_us: None,
         idempotent,
@@ -241,8 +242,7 @@
         repeat,
         suspect,
     };
-    let request =
-        state::RoutedRequest { config, route, head, content, deadline, answer_by, objective, body };
+    let request = state::RoutedRequest { config, route, head, content, answer_by, body };
     let step = match options.key {
         _ if idempotent => Step::Send(Box::new(sending::choose_first(state, request))),
         Some(key) => Step::Claim { request: Box::new(request), home, key },
@@ -294,7 +294,7 @@
     let home = home.ok_or_else(refusals::no_home)?;
     match claiming::claim(state, &request, home, key).await {
         claiming::ClaimResult::Granted(claim) => {
-            let deadline = request.deadline;
+            let deadline = request.deadline();
             let shared = sync::Arc::clone(state);
             let attempt = state.pool.run(move || sending::choose_first(&shared, request)).await;
             // When the workers' queue is full, the request was not sent.
@@ -311,7 +311,7 @@
             Ok(Reply::Complete(answer, std_time::Duration::ZERO))
         }
         claiming::ClaimResult::Unavailable => {
-            Err(refusals::claim_unavailable(state.now() >= request.deadline))
+            Err(refusals::claim_unavailable(state.now() >= request.deadline()))
         }
     }
 }
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -188,8 +188,8 @@
         excluded: tried,
         class: request.head.class,
         idempotent: request.head.idempotent,
-        deadline: request.deadline,
-        objective: request.objective.since(now),
+        deadline: request.deadline(),
+        objective: request.head.context.objective.since(now),
     };
     let own = directory.of_service(service).find(|it| it.1.entry.host == state.location.host);
     let own = own.map(|it| it.0);
--- a/crates/node/src/claiming.rs
+++ b/crates/node/src/claiming.rs
@@ -47,12 +47,12 @@
     let name = claims::ClaimName { service: request.head.service.clone(), key };
     let claim = Claim { home, name, attempt: claims::AttemptId(rand::random()) };
     // The claims table measures this limit from when it applies the claim, which is later than now.
-    let left = request.deadline.since(state.now()).as_millis();
+    let left = request.deadline().since(state.now()).as_millis();
     let action = claims::Action::Claim {
         fingerprint: request.content,
         limit_ms: u64::try_from(left).unwrap_or(u64::MAX),
     };
-    let answer = propose_until(state, &claim, action, request.deadline).await;
+    let answer = propose_until(state, &claim, action, request.deadline()).await;
     log::info!(
         target: "decision",
         "claim request={} service={} key={} answer=\"{}\"",
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 
-use crate::{backend, headers, refusals};
+use crate::{authenticating, backend, headers, refusals};
 
 /// How a node parses and writes the messages of one front end's callers and backend servers.
 #[derive(Clone, Copy)]
@@ -66,6 +66,8 @@
     pub key: Option<CompactString>,
     /// The parent request, when a backend server makes this request as a call on its behalf.
     pub parent: Option<Parent>,
+    /// The API key, which is read in the same way for all dialects.
+    pub credential: authenticating::Credential,
 }
 
 /// How a call names its parent request.
@@ -84,6 +86,8 @@
     /// The service of the backend server on the host that took the request from a caller; empty
     /// when the settings name none.
     pub service: &'a str,
+    /// The team of the caller; empty for none.
+    pub team: &'a str,
 }
 
 /// The context of a request that is sent to a backend server.
@@ -139,8 +143,13 @@
         headers::PARENT,
         headers::REASON,
         headers::STORED,
+        headers::TEAM,
     ],
-    add_origin: |_, _| {},
+    add_origin: |fields, origin| {
+        if !origin.team.is_empty() {
+            headers::set(fields, headers::TEAM, origin.team);
+        }
+    },
     add_context: add_own_context,
     classify: classify_own,
     names_request: |fields| fields.contains_key(headers::PARENT),
@@ -167,7 +176,7 @@
         None => None,
     };
     let parent = text(headers::PARENT).map(Parent::Token);
-    Ok(RequestOptions { id: None, limit, key: text(headers::KEY), parent })
+    Ok(RequestOptions { limit, key: text(headers::KEY), parent, ..RequestOptions::default() })
 }
 
 fn parse_own_announcement(body: &Bytes, _: &str) -> Result<backend::Announcement, CompactString> {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -64,7 +64,7 @@
                 headers: headers::decode(&fields),
                 body: sending::Source { ahead: None, rest: sending::Rest::Remote(receiver) },
                 node_status,
-                deadline: request.deadline,
+                deadline: request.deadline(),
                 answer_by: request.answer_by,
             });
         }
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -24,6 +24,8 @@
 pub(crate) const OUTCOME: &str = "heatherwalk-outcome";
 /// The reason of a refusal, in one word.
 pub(crate) const REASON: &str = "heatherwalk-reason";
+/// The name of the team whose API key the caller sent, for backend servers.
+pub(crate) const TEAM: &str = "heatherwalk-team";
 /// Marks a stored answer: `whole`, or `cut` when its body was too large to store.
 pub(crate) const STORED: &str = "heatherwalk-stored";
 
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -21,12 +21,8 @@
     pub(crate) budget: budget::Budget,
     /// The ID that the logs of all processes and the request's own calls use.
     pub(crate) id: CompactString,
-    /// The time after which its caller no longer waits.
-    pub(crate) deadline: time::Time,
-    /// The time until which its answer meets the latency objective of its route.
-    pub(crate) objective: time::Time,
-    /// The share of an overloaded target that its route gets relative to other routes.
-    pub(crate) weight: u32,
+    /// What its calls inherit.
+    pub(crate) context: requests::Context,
     /// Whether it was sent to another target before, so that its calls count as repeats.
     pub(crate) repeat: bool,
     /// Method, path and service, for the log line after a crash.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod answering;
 mod arrivals;
 mod attaching;
+pub mod authenticating;
 pub mod backend;
 mod bodies;
 mod callers;
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -6,7 +6,7 @@
 use routing::budget;
 use world::{config, contracts, requests, time};
 
-use crate::{dialect, forward, headers, in_flight, refusals, reservations, state};
+use crate::{authenticating, dialect, forward, headers, in_flight, refusals, reservations, state};
 
 /// How long before a caller gives up it gets an answer of the node's own, if there is no other. A
 /// caller that gives up closes its connection, which loses the answers to its other requests.
@@ -30,11 +30,9 @@
 pub(crate) struct Scheduling {
     pub(crate) class: requests::Class,
     pub(crate) budget: budget::Budget,
-    pub(crate) deadline: time::Time,
+    pub(crate) context: requests::Context,
     /// Until when an answer is waited for.
     pub(crate) answer_by: time::Time,
-    pub(crate) objective: time::Time,
-    pub(crate) weight: u32,
     /// Whether it is a call of a request that was sent to another target before.
     pub(crate) repeat: bool,
     /// The request whose extra attempts this call has taken.
@@ -69,6 +67,10 @@
     // The targets stop a lead earlier than the node, so that their reports arrive in time.
     let timeout = limit.map_or(contract.timeout, |it| (it - lead * 2).min(contract.timeout));
     let mut scheduling = scheduling(state, now, contract, timeout, options.parent.as_ref())?;
+    if scheduling.class == requests::Class::Caller {
+        let team = authenticating::find_team(&config, contract, options)?;
+        authenticating::apply(&mut scheduling.context, team);
+    }
     if let Some(limit) = limit {
         scheduling.answer_by = scheduling.answer_by.min(now + (limit - lead));
     }
@@ -80,13 +82,14 @@
     log::info!(
         target: "decision",
         "route request={id} method={method} host={host} path={path} route={} service={} \
-         version={version} age={:?} class={:?} depth={} left_ms={}",
+         version={version} age={:?} class={:?} team={} depth={} left_ms={}",
         contract.name,
         service.name,
         state.configuration.lock().updater.age(now),
         scheduling.class,
+        scheduling.context.team,
         budget.depth,
-        scheduling.deadline.since(now).as_millis(),
+        scheduling.context.deadline.since(now).as_millis(),
     );
     Ok(Plan {
         service: service.name.clone(),
@@ -106,8 +109,9 @@
     let lead = CALLER_LEAD.min(stop_by.since(now) / MIN_LEADS);
     let deadline = now + stop_by.since(now).saturating_sub(lead);
     scheduling.answer_by = scheduling.answer_by.min(stop_by);
-    scheduling.deadline = scheduling.deadline.min(deadline);
-    let left = u32::try_from(scheduling.deadline.since(now).as_millis()).unwrap_or(u32::MAX);
+    let context = &mut scheduling.context;
+    context.deadline = context.deadline.min(deadline);
+    let left = u32::try_from(context.deadline.since(now).as_millis()).unwrap_or(u32::MAX);
     scheduling.budget.remaining_ms = scheduling.budget.remaining_ms.min(left);
 }
 
@@ -140,10 +144,14 @@
     let own = Scheduling {
         class: requests::Class::Caller,
         budget: budget::Budget::new(timeout, contract.attempts),
-        deadline: now + timeout,
+        context: requests::Context {
+            team: CompactString::default(),
+            rank: contract.urgency.rank,
+            worth: contract.urgency.worth,
+            objective: now + contract.objective,
+            deadline: now + timeout,
+        },
         answer_by: now + timeout + forward::REPORT_GRACE,
-        objective: now + contract.objective,
-        weight: contract.weight,
         repeat: false,
         parent: None,
     };
@@ -170,27 +178,27 @@
     // If it is missing, the parent was answered or its caller has left, so nobody waits for this
     // call.
     let parent = requests.get_mut(key).ok_or_else(refusals::bad_parent)?;
-    let deadline = parent.deadline.min(own.deadline);
-    let budget = parent.budget.take_for_call(deadline.since(now));
-    Ok(Scheduling { budget, parent: Some(key), ..inherit(own, deadline, parent) })
+    let inherited = inherit(own, parent);
+    let budget = parent.budget.take_for_call(inherited.context.deadline.since(now));
+    Ok(Scheduling { budget, parent: Some(key), ..inherited })
 }
 
 /// The scheduling of a call that names its parent by the parent's ID. Its own route sets the number
 /// of attempts.
 fn inherit_by_id(now: time::Time, own: Scheduling, parent: &in_flight::Request) -> Scheduling {
-    let deadline = parent.deadline.min(own.deadline);
-    let budget = own.budget.child_of(&parent.budget, deadline.since(now));
-    Scheduling { budget, ..inherit(own, deadline, parent) }
+    let inherited = inherit(own, parent);
+    let left = inherited.context.deadline.since(now);
+    let budget = inherited.budget.child_of(&parent.budget, left);
+    Scheduling { budget, ..inherited }
 }
 
-/// The priority of a call, which is that of its parent.
-fn inherit(own: Scheduling, deadline: time::Time, parent: &in_flight::Request) -> Scheduling {
+/// The scheduling of a call, with the context of its parent.
+fn inherit(own: Scheduling, parent: &in_flight::Request) -> Scheduling {
+    let context = parent.context.of_call(own.context.deadline);
     Scheduling {
         class: requests::Class::Internal,
-        deadline,
-        answer_by: deadline + forward::REPORT_GRACE,
-        objective: parent.objective,
-        weight: parent.weight,
+        answer_by: context.deadline + forward::REPORT_GRACE,
+        context,
         repeat: parent.repeat,
         ..own
     }
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -101,6 +101,25 @@
     Refusal::not_run(http::StatusCode::NOT_FOUND, "no-route", detail).by_version(version)
 }
 
+/// The refusal of a request that has no API key of a team of `version`.
+pub(crate) fn no_team(version: document::Version) -> Refusal {
+    let detail = "the request needs the API key of a team: authorization: Bearer KEY";
+    Refusal::not_run(http::StatusCode::UNAUTHORIZED, "no-team", detail).by_version(version)
+}
+
+/// The refusal of a request whose API key cannot be read.
+pub(crate) fn bad_key_field(detail: &str) -> Refusal {
+    Refusal::not_run(http::StatusCode::BAD_REQUEST, "bad-api-key", detail)
+}
+
+/// The refusal of a call whose parent request is not known. Its team is not known either, and
+/// nobody waits for the call if the parent has ended.
+pub(crate) fn orphaned_call() -> Refusal {
+    let detail = "this node's backend server does not work on the request that this call names";
+    let status = http::StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "orphaned-call", detail).with_retry_after(OLD_VERSION_RETRY)
+}
+
 pub(crate) fn bad_deadline(detail: &str) -> Refusal {
     Refusal::not_run(http::StatusCode::BAD_REQUEST, "bad-deadline", detail)
 }
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -160,8 +160,9 @@
     if target.host != state.location.host {
         return forward::forward(state, &request, &target, guard).await;
     }
-    let state::RoutedRequest { head, body, deadline, answer_by, .. } = request;
-    let request = working::LocalRequest { head, body, deadline, answer_by };
+    let deadline = request.deadline();
+    let state::RoutedRequest { head, body, answer_by, .. } = request;
+    let request = working::LocalRequest { head, body, answer_by };
     match working::run(state, request, admission).await {
         Ok(answered) => {
             let working::Answered { status, headers, body, execution, node_status } = answered;
@@ -185,23 +186,22 @@
     ) -> state::RoutedRequest {
         let mut request = self.request.clone();
         let now = state.now();
-        self.set_wait_limits(now, &mut request.head, max_wait);
+        self.set_wait_limits(&mut request.head, max_wait);
         request.head.sent = now;
-        request.head.budget = self.request.head.budget.split_for_send(request.deadline.since(now));
+        request.head.budget =
+            self.request.head.budget.split_for_send(request.deadline().since(now));
         request
     }
 
     /// Sets how long the request may wait for a slot at the target.
     fn set_wait_limits(
         &self,
-        now: world::time::Time,
         head: &mut forwarding::RequestHead,
         max_wait: Option<time::Duration>,
     ) {
         let micros = |it: time::Duration| u64::try_from(it.as_micros()).unwrap_or(u64::MAX);
         head.movable = self.reroutes < MAX_REROUTES && max_wait.is_some();
         head.patience_us = max_wait.map(micros);
-        head.objective_us = micros(self.request.objective.since(now));
     }
 
     /// Records an attempt without an answer in the estimates of its target and in this state.
@@ -215,7 +215,7 @@
             let wait = node_status.load.expected_wait();
             self.min_wait = Some(self.min_wait.map_or(wait, |it| it.min(wait)));
         }
-        choosing::record_failure(state, self.request.deadline, guard, &failure, &node_status);
+        choosing::record_failure(state, self.request.deadline(), guard, &failure, &node_status);
         self.request.head.budget.return_unused(node_status.attempts);
         if failure == working::Failure::Silent {
             self.maybe_run = Some("the target's node stopped responding".into());
@@ -302,8 +302,8 @@
     if chosen.target.host == state.location.host {
         // Asks for admission in the same job: each job costs a request about 0.2 ms of waiting.
         let mut head = retries.request.head.clone();
-        retries.set_wait_limits(state.now(), &mut head, chosen.max_wait);
-        chosen.admission = Some(working::offer(state, &head, retries.request.deadline));
+        retries.set_wait_limits(&mut head, chosen.max_wait);
+        chosen.admission = Some(working::offer(state, &head));
     }
     Ok(NextAttempt { retries, chosen })
 }
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -66,10 +66,10 @@
     body: Bytes,
 ) -> working::LocalRequest {
     let now = state.now();
-    head.elapse(link.waited(head.sent, now));
-    let left = std_time::Duration::from_millis(head.budget.remaining_ms.into());
-    let deadline = now + left;
-    working::LocalRequest { head, body, deadline, answer_by: deadline + working::ANSWER_GRACE }
+    let waited = link.waited(head.sent, now);
+    head.receive(now, waited);
+    let answer_by = head.context.deadline + working::ANSWER_GRACE;
+    working::LocalRequest { head, body, answer_by }
 }
 
 /// Admits a request before its body is sent, then receives the body and runs the request.
@@ -94,7 +94,7 @@
         _ if matches!(admission, working::Admission::Refuse(_)) => {}
         Some(arrival) => {
             sender.send(&forwarding::AnswerHead::Admitted).await?;
-            let until = state.instant(request.deadline);
+            let until = state.instant(request.head.context.deadline);
             match tokio::time::timeout_at(until, arrival.receive(&mut receiver)).await {
                 Ok(body) => request.body = body?,
                 // Gives the slot back.
@@ -113,7 +113,7 @@
     admission: Option<working::Admission>,
     mut sender: transport::streams::Sender,
 ) -> errors::Result<()> {
-    let at = state.instant(request.deadline + working::ANSWER_GRACE);
+    let at = state.instant(request.head.context.deadline + working::ANSWER_GRACE);
     let id = request.head.id.clone();
     match working::run(state, request, admission).await {
         Ok(mut answered) => {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -305,11 +305,8 @@
     pub(crate) head: forwarding::RequestHead,
     /// The fingerprint of the content, which a resend at another host shares.
     pub(crate) content: requests::Fingerprint,
-    pub(crate) deadline: time::Time,
     /// Until when an answer is waited for. Then the caller gets one of the node's own.
     pub(crate) answer_by: time::Time,
-    /// The time until which an answer meets the route's latency objective.
-    pub(crate) objective: time::Time,
     pub(crate) body: bytes::Bytes,
 }
 
@@ -319,8 +316,13 @@
         self.config.route(self.route)
     }
 
+    /// When the caller stops waiting.
+    pub(crate) fn deadline(&self) -> time::Time {
+        self.head.context.deadline
+    }
+
     /// The properties that the retry rules depend on.
     pub(crate) fn retry(&self) -> routing::retry::Request {
-        routing::retry::Request { idempotent: self.head.idempotent, deadline: self.deadline }
+        routing::retry::Request { idempotent: self.head.idempotent, deadline: self.deadline() }
     }
 }
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -23,7 +23,6 @@
 pub(crate) struct LocalRequest {
     pub(crate) head: forwarding::RequestHead,
     pub(crate) body: bytes::Bytes,
-    pub(crate) deadline: time::Time,
     /// Until when the sender waits for an answer.
     pub(crate) answer_by: time::Time,
 }
@@ -111,7 +110,7 @@
     let context = dialect::RequestContext {
         addr,
         instance: &instance,
-        left: request.deadline.since(sent_at),
+        left: request.head.context.deadline.since(sent_at),
         parent: &parent,
         id: &request.head.id,
     };
@@ -155,7 +154,7 @@
             Failure::NotRun(forwarding::NotRun::Refused)
         }
         Err(web::client::Error::MaybeSent(reason)) => {
-            let timed_out = state.now() >= request.deadline;
+            let timed_out = state.now() >= request.head.context.deadline;
             execution.abort(timed_out).await;
             Failure::Unknown(reason)
         }
@@ -169,10 +168,9 @@
     request: &LocalRequest,
 ) -> Admission {
     let (shared, head) = (sync::Arc::clone(state), request.head.clone());
-    let deadline = request.deadline;
-    let job = move || match check_network_link(&shared, &head, deadline) {
+    let job = move || match check_network_link(&shared, &head) {
         Some(reason) => Admission::Refuse(reason),
-        None => offer(&shared, &head, deadline),
+        None => offer(&shared, &head),
     };
     let offered = state.pool.run(job).await;
     // When the workers' queue is full, the request was neither admitted nor sent.
@@ -290,11 +288,7 @@
 }
 
 /// Asks for admission of a request to the backend server of this host. To be called on a worker.
-pub(crate) fn offer(
-    state: &sync::Arc<state::State>,
-    head: &forwarding::RequestHead,
-    deadline: time::Time,
-) -> Admission {
+pub(crate) fn offer(state: &sync::Arc<state::State>, head: &forwarding::RequestHead) -> Admission {
     let now = state.now();
     if let Some(reason) = check_backend(state, head) {
         return Admission::Refuse(reason);
@@ -305,10 +299,12 @@
     }
     let work = work::Work {
         route: route_key(state, head),
-        weight: head.weight,
+        team: team_key(state, head),
+        rank: head.context.rank,
+        weight: head.context.worth,
         class: head.class,
-        deadline,
-        objective: now + std_time::Duration::from_micros(head.objective_us),
+        deadline: head.context.deadline,
+        objective: head.context.objective,
         max_wait: head.patience_us.map(std_time::Duration::from_micros),
         movable: head.movable,
         suspect: head.suspect || status == suspects::Status::Suspect,
@@ -327,11 +323,11 @@
 fn check_network_link(
     state: &state::State,
     head: &forwarding::RequestHead,
-    deadline: time::Time,
 ) -> Option<forwarding::NotRun> {
     let backlog = state.links.endpoint().backlog();
-    let objective = std_time::Duration::from_micros(head.objective_us);
-    let left = deadline.since(state.now());
+    let now = state.now();
+    let objective = head.context.objective.since(now);
+    let left = head.context.deadline.since(now);
     let arriving = *state.downlink.lock();
     let has_body = headers::body_length(&head.fields) > 0;
     let refused = uplink::is_full(backlog, head.class, objective, left)
@@ -342,10 +338,9 @@
     log::info!(
         target: "decision",
         "admission request={} outcome=refuse reason=\"the host's network link is full\" \
-         backlog={backlog:?} arriving={:?} objective_us={}",
+         backlog={backlog:?} arriving={:?} objective={objective:?}",
         head.id,
         arriving.backlog(),
-        head.objective_us,
     );
     Some(forwarding::NotRun::Busy)
 }
@@ -378,11 +373,12 @@
         slots::Decision::Wait(..) => ("wait", None),
         slots::Decision::Refuse(reason) => ("refuse", Some(reason)),
     };
-    let load = state.admission.lock().load(state.now());
+    let now = state.now();
+    let load = state.admission.lock().load(now);
     log::info!(
         target: "decision",
         "admission request={} outcome={outcome} reason={reason:?} route={} busy={} queued={} \
-         slots={} service_time={:?} movable={} patience_us={:?} objective_us={}",
+         slots={} service_time={:?} movable={} patience_us={:?} objective={:?} team={} rank={}",
         head.id,
         head.route,
         load.in_flight,
@@ -391,7 +387,9 @@
         load.service_time,
         head.movable,
         head.patience_us,
-        head.objective_us,
+        head.context.objective.since(now),
+        head.context.team,
+        head.context.rank,
     );
 }
 
@@ -402,6 +400,13 @@
     config.and_then(|it| it.find_route_named(&head.route)).unwrap_or_default()
 }
 
+/// The key of the sender's team in the version that this node runs. Requests without a team, and
+/// those of teams that the version does not have, share one key.
+fn team_key(state: &state::State, head: &forwarding::RequestHead) -> contracts::TeamKey {
+    let config = state.running();
+    config.and_then(|it| it.find_team(&head.context.team)).unwrap_or_default()
+}
+
 async fn await_verdict(admission: Admission) -> Result<slots::Permit, forwarding::NotRun> {
     match admission {
         Admission::Refuse(reason) => Err(reason),
@@ -428,9 +433,7 @@
         fingerprint: head.fingerprint,
         budget: head.budget,
         id: head.id.clone(),
-        deadline: request.deadline,
-        objective: state.now() + std_time::Duration::from_micros(head.objective_us),
-        weight: head.weight,
+        context: head.context.clone(),
         repeat: head.repeat,
         summary: format_compact!("{} {} of {}", head.method, head.path, head.service),
     };
@@ -459,7 +462,7 @@
         path: head.path.clone(),
         headers: fields,
         body: web::body::Body::full(request.body.clone()),
-        deadline: state.instant(request.answer_by.min(request.deadline + ANSWER_GRACE)),
+        deadline: state.instant(request.answer_by.min(head.context.deadline + ANSWER_GRACE)),
         close_delimited: dialect.close_delimited,
         reuse,
     }
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -33,16 +33,13 @@
     pub fields: Vec<Field>,
     /// Whether the request comes from a caller or from a backend server.
     pub class: requests::Class,
-    /// Weight of the route against other routes whose requests wait at the same target.
-    pub weight: u32,
-    /// When the times of this head were true, by the sender's clock: `budget.remaining_ms`,
-    /// `objective_us` and `patience_us` count from here.
+    /// On whose behalf the request runs, how urgent it is and until when, by the sender's clock.
+    pub context: requests::Context,
+    /// When the durations of this head were true, by the sender's clock: `budget.remaining_ms` and
+    /// `patience_us` count from here.
     pub sent: time::Time,
     /// The remaining extra sends, call depth and time.
     pub budget: routing::budget::Budget,
-    /// Time left until the route's latency objective, in microseconds. A later answer counts as
-    /// late.
-    pub objective_us: u64,
     /// Whether the sender can send the request to another target after a refusal.
     pub movable: bool,
     /// The longest wait for a slot, in microseconds, that the sender accepts, since another target
@@ -60,14 +57,21 @@
 }
 
 impl RequestHead {
-    /// Takes time that has passed since `sent` off the times of the head.
+    /// Takes time that has passed since `sent` off the durations of the head.
     pub fn elapse(&mut self, elapsed: std_time::Duration) {
         let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
         let millis = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
         self.budget.remaining_ms = self.budget.remaining_ms.saturating_sub(millis);
-        self.objective_us = self.objective_us.saturating_sub(micros);
         self.patience_us = self.patience_us.map(|it| it.saturating_sub(micros));
     }
+
+    /// Converts the times of a received head to the receiver's clock, on which it is `now`. The
+    /// head has `waited` since it was sent.
+    pub fn receive(&mut self, now: time::Time, waited: std_time::Duration) {
+        self.elapse(waited);
+        let sent = now.checked_sub(waited).unwrap_or(now);
+        self.context = std::mem::take(&mut self.context).received(self.sent, sent);
+    }
 }
 
 /// Why a request was not run at a target.
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' interface: paths and messages between a client and a control, as JSON over HTTP.
 
-use std::net;
+use std::{fmt, net};
 
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
@@ -116,8 +116,8 @@
     },
 }
 
-/// A version in the history.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+/// A version in the history. Its debug text leaves out the patch, which may hold API keys.
+#[derive(Clone, Deserialize, Serialize)]
 pub struct VersionRecord {
     /// The version number.
     pub version: document::Version,
@@ -129,6 +129,13 @@
     pub patch: serde_json::Value,
 }
 
+impl fmt::Debug for VersionRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let VersionRecord { version, operator, .. } = self;
+        write!(f, "VersionRecord {{ version: {version}, operator: {operator:?} }}")
+    }
+}
+
 /// A version with its whole document.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct VersionDocument {
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -37,6 +37,21 @@
     },
 }
 
+impl Open {
+    /// Returns the name of the stream's purpose, for logs. The content of a message may be secret.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Open::Attach => "attach",
+            Open::Peer => "peer",
+            Open::PeerVersion(_) => "peer version",
+            Open::Propose(_) => "propose",
+            Open::Request { .. } => "request",
+            Open::Probe => "probe",
+            Open::Offer { .. } => "offer",
+        }
+    }
+}
+
 /// The answer to [`Open::Probe`]. It shows that the node can be reached.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct ProbeReply;
--- a/crates/replicated/src/versions.rs
+++ b/crates/replicated/src/versions.rs
@@ -1,6 +1,6 @@
 //! Versions of the configuration, and the operators' patches that created them.
 
-use std::{collections, sync};
+use std::{collections, fmt, sync};
 
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
@@ -31,8 +31,9 @@
 /// Maximum number of services whose home is recorded, including removed services.
 pub const MAX_HOMES: usize = 65_536;
 
-/// A request of an operator to change the configuration.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// A request of an operator to change the configuration. Its debug text leaves out the patch, which
+/// may hold API keys.
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Patch {
     /// The version that the patch was written against.
     pub base: document::Version,
@@ -55,8 +56,8 @@
     pub patch: Patch,
 }
 
-/// An accepted change.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// An accepted change. Its debug text leaves out the patch, which may hold API keys.
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Change {
     /// The version that the change created.
     pub version: document::Version,
@@ -70,6 +71,24 @@
     pub text: sync::Arc<str>,
 }
 
+impl fmt::Debug for Patch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Patch { base, request, text, operator } = self;
+        let bytes = text.len();
+        write!(
+            f,
+            "Patch {{ base: {base}, request: {request:?}, operator: {operator:?}, {bytes} bytes }}"
+        )
+    }
+}
+
+impl fmt::Debug for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Change { version, operator, text, .. } = self;
+        write!(f, "Change {{ version: {version}, operator: {operator:?}, {} bytes }}", text.len())
+    }
+}
+
 /// The result of a patch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Answer {
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -3,9 +3,10 @@
 use std::{collections, time};
 
 use compact_str::CompactString;
+use sha2::Digest as _;
 use slotmap::SlotMap;
 
-use crate::{contracts, document};
+use crate::{contracts, document, teams, validation};
 
 /// One version of the configuration, built from a valid document: each service that a route names
 /// exists.
@@ -16,12 +17,20 @@
     source: document::Document,
     services: SlotMap<contracts::ServiceKey, contracts::Service>,
     routes: SlotMap<contracts::RouteKey, contracts::Route>,
+    teams: SlotMap<contracts::TeamKey, contracts::Team>,
     service_names: collections::BTreeMap<CompactString, contracts::ServiceKey>,
     route_names: collections::BTreeMap<CompactString, contracts::RouteKey>,
     /// Routes by host, in lower case, and path prefix. The empty host holds the routes of any host.
     prefixes: collections::BTreeMap<CompactString, Prefixes>,
+    team_names: collections::BTreeMap<CompactString, contracts::TeamKey>,
+    /// Teams by the hash of their API keys. A lookup by the key itself would take a time that tells
+    /// how much of a wrong key is right.
+    api_keys: collections::HashMap<KeyHash, contracts::TeamKey>,
 }
 
+/// The SHA-256 hash of an API key.
+type KeyHash = [u8; 32];
+
 /// Routes by path prefix.
 type Prefixes = collections::BTreeMap<CompactString, contracts::RouteKey>;
 
@@ -35,7 +44,7 @@
         version: document::Version,
         source: document::Document,
     ) -> document::Result<Config> {
-        let faults = document::validate(&document::Document::default(), &source);
+        let faults = validation::validate(&document::Document::default(), &source);
         if !faults.is_empty() {
             return Err(faults);
         }
@@ -66,6 +75,13 @@
             let host = spec.host.as_ref().map(CompactString::to_lowercase).unwrap_or_default();
             config.prefixes.entry(host).or_default().insert(spec.prefix.clone(), key);
         }
+        for (name, spec) in source.teams.iter().flatten() {
+            let key = config.teams.insert(build_team(name, spec));
+            config.team_names.insert(name.clone(), key);
+            // No caller can send an empty key.
+            let keys = spec.keys.iter().flatten().filter(|it| !it.as_str().is_empty());
+            config.api_keys.extend(keys.map(|it| (hash_key(it.as_str()), key)));
+        }
         config.source = source;
         config
     }
@@ -97,6 +113,32 @@
         self.routes.get(key)
     }
 
+    /// Returns the team with this key, if there is one. In another version the key may be that of
+    /// another team.
+    pub fn team(&self, key: contracts::TeamKey) -> Option<&contracts::Team> {
+        self.teams.get(key)
+    }
+
+    /// Returns all teams.
+    pub fn teams(&self) -> impl Iterator<Item = (contracts::TeamKey, &contracts::Team)> {
+        self.teams.iter()
+    }
+
+    /// Returns whether requests need the API key of a team, except those of public routes.
+    pub fn needs_keys(&self) -> bool {
+        self.source.teams.is_some()
+    }
+
+    /// Returns the key of the team called `name`.
+    pub fn find_team(&self, name: &str) -> Option<contracts::TeamKey> {
+        self.team_names.get(name).copied()
+    }
+
+    /// Returns the team that has this API key.
+    pub fn authenticate(&self, api_key: &str) -> Option<contracts::TeamKey> {
+        self.api_keys.get(&hash_key(api_key)).copied()
+    }
+
     /// Returns the key of the service called `name`.
     pub fn find_service(&self, name: &str) -> Option<contracts::ServiceKey> {
         self.service_names.get(name).copied()
@@ -136,7 +178,11 @@
             attempts: spec.attempts,
             objective,
             timeout,
-            weight: spec.priority.map_or(spec.weight, priority_weight),
+            urgency: match spec.priority {
+                Some(priority) => contracts::Urgency::of_priority(priority),
+                None => contracts::Urgency { rank: 0, worth: spec.weight },
+            },
+            public: spec.public.unwrap_or_default(),
             idempotency: match spec.idempotent {
                 None => contracts::Idempotency::ByMethod,
                 Some(true) => contracts::Idempotency::Always,
@@ -148,13 +194,6 @@
     }
 }
 
-/// Returns the weight of a priority: 64 for priority 0, half as much for each priority after it,
-/// and at least 1.
-fn priority_weight(priority: u32) -> u32 {
-    const MAX_WEIGHT: u32 = 64;
-    (MAX_WEIGHT >> priority.min(6)).max(1)
-}
-
 /// Returns the route with the longest prefix that matches whole segments of `path`.
 fn longest_match(prefixes: &Prefixes, path: &str) -> Option<contracts::RouteKey> {
     let mut end = path.len();
@@ -178,3 +217,17 @@
         timeout: time::Duration::from_millis(spec.timeout_ms.into()),
     }
 }
+
+fn build_team(name: &CompactString, spec: &teams::TeamSpec) -> contracts::Team {
+    let amount = |it: Option<teams::Amount>| it.map_or(0.0, |it| it.0);
+    let (rate, burst) = (amount(spec.rate), amount(spec.burst));
+    contracts::Team {
+        name: name.clone(),
+        priority: spec.priority,
+        quota: (rate > 0.0).then_some(contracts::Quota { rate, burst }),
+    }
+}
+
+fn hash_key(api_key: &str) -> KeyHash {
+    sha2::Sha256::digest(api_key).into()
+}
--- a/crates/world/src/contracts.rs
+++ b/crates/world/src/contracts.rs
@@ -10,6 +10,46 @@
     pub struct ServiceKey;
     /// Key of a [`Route`] in the arena of one [`Config`](crate::config::Config).
     pub struct RouteKey;
+    /// Key of a [`Team`] in the arena of one [`Config`](crate::config::Config).
+    pub struct TeamKey;
+}
+
+/// A group of callers that share API keys.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// The name in the document.
+    pub name: CompactString,
+    /// Priority in place of that of a route; `None` if the route's counts.
+    pub priority: Option<u32>,
+    /// The requests that the team may send; `None` without a limit.
+    pub quota: Option<Quota>,
+}
+
+/// The requests that a team may send to all nodes together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    /// Requests per second, above 0.
+    pub rate: f64,
+    /// Requests at once, on top of the rate.
+    pub burst: f64,
+}
+
+/// How urgent the requests of a route or team are.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Urgency {
+    /// Priority from 0, the most urgent one.
+    pub rank: u32,
+    /// Weight against other requests at the same target, at least 1.
+    pub worth: u32,
+}
+
+impl Urgency {
+    /// Returns the urgency of a priority. Its weight is 64 for priority 0, half as much for each
+    /// priority after it, and at least 1.
+    pub fn of_priority(priority: u32) -> Urgency {
+        const MAX_WEIGHT: u32 = 64;
+        Urgency { rank: priority, worth: (MAX_WEIGHT >> priority.min(6)).max(1) }
+    }
 }
 
 /// A group of interchangeable backend servers.
@@ -48,8 +88,10 @@
     pub objective: time::Duration,
     /// Time limit of a request.
     pub timeout: time::Duration,
-    /// Weight against other routes whose requests wait at the same target.
-    pub weight: u32,
+    /// How urgent its requests are, against those of other routes at the same target.
+    pub urgency: Urgency,
+    /// Whether requests need no API key.
+    pub public: bool,
     /// Which requests may safely run more than once.
     pub idempotency: Idempotency,
     /// Whether a non-idempotent request without an idempotency key is accepted.
--- a/crates/world/src/document.rs
+++ b/crates/world/src/document.rs
@@ -3,11 +3,11 @@
 
 use std::{collections, fmt};
 
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
 
-use crate::{bounds, faults, patches};
+use crate::{faults, patches, teams, validation};
 
 /// Highest feature level of a document that this build supports.
 pub const LEVEL: u32 = 1;
@@ -25,17 +25,13 @@
 /// Longest path prefix of a route.
 pub const MAX_PREFIX_BYTES: usize = 1_024;
 
-/// Most bytes of JSON that the field names, numbers and punctuation of a service or route take.
-const ENTRY_BYTES: usize = 320;
-/// Most bytes of JSON that the field names, numbers and punctuation of a split's entry or a label
-/// take.
-const SPLIT_BYTES: usize = 48;
 const LABELS_KEY: &str = "labels";
 const LEVEL_KEY: &str = "level";
 const LIMITS_KEY: &str = "limits";
 const REVISION_KEY: &str = "revision";
 const ROUTES_KEY: &str = "routes";
 const SERVICES_KEY: &str = "services";
+const TEAMS_KEY: &str = "teams";
 const DEFAULT_QUEUE: u32 = 16;
 const DEFAULT_SLOTS: u32 = 6;
 const DEFAULT_TIMEOUT_MS: u32 = 2_000;
@@ -138,6 +134,14 @@
     /// Services by name.
     #[serde(default)]
     pub services: collections::BTreeMap<CompactString, ServiceSpec>,
+    /// Teams by name. With this field, even an empty one, requests need the API key of a team,
+    /// except those of public routes.
+    #[serde(
+        default,
+        deserialize_with = "teams::deserialize",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub teams: Option<teams::Teams>,
 }
 
 /// Values that a front end stores with a document, service or route, by name.
@@ -219,6 +223,9 @@
     /// to [`MAX_PRIORITY`]. Replaces `weight`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub priority: Option<u32>,
+    /// Whether requests need no API key, in a document with teams. False by default.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub public: Option<bool>,
     /// The service that runs the requests. Empty if `split` is set.
     #[serde(default, skip_serializing_if = "CompactString::is_empty")]
     pub service: CompactString,
@@ -268,7 +275,7 @@
 /// Returns all faults if the patch or the resulting document has some.
 pub fn merge(base: &Document, patch: &serde_json::Value) -> Result<Document> {
     let candidate = patches::merge(base, patch)?;
-    let faults = validate(base, &candidate);
+    let faults = validation::validate(base, &candidate);
     if faults.is_empty() { Ok(candidate) } else { Err(faults) }
 }
 
@@ -310,6 +317,8 @@
     xor_options(&mut digest, document);
     document.routes.iter().for_each(|(name, it)| digest.xor_entry(ROUTES_KEY, name, it));
     document.services.iter().for_each(|(name, it)| digest.xor_entry(SERVICES_KEY, name, it));
+    let teams = document.teams.iter().flatten();
+    teams.for_each(|(name, it)| digest.xor_entry(TEAMS_KEY, name, it));
     digest
 }
 
@@ -327,20 +336,6 @@
     serde_json::to_value(document).expect("maps with text keys always serialize")
 }
 
-/// Returns all faults of `candidate` as the successor of `base`; none if it is valid.
-pub fn validate(base: &Document, candidate: &Document) -> Vec<faults::Fault> {
-    let mut faults = Faults::default();
-    check_size(candidate, &mut faults);
-    for (name, spec) in &candidate.services {
-        check_service(name, spec, base.services.get(name), &mut faults);
-    }
-    for (name, spec) in &candidate.routes {
-        check_route(name, spec, candidate, &mut faults);
-    }
-    check_prefixes(candidate, &mut faults);
-    faults.list
-}
-
 /// Updates `digest`, that of `base`, to that of `candidate`, the result of merging `patch`.
 fn update_digest(
     base: &Document,
@@ -364,10 +359,17 @@
             digest.xor_entry(SERVICES_KEY, name, it);
         }
     }
+    let old = base.teams.iter().flat_map(collections::BTreeMap::keys);
+    for name in patches::changed(patch, TEAMS_KEY, old) {
+        for document in [base, candidate] {
+            let team = document.teams.as_ref().and_then(|it| it.get(name));
+            team.into_iter().for_each(|it| digest.xor_entry(TEAMS_KEY, name, it));
+        }
+    }
     digest
 }
 
-/// Adds or removes the document's fields other than its level, routes and services. Absent fields
+/// Adds or removes the document's fields other than its level and the entries of its sections. Absent fields
 /// are left out, so that documents from before these fields existed keep their digest.
 fn xor_options(digest: &mut DocumentDigest, document: &Document) {
     if !document.labels.is_empty() {
@@ -379,6 +381,9 @@
     if document.revision != 0 {
         digest.xor_entry(REVISION_KEY, "", &document.revision);
     }
+    if document.teams.is_some() {
+        digest.xor_entry(TEAMS_KEY, "", &true);
+    }
 }
 
 fn is_zero(number: &u64) -> bool {
@@ -389,175 +394,6 @@
     vec![patches::shape_fault(path, detail)]
 }
 
-/// Collects the faults of a document.
-#[derive(Default)]
-struct Faults {
-    list: Vec<faults::Fault>,
-}
-
-impl Faults {
-    fn push(&mut self, path: CompactString, kind: faults::FaultKind, detail: CompactString) {
-        self.list.push(faults::Fault { path, kind, detail });
-    }
-
-    fn check_range(
-        &mut self,
-        path: impl FnOnce() -> CompactString,
-        value: u32,
-        low: u32,
-        high: u32,
-    ) {
-        if (low..=high).contains(&value) {
-            return;
-        }
-        let detail = format_compact!("{value} is not in {low}..={high}");
-        self.push(path(), faults::FaultKind::Range, detail);
-    }
-
-    fn check_name(&mut self, path: impl FnOnce() -> CompactString, name: &str) {
-        if bounds::is_name(name) {
-            return;
-        }
-        let detail = format_compact!(
-            "name {name:?} must have 1 to {} ASCII letters, digits, '-', '_' or '.'",
-            bounds::MAX_NAME_BYTES,
-        );
-        self.push(path(), faults::FaultKind::Form, detail);
-    }
-}
-
-fn check_size(candidate: &Document, faults: &mut Faults) {
-    if candidate.level > LEVEL {
-        let detail = format_compact!("{} is above the supported level {LEVEL}", candidate.level);
-        faults.push("level".into(), faults::FaultKind::Level, detail);
-    }
-    let counts = [
-        ("services", candidate.services.len(), MAX_SERVICES),
-        ("routes", candidate.routes.len(), MAX_ROUTES),
-        ("document", max_size(candidate), MAX_DOCUMENT_BYTES),
-    ];
-    for (path, count, most) in counts {
-        if count > most {
-            let detail = format_compact!("{count} is above the limit {most}");
-            faults.push(path.into(), faults::FaultKind::Size, detail);
-        }
-    }
-}
-
-/// Returns an upper bound of a document's size in bytes of JSON. It is added up from the lengths of
-/// the texts, because serializing a large document takes longer than all other checks.
-fn max_size(document: &Document) -> usize {
-    let home = |it: &ServiceSpec| it.home.as_ref().map_or(0, |it| it.len());
-    let health = |it: &ServiceSpec| it.health.as_ref().map_or(0, |it| it.len());
-    let services = document.services.iter().map(|(name, it)| {
-        ENTRY_BYTES + name.len() + home(it) + health(it) + labels_size(&it.labels)
-    });
-    let routes = document.routes.iter();
-    let routes = routes.map(|(name, it)| {
-        let split: usize = it.split.iter().map(|it| SPLIT_BYTES + it.service.len()).sum();
-        let host = it.host.as_ref().map_or(0, |it| it.len());
-        let texts = name.len() + it.prefix.len() + it.service.len() + host;
-        ENTRY_BYTES + texts + split + labels_size(&it.labels)
-    });
-    let labels = labels_size(&document.labels);
-    services.chain(routes).sum::<usize>() + labels
-}
-
-fn labels_size(labels: &Labels) -> usize {
-    let text = |it: &serde_json::Value| it.to_string().len();
-    labels.iter().map(|(name, it)| name.len() + SPLIT_BYTES + text(it)).sum()
-}
-
-fn check_service(name: &str, spec: &ServiceSpec, old: Option<&ServiceSpec>, faults: &mut Faults) {
-    let path = |field: &str| format_compact!("services.{name}.{field}");
-    faults.check_name(|| format_compact!("services.{name}"), name);
-    faults.check_range(|| path("slots"), spec.slots, 1, bounds::MAX_SLOTS);
-    faults.check_range(|| path("queue"), spec.queue, 0, 256);
-    faults.check_range(|| path("timeout_ms"), spec.timeout_ms, 1, 600_000);
-    if let Some(home) = &spec.home {
-        faults.check_name(|| path("home"), home);
-    }
-    // The claims of past requests stay in the old home region, so they would be lost for a service
-    // that moves. A service without a home has no claims yet and can get one.
-    let Some(old) = old else { return };
-    if old.home.is_some() && old.home != spec.home {
-        let detail = "the home region of a service cannot change".into();
-        faults.push(path("home"), faults::FaultKind::Fixed, detail);
-    }
-}
-
-fn check_route(name: &str, spec: &RouteSpec, candidate: &Document, faults: &mut Faults) {
-    let path = |field: &str| format_compact!("routes.{name}.{field}");
-    faults.check_name(|| format_compact!("routes.{name}"), name);
-    faults.check_range(|| path("weight"), spec.weight, 1, 100);
-    if let Some(timeout) = spec.timeout_ms {
-        faults.check_range(|| path("timeout_ms"), timeout, 1, 600_000);
-    }
-    if !spec.prefix.starts_with('/') || spec.prefix.len() > MAX_PREFIX_BYTES {
-        let detail = format_compact!(
-            "{:?} must start with '/' and have at most {MAX_PREFIX_BYTES} bytes",
-            spec.prefix
-        );
-        faults.push(path("prefix"), faults::FaultKind::Form, detail);
-    }
-    check_services(&path, spec, candidate, faults);
-    if let Some(priority) = spec.priority {
-        faults.check_range(|| path("priority"), priority, 0, MAX_PRIORITY);
-    }
-    if let Some(objective) = spec.objective_ms {
-        faults.check_range(|| path("objective_ms"), objective, 1, 600_000);
-    }
-    if let Some(attempts) = spec.attempts {
-        faults.check_range(|| path("attempts"), attempts, 1, 100);
-    }
-    if spec.host.as_ref().is_some_and(|it| it.is_empty() || it.len() > MAX_HOST_BYTES) {
-        let detail = format_compact!("a host must have 1 to {MAX_HOST_BYTES} bytes");
-        faults.push(path("host"), faults::FaultKind::Form, detail);
-    }
-    if spec.hedge && spec.idempotent == Some(false) {
-        let detail = "a non-idempotent route cannot be hedged".into();
-        faults.push(path("hedge"), faults::FaultKind::Range, detail);
-    }
-}
-
-/// Checks that a route has either one service or a split, that its services exist, and that the
-/// weights of a split add up to a positive `u32`.
-fn check_services(
-    path: &impl Fn(&str) -> CompactString,
-    spec: &RouteSpec,
-    candidate: &Document,
-    faults: &mut Faults,
-) {
-    for service in spec.services() {
-        if !candidate.services.contains_key(service) {
-            let detail = format_compact!("there is no service {service:?}");
-            faults.push(path("service"), faults::FaultKind::Dangling, detail);
-        }
-    }
-    if spec.service.is_empty() == spec.split.is_empty() {
-        let detail = "a route has either a service or a split".into();
-        faults.push(path("service"), faults::FaultKind::Dangling, detail);
-    }
-    let total: u64 = spec.split.iter().map(|it| u64::from(it.weight)).sum();
-    if !spec.split.is_empty() && !(1..=u64::from(u32::MAX)).contains(&total) {
-        let detail = format_compact!("the weights add up to {total}");
-        faults.push(path("split"), faults::FaultKind::Range, detail);
-    }
-}
-
-/// Checks that no two routes have the same host and prefix.
-fn check_prefixes(candidate: &Document, faults: &mut Faults) {
-    let mut seen = collections::BTreeMap::new();
-    for (name, spec) in &candidate.routes {
-        // Requests name hosts in any letter case.
-        let host = spec.host.as_ref().map(CompactString::to_lowercase);
-        let Some(first) = seen.insert((host, &spec.prefix), name) else { continue };
-        let detail = format_compact!("{:?} is already the prefix of {first:?}", spec.prefix);
-        let path = format_compact!("routes.{name}.prefix");
-        faults.push(path, faults::FaultKind::Duplicate, detail);
-    }
-}
-
 fn default_queue() -> u32 {
     DEFAULT_QUEUE
 }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -14,4 +14,6 @@
 pub mod patches;
 pub mod requests;
 pub mod targets;
+pub mod teams;
 pub mod time;
+pub mod validation;
--- a/crates/world/src/patches.rs
+++ b/crates/world/src/patches.rs
@@ -6,7 +6,7 @@
 use compact_str::{CompactString, format_compact};
 use serde::{Serialize, de};
 
-use crate::{document, faults};
+use crate::{bounds, document, faults, teams};
 
 /// The services or routes of a document, by name.
 type Entries<T> = collections::BTreeMap<CompactString, T>;
@@ -30,11 +30,12 @@
             "revision" => merge_value(&mut candidate.revision, key, value, &mut faults),
             "routes" => merge_entries(&mut candidate.routes, key, value, &mut faults),
             "services" => merge_entries(&mut candidate.services, key, value, &mut faults),
+            "teams" => merge_teams(&mut candidate.teams, value, &mut faults),
             // Removing an unknown field changes nothing.
             _ if value.is_null() => {}
             _ => faults.push(shape_fault(
                 key,
-                &"expected one of labels, level, limits, revision, routes, services",
+                &"expected one of labels, level, limits, revision, routes, services, teams",
             )),
         }
     }
@@ -139,6 +140,38 @@
     }
 }
 
+/// Merges the changes of the teams. A fault does not quote the change, since it may hold a key.
+fn merge_teams(
+    teams: &mut Option<teams::Teams>,
+    value: &serde_json::Value,
+    faults: &mut Vec<faults::Fault>,
+) {
+    let changes = match value {
+        serde_json::Value::Object(changes) => changes,
+        serde_json::Value::Null => return *teams = None,
+        _ => return faults.push(shape_fault("teams", &"expected a JSON object")),
+    };
+    let teams = teams.get_or_insert_default();
+    for (name, change) in changes {
+        if change.is_null() {
+            teams.remove(name.as_str());
+            continue;
+        }
+        let mut merged = match teams.get(name.as_str()) {
+            Some(team) => serde_json::to_value(team).expect("teams have text keys only"),
+            None => serde_json::Value::Null,
+        };
+        json_patch::merge(&mut merged, change);
+        match teams::parse(merged) {
+            Some(team) => _ = teams.insert(name.into(), team),
+            None => {
+                let place = format_compact!("teams.{}", bounds::excerpt(name));
+                faults.push(shape_fault(&place, &teams::EXPECTED));
+            }
+        }
+    }
+}
+
 fn merge_entry<T: Serialize + de::DeserializeOwned>(
     old: Option<&T>,
     change: &serde_json::Value,
--- a/crates/world/src/requests.rs
+++ b/crates/world/src/requests.rs
@@ -2,9 +2,12 @@
 
 use std::fmt;
 
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use sha2::Digest as _;
 
+use crate::time::Time;
+
 /// Largest depth of a chain of calls. A deeper call is refused, which ends loops between services.
 pub const MAX_DEPTH: u8 = 15;
 
@@ -17,6 +20,40 @@
     Internal,
 }
 
+/// On whose behalf a request runs, how urgent it is and until when. The node that takes it from a
+/// caller makes the context, and the request keeps it up to the slot of its target. A call of a
+/// backend server has the context of the request that it is made for.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Context {
+    /// The name of the team whose API key the caller sent; empty for none.
+    pub team: CompactString,
+    /// Priority from 0, the most urgent one.
+    pub rank: u32,
+    /// Weight against other requests at the same target, at least 1.
+    pub worth: u32,
+    /// The time until which an answer meets the latency objective. A later one counts as late.
+    pub objective: Time,
+    /// When the caller stops waiting; a later answer is useless.
+    pub deadline: Time,
+}
+
+impl Context {
+    /// Returns the context of a request that was sent at `sent` by its sender's clock, with its
+    /// times on the clock of the receiver, who takes `sent` for its own time `now`.
+    pub fn received(self, sent: Time, now: Time) -> Context {
+        Context {
+            objective: now + self.objective.since(sent),
+            deadline: now + self.deadline.since(sent),
+            ..self
+        }
+    }
+
+    /// Returns the context of a call that is made for this request and has the deadline `own`.
+    pub fn of_call(&self, own: Time) -> Context {
+        Context { deadline: self.deadline.min(own), ..self.clone() }
+    }
+}
+
 /// Identifies equal requests by the SHA-256 of what makes them equal.
 #[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Fingerprint(pub [u8; 32]);
--- a/xtask/src/bench/admission/model.rs
+++ b/xtask/src/bench/admission/model.rs
@@ -205,6 +205,8 @@
                 let micros = it.deadline.as_micros() - self.pool.hop.as_micros() as u64;
                 let work = work::Work {
                     route: self.routes[it.route],
+                    team: contracts::TeamKey::default(),
+                    rank: 0,
                     weight: it.weight,
                     class: it.class,
                     deadline: Time::from_micros(micros),
