--- a/crates/heatherwalk/tests/requests/teams.rs
+++ b/crates/heatherwalk/tests/requests/teams.rs
@@ -10,6 +10,13 @@
 const KEY_A: &str = "key-of-team-a";
 const KEY_B: &str = "key-of-team-b";
 
+/// A key of 10 KB.
+const LONG_KEY: Fields = &[("authorization", &{
+    let mut field = [b'k'; 7 + 10_240];
+    field.split_at_mut(7).0.copy_from_slice(b"Bearer ");
+    field
+})];
+
 /// What a backend server received: the path, and the fields that name the team and the key.
 type Seen = Arc<Mutex<Vec<String>>>;
 
@@ -52,7 +59,10 @@
     example::Server::spawn(settings, handler).await.expect("starts")
 }
 
-fn request(path: &str, fields: &[(&'static str, &[u8])]) -> callers::Request {
+/// Names and values of header fields.
+type Fields = &'static [(&'static str, &'static [u8])];
+
+fn request(path: &str, fields: Fields) -> callers::Request {
     let mut request = callers::get(path);
     for (name, value) in fields {
         let value = http::HeaderValue::from_bytes(value).expect("a field value");
@@ -86,8 +96,7 @@
     ready(&mesh, 0).await;
     mesh.ready(0, &["open"]).await;
     seen.lock().expect("not poisoned").clear();
-    let long = [b"Bearer ".as_slice(), &[b'k'; 10_240]].concat();
-    let cases: [(&str, &str, &[(&'static str, &[u8])]); 12] = [
+    let cases: [(&str, &str, Fields); 12] = [
         ("team a", "/logs/1", &[("authorization", b"Bearer key-of-team-a")]),
         ("team b, lower case", "/logs/2", &[("authorization", b"bearer key-of-team-b")]),
         (
@@ -104,7 +113,7 @@
             "/logs/8",
             &[("authorization", b"Bearer key-of-team-a"), ("authorization", b"Bearer other")],
         ),
-        ("a key of 10 KB", "/logs/9", &[("authorization", &long)]),
+        ("a key of 10 KB", "/logs/9", LONG_KEY),
         ("bytes that are no text", "/logs/10", &[("authorization", b"Bearer \xff\xfe")]),
         ("public, no key", "/open/11", &[("heatherwalk-team", b"a")]),
         ("public, team b", "/open/12", &[("authorization", b"Bearer key-of-team-b")]),
