Let requests leave a data centre that has no room

When callers moved to a data centre or its targets slowed down, requests waited or were refused there while targets elsewhere were free, since leaving cost half of the objective whatever the load. The policy 'spillover' lowers that cost while the targets at home are expected to make a request wait, and raises it with the size of the body.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -190,6 +190,7 @@
         idempotent: request.head.idempotent,
         deadline: request.deadline(),
         objective: request.head.context.objective.since(now),
+        penalty_share: 1.0,
     };
     let own = directory.of_service(service).find(|it| it.1.entry.host == state.location.host);
     let own = own.map(|it| it.0);
@@ -199,6 +200,11 @@
         let load = to_load(&state.admission.lock().load(now));
         routing.balancer.estimates.record_load(now, own, load);
     }
+    let adaptive = routing.balancer.policy().adaptive;
+    let spillover = routing.spillovers.entry(service.clone()).or_default();
+    let penalty_share =
+        if adaptive { spillover.penalty_share(now, request.body.len()) } else { 1.0 };
+    let criteria = balancer::Request { penalty_share, ..criteria };
     let choice = routing.balancer.choose(now, &criteria, &mut routing.rng).inspect_err(|err| {
         let id = &request.head.id;
         log::info!(
@@ -208,6 +214,9 @@
             tried.len(),
         );
     })?;
+    if let Some(pressure) = choice.home_pressure {
+        spillover.record(now, pressure);
+    }
     // A call is not held back: the work of the request that it is made for would be lost.
     let caller = request.head.class == requests::Class::Caller;
     let remote = own != Some(choice.target);
@@ -229,7 +238,7 @@
     let link = candidates.iter().find(|it| it.key == choice.target).map(|it| it.link);
     log::info!(
         target: "decision",
-        "target request={} service={service} host={} tried={} patience={:?} reason=\"{}\"",
+        "target request={} service={service} host={} tried={} patience={:?} penalty={penalty_share:.2} reason=\"{}\"",
         request.head.id,
         entry.host,
         tried.len(),
--- a/crates/node/src/hedging.rs
+++ b/crates/node/src/hedging.rs
@@ -74,7 +74,7 @@
 ) -> impl Future<Output = AttemptResult> + Send + use<> {
     let state = sync::Arc::clone(state);
     let request = retries.prepare_attempt(&state, chosen.max_wait);
-    state.instruments.count_attempt();
+    state.instruments.count_attempt(chosen.target.same_centre);
     async move { sending::attempt(&state, request, chosen).await }
 }
 
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -107,9 +107,11 @@
         self.added_time.record(added.as_secs_f64(), &[]);
     }
 
-    /// Counts one attempt at a target, including retries and hedges.
-    pub fn count_attempt(&self) {
-        self.attempts.add(1, &[]);
+    /// Counts one attempt at a target, including retries and hedges, and whether the target is in
+    /// the node's data centre.
+    pub fn count_attempt(&self, same_centre: bool) {
+        let place = if same_centre { "home" } else { "elsewhere" };
+        self.attempts.add(1, &[KeyValue::new("data_centre", place)]);
     }
 
     /// Counts a request that this node did not run, by reason.
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -5,7 +5,7 @@
 use rand::{Rng as _, rngs};
 use world::{mesh, requests, targets, time::Time};
 
-use crate::{estimates, policy, toggles, usable};
+use crate::{estimates, policy, spillover, toggles, usable};
 
 /// Largest number of targets that one selection compares. They are kept on the stack, so that a
 /// selection does not allocate. For a larger service, the comparison starts at a random candidate.
@@ -53,6 +53,9 @@
     pub deadline: Time,
     /// Time from now until the request's latency objective; a later answer counts as late.
     pub objective: time::Duration,
+    /// Share of the policy's penalty for leaving the data centre that applies; see
+    /// [`Spillover::penalty_share`](crate::spillover::Spillover::penalty_share).
+    pub penalty_share: f32,
 }
 
 /// A selected target.
@@ -65,6 +68,9 @@
     /// The longest wait for a slot at this target that still beats the next best target; a longer
     /// one should be refused there. `None` if there is no other target to compare with.
     pub max_wait: Option<time::Duration>,
+    /// How hard it is to get a slot in the node's own data centre: 0 with a free target, 1 when the
+    /// best one is expected to refuse. `None` without a target there.
+    pub home_pressure: Option<f32>,
 }
 
 /// The reason of a selection. Its [`fmt::Display`] text goes into the log line of the decision.
@@ -136,6 +142,11 @@
 }
 
 impl Balancer {
+    /// Returns the policy in use.
+    pub fn policy(&self) -> &policy::Policy {
+        &self.policy
+    }
+
     /// Creates a balancer without measurements.
     pub fn new(policy: policy::Policy, toggles: toggles::Toggles) -> Balancer {
         let estimates = estimates::Estimates::new(toggles);
@@ -179,7 +190,8 @@
         usable.shrink_to_mean();
         let stats = &usable.stats[..usable.compared()];
         let objective = request.objective.as_secs_f32() * 1e6;
-        let input = policy::PickInput { targets: stats, turn: self.turn, objective };
+        let penalty = self.policy.remote_penalty * request.penalty_share * objective;
+        let input = policy::PickInput { targets: stats, turn: self.turn, objective, penalty };
         let chosen = stats[(self.policy.pick)(&self.policy, &input, rng)];
         let nearest = stats.iter().map(|it| it.round_trip).fold(f32::INFINITY, f32::min);
         let kind = match stats.len() {
@@ -188,28 +200,11 @@
             _ => Kind::Preferred,
         };
         let mut choice = self.choice(request, &usable, &chosen, kind);
-        choice.max_wait = self.max_wait(&usable, &chosen, objective);
+        choice.max_wait = max_wait(&usable, &chosen, objective, penalty);
+        choice.home_pressure = home_pressure(stats, objective);
         Ok(choice)
     }
 
-    /// Returns the longest wait at the chosen target that still beats the next best target.
-    fn max_wait(
-        &self,
-        usable: &usable::UsableTargets,
-        chosen: &policy::TargetStats,
-        objective: f32,
-    ) -> Option<time::Duration> {
-        let others = usable.stats[..usable.len].iter().filter(|it| it.index != chosen.index);
-        let ends = others.map(|it| policy::expected_end(&self.policy, it, objective));
-        let next = ends.min_by(f32::total_cmp)?;
-        // Refusals count in the choice only: this request is about to be admitted or refused.
-        let admitted = policy::TargetStats { wait: 0.0, refusals: 0.0, ..*chosen };
-        let without_wait = policy::expected_end(&self.policy, &admitted, objective);
-        // Moving to the other target costs the round trip to the refusing one.
-        let micros = (next + chosen.round_trip - without_wait).max(0.0);
-        Some(time::Duration::from_secs_f32(micros / 1e6).max(MAX_WAIT_FLOOR))
-    }
-
     fn collect_usable(
         &self,
         now: Time,
@@ -324,7 +319,12 @@
             ejected: usable.ejected as u16,
             expected_micros: self.policy.expected_time(stats),
         };
-        Choice { target: request.candidates[stats.index as usize].key, reason, max_wait: None }
+        Choice {
+            target: request.candidates[stats.index as usize].key,
+            reason,
+            max_wait: None,
+            home_pressure: None,
+        }
     }
 }
 
@@ -348,6 +348,31 @@
     }
 }
 
+/// Returns the longest wait at the chosen target that still beats the next best target.
+fn max_wait(
+    usable: &usable::UsableTargets,
+    chosen: &policy::TargetStats,
+    objective: f32,
+    penalty: f32,
+) -> Option<time::Duration> {
+    let others = usable.stats[..usable.len].iter().filter(|it| it.index != chosen.index);
+    let ends = others.map(|it| policy::expected_end(it, objective, penalty));
+    let next = ends.min_by(f32::total_cmp)?;
+    // Refusals count in the choice only: this request is about to be admitted or refused.
+    let admitted = policy::TargetStats { wait: 0.0, refusals: 0.0, ..*chosen };
+    let without_wait = policy::expected_end(&admitted, objective, penalty);
+    // Moving to the other target costs the round trip to the refusing one.
+    let micros = (next + chosen.round_trip - without_wait).max(0.0);
+    Some(time::Duration::from_secs_f32(micros / 1e6).max(MAX_WAIT_FLOOR))
+}
+
+/// Returns how hard it is to get a slot of the targets in the node's own data centre.
+fn home_pressure(targets: &[policy::TargetStats], objective: f32) -> Option<f32> {
+    let home = targets.iter().filter(|it| it.local);
+    let delay = home.map(|it| policy::expected_delay(it, objective)).min_by(f32::total_cmp)?;
+    Some((delay / (spillover::FULL_DELAY * objective).max(1.0)).min(1.0))
+}
+
 fn rejection(
     candidate: &Candidate,
     request: &Request<'_>,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A [`balancer::Balancer`] selects a target by a [`policy`] and by what the node has measured of
 //! each target ([`estimates`]). [`budget`], [`retry`] and [`hedge`] limit how often a request is
-//! sent, and [`throttle`] what is sent to a service that is full. [`silence`] says whether a host
+//! sent, [`throttle`] what is sent to a service that is full, and [`spillover`] what leaves the data
+//! centre. [`silence`] says whether a host
 //! has stopped responding, and [`prober`] which hosts to probe then. [`subset`] bounds the targets
 //! that a node uses, and [`dialer`] says when to open links to them. Nothing here does I/O or reads
 //! a clock: the time, and random numbers or their seed, are arguments.
@@ -19,6 +20,7 @@
 pub mod prober;
 pub mod retry;
 pub mod silence;
+pub mod spillover;
 pub mod subset;
 pub mod throttle;
 pub mod toggles;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -20,6 +20,9 @@
     /// fraction of the request's objective. Faults of links between data centres are noticed
     /// later, and traffic over these links costs money.
     pub remote_penalty: f32,
+    /// Whether the penalty falls when the targets of the own data centre have no room; see
+    /// [`spillover`](crate::spillover).
+    pub adaptive: bool,
 }
 
 /// Measurements of a usable target, as input of a policy.
@@ -65,6 +68,8 @@
     pub turn: usize,
     /// Time until the request's latency objective, in microseconds.
     pub objective: f32,
+    /// Penalty for leaving the data centre, in microseconds.
+    pub penalty: f32,
 }
 
 /// Picks the targets in turn.
@@ -74,11 +79,11 @@
     load_weight: 0.0,
     jitter: 0.0,
     remote_penalty: 0.0,
+    adaptive: false,
 };
 
 /// Picks a target at random, with equal probability.
-pub const RANDOM: Policy =
-    Policy { name: "random", pick: pick_any, load_weight: 0.0, jitter: 0.0, remote_penalty: 0.0 };
+pub const RANDOM: Policy = Policy { name: "random", pick: pick_any, ..ROUND_ROBIN };
 
 /// Power of two choices: of two random targets, picks the one with the lower product of this
 /// node's requests in flight and the measured latency.
@@ -88,6 +93,7 @@
     load_weight: 0.0,
     jitter: 0.0,
     remote_penalty: 0.0,
+    adaptive: false,
 };
 
 /// Picks the target with the lowest expected time, from round trip, measured latency and load.
@@ -97,6 +103,7 @@
     load_weight: 1.0,
     jitter: 0.1,
     remote_penalty: 0.0,
+    adaptive: false,
 };
 
 /// Picks the target with the earliest expected answer, from the wait for a slot, the service time
@@ -109,14 +116,20 @@
     load_weight: 1.0,
     jitter: 0.2,
     remote_penalty: 0.5,
+    adaptive: false,
 };
 
+/// Like [`NEAR_FIRST`], but the penalty falls while the targets of the own data centre have no room,
+/// so that free slots elsewhere are used before requests are late or refused.
+pub const SPILLOVER: Policy = Policy { name: "spillover", adaptive: true, ..NEAR_FIRST };
+
 /// The default policy, which has the lowest measured tail latency; see "Choice of target" in
 /// docs/measurements.md.
 pub const DEFAULT: Policy = LEAST_TIME;
 
 /// All policies that the settings can name.
-pub const ALL: [&Policy; 5] = [&ROUND_ROBIN, &RANDOM, &TWO_CHOICES, &LEAST_TIME, &NEAR_FIRST];
+pub const ALL: [&Policy; 6] =
+    [&ROUND_ROBIN, &RANDOM, &TWO_CHOICES, &LEAST_TIME, &NEAR_FIRST, &SPILLOVER];
 
 /// Returns the policy with this [`Policy::name`].
 pub fn find(name: &str) -> Option<&'static Policy> {
@@ -137,14 +150,19 @@
 
 /// Returns the time until a request to this target is expected to be answered, in microseconds,
 /// plus the penalty if the target is in another data centre, and the cost of the refusals that are
-/// expected there. `objective` is in microseconds.
+/// expected there. `objective` and `penalty` are in microseconds.
 ///
 /// Load reports are old: a fast target seems free to all nodes as soon as their reports have faded.
 /// Refusals show each node how often it is not, so that free slots of slower targets are used.
-pub fn expected_end(policy: &Policy, stats: &TargetStats, objective: f32) -> f32 {
-    let penalty = if stats.local { 0.0 } else { policy.remote_penalty * objective };
-    let refusals = REFUSAL_COST * objective * stats.refusals;
-    stats.round_trip + stats.wait + stats.service_time + penalty + refusals
+pub fn expected_end(stats: &TargetStats, objective: f32, penalty: f32) -> f32 {
+    let penalty = if stats.local { 0.0 } else { penalty };
+    stats.round_trip + stats.service_time + penalty + expected_delay(stats, objective)
+}
+
+/// Returns the time that a request is expected to lose at this target before it starts, in
+/// microseconds: the wait for a slot, and the cost of refusals.
+pub fn expected_delay(stats: &TargetStats, objective: f32) -> f32 {
+    stats.wait + REFUSAL_COST * objective * stats.refusals
 }
 
 fn pick_earliest(policy: &Policy, input: &PickInput<'_>, rng: &mut rngs::SmallRng) -> usize {
@@ -152,7 +170,7 @@
     for (index, stats) in input.targets.iter().enumerate() {
         // Jitter applies to the estimate only, not to the wait, which follows from reported work.
         let noise = policy.jitter * stats.service_time * rng.random::<f32>();
-        let cost = expected_end(policy, stats, input.objective) + noise;
+        let cost = expected_end(stats, input.objective, input.penalty) + noise;
         if cost < best.1 {
             best = (index, cost);
         }
--- a/crates/routing/tests/choices.rs
+++ b/crates/routing/tests/choices.rs
@@ -31,7 +31,15 @@
     let deadline = now + time::Duration::from_secs(1);
     let objective = time::Duration::from_secs(1);
     let class = requests::Class::Caller;
-    balancer::Request { candidates, excluded: &[], class, idempotent: true, deadline, objective }
+    balancer::Request {
+        candidates,
+        excluded: &[],
+        class,
+        idempotent: true,
+        deadline,
+        objective,
+        penalty_share: 1.0,
+    }
 }
 
 /// One node that sends a request every 10 ms in virtual time. `work` returns the time at a target
@@ -266,6 +274,7 @@
             idempotent: true,
             deadline: Time::from_millis(left),
             objective: time::Duration::from_millis(left),
+            penalty_share: 1.0,
         };
         let mut rng = rngs::SmallRng::seed_from_u64(SEED);
         let text = match router.choose(Time::ZERO, &request, &mut rng) {
--- a/crates/routing/tests/herding.rs
+++ b/crates/routing/tests/herding.rs
@@ -146,6 +146,7 @@
             idempotent: true,
             deadline: begun + time::Duration::from_millis(800),
             objective: OBJECTIVE.saturating_sub(self.now.since(begun)),
+            penalty_share: 1.0,
         };
         let balancer = &mut self.nodes[node];
         let choice = balancer.choose(self.now, &request, &mut self.rng).expect("usable targets");
--- a/xtask/src/bench/routing.rs
+++ b/xtask/src/bench/routing.rs
@@ -106,6 +106,7 @@
             idempotent: true,
             deadline: now + time::Duration::from_secs(1),
             objective: time::Duration::from_secs(1),
+            penalty_share: 1.0,
         };
         let Ok(choice) = router.choose(now, &request, &mut rng) else {
             continue;
--- a/xtask/src/bench/routing/model.rs
+++ b/xtask/src/bench/routing/model.rs
@@ -204,6 +204,7 @@
             idempotent: request.idempotent,
             deadline: request.arrived + shapes::TIMEOUT,
             objective: shapes::TIMEOUT,
+            penalty_share: 1.0,
         };
         let Ok(choice) = node.router.choose(self.now, &query, &mut node.rng) else {
             return self.complete(index, shapes::TIMEOUT);
