--- a/crates/heatherwalk/tests/metrics.rs
+++ b/crates/heatherwalk/tests/metrics.rs
@@ -14,7 +14,7 @@
     let ms = time::Duration::from_millis;
     node.count_request(node::instruments::Outcome::Answered, ms(30), ms(1));
     node.count_request(node::instruments::Outcome::NotRun, ms(1), ms(1));
-    node.count_attempt();
+    node.count_attempt(true);
     node.count_refusal(forwarding::NotRun::Full);
     node.count_links(transport::pool::Counts { started: 3, opened: 2, failed: 1 });
     node.count_traffic(transport::links::Traffic {
