Explain where a node would send a request, without sending it

Operators had to read log lines of requests that were made to learn where one goes and why. 'heatherwalk explain' asks a running node, at the address of its metrics page, and prints route, rank, and each target with what the policy compares, as a table or JSON. A missing route or team ends with exit code 3, a node that cannot be reached with 4.

Tests: requests::explaining (the named target is the one that gets the request, and nothing is sent), args.

--- a/crates/heatherwalk/src/args.rs
+++ b/crates/heatherwalk/src/args.rs
@@ -6,7 +6,8 @@
 use compact_str::CompactString;
 
 pub use commands::{
-    Authority, Check, Command, Control, Dev, Issue, Keys, KeysCommand, Node, TopLevel, Version,
+    Authority, Check, Command, Control, Dev, Explain, Issue, Keys, KeysCommand, Node, TopLevel,
+    Version,
 };
 pub use operators::{
     CommonOptions, Create, Diff, History, Nodes, Patch, Quarantine, Show, Status, Targets, Wait,
--- a/crates/heatherwalk/src/args/commands.rs
+++ b/crates/heatherwalk/src/args/commands.rs
@@ -1,6 +1,6 @@
 //! The list of commands, and the arguments of those that start processes or prepare files.
 
-use std::path;
+use std::{net, path};
 
 use compact_str::CompactString;
 use world::hosts;
@@ -62,6 +62,8 @@
     Status(operators::Status),
     /// Waits until a version is in force everywhere.
     Wait(operators::Wait),
+    /// Explains where a node would send a request.
+    Explain(Explain),
 }
 
 impl Command {
@@ -72,6 +74,7 @@
             | Command::Control(_)
             | Command::Check(_)
             | Command::Dev(_)
+            | Command::Explain(_)
             | Command::Keys(_)
             | Command::Version(_) => None,
             Command::Create(it) => Some(it.common_options()),
@@ -88,6 +91,30 @@
     }
 }
 
+/// Explain where a running node would send a request now and why, without sending it.
+#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// address of the node's metrics page, as 127.0.0.1:7002
+    #[argh(option)]
+    pub node: net::SocketAddr,
+    /// path of the request, as /logs/17
+    #[argh(option)]
+    pub path: CompactString,
+    /// HTTP method; default GET
+    #[argh(option, default = "\"GET\".into()")]
+    pub method: CompactString,
+    /// host that the request names; by default none
+    #[argh(option, default = "CompactString::default()")]
+    pub host: CompactString,
+    /// name of the caller's team; by default none
+    #[argh(option, default = "CompactString::default()")]
+    pub team: CompactString,
+    /// print JSON instead of tables
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Run a node beside a backend server.
 #[derive(argh::FromArgs, Clone, Debug, PartialEq)]
 #[argh(subcommand, name = "node")]
--- a/crates/heatherwalk/src/main.rs
+++ b/crates/heatherwalk/src/main.rs
@@ -5,7 +5,8 @@
 use compact_str::CompactString;
 use eyre::WrapErr as _;
 use heatherwalk::{
-    api_client, args, dev, discovery, exit_codes, keys, logs, operators, roles, settings,
+    api_client, args, dev, discovery, exit_codes, explaining, keys, logs, operators, render, roles,
+    settings,
 };
 use tokio::{runtime, signal, sync::watch};
 use world::{hosts, mesh};
@@ -28,6 +29,7 @@
         args::Command::Check(it) => settings::load(&it.settings).map(drop).map_err(Into::into),
         args::Command::Control(it) => run_role(it.settings.as_deref(), "control"),
         args::Command::Dev(it) => run_dev(it.port),
+        args::Command::Explain(it) => return run_explain(it),
         args::Command::Keys(it) => run_keys(&it.command),
         args::Command::Node(it) => run_role(it.settings.as_deref(), "node"),
         args::Command::Version(_) => {
@@ -188,6 +190,28 @@
     Ok(())
 }
 
+fn run_explain(args: &args::Explain) -> u8 {
+    match explain(args) {
+        Ok(()) => exit_codes::DONE,
+        Err(err) => {
+            print_line(false, &err.to_string());
+            err.exit_code()
+        }
+    }
+}
+
+fn explain(args: &args::Explain) -> explaining::Result<()> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a process can start a runtime on its own thread");
+    let explanation = runtime.block_on(explaining::ask(args))?;
+    let text =
+        if args.json { render::pretty(&explanation) } else { explaining::to_text(&explanation) };
+    print_line(true, text.trim_end());
+    explaining::check(&explanation)
+}
+
 fn run_operator(command: &args::Command) -> u8 {
     match ask_controls(command) {
         Ok(()) => exit_codes::DONE,
--- a/crates/heatherwalk/src/operators.rs
+++ b/crates/heatherwalk/src/operators.rs
@@ -56,6 +56,7 @@
         | args::Command::Control(_)
         | args::Command::Check(_)
         | args::Command::Dev(_)
+        | args::Command::Explain(_)
         | args::Command::Keys(_)
         | args::Command::Version(_) => Err(Error::NotAnOperatorCommand),
     }
--- a/crates/heatherwalk/src/render.rs
+++ b/crates/heatherwalk/src/render.rs
@@ -10,7 +10,9 @@
 use serde::Serialize;
 use world::document;
 
-pub use records::{ControlState, changes, controls, nodes, quarantine, targets, versions};
+pub use records::{
+    ControlState, changes, controls, explained_targets, nodes, quarantine, targets, versions,
+};
 pub use table::{Align, Table};
 pub use times::{duration, utc};
 
--- a/crates/heatherwalk/src/render/records.rs
+++ b/crates/heatherwalk/src/render/records.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use compact_str::{CompactString, ToCompactString as _, format_compact};
-use protocol::operators;
+use protocol::{explanations, operators};
 use serde::Serialize;
 
 use super::{Align, Table, duration, utc};
@@ -141,3 +141,37 @@
     }
     changes.join(", ").into()
 }
+
+/// A table of the targets that a node compares for a request, the chosen one first.
+pub fn explained_targets(records: &[explanations::Target]) -> String {
+    let mut table = Table::new(&[
+        ("", Align::Left),
+        ("HOST", Align::Left),
+        ("DATA CENTRE", Align::Left),
+        ("STATUS", Align::Left),
+        ("LINK", Align::Left),
+        ("IN FLIGHT", Align::Right),
+        ("ROUND TRIP MS", Align::Right),
+        ("WAIT MS", Align::Right),
+        ("SERVICE MS", Align::Right),
+        ("REFUSALS", Align::Right),
+        ("COST MS", Align::Right),
+    ]);
+    for it in records {
+        let millis = |it: f32| format_compact!("{it:.1}");
+        table.push([
+            if it.chosen { "=>".into() } else { "-".into() },
+            it.host.clone(),
+            it.data_centre.clone(),
+            it.status.clone(),
+            if it.linked { "open".into() } else { CompactString::default() },
+            it.in_flight.to_compact_string(),
+            millis(it.round_trip_ms),
+            millis(it.wait_ms),
+            millis(it.service_ms),
+            format_compact!("{:.2}", it.refusals),
+            millis(it.cost_ms),
+        ]);
+    }
+    table.render()
+}
--- a/crates/heatherwalk/src/roles.rs
+++ b/crates/heatherwalk/src/roles.rs
@@ -7,7 +7,7 @@
 use transport::identity;
 use world::{hosts, mesh};
 
-use crate::{discovery, metrics, settings};
+use crate::{discovery, metrics, pages, settings};
 
 /// Why a role did not start.
 #[derive(Debug, thiserror::Error)]
@@ -106,7 +106,7 @@
     stop: impl Future<Output = ()>,
 ) -> Result<()> {
     let (addr, limit) = (settings.metrics, settings.stop_limit);
-    with_metrics(addr, limit, async |meter| {
+    with_pages(addr, limit, async |meter, _| {
         let instruments = control::instruments::Instruments::new(meter);
         let control = control::running::Control::spawn(settings, identity, instruments).await?;
         let mut tasks = task::JoinSet::new();
@@ -130,9 +130,11 @@
     stop: impl Future<Output = ()>,
 ) -> Result<()> {
     let (addr, limit) = (settings.metrics, settings.stop_limit);
-    with_metrics(addr, limit, async |meter| {
+    with_pages(addr, limit, async |meter, explainer| {
         let instruments = node::instruments::Instruments::new(meter);
         let node = node::running::Node::spawn(settings, identity, instruments).await?;
+        // Set once: the process runs one node.
+        let _ = explainer.set(node.explainer());
         let mut tasks = task::JoinSet::new();
         if let Some(seeds) = seeds {
             tasks.spawn(discovery::follow_node(node.controls(), seeds));
@@ -145,37 +147,17 @@
     .await
 }
 
-/// Serves the metrics page at `addr` while `role` runs. The server's stop waits up to `limit` for
-/// requests in flight.
-async fn with_metrics(
+/// Serves the pages for operations at `addr` while `role` runs. The server's stop waits up to
+/// `limit` for requests in flight.
+async fn with_pages(
     addr: net::SocketAddr,
     limit: time::Duration,
-    role: impl AsyncFnOnce(&opentelemetry::metrics::Meter) -> Result<()>,
+    role: impl AsyncFnOnce(&opentelemetry::metrics::Meter, &pages::ExplainerCell) -> Result<()>,
 ) -> Result<()> {
     let metrics = sync::Arc::new(metrics::Metrics::new()?);
-    let page = serve_metrics(addr, sync::Arc::clone(&metrics)).await?;
-    role(&metrics.meter()).await?;
+    let explainer = pages::ExplainerCell::default();
+    let page = pages::serve(addr, sync::Arc::clone(&metrics), explainer.clone()).await?;
+    role(&metrics.meter(), &explainer).await?;
     page.stop(limit).await;
     Ok(())
 }
-
-/// Starts the server of the metrics page.
-async fn serve_metrics(
-    addr: net::SocketAddr,
-    metrics: sync::Arc<metrics::Metrics>,
-) -> Result<web::server::Server> {
-    let router = web::routers::metrics(move |_| {
-        let answer = match metrics.render() {
-            Ok(page) => {
-                let kind = metrics::CONTENT_TYPE.parse().unwrap_or(mime::TEXT_PLAIN_UTF_8);
-                web::exchange::Response::full(http::StatusCode::OK, &kind, page.into())
-            }
-            Err(err) => {
-                let status = http::StatusCode::INTERNAL_SERVER_ERROR;
-                web::exchange::Response::text(status, &format!("{err}\n"))
-            }
-        };
-        std::future::ready(answer)
-    });
-    Ok(web::server::Server::bind(addr, web::server::Limits::default(), router).await?)
-}
--- a/crates/heatherwalk/tests/args.rs
+++ b/crates/heatherwalk/tests/args.rs
@@ -2,7 +2,7 @@
 
 use heatherwalk::{args, exit_codes};
 
-const COMMANDS: [&str; 16] = [
+const COMMANDS: [&str; 17] = [
     "node",
     "control",
     "check",
@@ -19,6 +19,7 @@
     "quarantine",
     "status",
     "wait",
+    "explain",
 ];
 
 fn parse(line: &str) -> args::Result<args::Command> {
@@ -45,6 +46,8 @@
         "diff 3 4 --control 127.0.0.1:1",
         "nodes --behind --control 127.0.0.1:1",
         "wait --version 7 --timeout-s 5 --control 127.0.0.1:1",
+        "explain --node 127.0.0.1:1 --path /logs/1",
+        "explain --node [::1]:2 --path / --method POST --host a.example --team b --json",
     ];
     let refused = [
         "",
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod controls;
 mod crashes;
+mod explaining;
 mod faults;
 mod hedges;
 mod identity;
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -180,6 +180,11 @@
         self.node(index).controls()
     }
 
+    /// Explains where a node would send a request.
+    pub fn explainer(&self, index: usize) -> node::explaining::Explainer {
+        self.node(index).explainer()
+    }
+
     /// The cancelled requests in a node's metrics: those whose caller disconnected.
     pub fn cancelled(&self, index: usize) -> u64 {
         self.counter(index, "heatherwalk_node_requests_total{", "outcome=\"cancelled\"")
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -3,9 +3,10 @@
 use std::{sync, time as std_time};
 
 use compact_str::CompactString;
+use membership::directory;
 use protocol::forwarding;
 use routing::{balancer, estimates};
-use world::{requests, targets, time};
+use world::{mesh, requests, targets, time};
 
 use crate::{linking, reaching, state, working};
 
@@ -166,23 +167,7 @@
     let service = &request.head.service;
     let mesh = state.mesh.lock();
     let directory = state.directory.lock();
-    let subset = linking::use_service(state, &directory, service);
-    let candidates: Vec<_> = directory
-        .of_service(service)
-        .map(|(key, it)| (key, it, subset.binary_search(&key).is_ok()))
-        .map(|(key, it, in_subset)| balancer::Candidate {
-            key,
-            state: it.entry.state,
-            since: it.since,
-            slots: it.entry.slots,
-            link: match mesh.find_data_centre(&it.entry.data_centre) {
-                Some(centre) => mesh.latency(state.location.centre_key, centre),
-                None => world::mesh::REMOTE_LATENCY,
-            },
-            in_subset,
-            linked: in_subset && linking::is_linked(state, &it.entry),
-        })
-        .collect();
+    let candidates = candidates(state, &mesh, &directory, service);
     let criteria = balancer::Request {
         candidates: &candidates,
         excluded: tried,
@@ -269,6 +254,33 @@
     Ok(Chosen { target, guard, admission: None, max_wait: choice.max_wait, hedge_at })
 }
 
+/// The targets of a service, with what the node knows of them besides its measurements.
+pub(crate) fn candidates(
+    state: &state::State,
+    mesh: &mesh::Mesh,
+    directory: &directory::Directory,
+    service: &CompactString,
+) -> Vec<balancer::Candidate> {
+    let subset = linking::use_service(state, directory, service);
+    let candidate = |(key, it): (targets::TargetKey, &membership::targets::Target)| {
+        let in_subset = subset.binary_search(&key).is_ok();
+        let centre = mesh.find_data_centre(&it.entry.data_centre);
+        balancer::Candidate {
+            key,
+            state: it.entry.state,
+            since: it.since,
+            slots: it.entry.slots,
+            link: match centre {
+                Some(centre) => mesh.latency(state.location.centre_key, centre),
+                None => mesh::REMOTE_LATENCY,
+            },
+            in_subset,
+            linked: in_subset && linking::is_linked(state, &it.entry),
+        }
+    };
+    directory.of_service(service).map(candidate).collect()
+}
+
 /// Refuses a part of the requests to a service whose targets refuse most of them, unless the chosen
 /// target has just reported a free slot.
 fn check_throttle(
--- a/crates/node/src/confirming.rs
+++ b/crates/node/src/confirming.rs
@@ -75,7 +75,7 @@
 
 /// Whether the running version may be routed by. A node without a version has nothing to wait for:
 /// its requests are refused for that reason.
-fn is_routable(state: &state::State) -> bool {
+pub(crate) fn is_routable(state: &state::State) -> bool {
     let now = state.now();
     let table = state.configuration.lock();
     table.running.is_none() || table.updater.freshness(now) != updater::Freshness::Unconfirmed
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod confirming;
 mod controls;
 pub mod dialect;
+pub mod explaining;
 mod forward;
 mod headers;
 mod hedging;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -8,7 +8,8 @@
 use transport::{endpoint, errors, links, pool, wire};
 
 use crate::{
-    attaching, backend, callers, controls, instruments, linking, reaching, serving, settings, state,
+    attaching, backend, callers, controls, explaining, instruments, linking, reaching, serving,
+    settings, state,
 };
 
 /// How often the timers of the version updater and of the backend server's lease are checked. Also
@@ -141,6 +142,11 @@
         Controls(sync::Arc::downgrade(&self.state))
     }
 
+    /// Explains where the node would send a request.
+    pub fn explainer(&self) -> explaining::Explainer {
+        explaining::Explainer::new(&self.state)
+    }
+
     /// The address that other nodes and controls connect to.
     pub fn listen(&self) -> Result<net::SocketAddr> {
         Ok(self.endpoint.local_addr()?)
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //! The encoding is chosen elsewhere: processes exchange a binary form, and operators' messages are
 //! JSON over HTTP.
 
+pub mod explanations;
 pub mod forwarding;
 pub mod operators;
 pub mod proposals;
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -257,7 +257,7 @@
     }
 
     /// Returns the share of its full load that a target gets: less than 1 during a cold start.
-    fn ramp_share(&self, now: Time, candidate: &Candidate) -> f32 {
+    pub(crate) fn ramp_share(&self, now: Time, candidate: &Candidate) -> f32 {
         if candidate.state != targets::State::Starting || !self.toggles.ramp {
             return 1.0;
         }
@@ -265,7 +265,7 @@
         (MIN_RAMP_SHARE + (1.0 - MIN_RAMP_SHARE) * age).min(1.0)
     }
 
-    fn stats(
+    pub(crate) fn stats(
         &self,
         now: Time,
         index: usize,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod silence;
 pub mod spillover;
 pub mod subset;
+pub mod survey;
 pub mod throttle;
 pub mod toggles;
 mod usable;
--- a/crates/routing/src/usable.rs
+++ b/crates/routing/src/usable.rs
@@ -131,12 +131,16 @@
     /// Computes the expected wait at each target. Targets that have not reported their service
     /// times get the mean of the others.
     pub(crate) fn estimate_waits(&mut self) {
-        let stats = &mut self.stats[..self.len];
-        fill_unknown(stats, |it| &mut it.service_time);
-        fill_unknown(stats, |it| &mut it.slot_time);
-        for it in stats {
-            it.wait = it.queue_ahead * it.slot_time / it.slots;
-        }
+        fill_times(&mut self.stats[..self.len]);
+    }
+}
+
+/// Fills in the times that are not known, and computes the expected wait at each target.
+pub(crate) fn fill_times(stats: &mut [policy::TargetStats]) {
+    fill_unknown(stats, |it| &mut it.service_time);
+    fill_unknown(stats, |it| &mut it.slot_time);
+    for it in stats {
+        it.wait = it.queue_ahead * it.slot_time / it.slots;
     }
 }
 
--- a/crates/web/src/routers.rs
+++ b/crates/web/src/routers.rs
@@ -59,13 +59,24 @@
     fixed(&[(http::Method::GET, "/ready", ())], move |(), request| handler(request))
 }
 
-/// The router of the metrics port, whose only route is `GET /metrics`.
-pub fn metrics<H, F>(handler: H) -> router::Router
+/// What a path of the port for operations names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Page {
+    /// `GET /metrics`: the metrics.
+    Metrics,
+    /// `GET /explain`: where a request would go.
+    Explain,
+}
+
+/// The router of the port for operations.
+pub fn operations<H, F>(handler: H) -> router::Router
 where
-    H: Fn(exchange::Request) -> F + Send + Sync + 'static,
+    H: Fn(Page, exchange::Request) -> F + Send + Sync + 'static,
     F: Future<Output = exchange::Response> + Send + 'static,
 {
-    fixed(&[(http::Method::GET, "/metrics", ())], move |(), request| handler(request))
+    let pages = [("/metrics", Page::Metrics), ("/explain", Page::Explain)];
+    let routes = pages.map(|(path, page)| (http::Method::GET, path, page));
+    fixed(&routes, handler)
 }
 
 /// A closure as a gotham handler. Gotham answers with 500 when it panics. That is unwind safe,
--- a/crates/web/tests/serving/main.rs
+++ b/crates/web/tests/serving/main.rs
@@ -355,7 +355,10 @@
             }),
         ),
         ("several", routers::fixed(&several, move |it, _| async move { text(it) })),
-        ("metrics", routers::metrics(move |_| async move { text("values") })),
+        (
+            "operations",
+            routers::operations(move |page, _| async move { text(&format!("{page:?}")) }),
+        ),
     ];
     let mut out = String::new();
     for (name, router) in routers {
