Let calls move on after a target has shed them

A backend server that sheds a call ended it, and with it the request that the call was made for, once the node's retry limit for the service was used up. Two things used it up: the calls of requests that had been shed elsewhere counted as repeats, although a shed request has not run and has made no calls, and callers' requests took the limit in order of arrival.

A shed request no longer marks its calls as repeats, and the moves of callers' requests leave a part of the limit to calls. The limit itself and the attempts of a request stay as they are. A shed counts as enough refusals, for both classes, to send the next requests elsewhere.

sends::sheds_end_calls, without a network and with 16 of 100 sends shed: 2,288 of 15,030 calls ended with the calls of shed requests as repeats, 654 of 14,985 by the rule for failed targets, 154 of 14,978 now.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -220,7 +220,14 @@
     routing.balancer.estimates.record_send(choice.target, trial);
     if tried.is_empty() {
         let limiter = routing.retry_limiter(service);
-        if request.head.repeat { limiter.record_repeat(now) } else { limiter.record_first(now) }
+        if request.head.repeat {
+            limiter.record_repeat(now)
+        } else {
+            limiter.record_first(now)
+        }
+        if !request.head.repeat && !caller {
+            limiter.record_call(now);
+        }
     }
     let Some(target) = directory.get(choice.target) else {
         return Err(balancer::Error::NoTargets.into());
@@ -298,6 +305,10 @@
         && (reason.is_overload() || reason.was_shed())
     {
         guard.record_admission(&mut state.routing.lock(), state.now(), false);
+        if reason.was_shed() {
+            let estimates = &mut state.routing.lock().balancer.estimates;
+            estimates.record_shed(state.now(), guard.target);
+        }
     }
     match failure {
         working::Failure::Silent => guard.failed(estimates::Failure::Silent),
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -250,6 +250,9 @@
             working::Failure::NotRun(reason) if reason.is_overload() => {
                 return Err(self.give_up(format_compact!("{reason:?}")));
             }
+            working::Failure::NotRun(reason) if reason.was_shed() => {
+                retry::Outcome::Shed(self.request.head.class)
+            }
             working::Failure::NotRun(_) => retry::Outcome::NotRun,
             working::Failure::Silent | working::Failure::Unknown(_) => retry::Outcome::Unknown,
         };
@@ -259,10 +262,9 @@
         match decide_retry(state, &mut self.request, outcome) {
             retry::Decision::Elsewhere => {
                 self.paid = true;
-                self.request.head.repeat |= match &failure {
-                    working::Failure::NotRun(reason) => reason.was_shed(),
-                    working::Failure::Silent | working::Failure::Unknown(_) => true,
-                };
+                // A request that was shed has made no calls yet. When its calls counted as repeats,
+                // they used up the retry limit of the services that it calls.
+                self.request.head.repeat |= outcome.may_have_run();
                 Ok(self)
             }
             retry::Decision::Done => Err(self.give_up("no answer".into())),
--- a/crates/routing/src/admissions.rs
+++ b/crates/routing/src/admissions.rs
@@ -11,6 +11,10 @@
 /// Largest number of refusals that are expected before an admission.
 const MAX_REFUSALS: f32 = 4.0;
 
+/// What the share of refused requests is at least set to when the backend server sheds one. With
+/// this share, [`MAX_REFUSALS`] refusals are expected.
+const SHED_SHARE: f32 = MAX_REFUSALS / (MAX_REFUSALS + 1.0);
+
 /// The recent outcomes of a node's sends to one target. Callers' requests and internal calls are
 /// told apart, since calls get slots first.
 #[derive(Clone, Copy, Debug, Default)]
@@ -40,6 +44,15 @@
         outcomes.updated = now;
     }
 
+    /// Records that the backend server itself refused a request. The target's node had a slot for it,
+    /// so neither class has room there.
+    pub(crate) fn record_shed(&mut self, now: Time) {
+        for outcomes in [&mut self.callers, &mut self.calls] {
+            outcomes.refused = outcomes.refused(now).max(SHED_SHARE);
+            outcomes.updated = now;
+        }
+    }
+
     /// Returns how many refusals are expected before the target admits a request.
     pub(crate) fn expected_refusals(&self, now: Time, class: requests::Class) -> f32 {
         let refused = match class {
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -143,9 +143,19 @@
 struct Bucket {
     second: u64,
     first: u32,
+    /// Internal calls among `first`.
+    calls: u32,
     extra: u32,
 }
 
+/// The sends of the whole window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    first: u64,
+    calls: u64,
+    extra: u64,
+}
+
 impl RetryLimiter {
     /// Creates a limiter that allows `percent` extra sends per hundred first sends.
     pub fn new(percent: u32) -> RetryLimiter {
@@ -175,17 +185,59 @@
         true
     }
 
+    /// Counts that the first send counted last was an internal call.
+    pub fn record_call(&mut self, now: Time) {
+        let bucket = self.bucket(now);
+        bucket.calls = bucket.calls.saturating_add(1);
+    }
+
+    /// Counts the move of a request that a target has shed if the limit allows one, and returns
+    /// whether it does.
+    ///
+    /// The moves of callers' requests leave a part of the limit to calls, half as large as the part
+    /// of calls among the first sends: a call that fails loses the work of the request that it is
+    /// made for, and a caller's request only itself.
+    pub fn try_move(
+        &mut self,
+        now: Time,
+        class: requests::Class,
+        toggles: &toggles::Toggles,
+    ) -> bool {
+        let totals = self.totals(now);
+        let reserved = match class {
+            requests::Class::Caller => {
+                self.allowed(totals) * totals.calls.min(totals.first) / (2 * totals.first.max(1))
+            }
+            requests::Class::Internal => 0,
+        };
+        if toggles.retry_limit && totals.extra + reserved >= self.allowed(totals) {
+            return false;
+        }
+        self.record_repeat(now);
+        true
+    }
+
     fn allows(&self, now: Time) -> bool {
+        let totals = self.totals(now);
+        totals.extra < self.allowed(totals)
+    }
+
+    /// Returns the extra sends that the limit allows in a window with these sends.
+    fn allowed(&self, totals: Totals) -> u64 {
+        (totals.first * u64::from(self.percent) / 100).max(MIN_RETRIES.into())
+    }
+
+    fn totals(&self, now: Time) -> Totals {
         let second = second(now);
-        let (mut first, mut extra) = (0_u64, 0_u64);
+        let mut totals = Totals::default();
         for bucket in &self.buckets {
             if second - bucket.second.min(second) < BUCKETS as u64 {
-                first += u64::from(bucket.first);
-                extra += u64::from(bucket.extra);
+                totals.first += u64::from(bucket.first);
+                totals.calls += u64::from(bucket.calls);
+                totals.extra += u64::from(bucket.extra);
             }
         }
-        let allowed = (first * u64::from(self.percent) / 100).max(MIN_RETRIES.into());
-        extra < allowed
+        totals
     }
 
     fn bucket(&mut self, now: Time) -> &mut Bucket {
--- a/crates/routing/src/estimates.rs
+++ b/crates/routing/src/estimates.rs
@@ -292,6 +292,13 @@
         }
     }
 
+    /// Records that the target's backend server shed a request, so that the next ones go elsewhere.
+    pub fn record_shed(&mut self, now: Time, key: targets::TargetKey) {
+        if let Some(estimate) = self.entry(key) {
+            estimate.admissions.record_shed(now);
+        }
+    }
+
     /// Records that the target refused a request without running it. A refusal shows load and is
     /// no failure.
     pub fn record_refusal(&mut self, now: Time, key: targets::TargetKey, load: Load, trial: bool) {
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -1,6 +1,6 @@
 //! Decides whether a request is sent again after a send has ended.
 
-use world::time::Time;
+use world::{requests, time::Time};
 
 use crate::{budget, toggles};
 
@@ -11,12 +11,25 @@
     Answered,
     /// The request has not run: the target's answer says so, or no byte of it was sent.
     NotRun,
+    /// The backend server received the request, which has this class, and refused it without
+    /// running it.
+    Shed(requests::Class),
     /// There is no answer, and the request may have run.
     Unknown,
     /// The backend server failed while the request was running.
     Failed,
 }
 
+impl Outcome {
+    /// Returns whether the request may have run, and thus may have made calls.
+    pub fn may_have_run(self) -> bool {
+        match self {
+            Outcome::NotRun | Outcome::Shed(_) => false,
+            Outcome::Answered | Outcome::Unknown | Outcome::Failed => true,
+        }
+    }
+}
+
 /// What the node does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -62,18 +75,20 @@
     limiter: &mut budget::RetryLimiter,
     toggles: &toggles::Toggles,
 ) -> Decision {
-    let may_run_again = match outcome {
-        Outcome::Answered => return Decision::Done,
-        Outcome::NotRun => true,
-        Outcome::Unknown | Outcome::Failed => request.idempotent || !toggles.idempotency_guard,
-    };
-    if !may_run_again {
+    if outcome == Outcome::Answered {
+        return Decision::Done;
+    }
+    if outcome.may_have_run() && !request.idempotent && toggles.idempotency_guard {
         return Decision::GiveUp(GiveUpReason::MayHaveRun);
     }
     if now + budget::DEADLINE_RESOLUTION >= request.deadline {
         return Decision::GiveUp(GiveUpReason::Deadline);
     }
-    match try_extra_send(now, budget, limiter, toggles) {
+    let refused = match outcome {
+        Outcome::Shed(class) => try_move(now, class, budget, limiter, toggles),
+        _ => try_extra_send(now, budget, limiter, toggles),
+    };
+    match refused {
         Some(reason) => Decision::GiveUp(reason),
         None => Decision::Elsewhere,
     }
@@ -96,3 +111,21 @@
     budget.try_spend(toggles);
     None
 }
+
+/// Like [`try_extra_send`], for a request that a target has shed.
+fn try_move(
+    now: Time,
+    class: requests::Class,
+    budget: &mut budget::Budget,
+    limiter: &mut budget::RetryLimiter,
+    toggles: &toggles::Toggles,
+) -> Option<GiveUpReason> {
+    if toggles.budget && budget.attempts == 0 {
+        return Some(GiveUpReason::Attempts);
+    }
+    if !limiter.try_move(now, class, toggles) {
+        return Some(GiveUpReason::Share);
+    }
+    budget.try_spend(toggles);
+    None
+}
--- a/crates/routing/tests/sends.rs
+++ b/crates/routing/tests/sends.rs
@@ -252,3 +252,68 @@
     1000000 us: GiveUp(Deadline)
     ");
 }
+
+/// How a node treats requests that targets shed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Rule {
+    /// As those of failed targets: the first ones get the limit, whatever their class.
+    Failed,
+    /// As shed ones.
+    Shed,
+    /// As shed ones, at a service whose callers were shed themselves: their calls count as repeats.
+    Repeats,
+}
+
+/// Guards against calls that end at the first target that sheds them, because callers' requests, or
+/// the calls of requests that were shed elsewhere, have used up the node's limit. Three of four
+/// requests are calls, and targets shed 16 of 100 sends; with up to three targets for each, 1 call
+/// in 200 would be shed by all of them anyway.
+#[test]
+fn sheds_end_calls() {
+    let toggles = toggles::Toggles::default();
+    let mut out = String::from("rule: calls, ended; callers' requests, ended; extra sends\n");
+    for rule in [Rule::Failed, Rule::Repeats, Rule::Shed] {
+        let mut rng = rngs::SmallRng::seed_from_u64(17_268);
+        let mut limiter = budget::RetryLimiter::new(14);
+        let (mut sent, mut ended, mut extra) = ([0_u32; 2], [0_u32; 2], 0);
+        for step in 0..20_000_u64 {
+            let now = Time::from_millis(step * 5);
+            let call = rng.random_range(0..4) > 0;
+            let class = if call { requests::Class::Internal } else { requests::Class::Caller };
+            sent[usize::from(call)] += 1;
+            if rule == Rule::Repeats && call && rng.random_range(0..100) < 16 {
+                limiter.record_repeat(now);
+                extra += 1;
+            } else {
+                limiter.record_first(now);
+                if call {
+                    limiter.record_call(now);
+                }
+            }
+            let mut budget = budget::Budget::new(time::Duration::from_secs(1), None);
+            while rng.random_range(0..100) < 16 {
+                let outcome = match rule {
+                    Rule::Failed => retry::Outcome::NotRun,
+                    Rule::Shed | Rule::Repeats => retry::Outcome::Shed(class),
+                };
+                let request = retry::Request { deadline: Time::MAX, ..request(true) };
+                let next =
+                    retry::decide(now, outcome, &request, &mut budget, &mut limiter, &toggles);
+                if next != retry::Decision::Elsewhere {
+                    ended[usize::from(call)] += 1;
+                    break;
+                }
+                extra += 1;
+            }
+        }
+        writeln!(out, "{rule:?}: {}, {}; {}, {}; {extra}", sent[1], ended[1], sent[0], ended[0])
+            .expect("text");
+        let allowed = (sent[0] + sent[1]) * 14 / 100 + 10 * budget::MIN_RETRIES;
+        assert!(rule == Rule::Repeats || extra <= allowed, "{out}");
+        assert!(rule != Rule::Shed || ended[1] * 50 <= sent[1], "{out}");
+    }
+    for outcome in OUTCOMES.into_iter().chain([retry::Outcome::Shed(requests::Class::Internal)]) {
+        writeln!(out, "{outcome:?}: calls repeat: {}", outcome.may_have_run()).expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
