Admit less to a backend server that sheds at its capacity

The node of a target went on to give slots that its backend server did not have: a server of 12 announced and 8 real slots shed a quarter of its arrivals, and its load report showed free slots, which attracted further requests.

The controller counts, by the number of requests that ran when a request started, how many were taken and how many were shed. When most at some number or above are shed, it gives one slot less than that number, at least a quarter, and tries one more after 1 s and then every 250 ms. The slots that are not usable count as busy in the load report. A server that sheds at random takes most requests at each number and keeps its slots.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -5,7 +5,8 @@
 use world::{contracts, requests::Class, time::Time};
 
 use crate::{
-    limits, load, queue, rate, requests, routes, service_times, short_load, suspects, work,
+    limits, load, queue, rate, requests, routes, service_times, shedding, short_load, suspects,
+    work,
 };
 
 /// Longest expected wait for a slot, as a fraction of the time until the objective. A few waiting
@@ -33,6 +34,7 @@
     pub(crate) counts: Counts,
     pub(crate) suspects: suspects::Suspects,
     short_load: short_load::ShortLoad,
+    shedding: shedding::Shedding,
     /// Service times of callers' requests.
     caller_times: service_times::MovingMean,
     /// Service times of internal calls.
@@ -97,6 +99,7 @@
             counts: Counts::default(),
             suspects: suspects::Suspects::default(),
             short_load: short_load::ShortLoad::default(),
+            shedding: shedding::Shedding::default(),
             caller_times: service_times::MovingMean::default(),
             call_times: service_times::MovingMean::default(),
             last_internal: None,
@@ -122,10 +125,11 @@
         let mut effects = self.advance(now);
         if let Some((flow, class, run)) = self.remove(key) {
             let elapsed = now.since(run.started);
+            self.record_taken(now, run, outcome);
             if outcome == work::Outcome::Answered {
                 self.class_times(class).record(service_times::as_micros(elapsed));
             }
-            if !run.long && !run.straggler {
+            if !run.long && !run.straggler && outcome != work::Outcome::Shed {
                 self.short_load.record(now, elapsed);
             }
             self.measure(flow, elapsed, outcome);
@@ -159,7 +163,9 @@
         let reserve = self.reserve_end().filter(|&it| waits && it > now);
         let token = self.rate.filter(|_| waits).map(|it| now + it.wait(now, 0));
         let token = token.filter(|&it| it > now);
-        [self.requests.next_timer(), step, reserve, token].into_iter().flatten().min()
+        let slots = self.limits.slots_at(self.ramp, now);
+        let shed = self.shedding.next_step(now, slots).filter(|_| waits);
+        [self.requests.next_timer(), step, reserve, token, shed].into_iter().flatten().min()
     }
 
     /// Sets the requests per second that the target takes, or ends the limit. Requests that run
@@ -229,17 +235,19 @@
         let load = load::LoadReport {
             in_flight: self.counts.running(),
             queued: u32::try_from(self.waiting()).unwrap_or(u32::MAX),
-            slots: if self.draining { 0 } else { self.slots(now) },
+            slots: if self.draining { 0 } else { self.limits.slots_at(self.ramp, now) },
             service_time: time::Duration::from_micros(self.routes.overall_mean()),
             queued_calls: u32::try_from(self.internal_queue.len()).unwrap_or(u32::MAX),
             caller_time: time::Duration::from_micros(self.caller_times.get().unwrap_or(0)),
             call_time: time::Duration::from_micros(self.call_times.get().unwrap_or(0)),
         };
+        // Senders know the announced slots; those that are not usable have to look taken.
+        let usable = self.slots(now);
         match &self.rate {
             Some(rate) => load
-                .with_free_slots(rate.busy_slots(load.service_time))
+                .with_free_slots(rate.busy_slots(load.service_time).min(usable))
                 .with_wait(rate.wait(now, self.waiting())),
-            None => load,
+            None => load.with_free_slots(usable),
         }
     }
 
@@ -254,7 +262,7 @@
     }
 
     pub(crate) fn slots(&self, now: Time) -> u32 {
-        self.limits.slots_at(self.ramp, now)
+        self.shedding.usable(now, self.limits.slots_at(self.ramp, now))
     }
 
     /// Returns the number of slots that long requests and stragglers may hold.
@@ -330,6 +338,34 @@
         take_decision(key, effects)
     }
 
+    /// Records whether the backend server took a request. Of one that failed, this is not known.
+    fn record_taken(&mut self, now: Time, run: requests::Run, outcome: work::Outcome) {
+        let slots = self.limits.slots_at(self.ramp, now);
+        match outcome {
+            work::Outcome::Answered | work::Outcome::TimedOut => {
+                self.shedding.record_taken(now, run.level, slots);
+            }
+            work::Outcome::Shed => {
+                let running = self.running_above(now, run);
+                self.shedding.record_shed(now, run.level, running, slots);
+            }
+            work::Outcome::Failed => {}
+        }
+    }
+
+    /// Returns how many requests run that started at the level of this one, which was shed, or at a
+    /// higher one, and that run for so long that the backend server would have shed them by now.
+    fn running_above(&self, now: Time, shed: requests::Run) -> u32 {
+        let answer_time = now.since(shed.started);
+        let taken = self.requests.iter().filter(|(_, it)| match it.state {
+            requests::State::Running(run) => {
+                run.level >= shed.level && now.since(run.started) >= 2 * answer_time
+            }
+            requests::State::Waiting => false,
+        });
+        u32::try_from(taken.count()).unwrap_or(u32::MAX)
+    }
+
     fn enqueue(
         &mut self,
         work: work::Work,
@@ -425,7 +461,7 @@
         let micros = service_times::as_micros(elapsed);
         let counts = match outcome {
             work::Outcome::Answered => true,
-            work::Outcome::Failed => false,
+            work::Outcome::Failed | work::Outcome::Shed => false,
             work::Outcome::TimedOut => self.routes.median(flow).is_some_and(|it| micros > it),
         };
         if !counts || !self.routes.record(flow, micros) {
--- a/crates/admission/src/dispatch.rs
+++ b/crates/admission/src/dispatch.rs
@@ -121,7 +121,9 @@
         let Some(it) = self.requests.get_mut(key) else {
             return;
         };
-        it.state = requests::State::Running(requests::Run { started: now, long, straggler: false });
+        let level = self.counts.running() + 1;
+        let run = requests::Run { started: now, long, straggler: false, level };
+        it.state = requests::State::Running(run);
         let work = it.work;
         self.queue_mut(work.class).start(flow, key, mean);
         self.counts.start(work.class, long);
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -17,6 +17,7 @@
 mod requests;
 mod routes;
 mod service_times;
+mod shedding;
 mod short_load;
 mod suspects;
 pub mod uplink;
--- a/crates/admission/src/requests.rs
+++ b/crates/admission/src/requests.rs
@@ -30,6 +30,8 @@
     /// Whether the request counted as long when it started.
     pub(crate) long: bool,
     pub(crate) straggler: bool,
+    /// How many requests ran when it started, itself included.
+    pub(crate) level: u32,
 }
 
 /// The arena of requests. Each has at most one timer: the latest start of a waiting request, or the
--- a/crates/admission/src/work.rs
+++ b/crates/admission/src/work.rs
@@ -72,6 +72,8 @@
     Answered,
     /// The backend server failed. The elapsed time is not measured.
     Failed,
+    /// The backend server refused it without running it. The elapsed time is not measured.
+    Shed,
     /// No answer came in time. The elapsed time is a lower bound of the service time, and is
     /// measured only if it exceeds the route's median.
     TimedOut,
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -138,7 +138,7 @@
                 return Ok(Answered { status, headers, body, execution, node_status });
             }
             dialect::AnswerKind::NotRun => {
-                execution.finish(work::Outcome::Failed);
+                execution.finish(work::Outcome::Shed);
                 Failure::NotRun(forwarding::NotRun::Shed)
             }
             dialect::AnswerKind::Foreign => {
