Ask refused callers to return by the service's ledger

The node records callers' requests, admissions and free slots in the ledger of their service, and sets Retry-After by its promise in place of the shortest reported wait within 10 to 200 ms. Calls keep that rule, since they hold the slot of the request that they are made for. The decision line return_promised says why, and the histogram node.returns.pause counts the promises.

A service that refuses few requests needs no turn for its first return: a node that sends it less than one request a second would promise the longest pause after a single refusal.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -73,6 +73,12 @@
             if self.remote && half_free {
                 routing.throttle(&self.service).clear();
             }
+            if self.class == requests::Class::Caller {
+                routing.returns(&self.service).record_admitted(now);
+            }
+            if half_free {
+                routing.returns(&self.service).record_room(now);
+            }
             let estimates = &mut routing.balancer.estimates;
             let change = estimates.record_answer(now, self.target, &sample, peers.into_iter());
             self.log_change(change);
@@ -210,6 +216,9 @@
     })?;
     // A call is not held back: the work of the request that it is made for would be lost.
     let caller = request.head.class == requests::Class::Caller;
+    if caller && tried.is_empty() {
+        routing.returns(service).record_offered(now);
+    }
     let remote = own != Some(choice.target);
     if caller && remote && !paid {
         let candidate = candidates.iter().find(|it| it.key == choice.target);
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -15,6 +15,9 @@
 const ADDED_BOUNDS_S: [f64; 11] =
     [0.0001, 0.0002, 0.0005, 0.001, 0.00125, 0.0015, 0.002, 0.003, 0.005, 0.01, 0.1];
 
+/// Upper bounds of the histogram of the pauses of refused callers, in seconds.
+const PAUSE_BOUNDS_S: [f64; 8] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0];
+
 /// How a caller's request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -34,6 +37,7 @@
     requests: metrics::Counter<u64>,
     attempts: metrics::Counter<u64>,
     refusals: metrics::Counter<u64>,
+    promised_pause: metrics::Histogram<f64>,
     request_time: metrics::Histogram<f64>,
     added_time: metrics::Histogram<f64>,
     control: metrics::Counter<u64>,
@@ -62,6 +66,11 @@
             requests: counter("node.requests", "Callers' requests by outcome"),
             attempts: counter("node.attempts", "Sends to targets, retries and hedges included"),
             refusals: counter("node.refusals", "Requests refused as not run, by reason"),
+            promised_pause: times(
+                "node.returns.pause",
+                "Pauses after which refused callers were asked to return",
+                &PAUSE_BOUNDS_S,
+            ),
             request_time: times(
                 "node.request.time",
                 "From the head of a request to the end of its answer",
@@ -117,6 +126,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", refusal_name(reason))]);
     }
 
+    /// Counts a refused caller that is asked to return after this pause.
+    pub fn count_promise(&self, pause: time::Duration) {
+        self.promised_pause.record(pause.as_secs_f64(), &[]);
+    }
+
     /// Adds the UDP payload bytes that a link to a control has sent and received since the last
     /// call.
     pub fn count_control(&self, traffic: links::Traffic) {
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -11,10 +11,9 @@
 /// An answer for the caller, or the node's refusal.
 pub(crate) type Result<T, E = Refusal> = std::result::Result<T, E>;
 
-/// Bounds of the time after which a refused caller is asked to retry. Unless the targets stay
-/// overloaded for seconds, a slot becomes free within the longer one.
-const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(10);
-const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+/// The time after which a caller is asked to retry when the node has no memory for its body. Most
+/// bodies are passed on within it.
+const NO_MEMORY_RETRY: time::Duration = time::Duration::from_millis(200);
 
 /// The time after which a caller is asked to retry when the node's version may be old. The node asks
 /// its control meanwhile, over a link that may be busy.
@@ -157,7 +156,7 @@
     let detail =
         "the bodies of other requests take the memory of this node; send the request again";
     let status = http::StatusCode::SERVICE_UNAVAILABLE;
-    Refusal::not_run(status, "no-memory", detail).with_retry_after(MAX_RETRY_AFTER)
+    Refusal::not_run(status, "no-memory", detail).with_retry_after(NO_MEMORY_RETRY)
 }
 
 pub(crate) fn too_old() -> Refusal {
@@ -232,14 +231,12 @@
 pub(crate) fn from_failure(failure: sending::Failure, late: bool) -> Refusal {
     let status = |in_time| if late { http::StatusCode::GATEWAY_TIMEOUT } else { in_time };
     match failure {
-        sending::Failure::NotRun(reason, min_wait) => {
+        sending::Failure::NotRun(reason, pause) => {
             let detail = format_compact!("no target ran the request: {reason}");
             let status = status(http::StatusCode::SERVICE_UNAVAILABLE);
             let refusal = Refusal::not_run(status, "no-target", &detail);
-            match min_wait {
-                Some(pause) => {
-                    refusal.with_retry_after(pause.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
-                }
+            match pause {
+                Some(pause) => refusal.with_retry_after(pause),
                 None => refusal,
             }
         }
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -4,8 +4,8 @@
 
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
-use routing::retry;
-use world::targets;
+use routing::{retry, returns};
+use world::{requests, targets};
 
 use crate::{choosing, forward, hedging, state, working};
 
@@ -19,6 +19,10 @@
 /// attempts are not taken from the request's budget.
 const MAX_REROUTES: u8 = 2;
 
+/// Longest time after which a backend server is asked to repeat a call. The request that it makes
+/// the call for holds a slot meanwhile.
+const MAX_CALL_PAUSE: time::Duration = time::Duration::from_millis(200);
+
 /// A result of sending a request to targets.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -64,8 +68,8 @@
 /// Why a request got no answer from any target.
 #[derive(Clone, Debug)]
 pub(crate) enum Failure {
-    /// No target ran the request. Holds the reason, and the time until one of the targets that
-    /// refused it may have a free slot, if any reported its load.
+    /// No target ran the request. Holds the reason, and the time after which the caller is asked to
+    /// return, if any of the targets that refused it reported its load.
     NotRun(CompactString, Option<time::Duration>),
     /// The request is quarantined because it crashes backend servers. It was not run this time.
     Quarantined,
@@ -95,6 +99,8 @@
     paid: bool,
     /// The shortest wait for a slot that one of the refusing targets reported.
     min_wait: Option<time::Duration>,
+    /// The mean time that a caller's request runs, as a refusing target reported it.
+    run_time: time::Duration,
 }
 
 /// A request and the target of its next attempt.
@@ -118,6 +124,7 @@
             reroutes: 0,
             paid: false,
             min_wait: None,
+            run_time: time::Duration::ZERO,
         },
     )
 }
@@ -214,6 +221,7 @@
         if matches!(failure, working::Failure::NotRun(_)) && choosing::has_load(&node_status) {
             let wait = node_status.load.expected_wait();
             self.min_wait = Some(self.min_wait.map_or(wait, |it| it.min(wait)));
+            self.run_time = node_status.load.caller_time;
         }
         choosing::record_failure(state, self.request.deadline(), guard, &failure, &node_status);
         self.request.head.budget.return_unused(node_status.attempts);
@@ -248,7 +256,7 @@
             // The targets have no free slot in time. Retries are for failed targets and links;
             // under overload they would only add load.
             working::Failure::NotRun(reason) if reason.is_overload() => {
-                return Err(self.give_up(format_compact!("{reason:?}")));
+                return Err(self.give_up(state, format_compact!("{reason:?}")));
             }
             working::Failure::NotRun(reason) if reason.was_shed() => {
                 retry::Outcome::Shed(self.request.head.class)
@@ -257,7 +265,7 @@
             working::Failure::Silent | working::Failure::Unknown(_) => retry::Outcome::Unknown,
         };
         if self.possible_crashes >= MAX_CRASHES {
-            return Err(self.give_up("it may have crashed two backend servers".into()));
+            return Err(self.give_up(state, "it may have crashed two backend servers".into()));
         }
         match decide_retry(state, &mut self.request, outcome) {
             retry::Decision::Elsewhere => {
@@ -267,26 +275,63 @@
                 self.request.head.repeat |= outcome.may_have_run();
                 Ok(self)
             }
-            retry::Decision::Done => Err(self.give_up("no answer".into())),
+            retry::Decision::Done => Err(self.give_up(state, "no answer".into())),
             retry::Decision::GiveUp(why) => {
                 let reason = match failure {
                     working::Failure::NotRun(it) => format_compact!("{it:?}, then {why:?}"),
                     working::Failure::Silent => "the target's node stopped responding".into(),
                     working::Failure::Unknown(it) => it,
                 };
-                Err(self.give_up(reason))
+                Err(self.give_up(state, reason))
             }
         }
     }
 
     /// The error after the last attempt. `reason` counts only when no attempt may have run.
-    fn give_up(&self, reason: CompactString) -> Error {
+    fn give_up(&self, state: &state::State, reason: CompactString) -> Error {
         self.error(match &self.maybe_run {
             Some(detail) => Failure::Unknown(detail.clone()),
-            None => Failure::NotRun(reason, self.min_wait),
+            None => Failure::NotRun(reason, self.min_wait.map(|it| self.promise_return(state, it))),
         })
     }
 
+    /// The time after which the caller is asked to return. `wait` is the shortest wait for a slot
+    /// that a target has reported.
+    fn promise_return(&self, state: &state::State, wait: time::Duration) -> time::Duration {
+        let head = &self.request.head;
+        if head.class == requests::Class::Internal {
+            return wait.clamp(returns::MIN_PAUSE, MAX_CALL_PAUSE);
+        }
+        let now = state.now();
+        let refused = returns::Refused {
+            rank: head.context.rank,
+            left: head.context.deadline.since(now),
+            objective: head.context.objective.since(now),
+            run: self.run_time,
+            wait,
+        };
+        let promise = {
+            let mut routing = state.routing.lock();
+            let routing = &mut *routing;
+            let ledger = routing.returns.entry(head.service.clone()).or_default();
+            ledger.promise(now, &refused, &mut routing.rng)
+        };
+        state.instruments.count_promise(promise.pause);
+        log::info!(
+            target: "decision",
+            "return_promised request={} service={} rank={} pause={:?} ahead={} left={:?} \
+             reason=\"{}\"",
+            head.id,
+            head.service,
+            refused.rank,
+            promise.pause,
+            promise.ahead,
+            refused.left,
+            promise.why,
+        );
+        promise.pause
+    }
+
     fn error(&self, failure: Failure) -> Error {
         Error { failure, attempts_left: self.request.head.budget.attempts }
     }
@@ -297,8 +342,9 @@
     let mut chosen = chosen.map_err(|err| {
         if let choosing::Error::Full(pause) = err {
             retries.min_wait.get_or_insert(pause);
+            retries.run_time = retries.run_time.max(pause);
         }
-        retries.give_up(format_compact!("{err}"))
+        retries.give_up(state, format_compact!("{err}"))
     })?;
     retries.tried.push(chosen.target.key);
     if chosen.target.host == state.location.host {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -8,7 +8,7 @@
 use membership::{directory, local_target};
 use protocol::{forwarding, streams};
 use rand::{SeedableRng as _, rngs};
-use routing::{balancer, budget, hedge, prober, throttle};
+use routing::{balancer, budget, hedge, prober, returns, throttle};
 use tables::{clock, pool, rank, table};
 use tokio::sync::mpsc;
 use world::{config, contracts, document, log_limits, mesh, requests, time};
@@ -120,6 +120,8 @@
     pub(crate) retry_limiters: collections::HashMap<CompactString, budget::RetryLimiter>,
     /// The recent outcomes of each service's sends to other hosts, which limit further ones.
     pub(crate) throttles: collections::HashMap<CompactString, throttle::Throttle>,
+    /// The recent requests of each service's callers and the returns that were promised to them.
+    pub(crate) returns: collections::HashMap<CompactString, returns::Ledger>,
     /// The latencies of routes that allow hedges.
     pub(crate) latencies: collections::HashMap<contracts::RouteKey, hedge::LatencyHistogram>,
     /// Counts the requests of routes that are split among services, from a random start.
@@ -183,6 +185,7 @@
             retry_percent: settings.retry_percent,
             retry_limiters: collections::HashMap::new(),
             throttles: collections::HashMap::new(),
+            returns: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
             split_counter: rand::random(),
             rng: rngs::SmallRng::from_os_rng(),
@@ -272,6 +275,11 @@
         self.throttles.entry(service.clone()).or_default()
     }
 
+    /// The recent requests of a service's callers, and the returns that were promised to them.
+    pub(crate) fn returns(&mut self, service: &CompactString) -> &mut returns::Ledger {
+        self.returns.entry(service.clone()).or_default()
+    }
+
     /// Moves the latencies of routes to their keys in a new version of the configuration.
     pub(crate) fn remap_routes(
         &mut self,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,10 +3,11 @@
 //!
 //! A [`balancer::Balancer`] selects a target by a [`policy`] and by what the node has measured of
 //! each target ([`estimates`]). [`budget`], [`retry`] and [`hedge`] limit how often a request is
-//! sent, and [`throttle`] what is sent to a service that is full. [`silence`] says whether a host
-//! has stopped responding, and [`prober`] which hosts to probe then. [`subset`] bounds the targets
-//! that a node uses, and [`dialer`] says when to open links to them. Nothing here does I/O or reads
-//! a clock: the time, and random numbers or their seed, are arguments.
+//! sent, and [`throttle`] what is sent to a service that is full. [`returns`] says when the callers
+//! that such a service refuses are asked to return. [`silence`] says whether a host has stopped
+//! responding, and [`prober`] which hosts to probe then. [`subset`] bounds the targets that a node
+//! uses, and [`dialer`] says when to open links to them. Nothing here does I/O or reads a clock: the
+//! time, and random numbers or their seed, are arguments.
 
 mod admissions;
 pub mod balancer;
--- a/crates/routing/src/returns.rs
+++ b/crates/routing/src/returns.rs
@@ -136,8 +136,7 @@
         let slot = self.slot(turn(now));
         slot.refused = slot.refused.saturating_add(1);
         let jitter = 1.0 - JITTER * rng.random::<f32>();
-        let free = self.free_rate(now);
-        let due = time::Duration::from_secs_f32((ahead as f32 + 1.0) / free.max(MIN_RATE));
+        let due = self.next_room(turn(now), ahead);
         let (pause, why) = match () {
             () if has_room => (refused.wait, Why::Room),
             () if due < latest => (due.max(refused.wait), Why::Turn),
@@ -157,19 +156,19 @@
         due.flat_map(|it| &it.promised[..=index(rank)]).map(|&it| u32::from(it)).sum()
     }
 
-    /// Returns the rate, in requests per second, at which the service has room for returns.
-    fn free_rate(&self, now: Time) -> f32 {
-        let turn = turn(now);
+    /// Returns the time until the service is expected to have room behind so many returns. While it
+    /// does not count as overloaded, the first return needs no turn.
+    fn next_room(&self, turn: u64, ahead: u32) -> time::Duration {
         let recent = self.slots.iter().filter(|it| it.turn <= turn && it.turn + RATE_SLOTS > turn);
         let (mut offered, mut refused) = (0, 0);
         for it in recent {
             offered += u32::from(it.offered);
             refused += u32::from(it.refused);
         }
-        let best = self.best_rate(turn);
         let overloaded = refused * 100 > offered * MAX_REFUSED_PERCENT && refused > 1;
-        let taken = if overloaded { offered as f32 / RATE_TIME.as_secs_f32() } else { 0.0 };
-        best - taken
+        let (taken, before) = if overloaded { (offered, ahead + 1) } else { (0, ahead) };
+        let rate = self.best_rate(turn) - taken as f32 / RATE_TIME.as_secs_f32();
+        time::Duration::from_secs_f32(before as f32 / rate.max(MIN_RATE))
     }
 
     /// Returns the highest rate of admissions in [`WINDOW`], in requests per second.
--- a/crates/routing/tests/returns.rs
+++ b/crates/routing/tests/returns.rs
@@ -198,3 +198,62 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// A service and the callers that it refuses.
+struct Case {
+    name: &'static str,
+    /// The requests and the admissions of the last second, and its earlier refusals.
+    load: (u32, u32, u32),
+    /// Whether a target has reported free slots.
+    room: bool,
+    ranks: &'static [u32],
+}
+
+/// Guards against promises that are no use to the caller, against urgent callers behind less urgent
+/// ones, and against long pauses at a service that refuses few requests or has room again. Callers
+/// have 2.4 s left.
+#[test]
+fn a_promise_is_of_no_use() {
+    let now = Time::from_millis(10_000);
+    let ms = time::Duration::from_millis;
+    let (quiet, full) = ((40, 36, 0), (40, 20, 20));
+    let cases = [
+        Case { name: "one refusal", load: quiet, room: false, ranks: &[1] },
+        Case { name: "a burst", load: quiet, room: false, ranks: &[2, 2, 2, 0, 1] },
+        Case { name: "overload", load: full, room: false, ranks: &[2, 0] },
+        Case { name: "room again", load: full, room: true, ranks: &[1, 1] },
+        Case { name: "no admissions", load: (1, 0, 0), room: false, ranks: &[1] },
+    ];
+    let mut out = String::new();
+    for case in cases {
+        let (offered, admitted, refusals) = case.load;
+        let mut ledger = returns::Ledger::default();
+        let mut rng = rngs::SmallRng::seed_from_u64(53);
+        let at = |index: u32, count: u32| now + ms(1_000) * index / count;
+        (0..offered).for_each(|it| ledger.record_offered(at(it, offered)));
+        (0..admitted).for_each(|it| ledger.record_admitted(at(it, admitted)));
+        let refused = |rank| returns::Refused {
+            rank,
+            left: ms(2_400),
+            objective: ms(1_000),
+            run: ms(200),
+            wait: ms(40),
+        };
+        let early = returns::Refused { left: ms(150), ..refused(3) };
+        for it in 0..refusals {
+            ledger.promise(at(it, refusals), &early, &mut rng);
+        }
+        let now = now + ms(1_000);
+        if case.room {
+            ledger.record_room(now);
+        }
+        writeln!(out, "{}", case.name).expect("text");
+        for &rank in case.ranks {
+            let promise = ledger.promise(now, &refused(rank), &mut rng);
+            assert!(promise.pause <= ms(2_400) / 3 && promise.pause >= returns::MIN_PAUSE);
+            assert!(rank > 0 || promise.ahead == 0, "{promise:?}");
+            writeln!(out, "  rank {rank}: {promise:?}").expect("text");
+        }
+    }
+    insta::assert_snapshot!(out);
+}
