Report the slots that are left with the refusal that shows it

The load report of a shed request was made before the controller knew of the shed, so its sender learned of the lower number of slots only with its next request to the target. The node frees the slot first now.

--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -183,6 +183,19 @@
         });
     }
 
+    /// Frees the slot and records how the work ended. Returns when this is done.
+    pub(crate) async fn finish_and_wait(mut self, outcome: work::Outcome) {
+        self.done = true;
+        let (state, key) = (sync::Arc::clone(&self.state), self.key);
+        let (done, finished) = oneshot::channel();
+        self.state.pool.submit_or_run(move || {
+            let now = state.now();
+            state.admission.lock().finish(now, key, outcome);
+            let _ = done.send(());
+        });
+        let _ = finished.await;
+    }
+
     /// Drops the permit without cancelling, after the controller itself has refused the work.
     pub(crate) fn disarm(mut self) {
         self.done = true;
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -130,7 +130,7 @@
     {
         received.discard_connection();
     }
-    let node_status = node_status(state, execution.take_attempts(), backend);
+    let mut node_status = node_status(state, execution.take_attempts(), backend);
     let failure = match result {
         Ok(received) => match classify(&received) {
             dialect::AnswerKind::Answered => {
@@ -138,7 +138,9 @@
                 return Ok(Answered { status, headers, body, execution, node_status });
             }
             dialect::AnswerKind::NotRun => {
-                execution.finish(work::Outcome::Shed);
+                execution.finish_shed().await;
+                // The sender is to know at once how many slots are left.
+                node_status.load = state.admission.lock().load(state.now());
                 Failure::NotRun(forwarding::NotRun::Shed)
             }
             dialect::AnswerKind::Foreign => {
@@ -211,6 +213,15 @@
         });
     }
 
+    /// Records that the backend server has shed the request, and returns when its slot is free and
+    /// the admission controller knows of the shed.
+    async fn finish_shed(mut self) {
+        if let Some(permit) = self.permit.take() {
+            permit.finish_and_wait(work::Outcome::Shed).await;
+        }
+        self.finish(work::Outcome::Shed);
+    }
+
     /// Records that the connection broke or the deadline passed before the answer was complete,
     /// and frees the slot. If the connection broke, with the head of the answer or within its body,
     /// the backend server may have crashed, so this checks whether it is alive.
