Tell callers of the own front end when to return

Only the platform's front end wrote Retry-After; the product's own one left out the time that the node had promised.

refusals::a_refused_caller_is_not_told_when_to_return failed to find the field before.

--- a/crates/heatherwalk/tests/requests/refusals.rs
+++ b/crates/heatherwalk/tests/requests/refusals.rs
@@ -10,7 +10,7 @@
     task,
 };
 
-use crate::{callers, mesh};
+use crate::{callers, mesh, servers};
 
 const REFUSAL: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nheatherwalk-not-run: true\r\ncontent-length: 0\r\n\r\n";
@@ -141,3 +141,20 @@
         }
     }
 }
+
+/// Guards against refused callers that are not told when to return, or later than they honour: a
+/// third of the time that they have left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_refused_caller_is_not_told_when_to_return() {
+    let mesh = mesh::Mesh::spawn(2, mesh::document(&[("logs", json!({}), json!({}))])).await;
+    let shed = |_: &str, _: &[u8]| servers::Action::Shed;
+    let _server = servers::Server::spawn(mesh.announce(1), "logs", 4, shed).await;
+    mesh.ready(0, &["logs"]).await;
+    for _ in 0..20 {
+        let request = callers::get("/logs/work").with("heatherwalk-deadline-ms", "900");
+        let reply = callers::send(mesh.callers(0), request).await;
+        let pause = reply.headers.get("retry-after").and_then(|it| it.to_str().ok()?.parse().ok());
+        let pause: f64 = pause.unwrap_or_else(|| panic!("{reply} has no time"));
+        assert!(reply.status == 503 && (0.01..=0.3).contains(&pause), "{reply}: {pause}");
+    }
+}
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -24,6 +24,8 @@
 pub(crate) const OUTCOME: &str = "heatherwalk-outcome";
 /// The reason of a refusal, in one word.
 pub(crate) const REASON: &str = "heatherwalk-reason";
+/// After how many seconds the caller may send a refused request again, with a fraction.
+pub(crate) const RETRY_AFTER: &str = "retry-after";
 /// The name of the team whose API key the caller sent, for backend servers.
 pub(crate) const TEAM: &str = "heatherwalk-team";
 /// Marks a stored answer: `whole`, or `cut` when its body was too large to store.
