Count sheds in all policies that compare targets

Only near-first counted refusals, so the others went on to choose a target that sheds: it answers fast and has no requests in flight. Each expected shed now counts as one request in flight there.

--- a/crates/routing/src/admissions.rs
+++ b/crates/routing/src/admissions.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Admissions {
     callers: Outcomes,
     calls: Outcomes,
+    /// The requests of both classes that the backend server itself has shed.
+    sheds: Outcomes,
 }
 
 /// The outcomes of one class.
@@ -38,16 +40,16 @@
             requests::Class::Caller => &mut self.callers,
             requests::Class::Internal => &mut self.calls,
         };
-        let refused = outcomes.refused(now);
-        let newest = if admitted { 0.0 } else { 1.0 };
-        outcomes.refused = refused + NEWEST_WEIGHT * (newest - refused);
-        outcomes.updated = now;
+        outcomes.record(now, admitted);
+        if admitted {
+            self.sheds.record(now, admitted);
+        }
     }
 
     /// Records that the backend server itself refused a request. The target's node had a slot for it,
     /// so neither class has room there.
     pub(crate) fn record_shed(&mut self, now: Time) {
-        for outcomes in [&mut self.callers, &mut self.calls] {
+        for outcomes in [&mut self.callers, &mut self.calls, &mut self.sheds] {
             outcomes.refused = outcomes.refused(now).max(SHED_SHARE);
             outcomes.updated = now;
         }
@@ -55,15 +57,32 @@
 
     /// Returns how many refusals are expected before the target admits a request.
     pub(crate) fn expected_refusals(&self, now: Time, class: requests::Class) -> f32 {
-        let refused = match class {
-            requests::Class::Caller => self.callers.refused(now),
-            requests::Class::Internal => self.calls.refused(now),
-        };
-        (refused / (1.0 - refused).max(f32::EPSILON)).min(MAX_REFUSALS)
+        match class {
+            requests::Class::Caller => self.callers.expected(now),
+            requests::Class::Internal => self.calls.expected(now),
+        }
+    }
+
+    /// Returns how often the backend server is expected to shed a request before it takes one.
+    pub(crate) fn expected_sheds(&self, now: Time) -> f32 {
+        self.sheds.expected(now)
     }
 }
 
 impl Outcomes {
+    fn record(&mut self, now: Time, admitted: bool) {
+        let refused = self.refused(now);
+        let newest = if admitted { 0.0 } else { 1.0 };
+        self.refused = refused + NEWEST_WEIGHT * (newest - refused);
+        self.updated = now;
+    }
+
+    /// How many refusals are expected before an admission.
+    fn expected(&self, now: Time) -> f32 {
+        let refused = self.refused(now);
+        (refused / (1.0 - refused).max(f32::EPSILON)).min(MAX_REFUSALS)
+    }
+
     /// The share of refused requests. It falls evenly to zero as the outcomes get older.
     fn refused(&self, now: Time) -> f32 {
         let age = now.since(self.updated).as_secs_f32() / MAX_AGE.as_secs_f32();
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -305,6 +305,7 @@
             slot_time: estimate.map_or(0.0, |it| it.service_time),
             wait: 0.0,
             refusals: estimate.map_or(0.0, |it| it.admissions.expected_refusals(now, class)),
+            sheds: estimate.map_or(0.0, |it| it.admissions.expected_sheds(now)),
             local: candidate.link <= mesh::LOCAL_LATENCY,
         };
         (stats, estimate)
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -44,6 +44,8 @@
     pub wait: f32,
     /// Refusals that are expected before the target admits a request.
     pub refusals: f32,
+    /// Requests that the backend server is expected to shed before it takes one.
+    pub sheds: f32,
     /// Expected time that a request of this class runs, in microseconds.
     pub service_time: f32,
     /// Expected time that a request of any class runs, in microseconds.
@@ -128,10 +130,11 @@
     ///
     /// The measured latency includes the time spent waiting behind requests of other nodes. It
     /// does not yet include this node's unanswered requests, so each of them adds the latency
-    /// once more.
+    /// once more. So does each request that the backend server is expected to shed: a shed costs an
+    /// attempt, though it is fast and leaves no request in flight.
     pub fn expected_time(&self, stats: &TargetStats) -> f32 {
         let others = self.load_weight * stats.other_load / stats.slots;
-        stats.round_trip + stats.latency * (1.0 + stats.in_flight + others)
+        stats.round_trip + stats.latency * (1.0 + stats.in_flight + others + stats.sheds)
     }
 }
 
@@ -169,7 +172,7 @@
 }
 
 fn pick_of_two(_: &Policy, input: &PickInput<'_>, rng: &mut rngs::SmallRng) -> usize {
-    let cost = |it: &TargetStats| (it.in_flight + 1.0) * (it.latency + it.round_trip);
+    let cost = |it: &TargetStats| (it.in_flight + it.sheds + 1.0) * (it.latency + it.round_trip);
     let (a, b) = two_of(input.targets.len(), rng);
     if cost(&input.targets[a]) <= cost(&input.targets[b]) { a } else { b }
 }
--- a/crates/routing/tests/choices.rs
+++ b/crates/routing/tests/choices.rs
@@ -317,23 +317,26 @@
 fn requests_follow_a_shed_one() {
     let candidates = candidates(&[100, 100, 100]);
     let mut out = String::from("since the shed: share of 100 callers' requests, of 100 calls\n");
-    for since in [0, 100, 500, 1_000, 2_000] {
-        let mut router = balancer::Balancer::new(policy::NEAR_FIRST, toggles::Toggles::default());
-        let mut rng = rngs::SmallRng::seed_from_u64(SEED);
-        let now = Time::from_millis(1_000);
-        router.estimates.record_shed(now, candidates[0].key);
-        let now = now + time::Duration::from_millis(since);
-        let mut share = |class| {
-            let objective = time::Duration::from_millis(300);
-            let request = balancer::Request { class, objective, ..request(&candidates, now) };
-            let choices = (0..100).map(|_| router.choose(now, &request, &mut rng));
-            let chosen = choices.map(|it| it.expect("targets are there").target);
-            chosen.filter(|&it| it == candidates[0].key).count()
-        };
-        let shares = [share(requests::Class::Caller), share(requests::Class::Internal)];
-        assert!(since > 500 || shares == [0, 0], "{since} ms: {shares:?}");
-        assert!(since < 2_000 || shares.iter().all(|&it| it > 20), "{since} ms: {shares:?}");
-        writeln!(out, "{since} ms: {}, {}", shares[0], shares[1]).expect("text");
+    for policy in [policy::NEAR_FIRST, policy::LEAST_TIME, policy::TWO_CHOICES] {
+        for since in [0, 100, 500, 1_000, 2_000] {
+            let mut router = balancer::Balancer::new(policy, toggles::Toggles::default());
+            let mut rng = rngs::SmallRng::seed_from_u64(SEED);
+            let now = Time::from_millis(1_000);
+            router.estimates.record_shed(now, candidates[0].key);
+            let now = now + time::Duration::from_millis(since);
+            let mut share = |class| {
+                let objective = time::Duration::from_millis(300);
+                let request = balancer::Request { class, objective, ..request(&candidates, now) };
+                let choices = (0..100).map(|_| router.choose(now, &request, &mut rng));
+                let chosen = choices.map(|it| it.expect("targets are there").target);
+                chosen.filter(|&it| it == candidates[0].key).count()
+            };
+            let shares = [share(requests::Class::Caller), share(requests::Class::Internal)];
+            writeln!(out, "{}, {since} ms: {}, {}", policy.name, shares[0], shares[1])
+                .expect("text");
+            assert!(since > 500 || shares == [0, 0], "{out}");
+            assert!(since < 2_000 || shares.iter().all(|&it| it > 20), "{out}");
+        }
     }
     insta::assert_snapshot!(out);
 }
