--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -74,6 +74,12 @@
             if self.remote && half_free {
                 routing.throttle(&self.service).clear();
             }
+            if self.class == requests::Class::Caller {
+                routing.returns(&self.service).record_admitted(now);
+            }
+            if half_free {
+                routing.returns(&self.service).record_room(now);
+            }
             let estimates = &mut routing.balancer.estimates;
             let change = estimates.record_answer(now, self.target, &sample, peers.into_iter());
             self.log_change(change);
@@ -204,6 +210,9 @@
     }
     // A call is not held back: the work of the request that it is made for would be lost.
     let caller = request.head.class == requests::Class::Caller;
+    if caller && tried.is_empty() {
+        routing.returns(service).record_offered(now);
+    }
     let remote = own != Some(choice.target);
     if caller && remote && !paid {
         let candidate = candidates.iter().find(|it| it.key == choice.target);
@@ -214,7 +223,14 @@
     routing.balancer.estimates.record_send(choice.target, trial);
     if tried.is_empty() {
         let limiter = routing.retry_limiter(service);
-        if request.head.repeat { limiter.record_repeat(now) } else { limiter.record_first(now) }
+        if request.head.repeat {
+            limiter.record_repeat(now)
+        } else {
+            limiter.record_first(now)
+        }
+        if !request.head.repeat && !caller {
+            limiter.record_call(now);
+        }
     }
     let Some(target) = directory.get(choice.target) else {
         return Err(balancer::Error::NoTargets.into());
@@ -319,6 +335,10 @@
         && (reason.is_overload() || reason.was_shed())
     {
         guard.record_admission(&mut state.routing.lock(), state.now(), false);
+        if reason.was_shed() {
+            let estimates = &mut state.routing.lock().balancer.estimates;
+            estimates.record_shed(state.now(), guard.target);
+        }
     }
     match failure {
         working::Failure::Silent => guard.failed(estimates::Failure::Silent),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -8,7 +8,7 @@
 use membership::{directory, local_target};
 use protocol::{forwarding, streams};
 use rand::{SeedableRng as _, rngs};
-use routing::{balancer, budget, hedge, prober, spillover, throttle};
+use routing::{balancer, budget, hedge, prober, returns, spillover, throttle};
 use tables::{clock, pool, rank, table};
 use tokio::sync::mpsc;
 use world::{config, contracts, document, log_limits, mesh, requests, time};
@@ -122,6 +122,8 @@
     pub(crate) throttles: collections::HashMap<CompactString, throttle::Throttle>,
     /// How much of each service's load leaves the data centre.
     pub(crate) spillovers: collections::HashMap<CompactString, spillover::Spillover>,
+    /// The recent requests of each service's callers and the returns that were promised to them.
+    pub(crate) returns: collections::HashMap<CompactString, returns::Ledger>,
     /// The latencies of routes that allow hedges.
     pub(crate) latencies: collections::HashMap<contracts::RouteKey, hedge::LatencyHistogram>,
     /// Counts the requests of routes that are split among services, from a random start.
@@ -186,6 +188,7 @@
             retry_limiters: collections::HashMap::new(),
             throttles: collections::HashMap::new(),
             spillovers: collections::HashMap::new(),
+            returns: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
             split_counter: rand::random(),
             rng: rngs::SmallRng::from_os_rng(),
@@ -275,6 +278,11 @@
         self.throttles.entry(service.clone()).or_default()
     }
 
+    /// The recent requests of a service's callers, and the returns that were promised to them.
+    pub(crate) fn returns(&mut self, service: &CompactString) -> &mut returns::Ledger {
+        self.returns.entry(service.clone()).or_default()
+    }
+
     /// Moves the latencies of routes to their keys in a new version of the configuration.
     pub(crate) fn remap_routes(
         &mut self,
