Share the slots of a target among teams, and refuse the least urgent first

The queue of a target had one flow for each route, so a team that sent 7.5 times its usual load took the slots of the others, and internal calls of any rank started before more urgent callers' requests.

A flow is now a team, route and rank. Idle flows are removed, so the memory is bounded. Calls start by rank, and hold at most a quarter of the slots before callers' requests that outrank them. A full queue drops from the least urgent flow above its share; a request that would miss its objective displaces less urgent ones above their share. Load reports carry the part of more urgent requests that is refused while less urgent calls run.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -5,7 +5,8 @@
 use world::{contracts, requests::Class, time::Time};
 
 use crate::{
-    limits, load, queue, rate, requests, routes, service_times, short_load, suspects, work,
+    limits, load, losses, needs, queue, rate, requests, routes, service_times, short_load,
+    suspects, work,
 };
 
 /// Longest expected wait for a slot, as a fraction of the time until the objective. A few waiting
@@ -32,6 +33,8 @@
     pub(crate) internal_queue: queue::Queue,
     pub(crate) counts: Counts,
     pub(crate) suspects: suspects::Suspects,
+    pub(crate) losses: losses::Losses,
+    needs: needs::Needs,
     short_load: short_load::ShortLoad,
     /// Service times of callers' requests.
     caller_times: service_times::MovingMean,
@@ -48,6 +51,8 @@
 pub(crate) struct Counts {
     pub(crate) callers: u32,
     pub(crate) internal: u32,
+    /// Internal calls by rank.
+    calls: [u32; losses::RANKS],
     /// Slots with a long request or a straggler.
     pub(crate) slow: u32,
     pub(crate) stragglers: u32,
@@ -58,13 +63,20 @@
         self.callers + self.internal
     }
 
-    pub(crate) fn start(&mut self, class: Class, long: bool) {
-        *self.class_mut(class) += 1;
+    /// The number of running internal calls of this rank and the less urgent ones.
+    pub(crate) fn calls_from(&self, rank: u32) -> u32 {
+        self.calls[losses::index(rank)..].iter().sum()
+    }
+
+    pub(crate) fn start(&mut self, work: &work::Work, long: bool) {
+        *self.class_mut(work.class) += 1;
+        self.calls[losses::index(work.rank)] += u32::from(work.class == Class::Internal);
         self.slow += u32::from(long);
     }
 
-    fn stop(&mut self, class: Class, run: requests::Run) {
-        *self.class_mut(class) -= 1;
+    fn stop(&mut self, work: &work::Work, run: requests::Run) {
+        *self.class_mut(work.class) -= 1;
+        self.calls[losses::index(work.rank)] -= u32::from(work.class == Class::Internal);
         self.slow -= u32::from(run.long || run.straggler);
         self.stragglers -= u32::from(run.straggler);
     }
@@ -96,6 +108,8 @@
             internal_queue: queue::Queue::default(),
             counts: Counts::default(),
             suspects: suspects::Suspects::default(),
+            losses: losses::Losses::default(),
+            needs: needs::Needs::default(),
             short_load: short_load::ShortLoad::default(),
             caller_times: service_times::MovingMean::default(),
             call_times: service_times::MovingMean::default(),
@@ -178,7 +192,7 @@
         let mut effects = self.advance(now);
         self.limits = limits;
         self.dispatch(now, &mut effects);
-        self.trim_queue(&mut effects);
+        self.trim_queue(now, &mut effects);
         effects
     }
 
@@ -188,7 +202,7 @@
         self.draining = true;
         let keys: Vec<_> = self.caller_queue.keys().chain(self.internal_queue.keys()).collect();
         for key in keys {
-            self.refuse(key, work::RefusalReason::Draining, &mut effects);
+            self.refuse(now, key, work::RefusalReason::Draining, &mut effects);
         }
         effects
     }
@@ -222,6 +236,9 @@
         remap: impl FnMut(contracts::RouteKey) -> Option<contracts::RouteKey>,
     ) {
         self.routes.remap(remap);
+        self.caller_queue.forget_teams();
+        self.internal_queue.forget_teams();
+        self.needs.clear();
     }
 
     /// Returns the load to report on answers.
@@ -234,6 +251,7 @@
             queued_calls: u32::try_from(self.internal_queue.len()).unwrap_or(u32::MAX),
             caller_time: time::Duration::from_micros(self.caller_times.get().unwrap_or(0)),
             call_time: time::Duration::from_micros(self.call_times.get().unwrap_or(0)),
+            pressure: self.losses.pressure(now),
         };
         match &self.rate {
             Some(rate) => load
@@ -248,6 +266,12 @@
         self.counts.slow
     }
 
+    /// Returns the number of flows that are kept: those with waiting requests, and a bounded number
+    /// of idle ones.
+    pub fn kept_flows(&self) -> usize {
+        self.caller_queue.kept_flows() + self.internal_queue.kept_flows()
+    }
+
     /// Returns whether no request runs or waits. Draining is then complete.
     pub fn is_idle(&self) -> bool {
         self.counts.running() == 0 && self.waiting() == 0
@@ -279,10 +303,15 @@
     /// Refuses a waiting request.
     pub(crate) fn refuse(
         &mut self,
+        now: Time,
         key: work::RequestKey,
         reason: work::RefusalReason,
         effects: &mut Vec<work::Effect>,
     ) {
+        let work = self.requests.get(key).map(|it| it.work);
+        if let Some(work) = work.filter(|_| reason != work::RefusalReason::Draining) {
+            self.losses.record_refusal(now, &work);
+        }
         self.remove(key);
         effects.push(work::Effect::Refuse(key, reason));
     }
@@ -296,42 +325,88 @@
         if self.draining {
             return work::Decision::Refuse(work::RefusalReason::Draining);
         }
-        let flow = self.routes.flow(work.route);
-        let latest = self.routes.latest_start(flow, work.deadline);
+        let work = self.toggles.reduce(work);
+        let route = self.routes.flow(work.route);
+        let latest = self.routes.latest_start(route, work.deadline);
         if self.toggles.deadlines && now > latest {
             return work::Decision::Refuse(work::RefusalReason::Deadline);
         }
         if work.class == Class::Internal {
             self.last_internal = Some(now);
         }
-        let wait = self.expected_wait(now, flow, work.class);
-        let blocked = work.movable && self.is_blocked(flow, wait);
-        let key = self.enqueue(work, flow, latest);
+        let flow = queue::FlowId { rank: work.rank, team: work.team, route };
+        self.displace(now, flow, &work, effects);
+        let wait = self.expected_wait(now, flow, &work);
+        let blocked = work.movable && self.is_blocked(route, wait);
+        let key = self.enqueue(now, work, route, latest);
         self.dispatch(now, effects);
-        if self.is_waiting(key) && self.toggles.deadlines && now + wait > latest {
-            self.refuse(key, work::RefusalReason::Deadline, effects);
+        let late = self.toggles.deadlines && now + wait > latest;
+        let busy =
+            self.misses_objective(now, route, &work, wait) || self.exceeds_max_wait(&work, wait);
+        let reason = match () {
+            _ if !self.is_waiting(key) => None,
+            _ if late => Some(work::RefusalReason::Deadline),
+            _ if busy => Some(work::RefusalReason::Busy),
+            _ if blocked => Some(work::RefusalReason::Blocked),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            self.refuse(now, key, reason, effects);
         }
-        if self.is_waiting(key) && self.toggles.objectives {
-            let latest = self.routes.latest_start(flow, work.objective);
-            // An internal call is exempt: the request that makes it already holds a slot, and all
-            // its work would be lost with the call. Only the deadline ends the wait of a call.
-            let exceeds_objective = work.class == Class::Caller
-                && (now + wait > latest
-                    || wait > work.objective.since(now).mul_f32(MAX_WAIT_SHARE));
-            let exceeds_max_wait = work.movable && work.max_wait.is_some_and(|it| wait > it);
-            if exceeds_objective || exceeds_max_wait {
-                self.refuse(key, work::RefusalReason::Busy, effects);
-            }
+        self.trim_queue(now, effects);
+        take_decision(key, effects)
+    }
+
+    /// Whether a caller's request would wait too long for its objective. An internal call is exempt:
+    /// the request that makes it already holds a slot, and all its work would be lost with the call.
+    /// Only the deadline ends the wait of a call.
+    fn misses_objective(
+        &self,
+        now: Time,
+        route: routes::FlowKey,
+        work: &work::Work,
+        wait: time::Duration,
+    ) -> bool {
+        if !self.toggles.objectives || work.class == Class::Internal {
+            return false;
+        }
+        let latest = self.routes.latest_start(route, work.objective);
+        now + wait > latest || wait > work.objective.since(now).mul_f32(MAX_WAIT_SHARE)
+    }
+
+    fn exceeds_max_wait(&self, work: &work::Work, wait: time::Duration) -> bool {
+        let exceeds = work.movable && work.max_wait.is_some_and(|it| wait > it);
+        self.toggles.objectives && exceeds
+    }
+
+    /// Refuses less urgent callers' requests that wait above the share of their flows, until a new
+    /// caller's request is expected to start in time. Refuses none if that is not enough.
+    fn displace(
+        &mut self,
+        now: Time,
+        flow: queue::FlowId,
+        work: &work::Work,
+        effects: &mut Vec<work::Effect>,
+    ) {
+        if self.caller_queue.len() == 0 || work.class == Class::Internal {
+            return;
         }
-        if self.is_waiting(key) && blocked {
-            self.refuse(key, work::RefusalReason::Blocked, effects);
+        let firm = self.caller_queue.firm_cost(work.urgency());
+        let least = self.wait_behind(now, flow.route, work, firm);
+        if self.misses_objective(now, flow.route, work, least) {
+            return;
+        }
+        while self.misses_objective(now, flow.route, work, self.expected_wait(now, flow, work)) {
+            let Some(key) = self.caller_queue.displaceable(work.urgency()) else {
+                return;
+            };
+            self.refuse(now, key, work::RefusalReason::Displaced, effects);
         }
-        self.trim_queue(effects);
-        take_decision(key, effects)
     }
 
     fn enqueue(
         &mut self,
+        now: Time,
         work: work::Work,
         flow: routes::FlowKey,
         latest: Time,
@@ -339,7 +414,9 @@
         let key = self.requests.insert(work, flow);
         self.routes.add_request(flow);
         let cost = self.routes.mean(flow);
-        self.queue_mut(work.class).push(flow, work.weight, key, cost);
+        let id = queue::FlowId { rank: work.rank, team: work.team, route: flow };
+        let weight = self.needs.record(now, work.team, work.weight);
+        self.queue_mut(work.class).push(id, (work.weight, weight), key, cost);
         if self.toggles.deadlines && work.deadline < Time::MAX {
             self.requests.set_timer(key, Some(latest));
         }
@@ -352,19 +429,18 @@
 
     /// Refuses waiting requests beyond the queue's limit: first callers' requests beyond their
     /// guaranteed part of the queue, then internal calls.
-    fn trim_queue(&mut self, effects: &mut Vec<work::Effect>) {
+    fn trim_queue(&mut self, now: Time, effects: &mut Vec<work::Effect>) {
         while self.waiting() > self.limits.queue as usize {
             let callers = self.caller_queue.len() > self.limits.min_caller_queue();
             let (first, second) = match callers {
-                true => (&self.caller_queue, &self.internal_queue),
-                false => (&self.internal_queue, &self.caller_queue),
+                true => (Class::Caller, Class::Internal),
+                false => (Class::Internal, Class::Caller),
             };
-            let order = self.order();
-            let Some(key) = first.drop_candidate(order).or_else(|| second.drop_candidate(order))
-            else {
+            let last = |class| self.queue(class).drop_candidate(self.order(class));
+            let Some(key) = last(first).or_else(|| last(second)) else {
                 return;
             };
-            self.refuse(key, work::RefusalReason::QueueFull, effects);
+            self.refuse(now, key, work::RefusalReason::QueueFull, effects);
         }
     }
 
@@ -381,7 +457,7 @@
     fn fire_timers(&mut self, now: Time, effects: &mut Vec<work::Effect>) {
         while let Some(key) = self.requests.pop_timer(now) {
             if self.is_waiting(key) {
-                self.refuse(key, work::RefusalReason::Deadline, effects);
+                self.refuse(now, key, work::RefusalReason::Deadline, effects);
                 continue;
             }
             let Some(it) = self.requests.get_mut(key) else {
@@ -411,11 +487,11 @@
     fn remove(&mut self, key: work::RequestKey) -> Option<(routes::FlowKey, Class, requests::Run)> {
         let it = self.requests.remove(key)?;
         let requests::State::Running(run) = it.state else {
-            self.queue_mut(it.work.class).remove(it.flow, key);
+            self.queue_mut(it.work.class).remove(it.flow_id(), key);
             self.routes.remove_request(it.flow);
             return None;
         };
-        self.counts.stop(it.work.class, run);
+        self.counts.stop(&it.work, run);
         self.suspects.remove(it.work.suspect);
         self.routes.stop(it.flow);
         Some((it.flow, it.work.class, run))
--- a/crates/admission/src/dispatch.rs
+++ b/crates/admission/src/dispatch.rs
@@ -20,8 +20,8 @@
             let Some((flow, key)) = self.next(now, slots) else {
                 break;
             };
-            if self.is_late(now, flow, key) {
-                self.refuse(key, work::RefusalReason::Deadline, effects);
+            if self.is_late(now, flow.route, key) {
+                self.refuse(now, key, work::RefusalReason::Deadline, effects);
                 continue;
             }
             if self.rate.as_mut().is_some_and(|it| !it.take(now)) {
@@ -47,22 +47,26 @@
         slots - u32::from(reserved)
     }
 
-    fn next(&self, now: Time, slots: u32) -> Option<(routes::FlowKey, work::RequestKey)> {
+    fn next(&self, now: Time, slots: u32) -> Option<(queue::FlowId, work::RequestKey)> {
         let callers = self.max_caller_slots(now, slots);
         let max_slow = self.max_caller_slow(now, slots);
-        let caller = || {
+        let caller = |outranked: Option<(u32, u32)>| {
             let free = !self.toggles.internal_priority || self.counts.callers < callers;
-            free.then(|| self.next_in(Class::Caller, self.counts.slow < max_slow)).flatten()
+            let may_be_long = self.counts.slow < max_slow;
+            free.then(|| self.next_in(Class::Caller, may_be_long, outranked)).flatten()
         };
         // The first internal call may be long even if callers' stragglers hold all slots for slow
         // requests, since they may be waiting for it.
         let may_be_long =
             self.counts.internal == 0 || self.counts.slow < self.max_slow_slots(slots);
-        let internal = || self.next_in(Class::Internal, may_be_long);
-        if self.toggles.internal_priority && !self.callers_below_min(slots) {
-            return internal().or_else(caller);
+        let call = self.next_in(Class::Internal, may_be_long, None);
+        if !self.toggles.internal_priority || self.callers_below_min(slots) {
+            return caller(None).or(call);
         }
-        caller().or_else(internal)
+        let urgency = call.and_then(|it| self.requests.get(it.1)).map(|it| it.work.urgency());
+        let outranked =
+            urgency.filter(|it| self.counts.calls_from(it.0) >= limits::max_outranked_calls(slots));
+        outranked.and_then(|it| caller(Some(it))).or(call).or_else(|| caller(None))
     }
 
     /// Returns the number of slots that callers' long requests and stragglers may hold. The slot
@@ -80,17 +84,24 @@
         self.counts.callers < limits::min_caller_slots(slots)
     }
 
+    /// Returns the next request of a class; with `outranked`, only one that outranks this urgency.
     fn next_in(
         &self,
         class: Class,
         may_be_long: bool,
-    ) -> Option<(routes::FlowKey, work::RequestKey)> {
-        let open = |flow| !self.toggles.long_limit || may_be_long || !self.counts_as_long(flow);
+        outranked: Option<(u32, u32)>,
+    ) -> Option<(queue::FlowId, work::RequestKey)> {
+        let may_start =
+            |route| !self.toggles.long_limit || may_be_long || !self.counts_as_long(route);
+        let open = |flow: queue::FlowId, weight| {
+            let first = outranked.is_none_or(|it| work::outranks((flow.rank, weight), it));
+            first && may_start(flow.route)
+        };
         let ready = |key| {
             let suspect = self.requests.get(key).is_some_and(|it| it.work.suspect);
             !self.toggles.suspect_isolation || self.suspects.may_start(suspect)
         };
-        self.queue(class).next(self.order(), open, ready)
+        self.queue(class).next(self.order(class), open, ready)
     }
 
     /// Returns whether a request of the flow that starts now counts as long. Of a route without
@@ -104,8 +115,14 @@
         }
     }
 
-    pub(crate) fn order(&self) -> queue::Order {
-        if self.toggles.fair_queueing { queue::Order::Weight } else { queue::Order::Arrival }
+    /// Callers' requests share the slots by weight, so that the less urgent ones are not starved.
+    /// Calls go by rank, since a late call is worth nothing.
+    pub(crate) fn order(&self, class: Class) -> queue::Order {
+        match class {
+            _ if !self.toggles.fair_queueing => queue::Order::Arrival,
+            Class::Caller => queue::Order::Weight,
+            Class::Internal => queue::Order::Rank,
+        }
     }
 
     fn is_late(&self, now: Time, flow: routes::FlowKey, key: work::RequestKey) -> bool {
@@ -115,18 +132,19 @@
         self.toggles.deadlines && now > self.routes.latest_start(flow, it.work.deadline)
     }
 
-    fn start(&mut self, now: Time, flow: routes::FlowKey, key: work::RequestKey) {
-        let long = self.counts_as_long(flow);
-        let mean = self.routes.mean(flow);
+    fn start(&mut self, now: Time, flow: queue::FlowId, key: work::RequestKey) {
+        let long = self.counts_as_long(flow.route);
+        let mean = self.routes.mean(flow.route);
         let Some(it) = self.requests.get_mut(key) else {
             return;
         };
         it.state = requests::State::Running(requests::Run { started: now, long, straggler: false });
         let work = it.work;
         self.queue_mut(work.class).start(flow, key, mean);
-        self.counts.start(work.class, long);
+        self.counts.start(&work, long);
+        self.losses.record_start(now, &work);
         self.suspects.add(work.suspect);
-        self.routes.start(flow);
+        self.routes.start(flow.route);
         self.internal_starts = match work.class {
             Class::Caller => 0,
             Class::Internal => self.internal_starts.saturating_add(1),
@@ -163,7 +181,7 @@
         }
         keys.retain(|&it| self.requests.get(it).is_some_and(|it| it.work.movable));
         for key in keys {
-            self.refuse(key, work::RefusalReason::Blocked, effects);
+            self.refuse(now, key, work::RefusalReason::Blocked, effects);
         }
     }
 }
--- a/crates/admission/src/forecast.rs
+++ b/crates/admission/src/forecast.rs
@@ -4,7 +4,7 @@
 
 use world::{requests::Class, time::Time};
 
-use crate::{controller, limits, routes};
+use crate::{controller, limits, queue, routes, work};
 
 /// Longest expected wait of a short movable request behind slow ones, as a multiple of its route's
 /// median. The forecast is a mean, and many waits are about twice as long. With half of the
@@ -14,14 +14,28 @@
 impl controller::Controller {
     /// Returns the expected time until a request of the flow starts if it is queued now.
     pub(crate) fn expected_wait(
+        &self,
+        now: Time,
+        flow: queue::FlowId,
+        work: &work::Work,
+    ) -> time::Duration {
+        let ahead = self.queue(work.class).cost_ahead(self.order(work.class), flow);
+        self.wait_behind(now, flow.route, work, ahead)
+    }
+
+    /// Returns the expected time until a request of the route starts behind waiting requests that
+    /// need a slot for this time, in microseconds.
+    pub(crate) fn wait_behind(
         &self,
         now: Time,
         flow: routes::FlowKey,
-        class: Class,
+        work: &work::Work,
+        ahead: u64,
     ) -> time::Duration {
-        let serving = self.serving_slots(now, flow, class);
+        let class = work.class;
+        let serving = self.serving_slots(now, flow, work);
         // On average, the first of n busy slots becomes free after 1/n of the mean service time.
-        let micros = self.routes.overall_mean() + self.queue(class).cost_ahead(flow);
+        let micros = self.routes.overall_mean() + ahead;
         time::Duration::from_micros(micros / u64::from(serving)).max(self.rate_wait(now, class))
     }
 
@@ -47,7 +61,8 @@
 
     /// Returns the number of slots that serve the waiting requests of the flow, at least 1. Slots
     /// with slow requests do not count, since they become free late.
-    fn serving_slots(&self, now: Time, flow: routes::FlowKey, class: Class) -> u32 {
+    fn serving_slots(&self, now: Time, flow: routes::FlowKey, work: &work::Work) -> u32 {
+        let class = work.class;
         let slots = self.slots(now);
         let class_slots = match class {
             // Internal calls start first, and those that run now show how many slots they take.
@@ -59,6 +74,9 @@
                     .max(1)
             }
             Class::Internal if self.caller_queue.len() == 0 => slots,
+            Class::Internal if self.caller_queue.has_outranking(work.urgency()) => {
+                limits::max_outranked_calls(slots)
+            }
             Class::Internal => slots - limits::min_caller_slots(slots),
         };
         if !self.counts_as_long(flow) {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -12,6 +12,8 @@
 mod forecast;
 pub mod limits;
 pub mod load;
+mod losses;
+mod needs;
 mod queue;
 mod rate;
 mod requests;
--- a/crates/admission/src/limits.rs
+++ b/crates/admission/src/limits.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
-use world::time::Time;
+use world::{contracts, time::Time};
+
+use crate::work;
 
 /// One in this many slots and queue places is guaranteed to callers' requests, rounded up.
 const CALLER_SHARE: u32 = 4;
@@ -16,6 +18,10 @@
     pub queue: u32,
 }
 
+/// One in this many slots goes to internal calls before more urgent callers' requests, rounded down.
+/// The request that makes a call holds a slot elsewhere, so calls need a part in any case.
+const CALL_SHARE: u32 = 4;
+
 /// A cold start, in which the number of usable slots grows linearly from 1 to the limit.
 #[derive(Clone, Copy, Debug)]
 pub struct Ramp {
@@ -44,6 +50,18 @@
     pub suspect_isolation: bool,
     /// Routes share the slots by weight; otherwise requests start in order of arrival.
     pub fair_queueing: bool,
+    /// More urgent requests go first, and less urgent ones are refused first.
+    pub ranks: bool,
+    /// The teams of a route share its slots; otherwise a route's requests start in order of arrival.
+    pub teams: bool,
+}
+
+impl Toggles {
+    /// Returns the work without what admission does not tell apart.
+    pub(crate) fn reduce(self, work: work::Work) -> work::Work {
+        let team = if self.teams { work.team } else { contracts::TeamKey::default() };
+        work::Work { rank: if self.ranks { work.rank } else { 0 }, team, ..work }
+    }
 }
 
 impl Default for Toggles {
@@ -56,6 +74,8 @@
             objectives: true,
             suspect_isolation: true,
             fair_queueing: true,
+            ranks: true,
+            teams: true,
         }
     }
 }
@@ -99,6 +119,12 @@
     if slots == 1 { 0 } else { slots.div_ceil(CALLER_SHARE) }
 }
 
+/// Returns the number of slots that internal calls hold before more urgent callers' requests, at
+/// least 1. The rest is what the more urgent ones are guaranteed.
+pub(crate) fn max_outranked_calls(slots: u32) -> u32 {
+    (slots / CALL_SHARE).max(1)
+}
+
 /// Internal calls that may start in a row on a single slot while callers' requests wait.
 pub(crate) const MAX_INTERNAL_STARTS: u32 = CALLER_SHARE - 1;
 
--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -21,6 +21,20 @@
     pub caller_time: time::Duration,
     /// Moving average of the time that an internal call runs; zero before the first answer.
     pub call_time: time::Duration,
+    /// Whether more urgent requests are refused while less urgent calls are served.
+    pub pressure: Pressure,
+}
+
+/// Callers' requests that a target refuses while it serves less urgent calls. The nodes that take
+/// the requests which make these calls refuse a part of them. All zero when there is no need.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Pressure {
+    /// The rank of these requests.
+    pub rank: u32,
+    /// The weight of these requests.
+    pub weight: u32,
+    /// The part of these requests that is refused and that no other target gets, in thousandths.
+    pub lost: u16,
 }
 
 impl LoadReport {
--- a/crates/admission/src/requests.rs
+++ b/crates/admission/src/requests.rs
@@ -5,7 +5,7 @@
 use slotmap::SlotMap;
 use world::time::Time;
 
-use crate::{routes, work};
+use crate::{queue, routes, work};
 
 /// A running or waiting request.
 #[derive(Debug)]
@@ -40,6 +40,13 @@
     timers: collections::BTreeSet<(Time, work::RequestKey)>,
 }
 
+impl Request {
+    /// The flow of the waiting request.
+    pub(crate) fn flow_id(&self) -> queue::FlowId {
+        queue::FlowId { rank: self.work.rank, team: self.work.team, route: self.flow }
+    }
+}
+
 impl Requests {
     pub(crate) fn insert(&mut self, work: work::Work, flow: routes::FlowKey) -> work::RequestKey {
         self.arena.insert(Request { work, flow, state: State::Waiting, timer: None })
--- a/crates/admission/src/work.rs
+++ b/crates/admission/src/work.rs
@@ -38,6 +38,12 @@
     pub suspect: bool,
 }
 
+/// Whether the first of two requests, by rank and weight, is more urgent. A route without a priority
+/// has rank 0 and its own weight, so it outranks nothing that has a higher weight.
+pub fn outranks(first: (u32, u32), second: (u32, u32)) -> bool {
+    first.0 < second.0 && first.1 >= second.1
+}
+
 /// The decision on an offered request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -59,6 +65,8 @@
     Busy,
     /// It cannot be answered before its deadline.
     Deadline,
+    /// A more urgent request has taken its place in the queue.
+    Displaced,
     /// The target is draining.
     Draining,
     /// The queue is full, and this request is the one that exceeds its route's share.
@@ -86,6 +94,13 @@
     Refuse(RequestKey, RefusalReason),
 }
 
+impl Work {
+    /// Returns the rank and the weight.
+    pub fn urgency(&self) -> (u32, u32) {
+        (self.rank, self.weight)
+    }
+}
+
 impl Effect {
     /// Returns the key of the request.
     pub fn key(self) -> RequestKey {
--- a/crates/admission/tests/invariants.rs
+++ b/crates/admission/tests/invariants.rs
@@ -6,8 +6,9 @@
 
 use admission::{controller, limits, work};
 use rand::{Rng as _, SeedableRng as _, rngs};
+use slotmap::SlotMap;
 use support::{Event, Target, ms};
-use world::requests::Class;
+use world::{contracts, requests::Class};
 
 const OPERATIONS: usize = 20_000;
 
@@ -18,7 +19,7 @@
 fn random_runs() {
     let mut out = String::new();
     for seed in [1, 2, 3] {
-        let target = random_run(seed);
+        let target = random_run(seed, false);
         let count = |test: &dyn Fn(&Event) -> bool| {
             target.jobs.iter().filter(|it| it.events.iter().any(|it| test(&it.1))).count()
         };
@@ -35,15 +36,26 @@
     insta::assert_snapshot!(out);
 }
 
-fn random_run(seed: u64) -> Target {
+/// Guards against the same faults when the requests are of many teams and ranks.
+#[test]
+fn random_runs_of_teams() {
+    for seed in [4, 5, 6] {
+        let target = random_run(seed, true);
+        assert!(target.controller.kept_flows() <= 2 * 64, "idle flows are kept");
+    }
+}
+
+fn random_run(seed: u64, mixed: bool) -> Target {
     #[expect(clippy::print_stdout, reason = "the seed is needed to repeat a failed run")]
     {
         println!("seed {seed}");
     }
     let mut rng = rngs::StdRng::seed_from_u64(seed);
     let mut target = Target::new(6, 16, limits::Toggles::default());
+    let mut arena: SlotMap<contracts::TeamKey, ()> = SlotMap::with_key();
+    let teams: Vec<_> = (0..20).map(|_| arena.insert(())).collect();
     for _ in 0..OPERATIONS {
-        step(&mut target, &mut rng);
+        step(&mut target, &mut rng, &teams, mixed);
         check(&target);
     }
     let effects = target.controller.drain(target.now);
@@ -68,7 +80,7 @@
     target
 }
 
-fn step(target: &mut Target, rng: &mut rngs::StdRng) {
+fn step(target: &mut Target, rng: &mut rngs::StdRng, teams: &[contracts::TeamKey], mixed: bool) {
     match rng.random_range(0..100) {
         0..60 => {
             let mut work = target.work(rng.random_range(0..8));
@@ -77,6 +89,10 @@
             work.deadline = target.now + ms(rng.random_range(1..400));
             work.movable = rng.random();
             work.suspect = rng.random_bool(0.1);
+            if mixed {
+                work.team = teams[rng.random_range(0..teams.len())];
+                work.rank = rng.random_range(0..10);
+            }
             let long = if rng.random_bool(0.02) { 50 } else { 1 };
             target.offer(work, ms(rng.random_range(1..20) * long));
         }
--- a/crates/admission/tests/toggles.rs
+++ b/crates/admission/tests/toggles.rs
@@ -16,6 +16,8 @@
     objectives: true,
     suspect_isolation: true,
     fair_queueing: true,
+    ranks: true,
+    teams: true,
 };
 
 /// Offers three times the capacity, from routes of weight 10, 20 and 50. Returns the finished
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -220,6 +220,7 @@
         work::RefusalReason::Blocked => forwarding::NotRun::Blocked,
         work::RefusalReason::Busy => forwarding::NotRun::Busy,
         work::RefusalReason::Deadline => forwarding::NotRun::Late,
+        work::RefusalReason::Displaced => forwarding::NotRun::Displaced,
         work::RefusalReason::Draining => forwarding::NotRun::Draining,
         work::RefusalReason::QueueFull => forwarding::NotRun::Full,
     }
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -100,12 +100,19 @@
     Unreachable,
     /// The wait would be too long for the latency objective, or longer than the sender accepts.
     Busy,
+    /// A more urgent request has taken its place in the queue.
+    Displaced,
+    /// A service that its calls need is full of more urgent work.
+    Outranked,
 }
 
 impl NotRun {
     /// Whether the request was refused because it would not get a slot in time.
     pub fn is_overload(self) -> bool {
-        matches!(self, NotRun::Blocked | NotRun::Busy | NotRun::Full | NotRun::Late)
+        matches!(
+            self,
+            NotRun::Blocked | NotRun::Busy | NotRun::Displaced | NotRun::Full | NotRun::Late
+        )
     }
 
     /// Whether the backend server received the request and refused it. For all other reasons it did
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -140,6 +140,7 @@
         queued_calls: 1,
         caller_time: std::time::Duration::from_millis(20),
         call_time: std::time::Duration::from_millis(4),
+        pressure: admission::load::Pressure { rank: 1, weight: 32, lost: 250 },
     };
     forwarding::NodeStatus { load, attempts: 2, backend_us: 1_500 }
 }
@@ -280,6 +281,8 @@
             forwarding::NotRun::Stopping,
             forwarding::NotRun::Unreachable,
             forwarding::NotRun::Busy,
+            forwarding::NotRun::Displaced,
+            forwarding::NotRun::Outranked,
         ],
     );
     let finished = quarantine::Evidence::Finished(fingerprint());
