Refuse requests early when the services that they call are full of more urgent work

In a demand peak, the calls of less urgent requests take the slots of more urgent ones. To turn the calls away would waste the work of the requests that make them.

The node of a target now learns which services the requests of a route call, and from the load reports on the answers how many more urgent requests are lost there. It refuses a part of the callers' requests of the route before they run. Such a refusal is not rerouted, since the calls would go to the same service.

--- a/crates/heatherwalk/tests/metrics.rs
+++ b/crates/heatherwalk/tests/metrics.rs
@@ -15,7 +15,7 @@
     node.count_request(node::instruments::Outcome::Answered, ms(30), ms(1));
     node.count_request(node::instruments::Outcome::NotRun, ms(1), ms(1));
     node.count_attempt();
-    node.count_refusal(forwarding::NotRun::Full);
+    node.count_refusal(forwarding::NotRun::Full, 2);
     node.count_links(transport::pool::Counts { started: 3, opened: 2, failed: 1 });
     node.count_traffic(transport::links::Traffic {
         sent: 4_096,
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time as std_time};
 
+use admission::load;
 use compact_str::CompactString;
 use protocol::forwarding;
 use routing::{balancer, estimates};
@@ -60,6 +61,7 @@
     pub(crate) fn answered(mut self, node_status: &forwarding::NodeStatus) {
         let load = to_load(&node_status.load);
         let half_free = node_status.load.is_half_free();
+        let pressure = node_status.load.pressure;
         self.pending = false;
         let elapsed = self.state.now().since(self.sent_at);
         let state = sync::Arc::clone(&self.state);
@@ -70,6 +72,7 @@
             let peers = self.service_targets();
             let mut routing = self.state.routing.lock();
             self.record_admission(&mut routing, now, true);
+            self.record_pressure(now, pressure);
             if self.remote && half_free {
                 routing.throttle(&self.service).clear();
             }
@@ -89,6 +92,14 @@
         }
     }
 
+    /// Records the pressure that the target of a call reported: this node may refuse requests which
+    /// make such calls.
+    fn record_pressure(&self, now: time::Time, pressure: load::Pressure) {
+        if self.class == requests::Class::Internal {
+            self.state.callees.lock().record_report(now, &self.service, pressure);
+        }
+    }
+
     /// Records that the target's node refused the request, with the load that it reported.
     fn refused(mut self, load: estimates::Load) {
         self.pending = false;
@@ -308,6 +319,7 @@
             guard.failed(estimates::Failure::Unreachable);
         }
         working::Failure::NotRun(_) if has_load(node_status) => {
+            guard.record_pressure(state.now(), node_status.load.pressure);
             guard.refused(to_load(&node_status.load));
         }
         // This node refused the request itself, which says nothing of the target.
@@ -321,7 +333,7 @@
 
 /// Whether a target's node has reported its load.
 pub(crate) fn has_load(node_status: &forwarding::NodeStatus) -> bool {
-    node_status.load != admission::load::LoadReport::default()
+    node_status.load != load::LoadReport::default()
 }
 
 /// Records the latency of an answered request when its route allows hedges. It is measured from
@@ -340,7 +352,7 @@
     routing.latencies.entry(request.route).or_default().record(now, now.since(started_at));
 }
 
-fn to_load(report: &admission::load::LoadReport) -> estimates::Load {
+fn to_load(report: &load::LoadReport) -> estimates::Load {
     estimates::Load {
         busy: report.in_flight,
         queued: report.queued,
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -21,6 +21,8 @@
     pub(crate) budget: budget::Budget,
     /// The ID that the logs of all processes and the request's own calls use.
     pub(crate) id: CompactString,
+    /// The name of its route.
+    pub(crate) route: CompactString,
     /// What its calls inherit.
     pub(crate) context: requests::Context,
     /// Whether it was sent to another target before, so that its calls count as repeats.
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -15,6 +15,9 @@
 const ADDED_BOUNDS_S: [f64; 11] =
     [0.0001, 0.0002, 0.0005, 0.001, 0.00125, 0.0015, 0.002, 0.003, 0.005, 0.01, 0.1];
 
+/// Highest rank that is told apart, which bounds the number of time series.
+const MAX_RANK: u32 = 7;
+
 /// How a caller's request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -61,7 +64,7 @@
         Instruments {
             requests: counter("node.requests", "Callers' requests by outcome"),
             attempts: counter("node.attempts", "Sends to targets, retries and hedges included"),
-            refusals: counter("node.refusals", "Requests refused as not run, by reason"),
+            refusals: counter("node.refusals", "Requests refused as not run, by reason and rank"),
             request_time: times(
                 "node.request.time",
                 "From the head of a request to the end of its answer",
@@ -112,9 +115,11 @@
         self.attempts.add(1, &[]);
     }
 
-    /// Counts a request that this node did not run, by reason.
-    pub fn count_refusal(&self, reason: forwarding::NotRun) {
-        self.refusals.add(1, &[KeyValue::new("reason", refusal_name(reason))]);
+    /// Counts a request that this node did not run, by reason and rank.
+    pub fn count_refusal(&self, reason: forwarding::NotRun, rank: u32) {
+        let rank = i64::from(rank.min(MAX_RANK));
+        let reason = KeyValue::new("reason", refusal_name(reason));
+        self.refusals.add(1, &[KeyValue::new("rank", rank), reason]);
     }
 
     /// Adds the UDP payload bytes that a link to a control has sent and received since the last
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -35,6 +35,8 @@
     pub(crate) answer_by: time::Time,
     /// Whether it is a call of a request that was sent to another target before.
     pub(crate) repeat: bool,
+    /// The route of the request that this call is made for; none for a caller's request.
+    pub(crate) parent_route: Option<CompactString>,
     /// The request whose extra attempts this call has taken.
     pub(crate) parent: Option<in_flight::RequestKey>,
 }
@@ -71,6 +73,9 @@
         let team = authenticating::find_team(&config, contract, options)?;
         authenticating::apply(&mut scheduling.context, team);
     }
+    if let Some(parent_route) = &scheduling.parent_route {
+        state.callees.lock().record_call(parent_route, &service.name);
+    }
     if let Some(limit) = limit {
         scheduling.answer_by = scheduling.answer_by.min(now + (limit - lead));
     }
@@ -153,6 +158,7 @@
         },
         answer_by: now + timeout + forward::REPORT_GRACE,
         repeat: false,
+        parent_route: None,
         parent: None,
     };
     match parent {
@@ -200,6 +206,7 @@
         answer_by: context.deadline + forward::REPORT_GRACE,
         context,
         repeat: parent.repeat,
+        parent_route: Some(parent.route.clone()),
         ..own
     }
 }
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -19,6 +19,10 @@
 /// attempts are not taken from the request's budget.
 const MAX_REROUTES: u8 = 2;
 
+/// When a request may be served that was refused because a service that its calls need is full of
+/// more urgent work: the reports of that service cover a second.
+const OUTRANKED_WAIT: time::Duration = time::Duration::from_secs(1);
+
 /// A result of sending a request to targets.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -238,6 +242,11 @@
                 let unknown = self.maybe_run.clone().map(Failure::Unknown);
                 return Err(self.error(unknown.unwrap_or(Failure::Quarantined)));
             }
+            // Its calls would be refused wherever it runs.
+            working::Failure::NotRun(forwarding::NotRun::Outranked) => {
+                self.min_wait = Some(OUTRANKED_WAIT);
+                return Err(self.give_up("Outranked".into()));
+            }
             working::Failure::NotRun(reason)
                 if !reason.was_shed() && self.reroutes < MAX_REROUTES =>
             {
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -114,7 +114,7 @@
     mut sender: transport::streams::Sender,
 ) -> errors::Result<()> {
     let at = state.instant(request.head.context.deadline + working::ANSWER_GRACE);
-    let id = request.head.id.clone();
+    let (id, rank) = (request.head.id.clone(), request.head.context.rank);
     match working::run(state, request, admission).await {
         Ok(mut answered) => {
             answered.node_status = add_backlog(state, answered.node_status);
@@ -124,7 +124,7 @@
             let node_status = add_backlog(state, node_status);
             let answer = match failure {
                 working::Failure::NotRun(reason) => {
-                    state.instruments.count_refusal(reason);
+                    state.instruments.count_refusal(reason, rank);
                     forwarding::AnswerHead::NotRun { reason, standing: node_status }
                 }
                 working::Failure::Silent => {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, sync};
 
-use admission::downlink;
+use admission::{callees, downlink};
 use compact_str::CompactString;
 use distribution::{attach, updater};
 use membership::{directory, local_target};
@@ -27,6 +27,7 @@
 const ADMISSION: rank::Rank = rank::Rank(40);
 const DOWNLINK: rank::Rank = rank::Rank(45);
 const IN_FLIGHT: rank::Rank = rank::Rank(50);
+const CALLEES: rank::Rank = rank::Rank(55);
 const SUSPECTS: rank::Rank = rank::Rank(60);
 const SESSIONS: rank::Rank = rank::Rank(70);
 
@@ -52,6 +53,8 @@
     /// The bodies that other nodes are sending to this host.
     pub(crate) downlink: table::Table<downlink::Downlink>,
     pub(crate) in_flight: table::Table<in_flight::Requests>,
+    /// Which services the requests that run here call, and the pressure there.
+    pub(crate) callees: table::Table<callees::Callees>,
     pub(crate) suspects: table::Table<suspects::Suspects>,
     pub(crate) sessions: table::Table<Sessions>,
     /// Wakes the announcements that wait until a control has recorded the entry of the backend
@@ -219,6 +222,7 @@
                 "requests in flight",
                 in_flight::Requests::default(),
             ),
+            callees: table::Table::new(CALLEES, "callees", callees::Callees::default()),
             suspects: table::Table::new(SUSPECTS, "suspicion", suspects),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
             acknowledged: tokio::sync::Notify::new(),
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -6,7 +6,7 @@
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
 use tokio::sync::oneshot;
-use world::{contracts, time};
+use world::{contracts, requests, time};
 
 use crate::{backend, dialect, headers, in_flight, slots, state, suspects};
 
@@ -297,6 +297,9 @@
     if status == suspects::Status::Quarantined {
         return Admission::Refuse(forwarding::NotRun::Quarantined);
     }
+    if is_outranked(state, now, head) {
+        return Admission::Refuse(forwarding::NotRun::Outranked);
+    }
     let work = work::Work {
         route: route_key(state, head),
         team: team_key(state, head),
@@ -319,6 +322,27 @@
     }
 }
 
+/// Whether a caller's request is refused because a service that its calls need is full of more
+/// urgent work.
+fn is_outranked(state: &state::State, now: time::Time, head: &forwarding::RequestHead) -> bool {
+    let context = &head.context;
+    if head.class == requests::Class::Internal {
+        return false;
+    }
+    let full = state.callees.lock().refuse(now, &head.route, (context.rank, context.worth));
+    let Some(full) = full else { return false };
+    log::info!(
+        target: "decision",
+        "admission request={} outcome=refuse reason=\"a service that its calls need is full of more \
+         urgent work\" route={} calls={full} team={} rank={}",
+        head.id,
+        head.route,
+        context.team,
+        context.rank,
+    );
+    true
+}
+
 /// Refuses a request whose body or answer would wait too long for this host's network link.
 fn check_network_link(
     state: &state::State,
@@ -433,11 +457,13 @@
         fingerprint: head.fingerprint,
         budget: head.budget,
         id: head.id.clone(),
+        route: head.route.clone(),
         context: head.context.clone(),
         repeat: head.repeat,
         summary: format_compact!("{} {} of {}", head.method, head.path, head.service),
     };
     let key = state.in_flight.lock().insert(record);
+    state.callees.lock().record_request(&head.route);
     let now = state.now();
     let status = state.suspects.lock().status(now, &head.fingerprint);
     let suspect = head.suspect || status == suspects::Status::Suspect;
