Keep the retry budgets of teams apart

One limiter counted all sends of a service, so a team whose requests fail used up the retries of the others.

Each team now has the percentage of its own first sends. What rounding leaves of the percentage of all first sends, at least three, is for teams with fewer extra sends than that, so all together keep the limit of the service. Teams without sends in the window are removed once a second.

In the new test a team that asks for 20 retries a step gets its 10%, 3,600 of 36,000, and another one 449 of the 450 that it asks for.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -231,6 +231,7 @@
     routing.balancer.estimates.record_send(choice.target, trial);
     if tried.is_empty() {
         let limiter = routing.retry_limiter(service);
+        let mut limiter = limiter.team(&request.head.context.team);
         if request.head.repeat { limiter.record_repeat(now) } else { limiter.record_first(now) }
     }
     let Some(target) = directory.get(choice.target) else {
--- a/crates/node/src/hedging.rs
+++ b/crates/node/src/hedging.rs
@@ -89,13 +89,13 @@
     let chosen = choosing::choose(state, &retries.request, &retries.tried, true).ok()?;
     let now = state.now();
     let toggles = routing::toggles::Toggles::default();
-    let budget = &mut retries.request.head.budget;
+    let head = &mut retries.request.head;
     let refused = {
         let mut routing = state.routing.lock();
         retry::try_extra_send(
             now,
-            budget,
-            routing.retry_limiter(&retries.request.head.service),
+            &mut head.budget,
+            &mut routing.retry_limiter(&head.service).team(&head.context.team),
             &toggles,
         )
     };
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -327,6 +327,7 @@
     let toggles = routing::toggles::Toggles::default();
     let mut routing = state.routing.lock();
     let limiter = routing.retry_limiter(&request.head.service);
+    let limiter = &mut limiter.team(&request.head.context.team);
     let budget = &mut request.head.budget;
     let decision = retry::decide(now, outcome, &retry_request, budget, limiter, &toggles);
     log::info!(
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -3,8 +3,9 @@
 //!
 //! An extra send is a retry or a hedge, each send of a request beyond the first one.
 
-use std::time;
+use std::{collections, time};
 
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use world::{requests, time::Time};
 
@@ -28,6 +29,8 @@
 
 /// One bucket for each second of [`WINDOW`].
 const BUCKETS: usize = 10;
+/// Teams that are told apart, which bounds the memory. All further ones share one budget.
+const MAX_TEAMS: usize = 1_024;
 
 /// The remaining attempts, call depth and time of a request, passed along with each send.
 ///
@@ -127,16 +130,36 @@
 
 /// Limits a node's extra sends to a percentage of its first sends within [`WINDOW`]; also known as
 /// a retry budget.
+///
+/// Each team has the percentage of its own first sends, which no other team can use up. What
+/// rounding leaves of the percentage of all first sends, at least [`MIN_RETRIES`], is for teams
+/// with fewer extra sends than that.
 #[derive(Clone, Debug)]
 pub struct RetryLimiter {
-    buckets: [Bucket; BUCKETS],
     percent: u32,
+    /// The teams with sends within the window, by name; empty for requests without a team.
+    teams: collections::HashMap<CompactString, Sends>,
+    /// The second up to which the totals are those of the window.
+    second: u64,
+    /// First sends of all teams.
+    first: u64,
+    /// Extra sends that teams have made or have left of their own, of all teams.
+    reserved: u64,
 }
 
-impl Default for RetryLimiter {
-    fn default() -> RetryLimiter {
-        RetryLimiter::new(RETRY_PERCENT)
-    }
+/// The retry budget of one team.
+#[derive(Debug)]
+pub struct TeamLimiter<'a> {
+    limiter: &'a mut RetryLimiter,
+    team: CompactString,
+}
+
+/// The sends of one team within the window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sends {
+    buckets: [Bucket; BUCKETS],
+    first: u64,
+    extra: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -146,50 +169,113 @@
     extra: u32,
 }
 
+impl Default for RetryLimiter {
+    fn default() -> RetryLimiter {
+        RetryLimiter::new(RETRY_PERCENT)
+    }
+}
+
 impl RetryLimiter {
     /// Creates a limiter that allows `percent` extra sends per hundred first sends.
     pub fn new(percent: u32) -> RetryLimiter {
-        RetryLimiter { buckets: [Bucket::default(); BUCKETS], percent }
+        let teams = collections::HashMap::new();
+        RetryLimiter { percent, teams, second: 0, first: 0, reserved: 0 }
     }
 
+    /// Returns the budget of a team; empty for requests without a team.
+    pub fn team(&mut self, team: &str) -> TeamLimiter<'_> {
+        let known = self.teams.len() < MAX_TEAMS || self.teams.contains_key(team);
+        TeamLimiter { limiter: self, team: if known { team.into() } else { "".into() } }
+    }
+
+    /// Returns the number of teams that are kept.
+    pub fn kept_teams(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// Adds sends of a team at `now`.
+    fn add(&mut self, now: Time, team: &CompactString, first: u32, extra: u32) {
+        self.roll(now);
+        let sends = self.teams.entry(team.clone()).or_default();
+        let before = sends.reserved(self.percent);
+        let bucket = sends.bucket(second(now));
+        bucket.first = bucket.first.saturating_add(first);
+        bucket.extra = bucket.extra.saturating_add(extra);
+        sends.first += u64::from(first);
+        sends.extra += u64::from(extra);
+        self.first += u64::from(first);
+        self.reserved += sends.reserved(self.percent) - before;
+    }
+
+    fn allows(&mut self, now: Time, team: &CompactString) -> bool {
+        self.roll(now);
+        let sends = self.teams.get(team).copied().unwrap_or_default();
+        if sends.extra < sends.own(self.percent) {
+            return true;
+        }
+        let min = u64::from(MIN_RETRIES);
+        let allowed = (self.first * u64::from(self.percent) / 100).max(min);
+        sends.extra < min && self.reserved < allowed
+    }
+
+    /// Computes the totals of the window once a second, and removes teams without sends.
+    fn roll(&mut self, now: Time) {
+        let second = second(now);
+        if second == self.second {
+            return;
+        }
+        self.second = second;
+        self.teams.retain(|_, it| it.roll(second));
+        self.first = self.teams.values().map(|it| it.first).sum();
+        self.reserved = self.teams.values().map(|it| it.reserved(self.percent)).sum();
+    }
+}
+
+impl TeamLimiter<'_> {
     /// Counts the first send of a request.
     pub fn record_first(&mut self, now: Time) {
-        let bucket = self.bucket(now);
-        bucket.first = bucket.first.saturating_add(1);
+        self.limiter.add(now, &self.team, 1, 0);
     }
 
     /// Counts the first send of a request that repeats an earlier one, as an extra send: this node
     /// sends it for the first time, but it may have run elsewhere. It is never refused.
     pub fn record_repeat(&mut self, now: Time) {
-        let bucket = self.bucket(now);
-        bucket.extra = bucket.extra.saturating_add(1);
+        self.limiter.add(now, &self.team, 0, 1);
     }
 
     /// Counts an extra send if the limit allows one, and returns whether it does.
     pub fn try_extra(&mut self, now: Time, toggles: &toggles::Toggles) -> bool {
-        if toggles.retry_limit && !self.allows(now) {
+        if toggles.retry_limit && !self.limiter.allows(now, &self.team) {
             return false;
         }
-        let bucket = self.bucket(now);
-        bucket.extra = bucket.extra.saturating_add(1);
+        self.limiter.add(now, &self.team, 0, 1);
         true
     }
+}
 
-    fn allows(&self, now: Time) -> bool {
-        let second = second(now);
-        let (mut first, mut extra) = (0_u64, 0_u64);
+impl Sends {
+    /// The extra sends that the team's own first sends allow.
+    fn own(&self, percent: u32) -> u64 {
+        self.first * u64::from(percent) / 100
+    }
+
+    fn reserved(&self, percent: u32) -> u64 {
+        self.extra.max(self.own(percent))
+    }
+
+    /// Computes the sums of the window that ends with `second`. Returns whether there are sends.
+    fn roll(&mut self, second: u64) -> bool {
+        (self.first, self.extra) = (0, 0);
         for bucket in &self.buckets {
             if second - bucket.second.min(second) < BUCKETS as u64 {
-                first += u64::from(bucket.first);
-                extra += u64::from(bucket.extra);
+                self.first += u64::from(bucket.first);
+                self.extra += u64::from(bucket.extra);
             }
         }
-        let allowed = (first * u64::from(self.percent) / 100).max(MIN_RETRIES.into());
-        extra < allowed
+        self.first + self.extra > 0
     }
 
-    fn bucket(&mut self, now: Time) -> &mut Bucket {
-        let second = second(now);
+    fn bucket(&mut self, second: u64) -> &mut Bucket {
         let bucket = &mut self.buckets[second as usize % BUCKETS];
         if bucket.second != second {
             *bucket = Bucket { second, ..Bucket::default() };
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -59,7 +59,7 @@
     outcome: Outcome,
     request: &Request,
     budget: &mut budget::Budget,
-    limiter: &mut budget::RetryLimiter,
+    limiter: &mut budget::TeamLimiter<'_>,
     toggles: &toggles::Toggles,
 ) -> Decision {
     let may_run_again = match outcome {
@@ -84,7 +84,7 @@
 pub fn try_extra_send(
     now: Time,
     budget: &mut budget::Budget,
-    limiter: &mut budget::RetryLimiter,
+    limiter: &mut budget::TeamLimiter<'_>,
     toggles: &toggles::Toggles,
 ) -> Option<GiveUpReason> {
     if toggles.budget && budget.attempts == 0 {
--- a/crates/routing/tests/sends.rs
+++ b/crates/routing/tests/sends.rs
@@ -30,8 +30,14 @@
                 let mut limiter = budget::RetryLimiter::default();
                 let now = Time::from_millis(millis);
                 let request = request(idempotent);
-                let decision =
-                    retry::decide(now, outcome, &request, &mut budget, &mut limiter, &toggles);
+                let decision = retry::decide(
+                    now,
+                    outcome,
+                    &request,
+                    &mut budget,
+                    &mut limiter.team(""),
+                    &toggles,
+                );
                 let spent = attempts - budget.attempts;
                 assert_eq!(spent == 1, decision == retry::Decision::Elsewhere);
                 let kind = if idempotent { "idempotent" } else { "once only" };
@@ -65,7 +71,7 @@
                     outcome,
                     &request,
                     &mut budget,
-                    &mut limiter,
+                    &mut limiter.team(""),
                     &toggles,
                 );
                 if next != retry::Decision::Elsewhere {
@@ -96,8 +102,14 @@
         // This send fails like the deeper call, and the attempts passed along are lost.
         let _ = call(&mut deeper, sends, toggles);
         let outcome = retry::Outcome::Failed;
-        let next =
-            retry::decide(Time::ZERO, outcome, &request(true), budget, &mut limiter, toggles);
+        let next = retry::decide(
+            Time::ZERO,
+            outcome,
+            &request(true),
+            budget,
+            &mut limiter.team(""),
+            toggles,
+        );
         if next != retry::Decision::Elsewhere || target == 1 {
             break;
         }
@@ -168,11 +180,11 @@
             let mut extra = 0_u64;
             for index in 0..count {
                 let now = Time::from_micros(index * 10_000_000 / count);
-                limiter.record_first(now);
-                extra += u64::from(limiter.try_extra(now, &toggles));
+                limiter.team("").record_first(now);
+                extra += u64::from(limiter.team("").try_extra(now, &toggles));
             }
             let later = Time::from_millis(60_000);
-            let paused = (0..100).filter(|_| limiter.try_extra(later, &toggles)).count();
+            let paused = (0..100).filter(|_| limiter.team("").try_extra(later, &toggles)).count();
             writeln!(out, "limit {limited}: {count} -> {extra}, after a pause {paused}")
                 .expect("text");
             let bound = (count / 10).max(budget::MIN_RETRIES.into());
@@ -183,6 +195,38 @@
     insta::assert_snapshot!(out);
 }
 
+/// Guards against a team whose retries use up those of another one, against more extra sends than
+/// the limit of the service, and against memory that grows with the teams that were ever seen.
+#[test]
+fn one_team_uses_all_retries() {
+    let toggles = toggles::Toggles::default();
+    let mut limiter = budget::RetryLimiter::default();
+    let names: Vec<String> = (0..1_000).map(|it| format!("team-{it}")).collect();
+    let (mut extra, mut hot, mut steady) = (0, 0, 0);
+    let mut first = 0_u64;
+    for step in 0..9_000_u64 {
+        let now = Time::from_millis(step);
+        let name = names[step as usize % names.len()].as_str();
+        for (name, count) in [("hot", 4), ("steady", 1), (name, 1)] {
+            let mut team = limiter.team(name);
+            (0..count).for_each(|_| team.record_first(now));
+            first += count;
+            let tries = if name == "hot" { 20 } else { 1 };
+            // The steady team asks after the hot one has taken what it can get.
+            let wants = name != "steady" || step % 20 == 0;
+            let got = (0..tries).filter(|_| wants && team.try_extra(now, &toggles)).count() as u64;
+            extra += got;
+            hot += if name == "hot" { got } else { 0 };
+            steady += if name == "steady" { got } else { 0 };
+        }
+        assert!(extra <= (first / 10).max(3), "{extra} extra sends of {first}");
+    }
+    assert_eq!((hot, steady), (3_600, 449), "of 36,000 first sends, and of 450 tries");
+    assert!(limiter.kept_teams() <= 1_024);
+    limiter.team("late").record_first(Time::from_millis(60_000));
+    assert_eq!(limiter.kept_teams(), 1, "teams without sends in the window are kept");
+}
+
 fn route(hedge: bool) -> contracts::Route {
     contracts::Route {
         name: "listen".into(),
@@ -240,8 +284,14 @@
         let mut limiter = budget::RetryLimiter::default();
         let now = Time::from_micros(micros);
         let outcome = retry::Outcome::Unknown;
-        let decision =
-            retry::decide(now, outcome, &request(true), &mut budget, &mut limiter, &toggles);
+        let decision = retry::decide(
+            now,
+            outcome,
+            &request(true),
+            &mut budget,
+            &mut limiter.team(""),
+            &toggles,
+        );
         writeln!(out, "{micros} us: {decision:?}").expect("text");
     }
     insta::assert_snapshot!(out, @r"
