Hold back the least urgent requests and the largest team first

When the targets of a service refuse most requests, a node held back the same part of all of them, whoever sent them.

The part is now distributed by rank, the least urgent first, and within a rank among the teams that send most, once for each part of the window. Nine in ten requests of one sender are held back at most. A node with one sender decides as before. The `held` line names the team and the rank.

--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -5,7 +5,7 @@
 use admission::load;
 use compact_str::CompactString;
 use protocol::forwarding;
-use routing::{balancer, estimates};
+use routing::{balancer, estimates, senders};
 use world::{requests, targets, time};
 
 use crate::{linking, reaching, state, working};
@@ -51,6 +51,8 @@
     /// The expected latency of the link to the target's data centre.
     link: std_time::Duration,
     class: requests::Class,
+    team: CompactString,
+    rank: u32,
     /// Whether the target is on another host.
     remote: bool,
     pending: bool,
@@ -88,7 +90,8 @@
         let estimates = &mut routing.balancer.estimates;
         estimates.record_admission(now, self.target, self.class, admitted);
         if self.remote && self.class == requests::Class::Caller {
-            routing.throttle(&self.service).record(now, admitted);
+            let sender = senders::Sender { team: &self.team, rank: self.rank };
+            routing.throttle(&self.service).record(now, sender, admitted);
         }
     }
 
@@ -256,6 +259,8 @@
         sent_at: now,
         link: link.unwrap_or_default(),
         class: request.head.class,
+        team: request.head.context.team.clone(),
+        rank: request.head.context.rank,
         remote,
         pending: true,
     };
@@ -282,17 +287,22 @@
     again: bool,
 ) -> Result<()> {
     let service = &request.head.service;
+    let context = &request.head.context;
+    let sender = senders::Sender { team: &context.team, rank: context.rank };
     let estimate = routing.balancer.estimates.get(target);
     let throttle = routing.throttles.entry(service.clone()).or_default();
     if estimate.is_some_and(|it| it.has_room(now, slots))
-        || throttle.try_send(now, again, &mut routing.rng)
+        || throttle.try_send(now, sender, again, &mut routing.rng)
     {
         return Ok(());
     }
     log::info!(
         target: "decision",
-        "held request={} service={service} again={again} reason=\"its targets refuse most requests\"",
+        "held request={} service={service} again={again} reason=\"its targets refuse most requests\" \
+         team={} rank={}",
         request.head.id,
+        sender.team,
+        sender.rank,
     );
     let micros = estimate.map_or(0.0, |it| it.caller_time);
     Err(Error::Full(std_time::Duration::from_secs_f32(micros / 1e6)))
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod policy;
 pub mod prober;
 pub mod retry;
+pub mod senders;
 pub mod silence;
 pub mod subset;
 pub mod throttle;
--- /dev/null
+++ b/crates/routing/src/senders.rs
@@ -0,0 +1,106 @@
+//! Who sends most to a service, and whose requests are held back first when its targets refuse most
+//! of them.
+
+use std::{cmp, collections};
+
+use compact_str::CompactString;
+
+/// Largest part of the requests of one sender that is held back beside those of others. A sender
+/// whose requests are all held back would not be served at all.
+const MAX_HELD: f32 = 0.9;
+/// Senders that are told apart, which bounds the memory.
+const MAX_SENDERS: usize = 1_024;
+/// Requests below which a sender is forgotten.
+const MIN_REQUESTS: f32 = 0.1;
+
+/// On whose behalf requests are sent.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Sender<'a> {
+    /// The name of the team; empty for none.
+    pub team: &'a str,
+    /// Priority from 0, the most urgent one.
+    pub rank: u32,
+}
+
+/// The recent senders to one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Senders {
+    /// By rank and team.
+    recent: collections::HashMap<(u32, CompactString), Recent>,
+}
+
+/// The recent requests of one sender.
+#[derive(Clone, Copy, Debug, Default)]
+struct Recent {
+    requests: f32,
+    /// The part of its requests that is held back.
+    held: f32,
+    /// The same for requests that another target has just refused.
+    held_again: f32,
+}
+
+impl Senders {
+    /// Records a request that was sent or held back.
+    pub(crate) fn record(&mut self, sender: Sender<'_>) {
+        let key = (sender.rank, CompactString::from(sender.team));
+        if self.recent.len() < MAX_SENDERS || self.recent.contains_key(&key) {
+            self.recent.entry(key).or_default().requests += 1.0;
+        }
+    }
+
+    /// Returns the part of a sender's requests that is held back. `None` if it is the only one, or
+    /// one too many: then the part is that of all requests.
+    pub(crate) fn held(&self, sender: Sender<'_>, again: bool) -> Option<f32> {
+        if self.recent.len() <= 1 {
+            return None;
+        }
+        let recent = self.recent.get(&(sender.rank, CompactString::from(sender.team)))?;
+        Some(if again { recent.held_again } else { recent.held })
+    }
+
+    /// Distributes the requests that are held back, which are these parts of all requests, and lets
+    /// the counts fade by the factor `kept`. Called once for each part of the throttle's window,
+    /// since it looks at all senders.
+    pub(crate) fn distribute(&mut self, held: f32, held_again: f32, kept: f32) {
+        self.recent.retain(|_, it| {
+            it.requests *= kept;
+            it.requests >= MIN_REQUESTS
+        });
+        self.assign(held, |it| &mut it.held);
+        self.assign(held_again, |it| &mut it.held_again);
+    }
+
+    /// Sets the part of each sender, so that this part of all requests is held back: first those of
+    /// the least urgent rank, and within a rank those of the teams that send most.
+    fn assign(&mut self, part: f32, field: impl Fn(&mut Recent) -> &mut f32) {
+        let total: f32 = self.recent.values().map(|it| it.requests).sum();
+        let mut excess = total * part;
+        let mut ordered: Vec<_> = self.recent.iter_mut().map(|(key, it)| (key.0, it)).collect();
+        ordered.sort_by(|a, b| {
+            cmp::Reverse(a.0).cmp(&cmp::Reverse(b.0)).then(b.1.requests.total_cmp(&a.1.requests))
+        });
+        for rank in ordered.chunk_by_mut(|a, b| a.0 == b.0) {
+            let requests: f32 = rank.iter().map(|it| it.1.requests).sum();
+            let level = level(rank.iter().map(|it| it.1.requests), excess);
+            for (_, it) in rank {
+                let above = (it.requests - level).max(0.0) / it.requests;
+                *field(it) = above.min(MAX_HELD);
+            }
+            excess = (excess - requests * MAX_HELD).max(0.0);
+        }
+    }
+}
+
+/// Returns the number of requests of one team above which they are held back, so that `excess` are
+/// held back in total. `requests` are those of each team, highest first.
+fn level(requests: impl Iterator<Item = f32>, excess: f32) -> f32 {
+    let (mut level, mut sum) = (f32::MAX, 0.0);
+    for (count, it) in (1..).zip(requests) {
+        if it <= level && count > 1 {
+            return level;
+        }
+        sum += it;
+        level = (sum - excess).max(0.0) / count as f32;
+    }
+    level
+}
--- a/crates/routing/tests/throttling.rs
+++ b/crates/routing/tests/throttling.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Write as _, time};
 
 use rand::{Rng as _, SeedableRng as _, rngs};
-use routing::throttle;
+use routing::{senders, throttle};
 use world::time::Time;
 
 const NODES: usize = 70;
@@ -14,6 +14,9 @@
 const STEP: time::Duration = time::Duration::from_millis(10);
 const STEPS_A_SECOND: u64 = 100;
 
+/// Requests without teams and ranks.
+const ONE: senders::Sender<'static> = senders::Sender { team: "", rank: 0 };
+
 /// What happened in one second.
 #[derive(Clone, Copy, Debug, Default)]
 struct Second {
@@ -62,13 +65,13 @@
     fn send(&mut self, now: Time, room: &mut u32, second: &mut Second) {
         let throttle = &mut self.throttles[self.rng.random_range(0..NODES)];
         for send in 0..SENDS {
-            if self.enabled && !throttle.try_send(now, send > 0, &mut self.rng) {
+            if self.enabled && !throttle.try_send(now, ONE, send > 0, &mut self.rng) {
                 second.held += 1;
                 return;
             }
             second.sends += 1;
             let admitted = *room > 0 && self.rng.random_range(0..10) > 0;
-            throttle.record(now, admitted);
+            throttle.record(now, ONE, admitted);
             if admitted {
                 if self.reports && self.half_free {
                     throttle.clear();
@@ -116,16 +119,16 @@
         let mut count = 0;
         for step in 0..50 {
             let now = Time::from_millis(second * 1_000 + step * 20);
-            if throttle.try_send(now, false, &mut rng) {
+            if throttle.try_send(now, ONE, false, &mut rng) {
                 count += 1;
-                throttle.record(now, false);
+                throttle.record(now, ONE, false);
             }
         }
         sent.push(count);
     }
     assert!(sent.iter().all(|&it| it > 0), "{sent:?}");
     let later = Time::from_millis(4_000) + throttle::WINDOW;
-    assert!((0..5).all(|_| throttle.try_send(later, false, &mut rng)), "the window is over");
+    assert!((0..5).all(|_| throttle.try_send(later, ONE, false, &mut rng)), "the window is over");
 }
 
 /// Guards against requests that are held back for a second after the load, although the answers
@@ -146,3 +149,41 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against a node that holds back the most urgent requests, or those of a team that sends
+/// little, for others that send too much.
+#[test]
+fn urgent_requests_and_small_teams_are_held_back() {
+    // The requests of each sender in each step.
+    let senders = [("small", 1, 1), ("large", 1, 9), ("other", 1, 1), ("urgent", 0, 2), ("", 2, 7)];
+    let mut out = String::new();
+    let mut rng = rngs::SmallRng::seed_from_u64(3);
+    for admitted in [5, 3, 1] {
+        let mut throttle = throttle::Throttle::default();
+        let (mut held, mut sends) = ([0; 5], 0);
+        for step in 0..400 {
+            let now = Time::from_millis(step * 10);
+            let mut room = admitted;
+            for (index, &(team, rank, count)) in senders.iter().enumerate() {
+                let sender = senders::Sender { team, rank };
+                for _ in 0..count {
+                    let sent = throttle.try_send(now, sender, false, &mut rng);
+                    if sent {
+                        throttle.record(now, sender, room > 0);
+                        room -= i32::from(room > 0);
+                    }
+                    // The first second is left for the throttle to settle.
+                    held[index] += u32::from(!sent && step >= 100);
+                    sends += u32::from(sent && step >= 100);
+                }
+            }
+        }
+        let parts: Vec<f32> =
+            senders.iter().zip(held).map(|(it, held)| held as f32 / (300 * it.2) as f32).collect();
+        writeln!(out, "room {admitted}: {sends} sends; held {parts:.2?}").expect("text");
+        let [small, large, other, urgent, last] = parts[..] else { panic!("five senders") };
+        assert!(last <= 0.95 && last >= large - 0.05 && large >= small.max(other) - 0.05, "{out}");
+        assert!(urgent <= small.min(other) + 0.05, "{out}");
+    }
+    insta::assert_snapshot!(out);
+}
