Log why a queued request is refused, and how much waits beside it

The `admission` line has `flow_queued`, the waiting requests of the same team, route and rank, and there is one with `queued=true` for a refusal out of the queue.

--- a/crates/admission/src/callees.rs
+++ b/crates/admission/src/callees.rs
@@ -60,6 +60,12 @@
 }
 
 impl Callees {
+    /// Returns the number of names that are kept, which is bounded.
+    pub fn kept_names(&self) -> usize {
+        let called: usize = self.routes.values().map(|it| it.calls.len()).sum();
+        self.routes.len() + called + self.services.len()
+    }
+
     /// Records that a request of a route has started.
     pub fn record_request(&mut self, route: &CompactString) {
         let Some(it) = entry(&mut self.routes, route, MAX_ROUTES) else {
--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -266,6 +266,15 @@
         self.counts.slow
     }
 
+    /// Returns the number of waiting requests of the same team, route, rank and class.
+    pub fn waiting_beside(&self, work: &work::Work) -> usize {
+        let Some(route) = self.routes.find(work.route) else {
+            return 0;
+        };
+        let flow = queue::FlowId { rank: work.rank, team: work.team, route };
+        self.queue(work.class).waiting(flow)
+    }
+
     /// Returns the number of flows that are kept: those with waiting requests, and a bounded number
     /// of idle ones.
     pub fn kept_flows(&self) -> usize {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -92,6 +92,11 @@
         self.len
     }
 
+    /// Returns the number of waiting requests of a flow.
+    pub(crate) fn waiting(&self, flow: FlowId) -> usize {
+        self.flows.get(&flow).map_or(0, |it| it.waiting.len())
+    }
+
     pub(crate) fn kept_flows(&self) -> usize {
         self.flows.len()
     }
--- a/crates/admission/src/routes.rs
+++ b/crates/admission/src/routes.rs
@@ -63,6 +63,11 @@
         key
     }
 
+    /// Returns the flow of a route, if there is one.
+    pub(crate) fn find(&self, route: contracts::RouteKey) -> Option<FlowKey> {
+        self.index.get(route).copied()
+    }
+
     /// Assigns the flows to the route keys of a new version of the configuration. Flows of removed
     /// routes are kept while they have requests.
     pub(crate) fn remap(
--- a/crates/admission/tests/fairness.rs
+++ b/crates/admission/tests/fairness.rs
@@ -22,6 +22,8 @@
     hot: f64,
     /// Of all other teams.
     steady: f64,
+    /// The number of ranks that the teams have.
+    ranks: usize,
 }
 
 /// How often the teams of a peak are served.
@@ -63,6 +65,8 @@
         let team = team.unwrap_or(0);
         let mut work = target.work(0);
         work.team = keys[team];
+        work.rank = (team % peak.ranks) as u32;
+        work.weight = 64 >> work.rank;
         work.objective = target.now + ms(500);
         work.deadline = target.now + ms(1_200);
         target.offer(work, ms(rng.random_range(80..240)));
@@ -90,11 +94,15 @@
 fn a_hot_team_takes_the_slots_of_others() {
     let mut out = String::new();
     // The hot team usually takes 0.133 of the capacity.
-    let one = Peak { hot: 1.0, steady: 0.7 };
-    let all = Peak { hot: 0.34, steady: 1.36 };
-    for (name, peak, teams) in
-        [("one team", one, true), ("one team", one, false), ("all teams", all, true)]
-    {
+    let one = Peak { hot: 1.0, steady: 0.7, ranks: 1 };
+    let all = Peak { hot: 0.34, steady: 1.36, ranks: 1 };
+    let ranks = Peak { ranks: 3, ..all };
+    for (name, peak, teams) in [
+        ("one team", one, true),
+        ("one team", one, false),
+        ("all teams", all, true),
+        ("all teams of 3 ranks", ranks, true),
+    ] {
         let toggles = limits::Toggles { teams, ..limits::Toggles::default() };
         for seed in [1, 2] {
             let Served { hot, steady } = replay(peak, seed, toggles);
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -141,6 +141,11 @@
         self.controller.as_ref().map(|it| it.load(now)).unwrap_or_default()
     }
 
+    /// The number of queued requests of the same team, route and rank.
+    pub(crate) fn waiting_beside(&self, work: &work::Work) -> usize {
+        self.controller.as_ref().map_or(0, |it| it.waiting_beside(work))
+    }
+
     fn notify(&mut self, effects: Vec<work::Effect>) {
         for effect in effects {
             let Some(waiter) = self.waiters.remove(effect.key()) else { continue };
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -96,7 +96,7 @@
         Some(it) => it,
         None => request_admission(state, &request).await,
     };
-    let permit = await_verdict(admission).await.map_err(refused)?;
+    let permit = await_verdict(&request.head, admission).await.map_err(refused)?;
     let (addr, instance) = {
         let backend = state.backend.lock();
         (backend.addr, backend.instance.clone())
@@ -178,8 +178,11 @@
 }
 
 /// Waits until a request holds its slot or is refused.
-pub(crate) async fn wait_for_slot(admission: Admission) -> Admission {
-    match await_verdict(admission).await {
+pub(crate) async fn wait_for_slot(
+    head: &forwarding::RequestHead,
+    admission: Admission,
+) -> Admission {
+    match await_verdict(head, admission).await {
         Ok(permit) => Admission::Run(permit),
         Err(reason) => Admission::Refuse(reason),
     }
@@ -313,7 +316,7 @@
         suspect: head.suspect || status == suspects::Status::Suspect,
     };
     let decision = state.admission.lock().offer(now, work);
-    log_admission(state, head, &decision);
+    log_admission(state, head, &work, &decision);
     let permit = |key| slots::Permit::new(sync::Arc::clone(state), key);
     match decision {
         slots::Decision::Run(key) => Admission::Run(permit(key)),
@@ -388,7 +391,12 @@
 }
 
 /// Logs what admission decided and the load that it decided on.
-fn log_admission(state: &state::State, head: &forwarding::RequestHead, decision: &slots::Decision) {
+fn log_admission(
+    state: &state::State,
+    head: &forwarding::RequestHead,
+    work: &work::Work,
+    decision: &slots::Decision,
+) {
     if !log::log_enabled!(target: "decision", log::Level::Info) {
         return;
     }
@@ -398,11 +406,15 @@
         slots::Decision::Refuse(reason) => ("refuse", Some(reason)),
     };
     let now = state.now();
-    let load = state.admission.lock().load(now);
+    let (load, beside) = {
+        let admission = state.admission.lock();
+        (admission.load(now), admission.waiting_beside(work))
+    };
     log::info!(
         target: "decision",
         "admission request={} outcome={outcome} reason={reason:?} route={} busy={} queued={} \
-         slots={} service_time={:?} movable={} patience_us={:?} objective={:?} team={} rank={}",
+         slots={} service_time={:?} movable={} patience_us={:?} objective={:?} team={} rank={} \
+         flow_queued={beside}",
         head.id,
         head.route,
         load.in_flight,
@@ -431,7 +443,10 @@
     config.and_then(|it| it.find_team(&head.context.team)).unwrap_or_default()
 }
 
-async fn await_verdict(admission: Admission) -> Result<slots::Permit, forwarding::NotRun> {
+async fn await_verdict(
+    head: &forwarding::RequestHead,
+    admission: Admission,
+) -> Result<slots::Permit, forwarding::NotRun> {
     match admission {
         Admission::Refuse(reason) => Err(reason),
         Admission::Run(permit) => Ok(permit),
@@ -439,6 +454,15 @@
             Ok(Ok(())) => Ok(permit),
             Ok(Err(reason)) => {
                 permit.disarm();
+                log::info!(
+                    target: "decision",
+                    "admission request={} outcome=refuse reason={reason:?} route={} queued=true \
+                     team={} rank={}",
+                    head.id,
+                    head.route,
+                    head.context.team,
+                    head.context.rank,
+                );
                 Err(reason)
             }
             Err(_) => Err(forwarding::NotRun::Absent),
