--- a/crates/admission/src/uplink.rs
+++ b/crates/admission/src/uplink.rs
@@ -4,7 +4,7 @@
 
 use world::requests;
 
-use crate::controller;
+use crate::admit;
 
 /// Whether to refuse a request whose answer would wait for `backlog`. `objective` and `left` are the
 /// times until its objective and its deadline.
@@ -18,7 +18,7 @@
     left: time::Duration,
 ) -> bool {
     match class {
-        requests::Class::Caller => backlog > objective.mul_f32(controller::MAX_WAIT_SHARE),
+        requests::Class::Caller => backlog > objective.mul_f32(admit::MAX_WAIT_SHARE),
         requests::Class::Internal => backlog >= left,
     }
 }
