--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -5,15 +5,10 @@
 use world::{contracts, requests::Class, time::Time};
 
 use crate::{
-    limits, load, queue, rate, requests, routes, service_times, shedding, short_load, suspects,
-    work,
+    limits, load, losses, needs, queue, rate, requests, routes, service_times, shedding,
+    short_load, suspects, work,
 };
 
-/// Longest expected wait for a slot, as a fraction of the time until the objective. A few waiting
-/// requests keep all slots busy. In overload, a longer queue does not increase the throughput and
-/// only delays all requests.
-pub(crate) const MAX_WAIT_SHARE: f32 = 0.15;
-
 /// The admission controller of one target.
 ///
 /// Methods that return effects, or a [`work::Offered`] with effects, first do everything that is
@@ -21,9 +16,9 @@
 /// [`Controller::tick`] at [`Controller::next_tick`].
 #[derive(Debug)]
 pub struct Controller {
-    limits: limits::Limits,
+    pub(crate) limits: limits::Limits,
     ramp: Option<limits::Ramp>,
-    draining: bool,
+    pub(crate) draining: bool,
     /// The limit on the rate of starts; none while the target asks for none.
     pub(crate) rate: Option<rate::Bucket>,
     pub(crate) toggles: limits::Toggles,
@@ -33,6 +28,8 @@
     pub(crate) internal_queue: queue::Queue,
     pub(crate) counts: Counts,
     pub(crate) suspects: suspects::Suspects,
+    pub(crate) losses: losses::Losses,
+    pub(crate) needs: needs::Needs,
     short_load: short_load::ShortLoad,
     shedding: shedding::Shedding,
     /// Service times of callers' requests.
@@ -50,6 +47,8 @@
 pub(crate) struct Counts {
     pub(crate) callers: u32,
     pub(crate) internal: u32,
+    /// Internal calls by rank.
+    calls: [u32; losses::RANKS],
     /// Slots with a long request or a straggler.
     pub(crate) slow: u32,
     pub(crate) stragglers: u32,
@@ -60,13 +59,20 @@
         self.callers + self.internal
     }
 
-    pub(crate) fn start(&mut self, class: Class, long: bool) {
-        *self.class_mut(class) += 1;
+    /// The number of running internal calls of this rank and the less urgent ones.
+    pub(crate) fn calls_from(&self, rank: u32) -> u32 {
+        self.calls[losses::index(rank)..].iter().sum()
+    }
+
+    pub(crate) fn start(&mut self, work: &work::Work, long: bool) {
+        *self.class_mut(work.class) += 1;
+        self.calls[losses::index(work.rank)] += u32::from(work.class == Class::Internal);
         self.slow += u32::from(long);
     }
 
-    fn stop(&mut self, class: Class, run: requests::Run) {
-        *self.class_mut(class) -= 1;
+    fn stop(&mut self, work: &work::Work, run: requests::Run) {
+        *self.class_mut(work.class) -= 1;
+        self.calls[losses::index(work.rank)] -= u32::from(work.class == Class::Internal);
         self.slow -= u32::from(run.long || run.straggler);
         self.stragglers -= u32::from(run.straggler);
     }
@@ -98,6 +104,8 @@
             internal_queue: queue::Queue::default(),
             counts: Counts::default(),
             suspects: suspects::Suspects::default(),
+            losses: losses::Losses::default(),
+            needs: needs::Needs::default(),
             short_load: short_load::ShortLoad::default(),
             shedding: shedding::Shedding::default(),
             caller_times: service_times::MovingMean::default(),
@@ -184,7 +192,7 @@
         let mut effects = self.advance(now);
         self.limits = limits;
         self.dispatch(now, &mut effects);
-        self.trim_queue(&mut effects);
+        self.trim_queue(now, &mut effects);
         effects
     }
 
@@ -194,7 +202,7 @@
         self.draining = true;
         let keys: Vec<_> = self.caller_queue.keys().chain(self.internal_queue.keys()).collect();
         for key in keys {
-            self.refuse(key, work::RefusalReason::Draining, &mut effects);
+            self.refuse(now, key, work::RefusalReason::Draining, &mut effects);
         }
         effects
     }
@@ -228,6 +236,9 @@
         remap: impl FnMut(contracts::RouteKey) -> Option<contracts::RouteKey>,
     ) {
         self.routes.remap(remap);
+        self.caller_queue.forget_teams();
+        self.internal_queue.forget_teams();
+        self.needs.clear();
     }
 
     /// Returns the load to report on answers.
@@ -240,6 +251,7 @@
             queued_calls: u32::try_from(self.internal_queue.len()).unwrap_or(u32::MAX),
             caller_time: time::Duration::from_micros(self.caller_times.get().unwrap_or(0)),
             call_time: time::Duration::from_micros(self.call_times.get().unwrap_or(0)),
+            pressure: self.losses.pressure(now),
         };
         // Senders know the announced slots; those that are not usable have to look taken.
         let usable = self.slots(now);
@@ -256,6 +268,21 @@
         self.counts.slow
     }
 
+    /// Returns the number of waiting requests of the same team, route, rank and class.
+    pub fn waiting_beside(&self, work: &work::Work) -> usize {
+        let Some(route) = self.routes.find(work.route) else {
+            return 0;
+        };
+        let flow = queue::FlowId { rank: work.rank, team: work.team, route };
+        self.queue(work.class).waiting(flow)
+    }
+
+    /// Returns the number of flows that are kept: those with waiting requests, and a bounded number
+    /// of idle ones.
+    pub fn kept_flows(&self) -> usize {
+        self.caller_queue.kept_flows() + self.internal_queue.kept_flows()
+    }
+
     /// Returns whether no request runs or waits. Draining is then complete.
     pub fn is_idle(&self) -> bool {
         self.counts.running() == 0 && self.waiting() == 0
@@ -287,57 +314,19 @@
     /// Refuses a waiting request.
     pub(crate) fn refuse(
         &mut self,
+        now: Time,
         key: work::RequestKey,
         reason: work::RefusalReason,
         effects: &mut Vec<work::Effect>,
     ) {
+        let work = self.requests.get(key).map(|it| it.work);
+        if let Some(work) = work.filter(|_| reason != work::RefusalReason::Draining) {
+            self.losses.record_refusal(now, &work);
+        }
         self.remove(key);
         effects.push(work::Effect::Refuse(key, reason));
     }
 
-    fn admit(
-        &mut self,
-        now: Time,
-        work: work::Work,
-        effects: &mut Vec<work::Effect>,
-    ) -> work::Decision {
-        if self.draining {
-            return work::Decision::Refuse(work::RefusalReason::Draining);
-        }
-        let flow = self.routes.flow(work.route);
-        let latest = self.routes.latest_start(flow, work.deadline);
-        if self.toggles.deadlines && now > latest {
-            return work::Decision::Refuse(work::RefusalReason::Deadline);
-        }
-        if work.class == Class::Internal {
-            self.last_internal = Some(now);
-        }
-        let wait = self.expected_wait(now, flow, work.class);
-        let blocked = work.movable && self.is_blocked(flow, wait);
-        let key = self.enqueue(work, flow, latest);
-        self.dispatch(now, effects);
-        if self.is_waiting(key) && self.toggles.deadlines && now + wait > latest {
-            self.refuse(key, work::RefusalReason::Deadline, effects);
-        }
-        if self.is_waiting(key) && self.toggles.objectives {
-            let latest = self.routes.latest_start(flow, work.objective);
-            // An internal call is exempt: the request that makes it already holds a slot, and all
-            // its work would be lost with the call. Only the deadline ends the wait of a call.
-            let exceeds_objective = work.class == Class::Caller
-                && (now + wait > latest
-                    || wait > work.objective.since(now).mul_f32(MAX_WAIT_SHARE));
-            let exceeds_max_wait = work.movable && work.max_wait.is_some_and(|it| wait > it);
-            if exceeds_objective || exceeds_max_wait {
-                self.refuse(key, work::RefusalReason::Busy, effects);
-            }
-        }
-        if self.is_waiting(key) && blocked {
-            self.refuse(key, work::RefusalReason::Blocked, effects);
-        }
-        self.trim_queue(effects);
-        take_decision(key, effects)
-    }
-
     /// Records whether the backend server took a request. Of one that failed, this is not known.
     fn record_taken(&mut self, now: Time, run: requests::Run, outcome: work::Outcome) {
         let slots = self.limits.slots_at(self.ramp, now);
@@ -366,44 +355,10 @@
         u32::try_from(taken.count()).unwrap_or(u32::MAX)
     }
 
-    fn enqueue(
-        &mut self,
-        work: work::Work,
-        flow: routes::FlowKey,
-        latest: Time,
-    ) -> work::RequestKey {
-        let key = self.requests.insert(work, flow);
-        self.routes.add_request(flow);
-        let cost = self.routes.mean(flow);
-        self.queue_mut(work.class).push(flow, work.weight, key, cost);
-        if self.toggles.deadlines && work.deadline < Time::MAX {
-            self.requests.set_timer(key, Some(latest));
-        }
-        key
-    }
-
-    fn is_waiting(&self, key: work::RequestKey) -> bool {
+    pub(crate) fn is_waiting(&self, key: work::RequestKey) -> bool {
         self.requests.get(key).is_some_and(|it| matches!(it.state, requests::State::Waiting))
     }
 
-    /// Refuses waiting requests beyond the queue's limit: first callers' requests beyond their
-    /// guaranteed part of the queue, then internal calls.
-    fn trim_queue(&mut self, effects: &mut Vec<work::Effect>) {
-        while self.waiting() > self.limits.queue as usize {
-            let callers = self.caller_queue.len() > self.limits.min_caller_queue();
-            let (first, second) = match callers {
-                true => (&self.caller_queue, &self.internal_queue),
-                false => (&self.internal_queue, &self.caller_queue),
-            };
-            let order = self.order();
-            let Some(key) = first.drop_candidate(order).or_else(|| second.drop_candidate(order))
-            else {
-                return;
-            };
-            self.refuse(key, work::RefusalReason::QueueFull, effects);
-        }
-    }
-
     fn advance(&mut self, now: Time) -> Vec<work::Effect> {
         let mut effects = Vec::new();
         self.fire_timers(now, &mut effects);
@@ -417,7 +372,7 @@
     fn fire_timers(&mut self, now: Time, effects: &mut Vec<work::Effect>) {
         while let Some(key) = self.requests.pop_timer(now) {
             if self.is_waiting(key) {
-                self.refuse(key, work::RefusalReason::Deadline, effects);
+                self.refuse(now, key, work::RefusalReason::Deadline, effects);
                 continue;
             }
             let Some(it) = self.requests.get_mut(key) else {
@@ -431,7 +386,7 @@
         }
     }
 
-    fn waiting(&self) -> usize {
+    pub(crate) fn waiting(&self) -> usize {
         self.caller_queue.len() + self.internal_queue.len()
     }
 
@@ -447,11 +402,11 @@
     fn remove(&mut self, key: work::RequestKey) -> Option<(routes::FlowKey, Class, requests::Run)> {
         let it = self.requests.remove(key)?;
         let requests::State::Running(run) = it.state else {
-            self.queue_mut(it.work.class).remove(it.flow, key);
+            self.queue_mut(it.work.class).remove(it.flow_id(), key);
             self.routes.remove_request(it.flow);
             return None;
         };
-        self.counts.stop(it.work.class, run);
+        self.counts.stop(&it.work, run);
         self.suspects.remove(it.work.suspect);
         self.routes.stop(it.flow);
         Some((it.flow, it.work.class, run))
@@ -475,15 +430,3 @@
         }
     }
 }
-
-/// Takes the effect on the offered request out of `effects` and returns it as the decision. Without
-/// one, the request waits.
-fn take_decision(key: work::RequestKey, effects: &mut Vec<work::Effect>) -> work::Decision {
-    let Some(index) = effects.iter().position(|it| it.key() == key) else {
-        return work::Decision::Wait(key);
-    };
-    match effects.remove(index) {
-        work::Effect::Start(key) => work::Decision::Run(key),
-        work::Effect::Refuse(_, reason) => work::Decision::Refuse(reason),
-    }
-}
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -2,10 +2,11 @@
 
 use std::{sync, time as std_time};
 
+use admission::load;
 use compact_str::CompactString;
 use membership::directory;
 use protocol::forwarding;
-use routing::{balancer, estimates};
+use routing::{balancer, estimates, senders};
 use world::{mesh, requests, targets, time};
 
 use crate::{linking, reaching, state, working};
@@ -51,6 +52,8 @@
     /// The expected latency of the link to the target's data centre.
     link: std_time::Duration,
     class: requests::Class,
+    team: CompactString,
+    rank: u32,
     /// Whether the target is on another host.
     remote: bool,
     pending: bool,
@@ -61,6 +64,7 @@
     pub(crate) fn answered(mut self, node_status: &forwarding::NodeStatus) {
         let load = to_load(&node_status.load);
         let half_free = node_status.load.is_half_free();
+        let pressure = node_status.load.pressure;
         self.pending = false;
         let elapsed = self.state.now().since(self.sent_at);
         let state = sync::Arc::clone(&self.state);
@@ -71,6 +75,7 @@
             let peers = self.service_targets();
             let mut routing = self.state.routing.lock();
             self.record_admission(&mut routing, now, true);
+            self.record_pressure(now, pressure);
             if self.remote && half_free {
                 routing.throttle(&self.service).clear();
             }
@@ -92,7 +97,16 @@
         let estimates = &mut routing.balancer.estimates;
         estimates.record_admission(now, self.target, self.class, admitted);
         if self.remote && self.class == requests::Class::Caller {
-            routing.throttle(&self.service).record(now, admitted);
+            let sender = senders::Sender { team: &self.team, rank: self.rank };
+            routing.throttle(&self.service).record(now, sender, admitted);
+        }
+    }
+
+    /// Records the pressure that the target of a call reported: this node may refuse requests which
+    /// make such calls.
+    fn record_pressure(&self, now: time::Time, pressure: load::Pressure) {
+        if self.class == requests::Class::Internal {
+            self.state.callees.lock().record_report(now, &self.service, pressure);
         }
     }
 
@@ -223,13 +237,14 @@
     routing.balancer.estimates.record_send(choice.target, trial);
     if tried.is_empty() {
         let limiter = routing.retry_limiter(service);
+        let mut limiter = limiter.team(&request.head.context.team);
         if request.head.repeat {
-            limiter.record_repeat(now)
+            limiter.record_repeat(now);
         } else {
-            limiter.record_first(now)
-        }
-        if !request.head.repeat && !caller {
-            limiter.record_call(now);
+            limiter.record_first(now);
+            if !caller {
+                limiter.record_call(now);
+            }
         }
     }
     let Some(target) = directory.get(choice.target) else {
@@ -254,6 +269,8 @@
         sent_at: now,
         link: link.unwrap_or_default(),
         class: request.head.class,
+        team: request.head.context.team.clone(),
+        rank: request.head.context.rank,
         remote,
         pending: true,
     };
@@ -307,17 +324,22 @@
     again: bool,
 ) -> Result<()> {
     let service = &request.head.service;
+    let context = &request.head.context;
+    let sender = senders::Sender { team: &context.team, rank: context.rank };
     let estimate = routing.balancer.estimates.get(target);
     let throttle = routing.throttles.entry(service.clone()).or_default();
     if estimate.is_some_and(|it| it.has_room(now, slots))
-        || throttle.try_send(now, again, &mut routing.rng)
+        || throttle.try_send(now, sender, again, &mut routing.rng)
     {
         return Ok(());
     }
     log::info!(
         target: "decision",
-        "held request={} service={service} again={again} reason=\"its targets refuse most requests\"",
+        "held request={} service={service} again={again} reason=\"its targets refuse most requests\" \
+         team={} rank={}",
         request.head.id,
+        sender.team,
+        sender.rank,
     );
     let micros = estimate.map_or(0.0, |it| it.caller_time);
     Err(Error::Full(std_time::Duration::from_secs_f32(micros / 1e6)))
@@ -349,6 +371,7 @@
             guard.failed(estimates::Failure::Unreachable);
         }
         working::Failure::NotRun(_) if has_load(node_status) => {
+            guard.record_pressure(state.now(), node_status.load.pressure);
             guard.refused(to_load(&node_status.load));
         }
         // This node refused the request itself, which says nothing of the target.
@@ -362,7 +385,7 @@
 
 /// Whether a target's node has reported its load.
 pub(crate) fn has_load(node_status: &forwarding::NodeStatus) -> bool {
-    node_status.load != admission::load::LoadReport::default()
+    node_status.load != load::LoadReport::default()
 }
 
 /// Records the latency of an answered request when its route allows hedges. It is measured from
@@ -381,7 +404,7 @@
     routing.latencies.entry(request.route).or_default().record(now, now.since(started_at));
 }
 
-fn to_load(report: &admission::load::LoadReport) -> estimates::Load {
+fn to_load(report: &load::LoadReport) -> estimates::Load {
     estimates::Load {
         busy: report.in_flight,
         queued: report.queued,
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -17,6 +17,8 @@
 
 /// Upper bounds of the histogram of the pauses of refused callers, in seconds.
 const PAUSE_BOUNDS_S: [f64; 8] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0];
+/// Highest rank that is told apart, which bounds the number of time series.
+const MAX_RANK: u32 = 7;
 
 /// How a caller's request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -65,7 +67,7 @@
         Instruments {
             requests: counter("node.requests", "Callers' requests by outcome"),
             attempts: counter("node.attempts", "Sends to targets, retries and hedges included"),
-            refusals: counter("node.refusals", "Requests refused as not run, by reason"),
+            refusals: counter("node.refusals", "Requests refused as not run, by reason and rank"),
             promised_pause: times(
                 "node.returns.pause",
                 "Pauses after which refused callers were asked to return",
@@ -123,9 +125,11 @@
         self.attempts.add(1, &[KeyValue::new("data_centre", place)]);
     }
 
-    /// Counts a request that this node did not run, by reason.
-    pub fn count_refusal(&self, reason: forwarding::NotRun) {
-        self.refusals.add(1, &[KeyValue::new("reason", refusal_name(reason))]);
+    /// Counts a request that this node did not run, by reason and rank.
+    pub fn count_refusal(&self, reason: forwarding::NotRun, rank: u32) {
+        let rank = i64::from(rank.min(MAX_RANK));
+        let reason = KeyValue::new("reason", refusal_name(reason));
+        self.refusals.add(1, &[KeyValue::new("rank", rank), reason]);
     }
 
     /// Counts a refused caller that is asked to return after this pause.
@@ -199,9 +203,11 @@
         forwarding::NotRun::Absent => "absent",
         forwarding::NotRun::Blocked => "blocked",
         forwarding::NotRun::Busy => "busy",
+        forwarding::NotRun::Displaced => "displaced",
         forwarding::NotRun::Draining => "draining",
         forwarding::NotRun::Full => "full",
         forwarding::NotRun::Late => "late",
+        forwarding::NotRun::Outranked => "outranked",
         forwarding::NotRun::Quarantined => "quarantined",
         forwarding::NotRun::Refused => "refused",
         forwarding::NotRun::Shed => "shed",
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -23,6 +23,10 @@
 /// the call for holds a slot meanwhile.
 const MAX_CALL_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// When a request may be served that was refused because a service that its calls need is full of
+/// more urgent work: the reports of that service cover a second.
+const OUTRANKED_WAIT: time::Duration = time::Duration::from_secs(1);
+
 /// A result of sending a request to targets.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -246,6 +250,11 @@
                 let unknown = self.maybe_run.clone().map(Failure::Unknown);
                 return Err(self.error(unknown.unwrap_or(Failure::Quarantined)));
             }
+            // Its calls would be refused wherever it runs.
+            working::Failure::NotRun(forwarding::NotRun::Outranked) => {
+                self.min_wait = Some(OUTRANKED_WAIT);
+                return Err(self.give_up(state, "Outranked".into()));
+            }
             working::Failure::NotRun(reason)
                 if !reason.was_shed() && self.reroutes < MAX_REROUTES =>
             {
@@ -270,9 +279,7 @@
         match decide_retry(state, &mut self.request, outcome) {
             retry::Decision::Elsewhere => {
                 self.paid = true;
-                // The run at the next target is then not the first arrival of the request.
-                self.request.head.repeat |=
-                    outcome.may_have_run() || matches!(outcome, retry::Outcome::Shed(_));
+                self.request.head.repeat |= outcome.calls_repeat();
                 Ok(self)
             }
             retry::Decision::Done => Err(self.give_up(state, "no answer".into())),
@@ -366,6 +373,7 @@
     let toggles = routing::toggles::Toggles::default();
     let mut routing = state.routing.lock();
     let limiter = routing.retry_limiter(&request.head.service);
+    let limiter = &mut limiter.team(&request.head.context.team);
     let budget = &mut request.head.budget;
     let decision = retry::decide(now, outcome, &retry_request, budget, limiter, &toggles);
     log::info!(
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -6,7 +6,7 @@
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
 use tokio::sync::oneshot;
-use world::{contracts, time};
+use world::{contracts, requests, time};
 
 use crate::{backend, dialect, headers, in_flight, slots, state, suspects};
 
@@ -96,7 +96,7 @@
         Some(it) => it,
         None => request_admission(state, &request).await,
     };
-    let permit = await_verdict(admission).await.map_err(refused)?;
+    let permit = await_verdict(&request.head, admission).await.map_err(refused)?;
     let (addr, instance) = {
         let backend = state.backend.lock();
         (backend.addr, backend.instance.clone())
@@ -180,8 +180,11 @@
 }
 
 /// Waits until a request holds its slot or is refused.
-pub(crate) async fn wait_for_slot(admission: Admission) -> Admission {
-    match await_verdict(admission).await {
+pub(crate) async fn wait_for_slot(
+    head: &forwarding::RequestHead,
+    admission: Admission,
+) -> Admission {
+    match await_verdict(head, admission).await {
         Ok(permit) => Admission::Run(permit),
         Err(reason) => Admission::Refuse(reason),
     }
@@ -308,6 +311,9 @@
     if status == suspects::Status::Quarantined {
         return Admission::Refuse(forwarding::NotRun::Quarantined);
     }
+    if is_outranked(state, now, head) {
+        return Admission::Refuse(forwarding::NotRun::Outranked);
+    }
     let work = work::Work {
         route: route_key(state, head),
         team: team_key(state, head),
@@ -321,7 +327,7 @@
         suspect: head.suspect || status == suspects::Status::Suspect,
     };
     let decision = state.admission.lock().offer(now, work);
-    log_admission(state, head, &decision);
+    log_admission(state, head, &work, &decision);
     let permit = |key| slots::Permit::new(sync::Arc::clone(state), key);
     match decision {
         slots::Decision::Run(key) => Admission::Run(permit(key)),
@@ -330,6 +336,27 @@
     }
 }
 
+/// Whether a caller's request is refused because a service that its calls need is full of more
+/// urgent work.
+fn is_outranked(state: &state::State, now: time::Time, head: &forwarding::RequestHead) -> bool {
+    let context = &head.context;
+    if head.class == requests::Class::Internal {
+        return false;
+    }
+    let full = state.callees.lock().refuse(now, &head.route, (context.rank, context.worth));
+    let Some(full) = full else { return false };
+    log::info!(
+        target: "decision",
+        "admission request={} outcome=refuse reason=\"a service that its calls need is full of more \
+         urgent work\" route={} calls={full} team={} rank={}",
+        head.id,
+        head.route,
+        context.team,
+        context.rank,
+    );
+    true
+}
+
 /// Refuses a request whose body or answer would wait too long for this host's network link.
 fn check_network_link(
     state: &state::State,
@@ -375,7 +402,12 @@
 }
 
 /// Logs what admission decided and the load that it decided on.
-fn log_admission(state: &state::State, head: &forwarding::RequestHead, decision: &slots::Decision) {
+fn log_admission(
+    state: &state::State,
+    head: &forwarding::RequestHead,
+    work: &work::Work,
+    decision: &slots::Decision,
+) {
     if !log::log_enabled!(target: "decision", log::Level::Info) {
         return;
     }
@@ -385,11 +417,15 @@
         slots::Decision::Refuse(reason) => ("refuse", Some(reason)),
     };
     let now = state.now();
-    let load = state.admission.lock().load(now);
+    let (load, beside) = {
+        let admission = state.admission.lock();
+        (admission.load(now), admission.waiting_beside(work))
+    };
     log::info!(
         target: "decision",
         "admission request={} outcome={outcome} reason={reason:?} route={} busy={} queued={} \
-         slots={} service_time={:?} movable={} patience_us={:?} objective={:?} team={} rank={}",
+         slots={} service_time={:?} movable={} patience_us={:?} objective={:?} team={} rank={} \
+         flow_queued={beside}",
         head.id,
         head.route,
         load.in_flight,
@@ -418,7 +454,10 @@
     config.and_then(|it| it.find_team(&head.context.team)).unwrap_or_default()
 }
 
-async fn await_verdict(admission: Admission) -> Result<slots::Permit, forwarding::NotRun> {
+async fn await_verdict(
+    head: &forwarding::RequestHead,
+    admission: Admission,
+) -> Result<slots::Permit, forwarding::NotRun> {
     match admission {
         Admission::Refuse(reason) => Err(reason),
         Admission::Run(permit) => Ok(permit),
@@ -426,6 +465,15 @@
             Ok(Ok(())) => Ok(permit),
             Ok(Err(reason)) => {
                 permit.disarm();
+                log::info!(
+                    target: "decision",
+                    "admission request={} outcome=refuse reason={reason:?} route={} queued=true \
+                     team={} rank={}",
+                    head.id,
+                    head.route,
+                    head.context.team,
+                    head.context.rank,
+                );
                 Err(reason)
             }
             Err(_) => Err(forwarding::NotRun::Absent),
@@ -444,11 +492,13 @@
         fingerprint: head.fingerprint,
         budget: head.budget,
         id: head.id.clone(),
+        route: head.route.clone(),
         context: head.context.clone(),
         repeat: head.repeat,
         summary: format_compact!("{} {} of {}", head.method, head.path, head.service),
     };
     let key = state.in_flight.lock().insert(record);
+    state.callees.lock().record_request(&head.route);
     let now = state.now();
     let status = state.suspects.lock().status(now, &head.fingerprint);
     let suspect = head.suspect || status == suspects::Status::Suspect;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod prober;
 pub mod retry;
 pub mod returns;
+pub mod senders;
 pub mod silence;
 pub mod spillover;
 pub mod subset;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -21,6 +21,12 @@
 }
 
 impl Outcome {
+    /// Returns whether the calls of a run at the next target count as repeats: it is not the first
+    /// arrival of the request at a backend server.
+    pub fn calls_repeat(self) -> bool {
+        self.may_have_run() || matches!(self, Outcome::Shed(_))
+    }
+
     /// Returns whether the request may have run, and thus may have made calls.
     pub fn may_have_run(self) -> bool {
         match self {
@@ -72,7 +78,7 @@
     outcome: Outcome,
     request: &Request,
     budget: &mut budget::Budget,
-    limiter: &mut budget::RetryLimiter,
+    limiter: &mut budget::TeamLimiter<'_>,
     toggles: &toggles::Toggles,
 ) -> Decision {
     if outcome == Outcome::Answered {
@@ -99,7 +105,7 @@
 pub fn try_extra_send(
     now: Time,
     budget: &mut budget::Budget,
-    limiter: &mut budget::RetryLimiter,
+    limiter: &mut budget::TeamLimiter<'_>,
     toggles: &toggles::Toggles,
 ) -> Option<GiveUpReason> {
     if toggles.budget && budget.attempts == 0 {
@@ -117,7 +123,7 @@
     now: Time,
     class: requests::Class,
     budget: &mut budget::Budget,
-    limiter: &mut budget::RetryLimiter,
+    limiter: &mut budget::TeamLimiter<'_>,
     toggles: &toggles::Toggles,
 ) -> Option<GiveUpReason> {
     if toggles.budget && budget.attempts == 0 {
