--- a/crates/heatherwalk/tests/requests/refusals.rs
+++ b/crates/heatherwalk/tests/requests/refusals.rs
@@ -14,6 +14,8 @@
 
 const REFUSAL: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nheatherwalk-not-run: true\r\ncontent-length: 0\r\n\r\n";
+/// Requests of a test that counts them.
+const REQUESTS: usize = 200;
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 /// Serves a connection: refuses its first request, and runs each later one, but writes the refusal
@@ -158,3 +160,24 @@
         assert!(reply.status == 503 && (0.01..=0.3).contains(&pause), "{reply}: {pause}");
     }
 }
+
+/// Guards against requests that end at a target that sheds while another one has room, and against
+/// a target that sheds and gets as many requests as the others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_target_that_sheds_gets_requests() {
+    let mesh = mesh::Mesh::spawn(3, mesh::document(&[("logs", json!({}), json!({}))])).await;
+    let shed = |_: &str, _: &[u8]| servers::Action::Shed;
+    let shedding = servers::Server::spawn(mesh.announce(1), "logs", 8, shed).await;
+    let answer = |_: &str, _: &[u8]| servers::Action::Send(ANSWER.into());
+    let serving = servers::Server::spawn(mesh.announce(2), "logs", 8, answer).await;
+    mesh.ready(0, &["logs"]).await;
+    let before = shedding.counts.shed.load(atomic::Ordering::SeqCst);
+    let mut statuses = Vec::new();
+    for _ in 0..REQUESTS {
+        statuses.push(callers::send(mesh.callers(0), callers::get("/logs/work")).await.status);
+    }
+    let shed = shedding.counts.shed.load(atomic::Ordering::SeqCst) - before;
+    let runs = serving.counts.runs.load(atomic::Ordering::SeqCst);
+    let answered = statuses.iter().filter(|&&it| it == 200).count();
+    assert!(answered == REQUESTS && shed * 10 <= REQUESTS, "{answered}, {shed} shed, {runs} run");
+}
