Keep two slots at a target that sheds

With few slots, the limit of a target that sheds could leave a single one. Callers' requests would hold it and wait for calls to the same target, for which one of several slots is reserved.

--- a/crates/admission/src/shedding.rs
+++ b/crates/admission/src/shedding.rs
@@ -16,6 +16,9 @@
 const STEP: time::Duration = time::Duration::from_millis(250);
 /// One in this many slots is always usable, rounded up.
 const MIN_SHARE: u32 = 4;
+/// Slots that are always usable, if there are as many: one for callers' requests, and one for the
+/// calls that they may wait for.
+const MIN_SLOTS: u32 = 2;
 /// Time after which older outcomes count half.
 const HALF_LIFE: time::Duration = time::Duration::from_millis(500);
 /// Sheds beyond the requests taken at the same levels that limit the slots. A single one at a level
@@ -67,7 +70,7 @@
             return;
         }
         let usable = self.usable(now, slots);
-        let least = slots.div_ceil(MIN_SHARE);
+        let least = slots.div_ceil(MIN_SHARE).max(MIN_SLOTS).min(slots);
         let slots = usable.min(level.saturating_sub(1)).max(least);
         self.limit = Some(Limit { slots, since: now });
     }
