--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -4,10 +4,10 @@
 
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
-use routing::{retry, returns};
-use world::{requests, targets};
+use routing::retry;
+use world::targets;
 
-use crate::{choosing, forward, hedging, state, working};
+use crate::{choosing, forward, hedging, returning, state, working};
 
 /// Attempts that may have crashed their backend server after which a request is not sent again,
 /// whatever its budget. The second attempt runs beside no other suspect request, so its crash is
@@ -19,10 +19,6 @@
 /// attempts are not taken from the request's budget.
 const MAX_REROUTES: u8 = 2;
 
-/// Longest time after which a backend server is asked to repeat a call. The request that it makes
-/// the call for holds a slot meanwhile.
-const MAX_CALL_PAUSE: time::Duration = time::Duration::from_millis(200);
-
 /// A result of sending a request to targets.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -291,47 +287,14 @@
     fn give_up(&self, state: &state::State, reason: CompactString) -> Error {
         self.error(match &self.maybe_run {
             Some(detail) => Failure::Unknown(detail.clone()),
-            None => Failure::NotRun(reason, self.min_wait.map(|it| self.promise_return(state, it))),
+            None => {
+                let head = &self.request.head;
+                let promise = |wait| returning::promise(state, head, self.run_time, wait);
+                Failure::NotRun(reason, self.min_wait.map(promise))
+            }
         })
     }
 
-    /// The time after which the caller is asked to return. `wait` is the shortest wait for a slot
-    /// that a target has reported.
-    fn promise_return(&self, state: &state::State, wait: time::Duration) -> time::Duration {
-        let head = &self.request.head;
-        if head.class == requests::Class::Internal {
-            return wait.clamp(returns::MIN_PAUSE, MAX_CALL_PAUSE);
-        }
-        let now = state.now();
-        let refused = returns::Refused {
-            rank: head.context.rank,
-            left: head.context.deadline.since(now),
-            objective: head.context.objective.since(now),
-            run: self.run_time,
-            wait,
-        };
-        let promise = {
-            let mut routing = state.routing.lock();
-            let routing = &mut *routing;
-            let ledger = routing.returns.entry(head.service.clone()).or_default();
-            ledger.promise(now, &refused, &mut routing.rng)
-        };
-        state.instruments.count_promise(promise.pause);
-        log::info!(
-            target: "decision",
-            "return_promised request={} service={} rank={} pause={:?} ahead={} left={:?} \
-             reason=\"{}\"",
-            head.id,
-            head.service,
-            refused.rank,
-            promise.pause,
-            promise.ahead,
-            refused.left,
-            promise.why,
-        );
-        promise.pause
-    }
-
     fn error(&self, failure: Failure) -> Error {
         Error { failure, attempts_left: self.request.head.budget.attempts }
     }
--- a/crates/routing/tests/sends.rs
+++ b/crates/routing/tests/sends.rs
@@ -267,7 +267,7 @@
 /// Guards against calls that end at the first target that sheds them, because callers' requests, or
 /// the calls of requests that were shed elsewhere, have used up the node's limit. Three of four
 /// requests are calls, and targets shed 16 of 100 sends; with up to three targets for each, 1 call
-/// in 200 would be shed by all of them anyway.
+/// in 244 would be shed by all of them anyway.
 #[test]
 fn sheds_end_calls() {
     let toggles = toggles::Toggles::default();
