--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod reaching;
 pub mod refusals;
 mod reservations;
+mod returning;
 pub mod running;
 mod sending;
 mod serving;
