Reject statuses that no final HTTP response has

The client took 101 and 600 to 999 for the status of a final response, so they reached callers; hyper already rejects 000, 099 and other text. Such a response now counts as a request whose outcome is unknown, and its connection is closed.

--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -12,6 +12,7 @@
 mod linking;
 mod mesh;
 mod notices;
+mod odd_statuses;
 mod passing;
 mod refusals;
 mod relay;
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,6 +1,6 @@
 //! The HTTP client, with a pool of connections.
 
-use std::{error::Error as _, io, net, pin::Pin, task, time};
+use std::{error::Error as _, io, net, ops, pin::Pin, task, time};
 
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString as _};
@@ -14,6 +14,9 @@
 
 use crate::{body as bodies, connector, exchange, headers};
 
+/// The statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
+
 /// Why a request got no response. The text is the cause.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum Error {
@@ -155,6 +158,12 @@
             Err(_) => return Err(Error::MaybeSent("deadline passed".into())),
         };
         let kept = capture.connection_metadata().as_ref().is_none_or(connector::record_response);
+        if let Err(err) = check_status(response.status()) {
+            if let Some(connected) = capture.connection_metadata().as_ref() {
+                connected.poison();
+            }
+            return Err(err);
+        }
         check_framing(&response, close_delimited)?;
         Ok(Received { response: to_response(response), kept, connection: capture })
     }
@@ -188,6 +197,15 @@
     Ok(request)
 }
 
+/// Rejects a status that a final response cannot have: HTTP ends at 599, and 101 answers an upgrade,
+/// which is never asked for.
+fn check_status(status: http::StatusCode) -> Result<()> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    Err(Error::MaybeSent(compact_str::format_compact!("response with status {}", status.as_u16())))
+}
+
 /// Rejects a body that is delimited only by the end of its connection: after a crash of the server
 /// it would look complete as well.
 fn check_framing(response: &http::Response<body::Incoming>, close_delimited: bool) -> Result<()> {
--- a/crates/web/tests/calling.rs
+++ b/crates/web/tests/calling.rs
@@ -230,3 +230,18 @@
         }
     }
 }
+
+/// Guards against a status that no final response can have and that reaches a caller as an answer:
+/// some faulty servers send 000.
+#[tokio::test]
+async fn odd_statuses() {
+    let client = client::Client::new(client::Limits::default());
+    let mut out = String::new();
+    for status in ["000", "099", "100", "101", "199", "600", "999", "1000", "20", "-20", "200"] {
+        let text = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nok");
+        let (addr, _requests) = backend(Reply::Close(text.leak())).await;
+        let result = outcome(&client, call(addr, TIMEOUT, client::Reuse::Allowed)).await;
+        writeln!(out, "{status}: {result}").expect("text");
+    }
+    insta::assert_snapshot!(out);
+}
