--- a/crates/heatherwalk/tests/requests/odd_statuses.rs
+++ b/crates/heatherwalk/tests/requests/odd_statuses.rs
@@ -20,7 +20,9 @@
     let services = [("logs", json!({}), json!({"timeout_ms": 5_000}))];
     let mesh = mesh::Mesh::spawn(2, mesh::document(&services)).await;
     let _server = servers::Server::spawn(mesh.announce(1), "logs", 12, handle).await;
-    mesh.ready(0, &["logs"]).await;
+    for node in [0, 1] {
+        mesh.ready(node, &["logs"]).await;
+    }
     let mut lines = Vec::new();
     for status in STATUSES {
         let mut line = format!("{status}:");
