Send small messages ahead of large ones on a network link

All messages waited in one queue, so answers of calls waited behind large answers, and a large answer took a place for 32 KB at a time. Messages of up to 16 KiB now have their own place; a larger one takes a place behind all others for each 16 KiB, so large ones take turns. Bytes that are sent by other means, such as answers to callers, can wait for their turn too.

--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net, sync, time};
 
+use bytes::Bytes;
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use crate::{codes, errors, handshakes, identity, limits, links, names, pacer, tls, wire};
@@ -154,6 +155,22 @@
         self.shared.pacer.backlog()
     }
 
+    /// Bytes that the host's network link carries in a second when all of it is paced, if its rate is
+    /// known.
+    pub fn paced_rate(&self) -> Option<u64> {
+        self.shared.pacer.rate()
+    }
+
+    /// How long a small message would wait now for the host's network link.
+    pub fn small_backlog(&self) -> time::Duration {
+        self.shared.pacer.small_backlog()
+    }
+
+    /// The bytes that have passed ahead of large messages on the host's network link.
+    pub fn small_bytes(&self) -> u64 {
+        self.shared.pacer.small_bytes()
+    }
+
     /// What was sent and received on the host's network link since the endpoint was bound.
     pub fn counts(&self) -> wire::Counts {
         self.shared.wire.counts()
@@ -169,6 +186,12 @@
         self.shared.pacer.count_other(bytes);
     }
 
+    /// Waits until bytes that the process sends on the host's network link by other means than links
+    /// may be sent, as a part of a large message, and counts them.
+    pub async fn send_other(&self, bytes: Bytes) {
+        self.shared.pacer.send_other(bytes).await;
+    }
+
     /// Waits for the next link from a peer whose handshake is complete. Returns `None` after the
     /// endpoint was closed.
     pub async fn accept(&self) -> Option<links::Link> {
--- a/crates/transport/src/links.rs
+++ b/crates/transport/src/links.rs
@@ -184,6 +184,7 @@
             pacer: self.shared.pacer.clone(),
             wire: sync::Arc::clone(&self.shared.wire),
             kind,
+            size: pacer::Size::Small,
         };
         (streams::Sender::new(send, active, outlet), receiver)
     }
--- a/crates/transport/src/pacer.rs
+++ b/crates/transport/src/pacer.rs
@@ -5,6 +5,10 @@
 //! is sent again. Here the messages of all links wait in one queue before they are sent, so that
 //! acknowledgements and control messages pass it, and its length is known.
 //!
+//! Messages of up to 16 KiB have their own place ahead of larger ones. A larger message is sent in
+//! parts of that size, each of which takes a place behind all others, so that several large ones
+//! take turns.
+//!
 //! Messages get what is left by all else that the host sends on the link: headers, acknowledgements, handshakes,
 //! packets that are sent again, answers to callers. All of it counts as [`wire`] has seen it. When
 //! the link is full all the same, large datagrams are dropped here: in the queue of the link they
@@ -32,6 +36,8 @@
 const MAX_LINK_QUEUE: time::Duration = time::Duration::from_millis(40);
 /// Longest queue of the network link up to which messages are passed to it.
 const MAX_PIECE_QUEUE: time::Duration = time::Duration::from_millis(25);
+/// The same for pieces of large messages. It is shorter, so that small ones that are due go first.
+const MAX_LARGE_PIECE_QUEUE: time::Duration = time::Duration::from_millis(10);
 /// Datagrams of at most this size are never dropped: acknowledgements, probes, refusals.
 const SMALL_DATAGRAM: usize = 512;
 /// How much may be sent at once after a pause, in time at the full rate.
@@ -45,9 +51,25 @@
 /// Longer messages are written to their link in pieces of at most this size, each when the link has
 /// room for it.
 const PIECE_BYTES: usize = 4 * 1_024;
-/// Bytes of a message that get a place in the queue together. It is more than most answers have, so
-/// that these wait once; longer messages wait again, so that others get their turn.
-const RESERVED_BYTES: usize = 32 * 1_024;
+/// The largest message that has a place ahead of large ones, and the bytes of a large one that get a
+/// place in the queue together.
+pub const SMALL_BYTES: usize = 16 * 1_024;
+
+/// Which place a message has in the queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Size {
+    /// Ahead of large messages.
+    Small,
+    /// Behind all others, for each part of [`SMALL_BYTES`].
+    Large,
+}
+
+impl Size {
+    /// The size of a message of `bytes`.
+    pub fn of(bytes: usize) -> Size {
+        if bytes > SMALL_BYTES { Size::Large } else { Size::Small }
+    }
+}
 
 /// The queues of an endpoint's messages and datagrams. Without a rate, nothing waits.
 pub struct Pacer {
@@ -58,6 +80,10 @@
     start: time::Instant,
     /// When the queue of messages will be empty, in microseconds since `start`.
     idle_at: atomic::AtomicU64,
+    /// When its part without large messages will be empty.
+    small_idle_at: atomic::AtomicU64,
+    /// Bytes that were added to that part.
+    small_bytes: atomic::AtomicU64,
     /// When the queue of datagrams will be empty.
     link_idle_at: atomic::AtomicU64,
     /// Bytes of `wire`, other than messages, that were added to the queues.
@@ -75,6 +101,7 @@
     /// The part of the message that has a place, less what was returned.
     part: Bytes,
     reservation: Option<Reservation<'a>>,
+    size: Size,
     waits: bool,
 }
 
@@ -83,6 +110,7 @@
 struct Reservation<'a> {
     pacer: &'a Pacer,
     rate: u64,
+    size: Size,
     /// When the next piece may be sent.
     at: tokio::time::Instant,
     unsent_us: u64,
@@ -97,6 +125,8 @@
             link_rate: link_rate.map_or(u64::MAX, |it| (it * LINK_PERCENT / 100).max(1)),
             start: time::Instant::now(),
             idle_at: atomic::AtomicU64::new(0),
+            small_idle_at: atomic::AtomicU64::new(0),
+            small_bytes: atomic::AtomicU64::new(0),
             link_idle_at: atomic::AtomicU64::new(0),
             charged: atomic::AtomicU64::new(0),
             wire,
@@ -108,10 +138,25 @@
         self.rate.map(|it| it * MESSAGE_PERCENT / USABLE_PERCENT)
     }
 
-    /// How long a message would wait now.
+    /// Bytes of messages that the network link carries in a second when it carries nothing else, if
+    /// its rate is known.
+    pub fn rate(&self) -> Option<u64> {
+        self.rate
+    }
+
+    /// How long a message would wait now, at its turn behind a part of each large one.
     pub fn backlog(&self) -> time::Duration {
-        let idle_at = self.idle_at.load(atomic::Ordering::Relaxed);
-        time::Duration::from_micros(idle_at.saturating_sub(self.now_us()))
+        self.time_until(&self.idle_at)
+    }
+
+    /// How long a small message would wait now.
+    pub fn small_backlog(&self) -> time::Duration {
+        self.time_until(&self.small_idle_at)
+    }
+
+    /// The bytes that have passed ahead of large messages, or wait there.
+    pub fn small_bytes(&self) -> u64 {
+        self.small_bytes.load(atomic::Ordering::Relaxed)
     }
 
     /// Whether to send a datagram of `bytes`.
@@ -130,19 +175,44 @@
     }
 
     /// Puts a message into the queue, which returns its pieces when they may be sent.
-    pub(crate) fn queue(&self, message: Bytes) -> Pieces<'_> {
-        let waits = message.len() > UNDELAYED_BYTES;
-        Pieces { pacer: self, rest: message, part: Bytes::new(), reservation: None, waits }
+    pub(crate) fn queue(&self, message: Bytes, size: Size) -> Pieces<'_> {
+        let waits = message.len() > UNDELAYED_BYTES || size == Size::Large;
+        Pieces { pacer: self, rest: message, part: Bytes::new(), reservation: None, size, waits }
+    }
+
+    /// Waits until bytes that the process sends on the network link by other means may be sent, as a
+    /// part of a large message, and counts them.
+    pub(crate) async fn send_other(&self, bytes: Bytes) {
+        let mut pieces = self.queue(bytes, Size::Large);
+        while let Some(piece) = pieces.next().await {
+            self.wire.count_paced_other(piece.len() as u64);
+        }
     }
 
-    /// Puts a part of a message at the end of the queue.
-    fn join(&self, bytes: usize, rate: u64) -> Reservation<'_> {
+    /// Puts a part of a message at the end of its place in the queue.
+    fn join(&self, bytes: usize, rate: u64, size: Size) -> Reservation<'_> {
         let now_us = self.now_us();
         let unsent_us = cost_us(bytes as u64, rate);
-        let before = add_cost(&self.idle_at, now_us, unsent_us);
+        let behind_all = add_cost(&self.idle_at, now_us, unsent_us);
+        let before = match size {
+            Size::Small => self.add_small(bytes as u64, now_us, unsent_us),
+            Size::Large => behind_all,
+        };
         let burst_us = u64::try_from(BURST.as_micros()).unwrap_or(0);
         let wait = time::Duration::from_micros(before.saturating_sub(now_us + burst_us));
-        Reservation { pacer: self, rate, at: tokio::time::Instant::now() + wait, unsent_us }
+        let at = tokio::time::Instant::now() + wait;
+        Reservation { pacer: self, rate, size, at, unsent_us }
+    }
+
+    /// Adds what passes ahead of large messages. Returns when the queue there would have been empty.
+    fn add_small(&self, bytes: u64, now_us: u64, cost_us: u64) -> u64 {
+        self.small_bytes.fetch_add(bytes, atomic::Ordering::Relaxed);
+        add_cost(&self.small_idle_at, now_us, cost_us)
+    }
+
+    fn time_until(&self, idle_at: &atomic::AtomicU64) -> time::Duration {
+        let idle_at = idle_at.load(atomic::Ordering::Relaxed);
+        time::Duration::from_micros(idle_at.saturating_sub(self.now_us()))
     }
 
     /// Lengthens both queues by what was sent since the last call other than messages. A message
@@ -150,20 +220,21 @@
     pub(crate) fn charge_overhead(&self) {
         let Some(rate) = self.rate else { return };
         let counts = self.wire.counts();
-        let paced = counts.answers + counts.requests;
+        let paced = counts.answers + counts.requests + counts.paced_other;
         let others = (counts.sent + counts.other).saturating_sub(paced);
         let before = self.charged.fetch_max(others, atomic::Ordering::Relaxed);
         if others > before {
             let now_us = self.now_us();
-            add_cost(&self.idle_at, now_us, cost_us(others - before, rate));
+            let cost = cost_us(others - before, rate);
+            add_cost(&self.idle_at, now_us, cost);
+            self.add_small(others - before, now_us, cost);
             add_cost(&self.link_idle_at, now_us, cost_us(others - before, self.link_rate));
         }
     }
 
     /// How long a datagram would wait now on the network link.
     fn link_queue(&self) -> time::Duration {
-        let idle_at = self.link_idle_at.load(atomic::Ordering::Relaxed);
-        time::Duration::from_micros(idle_at.saturating_sub(self.now_us()))
+        self.time_until(&self.link_idle_at)
     }
 
     /// Adds a piece to the queue of the network link.
@@ -173,10 +244,14 @@
 
     /// Waits until the queue of the network link is short, and adds a piece to it. A message that
     /// had its place before an overhead was charged waits for that overhead here.
-    async fn wait_for_link(&self, bytes: usize) {
+    async fn wait_for_link(&self, bytes: usize, size: Size) {
         let cost_us = cost_us(bytes as u64, self.link_rate);
+        let longest = match size {
+            Size::Small => MAX_PIECE_QUEUE,
+            Size::Large => MAX_LARGE_PIECE_QUEUE,
+        };
         loop {
-            let latest = self.now_us() + u64::try_from(MAX_PIECE_QUEUE.as_micros()).unwrap_or(0);
+            let latest = self.now_us() + u64::try_from(longest.as_micros()).unwrap_or(0);
             let add = |it: u64| (it <= latest).then(|| it.max(self.now_us()) + cost_us);
             let order = atomic::Ordering::Relaxed;
             match self.link_idle_at.fetch_update(order, order, add) {
@@ -214,14 +289,14 @@
         }
         let Some(rate) = self.pacer.rate else { return Some(std::mem::take(&mut self.rest)) };
         if self.part.is_empty() {
-            self.part = self.rest.split_to(self.rest.len().min(RESERVED_BYTES));
-            self.reservation = Some(self.pacer.join(self.part.len(), rate));
+            self.part = self.rest.split_to(self.rest.len().min(SMALL_BYTES));
+            self.reservation = Some(self.pacer.join(self.part.len(), rate, self.size));
         }
         let reservation = self.reservation.as_mut()?;
         let length = self.part.len().min(PIECE_BYTES);
         if self.waits {
             tokio::time::sleep_until(reservation.at).await;
-            self.pacer.wait_for_link(length).await;
+            self.pacer.wait_for_link(length, self.size).await;
         } else {
             self.pacer.add_to_link(length);
         }
@@ -245,5 +320,8 @@
         let subtract = |idle_at: u64| Some(idle_at.saturating_sub(self.unsent_us));
         let order = atomic::Ordering::Relaxed;
         let _ = self.pacer.idle_at.fetch_update(order, order, subtract);
+        if self.size == Size::Small {
+            let _ = self.pacer.small_idle_at.fetch_update(order, order, subtract);
+        }
     }
 }
--- a/crates/transport/src/streams.rs
+++ b/crates/transport/src/streams.rs
@@ -30,6 +30,8 @@
     pub(crate) pacer: pacer::LinkPacer,
     pub(crate) wire: sync::Arc<wire::Wire>,
     pub(crate) kind: wire::Kind,
+    /// The place that messages have at least, however short they are.
+    pub(crate) size: pacer::Size,
 }
 
 /// The receiving direction of a stream. Dropping it asks the sender to stop.
@@ -98,7 +100,11 @@
         match self.outlet.pacer.clone() {
             None => self.write(bytes).await?,
             Some(pacer) => {
-                let mut pieces = pacer.queue(bytes);
+                let size = match self.outlet.size {
+                    pacer::Size::Small => pacer::Size::of(bytes.len()),
+                    pacer::Size::Large => pacer::Size::Large,
+                };
+                let mut pieces = pacer.queue(bytes, size);
                 while let Some(piece) = pieces.next().await {
                     self.write(piece).await?;
                 }
@@ -108,6 +114,11 @@
         Ok(())
     }
 
+    /// Gives all that follows the place of large messages, since it is a part of one.
+    pub fn make_large(&mut self) {
+        self.outlet.size = pacer::Size::Large;
+    }
+
     async fn write(&mut self, bytes: Bytes) -> errors::Result<()> {
         let Outlet { wire, kind, .. } = &self.outlet;
         wire.count_message(*kind, bytes.len());
--- a/crates/transport/src/wire.rs
+++ b/crates/transport/src/wire.rs
@@ -54,6 +54,8 @@
     pub control: u64,
     /// Bytes that the process sent on the network link by other means than its links.
     pub other: u64,
+    /// Of `other`, the bytes that waited for their turn as messages do.
+    pub paced_other: u64,
     /// Bytes of datagrams that were dropped, since the network link was full.
     pub dropped: u64,
 }
@@ -69,6 +71,7 @@
     requests: atomic::AtomicU64,
     control: atomic::AtomicU64,
     other: atomic::AtomicU64,
+    paced_other: atomic::AtomicU64,
     dropped: atomic::AtomicU64,
     links: sync::Mutex<Links>,
 }
@@ -115,6 +118,7 @@
             requests: self.requests.saturating_sub(earlier.requests),
             control: self.control.saturating_sub(earlier.control),
             other: self.other.saturating_sub(earlier.other),
+            paced_other: self.paced_other.saturating_sub(earlier.paced_other),
             dropped: self.dropped.saturating_sub(earlier.dropped),
         }
     }
@@ -138,6 +142,7 @@
             requests: read(&self.requests),
             control: read(&self.control),
             other: read(&self.other),
+            paced_other: read(&self.paced_other),
             dropped: read(&self.dropped),
         }
     }
@@ -157,6 +162,13 @@
         add(&self.other, bytes);
     }
 
+    /// Counts bytes like [`Wire::count_other`] that waited for their turn.
+    pub(crate) fn count_paced_other(&self, bytes: u64) {
+        // In this order, the difference of the two is never negative.
+        add(&self.other, bytes);
+        add(&self.paced_other, bytes);
+    }
+
     /// Adds an open link. When the returned value is dropped, what the link has transferred is kept.
     pub(crate) fn add_link(
         self: &sync::Arc<Wire>,
--- a/crates/transport/tests/pacing.rs
+++ b/crates/transport/tests/pacing.rs
@@ -162,3 +162,39 @@
     send_all(&links, 20_000).await;
     assert_eq!(sender.counts().dropped, 0, "bytes dropped");
 }
+
+/// Guards against answers of calls that wait behind large answers for the host's network link, and
+/// against a large answer that waits for another one to end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn small_answers_wait_behind_large_ones() {
+    let authority = identity::Authority::from_secret("pacing").expect("derives");
+    let sender = bind(&authority, "skulte-1", Some(LINK_RATE));
+    let links = links(&sender, 3).await;
+    let before = sender.counts();
+    let started_at = time::Instant::now();
+    let mut large = tokio::task::JoinSet::new();
+    for (index, bytes) in [200_000, 200_000, 40_000].into_iter().enumerate() {
+        let link = links[index].clone();
+        large.spawn(async move {
+            send_all(&[link], bytes).await;
+            (bytes, started_at.elapsed())
+        });
+    }
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    let mut waits = Vec::new();
+    while started_at.elapsed() < time::Duration::from_millis(700) {
+        waits.push(send_all(&links[..1], 2_000).await);
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    let longest = waits.iter().max().expect("some were sent");
+    assert!(*longest <= time::Duration::from_millis(120), "small messages took {waits:?}");
+    let mut ended = large.join_all().await;
+    ended.sort_unstable();
+    let took = started_at.elapsed();
+    assert!(ended[0].1 < took.mul_f32(0.5), "the shortest large message ended last: {ended:?}");
+    let sent = sender.counts().since(before).sent;
+    let room = (took + time::Duration::from_millis(45)).as_secs_f64() * 0.95 * LINK_RATE as f64;
+    assert!(sent as f64 <= room, "{sent} bytes in {took:?}, room for {room:.0}");
+    // 88% of the rate, less the headers of packets and what a busy machine takes.
+    assert!(440_000.0 >= 0.7 * took.as_secs_f64() * LINK_RATE as f64, "{took:?} for 440,000 bytes");
+}
