Admit large answers by what the network link can carry in time

Admission counted the queue of answers that exist, not what running requests will add to it, and the link to the caller was counted and not paced. The node of the caller decides in the same way on its own link and paces large answers to callers. A target's answer of up to 256 KiB is held in memory, so its slot is free while it waits, and senders learn the expected wait with the load report.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,6 +6,7 @@
 //! straggler once it has run much longer than its own route usually does. Long requests and
 //! stragglers together are called slow; they may hold only a part of the slots.
 
+pub mod answer_sizes;
 pub mod controller;
 mod dispatch;
 pub mod downlink;
--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -46,14 +46,24 @@
         LoadReport { in_flight: self.in_flight + self.slots.saturating_sub(usable), ..self }
     }
 
-    /// The report of a target where a new request, or its answer, waits for at least `wait`: for the
-    /// target's limit on the rate, or until its host's network link has room. It counts as many
-    /// waiting requests as make a new request wait as long.
+    /// The report of a target where a new request waits for at least `wait`, for the target's limit
+    /// on the rate. It counts as many waiting requests as make a new request wait as long.
     pub fn with_wait(self, wait: time::Duration) -> LoadReport {
-        if self.slots == 0 || self.service_time.is_zero() || wait <= self.expected_wait() {
+        self.with_queue(wait, self.service_time)
+    }
+
+    /// The report of a target where a new request, or its answer, waits for at least `wait` until
+    /// its host's network link has room. Senders multiply the queue by the time of a caller's
+    /// request, which is longer than the mean at a target with many calls.
+    pub fn with_link_wait(self, wait: time::Duration) -> LoadReport {
+        self.with_queue(wait, self.service_time.max(self.caller_time))
+    }
+
+    fn with_queue(self, wait: time::Duration, per_request: time::Duration) -> LoadReport {
+        if self.slots == 0 || per_request.is_zero() || wait <= self.expected_wait() {
             return self;
         }
-        let before = wait.div_duration_f32(self.service_time) * self.slots as f32;
+        let before = wait.div_duration_f32(per_request) * self.slots as f32;
         let total = (before as u32).saturating_add(self.slots - 1);
         LoadReport { queued: total.saturating_sub(self.in_flight).max(self.queued), ..self }
     }
--- a/crates/node/src/answering.rs
+++ b/crates/node/src/answering.rs
@@ -8,11 +8,18 @@
 use routing::budget;
 use world::time;
 
-use crate::{bodies, headers, instruments, refusals, sending, state};
+use crate::{bodies, headers, instruments, outgoing, promises, refusals, sending, state};
 
 /// Most chunks of an answer that are buffered for a slow caller.
 pub(crate) const MAX_CHUNKS: usize = 8;
 
+/// An answer whose body is on its way to the caller.
+pub(crate) struct Streamed {
+    pub(crate) response: web::exchange::Response,
+    /// Bytes of the body that take the host's network link without waiting for their turn.
+    pub(crate) counted: u64,
+}
+
 /// Records a request's outcome and times in metrics and the log when it is dropped. The outcome is
 /// cancelled unless [`RequestRecord::finish`] was called.
 pub(crate) struct RequestRecord {
@@ -22,6 +29,10 @@
     added: std_time::Duration,
     id: CompactString,
     reason: &'static str,
+    /// Whether a backend server of this host makes the request, over no network link.
+    pub(crate) is_call: bool,
+    /// What the answer takes of the host's network link.
+    pub(crate) promise: Option<promises::Promise>,
 }
 
 impl RequestRecord {
@@ -36,6 +47,8 @@
             added: std_time::Duration::ZERO,
             id,
             reason: "",
+            is_call: false,
+            promise: None,
         }
     }
 
@@ -138,8 +151,8 @@
 pub(crate) async fn stream(
     answered: sending::Answered,
     is_head: bool,
-    record: RequestRecord,
-) -> web::exchange::Response {
+    mut record: RequestRecord,
+) -> Streamed {
     let at = time_limit(&record.state, &answered);
     let sending::Answered { status, mut headers, body: source, .. } = answered;
     headers::remove_reserved(&mut headers, record.state.settings.dialect.reserved);
@@ -151,11 +164,19 @@
         sending::Rest::Ended => bodies::Limit::ended(),
         _ => bodies::Limit::begun(at, length),
     };
+    let is_paced = outgoing::is_paced(&record.state, record.is_call, length);
+    let mut promise = record.promise.take();
+    if let Some(promise) = &mut promise {
+        promise.begin(status, length);
+    }
     let copying = async move {
-        match copy_body(source, &sender, length, limit).await {
+        let shared = sync::Arc::clone(&record.state);
+        let link = is_paced.then(|| shared.links.endpoint());
+        let mut outlet = outgoing::Outlet::to_caller(sender, link, promise);
+        match copy_body(source, &mut outlet, length, limit).await {
             Ok(()) => {
                 // The HTTP server does not read the end marker of a body whose length it knows.
-                let ended = sender.finish().await.is_ok();
+                let ended = outlet.finish().await.is_ok();
                 if ended || length.is_some() {
                     record.finish(instruments::Outcome::Answered);
                 }
@@ -168,13 +189,14 @@
                     record.id,
                 );
                 record.finish(instruments::Outcome::Unknown);
-                sender.abort();
+                outlet.abort();
             }
         }
     };
     tokio::spawn(copying);
     let body = if bodyless { web::body::Body::empty() } else { body };
-    web::exchange::Response { status, headers, body }
+    let counted = if is_paced { 0 } else { length.unwrap_or(0) };
+    Streamed { response: web::exchange::Response { status, headers, body }, counted }
 }
 
 /// Copies a body from `source` to `sender`. It stops when the reader is gone, which cancels the
@@ -182,7 +204,7 @@
 /// at that point, and only the end marker of `source` is still to be read.
 pub(crate) async fn copy_body(
     mut source: sending::Source,
-    sender: &web::body::Sender,
+    sender: &mut outgoing::Outlet<'_>,
     length: Option<u64>,
     limit: bodies::Limit,
 ) -> bodies::Result<()> {
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -159,6 +159,7 @@
         }
     };
     state.routing.lock().remap_routes(new_key);
+    state.uplink.lock().remap_routes(new_key);
     let entry = state.backend.lock().local.entry().cloned();
     let mut admission = state.admission.lock();
     admission.remap_routes(new_key);
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -9,6 +9,9 @@
 
 /// Largest body of an answer, in bytes, that is read to its end before the answer is begun.
 pub(crate) const MAX_BUFFERED: usize = 64 * 1024;
+/// Largest body of an answer, in bytes, that the node of its target reads to its end before the link
+/// has sent it, so that the slot is free meanwhile.
+pub(crate) const MAX_HELD: usize = 256 * 1024;
 /// Most bytes that a process buffers so at once. Further answers are begun as their heads arrive.
 /// All connections of callers together could otherwise ask for 4,096 times [`MAX_BUFFERED`].
 const MAX_BUFFERED_TOTAL: usize = 16 * 1024 * 1024;
@@ -77,6 +80,11 @@
         self.try_acquire(length.ok().filter(|it| *it <= MAX_BUFFERED)?)
     }
 
+    /// Reserves the memory for an answer of this length that waits for the network link.
+    pub(crate) fn reserve_held(&self, length: u64) -> Option<Reservation> {
+        self.try_acquire(usize::try_from(length).ok().filter(|it| *it <= MAX_HELD)?)
+    }
+
     /// Reserves nothing yet, for a body whose length is not known.
     pub(crate) fn reserve_none(&self) -> Option<Reservation> {
         self.try_acquire(0)
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time as std_time};
 
+use admission::uplink;
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
@@ -10,7 +11,7 @@
 
 use crate::{
     answering, authenticating, bodies, claiming, confirming, dialect, headers, instruments,
-    planning, refusals, reservations, sending, state, storing, suspects,
+    planning, promises, refusals, reservations, sending, state, storing, suspects,
 };
 
 /// Largest body of a request, in bytes, when the configuration sets no limit. Bodies are kept in
@@ -38,6 +39,8 @@
     step: Step,
     reservation: reservations::Reservation,
     deadline: time::Time,
+    class: requests::Class,
+    promise: Option<promises::Promise>,
 }
 
 /// The next step of a request.
@@ -61,11 +64,17 @@
     state: sync::Arc<state::State>,
     request: web::exchange::Request,
 ) -> web::exchange::Response {
-    let answer = answer_request(sync::Arc::clone(&state), request).await;
-    let declared = bodies::content_length(&answer.headers).unwrap_or(0);
-    let body = declared.max(answer.body.least_length());
-    state.links.endpoint().count_other(headers::length(&answer.headers) + body);
-    answer
+    let answering::Streamed { response, counted } =
+        answer_request(sync::Arc::clone(&state), request).await;
+    state.links.endpoint().count_other(headers::length(&response.headers) + counted);
+    response
+}
+
+/// An answer that is complete.
+fn complete(response: web::exchange::Response) -> answering::Streamed {
+    let declared = bodies::content_length(&response.headers).unwrap_or(0);
+    let counted = declared.max(response.body.least_length());
+    answering::Streamed { response, counted }
 }
 
 /// Answers a caller's request. A request that gets no answer from a target is answered with a
@@ -73,7 +82,7 @@
 async fn answer_request(
     state: sync::Arc<state::State>,
     request: web::exchange::Request,
-) -> web::exchange::Response {
+) -> answering::Streamed {
     let options = (state.settings.dialect.parse_request)(&request.headers).map(|it| {
         dialect::RequestOptions { credential: authenticating::read(&request.headers), ..it }
     });
@@ -82,7 +91,7 @@
     let mut record = answering::RequestRecord::new(sync::Arc::clone(&state), id.clone());
     let is_head = request.method == http::Method::HEAD;
     let result = tokio::select! {
-        it = handle(&state, request, id, options) => it,
+        it = handle(&state, request, id, options, &mut record) => it,
         () = end_of_stop(&state) => Err(refusals::stopping()),
     };
     match result {
@@ -90,17 +99,17 @@
             record.record_head(std_time::Duration::from_micros(answered.node_status.backend_us));
             match answering::read_ahead(&record, *answered).await {
                 Ok(answered) => answering::stream(answered, is_head, record).await,
-                Err(refusal) => refuse(&state, record, &refusal),
+                Err(refusal) => complete(refuse(&state, record, &refusal)),
             }
         }
         Ok(Reply::Complete(answer, backend)) => {
             record.record_head(backend);
             record.finish(instruments::Outcome::Answered);
-            answer
+            complete(answer)
         }
         Err(refusal) => {
             let refusal = check_version(&state, refusal).await;
-            refuse(&state, record, &refusal)
+            complete(refuse(&state, record, &refusal))
         }
     }
 }
@@ -133,6 +142,7 @@
     request: web::exchange::Request,
     id: CompactString,
     options: Result<dialect::RequestOptions, CompactString>,
+    record: &mut answering::RequestRecord,
 ) -> refusals::Result<Reply> {
     let web::exchange::Request { method, path, query, headers, body, .. } = request;
     let arrived = state.now();
@@ -149,8 +159,10 @@
     // One job does everything up to the first attempt: each job costs a request about 0.2 ms of
     // waiting.
     let prepared = state.pool.run(move || prepare(&shared, incoming)).await;
-    let Prepared { step, reservation, deadline } =
+    let Prepared { step, reservation, deadline, class, promise } =
         prepared.unwrap_or_else(|_| Err(refusals::overloaded()))?;
+    record.is_call = class == requests::Class::Internal;
+    record.promise = promise;
     match step {
         Step::Send(attempt) => send(state, *attempt, None, reservation, deadline).await,
         Step::Claim { request, home, key } => {
@@ -219,6 +231,21 @@
     let fingerprint = content.as_received(virtual_host, &dialect.describe_origin(&origin));
     let suspect = check_suspect(state, &fingerprint, &id)?;
     check_age(&headers)?;
+    let promise = match class {
+        requests::Class::Caller => promises::offer(
+            state,
+            &promises::Request {
+                id: &id,
+                place: uplink::Place::Caller,
+                route,
+                class,
+                context: &context,
+            },
+        )
+        .map_err(|it| promises::refuse_caller(&it))?,
+        // The answer goes to the backend server of this host.
+        requests::Class::Internal => None,
+    };
     headers::remove_reserved(&mut headers, dialect.reserved);
     authenticating::remove_key(&config, &mut headers);
     headers::set_length(&mut headers, body.len());
@@ -249,7 +276,7 @@
         None if keyless => Step::Send(Box::new(sending::choose_first(state, request))),
         None => return Err(refusals::key_required(version)),
     };
-    Ok(Prepared { step, reservation, deadline })
+    Ok(Prepared { step, reservation, deadline, class, promise })
 }
 
 fn check_age(headers: &http::HeaderMap) -> refusals::Result<()> {
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -41,6 +41,7 @@
     link_bytes: metrics::Counter<u64>,
     link_parts: metrics::Counter<u64>,
     link_dropped: metrics::Counter<u64>,
+    link_promised: metrics::Gauge<u64>,
     lost_packets: metrics::Counter<u64>,
     probes: metrics::Counter<u64>,
     version: metrics::Gauge<u64>,
@@ -89,6 +90,11 @@
                 .with_unit("By")
                 .with_description("Bytes of datagrams dropped because the network link was full")
                 .build(),
+            link_promised: meter
+                .u64_gauge("node.link.promised")
+                .with_unit("By")
+                .with_description("Bytes of large answers that the network link is to carry")
+                .build(),
             lost_packets: counter("node.link.lost", "Sent packets that were taken for lost"),
             probes: counter("node.probes", "Probes of unresponsive hosts by result"),
             version: version.with_description("The version that the node runs").build(),
@@ -155,6 +161,13 @@
         self.link_dropped.add(added.dropped, &[]);
     }
 
+    /// Records the bytes of large answers that the network link is to carry: those that running
+    /// requests are expected to make, and those that wait.
+    pub fn record_promised(&self, (running, queued): (u64, u64)) {
+        self.link_promised.record(running, &[KeyValue::new("state", "running")]);
+        self.link_promised.record(queued, &[KeyValue::new("state", "queued")]);
+    }
+
     /// Counts a probe that was answered, or that was not answered in time.
     pub fn count_probe(&self, answered: bool) {
         let result = if answered { "answered" } else { "unanswered" };
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -317,11 +317,13 @@
     state.instruments.count_links(attempts.since(recorded.attempts));
     state.instruments.count_traffic(added);
     state.instruments.count_wire(sent);
+    let promised = state.uplink.lock().promised();
+    state.instruments.record_promised(promised);
     log::info!(
         target: "decision",
         "links open={open} sent_bytes={} received_bytes={} datagrams={} answers_bytes={} \
          requests_bytes={} control_bytes={} handshake_bytes={} other_bytes={} dropped_bytes={} resent_bytes={} \
-         lost_packets={} backlog={:?} typical_round_trip={:?}",
+         lost_packets={} backlog={:?} promised={promised:?} typical_round_trip={:?}",
         sent.sent,
         sent.received,
         sent.datagrams,
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -8,7 +8,7 @@
 use protocol::{forwarding, streams};
 use transport::errors;
 
-use crate::{arrivals, bodies, headers, peer_versions, state, working};
+use crate::{arrivals, bodies, headers, parts, peer_versions, state, working};
 
 /// How long the head of an answer waits for its body, so that both are sent together.
 const MAX_AHEAD_WAIT: std_time::Duration = std_time::Duration::from_millis(20);
@@ -147,7 +147,9 @@
     node_status: forwarding::NodeStatus,
 ) -> forwarding::NodeStatus {
     let arriving = state.downlink.lock().backlog();
-    let load = node_status.load.with_wait(state.links.endpoint().backlog().max(arriving));
+    let answers = state.uplink.lock().expected_wait();
+    let wait = state.links.endpoint().small_backlog().max(arriving).max(answers);
+    let load = node_status.load.with_link_wait(wait);
     forwarding::NodeStatus { load, ..node_status }
 }
 
@@ -168,7 +170,7 @@
     let mut kept = Vec::new();
     let length = bodies::content_length(headers);
     // A body of unknown length may be one that goes on, such as a stream of events.
-    let reservation = length.and_then(|_| state.buffers.reserve(length));
+    let reservation = length.and_then(|it| state.buffers.reserve_held(it));
     let Some(reservation) = reservation else {
         return Ahead { bytes: Bytes::new(), end: None };
     };
@@ -193,24 +195,30 @@
     id: &str,
     answered: working::Answered,
     at: tokio::time::Instant,
-    mut sender: transport::streams::Sender,
+    sender: transport::streams::Sender,
 ) -> errors::Result<()> {
-    let working::Answered { status, headers, mut body, execution, node_status } = answered;
+    let working::Answered { status, headers, mut body, mut execution, node_status } = answered;
+    let length = bodies::content_length(&headers);
+    let mut promise = execution.take_promise();
+    if let Some(promise) = &mut promise {
+        promise.begin(status, length);
+    }
+    let mut parts = parts::Parts::new(sender, promise, length);
     let head = forwarding::AnswerHead::Answered {
         status: status.as_u16(),
         fields: headers::encode(&headers),
         standing: node_status,
     };
-    let limit = bodies::Limit::begun(at, bodies::content_length(&headers));
+    let limit = bodies::Limit::begun(at, length);
     let ahead = read_ahead(state, &headers, &limit, &mut body).await;
     if let Some(Ok(())) = ahead.end {
         // Frees the slot: the backend server has done its work, and the answer may wait for the
         // link for longer than that took.
         execution.finish(work::Outcome::Answered);
-        sender.send_with(&head, &ahead.bytes).await?;
-        return sender.finish();
+        parts.send_head(&head, ahead.bytes).await?;
+        return parts.finish();
     }
-    sender.send_with(&head, &ahead.bytes).await?;
+    parts.send_head(&head, ahead.bytes).await?;
     let mut end = ahead.end;
     loop {
         // A body that broke off may report its end afterwards.
@@ -219,10 +227,10 @@
             _ => limit.read(body.chunk()).await,
         };
         match next {
-            Ok(Some(bytes)) => sender.send_bytes(bytes).await?,
+            Ok(Some(bytes)) => parts.send(bytes).await?,
             Ok(None) => {
                 execution.finish(work::Outcome::Answered);
-                return sender.finish();
+                return parts.finish();
             }
             Err(err) => {
                 log::info!(
@@ -231,7 +239,7 @@
                      forwarding stream\"",
                     state.links.endpoint().backlog(),
                 );
-                sender.reset();
+                parts.reset();
                 execution.abort(matches!(err, bodies::Error::DeadlinePassed)).await;
                 return Ok(());
             }
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 use world::{config, contracts, time};
 
-use crate::state;
+use crate::{promises, state};
 
 /// The outcome of a queued request: a slot, or the reason why it was not run.
 pub(crate) type Verdict = Result<(), forwarding::NotRun>;
@@ -165,12 +165,14 @@
     state: sync::Arc<state::State>,
     key: work::RequestKey,
     done: bool,
+    /// What the answer takes of the host's network link.
+    pub(crate) promise: Option<promises::Promise>,
 }
 
 impl Permit {
     /// Takes ownership of the slot or queue place of offered work.
     pub(crate) fn new(state: sync::Arc<state::State>, key: work::RequestKey) -> Permit {
-        Permit { state, key, done: false }
+        Permit { state, key, done: false, promise: None }
     }
 
     /// Frees the slot and records how the work ended.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, sync};
 
-use admission::downlink;
+use admission::{downlink, uplink};
 use compact_str::CompactString;
 use distribution::{attach, updater};
 use membership::{directory, local_target};
@@ -26,6 +26,7 @@
 const ROUTING: rank::Rank = rank::Rank(30);
 const ADMISSION: rank::Rank = rank::Rank(40);
 const DOWNLINK: rank::Rank = rank::Rank(45);
+const UPLINK: rank::Rank = rank::Rank(47);
 const IN_FLIGHT: rank::Rank = rank::Rank(50);
 const SUSPECTS: rank::Rank = rank::Rank(60);
 const SESSIONS: rank::Rank = rank::Rank(70);
@@ -51,6 +52,8 @@
     pub(crate) admission: table::Table<slots::LocalController>,
     /// The bodies that other nodes are sending to this host.
     pub(crate) downlink: table::Table<downlink::Downlink>,
+    /// What answers take of the host's network link.
+    pub(crate) uplink: table::Table<uplink::Uplink>,
     pub(crate) in_flight: table::Table<in_flight::Requests>,
     pub(crate) suspects: table::Table<suspects::Suspects>,
     pub(crate) sessions: table::Table<Sessions>,
@@ -200,6 +203,7 @@
         };
         let suspects = suspects::Suspects::default();
         let downlink = downlink::Downlink::new(links.endpoint().message_rate());
+        let uplink = uplink::Uplink::new(links.endpoint().paced_rate());
         State {
             pool: pool::Pool::spawn(settings.workers, 16_384),
             links,
@@ -214,6 +218,7 @@
             routing: table::Table::new(ROUTING, "routing", routing),
             admission: table::Table::new(ADMISSION, "admission", slots::LocalController::default()),
             downlink: table::Table::new(DOWNLINK, "downlink", downlink),
+            uplink: table::Table::new(UPLINK, "uplink", uplink),
             in_flight: table::Table::new(
                 IN_FLIGHT,
                 "requests in flight",
--- a/crates/node/src/storing.rs
+++ b/crates/node/src/storing.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use replicated::claims;
 
-use crate::{answering, bodies, callers, claiming, headers, refusals, sending, state};
+use crate::{answering, bodies, callers, claiming, headers, outgoing, refusals, sending, state};
 
 /// Stores an answer for resends before the caller gets it. An answer that is too large is streamed
 /// to the caller and stored without its body. When the controls are slow to confirm, the caller gets
@@ -25,9 +25,10 @@
     let large = length.filter(|it| *it > claims::MAX_BODY_BYTES as u64);
     let limit = bodies::Limit::begun(at, large);
     tokio::spawn(async move {
-        match answering::copy_body(source, &sender, length, limit).await {
-            Ok(()) => drop(sender.finish().await),
-            Err(_) => sender.abort(),
+        let mut outlet = outgoing::Outlet::unpaced(sender);
+        match answering::copy_body(source, &mut outlet, length, limit).await {
+            Ok(()) => drop(outlet.finish().await),
+            Err(_) => outlet.abort(),
         }
     });
     let (kept, collected) = collect(&mut copy).await;
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 use world::{contracts, time};
 
-use crate::{backend, dialect, headers, in_flight, slots, state, suspects};
+use crate::{backend, dialect, headers, in_flight, promises, slots, state, suspects};
 
 /// Limit for the connection that checks whether the backend server is alive after a request's
 /// connection was refused or broke.
@@ -169,8 +169,8 @@
 ) -> Admission {
     let (shared, head) = (sync::Arc::clone(state), request.head.clone());
     let job = move || match check_network_link(&shared, &head) {
-        Some(reason) => Admission::Refuse(reason),
-        None => offer(&shared, &head),
+        Err(reason) => Admission::Refuse(reason),
+        Ok(promise) => offer(&shared, &head).with_promise(promise),
     };
     let offered = state.pool.run(job).await;
     // When the workers' queue is full, the request was neither admitted nor sent.
@@ -185,7 +185,22 @@
     }
 }
 
+impl Admission {
+    /// Ties what the answer takes of the host's network link to the slot or the place in the queue.
+    fn with_promise(mut self, promise: Option<promises::Promise>) -> Admission {
+        if let Admission::Run(permit) | Admission::Wait(permit, _) = &mut self {
+            permit.promise = promise;
+        }
+        self
+    }
+}
+
 impl Execution {
+    /// Takes what the answer takes of the host's network link, which outlasts the slot.
+    pub(crate) fn take_promise(&mut self) -> Option<promises::Promise> {
+        self.permit.as_mut()?.promise.take()
+    }
+
     /// Takes the extra attempts that the request's calls have left. They are returned with the head
     /// of the answer, so calls that the request makes later have none.
     fn take_attempts(&self) -> u8 {
@@ -320,29 +335,34 @@
 }
 
 /// Refuses a request whose body or answer would wait too long for this host's network link.
+/// Otherwise returns what the answer takes of it.
 fn check_network_link(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     head: &forwarding::RequestHead,
-) -> Option<forwarding::NotRun> {
-    let backlog = state.links.endpoint().backlog();
+) -> Result<Option<promises::Promise>, forwarding::NotRun> {
     let now = state.now();
     let objective = head.context.objective.since(now);
     let left = head.context.deadline.since(now);
     let arriving = *state.downlink.lock();
     let has_body = headers::body_length(&head.fields) > 0;
-    let refused = uplink::is_full(backlog, head.class, objective, left)
-        || has_body && arriving.is_full(head.class, objective, left);
-    if !refused {
-        return None;
+    if !has_body || !arriving.is_full(head.class, objective, left) {
+        let request = promises::Request {
+            id: &head.id,
+            place: uplink::Place::Target,
+            route: route_key(state, head),
+            class: head.class,
+            context: &head.context,
+        };
+        return promises::offer(state, &request).map_err(|_| forwarding::NotRun::Busy);
     }
     log::info!(
         target: "decision",
         "admission request={} outcome=refuse reason=\"the host's network link is full\" \
-         backlog={backlog:?} arriving={:?} objective={objective:?}",
+         decided_by=bodies arriving={:?} objective={objective:?}",
         head.id,
         arriving.backlog(),
     );
-    Some(forwarding::NotRun::Busy)
+    Err(forwarding::NotRun::Busy)
 }
 
 fn check_backend(
