Keep one place for a large message on a network link

When large answers took turns in parts of 16 KiB, each new one delayed those that were about to end. A large message now keeps one place for up to 256 KiB, and of those that are due the one with the first place goes first; small messages still pass between its pieces of 4 KiB. Messages get 92% of the link instead of 88%, since large pieces wait while its queue is longer than 10 ms.

--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -1,4 +1,4 @@
-//! Sends an answer to another node in parts that take turns with others on the host's network link.
+//! Sends an answer to another node, and gives back its share of the host's network link meanwhile.
 
 use admission::uplink;
 use bytes::Bytes;
@@ -7,9 +7,6 @@
 
 use crate::promises;
 
-/// Largest part of a large answer. With its frame, the head stays in the same place of the queue.
-const PART_BYTES: usize = 14 * 1024;
-
 /// An answer that is being sent.
 pub(crate) struct Parts {
     sender: transport::streams::Sender,
@@ -30,28 +27,25 @@
         Parts { sender, promise, sent: 0 }
     }
 
-    /// Sends the head with the first bytes of the body. A small answer waits once for both.
+    /// Sends the head with the first bytes of the body. Both wait once for the link.
     pub(crate) async fn send_head(
         &mut self,
         head: &forwarding::AnswerHead,
-        mut bytes: Bytes,
+        bytes: &Bytes,
     ) -> errors::Result<()> {
-        let is_small = bytes.len() as u64 <= uplink::SMALL_BYTES;
-        let length = if is_small { bytes.len() } else { PART_BYTES };
-        let first = bytes.split_to(length);
-        self.sender.send_with(head, &first).await?;
-        self.count(first.len());
-        self.send(bytes).await
+        let promise = &mut self.promise;
+        let on_sent = |count| promise.iter_mut().for_each(|it| it.sent(count));
+        self.sender.send_counted(head, bytes, on_sent).await?;
+        self.count(bytes.len());
+        Ok(())
     }
 
     /// Sends further bytes of the body.
-    pub(crate) async fn send(&mut self, mut bytes: Bytes) -> errors::Result<()> {
-        while !bytes.is_empty() {
-            let part = bytes.split_to(bytes.len().min(PART_BYTES));
-            let length = part.len();
-            self.sender.send_bytes(part).await?;
-            self.count(length);
-        }
+    pub(crate) async fn send(&mut self, bytes: Bytes) -> errors::Result<()> {
+        let length = bytes.len();
+        self.sender.send_bytes(bytes).await?;
+        self.promise.iter_mut().for_each(|it| it.sent(length));
+        self.count(length);
         Ok(())
     }
 
@@ -74,8 +68,5 @@
         if self.sent > uplink::SMALL_BYTES {
             self.sender.make_large();
         }
-        if let Some(promise) = &mut self.promise {
-            promise.sent(bytes);
-        }
     }
 }
--- a/crates/node/src/promises.rs
+++ b/crates/node/src/promises.rs
@@ -9,8 +9,8 @@
 
 use crate::{refusals, state};
 
-/// Largest part of one answer, in bytes, that counts towards the queue of the link. Large answers
-/// take turns, so a huge one delays another by little more than the size of that one.
+/// Largest part of one answer, in bytes, that counts towards the queue of the link. A longer one has
+/// a place for no more than this part at a time, and others get their turn before the next.
 const MAX_COUNTED: u64 = 256 * 1024;
 /// Bounds of the time after which a refused caller is asked to retry. A link that refuses has
 /// promised at most about a second.
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -215,10 +215,10 @@
         // Frees the slot: the backend server has done its work, and the answer may wait for the
         // link for longer than that took.
         execution.finish(work::Outcome::Answered);
-        parts.send_head(&head, ahead.bytes).await?;
+        parts.send_head(&head, &ahead.bytes).await?;
         return parts.finish();
     }
-    parts.send_head(&head, ahead.bytes).await?;
+    parts.send_head(&head, &ahead.bytes).await?;
     let mut end = ahead.end;
     loop {
         // A body that broke off may report its end afterwards.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod serving;
 pub mod streams;
 mod tls;
+mod turns;
 pub mod wire;
--- a/crates/transport/src/pacer.rs
+++ b/crates/transport/src/pacer.rs
@@ -5,9 +5,9 @@
 //! is sent again. Here the messages of all links wait in one queue before they are sent, so that
 //! acknowledgements and control messages pass it, and its length is known.
 //!
-//! Messages of up to 16 KiB have their own place ahead of larger ones. A larger message is sent in
-//! parts of that size, each of which takes a place behind all others, so that several large ones
-//! take turns.
+//! Messages of up to 16 KiB have their own place ahead of larger ones. A larger message keeps one
+//! place for up to 256 KiB: when several large answers took turns instead, later ones delayed those
+//! that were about to end, and most of them became late.
 //!
 //! Messages get what is left by all else that the host sends on the link: headers, acknowledgements, handshakes,
 //! packets that are sent again, answers to callers. All of it counts as [`wire`] has seen it. When
@@ -21,14 +21,14 @@
 
 use bytes::Bytes;
 
-use crate::wire;
+use crate::{turns, wire};
 
 /// The share of the network link, in percent, that datagrams may use. The rest is for what is not
 /// counted, such as acknowledgements of TCP.
 const LINK_PERCENT: u64 = 95;
 /// The share up to which messages are sent. It is lower, so that the queue of the link drains while
 /// messages wait.
-const USABLE_PERCENT: u64 = 88;
+const USABLE_PERCENT: u64 = 92;
 /// The share of the network link, in percent, that messages usually get.
 const MESSAGE_PERCENT: u64 = 70;
 /// Longest queue of datagrams on the network link, beside a piece of a message, from which on large
@@ -51,16 +51,18 @@
 /// Longer messages are written to their link in pieces of at most this size, each when the link has
 /// room for it.
 const PIECE_BYTES: usize = 4 * 1_024;
-/// The largest message that has a place ahead of large ones, and the bytes of a large one that get a
-/// place in the queue together.
+/// The largest message that has a place ahead of large ones.
 pub const SMALL_BYTES: usize = 16 * 1_024;
+/// Bytes of a message that get a place in the queue together. A longer message waits again, so that
+/// others get their turn.
+const RESERVED_BYTES: usize = 256 * 1_024;
 
 /// Which place a message has in the queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Size {
     /// Ahead of large messages.
     Small,
-    /// Behind all others, for each part of [`SMALL_BYTES`].
+    /// Behind all others.
     Large,
 }
 
@@ -88,6 +90,8 @@
     link_idle_at: atomic::AtomicU64,
     /// Bytes of `wire`, other than messages, that were added to the queues.
     charged: atomic::AtomicU64,
+    /// The large messages that wait for the network link.
+    turns: turns::Turns,
     wire: sync::Arc<wire::Wire>,
 }
 
@@ -111,6 +115,8 @@
     pacer: &'a Pacer,
     rate: u64,
     size: Size,
+    /// The place among large messages.
+    place: u64,
     /// When the next piece may be sent.
     at: tokio::time::Instant,
     unsent_us: u64,
@@ -129,6 +135,7 @@
             small_bytes: atomic::AtomicU64::new(0),
             link_idle_at: atomic::AtomicU64::new(0),
             charged: atomic::AtomicU64::new(0),
+            turns: turns::Turns::default(),
             wire,
         }
     }
@@ -144,7 +151,7 @@
         self.rate
     }
 
-    /// How long a message would wait now, at its turn behind a part of each large one.
+    /// How long a large message would wait now.
     pub fn backlog(&self) -> time::Duration {
         self.time_until(&self.idle_at)
     }
@@ -201,7 +208,8 @@
         let burst_us = u64::try_from(BURST.as_micros()).unwrap_or(0);
         let wait = time::Duration::from_micros(before.saturating_sub(now_us + burst_us));
         let at = tokio::time::Instant::now() + wait;
-        Reservation { pacer: self, rate, size, at, unsent_us }
+        let place = self.turns.join();
+        Reservation { pacer: self, rate, size, place, at, unsent_us }
     }
 
     /// Adds what passes ahead of large messages. Returns when the queue there would have been empty.
@@ -244,13 +252,18 @@
 
     /// Waits until the queue of the network link is short, and adds a piece to it. A message that
     /// had its place before an overhead was charged waits for that overhead here.
-    async fn wait_for_link(&self, bytes: usize, size: Size) {
+    async fn wait_for_link(&self, bytes: usize, size: Size, place: u64) {
         let cost_us = cost_us(bytes as u64, self.link_rate);
-        let longest = match size {
-            Size::Small => MAX_PIECE_QUEUE,
-            Size::Large => MAX_LARGE_PIECE_QUEUE,
+        let (longest, due) = match size {
+            Size::Small => (MAX_PIECE_QUEUE, None),
+            Size::Large => (MAX_LARGE_PIECE_QUEUE, Some(self.turns.add(place))),
         };
         loop {
+            if due.as_ref().is_some_and(|it| !it.is_first()) {
+                // Shorter than the queue that the first one keeps up.
+                tokio::time::sleep(time::Duration::from_micros(2 * cost_us)).await;
+                continue;
+            }
             let latest = self.now_us() + u64::try_from(longest.as_micros()).unwrap_or(0);
             let add = |it: u64| (it <= latest).then(|| it.max(self.now_us()) + cost_us);
             let order = atomic::Ordering::Relaxed;
@@ -289,14 +302,14 @@
         }
         let Some(rate) = self.pacer.rate else { return Some(std::mem::take(&mut self.rest)) };
         if self.part.is_empty() {
-            self.part = self.rest.split_to(self.rest.len().min(SMALL_BYTES));
+            self.part = self.rest.split_to(self.rest.len().min(RESERVED_BYTES));
             self.reservation = Some(self.pacer.join(self.part.len(), rate, self.size));
         }
         let reservation = self.reservation.as_mut()?;
         let length = self.part.len().min(PIECE_BYTES);
         if self.waits {
             tokio::time::sleep_until(reservation.at).await;
-            self.pacer.wait_for_link(length, self.size).await;
+            self.pacer.wait_for_link(length, self.size, reservation.place).await;
         } else {
             self.pacer.add_to_link(length);
         }
--- a/crates/transport/src/streams.rs
+++ b/crates/transport/src/streams.rs
@@ -84,15 +84,34 @@
         &mut self,
         message: &T,
         bytes: &[u8],
+    ) -> errors::Result<()> {
+        self.send_counted(message, bytes, |_| {}).await
+    }
+
+    /// Does the same as [`Sender::send_with`], and calls `on_sent` with the size of each piece that
+    /// was passed to the link.
+    pub async fn send_counted<T: Serialize>(
+        &mut self,
+        message: &T,
+        bytes: &[u8],
+        on_sent: impl FnMut(usize),
     ) -> errors::Result<()> {
         let mut frame = BytesMut::from(codec::encode(message)?);
         frame.extend_from_slice(bytes);
-        self.send_bytes(frame.freeze()).await
+        self.send_pieces(frame.freeze(), on_sent).await
     }
 
     /// Sends raw bytes, which the peer reads with [`Receiver::recv_bytes`]. No message may follow
     /// them. A dropped or failed future has the same effect as for [`Sender::send`].
     pub async fn send_bytes(&mut self, bytes: Bytes) -> errors::Result<()> {
+        self.send_pieces(bytes, |_| {}).await
+    }
+
+    async fn send_pieces(
+        &mut self,
+        bytes: Bytes,
+        mut on_sent: impl FnMut(usize),
+    ) -> errors::Result<()> {
         if self.state != State::Open {
             return Err(errors::Error::Partial);
         }
@@ -106,7 +125,9 @@
                 };
                 let mut pieces = pacer.queue(bytes, size);
                 while let Some(piece) = pieces.next().await {
+                    let length = piece.len();
                     self.write(piece).await?;
+                    on_sent(length);
                 }
             }
         }
