--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod controls;
 mod crashes;
+mod downloads;
 mod faults;
 mod hedges;
 mod identity;
