--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,6 +7,7 @@
 //! stragglers together are called slow; they may hold only a part of the slots.
 
 mod admit;
+pub mod answer_sizes;
 pub mod callees;
 pub mod controller;
 mod dispatch;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, sync};
 
-use admission::{callees, downlink};
+use admission::{callees, downlink, uplink};
 use compact_str::CompactString;
 use distribution::{attach, updater};
 use membership::{directory, local_target};
@@ -26,6 +26,7 @@
 const ROUTING: rank::Rank = rank::Rank(30);
 const ADMISSION: rank::Rank = rank::Rank(40);
 const DOWNLINK: rank::Rank = rank::Rank(45);
+const UPLINK: rank::Rank = rank::Rank(47);
 const IN_FLIGHT: rank::Rank = rank::Rank(50);
 const CALLEES: rank::Rank = rank::Rank(55);
 const SUSPECTS: rank::Rank = rank::Rank(60);
@@ -52,6 +53,8 @@
     pub(crate) admission: table::Table<slots::LocalController>,
     /// The bodies that other nodes are sending to this host.
     pub(crate) downlink: table::Table<downlink::Downlink>,
+    /// What answers take of the host's network link.
+    pub(crate) uplink: table::Table<uplink::Uplink>,
     pub(crate) in_flight: table::Table<in_flight::Requests>,
     /// Which services the requests that run here call, and the pressure there.
     pub(crate) callees: table::Table<callees::Callees>,
@@ -209,6 +212,7 @@
         };
         let suspects = suspects::Suspects::default();
         let downlink = downlink::Downlink::new(links.endpoint().message_rate());
+        let uplink = uplink::Uplink::new(links.endpoint().paced_rate());
         State {
             pool: pool::Pool::spawn(settings.workers, 16_384),
             links,
@@ -223,6 +227,7 @@
             routing: table::Table::new(ROUTING, "routing", routing),
             admission: table::Table::new(ADMISSION, "admission", slots::LocalController::default()),
             downlink: table::Table::new(DOWNLINK, "downlink", downlink),
+            uplink: table::Table::new(UPLINK, "uplink", uplink),
             in_flight: table::Table::new(
                 IN_FLIGHT,
                 "requests in flight",
