Carry the software version of a target from its announcement to the registry

Rollouts split the targets of a service by their software version, which neither announcements nor registry entries had. Both carry it now; the digest of an entry covers it.

--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use distribution::relay;
 use protocol::{proposals, streams};
-use replicated::{claims, quarantine, versions};
+use replicated::{claims, quarantine, rollouts, versions};
 use tokio::sync::oneshot;
 use world::document;
 
@@ -228,6 +228,10 @@
         proposals::Proposal::Controls(command) => {
             state_machines::encode(&state_machines::Command::Controls(command))
         }
+        proposals::Proposal::Rollout(action) => {
+            let command = rollouts::Command { at_ms, action };
+            state_machines::encode(&state_machines::Command::Rollout(command))
+        }
         proposals::Proposal::Patch(patch) => {
             let command = versions::Command { at_ms, level, patch };
             state_machines::encode(&state_machines::Command::Patch(command))
--- a/crates/control/src/state_machines.rs
+++ b/crates/control/src/state_machines.rs
@@ -3,8 +3,8 @@
 use agreement::entries;
 use bytes::Bytes;
 use protocol::proposals;
-use replicated::{claims, controls, quarantine, versions};
-use serde::{Deserialize, Serialize};
+use replicated::{claims, controls, quarantine, rollouts, versions};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::replica;
 
@@ -14,6 +14,7 @@
     pub(crate) versions: versions::Versions,
     pub(crate) quarantine: quarantine::Quarantine,
     pub(crate) controls: controls::Controls,
+    pub(crate) rollouts: rollouts::Rollouts,
 }
 
 /// A command in the configuration log. It is stored as postcard, so the order of the variants is
@@ -23,6 +24,7 @@
     Evidence(quarantine::Command),
     Patch(versions::Command),
     Controls(controls::Command),
+    Rollout(rollouts::Command),
 }
 
 /// The state machine of the configuration log.
@@ -54,13 +56,21 @@
 }
 
 /// Decodes a snapshot. One that was written before the controls were part of the state ends after
-/// the quarantine.
+/// the quarantine, and one from before the rollouts after the controls.
 fn decode_configuration(data: &[u8]) -> replica::Result<ConfigurationState> {
     let (versions, rest) = postcard::take_from_bytes(data)?;
     let (quarantine, rest) = postcard::take_from_bytes(rest)?;
-    let controls =
-        if rest.is_empty() { controls::Controls::default() } else { postcard::from_bytes(rest)? };
-    Ok(ConfigurationState { versions, quarantine, controls })
+    let (controls, rest) = take_or_default(rest)?;
+    let (rollouts, _) = take_or_default(rest)?;
+    Ok(ConfigurationState { versions, quarantine, controls, rollouts })
+}
+
+/// Decodes the next part of a snapshot, or its default where the snapshot ends before it.
+fn take_or_default<T: Default + DeserializeOwned>(data: &[u8]) -> replica::Result<(T, &[u8])> {
+    if data.is_empty() {
+        return Ok((T::default(), data));
+    }
+    Ok(postcard::take_from_bytes(data)?)
 }
 
 fn apply_configuration(
@@ -72,5 +82,6 @@
         Command::Evidence(it) => proposals::Answer::Evidence(state.quarantine.apply(index.0, &it)),
         Command::Patch(it) => proposals::Answer::Patch(state.versions.apply(index.0, &it)),
         Command::Controls(it) => proposals::Answer::Controls(state.controls.apply(&it)),
+        Command::Rollout(it) => proposals::Answer::Rollout(state.rollouts.apply(index.0, &it)),
     })
 }
--- a/crates/heatherwalk/src/example.rs
+++ b/crates/heatherwalk/src/example.rs
@@ -140,6 +140,7 @@
         slots: settings.slots,
         drain: false,
         token: None,
+        version: CompactString::default(),
     }
 }
 
--- a/crates/heatherwalk/tests/requests/stand_ins.rs
+++ b/crates/heatherwalk/tests/requests/stand_ins.rs
@@ -58,6 +58,7 @@
             state: targets::State::Serving,
             announced: messages::Announced { incarnation: 1, sequence: 0, leaving: false },
             registrar: "skulte".into(),
+            version: "".into(),
         };
         let mut tasks = task::JoinSet::new();
         let links = pool::LinkPool::new(endpoint.clone());
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -167,12 +167,14 @@
         let before = backend.entry.state;
         let changed = state != before
             || backend.entry.slots != announcement.slots
-            || backend.entry.service != announcement.service;
+            || backend.entry.service != announcement.service
+            || backend.entry.version != announcement.version;
         if !changed {
             return Outcome::default();
         }
         backend.entry.slots = announcement.slots;
         backend.entry.service = announcement.service.clone();
+        backend.entry.version = announcement.version.clone();
         backend.entry.announced.sequence = announcement.sequence;
         self.set_state(now, state);
         let transition = match (before, state) {
@@ -356,6 +358,7 @@
                 leaving: false,
             },
             registrar: self.registrar.clone(),
+            version: announcement.version.clone(),
         };
         let latest = announcement.clone();
         let cold = latest.cold_ms.map_or(objects::SLOW_START, time::Duration::from_millis);
--- a/crates/membership/src/messages.rs
+++ b/crates/membership/src/messages.rs
@@ -27,6 +27,9 @@
     /// The order is above [`MAX_ORDER`], so that no later one may ever exceed it.
     #[error("its incarnation or sequence is out of range")]
     Order,
+    /// The software version is too long or has other characters than one may have.
+    #[error("its software version is not valid")]
+    Version,
     /// The number of slots is 0 or above [`bounds::MAX_SLOTS`].
     #[error("its number of slots is out of range")]
     Slots,
@@ -71,6 +74,8 @@
     /// How much longer its cold start lasts, in milliseconds. None means [`targets::SLOW_START`]
     /// from the first announcement.
     pub cold_ms: Option<u64>,
+    /// The version of its software; empty when it names none.
+    pub version: CompactString,
 }
 
 /// The announcement that put a target into its state, as the backend server numbered it. The
@@ -110,6 +115,9 @@
     /// The name of the control that holds the node's lease. A data centre can have several
     /// controls, and the others must not end the lease.
     pub registrar: CompactString,
+    /// The version of the backend server's software, constant for its incarnation; empty when it
+    /// names none.
+    pub version: CompactString,
 }
 
 /// A change of an entry.
@@ -227,6 +235,9 @@
         if !(1..=bounds::MAX_SLOTS).contains(&self.slots) {
             return Err(EntryError::Slots);
         }
+        if !bounds::is_software_version(&self.version) {
+            return Err(EntryError::Version);
+        }
         Ok(())
     }
 
@@ -250,6 +261,7 @@
         hash.number(self.announced.incarnation);
         hash.number(self.announced.sequence);
         hash.number(self.announced.leaving.into());
+        hash.text(&self.version);
         hash.0
     }
 
--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -22,6 +22,7 @@
         slots: 6,
         drain: false,
         cold_ms: None,
+        version: "".into(),
     }
 }
 
--- a/crates/membership/tests/registries/main.rs
+++ b/crates/membership/tests/registries/main.rs
@@ -19,6 +19,7 @@
         state,
         announced: messages::Announced { incarnation: order.0, ..Default::default() },
         registrar: registrar.into(),
+        version: "".into(),
     }
 }
 
@@ -154,6 +155,7 @@
             slots: 6,
             drain: false,
             cold_ms: None,
+            version: "".into(),
         };
         let first = node.announce(Time::ZERO, &announcement).event.expect("an event");
         control.apply_event(Time::ZERO, &first);
--- a/crates/membership/tests/restarts.rs
+++ b/crates/membership/tests/restarts.rs
@@ -21,6 +21,7 @@
         slots: 6,
         drain,
         cold_ms: Some(0),
+        version: "".into(),
     }
 }
 
@@ -214,6 +215,7 @@
         state,
         announced: messages::Announced { incarnation: 50, sequence: 1, leaving },
         registrar: "skulte".into(),
+        version: "".into(),
     };
     let left = entry(3, objects::State::Draining, true);
     let late = entry(7, objects::State::Serving, false);
--- a/crates/node/src/announcements.rs
+++ b/crates/node/src/announcements.rs
@@ -41,6 +41,9 @@
     /// The start is in the future.
     #[error("incarnation must not be more than a day ahead of this host's clock")]
     Start,
+    /// The software version cannot be stored or shown.
+    #[error("version must have at most {} visible ASCII characters", bounds::MAX_VERSION_BYTES)]
+    Version,
     /// Neither the settings nor the running configuration name the service.
     #[error("service {0:?} is neither this host's nor one of the configuration's")]
     UnknownService(CompactString),
@@ -79,6 +82,9 @@
     if !is_instance(instance) {
         return Err(Error::Instance);
     }
+    if !bounds::is_software_version(&announcement.version) {
+        return Err(Error::Version);
+    }
     Ok(())
 }
 
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -48,6 +48,9 @@
     /// The floor token from the last answer.
     #[serde(default)]
     pub token: Option<CompactString>,
+    /// The version of its software; empty when it names none.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub version: CompactString,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
@@ -327,6 +330,7 @@
             slots: announcement.slots,
             drain: announcement.drain,
             cold_ms: announcement.cold_ms,
+            version: announcement.version.clone(),
         };
         let previous = backend.local.entry().cloned();
         let outcome = backend.local.announce(now, &message);
--- a/crates/protocol/src/proposals.rs
+++ b/crates/protocol/src/proposals.rs
@@ -4,7 +4,7 @@
 //! repeats: a patch its request ID, a claim its attempt ID, a crash its incarnation.
 
 use compact_str::CompactString;
-use replicated::{claims, controls, quarantine, versions};
+use replicated::{claims, controls, quarantine, rollouts, versions};
 use serde::{Deserialize, Serialize};
 
 /// Identifies a group of replicas and its log.
@@ -32,6 +32,8 @@
     Patch(versions::Patch),
     /// Changes the list of controls.
     Controls(controls::Command),
+    /// Orders a rollout, or moves one on.
+    Rollout(rollouts::Action),
 }
 
 /// An action on the claim of a non-idempotent request.
@@ -58,6 +60,8 @@
     Patch(versions::Answer),
     /// The answer to [`Proposal::Controls`].
     Controls(controls::Answer),
+    /// The answer to [`Proposal::Rollout`].
+    Rollout(rollouts::Answer),
 }
 
 /// The outcome of sending a [`Proposal`] to a control.
@@ -77,9 +81,10 @@
     pub fn group(&self) -> GroupId {
         match self {
             Proposal::Claim(it) => GroupId::Claims(it.home.clone()),
-            Proposal::Controls(_) | Proposal::Evidence { .. } | Proposal::Patch(_) => {
-                GroupId::Configuration
-            }
+            Proposal::Controls(_)
+            | Proposal::Evidence { .. }
+            | Proposal::Patch(_)
+            | Proposal::Rollout(_) => GroupId::Configuration,
         }
     }
 }
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -71,6 +71,7 @@
         state: targets::State::Draining,
         announced: registry::Announced { incarnation: 299, sequence: 7, leaving: true },
         registrar: "dc".into(),
+        version: "".into(),
     };
     registry::Event { entry, age_ms: 1_500 }
 }
@@ -365,6 +366,7 @@
         slots: 6,
         drain: true,
         cold_ms: Some(500),
+        version: "".into(),
     };
     table.add("Announcement", &announcement);
     insta::assert_snapshot!(table.0);
--- a/crates/replicated/src/lib.rs
+++ b/crates/replicated/src/lib.rs
@@ -1,5 +1,5 @@
 //! The replicated state machines: configuration versions, the controls of the mesh, claims of
-//! non-idempotent requests, and the quarantine of requests that crash backend servers.
+//! non-idempotent requests, the quarantine of requests that crash backend servers, and rollouts.
 //!
 //! Each is deterministic: applying the same commands in the same order yields the same encoded
 //! state on every replica.
@@ -10,5 +10,6 @@
 pub mod overlay;
 pub mod quarantine;
 pub mod replacement;
+pub mod rollouts;
 pub mod toggles;
 pub mod versions;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,7 +5,8 @@
 //! each target ([`estimates`]). [`budget`], [`retry`] and [`hedge`] limit how often a request is
 //! sent, and [`throttle`] what is sent to a service that is full. [`silence`] says whether a host
 //! has stopped responding, and [`prober`] which hosts to probe then. [`subset`] bounds the targets
-//! that a node uses, and [`dialer`] says when to open links to them. Nothing here does I/O or reads
+//! that a node uses, and [`dialer`] says when to open links to them. [`rollouts`] says what a new
+//! software version gets, and [`verdicts`] whether it is bad. Nothing here does I/O or reads
 //! a clock: the time, and random numbers or their seed, are arguments.
 
 mod admissions;
@@ -18,8 +19,10 @@
 pub mod policy;
 pub mod prober;
 pub mod retry;
+pub mod rollouts;
 pub mod silence;
 pub mod subset;
 pub mod throttle;
 pub mod toggles;
 mod usable;
+pub mod verdicts;
--- /dev/null
+++ b/crates/routing/src/verdicts.rs
@@ -0,0 +1,317 @@
+//! Whether the new software version of a service is bad: its answers are compared with those of
+//! the old version over the same moments, by route.
+
+use std::{collections, fmt, time};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use world::time::Time;
+
+/// Number of classes of times. Each is wider than the one before by a factor of about 1.41.
+pub const TIME_CLASSES: usize = 24;
+/// Upper bound of the first class of times, in microseconds.
+const FIRST_CLASS_MICROS: f32 = 1_000.0;
+/// How many classes above the median of the old version a slow answer is: a factor of 2.8. Targets
+/// of one version differ by less as a whole.
+const SLOW_CLASSES: usize = 3;
+/// Most routes of a service that are counted apart.
+const MAX_ROUTES: usize = 32;
+/// The period of the recent answers, which are judged beside all of them.
+const RECENT: time::Duration = time::Duration::from_secs(3);
+
+/// How many standard errors the new version has to be off. Each comparison is repeated several
+/// times a second, for each route.
+const DEVIATIONS: f64 = 3.3;
+/// What the share of bad answers may exceed that of the old version by.
+const BAD_MARGIN: f64 = 0.02;
+/// What the share of slow answers may exceed that of the old version by. Some targets are slower
+/// than others, and some slow down for a while because of their neighbours.
+const SLOW_MARGIN: f64 = 0.25;
+/// The fewest bad or slow answers that a verdict rests on.
+const MIN_FAULTS: u32 = 6;
+/// The fewest answers of the old version to compare with.
+const MIN_COMPARED: u32 = 20;
+/// The answers of the new version on a route that are enough for any verdict.
+const ENOUGH_ANSWERS: u32 = 25;
+/// On a route with little traffic, the new version needs this part of the old version's answers.
+const ENOUGH_PART: u32 = 25;
+
+/// What answers are counted under.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct CellName {
+    /// The name of the route.
+    pub route: CompactString,
+    /// Whether the target ran at least half as many requests as it has slots.
+    pub loaded: bool,
+    /// Whether it has the new version.
+    pub candidate: bool,
+}
+
+/// The answers that were counted under one name.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Counts {
+    /// All answers, good and bad.
+    pub answers: u32,
+    /// Answers with a server error, and requests without a whole answer.
+    pub bad: u32,
+    /// The others, by the time that the backend server took.
+    pub times: [u32; TIME_CLASSES],
+}
+
+/// Counted answers, by name.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tally {
+    cells: collections::BTreeMap<CellName, Counts>,
+}
+
+/// Why a version is bad.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// The name of the route.
+    pub route: CompactString,
+    /// What is wrong.
+    pub kind: FaultKind,
+    /// The new version's bad or slow answers.
+    pub faults: u32,
+    /// The new version's answers.
+    pub answers: u32,
+    /// The old version's bad or slow answers.
+    pub old_faults: u32,
+    /// The old version's answers.
+    pub old_answers: u32,
+}
+
+/// What is wrong with a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FaultKind {
+    /// It fails requests that the old version answers.
+    Failures,
+    /// It takes several times as long.
+    Slow,
+}
+
+/// Judges the answers of the whole mesh in one order.
+#[derive(Clone, Debug, Default)]
+pub struct Judge {
+    /// Earlier totals, oldest first.
+    history: collections::VecDeque<(Time, Tally)>,
+    total: Tally,
+}
+
+impl Counts {
+    fn add(&mut self, other: &Counts) {
+        self.answers = self.answers.saturating_add(other.answers);
+        self.bad = self.bad.saturating_add(other.bad);
+        for (time, more) in self.times.iter_mut().zip(other.times) {
+            *time = time.saturating_add(more);
+        }
+    }
+
+    fn without(&self, earlier: &Counts) -> Counts {
+        let mut rest = *self;
+        rest.answers = rest.answers.saturating_sub(earlier.answers);
+        rest.bad = rest.bad.saturating_sub(earlier.bad);
+        for (time, less) in rest.times.iter_mut().zip(earlier.times) {
+            *time = time.saturating_sub(less);
+        }
+        rest
+    }
+
+    fn timed(&self) -> u32 {
+        self.times.iter().sum()
+    }
+
+    /// The class that the median time is in.
+    fn median(&self) -> usize {
+        let half = self.timed().div_ceil(2);
+        let mut sum = 0;
+        let reached = |it: &u32| {
+            sum += it;
+            sum >= half
+        };
+        self.times.iter().position(reached).unwrap_or_default()
+    }
+
+    /// The number of times in the classes from `class` on.
+    fn from_class(&self, class: usize) -> u32 {
+        self.times.iter().skip(class).sum()
+    }
+}
+
+impl Tally {
+    /// Counts an answer that took the backend server this long; none for a bad one.
+    pub fn record(&mut self, name: CellName, elapsed: Option<time::Duration>) {
+        let known = self.cells.contains_key(&name);
+        if !known && self.cells.len() >= 4 * MAX_ROUTES {
+            return;
+        }
+        let counts = self.cells.entry(name).or_default();
+        counts.answers = counts.answers.saturating_add(1);
+        match elapsed {
+            Some(it) => counts.times[time_class(it)] += 1,
+            None => counts.bad += 1,
+        }
+    }
+
+    /// Adds the answers that another process counted.
+    pub fn add(&mut self, other: &Tally) {
+        for (name, counts) in &other.cells {
+            self.cells.entry(name.clone()).or_default().add(counts);
+        }
+    }
+
+    /// The answers that were counted after `earlier`. What a process that has ended had counted may
+    /// be missing, so no number falls below zero.
+    fn without(&self, earlier: &Tally) -> Tally {
+        let rest = |(name, counts): (&CellName, &Counts)| {
+            let before = earlier.cells.get(name).copied().unwrap_or_default();
+            (name.clone(), counts.without(&before))
+        };
+        Tally { cells: self.cells.iter().map(rest).collect() }
+    }
+
+    /// The answers of one version on a route, under load, not under load, or both.
+    fn sum(&self, route: &str, candidate: bool, loaded: Option<bool>) -> Counts {
+        let mut sum = Counts::default();
+        let wanted = |it: &CellName| {
+            it.route == route && it.candidate == candidate && loaded.is_none_or(|on| on == it.loaded)
+        };
+        for (_, counts) in self.cells.iter().filter(|(name, _)| wanted(name)) {
+            sum.add(counts);
+        }
+        sum
+    }
+
+    fn routes(&self) -> collections::BTreeSet<&CompactString> {
+        self.cells.keys().map(|it| &it.route).collect()
+    }
+
+    /// The fault that these answers show, if any. `base` has the answers of the old version where
+    /// there are too few here, as after the old version got its last request.
+    pub fn fault(&self, base: &Tally) -> Option<Fault> {
+        for route in self.routes() {
+            for loaded in [None, Some(true), Some(false)] {
+                let new = self.sum(route, true, loaded);
+                let mut old = self.sum(route, false, loaded);
+                if old.answers < MIN_COMPARED {
+                    old = base.sum(route, false, None);
+                }
+                if let Some(kind) = compare(&new, &old) {
+                    return Some(describe(route, kind, &new, &old));
+                }
+            }
+        }
+        None
+    }
+
+    /// Whether the new version has answered enough on each route that has traffic.
+    pub fn is_enough(&self) -> bool {
+        self.routes().into_iter().all(|route| {
+            let old = self.sum(route, false, None).answers;
+            let new = self.sum(route, true, None).answers;
+            new >= ENOUGH_ANSWERS.min(old / ENOUGH_PART)
+        })
+    }
+}
+
+impl Judge {
+    /// Takes the totals of the mesh as they are now, and returns the fault that they show, if any:
+    /// in all answers since the order, or in the recent ones.
+    pub fn observe(&mut self, now: Time, total: Tally) -> Option<Fault> {
+        while self.history.len() > 1 && now.since(self.history[1].0) >= RECENT {
+            self.history.pop_front();
+        }
+        let before = self.history.front().map(|it| &it.1);
+        let recent = before.map(|it| total.without(it));
+        self.history.push_back((now, total.clone()));
+        self.total = total;
+        let fault = recent.and_then(|it| it.fault(&self.total));
+        fault.or_else(|| self.total.fault(&self.total))
+    }
+
+    /// Whether the new version has answered enough on each route that has traffic.
+    pub fn is_enough(&self) -> bool {
+        self.total.is_enough()
+    }
+
+    /// The totals of the mesh.
+    pub fn total(&self) -> &Tally {
+        &self.total
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fault { route, kind, faults, answers, old_faults, old_answers } = self;
+        write!(
+            f,
+            "{kind:?} on route {route:?}: {faults} of {answers}, old version {old_faults} of \
+             {old_answers}"
+        )
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for route in self.routes() {
+            let (new, old) = (self.sum(route, true, None), self.sum(route, false, None));
+            write!(
+                f,
+                "[{route:?} new={} bad={} old={} bad={}]",
+                new.answers, new.bad, old.answers, old.bad
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn describe(route: &CompactString, kind: FaultKind, new: &Counts, old: &Counts) -> Fault {
+    let slow = old.median() + SLOW_CLASSES;
+    let (faults, answers, old_faults, old_answers) = match kind {
+        FaultKind::Failures => (new.bad, new.answers, old.bad, old.answers),
+        FaultKind::Slow => {
+            (new.from_class(slow), new.timed(), old.from_class(slow), old.timed())
+        }
+    };
+    Fault { route: route.clone(), kind, faults, answers, old_faults, old_answers }
+}
+
+fn compare(new: &Counts, old: &Counts) -> Option<FaultKind> {
+    if exceeds((new.bad, new.answers), (old.bad, old.answers), BAD_MARGIN) {
+        return Some(FaultKind::Failures);
+    }
+    if old.timed() < MIN_COMPARED {
+        return None;
+    }
+    let slow = old.median() + SLOW_CLASSES;
+    let new = (new.from_class(slow), new.timed());
+    let old = (old.from_class(slow), old.timed());
+    exceeds(new, old, SLOW_MARGIN).then_some(FaultKind::Slow)
+}
+
+/// Whether the new version's share of faults exceeds the old one's by more than the margin, beyond
+/// what chance explains.
+fn exceeds(new: (u32, u32), old: (u32, u32), margin: f64) -> bool {
+    if new.0 < MIN_FAULTS || old.1 < MIN_COMPARED {
+        return false;
+    }
+    bounds(new).0 > bounds(old).1.min(1.0 - margin) + margin
+}
+
+/// The bounds of a share that chance leaves open (the score interval of Wilson).
+fn bounds((part, whole): (u32, u32)) -> (f64, f64) {
+    let (part, whole) = (f64::from(part), f64::from(whole));
+    let share = part / whole;
+    let squared = DEVIATIONS * DEVIATIONS;
+    let centre = share + squared / (2.0 * whole);
+    let spread =
+        (share * (1.0 - share) / whole + squared / (4.0 * whole * whole)).sqrt() * DEVIATIONS;
+    let scale = 1.0 + squared / whole;
+    ((centre - spread) / scale, (centre + spread) / scale)
+}
+
+fn time_class(elapsed: time::Duration) -> usize {
+    let micros = elapsed.as_secs_f32() * 1e6;
+    let class = (micros / FIRST_CLASS_MICROS).max(1.0).log2() * 2.0;
+    (class.ceil() as usize).min(TIME_CLASSES - 1)
+}
--- a/crates/world/src/bounds.rs
+++ b/crates/world/src/bounds.rs
@@ -9,6 +9,9 @@
 /// Most requests that one target runs at the same time.
 pub const MAX_SLOTS: u32 = 1_024;
 
+/// Longest name of a software version, in bytes.
+pub const MAX_VERSION_BYTES: usize = 64;
+
 /// Longest excerpt of a text of another writer in a log line or an answer, in characters.
 const EXCERPT_CHARS: usize = 256;
 
@@ -18,6 +21,11 @@
     (1..=MAX_NAME_BYTES).contains(&text.len()) && text.chars().all(allowed)
 }
 
+/// Whether a text may be the version of a backend server's software; empty when it names none.
+pub fn is_software_version(text: &str) -> bool {
+    text.len() <= MAX_VERSION_BYTES && text.bytes().all(|it| it.is_ascii_graphic())
+}
+
 /// The beginning of a text of another writer, for a log line or an answer. Control characters,
 /// which could end a line, are replaced.
 pub fn excerpt(text: &str) -> CompactString {
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod mesh;
 pub mod patches;
 pub mod requests;
+pub mod rollouts;
 pub mod targets;
 pub mod teams;
 pub mod time;
--- a/xtask/src/bench/footprint/stand_in.rs
+++ b/xtask/src/bench/footprint/stand_in.rs
@@ -192,6 +192,7 @@
             leaving: false,
         },
         registrar: data_centre.clone(),
+        version: "".into(),
         data_centre,
     }
 }
