Move the traffic of a service to another software version by a replicated order

An operator had no way to move a service to targets with another version without exposing it in full. Orders are now kept in the configuration log; nodes split requests by a count and report the answers of both versions; controls add them up, judge them, and propose the next stage, the end or a roll back.

--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -2,13 +2,14 @@
 
 use std::sync;
 
+use compact_str::CompactString;
 use distribution::{messages, subscribers};
 use protocol::{proposals, streams};
 use replicated::quarantine;
 use tokio::{sync::mpsc, task};
 use transport::links;
 
-use crate::{distributing, proposing, registering, state};
+use crate::{distributing, proposing, registering, rollouts, state};
 
 /// Most pieces of evidence of one node that are recorded and proposed at the same time. Each waits
 /// for the log; the node sends again what was not acknowledged.
@@ -119,7 +120,8 @@
         }
         let job = {
             let state = sync::Arc::clone(state);
-            move || dispatch(&state, key, message)
+            let host = CompactString::from(host);
+            move || dispatch(&state, &host, key, message)
         };
         // Waiting for each job keeps the node's messages in order and bounds the work it can queue.
         if state.pool.run(job).await.is_err() {
@@ -142,7 +144,9 @@
             quarantine::Evidence::Crashed { crash, .. } => crash.host == host,
             quarantine::Evidence::Finished(_) => true,
         },
-        streams::NodeMessage::Parts(_) | streams::NodeMessage::Version(_) => true,
+        streams::NodeMessage::Parts(_)
+        | streams::NodeMessage::Rollouts(_)
+        | streams::NodeMessage::Version(_) => true,
     }
 }
 
@@ -163,8 +167,14 @@
     sender.finish()
 }
 
-fn dispatch(state: &state::State, key: subscribers::SubscriberKey, message: streams::NodeMessage) {
+fn dispatch(
+    state: &state::State,
+    host: &str,
+    key: subscribers::SubscriberKey,
+    message: streams::NodeMessage,
+) {
     match message {
+        streams::NodeMessage::Rollouts(reports) => rollouts::record_reports(state, host, reports),
         streams::NodeMessage::Event(event) => registering::receive_node_event(state, &event),
         streams::NodeMessage::Heartbeat(it) => registering::answer_heartbeat(state, key, &it),
         streams::NodeMessage::Parts(requests) => {
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -269,6 +269,7 @@
     if changed || distributing::has_unpublished_entries(state, applied) {
         distributing::publish(state, applied);
         controls::follow(state);
+        crate::rollouts::publish(state);
     }
     for (token, index) in reads {
         match index {
--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use world::document;
 
-use crate::{operators, state};
+use crate::{operators, rollouts, state};
 
 /// Largest body of an operator's request, in bytes: it holds the largest patch and the fields
 /// around it.
@@ -25,6 +25,7 @@
     Patches,
     Progress(document::Version),
     Quarantine,
+    Rollouts,
     Status,
     Targets,
     Version(document::Version),
@@ -51,6 +52,9 @@
             _ => problem(::http::StatusCode::METHOD_NOT_ALLOWED, "patches are sent with POST"),
         };
     }
+    if resource == Resource::Rollouts {
+        return handle_rollout(&state, request).await;
+    }
     if resource == Resource::Document {
         return handle_document(&state, request).await;
     }
@@ -122,6 +126,35 @@
     }
 }
 
+/// Orders a rollout or shows the last one of a service, in the format of the configured dialect.
+async fn handle_rollout(
+    state: &sync::Arc<state::State>,
+    request: web::exchange::Request,
+) -> web::exchange::Response {
+    let dialect = &state.settings.dialect;
+    let answer = match request.method {
+        ::http::Method::GET => {
+            let query = request.query.unwrap_or_default();
+            match query_parameter(&query, "service") {
+                Some(service) => rollouts::show(state, service.into()).await,
+                None => messages::RolloutAnswer::Invalid("the query must name a service".into()),
+            }
+        }
+        ::http::Method::POST => match request.body.collect(MAX_BODY_BYTES).await {
+            Ok(body) => match (dialect.read_rollout)(&body) {
+                Ok(it) => rollouts::start(state, it).await,
+                Err(detail) => messages::RolloutAnswer::Invalid(detail),
+            },
+            Err(err) => return body_problem(&err),
+        },
+        _ => {
+            let detail = "this path takes GET and POST only";
+            return problem(::http::StatusCode::METHOD_NOT_ALLOWED, detail);
+        }
+    };
+    (dialect.answer_rollout)(&answer)
+}
+
 /// Encodes the result of a patch or a replacement, with the HTTP status that belongs to it.
 pub(crate) fn patch_answer(answer: &messages::PatchAnswer) -> web::exchange::Response {
     let status = match answer {
@@ -150,7 +183,7 @@
             Ok(behind) => json(::http::StatusCode::OK, &operators::nodes(state, behind)),
             Err(_) => bad_request("behind must be true or false"),
         },
-        Resource::Document | Resource::Patches => unknown_path(),
+        Resource::Document | Resource::Patches | Resource::Rollouts => unknown_path(),
         Resource::Progress(version) => json_or_not_found(operators::progress(state, version)),
         Resource::Quarantine => json(::http::StatusCode::OK, &operators::quarantine(state)),
         Resource::Status => json(::http::StatusCode::OK, &operators::status(state, is_current)),
@@ -214,6 +247,7 @@
             messages::NODES_PATH => Some(Resource::Nodes),
             messages::PATCHES_PATH => Some(Resource::Patches),
             messages::QUARANTINE_PATH => Some(Resource::Quarantine),
+            messages::ROLLOUTS_PATH => Some(Resource::Rollouts),
             messages::STATUS_PATH => Some(Resource::Status),
             messages::TARGETS_PATH => Some(Resource::Targets),
             messages::VERSIONS_PATH => Some(Resource::Versions),
@@ -252,7 +286,7 @@
 }
 
 /// Encodes a status other than 200 with an explanation for the operator.
-fn problem(status: ::http::StatusCode, detail: &str) -> web::exchange::Response {
+pub(crate) fn problem(status: ::http::StatusCode, detail: &str) -> web::exchange::Response {
     json(status, &messages::Problem { detail: CompactString::from(detail) })
 }
 
--- a/crates/control/src/instruments.rs
+++ b/crates/control/src/instruments.rs
@@ -3,6 +3,7 @@
 use opentelemetry::{KeyValue, metrics};
 use protocol::{operators, proposals};
 use replicated::claims;
+use routing::progress;
 use world::{document, hosts};
 
 /// The answer to a claim, as counted in the metric `control.claims`.
@@ -36,6 +37,7 @@
     nodes: metrics::Gauge<u64>,
     converged: metrics::Gauge<u64>,
     votes: metrics::Gauge<u64>,
+    rollout_steps: metrics::Counter<u64>,
 }
 
 impl Instruments {
@@ -51,6 +53,7 @@
             version: gauge("control.version", "The version that the control has on its disk"),
             nodes: gauge("control.nodes", "Nodes attached to the control"),
             converged: gauge("control.nodes.converged", "Attached nodes that run its version"),
+            rollout_steps: counter("control.rollout.steps", "Proposed steps of rollouts by kind"),
             votes: gauge("control.votes", "Logs in which this control is a voter"),
         }
     }
@@ -86,6 +89,16 @@
         self.converged.record(converged as u64, &[]);
     }
 
+    /// Counts a proposed step of a rollout in `control.rollout.steps`, by its kind.
+    pub fn count_rollout_step(&self, step: &progress::Step) {
+        let kind = match step {
+            progress::Step::Advance(_) => "advance",
+            progress::Step::Complete => "complete",
+            progress::Step::RollBack(_) => "roll_back",
+        };
+        self.rollout_steps.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Sets `control.votes` to the number of logs on which the control votes. After a disk was
     /// lost, fewer than in the settings mean that the repair is not complete.
     pub fn record_votes(&self, logs: usize) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 mod proposing;
 mod registering;
 mod replica;
+mod rollouts;
 pub mod running;
 pub mod settings;
 mod state;
--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -6,7 +6,7 @@
 use protocol::streams;
 use world::bounds;
 
-use crate::state;
+use crate::{rollouts, state};
 
 /// Most lagging nodes in one report to the other controls, which bounds its size.
 const MAX_LAGGING_NODES: usize = 64;
@@ -55,6 +55,8 @@
     let unreachable = registry.unreachable_peers();
     drop(registry);
     let controls = state.directory.lock().records();
+    // Before the targets: otherwise a node could send to a version that its service does not allow.
+    rollouts::send_list(state, key);
     let mut distributor = state.distributor.lock();
     distributor.send(key, streams::ControlMessage::Controls(controls));
     for it in unreachable {
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     attaching, controls, directory, distributing, groups, http, instruments, peers, proposing,
-    registering, replica, settings, state,
+    registering, replica, rollouts, settings, state,
 };
 
 /// Interval between ticks of the groups, well below their heartbeat interval of 200 ms.
@@ -123,6 +123,7 @@
         }));
         tasks.spawn(tick_groups(sync::Arc::clone(&state)));
         tasks.spawn(run_maintenance(sync::Arc::clone(&state)));
+        tasks.spawn(rollouts::run(sync::Arc::clone(&state)));
         let location = &state.location;
         log::info!("control {} of {} listens on {listen}", location.host, location.data_centre);
         Ok(Control { state, endpoint, operators, tasks })
@@ -259,7 +260,7 @@
 }
 
 /// Proposes a claim or evidence for a node. Refuses patches, since only operators may change the
-/// configuration, and changes of the controls.
+/// configuration, and changes of the controls and of rollouts.
 async fn propose_for_node(
     state: &sync::Arc<state::State>,
     host: &str,
@@ -273,6 +274,10 @@
         log::warn!("refused a change of the controls that node {host} proposed");
         return proposals::Outcome::Unavailable;
     }
+    if matches!(request, proposals::Proposal::Rollout(_)) {
+        log::warn!("refused a change of a rollout that node {host} proposed");
+        return proposals::Outcome::Unavailable;
+    }
     let is_claim = matches!(
         &request,
         proposals::Proposal::Claim(it) if matches!(it.action, claims::Action::Claim { .. })
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,7 +12,8 @@
 use world::{hosts, time};
 
 use crate::{
-    directory, distributing, instruments, replica, settings, state_machines, unknown_values,
+    directory, distributing, instruments, replica, rollouts, settings, state_machines,
+    unknown_values,
 };
 
 // The lock order: a thread locks these tables in increasing rank only.
@@ -24,6 +25,7 @@
 const CLAIMS_STATE_RANK: rank::Rank = rank::Rank(40);
 const EVIDENCE_RANK: rank::Rank = rank::Rank(45);
 const REGISTRY_RANK: rank::Rank = rank::Rank(50);
+const ROLLOUTS_RANK: rank::Rank = rank::Rank(55);
 const DISTRIBUTOR_RANK: rank::Rank = rank::Rank(60);
 const DIRECTORY_RANK: rank::Rank = rank::Rank(70);
 const UNKNOWN_VALUES_RANK: rank::Rank = rank::Rank(80);
@@ -47,6 +49,8 @@
     pub(crate) claims_state: table::Table<claims::Claims>,
     pub(crate) evidence: table::Table<overlay::Overlay>,
     pub(crate) registry: table::Table<registry::Registry>,
+    /// What is known of the rollouts in progress.
+    pub(crate) rollouts: table::Table<rollouts::Rollouts>,
     pub(crate) distributor: table::Table<distributing::Distributor>,
     pub(crate) directory: table::Table<directory::Directory>,
     /// The unknown values of documents that were logged.
@@ -130,6 +134,7 @@
             claims_state: table::Table::new(CLAIMS_STATE_RANK, "claims state", claims_state),
             evidence: table::Table::new(EVIDENCE_RANK, "evidence", overlay::Overlay::default()),
             registry: table::Table::new(REGISTRY_RANK, "registry", registry),
+            rollouts: table::Table::new(ROLLOUTS_RANK, "rollouts", rollouts::Rollouts::default()),
             distributor: table::Table::new(DISTRIBUTOR_RANK, "distributor", distributor),
             directory: table::Table::new(
                 DIRECTORY_RANK,
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -7,7 +7,7 @@
 use routing::{balancer, estimates};
 use world::{requests, targets, time};
 
-use crate::{linking, reaching, state, working};
+use crate::{linking, reaching, rollouts, state, working};
 
 /// A result of choosing a target.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
@@ -52,12 +52,19 @@
     class: requests::Class,
     /// Whether the target is on another host.
     remote: bool,
+    /// What the attempt counts for in a rollout of the service.
+    counted: Option<rollouts::Counted>,
     pending: bool,
 }
 
 impl AttemptGuard {
     /// Records that the head of an answer arrived, and the time that it took.
-    pub(crate) fn answered(mut self, node_status: &forwarding::NodeStatus) {
+    pub(crate) fn answered(
+        mut self,
+        node_status: &forwarding::NodeStatus,
+        status: http::StatusCode,
+    ) {
+        let ending = ending_of(node_status, status);
         let load = to_load(&node_status.load);
         let half_free = node_status.load.is_half_free();
         self.pending = false;
@@ -68,7 +75,9 @@
                 estimates::Sample { elapsed, link: self.link, load: Some(load), trial: self.trial };
             let now = self.state.now();
             let peers = self.service_targets();
-            let mut routing = self.state.routing.lock();
+            let shared = sync::Arc::clone(&self.state);
+            let mut routing = shared.routing.lock();
+            self.end_count(&mut routing, ending);
             self.record_admission(&mut routing, now, true);
             if self.remote && half_free {
                 routing.throttle(&self.service).clear();
@@ -93,7 +102,9 @@
     fn refused(mut self, load: estimates::Load) {
         self.pending = false;
         let now = self.state.now();
-        let mut routing = self.state.routing.lock();
+        let state = sync::Arc::clone(&self.state);
+        let mut routing = state.routing.lock();
+        self.end_count(&mut routing, rollouts::Ending::Other);
         routing.balancer.estimates.record_refusal(now, self.target, load, self.trial);
     }
 
@@ -102,7 +113,16 @@
         self.pending = false;
         let now = self.state.now();
         let peers = self.service_targets();
-        let mut routing = self.state.routing.lock();
+        let state = sync::Arc::clone(&self.state);
+        let mut routing = state.routing.lock();
+        let ending = match failure {
+            estimates::Failure::Broken => rollouts::Ending::Bad { loaded: false },
+            estimates::Failure::TimedOut => {
+                rollouts::Ending::Answered { elapsed: now.since(self.sent_at), loaded: false }
+            }
+            _ => rollouts::Ending::Other,
+        };
+        self.end_count(&mut routing, ending);
         let estimates = &mut routing.balancer.estimates;
         let change =
             estimates.record_failure(now, self.target, failure, self.trial, peers.into_iter());
@@ -118,6 +138,13 @@
         }
     }
 
+    /// Ends what the attempt counts for in a rollout.
+    fn end_count(&mut self, routing: &mut state::Routing, ending: rollouts::Ending) {
+        if let Some(counted) = self.counted.take() {
+            routing.rollouts.end(counted, ending);
+        }
+    }
+
     fn service_targets(&self) -> Vec<targets::TargetKey> {
         let directory = self.state.directory.lock();
         directory.of_service(&self.service).map(|it| it.0).collect()
@@ -137,8 +164,13 @@
             return;
         }
         let (state, target, trial) = (sync::Arc::clone(&self.state), self.target, self.trial);
+        let counted = self.counted.take();
         self.state.pool.submit_or_run(move || {
-            state.routing.lock().balancer.estimates.record_cancel(target, trial);
+            let mut routing = state.routing.lock();
+            routing.balancer.estimates.record_cancel(target, trial);
+            if let Some(counted) = counted {
+                routing.rollouts.end(counted, rollouts::Ending::Other);
+            }
         });
     }
 }
@@ -167,22 +199,27 @@
     let mesh = state.mesh.lock();
     let directory = state.directory.lock();
     let subset = linking::use_service(state, &directory, service);
-    let candidates: Vec<_> = directory
+    let versioned: Vec<_> = directory
         .of_service(service)
         .map(|(key, it)| (key, it, subset.binary_search(&key).is_ok()))
-        .map(|(key, it, in_subset)| balancer::Candidate {
-            key,
-            state: it.entry.state,
-            since: it.since,
-            slots: it.entry.slots,
-            link: match mesh.find_data_centre(&it.entry.data_centre) {
-                Some(centre) => mesh.latency(state.location.centre_key, centre),
-                None => world::mesh::REMOTE_LATENCY,
+        .map(|(key, it, in_subset)| rollouts::Versioned {
+            candidate: balancer::Candidate {
+                key,
+                state: it.entry.state,
+                since: it.since,
+                slots: it.entry.slots,
+                link: match mesh.find_data_centre(&it.entry.data_centre) {
+                    Some(centre) => mesh.latency(state.location.centre_key, centre),
+                    None => world::mesh::REMOTE_LATENCY,
+                },
+                in_subset,
+                linked: in_subset && linking::is_linked(state, &it.entry),
             },
-            in_subset,
-            linked: in_subset && linking::is_linked(state, &it.entry),
+            host: &it.entry.host,
+            version: &it.entry.version,
         })
         .collect();
+    let candidates: Vec<_> = versioned.iter().map(|it| it.candidate).collect();
     let criteria = balancer::Request {
         candidates: &candidates,
         excluded: tried,
@@ -199,7 +236,9 @@
         let load = to_load(&state.admission.lock().load(now));
         routing.balancer.estimates.record_load(now, own, load);
     }
-    let choice = routing.balancer.choose(now, &criteria, &mut routing.rng).inspect_err(|err| {
+    let first = tried.is_empty();
+    let choice = rollouts::choose(now, routing, service, &versioned, criteria, first);
+    let choice = choice.inspect_err(|err| {
         let id = &request.head.id;
         log::info!(
             target: "decision",
@@ -236,6 +275,8 @@
         choice.max_wait,
         choice.reason,
     );
+    let idempotent = request.head.idempotent;
+    let counted = routing.rollouts.begin(service, &entry.version, &request.head.route, idempotent);
     let guard = AttemptGuard {
         state: sync::Arc::clone(state),
         target: choice.target,
@@ -245,6 +286,7 @@
         link: link.unwrap_or_default(),
         class: request.head.class,
         remote,
+        counted,
         pending: true,
     };
     let target = Target {
@@ -340,6 +382,17 @@
     routing.latencies.entry(request.route).or_default().record(now, now.since(started_at));
 }
 
+/// What an answer says of the target's software version.
+fn ending_of(node_status: &forwarding::NodeStatus, status: http::StatusCode) -> rollouts::Ending {
+    let load = &node_status.load;
+    let loaded = load.in_flight * 2 >= load.slots;
+    if status.is_server_error() {
+        return rollouts::Ending::Bad { loaded };
+    }
+    let elapsed = std_time::Duration::from_micros(node_status.backend_us);
+    rollouts::Ending::Answered { elapsed, loaded }
+}
+
 fn to_load(report: &admission::load::LoadReport) -> estimates::Load {
     estimates::Load {
         busy: report.in_flight,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -57,10 +57,11 @@
     };
     let (failure, node_status) = match answer {
         forwarding::AnswerHead::Answered { status, fields, standing: node_status } => {
-            guard.answered(&node_status);
             let status = http::StatusCode::from_u16(status);
+            let status = status.unwrap_or(http::StatusCode::BAD_GATEWAY);
+            guard.answered(&node_status, status);
             return Ok(sending::Answered {
-                status: status.unwrap_or(http::StatusCode::BAD_GATEWAY),
+                status,
                 headers: headers::decode(&fields),
                 body: sending::Source { ahead: None, rest: sending::Rest::Remote(receiver) },
                 node_status,
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -23,6 +23,8 @@
     pub(crate) id: CompactString,
     /// What its calls inherit.
     pub(crate) context: requests::Context,
+    /// Whether running it twice is harmless.
+    pub(crate) idempotent: bool,
     /// Whether it was sent to another target before, so that its calls count as repeats.
     pub(crate) repeat: bool,
     /// Method, path and service, for the log line after a crash.
@@ -99,6 +101,11 @@
         broken.into_iter().map(|it| it.1).chain(self.arena.values().cloned()).collect()
     }
 
+    /// The number of requests in flight that must not run twice.
+    pub(crate) fn not_idempotent(&self) -> usize {
+        self.arena.values().filter(|it| !it.idempotent).count()
+    }
+
     /// The number of requests in flight.
     pub(crate) fn len(&self) -> usize {
         self.arena.len()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod reaching;
 pub mod refusals;
 mod reservations;
+mod rollouts;
 pub mod running;
 mod sending;
 mod serving;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -8,7 +8,8 @@
 use transport::{endpoint, errors, links, pool, wire};
 
 use crate::{
-    attaching, backend, callers, controls, instruments, linking, reaching, serving, settings, state,
+    attaching, backend, callers, controls, instruments, linking, reaching, rollouts, serving,
+    settings, state,
 };
 
 /// How often the timers of the version updater and of the backend server's lease are checked. Also
@@ -17,6 +18,8 @@
 const TICK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(50);
 /// Ticks between two heartbeats of the registry, which makes one per second.
 const HEARTBEAT_TICKS: u32 = 20;
+/// Ticks between two reports about rollouts, which makes one in 250 ms.
+const ROLLOUT_TICKS: u32 = 5;
 /// Shortest time between two checks of the timers of admission.
 const MIN_ADMISSION_INTERVAL: std_time::Duration = std_time::Duration::from_millis(5);
 /// How often a planned stop checks whether requests are in flight.
@@ -288,6 +291,9 @@
             if count.is_multiple_of(HEARTBEAT_TICKS) {
                 attaching::heartbeat(&shared);
             }
+            if count.is_multiple_of(ROLLOUT_TICKS) {
+                rollouts::report(&shared);
+            }
         };
         if state.pool.run(attaching::in_runtime(job)).await.is_err() {
             log::warn!(
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -166,7 +166,7 @@
     match working::run(state, request, admission).await {
         Ok(answered) => {
             let working::Answered { status, headers, body, execution, node_status } = answered;
-            guard.answered(&node_status);
+            guard.answered(&node_status, status);
             let body = Source { ahead: None, rest: Rest::Local(body, execution) };
             Ok(Answered { status, headers, body, node_status, deadline, answer_by })
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,7 +14,7 @@
 use world::{config, contracts, document, log_limits, mesh, requests, time};
 
 use crate::{
-    bodies, controls, dialect, in_flight, instruments, linking, settings, slots, suspects,
+    bodies, controls, dialect, in_flight, instruments, linking, rollouts, settings, slots, suspects,
 };
 
 // A table may be locked only while all tables that are held have lower ranks.
@@ -122,6 +122,8 @@
     pub(crate) throttles: collections::HashMap<CompactString, throttle::Throttle>,
     /// The latencies of routes that allow hedges.
     pub(crate) latencies: collections::HashMap<contracts::RouteKey, hedge::LatencyHistogram>,
+    /// The software versions that services move to.
+    pub(crate) rollouts: rollouts::Followers,
     /// Counts the requests of routes that are split among services, from a random start.
     pub(crate) split_counter: u64,
     pub(crate) rng: rngs::SmallRng,
@@ -184,6 +186,7 @@
             retry_limiters: collections::HashMap::new(),
             throttles: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
+            rollouts: rollouts::Followers::default(),
             split_counter: rand::random(),
             rng: rngs::SmallRng::from_os_rng(),
         };
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -360,6 +360,9 @@
     if !entry.state.takes_work() || entry.service != head.service {
         return Some(forwarding::NotRun::Absent);
     }
+    if state.routing.lock().rollouts.retires(&entry.service, &entry.version) {
+        return Some(forwarding::NotRun::Draining);
+    }
     None
 }
 
@@ -434,6 +437,7 @@
         budget: head.budget,
         id: head.id.clone(),
         context: head.context.clone(),
+        idempotent: head.idempotent,
         repeat: head.repeat,
         summary: format_compact!("{} {} of {}", head.method, head.path, head.service),
     };
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod forwarding;
 pub mod operators;
 pub mod proposals;
+pub mod rollouts;
 pub mod streams;
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -25,6 +25,8 @@
 
 /// Path of the whole document: GET returns the current one, and PUT replaces it.
 pub const DOCUMENT_PATH: &str = "/v1/document";
+/// Path of rollouts: POST orders one, and GET with `?service=NAME` returns a [`RolloutRecord`].
+pub const ROLLOUTS_PATH: &str = "/v1/rollouts";
 /// Path of the discovery of controls, which needs no token: GET returns a [`ControlList`]. A
 /// control that looks for others introduces itself by a POST of its own [`ControlRecord`].
 pub const HOSTS_PATH: &str = "/v1/hosts";
@@ -236,3 +238,50 @@
     /// Number of these nodes that run the control's version.
     pub converged: usize,
 }
+
+/// An order of a rollout.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RolloutRequest {
+    /// The service.
+    pub service: CompactString,
+    /// The software version that its traffic is to move to.
+    pub target: CompactString,
+    /// The time within which it is to move, in milliseconds.
+    pub over_ms: u64,
+}
+
+/// The state of a rollout.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RolloutState {
+    /// The traffic is moving.
+    Running,
+    /// All traffic has moved, and the old targets may be stopped.
+    Complete,
+    /// The new version was bad and gets nothing.
+    RolledBack,
+}
+
+/// The last rollout of a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RolloutRecord {
+    /// Its state.
+    pub state: RolloutState,
+    /// The software version that was ordered.
+    pub target: CompactString,
+}
+
+/// The result of an order of a rollout, or of the question for one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RolloutAnswer {
+    /// The state of the service's last order.
+    State(RolloutRecord),
+    /// Another order for the service is in progress.
+    Conflict(CompactString),
+    /// The order cannot be carried out.
+    Invalid(CompactString),
+    /// There is no order for the service.
+    Unknown(CompactString),
+    /// The control cannot tell; another one may.
+    Unavailable(CompactString),
+}
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use world::{document, requests};
 
-use crate::{forwarding, operators, proposals};
+use crate::{forwarding, operators, proposals, rollouts};
 
 /// The first message on each stream, which states its purpose.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -76,6 +76,8 @@
     Parts(Vec<membership::messages::PartRequest>),
     /// A message about the distribution of versions.
     Version(distribution::messages::ToControl),
+    /// What the node has seen of each rollout in progress; sent every 250 ms while there is one.
+    Rollouts(Vec<rollouts::Report>),
 }
 
 /// A message from a control to an attached node.
@@ -100,6 +102,8 @@
     /// All controls of the mesh. Replaces the previous list. Sent when the node attaches and at
     /// each change.
     Controls(Vec<operators::ControlRecord>),
+    /// All rollouts. Sent when the node attaches, before the registry, and at each change.
+    Rollouts(rollouts::List),
 }
 
 /// A request that may crash backend servers, according to the evidence.
@@ -142,6 +146,9 @@
     Introduction(operators::ControlRecord),
     /// The sender is about to stop, and another control may take over its seats.
     Leaving,
+    /// What the nodes attached to the sender have seen of each rollout in progress; sent every 250
+    /// ms while there is one.
+    Rollouts(Vec<rollouts::Summary>),
 }
 
 /// The versions that the nodes attached to a control run.
--- a/crates/routing/src/rollouts.rs
+++ b/crates/routing/src/rollouts.rs
@@ -136,6 +136,11 @@
         Pick::Candidate
     }
 
+    /// Takes back a pick of the new version, none of whose targets could get the send.
+    pub fn refund(&mut self) {
+        self.credit = (self.credit + REQUEST_CREDIT).min(2 * REQUEST_CREDIT - 1);
+    }
+
     /// The version to try when no target of `pick` can get the send; none if it must not go to the
     /// other version.
     pub fn other(&self, pick: Pick) -> Option<Pick> {
@@ -154,8 +159,7 @@
             Pick::Candidate => self.trial_targets(targets),
             Pick::Serving => {
                 let serves = targets.iter().any(|it| side(it) == rollouts::Side::Serving);
-                let wanted =
-                    if serves { rollouts::Side::Serving } else { rollouts::Side::Spare };
+                let wanted = if serves { rollouts::Side::Serving } else { rollouts::Side::Spare };
                 targets.iter().map(|it| side(it) == wanted).collect()
             }
         }
@@ -166,7 +170,8 @@
     fn trial_targets(&self, targets: &[Target<'_>]) -> Vec<bool> {
         let candidate =
             |it: &Target<'_>| it.ready && self.order.side(it.version) == rollouts::Side::Candidate;
-        let mut hosts: Vec<_> = targets.iter().filter(|it| candidate(it)).map(|it| it.host).collect();
+        let mut hosts: Vec<_> =
+            targets.iter().filter(|it| candidate(it)).map(|it| it.host).collect();
         hosts.sort_unstable();
         let share = self.order.state.stage().map_or(1_000, rollouts::Stage::share) as usize;
         let wanted = (hosts.len() * share).div_ceil(1_000).max(MIN_TRIAL_TARGETS);
--- a/crates/routing/src/verdicts.rs
+++ b/crates/routing/src/verdicts.rs
@@ -174,7 +174,9 @@
     fn sum(&self, route: &str, candidate: bool, loaded: Option<bool>) -> Counts {
         let mut sum = Counts::default();
         let wanted = |it: &CellName| {
-            it.route == route && it.candidate == candidate && loaded.is_none_or(|on| on == it.loaded)
+            it.route == route
+                && it.candidate == candidate
+                && loaded.is_none_or(|on| on == it.loaded)
         };
         for (_, counts) in self.cells.iter().filter(|(name, _)| wanted(name)) {
             sum.add(counts);
@@ -216,8 +218,10 @@
 
 impl Judge {
     /// Takes the totals of the mesh as they are now, and returns the fault that they show, if any:
-    /// in all answers since the order, or in the recent ones.
-    pub fn observe(&mut self, now: Time, total: Tally) -> Option<Fault> {
+    /// in the recent answers, or in all since the order while the version is unproven. Later, the
+    /// versions got most of their requests at different moments, so that trouble of the whole
+    /// service would count against one of them.
+    pub fn observe(&mut self, now: Time, total: Tally, proven: bool) -> Option<Fault> {
         while self.history.len() > 1 && now.since(self.history[1].0) >= RECENT {
             self.history.pop_front();
         }
@@ -226,7 +230,7 @@
         self.history.push_back((now, total.clone()));
         self.total = total;
         let fault = recent.and_then(|it| it.fault(&self.total));
-        fault.or_else(|| self.total.fault(&self.total))
+        fault.or_else(|| self.total.fault(&self.total).filter(|_| !proven))
     }
 
     /// Whether the new version has answered enough on each route that has traffic.
@@ -269,9 +273,7 @@
     let slow = old.median() + SLOW_CLASSES;
     let (faults, answers, old_faults, old_answers) = match kind {
         FaultKind::Failures => (new.bad, new.answers, old.bad, old.answers),
-        FaultKind::Slow => {
-            (new.from_class(slow), new.timed(), old.from_class(slow), old.timed())
-        }
+        FaultKind::Slow => (new.from_class(slow), new.timed(), old.from_class(slow), old.timed()),
     };
     Fault { route: route.clone(), kind, faults, answers, old_faults, old_answers }
 }
--- a/crates/world/src/time.rs
+++ b/crates/world/src/time.rs
@@ -61,3 +61,17 @@
         write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
     }
 }
+
+/// Parses a duration in `ms` or `s`, as in `250ms` or `0.8s`, to whole milliseconds; `None` if it is
+/// negative, has no unit or is above `u32::MAX` milliseconds.
+pub fn parse_millis(text: &str) -> Option<u32> {
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 1e-3),
+        None => (text.strip_suffix('s')?, 1.0),
+    };
+    let number: f64 = number.parse().ok()?;
+    let time = time::Duration::try_from_secs_f64(number * unit).ok()?;
+    // Rounded to the nearest millisecond: 0.8 s has no exact binary representation.
+    let millis = (time + time::Duration::from_micros(500)).as_millis();
+    u32::try_from(millis).ok()
+}
