--- a/crates/heatherwalk/src/args.rs
+++ b/crates/heatherwalk/src/args.rs
@@ -9,7 +9,8 @@
     Authority, Check, Command, Control, Dev, Issue, Keys, KeysCommand, Node, TopLevel, Version,
 };
 pub use operators::{
-    CommonOptions, Create, Diff, History, Nodes, Patch, Quarantine, Show, Status, Targets, Wait,
+    CommonOptions, Create, Diff, History, Nodes, Patch, Quarantine, Rollout, RolloutCommand,
+    RolloutShow, RolloutStart, Show, Status, Targets, Wait,
 };
 
 use crate::exit_codes;
--- a/crates/heatherwalk/src/args/commands.rs
+++ b/crates/heatherwalk/src/args/commands.rs
@@ -62,6 +62,8 @@
     Status(operators::Status),
     /// Waits until a version is in force everywhere.
     Wait(operators::Wait),
+    /// Moves a service to another software version.
+    Rollout(operators::Rollout),
 }
 
 impl Command {
@@ -84,6 +86,7 @@
             Command::Quarantine(it) => Some(it.common_options()),
             Command::Status(it) => Some(it.common_options()),
             Command::Wait(it) => Some(it.common_options()),
+            Command::Rollout(it) => Some(it.common_options()),
         }
     }
 }
--- a/crates/heatherwalk/src/args/operators.rs
+++ b/crates/heatherwalk/src/args/operators.rs
@@ -175,3 +175,58 @@
         pub timeout_s: u64,
     }
 }
+
+/// Move a service to targets with another software version, or show how far that is.
+#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[argh(subcommand, name = "rollout")]
+pub struct Rollout {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: RolloutCommand,
+}
+
+/// What `rollout` does.
+#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[argh(subcommand)]
+pub enum RolloutCommand {
+    /// Orders a rollout.
+    Start(RolloutStart),
+    /// Shows the last rollout of a service.
+    Show(RolloutShow),
+}
+
+operator_command! {
+    /// Order that a service moves to targets with another software version.
+    #[argh(subcommand, name = "start")]
+    pub struct RolloutStart {
+        /// name of the service
+        #[argh(option)]
+        pub service: CompactString,
+        /// software version that targets of the service have announced
+        #[argh(option)]
+        pub target: CompactString,
+        /// time within which the traffic moves, as 12s
+        #[argh(option)]
+        pub over: CompactString,
+    }
+}
+
+operator_command! {
+    /// Show the last rollout of a service.
+    #[argh(subcommand, name = "show")]
+    pub struct RolloutShow {
+        /// name of the service
+        #[argh(option)]
+        pub service: CompactString,
+    }
+}
+
+impl Rollout {
+    /// The options that all operators' commands share.
+    pub fn common_options(&self) -> CommonOptions {
+        match &self.command {
+            RolloutCommand::Start(it) => it.common_options(),
+            RolloutCommand::Show(it) => it.common_options(),
+        }
+    }
+}
--- a/crates/heatherwalk/src/operators.rs
+++ b/crates/heatherwalk/src/operators.rs
@@ -9,6 +9,7 @@
 pub mod line_diff;
 mod lists;
 mod patches;
+mod rollouts;
 mod versions;
 mod waiting;
 
@@ -52,6 +53,7 @@
         args::Command::Quarantine(it) => lists::quarantine(it, client, out),
         args::Command::Status(it) => lists::status(it, client, out),
         args::Command::Wait(it) => waiting::wait(it, client, console),
+        args::Command::Rollout(it) => rollouts::run(it, client, out),
         args::Command::Node(_)
         | args::Command::Control(_)
         | args::Command::Check(_)
