Test rollouts in a real mesh, and refuse an unknown version only when targets are known

A control that has just started does not know all targets yet, so it answers 503 instead of 400 until its registry is settled.

--- a/crates/control/src/rollouts.rs
+++ b/crates/control/src/rollouts.rs
@@ -280,7 +280,7 @@
     let check = state.pool.run(move || find_fault(&shared, &name, &version)).await;
     match check {
         Ok(None) => {}
-        Ok(Some(detail)) => return operators::RolloutAnswer::Invalid(detail),
+        Ok(Some(answer)) => return answer,
         Err(_) => return unavailable(),
     }
     let action =
@@ -321,9 +321,14 @@
     }
 }
 
-/// What is wrong with an order for this service and version, if it does not repeat the last one:
-/// the old targets of a repeated one may have been stopped.
-fn find_fault(state: &state::State, service: &str, target: &str) -> Option<CompactString> {
+/// The refusal of an order for an unknown service or version; none when it repeats the last one,
+/// since the targets may be gone after its end. A control that has just started may not know all
+/// targets yet.
+fn find_fault(
+    state: &state::State,
+    service: &str,
+    target: &str,
+) -> Option<operators::RolloutAnswer> {
     let configuration = state.configuration_state.lock();
     if configuration.rollouts.get(service).is_some_and(|it| it.target == target) {
         return None;
@@ -331,14 +336,20 @@
     let known = configuration.versions.document().services.contains_key(service);
     drop(configuration);
     if !known {
-        return Some(format_compact!("the configuration has no service {service:?}"));
+        let detail = format_compact!("the configuration has no service {service:?}");
+        return Some(operators::RolloutAnswer::Invalid(detail));
     }
     let registry = state.registry.lock();
     let targets = registry.targets();
     let mut keys = targets.of_service(service).iter();
-    let announced = keys.any(|&it| targets.get(it).is_some_and(|it| it.entry.version == target));
-    (!announced)
-        .then(|| format_compact!("no target of {service} has announced the version {target:?}"))
+    if keys.any(|&it| targets.get(it).is_some_and(|it| it.entry.version == target)) {
+        return None;
+    }
+    if !registry.is_settled(state.now()) {
+        return Some(unavailable());
+    }
+    let detail = format_compact!("no target of {service} has announced the version {target:?}");
+    Some(operators::RolloutAnswer::Invalid(detail))
 }
 
 fn record(order: &rollouts::Order) -> operators::RolloutRecord {
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -15,6 +15,7 @@
 mod passing;
 mod refusals;
 mod relay;
+mod rollouts;
 mod servers;
 mod silence;
 mod stand_in_controls;
--- a/crates/heatherwalk/tests/requests/mesh.rs
+++ b/crates/heatherwalk/tests/requests/mesh.rs
@@ -131,6 +131,20 @@
         index
     }
 
+    /// Sends an operator's request to the control. Returns the status and the body.
+    pub async fn operate(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Option<serde_json::Value>,
+    ) -> (u16, serde_json::Value) {
+        let control = self.control.as_ref().expect("runs").operators_addr();
+        let client = web::client::Client::new(web::client::Limits::default());
+        let call = operators::Request { control, method, path: path.into(), body };
+        let reply = api_client::send(&client, TOKEN, &call).await.expect("an answer");
+        (reply.status, reply.body)
+    }
+
     /// The address of a node for callers.
     pub fn callers(&self, index: usize) -> net::SocketAddr {
         self.node(index).callers()
--- a/crates/heatherwalk/tests/requests/servers.rs
+++ b/crates/heatherwalk/tests/requests/servers.rs
@@ -93,6 +93,17 @@
         service: &str,
         slots: u32,
         handle: impl Fn(&str, &[u8]) -> Action + Send + Sync + 'static,
+    ) -> Server {
+        Server::spawn_version(announce, service, slots, "", handle).await
+    }
+
+    /// Starts a server like `spawn`, with this software version.
+    pub async fn spawn_version(
+        announce: net::SocketAddr,
+        service: &str,
+        slots: u32,
+        version: &str,
+        handle: impl Fn(&str, &[u8]) -> Action + Send + Sync + 'static,
     ) -> Server {
         let listener = TcpListener::bind(mesh::loopback()).await.expect("binds");
         let addr = listener.local_addr().expect("has an address");
@@ -102,7 +113,14 @@
         let mut announcing = task::JoinSet::new();
         let settings =
             example::Settings { service: service.into(), name: service.into(), announce, slots };
-        announcing.spawn(example::announce(settings, addr));
+        let announcement = node::backend::Announcement {
+            version: version.into(),
+            ..example::announcement(settings, addr)
+        };
+        announcing.spawn(async move {
+            let (_keep, drain) = tokio::sync::watch::channel(false);
+            example::renew(announce, announcement, drain).await;
+        });
         Server { counts, listening, _announcing: announcing }
     }
 
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -134,10 +134,15 @@
         messages::Part {
             request: request.clone(),
             events: self.targets.part(now, request),
-            settled: now.since(self.started) >= STALE_AFTER,
+            settled: self.is_settled(now),
         }
     }
 
+    /// Whether the registry has run long enough to know all entries that other controls have.
+    pub fn is_settled(&self, now: Time) -> bool {
+        now.since(self.started) >= STALE_AFTER
+    }
+
     /// Renews all leases and contacts after a time in which this control did not run: the silence
     /// of the others shows nothing then, as their messages wait. The registry may lack entries,
     /// too, as after a start.
