--- a/crates/routing/src/verdicts.rs
+++ b/crates/routing/src/verdicts.rs
@@ -133,7 +133,7 @@
     }
 
     /// The number of times in the classes from `class` on.
-    fn from_class(&self, class: usize) -> u32 {
+    fn slow_count(&self, class: usize) -> u32 {
         self.times.iter().skip(class).sum()
     }
 }
@@ -273,7 +273,7 @@
     let slow = old.median() + SLOW_CLASSES;
     let (faults, answers, old_faults, old_answers) = match kind {
         FaultKind::Failures => (new.bad, new.answers, old.bad, old.answers),
-        FaultKind::Slow => (new.from_class(slow), new.timed(), old.from_class(slow), old.timed()),
+        FaultKind::Slow => (new.slow_count(slow), new.timed(), old.slow_count(slow), old.timed()),
     };
     Fault { route: route.clone(), kind, faults, answers, old_faults, old_answers }
 }
@@ -286,8 +286,8 @@
         return None;
     }
     let slow = old.median() + SLOW_CLASSES;
-    let new = (new.from_class(slow), new.timed());
-    let old = (old.from_class(slow), old.timed());
+    let new = (new.slow_count(slow), new.timed());
+    let old = (old.slow_count(slow), old.timed());
     exceeds(new, old, SLOW_MARGIN).then_some(FaultKind::Slow)
 }
 
--- a/crates/routing/tests/progress.rs
+++ b/crates/routing/tests/progress.rs
@@ -1,6 +1,6 @@
 //! The steps of a rollout.
 
-use std::{fmt::Write as _, time};
+use std::{fmt::Write as _, ops, time};
 
 use routing::{progress, verdicts};
 use world::{
@@ -10,6 +10,22 @@
 
 const ROUND_MS: u64 = 250;
 
+/// What happens to an order.
+#[derive(Clone, Debug)]
+struct Case {
+    name: &'static str,
+    over_ms: u64,
+    /// When the new version begins to fail, in milliseconds.
+    bad_from: u64,
+    /// When there is no leader.
+    lost: ops::Range<u64>,
+    /// Whether a node has moved, by the time in milliseconds and the stage; none when it is not
+    /// heard of.
+    node_at: fn(u64, Stage) -> Option<bool>,
+    /// The earliest end.
+    earliest: u64,
+}
+
 fn order(over_ms: u64) -> Order {
     Order {
         id: OrderId(7),
@@ -35,15 +51,9 @@
     }
 }
 
-/// Runs an order until its end and returns its steps with their times. `node_at` says whether a node
-/// has moved, by the time in milliseconds and the stage; none when it is not heard of.
-fn run(
-    over_ms: u64,
-    bad_from: u64,
-    lost: std::ops::Range<u64>,
-    node_at: fn(u64, Stage) -> Option<bool>,
-) -> (String, Order, u64) {
-    let mut order = order(over_ms);
+/// Runs an order until its end and returns its steps with their times.
+fn run(case: &Case) -> (String, Order, u64) {
+    let mut order = order(case.over_ms);
     // Each control follows the order, so another leader knows as much.
     let mut watch = progress::Watch::new(Time::ZERO);
     let mut tally = verdicts::Tally::default();
@@ -52,13 +62,13 @@
         let ms = round * ROUND_MS;
         let now = Time::from_millis(ms);
         let Some(stage) = order.state.stage() else { return (steps, order, ms) };
-        add_answers(&mut tally, ms >= bad_from);
+        add_answers(&mut tally, ms >= case.bad_from);
         watch.record_answers(now, &order, tally.clone());
-        if let Some(moved) = node_at(ms, stage) {
+        if let Some(moved) = (case.node_at)(ms, stage) {
             watch.record_node("node-1", moved, now);
         }
         watch.record_node("node-2", stage == Stage::Whole, now);
-        let leads = !lost.contains(&ms);
+        let leads = !case.lost.contains(&ms);
         let Some(step) = watch.next(now, ms, &order, leads) else { continue };
         order.state = match step {
             progress::Step::Advance(stage) => State::Running(stage),
@@ -74,28 +84,47 @@
 /// against an end while a node may still send to the old version.
 #[test]
 fn late_or_early_ends() {
-    let moves = |_: u64, stage: Stage| Some(stage == Stage::Whole);
-    let slow = |ms: u64, _: Stage| Some(ms >= 11_000);
-    let cut_off = |ms: u64, stage: Stage| (ms < 2_000).then_some(stage == Stage::Whole);
-    let silent_late = |ms: u64, stage: Stage| (ms < 6_500).then_some(stage == Stage::Whole);
-    let cases: [(&str, u64, u64, std::ops::Range<u64>, fn(u64, Stage) -> Option<bool>, u64); 9] = [
-        ("good", 12_000, u64::MAX, 0..0, moves, 0),
-        ("no leader at first", 12_000, u64::MAX, 0..3_000, moves, 0),
-        ("no leader at the verdict", 12_000, u64::MAX, 5_000..8_000, moves, 0),
-        ("no leader at the end", 12_000, u64::MAX, 7_000..10_000, moves, 0),
-        ("16 s", 16_000, u64::MAX, 9_000..12_000, moves, 0),
-        ("a node has requests in flight", 12_000, u64::MAX, 0..0, slow, 11_000),
-        ("a node is cut off early", 12_000, u64::MAX, 0..0, cut_off, 0),
-        ("a node is lost at the last stage", 12_000, u64::MAX, 0..0, silent_late, 10_250),
-        ("bad from 4 s", 12_000, 4_000, 0..0, moves, 0),
+    let good = Case {
+        name: "good",
+        over_ms: 12_000,
+        bad_from: u64::MAX,
+        lost: 0..0,
+        node_at: |_, stage| Some(stage == Stage::Whole),
+        earliest: 0,
+    };
+    let cases = [
+        Case { name: "no leader at first", lost: 0..3_000, ..good.clone() },
+        Case { name: "no leader at the verdict", lost: 5_000..8_000, ..good.clone() },
+        Case { name: "no leader at the end", lost: 7_000..10_000, ..good.clone() },
+        Case { name: "16 s", over_ms: 16_000, lost: 9_000..12_000, ..good.clone() },
+        Case {
+            name: "a node has requests in flight",
+            node_at: |ms, _| Some(ms >= 11_000),
+            earliest: 11_000,
+            ..good.clone()
+        },
+        Case {
+            name: "a node is cut off early",
+            node_at: |ms, _| (ms < 2_000).then_some(false),
+            ..good.clone()
+        },
+        Case {
+            name: "a node is lost at the last stage",
+            node_at: |ms, _| (ms < 6_500).then_some(false),
+            earliest: 10_250,
+            ..good.clone()
+        },
+        Case { name: "bad from 4 s", bad_from: 4_000, ..good.clone() },
+        good,
     ];
     let mut table = String::new();
-    for (name, over, bad_from, lost, node_at, earliest) in cases {
-        let (steps, order, end) = run(over, bad_from, lost, node_at);
-        writeln!(table, "{name}: {steps}").expect("text");
-        let wanted = if bad_from == u64::MAX { State::Complete } else { State::RolledBack };
-        assert_eq!(order.state, wanted, "{name}");
-        assert!(end <= over && end >= earliest, "{name}: {end}");
+    for case in cases {
+        let (steps, order, end) = run(&case);
+        writeln!(table, "{}: {steps}", case.name).expect("text");
+        let good = case.bad_from == u64::MAX;
+        let wanted = if good { State::Complete } else { State::RolledBack };
+        assert_eq!(order.state, wanted, "{}", case.name);
+        assert!(end <= case.over_ms && end >= case.earliest, "{}: {end}", case.name);
     }
     insta::assert_snapshot!(table);
 }
