Judge recent and all answers by different bars, and extend the trial of a doubtful version

A short slowdown of one of the few trial targets could dominate the recent answers, so these need a larger share of slow ones; a version with few failures needs more answers, so its trial lasts longer.

--- a/crates/control/src/rollouts.rs
+++ b/crates/control/src/rollouts.rs
@@ -136,7 +136,6 @@
         all.filter(|it| it.state.stage().is_some()).cloned().collect()
     };
     if orders.is_empty() {
-        publish(state);
         let mut rollouts = state.rollouts.lock();
         rollouts.reports.clear();
         rollouts.summaries.clear();
--- a/crates/node/src/rollouts.rs
+++ b/crates/node/src/rollouts.rs
@@ -155,14 +155,17 @@
         })
         .collect();
     let pick = followed.pick(first);
-    let mut choose = |followed: &rollouts::Followed, pick| {
-        let usable = followed.usable(pick, &split);
+    let mut choose = |usable: Vec<bool>| {
         let candidates: Vec<_> =
             targets.iter().zip(usable).filter(|it| it.1).map(|it| it.0.candidate).collect();
         let criteria = balancer::Request { candidates: &candidates, ..criteria };
         balancer.choose(now, &criteria, rng)
     };
-    let result = choose(followed, pick);
+    let mut result = choose(followed.usable(pick, &split));
+    if result.is_err() && pick == rollouts::Pick::Candidate {
+        // The targets that were to share the requests may be out of reach.
+        result = choose(followed.candidates(&split));
+    }
     if result.is_ok() {
         return result;
     }
@@ -170,7 +173,7 @@
         followed.refund();
     }
     match followed.other(pick) {
-        Some(other) => choose(followed, other),
+        Some(other) => choose(followed.usable(other, &split)),
         None => result,
     }
 }
@@ -205,7 +208,7 @@
     let held = followers.orders.get(&order.service).is_some_and(rollouts::Followed::is_held);
     if !held
         && !stage.is_proven()
-        && let Some(fault) = report.tally.fault(&report.tally)
+        && let Some(fault) = report.tally.fault()
     {
         log::warn!(
             target: "decision",
--- a/crates/routing/src/progress.rs
+++ b/crates/routing/src/progress.rs
@@ -12,6 +12,8 @@
 /// The time until the end of the trial, per mille of the time of the order. What is left is enough
 /// for an election and the stages after it.
 const TRIAL_END: u64 = 450;
+/// The same for a version that may be bad. Its trial goes on, for more answers.
+const SUSPECT_END: u64 = 650;
 /// From this time on, per mille of the time of the order, idempotent requests in flight to the old
 /// version no longer delay the end. They can be sent again.
 const LATE: u64 = 750;
@@ -110,7 +112,10 @@
         let reached = |part: u64| elapsed >= order.over_ms * part / 1_000;
         let due = match stage {
             rollouts::Stage::First => reached(FIRST_END),
-            rollouts::Stage::Trial => reached(TRIAL_END) && self.judge.is_enough(),
+            rollouts::Stage::Trial => {
+                let end = if self.judge.is_suspect() { SUSPECT_END } else { TRIAL_END };
+                reached(end) && self.judge.is_enough()
+            }
             _ => now.since(self.since) >= MIN_STAGE,
         };
         due.then_some(Step::Advance(next))
--- a/crates/routing/src/rollouts.rs
+++ b/crates/routing/src/rollouts.rs
@@ -5,6 +5,8 @@
 use compact_str::CompactString;
 use world::rollouts;
 
+use crate::subset;
+
 /// The fewest targets of the new version that share its requests, if it has as many. One target
 /// may be slow because of its host.
 const MIN_TRIAL_TARGETS: usize = 2;
@@ -165,17 +167,25 @@
         }
     }
 
+    /// All targets of the new version.
+    pub fn candidates(&self, targets: &[Target<'_>]) -> Vec<bool> {
+        targets.iter().map(|it| self.is_candidate(it)).collect()
+    }
+
+    fn is_candidate(&self, target: &Target<'_>) -> bool {
+        target.ready && self.order.side(target.version) == rollouts::Side::Candidate
+    }
+
     /// The targets that share the new version's requests: as many as its share of the traffic
     /// keeps as busy as all of them will be. A version that is bad under load thus shows it early.
     fn trial_targets(&self, targets: &[Target<'_>]) -> Vec<bool> {
-        let candidate =
-            |it: &Target<'_>| it.ready && self.order.side(it.version) == rollouts::Side::Candidate;
-        let mut hosts: Vec<_> =
-            targets.iter().filter(|it| candidate(it)).map(|it| it.host).collect();
+        let candidates = targets.iter().filter(|it| self.is_candidate(it));
+        let mut hosts: Vec<_> = candidates.map(|it| (subset::scatter(it.host), it.host)).collect();
         hosts.sort_unstable();
         let share = self.order.state.stage().map_or(1_000, rollouts::Stage::share) as usize;
         let wanted = (hosts.len() * share).div_ceil(1_000).max(MIN_TRIAL_TARGETS);
         hosts.truncate(wanted);
-        targets.iter().map(|it| candidate(it) && hosts.contains(&it.host)).collect()
+        let shares = |it: &Target<'_>| hosts.iter().any(|(_, host)| *host == it.host);
+        targets.iter().map(|it| self.is_candidate(it) && shares(it)).collect()
     }
 }
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -95,6 +95,12 @@
     far.sort_unstable_by_key(|it| (it.rank, it.centre_weight));
 }
 
+/// A number by which hosts are ordered the same in every process, whose names of one data centre
+/// often begin alike.
+pub(crate) fn scatter(host: &str) -> u64 {
+    mix(hash(host))
+}
+
 /// FNV-1a.
 fn hash(name: &str) -> u64 {
     name.bytes().fold(FNV_OFFSET, |hash, it| (hash ^ u64::from(it)).wrapping_mul(FNV_PRIME))
--- a/crates/routing/src/verdicts.rs
+++ b/crates/routing/src/verdicts.rs
@@ -19,14 +19,25 @@
 /// The period of the recent answers, which are judged beside all of them.
 const RECENT: time::Duration = time::Duration::from_secs(3);
 
-/// How many standard errors the new version has to be off. Each comparison is repeated several
-/// times a second, for each route.
-const DEVIATIONS: f64 = 3.3;
-/// What the share of bad answers may exceed that of the old version by.
-const BAD_MARGIN: f64 = 0.02;
-/// What the share of slow answers may exceed that of the old version by. Some targets are slower
-/// than others, and some slow down for a while because of their neighbours.
-const SLOW_MARGIN: f64 = 0.25;
+/// How far a version has to be off.
+#[derive(Clone, Copy, Debug)]
+struct Bar {
+    /// In standard errors.
+    deviations: f64,
+    /// What the share of bad answers may exceed that of the old version by.
+    bad: f64,
+    /// The same for slow answers. Some targets are slower than others, and some slow down for a
+    /// while because of their neighbours.
+    slow: f64,
+}
+
+/// For all answers since the order. Each comparison is repeated several times a second, for each
+/// route.
+const TOTAL_BAR: Bar = Bar { deviations: 3.0, bad: 0.01, slow: 0.2 };
+/// For recent answers, which a short slowdown of one target may dominate.
+const RECENT_BAR: Bar = Bar { slow: 0.4, ..TOTAL_BAR };
+/// For answers that may be bad by chance.
+const SUSPECT_BAR: Bar = Bar { deviations: 1.2, bad: 0.0, slow: 0.1 };
 /// The fewest bad or slow answers that a verdict rests on.
 const MIN_FAULTS: u32 = 6;
 /// The fewest answers of the old version to compare with.
@@ -188,9 +199,19 @@
         self.cells.keys().map(|it| &it.route).collect()
     }
 
-    /// The fault that these answers show, if any. `base` has the answers of the old version where
-    /// there are too few here, as after the old version got its last request.
-    pub fn fault(&self, base: &Tally) -> Option<Fault> {
+    /// The fault that these answers show, if any.
+    pub fn fault(&self) -> Option<Fault> {
+        self.fault_beyond(&TOTAL_BAR, self)
+    }
+
+    /// Whether these answers may show a fault, but also be bad by chance.
+    pub fn is_suspect(&self) -> bool {
+        self.fault_beyond(&SUSPECT_BAR, self).is_some()
+    }
+
+    /// The fault beyond `bar` that these answers show, if any. `base` has the answers of the old
+    /// version where there are too few here, as after the old version got its last request.
+    fn fault_beyond(&self, bar: &Bar, base: &Tally) -> Option<Fault> {
         for route in self.routes() {
             for loaded in [None, Some(true), Some(false)] {
                 let new = self.sum(route, true, loaded);
@@ -198,7 +219,7 @@
                 if old.answers < MIN_COMPARED {
                     old = base.sum(route, false, None);
                 }
-                if let Some(kind) = compare(&new, &old) {
+                if let Some(kind) = compare(bar, &new, &old) {
                     return Some(describe(route, kind, &new, &old));
                 }
             }
@@ -229,8 +250,8 @@
         let recent = before.map(|it| total.without(it));
         self.history.push_back((now, total.clone()));
         self.total = total;
-        let fault = recent.and_then(|it| it.fault(&self.total));
-        fault.or_else(|| self.total.fault(&self.total).filter(|_| !proven))
+        let fault = recent.and_then(|it| it.fault_beyond(&RECENT_BAR, &self.total));
+        fault.or_else(|| self.total.fault().filter(|_| !proven))
     }
 
     /// Whether the new version has answered enough on each route that has traffic.
@@ -238,6 +259,11 @@
         self.total.is_enough()
     }
 
+    /// Whether the new version may be bad, so that more answers are worth waiting for.
+    pub fn is_suspect(&self) -> bool {
+        self.total.is_suspect()
+    }
+
     /// The totals of the mesh.
     pub fn total(&self) -> &Tally {
         &self.total
@@ -278,8 +304,8 @@
     Fault { route: route.clone(), kind, faults, answers, old_faults, old_answers }
 }
 
-fn compare(new: &Counts, old: &Counts) -> Option<FaultKind> {
-    if exceeds((new.bad, new.answers), (old.bad, old.answers), BAD_MARGIN) {
+fn compare(bar: &Bar, new: &Counts, old: &Counts) -> Option<FaultKind> {
+    if exceeds((new.bad, new.answers), (old.bad, old.answers), bar.deviations, bar.bad) {
         return Some(FaultKind::Failures);
     }
     if old.timed() < MIN_COMPARED {
@@ -288,26 +314,26 @@
     let slow = old.median() + SLOW_CLASSES;
     let new = (new.slow_count(slow), new.timed());
     let old = (old.slow_count(slow), old.timed());
-    exceeds(new, old, SLOW_MARGIN).then_some(FaultKind::Slow)
+    exceeds(new, old, bar.deviations, bar.slow).then_some(FaultKind::Slow)
 }
 
 /// Whether the new version's share of faults exceeds the old one's by more than the margin, beyond
 /// what chance explains.
-fn exceeds(new: (u32, u32), old: (u32, u32), margin: f64) -> bool {
+fn exceeds(new: (u32, u32), old: (u32, u32), deviations: f64, margin: f64) -> bool {
     if new.0 < MIN_FAULTS || old.1 < MIN_COMPARED {
         return false;
     }
-    bounds(new).0 > bounds(old).1.min(1.0 - margin) + margin
+    bounds(new, deviations).0 > bounds(old, deviations).1 + margin
 }
 
 /// The bounds of a share that chance leaves open (the score interval of Wilson).
-fn bounds((part, whole): (u32, u32)) -> (f64, f64) {
+fn bounds((part, whole): (u32, u32), deviations: f64) -> (f64, f64) {
     let (part, whole) = (f64::from(part), f64::from(whole));
     let share = part / whole;
-    let squared = DEVIATIONS * DEVIATIONS;
+    let squared = deviations * deviations;
     let centre = share + squared / (2.0 * whole);
     let spread =
-        (share * (1.0 - share) / whole + squared / (4.0 * whole * whole)).sqrt() * DEVIATIONS;
+        (share * (1.0 - share) / whole + squared / (4.0 * whole * whole)).sqrt() * deviations;
     let scale = 1.0 + squared / whole;
     ((centre - spread) / scale, (centre + spread) / scale)
 }
