--- a/crates/heatherwalk/src/example.rs
+++ b/crates/heatherwalk/src/example.rs
@@ -45,6 +45,19 @@
     /// Starts a server on a free port of loopback. It answers requests with `handler` and announces
     /// itself until it is stopped or dropped.
     pub async fn spawn<H, F>(settings: Settings, handler: H) -> Result<Server>
+    where
+        H: Fn(web::exchange::Request) -> F + Send + Sync + 'static,
+        F: Future<Output = web::exchange::Response> + Send + 'static,
+    {
+        Server::spawn_version(settings, CompactString::default(), handler).await
+    }
+
+    /// Starts a server like [`Server::spawn`], which announces this software version.
+    pub async fn spawn_version<H, F>(
+        settings: Settings,
+        version: CompactString,
+        handler: H,
+    ) -> Result<Server>
     where
         H: Fn(web::exchange::Request) -> F + Send + Sync + 'static,
         F: Future<Output = web::exchange::Response> + Send + 'static,
@@ -55,7 +68,10 @@
         let web = web::server::Server::bind(addr, limits, router).await?;
         let mut announcing = task::JoinSet::new();
         let (drain, drained) = watch::channel(false);
-        announcing.spawn(announce_until(settings, web.local_addr(), drained));
+        let announce = settings.announce;
+        let announcement =
+            backend::Announcement { version, ..announcement(settings, web.local_addr()) };
+        announcing.spawn(renew(announce, announcement, drained));
         Ok(Server { web, drain, announcing })
     }
 
--- a/crates/heatherwalk/tests/processes/harness.rs
+++ b/crates/heatherwalk/tests/processes/harness.rs
@@ -266,6 +266,22 @@
         reply.ok().flatten().filter(|it| it.status == 200).map(|it| it.body)
     }
 
+    /// Orders a rollout of the only service at a control.
+    pub async fn order_rollout(
+        &self,
+        control: usize,
+        target: &str,
+        over: &str,
+    ) -> Option<operators::Reply> {
+        let call = operators::Request {
+            control: self.controls[control].clients,
+            method: http::Method::POST,
+            path: "/v1/rollouts".into(),
+            body: Some(json!({"service": "logbook", "target": target, "over": over})),
+        };
+        self.call(&call).await
+    }
+
     /// Sends a patch to one control; none when the control could not reach a leader.
     pub async fn send_patch(
         &self,
--- a/crates/heatherwalk/tests/processes/main.rs
+++ b/crates/heatherwalk/tests/processes/main.rs
@@ -8,4 +8,5 @@
 mod harness;
 mod hosts;
 mod outages;
+mod rollouts;
 mod stops;
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -276,7 +276,7 @@
         choice.reason,
     );
     let idempotent = request.head.idempotent;
-    let counted = routing.rollouts.begin(service, &entry.version, &request.head.route, idempotent);
+    let counted = routing.rollouts.begin(entry, &request.head.route, idempotent);
     let guard = AttemptGuard {
         state: sync::Arc::clone(state),
         target: choice.target,
--- a/crates/node/src/rollouts.rs
+++ b/crates/node/src/rollouts.rs
@@ -36,6 +36,8 @@
     route: CompactString,
     candidate: bool,
     idempotent: bool,
+    /// Whether the target's cold start is over, so that its times count.
+    warm: bool,
 }
 
 /// How a counted attempt ended.
@@ -66,18 +68,19 @@
 }
 
 impl Followers {
-    /// Begins to count an attempt, if an order for its service is in progress.
+    /// Begins to count an attempt at a target, if an order for its service is in progress.
     pub(crate) fn begin(
         &mut self,
-        service: &str,
-        version: &str,
+        target: &membership::messages::Entry,
         route: &CompactString,
         idempotent: bool,
     ) -> Option<Counted> {
-        let order = self.orders.get(service)?.order();
+        let order = self.orders.get(&target.service)?.order();
         order.state.stage()?;
-        let candidate = order.side(version) == orders::Side::Candidate;
-        let counted = Counted { order: order.id, route: route.clone(), candidate, idempotent };
+        let candidate = order.side(&target.version) == orders::Side::Candidate;
+        let warm = target.state == targets::State::Serving;
+        let counted =
+            Counted { order: order.id, route: route.clone(), candidate, idempotent, warm };
         if !candidate {
             let seen = self.seen.entry(order.id).or_default();
             seen.busy += 1;
@@ -88,7 +91,7 @@
 
     /// Ends a counted attempt.
     pub(crate) fn end(&mut self, counted: Counted, ending: Ending) {
-        let Counted { order, route, candidate, idempotent } = counted;
+        let Counted { order, route, candidate, idempotent, warm } = counted;
         // The order may have ended meanwhile.
         let Some(seen) = self.seen.get_mut(&order) else { return };
         if !candidate {
@@ -97,8 +100,13 @@
         }
         let name = |loaded| verdicts::CellName { route, loaded, candidate };
         match ending {
-            Ending::Answered { elapsed, loaded } => seen.tally.record(name(loaded), Some(elapsed)),
-            Ending::Bad { loaded } => seen.tally.record(name(loaded), None),
+            Ending::Answered { elapsed, loaded } if warm => {
+                seen.tally.record(name(loaded), verdicts::Answer::Timed(elapsed));
+            }
+            Ending::Answered { loaded, .. } => {
+                seen.tally.record(name(loaded), verdicts::Answer::Untimed);
+            }
+            Ending::Bad { loaded } => seen.tally.record(name(loaded), verdicts::Answer::Bad),
             Ending::Other => {}
         }
     }
@@ -152,6 +160,7 @@
             host: it.host,
             version: it.version,
             ready: it.candidate.state.takes_work(),
+            warm: it.candidate.state == targets::State::Serving,
         })
         .collect();
     let pick = followed.pick(first);
--- a/crates/routing/src/rollouts.rs
+++ b/crates/routing/src/rollouts.rs
@@ -31,6 +31,8 @@
     pub version: &'a str,
     /// Whether it takes new work.
     pub ready: bool,
+    /// Whether it takes new work and its cold start is over.
+    pub warm: bool,
 }
 
 /// An order that a node follows.
@@ -178,8 +180,12 @@
 
     /// The targets that share the new version's requests: as many as its share of the traffic
     /// keeps as busy as all of them will be. A version that is bad under load thus shows it early.
+    /// Targets in a cold start answer slowly, so during the trial they get none while there are warm
+    /// ones.
     fn trial_targets(&self, targets: &[Target<'_>]) -> Vec<bool> {
-        let candidates = targets.iter().filter(|it| self.is_candidate(it));
+        let proven = self.order.state.stage().is_some_and(rollouts::Stage::is_proven);
+        let warm = !proven && targets.iter().any(|it| it.warm && self.is_candidate(it));
+        let candidates = targets.iter().filter(|it| self.is_candidate(it) && (it.warm || !warm));
         let mut hosts: Vec<_> = candidates.map(|it| (subset::scatter(it.host), it.host)).collect();
         hosts.sort_unstable();
         let share = self.order.state.stage().map_or(1_000, rollouts::Stage::share) as usize;
--- a/crates/routing/src/verdicts.rs
+++ b/crates/routing/src/verdicts.rs
@@ -65,10 +65,21 @@
     pub answers: u32,
     /// Answers with a server error, and requests without a whole answer.
     pub bad: u32,
-    /// The others, by the time that the backend server took.
+    /// The others, by the time that the backend server took, if that says something.
     pub times: [u32; TIME_CLASSES],
 }
 
+/// What an answer says of the version that gave it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// It is good, and took the backend server this long.
+    Timed(time::Duration),
+    /// It is good. Its time says nothing, as in a cold start.
+    Untimed,
+    /// It is bad.
+    Bad,
+}
+
 /// Counted answers, by name.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Tally {
@@ -150,17 +161,18 @@
 }
 
 impl Tally {
-    /// Counts an answer that took the backend server this long; none for a bad one.
-    pub fn record(&mut self, name: CellName, elapsed: Option<time::Duration>) {
+    /// Counts an answer.
+    pub fn record(&mut self, name: CellName, answer: Answer) {
         let known = self.cells.contains_key(&name);
         if !known && self.cells.len() >= 4 * MAX_ROUTES {
             return;
         }
         let counts = self.cells.entry(name).or_default();
         counts.answers = counts.answers.saturating_add(1);
-        match elapsed {
-            Some(it) => counts.times[time_class(it)] += 1,
-            None => counts.bad += 1,
+        match answer {
+            Answer::Timed(it) => counts.times[time_class(it)] += 1,
+            Answer::Untimed => {}
+            Answer::Bad => counts.bad += 1,
         }
     }
 
