--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -11,11 +11,16 @@
 use bytes::Bytes;
 use distribution::{floor, messages as versions};
 use membership::messages as registry;
-use protocol::{forwarding, operators, proposals, streams};
-use replicated::{claims, quarantine, versions as patches};
+use protocol::{forwarding, operators, proposals, rollouts as orders, streams};
+use replicated::{claims, quarantine, rollouts, versions as patches};
+use routing::verdicts;
 use serde::{Serialize, de};
 use transport::codec;
-use world::{document, faults, requests, targets, time};
+use world::{
+    document, faults, requests,
+    rollouts::{Order, OrderId, Stage, State},
+    targets, time,
+};
 
 /// A line of hexadecimal bytes for each message.
 #[derive(Default)]
@@ -71,7 +76,7 @@
         state: targets::State::Draining,
         announced: registry::Announced { incarnation: 299, sequence: 7, leaving: true },
         registrar: "dc".into(),
-        version: "".into(),
+        version: "v2".into(),
     };
     registry::Event { entry, age_ms: 1_500 }
 }
@@ -105,6 +110,27 @@
     vec![seed, other]
 }
 
+fn order() -> Order {
+    Order {
+        id: OrderId(300),
+        service: "s".into(),
+        target: "v2".into(),
+        current: Some("v1".into()),
+        rejected: vec!["v0".into()],
+        started_ms: 1_000,
+        over_ms: 12_000,
+        state: State::Running(Stage::Trial),
+    }
+}
+
+fn tally() -> verdicts::Tally {
+    let mut tally = verdicts::Tally::default();
+    let name = verdicts::CellName { route: "r".into(), loaded: true, candidate: true };
+    tally.record(name.clone(), verdicts::Answer::Timed(std::time::Duration::from_millis(40)));
+    tally.record(name, verdicts::Answer::Bad);
+    tally
+}
+
 fn patch() -> patches::Patch {
     patches::Patch {
         base: document::Version(6),
@@ -239,6 +265,24 @@
             claims::Answer::AlreadyApplied,
         ],
     );
+    let service = || "s".into();
+    for action in [
+        rollouts::Action::Start { service: service(), target: "v2".into(), over_ms: 12_000 },
+        rollouts::Action::Advance(OrderId(300), Stage::Half),
+        rollouts::Action::Complete(OrderId(300)),
+        rollouts::Action::RollBack(OrderId(300)),
+    ] {
+        table.all("rollout", slice::from_ref(&action));
+        table.all("Proposal", &[proposals::Proposal::Rollout(action)]);
+    }
+    for answer in [
+        rollouts::Answer::Accepted(order()),
+        rollouts::Answer::Conflict(Order { state: State::Complete, ..order() }),
+        rollouts::Answer::Changed(Order { state: State::RolledBack, ..order() }),
+        rollouts::Answer::Unchanged,
+    ] {
+        table.all("Outcome", &[proposals::Outcome::Answered(proposals::Answer::Rollout(answer))]);
+    }
     let counted = quarantine::Answer::Counted { quarantined: Some(fingerprint()) };
     table.all(
         "Outcome",
@@ -292,6 +336,13 @@
             streams::NodeMessage::Evidence { sequence: 4, age_ms: 40, evidence: finished },
             streams::NodeMessage::Heartbeat(heartbeat),
             streams::NodeMessage::Parts(vec![part_request()]),
+            streams::NodeMessage::Rollouts(vec![orders::Report {
+                order: OrderId(300),
+                stage: Stage::Whole,
+                tally: tally(),
+                busy: 2,
+                unsafe_busy: 1,
+            }]),
         ],
     );
     let stamp = versions::Timestamp { epoch: 9, at: time::Time::ZERO };
@@ -336,6 +387,11 @@
             streams::ControlMessage::Reach(reach),
             streams::ControlMessage::Standings(vec![standing]),
             streams::ControlMessage::Controls(control_records()),
+            streams::ControlMessage::Rollouts(orders::List {
+                orders: vec![order()],
+                held: vec![OrderId(300)],
+                current: true,
+            }),
         ],
     );
     let delta = versions::Delta { to: numbered(), patch: "{}".into() };
@@ -453,6 +509,11 @@
             streams::PeerMessage::Parts(vec![part()]),
             streams::PeerMessage::PartRequests(vec![part_request()]),
             streams::PeerMessage::Report(report),
+            streams::PeerMessage::Rollouts(vec![orders::Summary {
+                order: OrderId(300),
+                tally: tally(),
+                nodes: vec![orders::NodeState { host: "h1".into(), moved: true, age_ms: 90 }],
+            }]),
         ],
     );
     insta::assert_snapshot!(table.0);
