--- a/crates/control/src/distributing.rs
+++ b/crates/control/src/distributing.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 use world::{document, time};
 
-use crate::{groups, state, state_machines};
+use crate::{configuration, groups, state};
 
 /// Capacity of the send queue of one node, in messages. A node whose queue is full is disconnected;
 /// it attaches again and asks for what it missed.
@@ -57,7 +57,7 @@
     /// disk. `ready` says whether the disk has, at some time, held everything that the group had
     /// committed.
     pub(crate) fn new(
-        configuration: &state_machines::ConfigurationState,
+        configuration: &configuration::State,
         ready: bool,
         rng: rngs::StdRng,
     ) -> Distributor {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! versions to nodes and serves the operators' HTTP interface.
 
 mod attaching;
+pub mod configuration;
 mod controls;
 pub mod dialect;
 mod directory;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,8 +12,8 @@
 use world::{hosts, time};
 
 use crate::{
-    directory, distributing, instruments, replica, rollouts, settings, state_machines,
-    unknown_values,
+    configuration, directory, distributing, instruments, replica, rollouts, settings,
+    state_machines, unknown_values,
 };
 
 // The lock order: a thread locks these tables in increasing rank only.
@@ -45,7 +45,7 @@
     /// This host's replica of its region's claims log; none when no host of the region votes on it.
     pub(crate) claims_replica: Option<table::Table<replica::Replica>>,
     pub(crate) claims_queue: table::Table<Vec<QueuedProposal>>,
-    pub(crate) configuration_state: table::Table<state_machines::ConfigurationState>,
+    pub(crate) configuration_state: table::Table<configuration::State>,
     pub(crate) claims_state: table::Table<claims::Claims>,
     pub(crate) evidence: table::Table<overlay::Overlay>,
     pub(crate) registry: table::Table<registry::Registry>,
@@ -77,7 +77,7 @@
         instruments: instruments::Instruments,
     ) -> replica::Result<State> {
         let location = Location::from_settings(&settings);
-        let mut configuration_state = state_machines::ConfigurationState::default();
+        let mut configuration_state = configuration::State::default();
         let configuration_replica = replica::Replica::open(
             &settings.data_folder.join("configuration"),
             "configuration",
--- a/crates/node/src/announcements.rs
+++ b/crates/node/src/announcements.rs
@@ -42,7 +42,10 @@
     #[error("incarnation must not be more than a day ahead of this host's clock")]
     Start,
     /// The software version cannot be stored or shown.
-    #[error("version must have at most {} visible ASCII characters", bounds::MAX_VERSION_BYTES)]
+    #[error(
+        "version must have at most {} bytes and no control characters",
+        bounds::MAX_VERSION_BYTES
+    )]
     Version,
     /// Neither the settings nor the running configuration name the service.
     #[error("service {0:?} is neither this host's nor one of the configuration's")]
--- a/crates/world/src/bounds.rs
+++ b/crates/world/src/bounds.rs
@@ -23,7 +23,7 @@
 
 /// Whether a text may be the version of a backend server's software; empty when it names none.
 pub fn is_software_version(text: &str) -> bool {
-    text.len() <= MAX_VERSION_BYTES && text.bytes().all(|it| it.is_ascii_graphic())
+    text.len() <= MAX_VERSION_BYTES && !text.chars().any(char::is_control)
 }
 
 /// The beginning of a text of another writer, for a log line or an answer. Control characters,
