Tell a refused order of a rollout from a failed command, and count sends by version

The command rollout ended with the code of an unexpected answer at 409 and 400. It ends with 3 now, as for a refused patch.

--- a/crates/control/src/rollouts.rs
+++ b/crates/control/src/rollouts.rs
@@ -18,6 +18,9 @@
 const INTERVAL: std_time::Duration = std_time::Duration::from_millis(250);
 /// How long the report of a node or the summary of a control counts. It covers a few lost ones.
 const REPORT_AGE: std_time::Duration = std_time::Duration::from_millis(1_500);
+/// How much older than its last contact the state of an attached node without a report counts. A
+/// node that changes its control has sessions with two, and reports to one.
+const UNREPORTED_AGE: std_time::Duration = std_time::Duration::from_secs(1);
 /// How long a proposed step is waited for before it is proposed again.
 const PROPOSAL_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
 
@@ -192,7 +195,7 @@
         let reported =
             |host: &str| self.reports.get(host).is_some_and(|it| has_report(&it.0, order.id));
         for (host, at) in attached.iter().filter(|it| !reported(&it.0)) {
-            state(host, false, *at);
+            state(host, false, at.checked_sub(UNREPORTED_AGE).unwrap_or_default());
         }
         let mut total = own.clone();
         let watched = self
--- a/crates/heatherwalk/src/operators/client.rs
+++ b/crates/heatherwalk/src/operators/client.rs
@@ -175,7 +175,7 @@
     })
 }
 
-fn problem_detail(reply: &Reply) -> CompactString {
+pub(super) fn problem_detail(reply: &Reply) -> CompactString {
     // The answer to a patch that is unavailable has the field `detail` as well, beside its result.
     let problem = operators::Problem::deserialize(&reply.body);
     problem.map_or_else(|_| "no detail given".into(), |it| it.detail)
--- a/crates/heatherwalk/src/operators/errors.rs
+++ b/crates/heatherwalk/src/operators/errors.rs
@@ -31,6 +31,11 @@
         "request ID {0} was used for another patch; this one was not applied\nnext: leave out --request-id, or give a new one"
     )]
     RequestReused(CompactString),
+    /// The control refused the order of a rollout.
+    #[error(
+        "refused: {0}\nnext: see the targets with `heatherwalk targets` and the last rollout with `heatherwalk rollout show`"
+    )]
+    RolloutRefused(CompactString),
     /// No control answered as current.
     #[error("no control answered as current:\n{}\nnext: {}", indent(.failures), next_step(.resend))]
     Unavailable {
@@ -113,9 +118,10 @@
     /// The exit code of a process that fails with this error.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Error::Conflict { .. } | Error::Invalid(..) | Error::RequestReused(_) => {
-                exit_codes::REFUSED
-            }
+            Error::Conflict { .. }
+            | Error::Invalid(..)
+            | Error::RequestReused(_)
+            | Error::RolloutRefused(_) => exit_codes::REFUSED,
             Error::Unavailable { .. } | Error::NotCurrent => exit_codes::UNAVAILABLE,
             Error::TimedOut { .. } => exit_codes::TIMED_OUT,
             Error::NoToken => exit_codes::USAGE,
--- a/crates/heatherwalk/src/operators/rollouts.rs
+++ b/crates/heatherwalk/src/operators/rollouts.rs
@@ -5,9 +5,12 @@
 use compact_str::format_compact;
 use protocol::operators;
 
-use super::{Client, Result, client};
+use super::{Client, Error, Result, client};
 use crate::{args, render};
 
+const INVALID: u16 = 400;
+const CONFLICT: u16 = 409;
+
 /// Orders a rollout or shows the last one of a service.
 pub(super) fn run(
     args: &args::Rollout,
@@ -30,6 +33,9 @@
     let path = operators::ROLLOUTS_PATH;
     let body = serde_json::json!({ "service": service, "target": target, "over": over });
     let reply = client.send_with_retries(http::Method::POST, path, Some(body))?;
+    if [CONFLICT, INVALID].contains(&reply.status) {
+        return Err(Error::RolloutRefused(client::problem_detail(&reply)));
+    }
     write(out, *json, service, &client::parse(path, &reply)?)
 }
 
--- a/crates/heatherwalk/tests/operators.rs
+++ b/crates/heatherwalk/tests/operators.rs
@@ -236,3 +236,35 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against an order of a rollout that is sent changed or to the wrong place, and against
+/// refusals that an operator cannot tell from success.
+#[test]
+fn rollouts() {
+    const START: &str = "rollout start --service logbook --target v2 --over 12s --control 127.0.0.1:1 \
+                         --control 127.0.0.1:2";
+    const SHOW: &str = "rollout show --service logbook --control 127.0.0.1:1";
+    let state = |it: &str| reply(200, json!({"state": it, "target": "v2"}));
+    let problem = |status, detail: &str| reply(status, json!({"detail": detail}));
+    let json = format!("{SHOW} --json");
+    let cases: [(&str, &str, u8, &[Answer]); 8] = [
+        ("accepted", START, 0, &[state("running")]),
+        ("sent again after a lost answer", START, 0, &[lost(), state("running")]),
+        ("another one in progress", START, 3, &[problem(409, "in progress")]),
+        ("unknown version", START, 3, &[problem(400, "no target has it")]),
+        ("no control", START, 4, &[unavailable()]),
+        ("show", SHOW, 0, &[state("rolled_back")]),
+        ("show as JSON", &json, 0, &[state("complete")]),
+        ("no order", SHOW, 1, &[problem(404, "there is no order")]),
+    ];
+    let mut out = String::new();
+    for (name, line, code, answers) in cases {
+        let run = run(line, answers);
+        assert_eq!(run.code, code, "{name}");
+        let last = run.requests.last().expect("a request");
+        assert!(run.requests.iter().all(|it| it.body == last.body), "{name}: a resend differs");
+        let body = last.body.clone().unwrap_or_default();
+        out += &format!("{name}: {} {} {body}\n{}\n", last.method, last.path, run.summary);
+    }
+    insta::assert_snapshot!(out);
+}
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -277,6 +277,9 @@
     );
     let idempotent = request.head.idempotent;
     let counted = routing.rollouts.begin(entry, &request.head.route, idempotent);
+    if let Some(counted) = &counted {
+        state.instruments.count_rollout_attempt(counted.is_candidate());
+    }
     let guard = AttemptGuard {
         state: sync::Arc::clone(state),
         target: choice.target,
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -33,6 +33,7 @@
 pub struct Instruments {
     requests: metrics::Counter<u64>,
     attempts: metrics::Counter<u64>,
+    rollout_attempts: metrics::Counter<u64>,
     refusals: metrics::Counter<u64>,
     request_time: metrics::Histogram<f64>,
     added_time: metrics::Histogram<f64>,
@@ -61,6 +62,10 @@
         Instruments {
             requests: counter("node.requests", "Callers' requests by outcome"),
             attempts: counter("node.attempts", "Sends to targets, retries and hedges included"),
+            rollout_attempts: counter(
+                "node.rollout.attempts",
+                "Sends to targets of services with a rollout in progress, by software version",
+            ),
             refusals: counter("node.refusals", "Requests refused as not run, by reason"),
             request_time: times(
                 "node.request.time",
@@ -112,6 +117,13 @@
         self.attempts.add(1, &[]);
     }
 
+    /// Counts one attempt during a rollout of its service, by whether the target has the new
+    /// version.
+    pub fn count_rollout_attempt(&self, candidate: bool) {
+        let version = if candidate { "new" } else { "old" };
+        self.rollout_attempts.add(1, &[KeyValue::new("version", version)]);
+    }
+
     /// Counts a request that this node did not run, by reason.
     pub fn count_refusal(&self, reason: forwarding::NotRun) {
         self.refusals.add(1, &[KeyValue::new("reason", refusal_name(reason))]);
--- a/crates/node/src/rollouts.rs
+++ b/crates/node/src/rollouts.rs
@@ -118,6 +118,13 @@
     }
 }
 
+impl Counted {
+    /// Whether the target has the new version.
+    pub(crate) fn is_candidate(&self) -> bool {
+        self.candidate
+    }
+}
+
 /// Takes the rollouts that a control knows.
 pub(crate) fn follow(state: &state::State, list: &messages::List) {
     let mut routing = state.routing.lock();
