Show the software versions of targets

An operator could not see which versions the targets of a service have announced before an order. The list of targets has them now. Tests of the commands, the contracts and the tables pass.

--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -227,6 +227,7 @@
             data_centre: it.entry.data_centre.clone(),
             state: format_compact!("{:?}", it.entry.state).to_lowercase(),
             slots: it.entry.slots,
+            version: it.entry.version.clone(),
         })
         .collect();
     drop(registry);
--- a/crates/heatherwalk/src/render/records.rs
+++ b/crates/heatherwalk/src/render/records.rs
@@ -64,11 +64,13 @@
         ("DATA CENTRE", Align::Left),
         ("STATE", Align::Left),
         ("SLOTS", Align::Right),
+        ("SOFTWARE", Align::Left),
     ]);
     for it in records {
         let slots = it.slots.to_compact_string();
         let (service, host) = (it.service.clone(), it.host.clone());
-        table.push([service, host, it.data_centre.clone(), it.state.clone(), slots]);
+        let (state, version) = (it.state.clone(), it.version.clone());
+        table.push([service, host, it.data_centre.clone(), state, slots, version]);
     }
     table.render()
 }
--- a/crates/heatherwalk/tests/operators.rs
+++ b/crates/heatherwalk/tests/operators.rs
@@ -168,7 +168,7 @@
 fn reads() {
     let node = json!({"host": "skulte-1", "data_centre": "skulte", "version": 7, "behind_ms": null, "heard_ms": 400});
     let behind = json!({"host": "jugla-12", "data_centre": "jugla", "version": null, "behind_ms": 75_000, "heard_ms": 3_725_000});
-    let target = json!({"service": "logbook", "host": "skulte-1\u{1b}[2J", "data_centre": "skulte", "state": "serving", "slots": 6});
+    let target = json!({"service": "logbook", "host": "skulte-1\u{1b}[2J", "data_centre": "skulte", "state": "serving", "slots": 6, "version": "v2\u{1b}"});
     let request = json!({"fingerprint": "0badcafe", "left_ms": 59_900});
     let status = |current| json!({"host": "skulte-c", "data_centre": "skulte", "role": "leader", "leader": "skulte-c", "current": current, "version": 7, "nodes": 4, "converged": 3});
     let version =
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -207,6 +207,9 @@
     pub state: CompactString,
     /// Most requests that the target runs at the same time.
     pub slots: u32,
+    /// The version of its software; empty when it names none.
+    #[serde(default)]
+    pub version: CompactString,
 }
 
 /// A quarantined request: it crashes backend servers and is refused.
