--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! versions to nodes and serves the operators' HTTP interface.
 
 mod attaching;
+pub mod configuration;
 mod controls;
 pub mod dialect;
 mod directory;
@@ -15,6 +16,7 @@
 mod proposing;
 mod registering;
 mod replica;
+mod rollouts;
 pub mod running;
 pub mod settings;
 mod state;
--- a/crates/heatherwalk/src/args.rs
+++ b/crates/heatherwalk/src/args.rs
@@ -10,7 +10,8 @@
     Version,
 };
 pub use operators::{
-    CommonOptions, Create, Diff, History, Nodes, Patch, Quarantine, Show, Status, Targets, Wait,
+    CommonOptions, Create, Diff, History, Nodes, Patch, Quarantine, Rollout, RolloutCommand,
+    RolloutShow, RolloutStart, Show, Status, Targets, Wait,
 };
 
 use crate::exit_codes;
--- a/crates/heatherwalk/src/args/commands.rs
+++ b/crates/heatherwalk/src/args/commands.rs
@@ -64,6 +64,8 @@
     Wait(operators::Wait),
     /// Explains where a node would send a request.
     Explain(Explain),
+    /// Moves a service to another software version.
+    Rollout(operators::Rollout),
 }
 
 impl Command {
@@ -87,6 +89,7 @@
             Command::Quarantine(it) => Some(it.common_options()),
             Command::Status(it) => Some(it.common_options()),
             Command::Wait(it) => Some(it.common_options()),
+            Command::Rollout(it) => Some(it.common_options()),
         }
     }
 }
--- a/crates/heatherwalk/tests/operators.rs
+++ b/crates/heatherwalk/tests/operators.rs
@@ -168,7 +168,7 @@
 fn reads() {
     let node = json!({"host": "skulte-1", "data_centre": "skulte", "version": 7, "behind_ms": null, "heard_ms": 400});
     let behind = json!({"host": "jugla-12", "data_centre": "jugla", "version": null, "behind_ms": 75_000, "heard_ms": 3_725_000});
-    let target = json!({"service": "logbook", "host": "skulte-1\u{1b}[2J", "data_centre": "skulte", "state": "serving", "slots": 6});
+    let target = json!({"service": "logbook", "host": "skulte-1\u{1b}[2J", "data_centre": "skulte", "state": "serving", "slots": 6, "version": "v2\u{1b}"});
     let request = json!({"fingerprint": "0badcafe", "left_ms": 59_900});
     let status = |current| json!({"host": "skulte-c", "data_centre": "skulte", "role": "leader", "leader": "skulte-c", "current": current, "version": 7, "nodes": 4, "converged": 3});
     let version =
@@ -236,3 +236,35 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against an order of a rollout that is sent changed or to the wrong place, and against
+/// refusals that an operator cannot tell from success.
+#[test]
+fn rollouts() {
+    const START: &str = "rollout start --service logbook --target v2 --over 12s --control 127.0.0.1:1 \
+                         --control 127.0.0.1:2";
+    const SHOW: &str = "rollout show --service logbook --control 127.0.0.1:1";
+    let state = |it: &str| reply(200, json!({"state": it, "target": "v2"}));
+    let problem = |status, detail: &str| reply(status, json!({"detail": detail}));
+    let json = format!("{SHOW} --json");
+    let cases: [(&str, &str, u8, &[Answer]); 8] = [
+        ("accepted", START, 0, &[state("running")]),
+        ("sent again after a lost answer", START, 0, &[lost(), state("running")]),
+        ("another one in progress", START, 3, &[problem(409, "in progress")]),
+        ("unknown version", START, 3, &[problem(400, "no target has it")]),
+        ("no control", START, 4, &[unavailable()]),
+        ("show", SHOW, 0, &[state("rolled_back")]),
+        ("show as JSON", &json, 0, &[state("complete")]),
+        ("no order", SHOW, 1, &[problem(404, "there is no order")]),
+    ];
+    let mut out = String::new();
+    for (name, line, code, answers) in cases {
+        let run = run(line, answers);
+        assert_eq!(run.code, code, "{name}");
+        let last = run.requests.last().expect("a request");
+        assert!(run.requests.iter().all(|it| it.body == last.body), "{name}: a resend differs");
+        let body = last.body.clone().unwrap_or_default();
+        out += &format!("{name}: {} {} {body}\n{}\n", last.method, last.path, run.summary);
+    }
+    insta::assert_snapshot!(out);
+}
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -18,6 +18,7 @@
 mod passing;
 mod refusals;
 mod relay;
+mod rollouts;
 mod servers;
 mod silence;
 mod stand_in_controls;
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -9,7 +9,7 @@
 use routing::{balancer, estimates, senders};
 use world::{mesh, requests, targets, time};
 
-use crate::{linking, reaching, state, working};
+use crate::{linking, reaching, rollouts, state, working};
 
 /// A result of choosing a target.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
@@ -56,12 +56,19 @@
     rank: u32,
     /// Whether the target is on another host.
     remote: bool,
+    /// What the attempt counts for in a rollout of the service.
+    counted: Option<rollouts::Counted>,
     pending: bool,
 }
 
 impl AttemptGuard {
     /// Records that the head of an answer arrived, and the time that it took.
-    pub(crate) fn answered(mut self, node_status: &forwarding::NodeStatus) {
+    pub(crate) fn answered(
+        mut self,
+        node_status: &forwarding::NodeStatus,
+        status: http::StatusCode,
+    ) {
+        let ending = ending_of(node_status, status);
         let load = to_load(&node_status.load);
         let half_free = node_status.load.is_half_free();
         let pressure = node_status.load.pressure;
@@ -73,7 +80,9 @@
                 estimates::Sample { elapsed, link: self.link, load: Some(load), trial: self.trial };
             let now = self.state.now();
             let peers = self.service_targets();
-            let mut routing = self.state.routing.lock();
+            let shared = sync::Arc::clone(&self.state);
+            let mut routing = shared.routing.lock();
+            self.end_count(&mut routing, ending);
             self.record_admission(&mut routing, now, true);
             self.record_pressure(now, pressure);
             if self.remote && half_free {
@@ -114,7 +123,9 @@
     fn refused(mut self, load: estimates::Load) {
         self.pending = false;
         let now = self.state.now();
-        let mut routing = self.state.routing.lock();
+        let state = sync::Arc::clone(&self.state);
+        let mut routing = state.routing.lock();
+        self.end_count(&mut routing, rollouts::Ending::Other);
         routing.balancer.estimates.record_refusal(now, self.target, load, self.trial);
     }
 
@@ -123,7 +134,16 @@
         self.pending = false;
         let now = self.state.now();
         let peers = self.service_targets();
-        let mut routing = self.state.routing.lock();
+        let state = sync::Arc::clone(&self.state);
+        let mut routing = state.routing.lock();
+        let ending = match failure {
+            estimates::Failure::Broken => rollouts::Ending::Bad { loaded: false },
+            estimates::Failure::TimedOut => {
+                rollouts::Ending::Answered { elapsed: now.since(self.sent_at), loaded: false }
+            }
+            _ => rollouts::Ending::Other,
+        };
+        self.end_count(&mut routing, ending);
         let estimates = &mut routing.balancer.estimates;
         let change =
             estimates.record_failure(now, self.target, failure, self.trial, peers.into_iter());
@@ -139,6 +159,13 @@
         }
     }
 
+    /// Ends what the attempt counts for in a rollout.
+    fn end_count(&mut self, routing: &mut state::Routing, ending: rollouts::Ending) {
+        if let Some(counted) = self.counted.take() {
+            routing.rollouts.end(counted, ending);
+        }
+    }
+
     fn service_targets(&self) -> Vec<targets::TargetKey> {
         let directory = self.state.directory.lock();
         directory.of_service(&self.service).map(|it| it.0).collect()
@@ -158,8 +185,13 @@
             return;
         }
         let (state, target, trial) = (sync::Arc::clone(&self.state), self.target, self.trial);
+        let counted = self.counted.take();
         self.state.pool.submit_or_run(move || {
-            state.routing.lock().balancer.estimates.record_cancel(target, trial);
+            let mut routing = state.routing.lock();
+            routing.balancer.estimates.record_cancel(target, trial);
+            if let Some(counted) = counted {
+                routing.rollouts.end(counted, rollouts::Ending::Other);
+            }
         });
     }
 }
@@ -210,7 +242,13 @@
     let penalty_share =
         if adaptive { spillover.penalty_share(now, request.body.len()) } else { 1.0 };
     let criteria = balancer::Request { penalty_share, ..criteria };
-    let choice = routing.balancer.choose(now, &criteria, &mut routing.rng).inspect_err(|err| {
+    let versioned: Vec<_> = match routing.rollouts.follows(service) {
+        true => candidates.iter().filter_map(|it| versioned(&directory, it)).collect(),
+        false => Vec::new(),
+    };
+    let first = tried.is_empty();
+    let choice = rollouts::choose(now, routing, service, &versioned, criteria, first);
+    let choice = choice.inspect_err(|err| {
         let id = &request.head.id;
         log::info!(
             target: "decision",
@@ -220,7 +258,7 @@
         );
     })?;
     if let Some(pressure) = choice.home_pressure {
-        spillover.record(now, pressure);
+        routing.spillovers.entry(service.clone()).or_default().record(now, pressure);
     }
     // A call is not held back: the work of the request that it is made for would be lost.
     let caller = request.head.class == requests::Class::Caller;
@@ -261,6 +299,11 @@
         choice.max_wait,
         choice.reason,
     );
+    let idempotent = request.head.idempotent;
+    let counted = routing.rollouts.begin(entry, &request.head.route, idempotent);
+    if let Some(counted) = &counted {
+        state.instruments.count_rollout_attempt(counted.is_candidate());
+    }
     let guard = AttemptGuard {
         state: sync::Arc::clone(state),
         target: choice.target,
@@ -272,6 +315,7 @@
         team: request.head.context.team.clone(),
         rank: request.head.context.rank,
         remote,
+        counted,
         pending: true,
     };
     let target = Target {
@@ -314,6 +358,16 @@
     directory.of_service(service).map(candidate).collect()
 }
 
+/// A target with its software version.
+fn versioned<'a>(
+    directory: &'a directory::Directory,
+    candidate: &balancer::Candidate,
+) -> Option<rollouts::Versioned<'a>> {
+    let entry = &directory.get(candidate.key)?.entry;
+    let (host, version) = (&entry.host, &entry.version);
+    Some(rollouts::Versioned { candidate: *candidate, host, version })
+}
+
 /// Refuses a part of the requests to a service whose targets refuse most of them, unless the chosen
 /// target has just reported a free slot.
 fn check_throttle(
@@ -404,6 +458,17 @@
     routing.latencies.entry(request.route).or_default().record(now, now.since(started_at));
 }
 
+/// What an answer says of the target's software version.
+fn ending_of(node_status: &forwarding::NodeStatus, status: http::StatusCode) -> rollouts::Ending {
+    let load = &node_status.load;
+    let loaded = load.in_flight * 2 >= load.slots;
+    if status.is_server_error() {
+        return rollouts::Ending::Bad { loaded };
+    }
+    let elapsed = std_time::Duration::from_micros(node_status.backend_us);
+    rollouts::Ending::Answered { elapsed, loaded }
+}
+
 fn to_load(report: &load::LoadReport) -> estimates::Load {
     estimates::Load {
         busy: report.in_flight,
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -38,6 +38,7 @@
 pub struct Instruments {
     requests: metrics::Counter<u64>,
     attempts: metrics::Counter<u64>,
+    rollout_attempts: metrics::Counter<u64>,
     refusals: metrics::Counter<u64>,
     promised_pause: metrics::Histogram<f64>,
     request_time: metrics::Histogram<f64>,
@@ -68,6 +69,10 @@
         Instruments {
             requests: counter("node.requests", "Callers' requests by outcome"),
             attempts: counter("node.attempts", "Sends to targets, retries and hedges included"),
+            rollout_attempts: counter(
+                "node.rollout.attempts",
+                "Sends to targets of services with a rollout in progress, by software version",
+            ),
             refusals: counter("node.refusals", "Requests refused as not run, by reason and rank"),
             promised_pause: times(
                 "node.returns.pause",
@@ -131,6 +136,13 @@
         self.attempts.add(1, &[KeyValue::new("data_centre", place)]);
     }
 
+    /// Counts one attempt during a rollout of its service, by whether the target has the new
+    /// version.
+    pub fn count_rollout_attempt(&self, candidate: bool) {
+        let version = if candidate { "new" } else { "old" };
+        self.rollout_attempts.add(1, &[KeyValue::new("version", version)]);
+    }
+
     /// Counts a request that this node did not run, by reason and rank.
     pub fn count_refusal(&self, reason: forwarding::NotRun, rank: u32) {
         let rank = i64::from(rank.min(MAX_RANK));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod refusals;
 mod reservations;
 mod returning;
+mod rollouts;
 pub mod running;
 mod sending;
 mod serving;
