Add messages about quotas, and the quota of a team's specification

Nodes ask their control for tokens, and controls ask each other. A control has the document and not a built configuration, so the quota of a team can be read from its specification.

--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -1,6 +1,7 @@
 //! The streams between processes, and the messages on them.
 
 use compact_str::CompactString;
+use quotas::messages as quota;
 use replicated::quarantine;
 use serde::{Deserialize, Serialize};
 use world::{document, requests};
@@ -76,6 +77,8 @@
     Parts(Vec<membership::messages::PartRequest>),
     /// A message about the distribution of versions.
     Version(distribution::messages::ToControl),
+    /// What the node used of the quotas of teams, and what it needs.
+    Quota(quota::Question),
 }
 
 /// A message from a control to an attached node.
@@ -100,6 +103,8 @@
     /// All controls of the mesh. Replaces the previous list. Sent when the node attaches and at
     /// each change.
     Controls(Vec<operators::ControlRecord>),
+    /// Tokens for the quotas of teams, and which quotas are used up.
+    Quota(quota::Answer),
 }
 
 /// A request that may crash backend servers, according to the evidence.
@@ -142,6 +147,8 @@
     Introduction(operators::ControlRecord),
     /// The sender is about to stop, and another control may take over its seats.
     Leaving,
+    /// Tokens for the quotas of teams, asked for or lent.
+    Quota(quota::Loan),
 }
 
 /// The versions that the nodes attached to a control run.
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -12,6 +12,7 @@
 use distribution::{floor, messages as versions};
 use membership::messages as registry;
 use protocol::{forwarding, operators, proposals, streams};
+use quotas::messages as quota;
 use replicated::{claims, quarantine, versions as patches};
 use serde::{Serialize, de};
 use transport::codec;
@@ -131,6 +132,30 @@
     }
 }
 
+fn question() -> quota::Question {
+    let report =
+        quota::Report { team: "t".into(), left: 3, need: 200, early: 1, unused: 4, late: 2 };
+    quota::Question { number: 9, seen: 8, renew: true, teams: vec![report] }
+}
+
+fn quota_answer() -> quota::Answer {
+    let grants = vec![
+        quota::Grant::Unknown,
+        quota::Grant::Given { tokens: 197, open: true },
+        quota::Grant::Exhausted { wait_ms: 100, pace_ms: 40 },
+    ];
+    quota::Answer { question: 9, grants, renewal: true, closed: vec!["u".into()] }
+}
+
+fn shortages() -> quota::Shortages {
+    let team = quota::Shortage { team: "t".into(), tokens: 30, hand: 2 };
+    quota::Shortages { round: 5, teams: vec![team] }
+}
+
+fn loan() -> quota::LoanTeams {
+    quota::LoanTeams { round: 5, teams: vec![("t".into(), 30)] }
+}
+
 fn node_status() -> forwarding::NodeStatus {
     let load = admission::load::LoadReport {
         in_flight: 3,
@@ -291,6 +316,7 @@
             streams::NodeMessage::Evidence { sequence: 4, age_ms: 40, evidence: finished },
             streams::NodeMessage::Heartbeat(heartbeat),
             streams::NodeMessage::Parts(vec![part_request()]),
+            streams::NodeMessage::Quota(question()),
         ],
     );
     let stamp = versions::Timestamp { epoch: 9, at: time::Time::ZERO };
@@ -335,6 +361,7 @@
             streams::ControlMessage::Reach(reach),
             streams::ControlMessage::Standings(vec![standing]),
             streams::ControlMessage::Controls(control_records()),
+            streams::ControlMessage::Quota(quota_answer()),
         ],
     );
     let delta = versions::Delta { to: numbered(), patch: "{}".into() };
@@ -451,6 +478,8 @@
             streams::PeerMessage::Parts(vec![part()]),
             streams::PeerMessage::PartRequests(vec![part_request()]),
             streams::PeerMessage::Report(report),
+            streams::PeerMessage::Quota(quota::Loan::Ask(shortages())),
+            streams::PeerMessage::Quota(quota::Loan::Give(loan())),
         ],
     );
     insta::assert_snapshot!(table.0);
--- a/crates/world/src/config.rs
+++ b/crates/world/src/config.rs
@@ -219,13 +219,7 @@
 }
 
 fn build_team(name: &CompactString, spec: &teams::TeamSpec) -> contracts::Team {
-    let amount = |it: Option<teams::Amount>| it.map_or(0.0, |it| it.0);
-    let (rate, burst) = (amount(spec.rate), amount(spec.burst));
-    contracts::Team {
-        name: name.clone(),
-        priority: spec.priority,
-        quota: (rate > 0.0).then_some(contracts::Quota { rate, burst }),
-    }
+    contracts::Team { name: name.clone(), priority: spec.priority, quota: spec.quota() }
 }
 
 fn hash_key(api_key: &str) -> KeyHash {
--- a/crates/world/src/teams.rs
+++ b/crates/world/src/teams.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize, de};
 
-use crate::document;
+use crate::{contracts, document};
 
 /// Largest number of teams in a document.
 pub const MAX_TEAMS: usize = 16_384;
@@ -37,6 +37,15 @@
     pub rate: Option<Amount>,
 }
 
+impl TeamSpec {
+    /// Returns the quota of the team; `None` without a limit.
+    pub fn quota(&self) -> Option<contracts::Quota> {
+        let amount = |it: Option<Amount>| it.map_or(0.0, |it| it.0);
+        let (rate, burst) = (amount(self.rate), amount(self.burst));
+        (rate > 0.0).then_some(contracts::Quota { rate, burst })
+    }
+}
+
 /// The secret by which callers prove that they belong to a team. Its debug text does not show it.
 #[derive(Clone, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
