Hand out the tokens of quotas from each control

Nodes need tokens before they may send requests of a team with a quota. A control answers their questions from its ledger, which follows the running document and the list of controls before nodes get a new version, and lends tokens to other controls. The ledger has a table of its own with rank 65.

--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -2,13 +2,14 @@
 
 use std::sync;
 
+use compact_str::CompactString;
 use distribution::{messages, subscribers};
 use protocol::{proposals, streams};
 use replicated::quarantine;
 use tokio::{sync::mpsc, task};
 use transport::links;
 
-use crate::{distributing, proposing, registering, state};
+use crate::{distributing, proposing, quotas, registering, state};
 
 /// Most pieces of evidence of one node that are recorded and proposed at the same time. Each waits
 /// for the log; the node sends again what was not acknowledged.
@@ -119,7 +120,8 @@
         }
         let job = {
             let state = sync::Arc::clone(state);
-            move || dispatch(&state, key, message)
+            let host = CompactString::from(host);
+            move || dispatch(&state, key, &host, message)
         };
         // Waiting for each job keeps the node's messages in order and bounds the work it can queue.
         if state.pool.run(job).await.is_err() {
@@ -142,7 +144,9 @@
             quarantine::Evidence::Crashed { crash, .. } => crash.host == host,
             quarantine::Evidence::Finished(_) => true,
         },
-        streams::NodeMessage::Parts(_) | streams::NodeMessage::Version(_) => true,
+        streams::NodeMessage::Parts(_)
+        | streams::NodeMessage::Quota(_)
+        | streams::NodeMessage::Version(_) => true,
     }
 }
 
@@ -163,13 +167,19 @@
     sender.finish()
 }
 
-fn dispatch(state: &state::State, key: subscribers::SubscriberKey, message: streams::NodeMessage) {
+fn dispatch(
+    state: &state::State,
+    key: subscribers::SubscriberKey,
+    host: &str,
+    message: streams::NodeMessage,
+) {
     match message {
         streams::NodeMessage::Event(event) => registering::receive_node_event(state, &event),
         streams::NodeMessage::Heartbeat(it) => registering::answer_heartbeat(state, key, &it),
         streams::NodeMessage::Parts(requests) => {
             registering::send_parts_to_node(state, key, &requests)
         }
+        streams::NodeMessage::Quota(question) => quotas::answer(state, key, host, &question),
         streams::NodeMessage::Version(message) => distributing::receive(state, key, message),
         // A task of its own handles evidence, since it waits for the log.
         streams::NodeMessage::Evidence { .. } => {}
--- a/crates/control/src/groups.rs
+++ b/crates/control/src/groups.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use world::document;
 
-use crate::{controls, distributing, replica, state, state_machines};
+use crate::{controls, distributing, quotas, replica, state, state_machines};
 
 /// Steps this host's replica of the configuration log with an event.
 pub(crate) fn step_configuration(state: &state::State, event: events::Event) {
@@ -263,6 +263,7 @@
         }
     }
     if changed || distributing::has_unpublished_entries(state, applied) {
+        quotas::follow(state);
         distributing::publish(state, applied);
         controls::follow(state);
     }
--- a/crates/control/src/instruments.rs
+++ b/crates/control/src/instruments.rs
@@ -2,6 +2,7 @@
 
 use opentelemetry::{KeyValue, metrics};
 use protocol::{operators, proposals};
+use quotas::ledger;
 use replicated::claims;
 use world::{document, hosts};
 
@@ -36,6 +37,7 @@
     nodes: metrics::Gauge<u64>,
     converged: metrics::Gauge<u64>,
     votes: metrics::Gauge<u64>,
+    tokens: metrics::Counter<u64>,
 }
 
 impl Instruments {
@@ -51,6 +53,7 @@
             version: gauge("control.version", "The version that the control has on its disk"),
             nodes: gauge("control.nodes", "Nodes attached to the control"),
             converged: gauge("control.nodes.converged", "Attached nodes that run its version"),
+            tokens: counter("control.quota.tokens", "Tokens of quotas by what became of them"),
             votes: gauge("control.votes", "Logs in which this control is a voter"),
         }
     }
@@ -74,6 +77,12 @@
         self.sent.add(bytes, &[KeyValue::new("to", to)]);
     }
 
+    /// Adds to `control.quota.tokens` the tokens that were given to nodes and lent to other controls.
+    pub fn count_tokens(&self, counts: ledger::Counts) {
+        self.tokens.add(counts.given, &[KeyValue::new("to", "node")]);
+        self.tokens.add(counts.lent, &[KeyValue::new("to", "control")]);
+    }
+
     /// Sets `control.version` to the newest version on the control's disk.
     pub fn record_version(&self, version: document::Version) {
         self.version.record(version.0, &[]);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod operators;
 mod peers;
 mod proposing;
+mod quotas;
 mod registering;
 mod replica;
 pub mod running;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -7,7 +7,7 @@
 use rand::Rng as _;
 use tokio::sync::mpsc;
 
-use crate::{groups, registering, state};
+use crate::{groups, quotas, registering, state};
 
 /// Upper bound of the random delay before a broken stream is opened again.
 const BACKOFF_CAP: time::Duration = time::Duration::from_millis(1_000);
@@ -116,6 +116,7 @@
             state.directory.lock().record_leaving(now, host);
             state.controls_changed.notify_one();
         }
+        streams::PeerMessage::Quota(message) => quotas::receive(state, &host, &message),
         streams::PeerMessage::Parts(parts) => registering::merge_parts(state, &parts),
         streams::PeerMessage::Report(report) => {
             let now = state.now();
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     attaching, controls, directory, distributing, groups, http, instruments, peers, proposing,
-    registering, replica, settings, state,
+    quotas, registering, replica, settings, state,
 };
 
 /// Interval between ticks of the groups, well below their heartbeat interval of 200 ms.
@@ -112,6 +112,7 @@
         let (new_peers, peers) = mpsc::unbounded_channel();
         let links = pool::LinkPool::new(endpoint.clone());
         let state = sync::Arc::new(state::State::open(settings, links, new_peers, instruments)?);
+        quotas::follow(&state);
         controls::follow(&state);
         let operators = bind_operators(&state).await?;
         let mut tasks = task::JoinSet::new();
@@ -318,6 +319,7 @@
             registering::tick(&shared);
             registering::send_report(&shared);
             registering::record_metrics(&shared);
+            quotas::record_metrics(&shared);
             distributing::tick(&shared);
             distributing::publish_statuses(&shared);
             groups::expire_claims(&shared);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,7 +12,7 @@
 use world::{hosts, time};
 
 use crate::{
-    directory, distributing, instruments, replica, settings, state_machines, unknown_values,
+    directory, distributing, instruments, quotas, replica, settings, state_machines, unknown_values,
 };
 
 // The lock order: a thread locks these tables in increasing rank only.
@@ -25,6 +25,7 @@
 const EVIDENCE_RANK: rank::Rank = rank::Rank(45);
 const REGISTRY_RANK: rank::Rank = rank::Rank(50);
 const DISTRIBUTOR_RANK: rank::Rank = rank::Rank(60);
+const QUOTAS_RANK: rank::Rank = rank::Rank(65);
 const DIRECTORY_RANK: rank::Rank = rank::Rank(70);
 const UNKNOWN_VALUES_RANK: rank::Rank = rank::Rank(80);
 
@@ -48,6 +49,8 @@
     pub(crate) evidence: table::Table<overlay::Overlay>,
     pub(crate) registry: table::Table<registry::Registry>,
     pub(crate) distributor: table::Table<distributing::Distributor>,
+    /// The tokens of the quotas of teams.
+    pub(crate) quotas: table::Table<quotas::Quotas>,
     pub(crate) directory: table::Table<directory::Directory>,
     /// The unknown values of documents that were logged.
     pub(crate) unknown_values: table::Table<unknown_values::UnknownValues>,
@@ -131,6 +134,7 @@
             evidence: table::Table::new(EVIDENCE_RANK, "evidence", overlay::Overlay::default()),
             registry: table::Table::new(REGISTRY_RANK, "registry", registry),
             distributor: table::Table::new(DISTRIBUTOR_RANK, "distributor", distributor),
+            quotas: table::Table::new(QUOTAS_RANK, "quotas", quotas::Quotas::new(clock.now())),
             directory: table::Table::new(
                 DIRECTORY_RANK,
                 "directory",
@@ -226,6 +230,11 @@
     Some(group)
 }
 
+/// The number of controls in the settings.
+pub(crate) fn control_count(settings: &settings::Settings) -> usize {
+    control_hosts(settings).count()
+}
+
 fn control_hosts(
     settings: &settings::Settings,
 ) -> impl Iterator<Item = (hosts::HostKey, &hosts::Host)> {
