Take a token of its team's quota for each caller's request

A node takes the token once the team is known and before a target is chosen, and gives it back when no backend server ran the request. Refusals of the own dialect carry Retry-After now, as those of the platform do: a caller was told to return without being told when.

--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -8,7 +8,7 @@
 use protocol::streams;
 use world::config;
 
-use crate::{backend, peer_versions, sessions, slots, state};
+use crate::{backend, peer_versions, quotas, sessions, slots, state};
 
 /// Runs the timers of the version updater. To be called at least every 100 ms.
 pub(crate) fn tick(state: &sync::Arc<state::State>) {
@@ -143,6 +143,7 @@
             .record_version(config.version(), table.updater.age(now).unwrap_or_default());
         table.running.replace(sync::Arc::clone(&config))
     };
+    quotas::follow(state, &config);
     let from = old.as_ref().map(|it| it.version());
     log::info!(
         target: "decision",
@@ -183,6 +184,9 @@
         sessions.attached = control;
         changed
     };
+    if changed {
+        quotas::reattached(state);
+    }
     let Some(name) = name.filter(|_| changed) else { return };
     log::info!(target: "decision", "attached to control {name}");
     state.directory.lock().forget_requests();
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time as std_time};
 
+use ::quotas::stock;
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
@@ -10,7 +11,7 @@
 
 use crate::{
     answering, authenticating, bodies, claiming, confirming, dialect, headers, instruments,
-    planning, refusals, reservations, sending, state, storing, suspects,
+    planning, quotas, refusals, reservations, sending, state, storing, suspects,
 };
 
 /// Largest body of a request, in bytes, when the configuration sets no limit. Bodies are kept in
@@ -37,9 +38,18 @@
 struct Prepared {
     step: Step,
     reservation: reservations::Reservation,
+    /// The token of the team's quota, if it has one.
+    token: Option<quotas::Token>,
     deadline: time::Time,
 }
 
+/// A request that was looked at on a worker.
+enum Planned {
+    Prepared(Prepared),
+    /// It waits for a token of its team's quota.
+    Waiting(Box<(Incoming, planning::Plan)>),
+}
+
 /// The next step of a request.
 enum Step {
     /// Claim the idempotency key `key` in the region `home`, then send the request.
@@ -48,6 +58,12 @@
     Send(Box<sending::Result<sending::NextAttempt>>),
 }
 
+/// What a request gives back when it turns out not to have run.
+struct Reserved {
+    reservation: reservations::Reservation,
+    token: Option<quotas::Token>,
+}
+
 /// The answer for the caller.
 pub(crate) enum Reply {
     /// An answer that is streamed as it arrives.
@@ -148,17 +164,33 @@
     let shared = sync::Arc::clone(state);
     // One job does everything up to the first attempt: each job costs a request about 0.2 ms of
     // waiting.
-    let prepared = state.pool.run(move || prepare(&shared, incoming)).await;
-    let Prepared { step, reservation, deadline } =
-        prepared.unwrap_or_else(|_| Err(refusals::overloaded()))?;
+    let planned = state.pool.run(move || prepare(&shared, incoming)).await;
+    let prepared = match planned.unwrap_or_else(|_| Err(refusals::overloaded()))? {
+        Planned::Prepared(it) => it,
+        Planned::Waiting(waiting) => prepare_with_token(state, *waiting).await?,
+    };
+    let Prepared { step, reservation, token, deadline } = prepared;
     match step {
-        Step::Send(attempt) => send(state, *attempt, None, reservation, deadline).await,
+        Step::Send(attempt) => {
+            send(state, *attempt, None, Reserved { reservation, token }, deadline).await
+        }
         Step::Claim { request, home, key } => {
-            send_claimed(state, *request, home, key, reservation).await
+            send_claimed(state, *request, home, key, Reserved { reservation, token }).await
         }
     }
 }
 
+/// Waits for a token of the request's team, then routes the request.
+async fn prepare_with_token(
+    state: &sync::Arc<state::State>,
+    (incoming, plan): (Incoming, planning::Plan),
+) -> refusals::Result<Prepared> {
+    let token = quotas::await_token(state, &plan.scheduling.context).await?;
+    let shared = sync::Arc::clone(state);
+    let prepared = state.pool.run(move || route(&shared, incoming, plan, token)).await;
+    prepared.unwrap_or_else(|_| Err(refusals::overloaded()))
+}
+
 /// Reads the body of a request, as far as the memory for bodies allows.
 async fn collect_body(
     state: &state::State,
@@ -198,12 +230,29 @@
     if confirmed { refusal } else { refusals::old_version() }
 }
 
-/// Checks and routes a request, and chooses its first target when it needs no claim.
-fn prepare(state: &sync::Arc<state::State>, incoming: Incoming) -> refusals::Result<Prepared> {
+/// Plans a request and takes a token for it, then routes it unless it has to wait for the token.
+fn prepare(state: &sync::Arc<state::State>, incoming: Incoming) -> refusals::Result<Planned> {
+    let Incoming { arrived, id, options, method, path, headers, .. } = &incoming;
+    let host = planning::host_name(headers);
+    let plan = planning::plan(state, *arrived, id, (method, &host, path), options)?;
+    let planning::Scheduling { class, context, .. } = &plan.scheduling;
+    match quotas::take(state, *class, &context.team, stock::Look::First)? {
+        quotas::Admission::Granted(token) => {
+            route(state, incoming, plan, token).map(Planned::Prepared)
+        }
+        quotas::Admission::Pending => Ok(Planned::Waiting(Box::new((incoming, plan)))),
+    }
+}
+
+/// Checks a planned request, and chooses its first target when it needs no claim.
+fn route(
+    state: &sync::Arc<state::State>,
+    incoming: Incoming,
+    plan: planning::Plan,
+    token: Option<quotas::Token>,
+) -> refusals::Result<Prepared> {
     let Incoming { arrived, id, options, method, path, query, mut headers, body } = incoming;
     let dialect = &state.settings.dialect;
-    let host = planning::host_name(&headers);
-    let plan = planning::plan(state, arrived, &id, (&method, &host, &path), &options)?;
     let planning::Plan { config, route, service, home, scheduling, idempotent, reservation } = plan;
     let planning::Scheduling { class, budget, context, answer_by, repeat, .. } = scheduling;
     let deadline = context.deadline;
@@ -249,7 +298,7 @@
         None if keyless => Step::Send(Box::new(sending::choose_first(state, request))),
         None => return Err(refusals::key_required(version)),
     };
-    Ok(Prepared { step, reservation, deadline })
+    Ok(Prepared { step, reservation, token, deadline })
 }
 
 fn check_age(headers: &http::HeaderMap) -> refusals::Result<()> {
@@ -289,7 +338,7 @@
     request: state::RoutedRequest,
     home: Option<CompactString>,
     key: CompactString,
-    reservation: reservations::Reservation,
+    reserved: Reserved,
 ) -> refusals::Result<Reply> {
     let home = home.ok_or_else(refusals::no_home)?;
     match claiming::claim(state, &request, home, key).await {
@@ -304,7 +353,7 @@
                     attempts_left: 0,
                 })
             });
-            send(state, attempt, Some(claim), reservation, deadline).await
+            send(state, attempt, Some(claim), reserved, deadline).await
         }
         claiming::ClaimResult::Answered(answer) => {
             let answer = refusals::from_claim(answer)?;
@@ -320,10 +369,12 @@
     state: &sync::Arc<state::State>,
     attempt: sending::Result<sending::NextAttempt>,
     claim: Option<claiming::Claim>,
-    mut reservation: reservations::Reservation,
+    reserved: Reserved,
     deadline: time::Time,
 ) -> refusals::Result<Reply> {
+    let Reserved { mut reservation, mut token } = reserved;
     reservation.mark_spent();
+    token.iter_mut().for_each(quotas::Token::mark_spent);
     // A caller that leaves drops this future. A granted claim then expires with an unknown outcome.
     let answered = match attempt {
         Ok(attempt) => sending::send(state, attempt).await,
@@ -341,8 +392,11 @@
             reservation.return_unused(failed.attempts_left).await;
             let late = answering::is_late(state, deadline);
             let refusal = refusals::from_failure(failed.failure, late);
-            if let Some(claim) = claim.filter(|_| refusal.run == refusals::RunStatus::Not) {
-                claiming::release(sync::Arc::clone(state), claim);
+            if refusal.run == refusals::RunStatus::Not {
+                token.into_iter().for_each(quotas::Token::give_back);
+                if let Some(claim) = claim {
+                    claiming::release(sync::Arc::clone(state), claim);
+                }
             }
             Err(refusal)
         }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -222,5 +222,9 @@
     };
     headers::set(&mut answer.headers, name, value);
     headers::set(&mut answer.headers, headers::REASON, refusal.reason);
+    if let Some(pause) = refusal.retry_after {
+        let seconds = format_compact!("{:.3}", pause.as_secs_f64());
+        headers::set(&mut answer.headers, http::header::RETRY_AFTER.as_str(), &seconds);
+    }
     answer
 }
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -4,6 +4,7 @@
 
 use opentelemetry::{KeyValue, metrics};
 use protocol::forwarding;
+use quotas::stock;
 use transport::{links, pool, wire};
 use world::document;
 
@@ -43,6 +44,8 @@
     link_dropped: metrics::Counter<u64>,
     lost_packets: metrics::Counter<u64>,
     probes: metrics::Counter<u64>,
+    quota_refusals: metrics::Counter<u64>,
+    tokens: metrics::Counter<u64>,
     version: metrics::Gauge<u64>,
     version_age: metrics::Gauge<f64>,
 }
@@ -91,6 +94,8 @@
                 .build(),
             lost_packets: counter("node.link.lost", "Sent packets that were taken for lost"),
             probes: counter("node.probes", "Probes of unresponsive hosts by result"),
+            quota_refusals: counter("node.quota.refusals", "Refusals by quotas, by reason"),
+            tokens: counter("node.quota.tokens", "Tokens of quotas by state"),
             version: version.with_description("The version that the node runs").build(),
             version_age: age
                 .with_description("Time since a control last confirmed the version as current")
@@ -161,6 +166,25 @@
         self.probes.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a request that was refused because of its team's quota.
+    pub(crate) fn count_quota_refusal(&self, reason: stock::Reason) {
+        let reason = match reason {
+            stock::Reason::Exhausted => "exhausted",
+            stock::Reason::Unknown => "unknown",
+        };
+        self.quota_refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Adds the tokens that were asked for and given since the last call, and the requests that
+    /// were admitted without one.
+    pub(crate) fn count_tokens(&self, counts: stock::Counts) {
+        for (state, tokens) in
+            [("asked", counts.asked), ("early", counts.early), ("given", counts.given)]
+        {
+            self.tokens.add(tokens, &[KeyValue::new("state", state)]);
+        }
+    }
+
     /// Records the version that the node runs, and the time since a control last confirmed it as
     /// current. A gauge keeps its last value, so this has to be called at regular intervals.
     pub fn record_version(&self, version: document::Version, age: time::Duration) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod linking;
 mod peer_versions;
 mod planning;
+mod quotas;
 mod reaching;
 pub mod refusals;
 mod reservations;
--- a/crates/node/src/refusals.rs
+++ b/crates/node/src/refusals.rs
@@ -107,6 +107,20 @@
     Refusal::not_run(http::StatusCode::UNAUTHORIZED, "no-team", detail).by_version(version)
 }
 
+/// The refusal of a request beyond the quota of its team.
+pub(crate) fn quota_exhausted(pause: time::Duration) -> Refusal {
+    let detail = "the quota of the team is used up; send the request again after the given time";
+    Refusal::not_run(http::StatusCode::TOO_MANY_REQUESTS, "quota", detail).with_retry_after(pause)
+}
+
+/// The refusal of a request when the node has no token, and no control says whether there is one.
+pub(crate) fn quota_unknown(pause: time::Duration) -> Refusal {
+    let detail = "this node cannot tell now whether the quota of the team is used up; send the \
+                  request again";
+    let status = http::StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "quota-unknown", detail).with_retry_after(pause)
+}
+
 /// The refusal of a request whose API key cannot be read.
 pub(crate) fn bad_key_field(detail: &str) -> Refusal {
     Refusal::not_run(http::StatusCode::BAD_REQUEST, "bad-api-key", detail)
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -8,7 +8,8 @@
 use transport::{endpoint, errors, links, pool, wire};
 
 use crate::{
-    attaching, backend, callers, controls, instruments, linking, reaching, serving, settings, state,
+    attaching, backend, callers, controls, instruments, linking, quotas, reaching, serving,
+    settings, state,
 };
 
 /// How often the timers of the version updater and of the backend server's lease are checked. Also
@@ -285,6 +286,7 @@
         let job = move || {
             attaching::tick(&shared);
             backend::tick(&shared);
+            quotas::tick(&shared);
             if count.is_multiple_of(HEARTBEAT_TICKS) {
                 attaching::heartbeat(&shared);
             }
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -6,7 +6,7 @@
 use protocol::streams;
 use tokio::sync::mpsc;
 
-use crate::{attaching, backend, controls, state};
+use crate::{attaching, backend, controls, quotas, state};
 
 /// Most messages that are queued for a control.
 const CONTROL_QUEUE: usize = 256;
@@ -177,6 +177,7 @@
             attaching::apply_effects(state, effects);
             state.acknowledged.notify_waiters();
         }
+        streams::ControlMessage::Quota(answer) => quotas::receive(state, &answer),
         streams::ControlMessage::Controls(list) => controls::replace(state, control, &list),
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,7 +14,7 @@
 use world::{config, contracts, document, log_limits, mesh, requests, time};
 
 use crate::{
-    bodies, controls, dialect, in_flight, instruments, linking, settings, slots, suspects,
+    bodies, controls, dialect, in_flight, instruments, linking, quotas, settings, slots, suspects,
 };
 
 // A table may be locked only while all tables that are held have lower ranks.
@@ -24,6 +24,7 @@
 const DIRECTORY: rank::Rank = rank::Rank(20);
 const BACKEND: rank::Rank = rank::Rank(25);
 const ROUTING: rank::Rank = rank::Rank(30);
+const QUOTAS: rank::Rank = rank::Rank(35);
 const ADMISSION: rank::Rank = rank::Rank(40);
 const DOWNLINK: rank::Rank = rank::Rank(45);
 const IN_FLIGHT: rank::Rank = rank::Rank(50);
@@ -48,6 +49,8 @@
     pub(crate) directory: table::Table<directory::Directory>,
     pub(crate) backend: table::Table<Backend>,
     pub(crate) routing: table::Table<Routing>,
+    /// The tokens of the quotas of teams.
+    pub(crate) quotas: table::Table<quotas::Quotas>,
     pub(crate) admission: table::Table<slots::LocalController>,
     /// The bodies that other nodes are sending to this host.
     pub(crate) downlink: table::Table<downlink::Downlink>,
@@ -59,6 +62,8 @@
     pub(crate) registered: tokio::sync::Notify,
     /// Wakes the requests that wait for a confirmation of the running version.
     pub(crate) acknowledged: tokio::sync::Notify,
+    /// Wakes the requests that wait for a token of their team's quota.
+    pub(crate) tokens_arrived: tokio::sync::Notify,
     /// When requests that are still in progress are answered by the node, once a planned stop has
     /// begun.
     pub(crate) stop_at: tokio::sync::watch::Sender<Option<tokio::time::Instant>>,
@@ -212,6 +217,7 @@
             directory: table::Table::new(DIRECTORY, "directory", directory),
             backend: table::Table::new(BACKEND, "backend server", backend),
             routing: table::Table::new(ROUTING, "routing", routing),
+            quotas: table::Table::new(QUOTAS, "quotas", quotas::Quotas::default()),
             admission: table::Table::new(ADMISSION, "admission", slots::LocalController::default()),
             downlink: table::Table::new(DOWNLINK, "downlink", downlink),
             in_flight: table::Table::new(
@@ -222,6 +228,7 @@
             suspects: table::Table::new(SUSPECTS, "suspicion", suspects),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
             acknowledged: tokio::sync::Notify::new(),
+            tokens_arrived: tokio::sync::Notify::new(),
             registered: tokio::sync::Notify::new(),
             stop_at: tokio::sync::watch::channel(None).0,
             probe_wakeup: sync::Arc::default(),
