Give a control that is not in the list no share of quotas

The shares of the listed controls make up the whole quota. A control that has not joined yet, or that was removed, would hand out a further share. The tests of requests pass with it.

--- a/crates/control/src/quotas.rs
+++ b/crates/control/src/quotas.rs
@@ -34,9 +34,14 @@
         return;
     }
     table.followed = Some(current);
-    let listed = configuration.controls.iter().count();
-    let controls = if listed > 0 { listed } else { state::control_count(&state.settings) };
-    let teams = versions.document().teams.iter().flatten();
+    let list = &configuration.controls;
+    let controls = match list.iter().count() {
+        0 => state::control_count(&state.settings),
+        listed => listed,
+    };
+    // The shares of the listed controls make up the whole quota, so another one has none.
+    let has_share = list.is_empty() || list.get(&state.location.host).is_some();
+    let teams = versions.document().teams.iter().flatten().filter(|_| has_share);
     table.ledger.configure(now, controls, teams.filter_map(|(name, it)| Some((name, it.quota()?))));
 }
 
