Spread all refused callers, and lose messages in the model of quotas

Callers that were refused before the control had said that the quota is used up were all told 100 or 300 ms, so they came back together; they are spread as the others are now. What a node knows of a team is a module of its own.

--- a/crates/quotas/src/account.rs
+++ b/crates/quotas/src/account.rs
@@ -156,8 +156,8 @@
         expires_at: time::Time,
     ) -> u32 {
         self.refresh(now);
-        let needed = self.total_need(now).saturating_sub(self.at_nodes);
-        let kept = f64::from(needed).max(self.cap() * KEPT_PART);
+        let needed = self.total_need(now) - f64::from(self.at_nodes);
+        let kept = needed.max(self.cap() * KEPT_PART);
         let spare = (self.hand - kept).min((self.hand - f64::from(other)) / 2.0);
         let tokens = want.min(spare.max(0.0) as u32);
         self.hand -= f64::from(tokens);
@@ -212,14 +212,14 @@
         if want <= spare || hand == 0 {
             return want.min(hand);
         }
-        let part = f64::from(self.need(now, host)) / f64::from(self.total_need(now).max(1));
+        let part = f64::from(self.need(now, host)) / self.total_need(now).max(1.0);
         let fair = (self.hand * part) as u32;
         want.min(hand).min(fair.max(spare).max(1))
     }
 
     fn exhausted(&self, now: time::Time, host: HostKey) -> messages::Grant {
         let rate = self.quota.rate * self.share;
-        let part = f64::from(self.need(now, host).max(1)) / f64::from(self.total_need(now).max(1));
+        let part = f64::from(self.need(now, host).max(1)) / self.total_need(now).max(1.0);
         let seconds = |it: f64| std_time::Duration::from_secs_f64(it.clamp(0.0, 60.0));
         let wait = seconds((1.0 - self.hand) / rate).clamp(MIN_WAIT, MAX_WAIT);
         let millis = |it: std_time::Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
@@ -272,8 +272,8 @@
         holding.filter(|it| now.since(it.reported_at) < NEED_LIFETIME).map_or(0, |it| it.need)
     }
 
-    fn total_need(&self, now: time::Time) -> u32 {
-        self.nodes.keys().map(|it| self.need(now, it)).sum()
+    fn total_need(&self, now: time::Time) -> f64 {
+        self.nodes.keys().map(|it| f64::from(self.need(now, it))).sum()
     }
 
     /// Tokens at nodes and on their way to other controls.
--- a/crates/quotas/src/lib.rs
+++ b/crates/quotas/src/lib.rs
@@ -12,3 +12,4 @@
 mod lots;
 pub mod messages;
 pub mod stock;
+mod team;
--- a/crates/quotas/src/stock.rs
+++ b/crates/quotas/src/stock.rs
@@ -5,7 +5,9 @@
 use compact_str::CompactString;
 use world::{contracts, time};
 
-use crate::{demand, limits, lots, messages};
+use crate::{limits, lots, messages, team};
+
+pub use team::Reason;
 
 /// Shortest time between two questions.
 const MIN_INTERVAL: std_time::Duration = std_time::Duration::from_millis(20);
@@ -21,13 +23,6 @@
 /// Requests of an open team that a node admits without a token before it has heard that the control
 /// has charged them. With one, each further request within [`EARLY_INTERVAL`] would wait.
 const MAX_EARLY: u32 = 3;
-/// Bounds of the time after which a refused caller may return.
-const MIN_RETRY: std_time::Duration = std_time::Duration::from_millis(50);
-const MAX_RETRY: std_time::Duration = std_time::Duration::from_secs(1);
-/// The time after which a caller may return when it is not known whether the quota is used up. A
-/// node attaches to another control within a few tenths of a second.
-const UNKNOWN_RETRY: std_time::Duration = std_time::Duration::from_millis(300);
-
 slotmap::new_key_type! {
     /// Key of a team in the arena of a [`Stock`].
     pub struct TeamKey;
@@ -65,15 +60,6 @@
     Refused(Reason, std_time::Duration),
 }
 
-/// Why a request is refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reason {
-    /// The quota is used up.
-    Exhausted,
-    /// It is not known whether the quota is used up.
-    Unknown,
-}
-
 /// Tokens that were asked for and given since the last call of [`Stock::take_counts`].
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Counts {
@@ -88,7 +74,7 @@
 /// The tokens of a node, by team.
 #[derive(Debug, Default)]
 pub struct Stock {
-    teams: slotmap::SlotMap<TeamKey, Team>,
+    teams: slotmap::SlotMap<TeamKey, team::Team>,
     names: collections::HashMap<CompactString, TeamKey>,
     /// The last question.
     number: u64,
@@ -104,24 +90,6 @@
     counts: Counts,
 }
 
-#[derive(Debug, Default)]
-struct Team {
-    name: CompactString,
-    lots: lots::Lots,
-    demand: demand::Demand,
-    /// Whether there is something to report.
-    changed: bool,
-    /// Whether a request has found no token since the last question.
-    short: bool,
-    early: Pending,
-    unused: Pending,
-    late: Pending,
-    closed: bool,
-    /// Whether the control has answered since the node had tokens.
-    answered: bool,
-    exhausted: Option<Exhausted>,
-}
-
 /// How soon a question is due.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 enum Due {
@@ -136,21 +104,6 @@
     Waiting,
 }
 
-/// A count that the control has not confirmed: what the open question reports, and what came after.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pending {
-    sent: u32,
-    new: u32,
-}
-
-/// What a control said of a team whose quota is used up.
-#[derive(Clone, Copy, Debug)]
-struct Exhausted {
-    until: time::Time,
-    pace: std_time::Duration,
-    refused: u32,
-}
-
 impl Stock {
     /// Follows the teams of a version. The tokens of teams that are gone are dropped.
     pub fn configure<'a>(
@@ -159,9 +112,7 @@
     ) {
         let mut gone = std::mem::take(&mut self.names);
         for (name, _) in teams {
-            let key = gone.remove(name).unwrap_or_else(|| {
-                self.teams.insert(Team { name: name.clone(), ..Team::default() })
-            });
+            let key = gone.remove(name).unwrap_or_else(|| self.teams.insert(team::Team::new(name)));
             self.names.insert(name.clone(), key);
         }
         for key in gone.into_values() {
@@ -187,8 +138,9 @@
             }
             return Decision::Taken(Token { team: key, number, expires_at: Some(expires_at) });
         }
-        if let Some(exhausted) = team.exhausted.as_mut().filter(|it| now < it.until) {
-            return Decision::Refused(Reason::Exhausted, exhausted.retry(now));
+        if team.is_exhausted(now) {
+            let (reason, pause) = team.refuse(now);
+            return Decision::Refused(reason, pause);
         }
         if open && !team.closed && team.early.total() < MAX_EARLY {
             team.early.new += 1;
@@ -205,12 +157,7 @@
     /// The refusal of a request that has waited for too long, or that cannot wait.
     pub fn refuse(&mut self, now: time::Time, team: &str) -> (Reason, std_time::Duration) {
         let team = self.names.get(team).and_then(|it| self.teams.get_mut(*it));
-        let Some(team) = team else { return (Reason::Unknown, UNKNOWN_RETRY) };
-        match &mut team.exhausted {
-            Some(it) if now < it.until => (Reason::Exhausted, it.retry(now)),
-            _ if team.answered => (Reason::Exhausted, MIN_RETRY * 2),
-            _ => (Reason::Unknown, UNKNOWN_RETRY),
-        }
+        team.map_or_else(|| team::Team::default().refuse(now), |it| it.refuse(now))
     }
 
     /// Returns the token of a request that no backend server ran.
@@ -315,82 +262,14 @@
         grant: messages::Grant,
     ) {
         let Some(team) = self.teams.get_mut(key) else { return };
-        for pending in [&mut team.early, &mut team.unused, &mut team.late] {
-            pending.sent = 0;
-        }
-        team.answered = grant != messages::Grant::Unknown;
-        team.exhausted = None;
-        match grant {
-            messages::Grant::Unknown => team.closed = true,
-            messages::Grant::Given { tokens, open } => {
-                self.counts.given += u64::from(tokens);
-                let expires_at = asked_at + limits::TOKEN_LIFETIME;
-                if expires_at > now {
-                    team.lots.add(lots::Lot { number: self.seen, tokens, expires_at });
-                }
-                team.changed |= tokens > 0;
-                if tokens > 0 {
-                    self.due = self.due.max(Due::Report);
-                }
-                team.closed = !open;
-            }
-            messages::Grant::Exhausted { wait_ms, pace_ms } => {
-                team.closed = true;
-                team.exhausted = Some(Exhausted {
-                    until: now + std_time::Duration::from_millis(wait_ms.into()),
-                    pace: std_time::Duration::from_millis(pace_ms.into()),
-                    refused: 0,
-                });
-            }
-        }
-    }
-}
-
-impl Team {
-    /// The report of the team. Gives up tokens of which the node has twice as many as it needs.
-    fn report(&mut self, now: time::Time) -> messages::Report {
-        self.lots.expire(now);
-        let need = self.demand.tokens(now).max(u32::from(self.short));
-        if self.lots.total() > need * 2 {
-            self.unused.new += self.lots.limit(u64::MAX, need);
-        }
-        self.short = false;
-        messages::Report {
-            team: self.name.clone(),
-            left: self.lots.total(),
-            need,
-            early: self.early.send(),
-            unused: self.unused.send(),
-            late: self.late.send(),
-        }
-    }
-}
-
-impl Pending {
-    fn total(self) -> u32 {
-        self.sent + self.new
-    }
-
-    /// Moves what is new to what the open question reports. What a lost question reported is
-    /// reported again: requests may be charged twice, and none is forgotten.
-    fn send(&mut self) -> u32 {
-        self.sent = self.total();
-        self.new = 0;
-        self.sent
-    }
-}
-
-impl Exhausted {
-    /// When the next refused caller may return: as many expected tokens later as callers were
-    /// refused before. Beyond the longest time, callers are spread over its second half.
-    fn retry(&mut self, now: time::Time) -> std_time::Duration {
-        const GOLDEN: f64 = 0.618_033_988_75;
-        let number = self.refused;
-        self.refused += 1;
-        let wait = self.until.since(now) + self.pace * number;
-        if wait <= MAX_RETRY {
-            return wait.max(MIN_RETRY);
+        team.apply(now, grant);
+        let messages::Grant::Given { tokens, .. } = grant else { return };
+        self.counts.given += u64::from(tokens);
+        let expires_at = asked_at + limits::TOKEN_LIFETIME;
+        if tokens > 0 && expires_at > now {
+            team.lots.add(lots::Lot { number: self.seen, tokens, expires_at });
+            team.changed = true;
+            self.due = self.due.max(Due::Report);
         }
-        MAX_RETRY.mul_f64(0.5 + (f64::from(number) * GOLDEN).fract() / 2.0)
     }
 }
--- a/crates/quotas/tests/model/fleet.rs
+++ b/crates/quotas/tests/model/fleet.rs
@@ -44,6 +44,8 @@
     pub nodes: Vec<Node>,
     pub ledgers: Vec<Option<ledger::Ledger>>,
     pub teams: Vec<Team>,
+    /// The part of the messages that are lost.
+    pub loss: f64,
     /// The control that the others do not reach.
     pub cut: Option<usize>,
     /// Messages and their bytes, by the control that received or sent them.
@@ -79,6 +81,7 @@
             nodes: (0..nodes).map(node).collect(),
             ledgers: (0..CONTROLS).map(ledger).collect(),
             teams: (0..TEAMS).map(team).collect(),
+            loss: 0.0,
             cut: None,
             messages: 0,
             bytes: 0,
@@ -222,18 +225,18 @@
         let control = self.nodes[node].control;
         let Some(question) = self.nodes[node].stock.next_question(now) else { return };
         self.count(&question);
-        self.push(1, Event::Ask { node, control, question });
+        self.send(1, Event::Ask { node, control, question });
     }
 
     fn answer(&mut self, node: usize, control: usize, answer: messages::Answer) {
         self.count(&answer);
-        self.push(1, Event::Answer { node, control, answer });
+        self.send(1, Event::Answer { node, control, answer });
     }
 
     fn lend(&mut self, from: usize, to: usize, loan: messages::Loan) {
         self.count(&loan);
         if self.cut != Some(from) && self.cut != Some(to) {
-            self.push(2, Event::Loan { from, to, loan });
+            self.send(2, Event::Loan { from, to, loan });
         }
     }
 
@@ -242,6 +245,13 @@
         self.bytes += postcard::to_stdvec(message).expect("encodes").len() as u64;
     }
 
+    /// Sends a message, which may be lost.
+    fn send(&mut self, delay_ms: u64, event: Event) {
+        if self.loss == 0.0 || !self.rng.random_bool(self.loss) {
+            self.push(delay_ms, event);
+        }
+    }
+
     fn push(&mut self, delay_ms: u64, event: Event) {
         self.sequence += 1;
         self.events.insert((self.now_ms + delay_ms, self.sequence), event);
--- a/crates/quotas/tests/model/main.rs
+++ b/crates/quotas/tests/model/main.rs
@@ -10,6 +10,8 @@
 const END: u64 = 26_000;
 /// Time after which nodes attach to another control than the one that is lost.
 const REATTACH_MS: u64 = 1_000;
+/// The part of the messages that are lost.
+const LOSS: f64 = 0.1;
 /// How many times its usual load the hot team sends.
 const HOT: f64 = 8.0;
 
@@ -30,6 +32,7 @@
     CentreCut,
     NodePaused,
     QuotaLowered,
+    MessagesLost,
 }
 
 struct Case {
@@ -42,7 +45,7 @@
     Case { name, hot, fault }
 }
 
-const CASES: [Case; 13] = [
+const CASES: [Case; 14] = [
     case("usual load", None, Fault::None),
     case("large team, any node", Some((0, Place::AnyNode)), Fault::None),
     case("large team, one centre", Some((0, Place::OneCentre)), Fault::None),
@@ -56,6 +59,7 @@
     case("centre cut", Some((0, Place::OneCentre)), Fault::CentreCut),
     case("node paused", Some((0, Place::OneNode)), Fault::NodePaused),
     case("quota lowered", Some((0, Place::AnyNode)), Fault::QuotaLowered),
+    case("messages lost", Some((0, Place::OneCentre)), Fault::MessagesLost),
 ];
 
 fn run(nodes: usize, case: &Case) -> String {
@@ -102,6 +106,7 @@
         }
         (Fault::CentreCut, Some(0)) => fleet.cut = Some(0),
         (Fault::NodePaused, Some(0)) => fleet.nodes[0].paused_until = FAULT_AT + 4_000,
+        (Fault::MessagesLost, Some(0)) => fleet.loss = LOSS,
         (Fault::QuotaLowered, Some(0)) => {
             fleet.teams[0].quota = Some(fleet::quota(fleet.teams[0].usual / 2.0));
             fleet.configure();
