--- a/crates/heatherwalk/tests/requests/quotas.rs
+++ b/crates/heatherwalk/tests/requests/quotas.rs
@@ -113,3 +113,23 @@
         ran = if get(&mesh, 0, "/logs/1").await.status == 200 { ran + 1 } else { 0 };
     }
 }
+
+/// Guards against a node without a control that says that a quota is used up, or that lets requests
+/// through.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_node_without_a_control_guesses() {
+    let (mut mesh, [logs, _open]) = spawn().await;
+    drop(mesh.control.take());
+    let until = tokio::time::Instant::now() + mesh::TIMEOUT;
+    while get(&mesh, 0, "/logs/1").await.to_string() != "503, not run (quota-unknown)" {
+        assert!(tokio::time::Instant::now() < until, "requests still run or get another refusal");
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    let before = logs.counts.runs();
+    for _ in 0..20 {
+        let reply = get(&mesh, 0, "/logs/1").await;
+        assert_eq!(reply.to_string(), "503, not run (quota-unknown)");
+        assert!(reply.headers.contains_key("retry-after"), "{reply:?}");
+    }
+    assert_eq!(logs.counts.runs(), before, "requests that were refused ran");
+}
