--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::mpsc, task};
 use transport::links;
 
-use crate::{distributing, proposing, registering, rollouts, state};
+use crate::{distributing, proposing, quotas, registering, rollouts, state};
 
 /// Most pieces of evidence of one node that are recorded and proposed at the same time. Each waits
 /// for the log; the node sends again what was not acknowledged.
@@ -146,6 +146,7 @@
         },
         streams::NodeMessage::Parts(_)
         | streams::NodeMessage::Rollouts(_)
+        | streams::NodeMessage::Quota(_)
         | streams::NodeMessage::Version(_) => true,
     }
 }
@@ -180,6 +181,7 @@
         streams::NodeMessage::Parts(requests) => {
             registering::send_parts_to_node(state, key, &requests)
         }
+        streams::NodeMessage::Quota(question) => quotas::answer(state, key, host, &question),
         streams::NodeMessage::Version(message) => distributing::receive(state, key, message),
         // A task of its own handles evidence, since it waits for the log.
         streams::NodeMessage::Evidence { .. } => {}
--- a/crates/control/src/instruments.rs
+++ b/crates/control/src/instruments.rs
@@ -2,6 +2,7 @@
 
 use opentelemetry::{KeyValue, metrics};
 use protocol::{operators, proposals};
+use quotas::ledger;
 use replicated::claims;
 use routing::progress;
 use world::{document, hosts};
@@ -38,6 +39,7 @@
     converged: metrics::Gauge<u64>,
     votes: metrics::Gauge<u64>,
     rollout_steps: metrics::Counter<u64>,
+    tokens: metrics::Counter<u64>,
 }
 
 impl Instruments {
@@ -54,6 +56,7 @@
             nodes: gauge("control.nodes", "Nodes attached to the control"),
             converged: gauge("control.nodes.converged", "Attached nodes that run its version"),
             rollout_steps: counter("control.rollout.steps", "Proposed steps of rollouts by kind"),
+            tokens: counter("control.quota.tokens", "Tokens of quotas by what became of them"),
             votes: gauge("control.votes", "Logs in which this control is a voter"),
         }
     }
@@ -77,6 +80,12 @@
         self.sent.add(bytes, &[KeyValue::new("to", to)]);
     }
 
+    /// Adds to `control.quota.tokens` the tokens that were given to nodes and lent to other controls.
+    pub fn count_tokens(&self, counts: ledger::Counts) {
+        self.tokens.add(counts.given, &[KeyValue::new("to", "node")]);
+        self.tokens.add(counts.lent, &[KeyValue::new("to", "control")]);
+    }
+
     /// Sets `control.version` to the newest version on the control's disk.
     pub fn record_version(&self, version: document::Version) {
         self.version.record(version.0, &[]);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod operators;
 mod peers;
 mod proposing;
+mod quotas;
 mod registering;
 mod replica;
 mod rollouts;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,7 +12,7 @@
 use world::{hosts, time};
 
 use crate::{
-    configuration, directory, distributing, instruments, replica, rollouts, settings,
+    configuration, directory, distributing, instruments, quotas, replica, rollouts, settings,
     state_machines, unknown_values,
 };
 
@@ -27,6 +27,7 @@
 const REGISTRY_RANK: rank::Rank = rank::Rank(50);
 const ROLLOUTS_RANK: rank::Rank = rank::Rank(55);
 const DISTRIBUTOR_RANK: rank::Rank = rank::Rank(60);
+const QUOTAS_RANK: rank::Rank = rank::Rank(65);
 const DIRECTORY_RANK: rank::Rank = rank::Rank(70);
 const UNKNOWN_VALUES_RANK: rank::Rank = rank::Rank(80);
 
@@ -52,6 +53,8 @@
     /// What is known of the rollouts in progress.
     pub(crate) rollouts: table::Table<rollouts::Rollouts>,
     pub(crate) distributor: table::Table<distributing::Distributor>,
+    /// The tokens of the quotas of teams.
+    pub(crate) quotas: table::Table<quotas::Quotas>,
     pub(crate) directory: table::Table<directory::Directory>,
     /// The unknown values of documents that were logged.
     pub(crate) unknown_values: table::Table<unknown_values::UnknownValues>,
@@ -136,6 +139,7 @@
             registry: table::Table::new(REGISTRY_RANK, "registry", registry),
             rollouts: table::Table::new(ROLLOUTS_RANK, "rollouts", rollouts::Rollouts::default()),
             distributor: table::Table::new(DISTRIBUTOR_RANK, "distributor", distributor),
+            quotas: table::Table::new(QUOTAS_RANK, "quotas", quotas::Quotas::new(clock.now())),
             directory: table::Table::new(
                 DIRECTORY_RANK,
                 "directory",
@@ -231,6 +235,11 @@
     Some(group)
 }
 
+/// The number of controls in the settings.
+pub(crate) fn control_count(settings: &settings::Settings) -> usize {
+    control_hosts(settings).count()
+}
+
 fn control_hosts(
     settings: &settings::Settings,
 ) -> impl Iterator<Item = (hosts::HostKey, &hosts::Host)> {
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -16,6 +16,7 @@
 mod notices;
 mod odd_statuses;
 mod passing;
+mod quotas;
 mod refusals;
 mod relay;
 mod rollouts;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer_versions;
 mod planning;
 mod promises;
+mod quotas;
 mod reaching;
 pub mod refusals;
 mod reservations;
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -8,8 +8,8 @@
 use transport::{endpoint, errors, links, pool, wire};
 
 use crate::{
-    attaching, backend, callers, controls, explaining, instruments, linking, reaching, rollouts,
-    serving, settings, state,
+    attaching, backend, callers, controls, explaining, instruments, linking, quotas, reaching,
+    rollouts, serving, settings, state,
 };
 
 /// How often the timers of the version updater and of the backend server's lease are checked. Also
@@ -293,6 +293,7 @@
         let job = move || {
             attaching::tick(&shared);
             backend::tick(&shared);
+            quotas::tick(&shared);
             if count.is_multiple_of(HEARTBEAT_TICKS) {
                 attaching::heartbeat(&shared);
             }
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -6,7 +6,7 @@
 use protocol::streams;
 use tokio::sync::mpsc;
 
-use crate::{attaching, backend, controls, rollouts, state};
+use crate::{attaching, backend, controls, quotas, rollouts, state};
 
 /// Most messages that are queued for a control.
 const CONTROL_QUEUE: usize = 256;
@@ -178,6 +178,7 @@
             state.acknowledged.notify_waiters();
         }
         streams::ControlMessage::Rollouts(list) => rollouts::follow(state, &list),
+        streams::ControlMessage::Quota(answer) => quotas::receive(state, &answer),
         streams::ControlMessage::Controls(list) => controls::replace(state, control, &list),
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,7 +14,8 @@
 use world::{config, contracts, document, log_limits, mesh, requests, time};
 
 use crate::{
-    bodies, controls, dialect, in_flight, instruments, linking, rollouts, settings, slots, suspects,
+    bodies, controls, dialect, in_flight, instruments, linking, quotas, rollouts, settings, slots,
+    suspects,
 };
 
 // A table may be locked only while all tables that are held have lower ranks.
@@ -24,6 +25,7 @@
 const DIRECTORY: rank::Rank = rank::Rank(20);
 const BACKEND: rank::Rank = rank::Rank(25);
 const ROUTING: rank::Rank = rank::Rank(30);
+const QUOTAS: rank::Rank = rank::Rank(35);
 const ADMISSION: rank::Rank = rank::Rank(40);
 const DOWNLINK: rank::Rank = rank::Rank(45);
 const UPLINK: rank::Rank = rank::Rank(47);
@@ -50,6 +52,8 @@
     pub(crate) directory: table::Table<directory::Directory>,
     pub(crate) backend: table::Table<Backend>,
     pub(crate) routing: table::Table<Routing>,
+    /// The tokens of the quotas of teams.
+    pub(crate) quotas: table::Table<quotas::Quotas>,
     pub(crate) admission: table::Table<slots::LocalController>,
     /// The bodies that other nodes are sending to this host.
     pub(crate) downlink: table::Table<downlink::Downlink>,
@@ -65,6 +69,8 @@
     pub(crate) registered: tokio::sync::Notify,
     /// Wakes the requests that wait for a confirmation of the running version.
     pub(crate) acknowledged: tokio::sync::Notify,
+    /// Wakes the requests that wait for a token of their team's quota.
+    pub(crate) tokens_arrived: tokio::sync::Notify,
     /// When requests that are still in progress are answered by the node, once a planned stop has
     /// begun.
     pub(crate) stop_at: tokio::sync::watch::Sender<Option<tokio::time::Instant>>,
@@ -228,6 +234,7 @@
             directory: table::Table::new(DIRECTORY, "directory", directory),
             backend: table::Table::new(BACKEND, "backend server", backend),
             routing: table::Table::new(ROUTING, "routing", routing),
+            quotas: table::Table::new(QUOTAS, "quotas", quotas::Quotas::default()),
             admission: table::Table::new(ADMISSION, "admission", slots::LocalController::default()),
             downlink: table::Table::new(DOWNLINK, "downlink", downlink),
             uplink: table::Table::new(UPLINK, "uplink", uplink),
@@ -240,6 +247,7 @@
             suspects: table::Table::new(SUSPECTS, "suspicion", suspects),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
             acknowledged: tokio::sync::Notify::new(),
+            tokens_arrived: tokio::sync::Notify::new(),
             registered: tokio::sync::Notify::new(),
             stop_at: tokio::sync::watch::channel(None).0,
             probe_wakeup: sync::Arc::default(),
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -1,6 +1,7 @@
 //! The streams between processes, and the messages on them.
 
 use compact_str::CompactString;
+use quotas::messages as quota;
 use replicated::quarantine;
 use serde::{Deserialize, Serialize};
 use world::{document, requests};
@@ -78,6 +79,8 @@
     Version(distribution::messages::ToControl),
     /// What the node has seen of each rollout in progress; sent every 250 ms while there is one.
     Rollouts(Vec<rollouts::Report>),
+    /// What the node used of the quotas of teams, and what it needs.
+    Quota(quota::Question),
 }
 
 /// A message from a control to an attached node.
@@ -104,6 +107,8 @@
     Controls(Vec<operators::ControlRecord>),
     /// All rollouts. Sent when the node attaches, before the registry, and at each change.
     Rollouts(rollouts::List),
+    /// Tokens for the quotas of teams, and which quotas are used up.
+    Quota(quota::Answer),
 }
 
 /// A request that may crash backend servers, according to the evidence.
@@ -149,6 +154,8 @@
     /// What the nodes attached to the sender have seen of each rollout in progress; sent every 250
     /// ms while there is one.
     Rollouts(Vec<rollouts::Summary>),
+    /// Tokens for the quotas of teams, asked for or lent.
+    Quota(quota::Loan),
 }
 
 /// The versions that the nodes attached to a control run.
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -12,6 +12,7 @@
 use distribution::{floor, messages as versions};
 use membership::messages as registry;
 use protocol::{forwarding, operators, proposals, rollouts as orders, streams};
+use quotas::messages as quota;
 use replicated::{claims, quarantine, rollouts, versions as patches};
 use routing::verdicts;
 use serde::{Serialize, de};
@@ -158,6 +159,30 @@
     }
 }
 
+fn question() -> quota::Question {
+    let report =
+        quota::Report { team: "t".into(), left: 3, need: 200, early: 1, unused: 4, late: 2 };
+    quota::Question { number: 9, seen: 8, renew: true, teams: vec![report] }
+}
+
+fn quota_answer() -> quota::Answer {
+    let grants = vec![
+        quota::Grant::Unknown,
+        quota::Grant::Given { tokens: 197, open: true },
+        quota::Grant::Exhausted { wait_ms: 100, pace_ms: 40 },
+    ];
+    quota::Answer { question: 9, grants, renewal: true, closed: vec!["u".into()] }
+}
+
+fn shortages() -> quota::Shortages {
+    let team = quota::Shortage { team: "t".into(), tokens: 30, hand: 2 };
+    quota::Shortages { round: 5, teams: vec![team] }
+}
+
+fn loan() -> quota::LoanTeams {
+    quota::LoanTeams { round: 5, teams: vec![("t".into(), 30)] }
+}
+
 fn node_status() -> forwarding::NodeStatus {
     let load = admission::load::LoadReport {
         in_flight: 3,
@@ -346,6 +371,7 @@
                 busy: 2,
                 unsafe_busy: 1,
             }]),
+            streams::NodeMessage::Quota(question()),
         ],
     );
     let stamp = versions::Timestamp { epoch: 9, at: time::Time::ZERO };
@@ -395,6 +421,7 @@
                 held: vec![OrderId(300)],
                 current: true,
             }),
+            streams::ControlMessage::Quota(quota_answer()),
         ],
     );
     let delta = versions::Delta { to: numbered(), patch: "{}".into() };
@@ -517,6 +544,8 @@
                 tally: tally(),
                 nodes: vec![orders::NodeState { host: "h1".into(), moved: true, age_ms: 90 }],
             }]),
+            streams::PeerMessage::Quota(quota::Loan::Ask(shortages())),
+            streams::PeerMessage::Quota(quota::Loan::Give(loan())),
         ],
     );
     insta::assert_snapshot!(table.0);
