Wait longer for the end of large answers on narrow links

A large answer that is read in parts waits for a place on the link for each of them. On a link of known rate its node now waits 100 ms for its end, not 20 ms. The metrics page shows the promised bytes, and a test cuts large answers at the backend server.

--- a/crates/heatherwalk/tests/metrics.rs
+++ b/crates/heatherwalk/tests/metrics.rs
@@ -35,6 +35,7 @@
     });
     node.count_probe(true);
     node.count_probe(false);
+    node.record_promised((180_000, 90_000));
     node.record_version(document::Version(7), ms(250));
     let control = control::instruments::Instruments::new(&metrics.meter());
     control.count_patch(&operators::PatchAnswer::Accepted { version: document::Version(7) });
--- a/crates/heatherwalk/tests/requests/downloads.rs
+++ b/crates/heatherwalk/tests/requests/downloads.rs
@@ -22,7 +22,11 @@
 fn handle(head: &str, _: &[u8]) -> servers::Action {
     let path = head.split(' ').nth(1).unwrap_or_default();
     let length = if path.starts_with("/exports") { LARGE_BYTES } else { 500 };
-    servers::Action::After(WORK, servers::answer("200 OK", "", &vec![b'x'; length]))
+    let mut answer = servers::answer("200 OK", "", &vec![b'x'; length]);
+    if path.ends_with("/cut") {
+        answer.truncate(LARGE_BYTES / 2);
+    }
+    servers::Action::After(WORK, answer)
 }
 
 fn document() -> serde_json::Value {
@@ -65,21 +69,44 @@
     (statuses, longest)
 }
 
+/// A mesh in which the node of the caller (0) or of the target (1) has a narrow link, and both know
+/// the size of the answers. Returns also the server and the key of the caller's node.
+async fn spawn(limited: usize) -> (mesh::Mesh, servers::Server, usize) {
+    let mut mesh = mesh::Mesh::spawn(1, document()).await;
+    let listen = mesh.listen;
+    let rates = [0, 1].map(|it| (it == limited).then_some(LINK_RATE));
+    let entry = mesh.add_node_with(listen, |it| it.link_rate = rates[0]).await;
+    let target = mesh.add_node_with(listen, |it| it.link_rate = rates[1]).await;
+    let server = servers::Server::spawn(mesh.announce(target), "exports", 12, handle).await;
+    mesh.ready(entry, &["exports"]).await;
+    let reply = callers::send(mesh.callers(entry), export()).await;
+    assert_eq!(reply.status, 200, "{reply}");
+    (mesh, server, entry)
+}
+
+/// Guards against a large answer that breaks off at the backend server and looks complete, and
+/// against one whose bytes count towards the network link for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_cut_answer_looks_complete_or_takes_the_link() {
+    for limited in [0, 1] {
+        let (mesh, _server, entry) = spawn(limited).await;
+        for _ in 0..CALLERS {
+            let reply = callers::send(mesh.callers(entry), callers::get("/exports/cut")).await;
+            let is_whole = reply.status == 200 && reply.body.is_some();
+            assert!(!is_whole, "limited {limited}: {reply}");
+        }
+        let reply = callers::send(mesh.callers(entry), export()).await;
+        let length = reply.body.as_ref().map(bytes::Bytes::len);
+        assert_eq!((reply.status, length), (200, Some(LARGE_BYTES)), "limited {limited}: {reply}");
+    }
+}
+
 /// Guards against large answers that are admitted although the link of the target, or of the
 /// caller's node, cannot carry them in time, and against small ones that wait behind them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn large_answers_fill_a_network_link() {
     for limited in [0, 1] {
-        let mut mesh = mesh::Mesh::spawn(1, document()).await;
-        let listen = mesh.listen;
-        let rates = [0, 1].map(|it| (it == limited).then_some(LINK_RATE));
-        let entry = mesh.add_node_with(listen, |it| it.link_rate = rates[0]).await;
-        let target = mesh.add_node_with(listen, |it| it.link_rate = rates[1]).await;
-        let _server = servers::Server::spawn(mesh.announce(target), "exports", 12, handle).await;
-        mesh.ready(entry, &["exports"]).await;
-        // The nodes learn the size of the answers.
-        let reply = callers::send(mesh.callers(entry), export()).await;
-        assert_eq!(reply.status, 200, "{reply}");
+        let (mesh, _server, entry) = spawn(limited).await;
         let (statuses, longest) = load(mesh.callers(entry)).await;
         let answered = statuses.iter().filter(|it| **it == 200).count();
         assert!(
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -3,7 +3,7 @@
 
 use std::{sync, time as std_time};
 
-use admission::work;
+use admission::{uplink, work};
 use bytes::Bytes;
 use protocol::{forwarding, streams};
 use transport::errors;
@@ -12,6 +12,9 @@
 
 /// How long the head of an answer waits for its body, so that both are sent together.
 const MAX_AHEAD_WAIT: std_time::Duration = std_time::Duration::from_millis(20);
+/// The same for a large answer over a network link of known rate, on which it takes longer in any
+/// case. Read to its end, it keeps one place on the link; read in parts, it waits for each.
+const MAX_LARGE_AHEAD_WAIT: std_time::Duration = std_time::Duration::from_millis(100);
 
 /// Serves one stream of another node. An error means that the stream broke.
 pub(crate) async fn serve(
@@ -183,7 +186,12 @@
             }
         }
     };
-    let end = tokio::time::timeout(MAX_AHEAD_WAIT, reading).await.ok();
+    let is_large = length.is_some_and(|it| it > uplink::SMALL_BYTES);
+    let wait = match state.links.endpoint().paced_rate() {
+        Some(_) if is_large => MAX_LARGE_AHEAD_WAIT,
+        _ => MAX_AHEAD_WAIT,
+    };
+    let end = tokio::time::timeout(wait, reading).await.ok();
     Ahead { bytes: reservation.hold(kept.into()), end }
 }
 
