--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod links;
 mod names;
 pub mod pacer;
+mod pieces;
 pub mod pool;
 pub mod serving;
 pub mod streams;
--- a/crates/transport/src/pacer.rs
+++ b/crates/transport/src/pacer.rs
@@ -21,7 +21,7 @@
 
 use bytes::Bytes;
 
-use crate::{turns, wire};
+use crate::{pieces, turns, wire};
 
 /// The share of the network link, in percent, that datagrams may use. The rest is for what is not
 /// counted, such as acknowledgements of TCP.
@@ -45,18 +45,11 @@
 /// Longest queue. Messages that do not wait could otherwise lengthen it without end, and the node
 /// would refuse requests long after the load.
 const MAX_BACKLOG: time::Duration = time::Duration::from_secs(2);
-/// Messages of at most this size, such as refusals and probes, count but do not wait: they take less
-/// than half a packet, and relieve the queue.
-const UNDELAYED_BYTES: usize = 512;
 /// Longer messages are written to their link in pieces of at most this size, each when the link has
 /// room for it.
-const PIECE_BYTES: usize = 4 * 1_024;
+pub(crate) const PIECE_BYTES: usize = 4 * 1_024;
 /// The largest message that has a place ahead of large ones.
 pub const SMALL_BYTES: usize = 16 * 1_024;
-/// Bytes of a message that get a place in the queue together. A longer message waits again, so that
-/// others get their turn.
-const RESERVED_BYTES: usize = 256 * 1_024;
-
 /// Which place a message has in the queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Size {
@@ -98,30 +91,6 @@
 /// The queue of a link, which is none for a link to a control: its messages go first.
 pub(crate) type LinkPacer = Option<sync::Arc<Pacer>>;
 
-/// A message in the queue.
-pub(crate) struct Pieces<'a> {
-    pacer: &'a Pacer,
-    rest: Bytes,
-    /// The part of the message that has a place, less what was returned.
-    part: Bytes,
-    reservation: Option<Reservation<'a>>,
-    size: Size,
-    waits: bool,
-}
-
-/// The place of a message, or of a part of it, in the queue. What has not been sent when it is
-/// dropped is given back.
-struct Reservation<'a> {
-    pacer: &'a Pacer,
-    rate: u64,
-    size: Size,
-    /// The place among large messages.
-    place: u64,
-    /// When the next piece may be sent.
-    at: tokio::time::Instant,
-    unsent_us: u64,
-}
-
 impl Pacer {
     /// Creates empty queues for a network link with this rate, in bytes per second, on which `wire`
     /// counts.
@@ -182,9 +151,8 @@
     }
 
     /// Puts a message into the queue, which returns its pieces when they may be sent.
-    pub(crate) fn queue(&self, message: Bytes, size: Size) -> Pieces<'_> {
-        let waits = message.len() > UNDELAYED_BYTES || size == Size::Large;
-        Pieces { pacer: self, rest: message, part: Bytes::new(), reservation: None, size, waits }
+    pub(crate) fn queue(&self, message: Bytes, size: Size) -> pieces::Pieces<'_> {
+        pieces::Pieces::new(self, message, size)
     }
 
     /// Waits until bytes that the process sends on the network link by other means may be sent, as a
@@ -197,7 +165,7 @@
     }
 
     /// Puts a part of a message at the end of its place in the queue.
-    fn join(&self, bytes: usize, rate: u64, size: Size) -> Reservation<'_> {
+    pub(crate) fn join(&self, bytes: usize, rate: u64, size: Size) -> pieces::Reservation<'_> {
         let now_us = self.now_us();
         let unsent_us = cost_us(bytes as u64, rate);
         let behind_all = add_cost(&self.idle_at, now_us, unsent_us);
@@ -209,7 +177,17 @@
         let wait = time::Duration::from_micros(before.saturating_sub(now_us + burst_us));
         let at = tokio::time::Instant::now() + wait;
         let place = self.turns.join();
-        Reservation { pacer: self, rate, size, place, at, unsent_us }
+        pieces::Reservation { pacer: self, rate, size, place, at, unsent_us }
+    }
+
+    /// Takes what will not be sent out of the queue, in microseconds at the rate of messages.
+    pub(crate) fn give_back(&self, unsent_us: u64, size: Size) {
+        let subtract = |idle_at: u64| Some(idle_at.saturating_sub(unsent_us));
+        let order = atomic::Ordering::Relaxed;
+        let _ = self.idle_at.fetch_update(order, order, subtract);
+        if size == Size::Small {
+            let _ = self.small_idle_at.fetch_update(order, order, subtract);
+        }
     }
 
     /// Adds what passes ahead of large messages. Returns when the queue there would have been empty.
@@ -246,13 +224,13 @@
     }
 
     /// Adds a piece to the queue of the network link.
-    fn add_to_link(&self, bytes: usize) {
+    pub(crate) fn add_to_link(&self, bytes: usize) {
         add_cost(&self.link_idle_at, self.now_us(), cost_us(bytes as u64, self.link_rate));
     }
 
     /// Waits until the queue of the network link is short, and adds a piece to it. A message that
     /// had its place before an overhead was charged waits for that overhead here.
-    async fn wait_for_link(&self, bytes: usize, size: Size, place: u64) {
+    pub(crate) async fn wait_for_link(&self, bytes: usize, size: Size, place: u64) {
         let cost_us = cost_us(bytes as u64, self.link_rate);
         let (longest, due) = match size {
             Size::Small => (MAX_PIECE_QUEUE, None),
@@ -282,7 +260,7 @@
 }
 
 /// How long the network link takes to carry `bytes`, in microseconds.
-fn cost_us(bytes: u64, rate: u64) -> u64 {
+pub(crate) fn cost_us(bytes: u64, rate: u64) -> u64 {
     bytes.saturating_mul(1_000_000) / rate
 }
 
@@ -293,48 +271,3 @@
     let order = atomic::Ordering::Relaxed;
     idle_at.fetch_update(order, order, add).unwrap_or(now_us)
 }
-
-impl Pieces<'_> {
-    /// Waits until the next piece may be sent. Returns none after the last one.
-    pub(crate) async fn next(&mut self) -> Option<Bytes> {
-        if self.rest.is_empty() && self.part.is_empty() {
-            return None;
-        }
-        let Some(rate) = self.pacer.rate else { return Some(std::mem::take(&mut self.rest)) };
-        if self.part.is_empty() {
-            self.part = self.rest.split_to(self.rest.len().min(RESERVED_BYTES));
-            self.reservation = Some(self.pacer.join(self.part.len(), rate, self.size));
-        }
-        let reservation = self.reservation.as_mut()?;
-        let length = self.part.len().min(PIECE_BYTES);
-        if self.waits {
-            tokio::time::sleep_until(reservation.at).await;
-            self.pacer.wait_for_link(length, self.size, reservation.place).await;
-        } else {
-            self.pacer.add_to_link(length);
-        }
-        reservation.take(length);
-        let piece = self.part.split_to(length);
-        Some(piece)
-    }
-}
-
-impl Reservation<'_> {
-    /// Records that a piece is sent, and sets when the next one may follow.
-    fn take(&mut self, bytes: usize) {
-        let cost_us = cost_us(bytes as u64, self.rate);
-        self.at += time::Duration::from_micros(cost_us);
-        self.unsent_us = self.unsent_us.saturating_sub(cost_us);
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        let subtract = |idle_at: u64| Some(idle_at.saturating_sub(self.unsent_us));
-        let order = atomic::Ordering::Relaxed;
-        let _ = self.pacer.idle_at.fetch_update(order, order, subtract);
-        if self.size == Size::Small {
-            let _ = self.pacer.small_idle_at.fetch_update(order, order, subtract);
-        }
-    }
-}
