Read large answers ahead only on links of known rate

Nodes without link-mbps read answers of up to 256 KiB ahead as well, which delayed the beginning of those between 64 and 256 KiB by up to 20 ms. They keep to 64 KiB again.

--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -172,8 +172,13 @@
 ) -> Ahead {
     let mut kept = Vec::new();
     let length = bodies::content_length(headers);
-    // A body of unknown length may be one that goes on, such as a stream of events.
-    let reservation = length.and_then(|it| state.buffers.reserve_held(it));
+    let is_limited = state.links.endpoint().paced_rate().is_some();
+    let reservation = match length {
+        Some(it) if is_limited => state.buffers.reserve_held(it),
+        Some(_) => state.buffers.reserve(length),
+        // It may be a body that goes on, such as a stream of events.
+        None => None,
+    };
     let Some(reservation) = reservation else {
         return Ahead { bytes: Bytes::new(), end: None };
     };
@@ -187,10 +192,7 @@
         }
     };
     let is_large = length.is_some_and(|it| it > uplink::SMALL_BYTES);
-    let wait = match state.links.endpoint().paced_rate() {
-        Some(_) if is_large => MAX_LARGE_AHEAD_WAIT,
-        _ => MAX_AHEAD_WAIT,
-    };
+    let wait = if is_limited && is_large { MAX_LARGE_AHEAD_WAIT } else { MAX_AHEAD_WAIT };
     let end = tokio::time::timeout(wait, reading).await.ok();
     Ahead { bytes: reservation.hold(kept.into()), end }
 }
