Test the early refusal on a whole mesh

The test runs two services in one process: menus that call orders, which has two slots and gets more orders than it can serve. Menus are refused before they run, with "Outranked", and run again when the load is over.

--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -13,6 +13,7 @@
 mod mesh;
 mod notices;
 mod passing;
+mod ranks;
 mod refusals;
 mod relay;
 mod servers;
--- a/xtask/src/bench/routing/model.rs
+++ b/xtask/src/bench/routing/model.rs
@@ -190,7 +190,7 @@
         });
         let request = self.requests.len() - 1;
         let node = self.requests[request].node;
-        self.nodes[node].retry_limiter.record_first(self.now);
+        self.nodes[node].retry_limiter.team("").record_first(self.now);
         self.send(request)
     }
 
@@ -278,7 +278,7 @@
                 retry::Outcome::NotRun,
                 &limits,
                 &mut request.budget,
-                &mut node.retry_limiter,
+                &mut node.retry_limiter.team(""),
                 &self.toggles,
             );
             if decision == retry::Decision::Elsewhere {
