Take a team without recent requests for a small one when requests are held back

A team that sends a request every few seconds was not among the recent senders, so the part of all requests was held back of it. It now has the part of a sender with one request in its rank.

--- a/crates/routing/src/senders.rs
+++ b/crates/routing/src/senders.rs
@@ -27,16 +27,17 @@
 pub(crate) struct Senders {
     /// By rank and team.
     recent: collections::HashMap<(u32, CompactString), Recent>,
+    /// Of each rank, the requests of one team above which they are held back, for first sends and
+    /// for requests that another target has just refused.
+    levels: collections::BTreeMap<u32, [f32; 2]>,
 }
 
 /// The recent requests of one sender.
 #[derive(Clone, Copy, Debug, Default)]
 struct Recent {
     requests: f32,
-    /// The part of its requests that is held back.
-    held: f32,
-    /// The same for requests that another target has just refused.
-    held_again: f32,
+    /// The part of its requests that is held back, by the same kinds.
+    held: [f32; 2],
 }
 
 impl Senders {
@@ -48,14 +49,18 @@
         }
     }
 
-    /// Returns the part of a sender's requests that is held back. `None` if it is the only one, or
-    /// one too many: then the part is that of all requests.
+    /// Returns the part of a sender's requests that is held back. `None` if there is no other one:
+    /// then the part is that of all requests. A sender without recent requests is a small one.
     pub(crate) fn held(&self, sender: Sender<'_>, again: bool) -> Option<f32> {
-        if self.recent.len() <= 1 {
-            return None;
+        let kind = usize::from(again);
+        match self.recent.get(&(sender.rank, CompactString::from(sender.team))) {
+            Some(recent) => (self.recent.len() > 1).then_some(recent.held[kind]),
+            None if self.recent.is_empty() => None,
+            None => {
+                let level = self.levels.range(..=sender.rank).next_back();
+                Some(level.map_or(0.0, |it| part_above(1.0, it.1[kind])))
+            }
         }
-        let recent = self.recent.get(&(sender.rank, CompactString::from(sender.team)))?;
-        Some(if again { recent.held_again } else { recent.held })
     }
 
     /// Distributes the requests that are held back, which are these parts of all requests, and lets
@@ -66,13 +71,14 @@
             it.requests *= kept;
             it.requests >= MIN_REQUESTS
         });
-        self.assign(held, |it| &mut it.held);
-        self.assign(held_again, |it| &mut it.held_again);
+        self.levels.clear();
+        self.assign(held, 0);
+        self.assign(held_again, 1);
     }
 
     /// Sets the part of each sender, so that this part of all requests is held back: first those of
     /// the least urgent rank, and within a rank those of the teams that send most.
-    fn assign(&mut self, part: f32, field: impl Fn(&mut Recent) -> &mut f32) {
+    fn assign(&mut self, part: f32, kind: usize) {
         let total: f32 = self.recent.values().map(|it| it.requests).sum();
         let mut excess = total * part;
         let mut ordered: Vec<_> = self.recent.iter_mut().map(|(key, it)| (key.0, it)).collect();
@@ -82,15 +88,20 @@
         for rank in ordered.chunk_by_mut(|a, b| a.0 == b.0) {
             let requests: f32 = rank.iter().map(|it| it.1.requests).sum();
             let level = level(rank.iter().map(|it| it.1.requests), excess);
-            for (_, it) in rank {
-                let above = (it.requests - level).max(0.0) / it.requests;
-                *field(it) = above.min(MAX_HELD);
+            for (rank, it) in rank {
+                self.levels.entry(*rank).or_default()[kind] = level;
+                it.held[kind] = part_above(it.requests, level);
             }
             excess = (excess - requests * MAX_HELD).max(0.0);
         }
     }
 }
 
+/// Returns the part of the requests of one team that is held back.
+fn part_above(requests: f32, level: f32) -> f32 {
+    ((requests - level).max(0.0) / requests).min(MAX_HELD)
+}
+
 /// Returns the number of requests of one team above which they are held back, so that `excess` are
 /// held back in total. `requests` are those of each team, highest first.
 fn level(requests: impl Iterator<Item = f32>, excess: f32) -> f32 {
--- a/crates/routing/tests/throttling.rs
+++ b/crates/routing/tests/throttling.rs
@@ -178,9 +178,19 @@
                 }
             }
         }
+        let late = Time::from_millis(4_000);
+        let new = |_: &i32| {
+            let sender = senders::Sender { team: "new", rank: 1 };
+            throttle.clone().try_send(late, sender, false, &mut rng)
+        };
+        let sent = (0..100).filter(new).count();
         let parts: Vec<f32> =
             senders.iter().zip(held).map(|(it, held)| held as f32 / (300 * it.2) as f32).collect();
-        writeln!(out, "room {admitted}: {sends} sends; held {parts:.2?}").expect("text");
+        writeln!(
+            out,
+            "room {admitted}: {sends} sends; held {parts:.2?}; of a new team, {sent} of 100 are sent"
+        )
+        .expect("text");
         let [small, large, other, urgent, last] = parts[..] else { panic!("five senders") };
         assert!(last <= 0.95 && last >= large - 0.05 && large >= small.max(other) - 0.05, "{out}");
         assert!(urgent <= small.min(other) + 0.05, "{out}");
