Keep the flows of a queue in an arena

A dispatch looked each waiting flow up in a hash map. The flows are now in an arena with small keys, and the map only finds a flow by its team, route and rank.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -2,10 +2,11 @@
 //!
 //! The algorithm is start-time fair queueing. The requests of one team, route and rank are a flow.
 //! Each flow has a tag that grows with each start by the expected slot time of the request, divided
-//! by the request's weight. The flow with the lowest tag is next.
+//! by the flow's weight. The flow with the lowest tag is next.
 
 use std::collections;
 
+use slotmap::SlotMap;
 use world::contracts;
 
 use crate::{routes, work};
@@ -17,6 +18,11 @@
 /// has used beyond its share; with more flows than this, the smallest such excess is forgotten.
 const MAX_IDLE: usize = 64;
 
+slotmap::new_key_type! {
+    /// Key of a [`FlowQueue`].
+    struct FlowQueueKey;
+}
+
 /// Identifies a flow.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct FlowId {
@@ -36,8 +42,9 @@
 }
 
 /// The waiting requests of one flow, oldest first.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct FlowQueue {
+    id: FlowId,
     /// Weight of the requests.
     worth: u32,
     /// Weight of the flow.
@@ -52,11 +59,12 @@
 /// The waiting requests of one class.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
-    flows: collections::HashMap<FlowId, FlowQueue>,
+    flows: SlotMap<FlowQueueKey, FlowQueue>,
+    index: collections::HashMap<FlowId, FlowQueueKey>,
     /// Flows with waiting requests; at most as many as there are waiting requests.
-    backlog: Vec<FlowId>,
+    backlog: Vec<FlowQueueKey>,
     /// Flows without waiting requests whose tag is above the virtual time.
-    idle: collections::BTreeSet<(u64, FlowId)>,
+    idle: collections::BTreeSet<(u64, FlowQueueKey)>,
     /// Highest tag at which a request has started. The tag of a flow that was idle starts here, so
     /// that a flow cannot save up its share while it is idle.
     virtual_time: u64,
@@ -80,6 +88,11 @@
 }
 
 impl FlowQueue {
+    fn new(id: FlowId) -> FlowQueue {
+        let waiting = collections::VecDeque::new();
+        FlowQueue { id, worth: 1, weight: 1, tag: 0, cost: 0, waiting }
+    }
+
     /// What a slot time adds to the tag.
     fn charge(&self, cost: u64) -> u64 {
         cost * TAG_SCALE / u64::from(self.weight.max(1))
@@ -99,7 +112,7 @@
 
     /// Returns the number of waiting requests of a flow.
     pub(crate) fn waiting(&self, flow: FlowId) -> usize {
-        self.flows.get(&flow).map_or(0, |it| it.waiting.len())
+        self.find(flow).map_or(0, |it| it.waiting.len())
     }
 
     pub(crate) fn kept_flows(&self) -> usize {
@@ -114,11 +127,12 @@
         key: work::RequestKey,
         cost: u64,
     ) {
-        let it = self.flows.entry(flow).or_default();
+        let at = *self.index.entry(flow).or_insert_with(|| self.flows.insert(FlowQueue::new(flow)));
+        let it = &mut self.flows[at];
         if it.waiting.is_empty() {
-            self.idle.remove(&(it.tag, flow));
+            self.idle.remove(&(it.tag, at));
             it.tag = it.tag.max(self.virtual_time);
-            self.backlog.push(flow);
+            self.backlog.push(at);
         } else {
             self.total_weight -= u64::from(it.weight);
             self.total_worth -= u64::from(it.worth);
@@ -136,21 +150,22 @@
 
     /// Removes a request that will not start.
     pub(crate) fn remove(&mut self, flow: FlowId, key: work::RequestKey) {
-        self.take(flow, key);
-        self.retire(flow);
+        if let Some(at) = self.take(flow, key) {
+            self.retire(at);
+        }
     }
 
     /// Removes a request that starts, and charges its flow with the route's `mean` service time in
     /// microseconds. The time that the request will really take is not charged, so that one
     /// straggler does not starve the other requests of its flow.
     pub(crate) fn start(&mut self, flow: FlowId, key: work::RequestKey, mean: u64) {
-        self.take(flow, key);
-        let Some(it) = self.flows.get_mut(&flow) else {
+        let Some(at) = self.take(flow, key) else {
             return;
         };
+        let it = &mut self.flows[at];
         self.virtual_time = self.virtual_time.max(it.tag);
         it.tag += it.charge(mean.max(1));
-        self.retire(flow);
+        self.retire(at);
     }
 
     /// Returns the next request to start, among the flows that `open` accepts by their weight and the
@@ -235,12 +250,16 @@
     /// Forgets what idle teams have used beyond their shares, since the keys of teams change with a
     /// new version of the configuration.
     pub(crate) fn forget_teams(&mut self) {
-        let teams: Vec<_> =
-            self.idle.iter().copied().filter(|it| it.1.team != Default::default()).collect();
-        for it in teams {
-            self.idle.remove(&it);
-            self.flows.remove(&it.1);
-        }
+        let (index, flows) = (&mut self.index, &mut self.flows);
+        self.idle.retain(|&(_, at)| {
+            let id = flows[at].id;
+            let kept = id.team == contracts::TeamKey::default();
+            if !kept {
+                index.remove(&id);
+                flows.remove(at);
+            }
+            kept
+        });
     }
 
     /// Returns the keys of all waiting requests.
@@ -248,14 +267,18 @@
         self.waiting_flows().flat_map(|it| it.1.waiting.iter().map(|it| it.key))
     }
 
+    fn find(&self, flow: FlowId) -> Option<&FlowQueue> {
+        self.flows.get(*self.index.get(&flow)?)
+    }
+
     fn waiting_flows(&self) -> impl Iterator<Item = (FlowId, &FlowQueue)> {
-        self.backlog.iter().filter_map(|&it| Some((it, self.flows.get(&it)?)))
+        self.backlog.iter().map(|&at| &self.flows[at]).map(|it| (it.id, it))
     }
 
     /// The slot time of the waiting requests with lower tags than a new request of the flow, or with
     /// the same one.
     fn tags_ahead(&self, flow: FlowId) -> u64 {
-        let own = self.flows.get(&flow);
+        let own = self.find(flow);
         let (tag, cost) = own.map_or((0, 0), |it| (it.tag, it.charge(it.cost)));
         let tag = tag.max(self.virtual_time) + cost;
         let ahead = self.waiting_flows().filter(|it| it.1.tag <= tag).map(|(_, it)| {
@@ -267,7 +290,7 @@
 
     /// The slot time ahead of a new request of the flow, among flows with these totals.
     fn share_ahead(&self, flow: FlowId, total_cost: u64, total_weight: u64) -> u64 {
-        let Some(it) = self.flows.get(&flow) else {
+        let Some(it) = self.find(flow) else {
             return 0;
         };
         let weight = u64::from(it.weight.max(1));
@@ -305,37 +328,37 @@
         it.excess() >= self.len as u64 * TAG_SCALE / self.total_worth.max(1)
     }
 
-    fn take(&mut self, flow: FlowId, key: work::RequestKey) {
-        let Some(it) = self.flows.get_mut(&flow) else {
-            return;
-        };
-        let Some(index) = it.waiting.iter().position(|it| it.key == key) else {
-            return;
-        };
-        let Some(entry) = it.waiting.remove(index) else {
-            return;
-        };
+    /// Takes a request out of its flow.
+    fn take(&mut self, flow: FlowId, key: work::RequestKey) -> Option<FlowQueueKey> {
+        let at = *self.index.get(&flow)?;
+        let it = &mut self.flows[at];
+        let index = it.waiting.iter().position(|it| it.key == key)?;
+        let entry = it.waiting.remove(index)?;
         it.cost -= entry.cost;
         self.total_cost -= entry.cost;
         self.len -= 1;
         if it.waiting.is_empty() {
             self.total_weight -= u64::from(it.weight);
             self.total_worth -= u64::from(it.worth);
-            self.backlog.retain(|&it| it != flow);
+            self.backlog.retain(|&it| it != at);
         }
+        Some(at)
     }
 
     /// Marks a flow as idle if nothing of it waits, and removes the idle flows whose tags are no
     /// longer needed.
-    fn retire(&mut self, flow: FlowId) {
-        if let Some(it) = self.flows.get(&flow).filter(|it| it.waiting.is_empty()) {
-            self.idle.insert((it.tag, flow));
+    fn retire(&mut self, at: FlowQueueKey) {
+        let it = &self.flows[at];
+        if it.waiting.is_empty() {
+            self.idle.insert((it.tag, at));
         }
         while let Some(&(tag, idle)) = self.idle.first()
             && (tag <= self.virtual_time || self.idle.len() > MAX_IDLE)
         {
             self.idle.pop_first();
-            self.flows.remove(&idle);
+            if let Some(it) = self.flows.remove(idle) {
+                self.index.remove(&it.id);
+            }
         }
     }
 }
