--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -17,6 +17,7 @@
 mod odd_statuses;
 mod passing;
 mod quotas;
+mod ranks;
 mod refusals;
 mod relay;
 mod rollouts;
