Say that a quota is used up only after a control without tokens got no loan

A control below three quarters of its account asks the others, and one that has about as much lends none. This was taken for the others having nothing left: a burst of a team within its quota in the next 0.5 s was refused.

--- a/crates/quotas/src/ledger.rs
+++ b/crates/quotas/src/ledger.rs
@@ -145,8 +145,8 @@
         for (name, tokens) in &loan.teams {
             let Some(&key) = self.teams.get(name) else { continue };
             self.accounts[key].borrow(now, *tokens);
-            for (_, got) in self.round.teams.iter_mut().filter(|it| it.0 == key) {
-                *got += tokens;
+            for asked in self.round.teams.iter_mut().filter(|it| it.team == key) {
+                asked.got += tokens;
             }
         }
         if self.round.missing == 0 {
@@ -242,7 +242,7 @@
             let account = &self.accounts[key];
             let tokens = account.shortage().div_ceil(u32::try_from(others).unwrap_or(u32::MAX));
             let Some(name) = self.names.get(key).filter(|_| tokens > 0) else { continue };
-            round.teams.push((key, 0));
+            round.teams.push(loans::Asked { team: key, empty: account.hand() == 0, got: 0 });
             teams.push(messages::Shortage { team: name.clone(), tokens, hand: account.hand() });
         }
         if teams.is_empty() {
@@ -255,9 +255,10 @@
 
     /// Records which teams no control had tokens to lend for.
     fn end_round(&mut self, now: time::Time) {
-        for (key, got) in std::mem::take(&mut self.round.teams) {
-            let Some(account) = self.accounts.get_mut(key) else { continue };
-            account.dry_until = if got == 0 { now + loans::DRY_TIME } else { time::Time::ZERO };
+        for loans::Asked { team, empty, got } in std::mem::take(&mut self.round.teams) {
+            let Some(account) = self.accounts.get_mut(team) else { continue };
+            let dry = empty && got == 0;
+            account.dry_until = if dry { now + loans::DRY_TIME } else { time::Time::ZERO };
         }
     }
 
--- a/crates/quotas/src/loans.rs
+++ b/crates/quotas/src/loans.rs
@@ -16,12 +16,22 @@
 /// Time for which a round without tokens shows that there are none to lend.
 pub(crate) const DRY_TIME: std_time::Duration = std_time::Duration::from_millis(500);
 
-/// A round, with the teams that tokens were asked for and how many came.
+/// A team that tokens were asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asked {
+    pub(crate) team: ledger::TeamKey,
+    /// Whether no token was left. A lender has none for a control with about as many as itself.
+    pub(crate) empty: bool,
+    /// Tokens that came.
+    pub(crate) got: u32,
+}
+
+/// A round of questions to all other controls.
 #[derive(Debug, Default)]
 pub(crate) struct Round {
     pub(crate) number: u64,
     pub(crate) asked_at: time::Time,
-    pub(crate) teams: Vec<(ledger::TeamKey, u32)>,
+    pub(crate) teams: Vec<Asked>,
     /// Controls that have not answered.
     pub(crate) missing: usize,
 }
