--- a/crates/control/src/http.rs
+++ b/crates/control/src/http.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use world::document;
 
-use crate::{operators, rollouts, state};
+use crate::{operators, ordering, state};
 
 /// Largest body of an operator's request, in bytes: it holds the largest patch and the fields
 /// around it.
@@ -136,13 +136,13 @@
         ::http::Method::GET => {
             let query = request.query.unwrap_or_default();
             match query_parameter(&query, "service") {
-                Some(service) => rollouts::show(state, service.into()).await,
+                Some(service) => ordering::show(state, service.into()).await,
                 None => messages::RolloutAnswer::Invalid("the query must name a service".into()),
             }
         }
         ::http::Method::POST => match request.body.collect(MAX_BODY_BYTES).await {
             Ok(body) => match (dialect.read_rollout)(&body) {
-                Ok(it) => rollouts::start(state, it).await,
+                Ok(it) => ordering::start(state, it).await,
                 Err(detail) => messages::RolloutAnswer::Invalid(detail),
             },
             Err(err) => return body_problem(&err),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod http;
 pub mod instruments;
 mod operators;
+mod ordering;
 mod peers;
 mod proposing;
 mod registering;
--- a/crates/control/src/rollouts.rs
+++ b/crates/control/src/rollouts.rs
@@ -4,15 +4,15 @@
 
 use std::{collections, sync, time as std_time};
 
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use distribution::subscribers;
-use protocol::{operators, proposals, rollouts as messages, streams};
+use protocol::{proposals, rollouts as messages, streams};
 use replicated::rollouts as orders;
-use routing::{progress, verdicts};
+use routing::{progress, tallies};
 use tokio::task;
 use world::{rollouts, time};
 
-use crate::{instruments, operators as operators_port, proposing, state};
+use crate::{instruments, proposing, state};
 
 /// How often reports are added up, passed on and judged.
 const INTERVAL: std_time::Duration = std_time::Duration::from_millis(250);
@@ -176,8 +176,8 @@
         now: time::Time,
         order: &rollouts::Order,
         attached: &[(CompactString, time::Time)],
-    ) -> (messages::Summary, verdicts::Tally) {
-        let mut own = verdicts::Tally::default();
+    ) -> (messages::Summary, tallies::Tally) {
+        let mut own = tallies::Tally::default();
         let mut nodes = Vec::new();
         let age_ms = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
         let mut state = |host: &CompactString, moved, at| {
@@ -218,7 +218,7 @@
         &mut self,
         now: time::Time,
         order: &rollouts::Order,
-        total: verdicts::Tally,
+        total: tallies::Tally,
         leads: bool,
         instruments: &instruments::Instruments,
     ) -> Option<orders::Action> {
@@ -264,106 +264,3 @@
         watch.record_node(&it.host, it.moved, at.checked_sub(age).unwrap_or_default());
     }
 }
-
-/// Orders a rollout. Returns once the order is in the log or refused.
-pub(crate) async fn start(
-    state: &sync::Arc<state::State>,
-    request: operators::RolloutRequest,
-) -> operators::RolloutAnswer {
-    let operators::RolloutRequest { service, target, over_ms } = request;
-    if !(orders::MIN_OVER_MS..=orders::MAX_OVER_MS).contains(&over_ms) {
-        return operators::RolloutAnswer::Invalid("over must be 1 s to 24 h".into());
-    }
-    if !operators_port::is_current(state).await {
-        return unavailable();
-    }
-    let shared = sync::Arc::clone(state);
-    let (name, version) = (service.clone(), target.clone());
-    let check = state.pool.run(move || find_fault(&shared, &name, &version)).await;
-    match check {
-        Ok(None) => {}
-        Ok(Some(answer)) => return answer,
-        Err(_) => return unavailable(),
-    }
-    let action =
-        orders::Action::Start { service: service.clone(), target: target.clone(), over_ms };
-    let outcome = proposing::propose(state, proposals::Proposal::Rollout(action)).await;
-    let proposals::Outcome::Answered(proposals::Answer::Rollout(answer)) = outcome else {
-        return unavailable();
-    };
-    log::info!(target: "decision", "order of {service} to {target} over {over_ms} ms: {answer:?}");
-    match answer {
-        orders::Answer::Accepted(it) | orders::Answer::Changed(it) => {
-            operators::RolloutAnswer::State(record(&it))
-        }
-        orders::Answer::Conflict(it) => operators::RolloutAnswer::Conflict(format_compact!(
-            "the order of {} to {} over {} ms is in progress; wait for its end",
-            it.service,
-            it.target,
-            it.over_ms,
-        )),
-        orders::Answer::Unchanged => unavailable(),
-    }
-}
-
-/// The state of the last order of a service.
-pub(crate) async fn show(
-    state: &sync::Arc<state::State>,
-    service: CompactString,
-) -> operators::RolloutAnswer {
-    if !operators_port::is_current(state).await {
-        return unavailable();
-    }
-    let shared = sync::Arc::clone(state);
-    let read = move || shared.configuration_state.lock().rollouts.get(&service).map(record);
-    match state.pool.run(read).await {
-        Ok(Some(it)) => operators::RolloutAnswer::State(it),
-        Ok(None) => operators::RolloutAnswer::Unknown("there is no order for the service".into()),
-        Err(_) => unavailable(),
-    }
-}
-
-/// The refusal of an order for an unknown service or version; none when it repeats the last one,
-/// since the targets may be gone after its end. A control that has just started may not know all
-/// targets yet.
-fn find_fault(
-    state: &state::State,
-    service: &str,
-    target: &str,
-) -> Option<operators::RolloutAnswer> {
-    let configuration = state.configuration_state.lock();
-    if configuration.rollouts.get(service).is_some_and(|it| it.target == target) {
-        return None;
-    }
-    let known = configuration.versions.document().services.contains_key(service);
-    drop(configuration);
-    if !known {
-        let detail = format_compact!("the configuration has no service {service:?}");
-        return Some(operators::RolloutAnswer::Invalid(detail));
-    }
-    let registry = state.registry.lock();
-    let targets = registry.targets();
-    let mut keys = targets.of_service(service).iter();
-    if keys.any(|&it| targets.get(it).is_some_and(|it| it.entry.version == target)) {
-        return None;
-    }
-    if !registry.is_settled(state.now()) {
-        return Some(unavailable());
-    }
-    let detail = format_compact!("no target of {service} has announced the version {target:?}");
-    Some(operators::RolloutAnswer::Invalid(detail))
-}
-
-fn record(order: &rollouts::Order) -> operators::RolloutRecord {
-    let state = match order.state {
-        rollouts::State::Running(_) => operators::RolloutState::Running,
-        rollouts::State::Complete => operators::RolloutState::Complete,
-        rollouts::State::RolledBack => operators::RolloutState::RolledBack,
-    };
-    operators::RolloutRecord { state, target: order.target.clone() }
-}
-
-fn unavailable() -> operators::RolloutAnswer {
-    let detail = "this control cannot tell the state of rollouts; send this again, to any control";
-    operators::RolloutAnswer::Unavailable(detail.into())
-}
--- a/crates/node/src/rollouts.rs
+++ b/crates/node/src/rollouts.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use protocol::{rollouts as messages, streams};
 use rand::Rng as _;
-use routing::{balancer, rollouts, verdicts};
+use routing::{balancer, rollouts, tallies};
 use world::{rollouts as orders, targets, time};
 
 use crate::state;
@@ -22,7 +22,7 @@
 /// What the node has seen of an order in progress.
 #[derive(Debug, Default)]
 struct Seen {
-    tally: verdicts::Tally,
+    tally: tallies::Tally,
     /// Attempts in flight to old targets.
     busy: u32,
     /// Those that are not idempotent.
@@ -98,15 +98,15 @@
             seen.busy = seen.busy.saturating_sub(1);
             seen.unsafe_busy = seen.unsafe_busy.saturating_sub(u32::from(!idempotent));
         }
-        let name = |loaded| verdicts::CellName { route, loaded, candidate };
+        let name = |loaded| tallies::CellName { route, loaded, candidate };
         match ending {
             Ending::Answered { elapsed, loaded } if warm => {
-                seen.tally.record(name(loaded), verdicts::Answer::Timed(elapsed));
+                seen.tally.record(name(loaded), tallies::Answer::Timed(elapsed));
             }
             Ending::Answered { loaded, .. } => {
-                seen.tally.record(name(loaded), verdicts::Answer::Untimed);
+                seen.tally.record(name(loaded), tallies::Answer::Untimed);
             }
-            Ending::Bad { loaded } => seen.tally.record(name(loaded), verdicts::Answer::Bad),
+            Ending::Bad { loaded } => seen.tally.record(name(loaded), tallies::Answer::Bad),
             Ending::Other => {}
         }
     }
--- a/crates/protocol/src/rollouts.rs
+++ b/crates/protocol/src/rollouts.rs
@@ -1,7 +1,7 @@
 //! Messages about rollouts between nodes and controls.
 
 use compact_str::CompactString;
-use routing::verdicts;
+use routing::tallies;
 use serde::{Deserialize, Serialize};
 use world::rollouts;
 
@@ -26,7 +26,7 @@
     /// The stage that the node follows.
     pub stage: rollouts::Stage,
     /// The answers that it got from targets of both versions.
-    pub tally: verdicts::Tally,
+    pub tally: tallies::Tally,
     /// Requests in flight to old targets, and on the old target of its own host.
     pub busy: u32,
     /// Those of them that are not idempotent.
@@ -39,7 +39,7 @@
     /// The order.
     pub order: rollouts::OrderId,
     /// The answers that they counted.
-    pub tally: verdicts::Tally,
+    pub tally: tallies::Tally,
     /// The nodes that are or were attached to the control.
     pub nodes: Vec<NodeState>,
 }
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -13,7 +13,7 @@
 use membership::messages as registry;
 use protocol::{forwarding, operators, proposals, rollouts as orders, streams};
 use replicated::{claims, quarantine, rollouts, versions as patches};
-use routing::verdicts;
+use routing::tallies;
 use serde::{Serialize, de};
 use transport::codec;
 use world::{
@@ -123,11 +123,11 @@
     }
 }
 
-fn tally() -> verdicts::Tally {
-    let mut tally = verdicts::Tally::default();
-    let name = verdicts::CellName { route: "r".into(), loaded: true, candidate: true };
-    tally.record(name.clone(), verdicts::Answer::Timed(std::time::Duration::from_millis(40)));
-    tally.record(name, verdicts::Answer::Bad);
+fn tally() -> tallies::Tally {
+    let mut tally = tallies::Tally::default();
+    let name = tallies::CellName { route: "r".into(), loaded: true, candidate: true };
+    tally.record(name.clone(), tallies::Answer::Timed(std::time::Duration::from_millis(40)));
+    tally.record(name, tallies::Answer::Bad);
     tally
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,7 +6,7 @@
 //! sent, and [`throttle`] what is sent to a service that is full. [`silence`] says whether a host
 //! has stopped responding, and [`prober`] which hosts to probe then. [`subset`] bounds the targets
 //! that a node uses, and [`dialer`] says when to open links to them. [`rollouts`] says what a new
-//! software version gets, [`verdicts`] whether it is bad, and [`progress`] what to do next. Nothing here does I/O or reads
+//! software version gets, [`tallies`] counts answers, [`verdicts`] says whether it is bad, and [`progress`] what to do next. Nothing here does I/O or reads
 //! a clock: the time, and random numbers or their seed, are arguments.
 
 mod admissions;
@@ -23,6 +23,7 @@
 pub mod rollouts;
 pub mod silence;
 pub mod subset;
+pub mod tallies;
 pub mod throttle;
 pub mod toggles;
 mod usable;
--- a/crates/routing/src/progress.rs
+++ b/crates/routing/src/progress.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use world::{rollouts, time::Time};
 
-use crate::verdicts;
+use crate::{tallies, verdicts};
 
 /// The time of the first stage, per mille of the time of the order.
 const FIRST_END: u64 = 80;
@@ -68,7 +68,7 @@
     }
 
     /// Records the answers that the nodes have counted so far.
-    pub fn record_answers(&mut self, now: Time, order: &rollouts::Order, total: verdicts::Tally) {
+    pub fn record_answers(&mut self, now: Time, order: &rollouts::Order, total: tallies::Tally) {
         let stage = order.state.stage();
         if self.stage != stage {
             (self.stage, self.since) = (stage, now);
@@ -84,7 +84,7 @@
     }
 
     /// The answers that were counted.
-    pub fn total(&self) -> &verdicts::Tally {
+    pub fn total(&self) -> &tallies::Tally {
         self.judge.total()
     }
 
--- a/crates/routing/src/verdicts.rs
+++ b/crates/routing/src/verdicts.rs
@@ -4,18 +4,13 @@
 use std::{collections, fmt, time};
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
 use world::time::Time;
 
-/// Number of classes of times. Each is wider than the one before by a factor of about 1.41.
-pub const TIME_CLASSES: usize = 24;
-/// Upper bound of the first class of times, in microseconds.
-const FIRST_CLASS_MICROS: f32 = 1_000.0;
+use crate::tallies;
+
 /// How many classes above the median of the old version a slow answer is: a factor of 2.8. Targets
 /// of one version differ by less as a whole.
 const SLOW_CLASSES: usize = 3;
-/// Most routes of a service that are counted apart.
-const MAX_ROUTES: usize = 32;
 /// The period of the recent answers, which are judged beside all of them.
 const RECENT: time::Duration = time::Duration::from_secs(3);
 
@@ -44,48 +39,9 @@
 const MIN_COMPARED: u32 = 20;
 /// The answers of the new version on a route that are enough for any verdict.
 const ENOUGH_ANSWERS: u32 = 25;
-/// On a route with little traffic, the new version needs this part of the old version's answers.
+/// On a route with little traffic, one of the new version for this many of the old one is enough.
 const ENOUGH_PART: u32 = 25;
 
-/// What answers are counted under.
-#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct CellName {
-    /// The name of the route.
-    pub route: CompactString,
-    /// Whether the target ran at least half as many requests as it has slots.
-    pub loaded: bool,
-    /// Whether it has the new version.
-    pub candidate: bool,
-}
-
-/// The answers that were counted under one name.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Counts {
-    /// All answers, good and bad.
-    pub answers: u32,
-    /// Answers with a server error, and requests without a whole answer.
-    pub bad: u32,
-    /// The others, by the time that the backend server took, if that says something.
-    pub times: [u32; TIME_CLASSES],
-}
-
-/// What an answer says of the version that gave it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Answer {
-    /// It is good, and took the backend server this long.
-    Timed(time::Duration),
-    /// It is good. Its time says nothing, as in a cold start.
-    Untimed,
-    /// It is bad.
-    Bad,
-}
-
-/// Counted answers, by name.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Tally {
-    cells: collections::BTreeMap<CellName, Counts>,
-}
-
 /// Why a version is bad.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fault {
@@ -116,101 +72,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Judge {
     /// Earlier totals, oldest first.
-    history: collections::VecDeque<(Time, Tally)>,
-    total: Tally,
-}
-
-impl Counts {
-    fn add(&mut self, other: &Counts) {
-        self.answers = self.answers.saturating_add(other.answers);
-        self.bad = self.bad.saturating_add(other.bad);
-        for (time, more) in self.times.iter_mut().zip(other.times) {
-            *time = time.saturating_add(more);
-        }
-    }
-
-    fn without(&self, earlier: &Counts) -> Counts {
-        let mut rest = *self;
-        rest.answers = rest.answers.saturating_sub(earlier.answers);
-        rest.bad = rest.bad.saturating_sub(earlier.bad);
-        for (time, less) in rest.times.iter_mut().zip(earlier.times) {
-            *time = time.saturating_sub(less);
-        }
-        rest
-    }
-
-    fn timed(&self) -> u32 {
-        self.times.iter().sum()
-    }
-
-    /// The class that the median time is in.
-    fn median(&self) -> usize {
-        let half = self.timed().div_ceil(2);
-        let mut sum = 0;
-        let reached = |it: &u32| {
-            sum += it;
-            sum >= half
-        };
-        self.times.iter().position(reached).unwrap_or_default()
-    }
-
-    /// The number of times in the classes from `class` on.
-    fn slow_count(&self, class: usize) -> u32 {
-        self.times.iter().skip(class).sum()
-    }
+    history: collections::VecDeque<(Time, tallies::Tally)>,
+    total: tallies::Tally,
 }
 
-impl Tally {
-    /// Counts an answer.
-    pub fn record(&mut self, name: CellName, answer: Answer) {
-        let known = self.cells.contains_key(&name);
-        if !known && self.cells.len() >= 4 * MAX_ROUTES {
-            return;
-        }
-        let counts = self.cells.entry(name).or_default();
-        counts.answers = counts.answers.saturating_add(1);
-        match answer {
-            Answer::Timed(it) => counts.times[time_class(it)] += 1,
-            Answer::Untimed => {}
-            Answer::Bad => counts.bad += 1,
-        }
-    }
-
-    /// Adds the answers that another process counted.
-    pub fn add(&mut self, other: &Tally) {
-        for (name, counts) in &other.cells {
-            self.cells.entry(name.clone()).or_default().add(counts);
-        }
-    }
-
-    /// The answers that were counted after `earlier`. What a process that has ended had counted may
-    /// be missing, so no number falls below zero.
-    fn without(&self, earlier: &Tally) -> Tally {
-        let rest = |(name, counts): (&CellName, &Counts)| {
-            let before = earlier.cells.get(name).copied().unwrap_or_default();
-            (name.clone(), counts.without(&before))
-        };
-        Tally { cells: self.cells.iter().map(rest).collect() }
-    }
-
-    /// The answers of one version on a route, under load, not under load, or both.
-    fn sum(&self, route: &str, candidate: bool, loaded: Option<bool>) -> Counts {
-        let mut sum = Counts::default();
-        let wanted = |it: &CellName| {
-            it.route == route
-                && it.candidate == candidate
-                && loaded.is_none_or(|on| on == it.loaded)
-        };
-        for (_, counts) in self.cells.iter().filter(|(name, _)| wanted(name)) {
-            sum.add(counts);
-        }
-        sum
-    }
-
-    fn routes(&self) -> collections::BTreeSet<&CompactString> {
-        self.cells.keys().map(|it| &it.route).collect()
-    }
-
+impl tallies::Tally {
     /// The fault that these answers show, if any.
     pub fn fault(&self) -> Option<Fault> {
         self.fault_beyond(&TOTAL_BAR, self)
@@ -223,7 +89,7 @@
 
     /// The fault beyond `bar` that these answers show, if any. `base` has the answers of the old
     /// version where there are too few here, as after the old version got its last request.
-    fn fault_beyond(&self, bar: &Bar, base: &Tally) -> Option<Fault> {
+    fn fault_beyond(&self, bar: &Bar, base: &tallies::Tally) -> Option<Fault> {
         for route in self.routes() {
             for loaded in [None, Some(true), Some(false)] {
                 let new = self.sum(route, true, loaded);
@@ -254,7 +120,7 @@
     /// in the recent answers, or in all since the order while the version is unproven. Later, the
     /// versions got most of their requests at different moments, so that trouble of the whole
     /// service would count against one of them.
-    pub fn observe(&mut self, now: Time, total: Tally, proven: bool) -> Option<Fault> {
+    pub fn observe(&mut self, now: Time, total: tallies::Tally, proven: bool) -> Option<Fault> {
         while self.history.len() > 1 && now.since(self.history[1].0) >= RECENT {
             self.history.pop_front();
         }
@@ -277,7 +143,7 @@
     }
 
     /// The totals of the mesh.
-    pub fn total(&self) -> &Tally {
+    pub fn total(&self) -> &tallies::Tally {
         &self.total
     }
 }
@@ -293,21 +159,12 @@
     }
 }
 
-impl fmt::Display for Tally {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for route in self.routes() {
-            let (new, old) = (self.sum(route, true, None), self.sum(route, false, None));
-            write!(
-                f,
-                "[{route:?} new={} bad={} old={} bad={}]",
-                new.answers, new.bad, old.answers, old.bad
-            )?;
-        }
-        Ok(())
-    }
-}
-
-fn describe(route: &CompactString, kind: FaultKind, new: &Counts, old: &Counts) -> Fault {
+fn describe(
+    route: &CompactString,
+    kind: FaultKind,
+    new: &tallies::Counts,
+    old: &tallies::Counts,
+) -> Fault {
     let slow = old.median() + SLOW_CLASSES;
     let (faults, answers, old_faults, old_answers) = match kind {
         FaultKind::Failures => (new.bad, new.answers, old.bad, old.answers),
@@ -316,7 +173,7 @@
     Fault { route: route.clone(), kind, faults, answers, old_faults, old_answers }
 }
 
-fn compare(bar: &Bar, new: &Counts, old: &Counts) -> Option<FaultKind> {
+fn compare(bar: &Bar, new: &tallies::Counts, old: &tallies::Counts) -> Option<FaultKind> {
     if exceeds((new.bad, new.answers), (old.bad, old.answers), bar.deviations, bar.bad) {
         return Some(FaultKind::Failures);
     }
@@ -349,9 +206,3 @@
     let scale = 1.0 + squared / whole;
     ((centre - spread) / scale, (centre + spread) / scale)
 }
-
-fn time_class(elapsed: time::Duration) -> usize {
-    let micros = elapsed.as_secs_f32() * 1e6;
-    let class = (micros / FIRST_CLASS_MICROS).max(1.0).log2() * 2.0;
-    (class.ceil() as usize).min(TIME_CLASSES - 1)
-}
--- a/crates/routing/tests/progress.rs
+++ b/crates/routing/tests/progress.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Write as _, ops, time};
 
-use routing::{progress, verdicts};
+use routing::{progress, tallies};
 use world::{
     rollouts::{Order, OrderId, Stage, State},
     time::Time,
@@ -40,13 +40,13 @@
 }
 
 /// Adds the answers of one round: 12 of the old version and one of the new one.
-fn add_answers(tally: &mut verdicts::Tally, bad: bool) {
+fn add_answers(tally: &mut tallies::Tally, bad: bool) {
     for index in 0..13 {
         let candidate = index == 0;
-        let name = verdicts::CellName { route: "a".into(), loaded: false, candidate };
+        let name = tallies::CellName { route: "a".into(), loaded: false, candidate };
         let answer = match candidate && bad {
-            true => verdicts::Answer::Bad,
-            false => verdicts::Answer::Timed(time::Duration::from_millis(40)),
+            true => tallies::Answer::Bad,
+            false => tallies::Answer::Timed(time::Duration::from_millis(40)),
         };
         for _ in 0..6 {
             tally.record(name.clone(), answer);
@@ -59,7 +59,7 @@
     let mut order = order(case.over_ms);
     // Each control follows the order, so another leader knows as much.
     let mut watch = progress::Watch::new(Time::ZERO);
-    let mut tally = verdicts::Tally::default();
+    let mut tally = tallies::Tally::default();
     let mut steps = String::new();
     for round in 0..200 {
         let ms = round * ROUND_MS;
--- a/crates/routing/tests/verdicts.rs
+++ b/crates/routing/tests/verdicts.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Write as _, time};
 
 use rand::{Rng as _, SeedableRng as _, rngs};
-use routing::verdicts;
+use routing::{tallies, verdicts};
 use world::time::Time;
 
 const SEED: u64 = 11;
@@ -78,7 +78,7 @@
     case: &Case,
     at: f64,
     share: f64,
-    tally: &mut verdicts::Tally,
+    tally: &mut tallies::Tally,
     rng: &mut rngs::SmallRng,
 ) -> u32 {
     let mut faults = 0;
@@ -97,9 +97,9 @@
             micros *= 6.0;
         }
         faults += u32::from(candidate && (failed || factor > 2.0));
-        let name = verdicts::CellName { route: ["a", "b", "c"][route].into(), loaded, candidate };
+        let name = tallies::CellName { route: ["a", "b", "c"][route].into(), loaded, candidate };
         let time = time::Duration::from_secs_f64(micros / 1e6);
-        let answer = if failed { verdicts::Answer::Bad } else { verdicts::Answer::Timed(time) };
+        let answer = if failed { tallies::Answer::Bad } else { tallies::Answer::Timed(time) };
         tally.record(name, answer);
     }
     faults
@@ -114,7 +114,7 @@
         for (share, proven) in [(0.08, false), (0.5, true)] {
             let mut rng = rngs::SmallRng::seed_from_u64(SEED);
             let mut judge = verdicts::Judge::default();
-            let mut tally = verdicts::Tally::default();
+            let mut tally = tallies::Tally::default();
             let (mut faults, mut verdict) = (0, None);
             for round in 0..ROUNDS {
                 let now = Time::from_millis(round * ROUND_MS);
@@ -143,7 +143,7 @@
     for seed in 0..60 {
         let mut rng = rngs::SmallRng::seed_from_u64(seed);
         let mut judge = verdicts::Judge::default();
-        let mut tally = verdicts::Tally::default();
+        let mut tally = tallies::Tally::default();
         for round in 0..ROUNDS {
             let now = Time::from_millis(round * ROUND_MS);
             run_round(&CASES[seed as usize % 2], 0.0, 0.08, &mut tally, &mut rng);
