Teams, replaced keys and a quota in the soak

Callers of the soak now have keys: one in 40 requests has a key that no team has, and each fourth patch replaces the key of a team. Backend servers check the team that they are told and that no key comes with it; at the end each node must refuse replaced keys.

--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -16,6 +16,7 @@
 mod schedule;
 mod settings;
 mod tcp_relay;
+mod teams;
 mod world;
 
 use std::{path, process, time};
--- a/xtask/src/soak/backends.rs
+++ b/xtask/src/soak/backends.rs
@@ -3,10 +3,11 @@
 use std::{collections, net, sync, time};
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use heatherwalk::example;
 use tokio::{sync::watch, task};
 
-use super::{history, host_set, hosts, ledger, schedule, settings, tcp_relay};
+use super::{history, host_set, hosts, ledger, schedule, settings, tcp_relay, teams};
 
 /// The header in which a caller numbers the sends of a request.
 pub(crate) const RESEND: &str = "x-resend";
@@ -184,6 +185,48 @@
     }
 }
 
+/// What a request says of its caller's team.
+struct TeamFields {
+    /// By the caller.
+    claimed: CompactString,
+    /// By the node.
+    named: CompactString,
+    /// Whether the API key was passed on.
+    has_key: bool,
+}
+
+impl TeamFields {
+    fn read(headers: &http::HeaderMap) -> TeamFields {
+        let text = |name: &str| {
+            let values =
+                headers.get_all(name).iter().map(|it| String::from_utf8_lossy(it.as_bytes()));
+            CompactString::from(values.collect::<Vec<_>>().join(","))
+        };
+        TeamFields {
+            claimed: text(teams::CLAIMED),
+            named: text(teams::TEAM),
+            has_key: headers.contains_key(http::header::AUTHORIZATION),
+        }
+    }
+}
+
+impl Shared {
+    /// Records a request that comes with its key, or with another team than its caller's.
+    fn check_team(&self, path: &str, team: &TeamFields) {
+        if team.has_key {
+            self.history.violate(format!("{path} reaches {} with its key", self.host));
+        }
+        if team.named != team.claimed || team.named.is_empty() {
+            let TeamFields { claimed, named, .. } = team;
+            let text = format!("{path} of team {claimed:?} reaches {} as of {named:?}", self.host);
+            self.history.violate(text);
+        }
+        if team.named == teams::Team::Limited.name() {
+            self.ledger.limited.record();
+        }
+    }
+}
+
 /// Leaves, and sends announcements from before that until the fault ends.
 async fn leave(
     shared: &Shared,
@@ -285,6 +328,7 @@
         return web::exchange::Response::text(http::StatusCode::OK, "probed");
     };
     let request_path = request.path.clone();
+    let team = TeamFields::read(&request.headers);
     let resend = request.headers.get(RESEND).and_then(|it| it.to_str().ok()?.parse().ok());
     let send = ledger::SendId { work: work.id, resend: resend.unwrap_or(0) };
     if request.body.collect(MAX_BODY).await.is_err() {
@@ -297,6 +341,7 @@
         return answer;
     }
     shared.check_left(&request_path);
+    shared.check_team(&request_path, &team);
     shared.ledger.record_run(send);
     tokio::time::sleep(work.duration).await;
     let bytes = work.answer(shared.service);
--- a/xtask/src/soak/callers.rs
+++ b/xtask/src/soak/callers.rs
@@ -6,6 +6,7 @@
 
 use super::{
     backends, connection, history, history::Cause, host_set, hosts, ledger, settings, tcp_relay,
+    teams,
 };
 
 /// How much later than its deadline an answer may come, on a machine that is busy with other work.
@@ -25,7 +26,8 @@
 /// The deadlines of requests, in milliseconds.
 const DEADLINES: [u64; 3] = [600, 1_500, 4_000];
 /// Reasons for which no request of these callers may be refused.
-const IMPOSSIBLE_REASONS: [&str; 10] = [
+const IMPOSSIBLE_REASONS: [&str; 12] = [
+    "bad-api-key",
     "bad-body",
     "bad-deadline",
     "bad-first-sent",
@@ -35,6 +37,7 @@
     "key-required",
     "no-home",
     "no-route",
+    "no-team",
     "too-old",
 ];
 
@@ -74,6 +77,8 @@
     deadline: time::Duration,
     /// The size of the request's body in bytes.
     size: usize,
+    /// Its team; none for a request with a key that no team has.
+    team: Option<teams::Team>,
 }
 
 /// A connection that is not used any longer: it broke, no answer came, or the last answer said so.
@@ -86,7 +91,7 @@
     }
 
     fn encode(&self) -> Vec<u8> {
-        let Request { service, work, send, idempotent, deadline, size } = self;
+        let Request { service, work, send, idempotent, deadline, size, team } = self;
         let path = work.path(*service);
         let (method, key) = match idempotent {
             true => ("GET", String::new()),
@@ -94,10 +99,15 @@
         };
         let head = format!(
             "{method} {path} HTTP/1.1\r\nhost: soak\r\nheatherwalk-deadline-ms: {}\r\n\
-             {}: {}\r\ncontent-length: {size}\r\n{key}\r\n",
+             {}: {}\r\nauthorization: Bearer {}\r\n{}: {}\r\n{}: forged\r\n\
+             content-length: {size}\r\n{key}\r\n",
             deadline.as_millis(),
             backends::RESEND,
             send.resend,
+            team.map_or(teams::UNKNOWN_KEY, teams::Team::key),
+            teams::CLAIMED,
+            team.map_or("", teams::Team::name),
+            teams::TEAM,
         );
         let mut bytes = head.into_bytes();
         bytes.resize(bytes.len() + size, b'+');
@@ -191,6 +201,11 @@
             _ => rng.random_range(0..15),
         };
         let deadline = DEADLINES[rng.random_range(0..DEADLINES.len())];
+        let team = match rng.random_range(0..40) {
+            0 => None,
+            1..6 => Some(teams::Team::Limited),
+            _ => Some(teams::Team::Steady),
+        };
         let body = if rng.random_ratio(1, 10) { rng.random_range(0..30_000) } else { 0 };
         Request {
             service,
@@ -199,6 +214,7 @@
             idempotent,
             deadline: time::Duration::from_millis(deadline),
             size: if idempotent { 0 } else { body },
+            team,
         }
     }
 
@@ -279,8 +295,13 @@
     /// Checks an answer. Returns whether a backend server gave it.
     fn check_answer(&self, request: &Request, answer: &connection::Answer) -> bool {
         let ledger = &self.context.ledger;
+        let Some(team) = request.team else { return self.check_unknown_key(request, answer) };
         if answer.not_run {
             ledger.record_not_run(request.send);
+            if team == teams::Team::Limited && answer.status == 429 {
+                ledger.count(|it| it.limited += 1);
+                return false;
+            }
             ledger.count(|it| it.refused += 1);
             if IMPOSSIBLE_REASONS.contains(&answer.reason.as_str()) {
                 self.violate(request, &format!("refused as {}", answer.reason));
@@ -304,6 +325,15 @@
         true
     }
 
+    /// Checks the answer to a request whose key no team has: it must not be run.
+    fn check_unknown_key(&self, request: &Request, answer: &connection::Answer) -> bool {
+        self.context.ledger.record_not_run(request.send);
+        if !answer.not_run {
+            self.violate(request, &format!("its unknown key was accepted: {answer:?}"));
+        }
+        false
+    }
+
     /// Checks that a fault explains a connection that broke after `alive_at`.
     fn check_break(
         &self,
--- a/xtask/src/soak/checks.rs
+++ b/xtask/src/soak/checks.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 
-use super::{callers, host_set, hosts, ledger, monitor, operators, world};
+use super::{callers, host_set, hosts, ledger, monitor, operators, settings, teams, world};
 
 /// How long after the last fault nearly all requests have to be served again.
 pub(crate) const RECOVERY_TIME: time::Duration = time::Duration::from_secs(15);
@@ -24,6 +24,11 @@
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(200);
 /// The most routes that are probed at each node.
 const MAX_PROBES: usize = 40;
+/// The most replaced keys that are probed at each node.
+const MAX_KEYS: usize = 10;
+
+/// What the keys of teams have in common.
+const KEY_MARK: &str = "soak-steady-key";
 
 /// The state of the service while no fault is in force.
 pub(crate) struct Recovery {
@@ -121,6 +126,49 @@
     }
 }
 
+/// Checks that each node takes the newest key of the team `rotating` and none that was replaced. No
+/// more patches may be sent.
+pub(crate) async fn check_keys(world: &world::World, record: &operators::Record) {
+    if record.unknown.iter().any(|it| it.rotates()) {
+        // It is not known which key is the newest one.
+        return;
+    }
+    let accepted = record.accepted.values().filter(|it| it.rotates()).map(|it| it.0);
+    let mut keys: Vec<u64> = [0].into_iter().chain(accepted).collect();
+    let newest = keys.pop().unwrap_or_default();
+    let replaced = keys.iter().rev().take(MAX_KEYS);
+    for (node, host) in world.nodes().enumerate() {
+        for number in replaced.clone().chain([&newest]) {
+            let expected = if *number == newest { 200 } else { 401 };
+            let key = teams::rotating_key(*number);
+            let path = settings::SERVICES[0].prefix.into();
+            let found = probe_until(world, node, &path, &key, &[200, 401]).await;
+            if found.as_ref().is_none_or(|it| it.0 != expected) {
+                let text = format!("key {number} of {newest} at {}: {found:?}", host.id);
+                world.history.violate(text);
+            }
+        }
+    }
+}
+
+/// Sends a probe until it has one of these statuses. A refusal without a target tells nothing.
+async fn probe_until(
+    world: &world::World,
+    node: usize,
+    path: &CompactString,
+    key: &str,
+    statuses: &[u16],
+) -> Option<(u16, CompactString)> {
+    let mut found = None;
+    for _ in 0..5 {
+        found = probe(world, node, path, key).await;
+        if found.as_ref().is_some_and(|it| statuses.contains(&it.0)) {
+            break;
+        }
+    }
+    found
+}
+
 /// Checks whether a node has the route that a patch adds.
 async fn check_route(
     world: &world::World,
@@ -129,14 +177,8 @@
     patch: operators::PatchId,
     accepted: bool,
 ) {
-    let mut found = None;
-    // A refusal without a target tells nothing, so the probe is repeated.
-    for _ in 0..5 {
-        found = probe(world, node, &patch.path()).await;
-        if found.as_ref().is_some_and(|it| it.0 == 200 || it.0 == 404) {
-            break;
-        }
-    }
+    let key = teams::Team::Steady.key();
+    let found = probe_until(world, node, &patch.path(), key, &[200, 404]).await;
     let expected = if accepted { 200 } else { 404 };
     if found.as_ref().is_none_or(|it| it.0 != expected) {
         world
@@ -149,12 +191,16 @@
     world: &world::World,
     node: usize,
     path: &CompactString,
+    key: &str,
 ) -> Option<(u16, CompactString)> {
+    let mut headers = http::HeaderMap::new();
+    let key = http::HeaderValue::from_str(&format!("Bearer {key}")).ok()?;
+    headers.insert(http::header::AUTHORIZATION, key);
     let call = web::client::Call {
         addr: world.relays[node].addr(),
         method: http::Method::GET,
         path: path.clone(),
-        headers: http::HeaderMap::new(),
+        headers,
         body: web::body::Body::empty(),
         deadline: tokio::time::Instant::now() + time::Duration::from_secs(6),
         close_delimited: false,
@@ -170,8 +216,14 @@
     for text in world.ledger.violations() {
         world.history.violate(text.into());
     }
+    if let Some(text) = world.ledger.limited.excess() {
+        world.history.violate(text.into());
+    }
     for host in &world.hosts {
         let log = fs::read(&host.files.log).unwrap_or_default();
+        if log.windows(KEY_MARK.len()).any(|it| it == KEY_MARK.as_bytes()) {
+            world.history.violate(format!("{}: a key is in its log", host.id));
+        }
         if let Some(line) = String::from_utf8_lossy(&log).lines().find(|it| it.contains("panicked"))
         {
             world.history.violate(format!("{}: {line}", host.id));
@@ -197,9 +249,10 @@
 pub(crate) async fn wait_serving(world: &world::World, limit: time::Duration) -> bool {
     let until = time::Instant::now() + limit;
     for node in 0..world.nodes().count() {
-        for service in super::settings::SERVICES {
+        for service in settings::SERVICES {
             let path = format!("{}/ready", service.prefix).into();
-            while probe(world, node, &path).await.is_none_or(|it| it.0 != 200) {
+            let key = teams::Team::Steady.key();
+            while probe(world, node, &path, key).await.is_none_or(|it| it.0 != 200) {
                 if time::Instant::now() > until {
                     let host = host_set::HostId(host_set::CONTROLS + node);
                     world.history.violate(format!("{host} does not serve {path}"));
--- a/xtask/src/soak/ledger.rs
+++ b/xtask/src/soak/ledger.rs
@@ -5,6 +5,8 @@
 
 use compact_str::{CompactString, format_compact};
 
+use super::teams;
+
 /// The work of a request: the same for each resend of it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct WorkId(pub(crate) u64);
@@ -33,6 +35,8 @@
     pub(crate) served: u64,
     /// Refused as not run.
     pub(crate) refused: u64,
+    /// Refused as not run because of a quota. Not part of the total.
+    pub(crate) limited: u64,
     /// Answered otherwise.
     pub(crate) failed: u64,
     /// Ended by a broken connection.
@@ -43,6 +47,8 @@
 #[derive(Default)]
 pub(crate) struct Ledger {
     table: sync::Mutex<Table>,
+    /// When requests of the limited team ran.
+    pub(crate) limited: teams::Runs,
 }
 
 impl Counts {
@@ -55,6 +61,7 @@
         Counts {
             served: self.served - earlier.served,
             refused: self.refused - earlier.refused,
+            limited: self.limited - earlier.limited,
             failed: self.failed - earlier.failed,
             broken: self.broken - earlier.broken,
         }
@@ -63,8 +70,11 @@
 
 impl fmt::Display for Counts {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Counts { served, refused, failed, broken } = self;
-        write!(out, "{served} served, {refused} not run, {failed} failed, {broken} broken")
+        let Counts { served, refused, limited, failed, broken } = self;
+        write!(
+            out,
+            "{served} served, {refused} not run, {limited} over quota, {failed} failed, {broken} broken"
+        )
     }
 }
 
--- a/xtask/src/soak/operators.rs
+++ b/xtask/src/soak/operators.rs
@@ -14,7 +14,7 @@
 
 use world::document;
 
-use super::{history, settings};
+use super::{history, settings, teams};
 
 /// How often an operator sends a patch when no command comes.
 const PATCH_INTERVAL: time::Duration = time::Duration::from_millis(2_000);
@@ -35,7 +35,11 @@
     Race(u64),
 }
 
-/// A patch by its number; it adds the route `/p-NUMBER`.
+/// Of how many patches one also replaces the key of a team.
+const ROTATION_INTERVAL: u64 = 4;
+
+/// A patch by its number; it adds the route `/p-NUMBER`. Each fourth one also replaces the key of the
+/// team `rotating`.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct PatchId(pub(crate) u64);
 
@@ -78,7 +82,16 @@
 
     fn patch(self, service: &str) -> serde_json::Value {
         let route = json!({"prefix": self.path(), "service": service});
-        json!({"routes": {format!("p-{}", self.0): route}})
+        let mut patch = json!({"routes": {format!("p-{}", self.0): route}});
+        if self.rotates() {
+            patch["teams"] = teams::rotation(self.0);
+        }
+        patch
+    }
+
+    /// Whether the patch replaces the key of the team `rotating`.
+    pub(crate) fn rotates(self) -> bool {
+        self.0.is_multiple_of(ROTATION_INTERVAL)
     }
 }
 
--- a/xtask/src/soak/settings.rs
+++ b/xtask/src/soak/settings.rs
@@ -5,7 +5,7 @@
 use heatherwalk::keys;
 use world::hosts as roles;
 
-use super::{host_set, hosts};
+use super::{host_set, hosts, teams};
 
 /// The token of operators' requests. It needn't be secret, since the ports are on loopback.
 pub(crate) const TOKEN: &str = "soak-token-for-loopback";
@@ -30,7 +30,8 @@
 
 /// The first version of the document.
 pub(crate) fn document() -> serde_json::Value {
-    let mut document = serde_json::json!({"services": {}, "routes": {}});
+    let mut document =
+        serde_json::json!({"services": {}, "routes": {}, "teams": teams::document()});
     for Service { name, prefix } in SERVICES {
         document["services"][name] = serde_json::json!({
             "home": REGION, "slots": SLOTS, "queue": 32, "timeout_ms": 5_000,
--- a/xtask/src/soak/world.rs
+++ b/xtask/src/soak/world.rs
@@ -190,6 +190,7 @@
         started = time::Instant::now();
         let record = run_faults(&world, &options, started, &mut text).await;
         checks::check_versions(&world, &record).await;
+        checks::check_keys(&world, &record).await;
         let _ = write!(
             text,
             ", patches: {} accepted, {} refused, {} unknown",
