--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod spillover;
 pub mod subset;
 pub mod survey;
+pub mod tallies;
 pub mod throttle;
 pub mod toggles;
 mod usable;
