--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -5,14 +5,10 @@
 use world::{contracts, requests::Class, time::Time};
 
 use crate::{
-    limits, load, queue, rate, requests, routes, service_times, short_load, suspects, work,
+    limits, load, losses, needs, queue, rate, requests, routes, service_times, shedding,
+    short_load, suspects, work,
 };
 
-/// Longest expected wait for a slot, as a fraction of the time until the objective. A few waiting
-/// requests keep all slots busy. In overload, a longer queue does not increase the throughput and
-/// only delays all requests.
-pub(crate) const MAX_WAIT_SHARE: f32 = 0.15;
-
 /// The admission controller of one target.
 ///
 /// Methods that return effects, or a [`work::Offered`] with effects, first do everything that is
@@ -20,9 +16,9 @@
 /// [`Controller::tick`] at [`Controller::next_tick`].
 #[derive(Debug)]
 pub struct Controller {
-    limits: limits::Limits,
+    pub(crate) limits: limits::Limits,
     ramp: Option<limits::Ramp>,
-    draining: bool,
+    pub(crate) draining: bool,
     /// The limit on the rate of starts; none while the target asks for none.
     pub(crate) rate: Option<rate::Bucket>,
     pub(crate) toggles: limits::Toggles,
@@ -32,7 +28,10 @@
     pub(crate) internal_queue: queue::Queue,
     pub(crate) counts: Counts,
     pub(crate) suspects: suspects::Suspects,
+    pub(crate) losses: losses::Losses,
+    pub(crate) needs: needs::Needs,
     short_load: short_load::ShortLoad,
+    shedding: shedding::Shedding,
     /// Service times of callers' requests.
     caller_times: service_times::MovingMean,
     /// Service times of internal calls.
@@ -48,6 +47,8 @@
 pub(crate) struct Counts {
     pub(crate) callers: u32,
     pub(crate) internal: u32,
+    /// Internal calls by rank.
+    calls: [u32; losses::RANKS],
     /// Slots with a long request or a straggler.
     pub(crate) slow: u32,
     pub(crate) stragglers: u32,
@@ -58,13 +59,20 @@
         self.callers + self.internal
     }
 
-    pub(crate) fn start(&mut self, class: Class, long: bool) {
-        *self.class_mut(class) += 1;
+    /// The number of running internal calls of this rank and the less urgent ones.
+    pub(crate) fn calls_from(&self, rank: u32) -> u32 {
+        self.calls[losses::index(rank)..].iter().sum()
+    }
+
+    pub(crate) fn start(&mut self, work: &work::Work, long: bool) {
+        *self.class_mut(work.class) += 1;
+        self.calls[losses::index(work.rank)] += u32::from(work.class == Class::Internal);
         self.slow += u32::from(long);
     }
 
-    fn stop(&mut self, class: Class, run: requests::Run) {
-        *self.class_mut(class) -= 1;
+    fn stop(&mut self, work: &work::Work, run: requests::Run) {
+        *self.class_mut(work.class) -= 1;
+        self.calls[losses::index(work.rank)] -= u32::from(work.class == Class::Internal);
         self.slow -= u32::from(run.long || run.straggler);
         self.stragglers -= u32::from(run.straggler);
     }
@@ -96,7 +104,10 @@
             internal_queue: queue::Queue::default(),
             counts: Counts::default(),
             suspects: suspects::Suspects::default(),
+            losses: losses::Losses::default(),
+            needs: needs::Needs::default(),
             short_load: short_load::ShortLoad::default(),
+            shedding: shedding::Shedding::default(),
             caller_times: service_times::MovingMean::default(),
             call_times: service_times::MovingMean::default(),
             last_internal: None,
@@ -122,10 +133,11 @@
         let mut effects = self.advance(now);
         if let Some((flow, class, run)) = self.remove(key) {
             let elapsed = now.since(run.started);
+            self.record_taken(now, run, outcome);
             if outcome == work::Outcome::Answered {
                 self.class_times(class).record(service_times::as_micros(elapsed));
             }
-            if !run.long && !run.straggler {
+            if !run.long && !run.straggler && outcome != work::Outcome::Shed {
                 self.short_load.record(now, elapsed);
             }
             self.measure(flow, elapsed, outcome);
@@ -159,7 +171,9 @@
         let reserve = self.reserve_end().filter(|&it| waits && it > now);
         let token = self.rate.filter(|_| waits).map(|it| now + it.wait(now, 0));
         let token = token.filter(|&it| it > now);
-        [self.requests.next_timer(), step, reserve, token].into_iter().flatten().min()
+        let slots = self.limits.slots_at(self.ramp, now);
+        let shed = self.shedding.next_step(now, slots).filter(|_| waits);
+        [self.requests.next_timer(), step, reserve, token, shed].into_iter().flatten().min()
     }
 
     /// Sets the requests per second that the target takes, or ends the limit. Requests that run
@@ -178,7 +192,7 @@
         let mut effects = self.advance(now);
         self.limits = limits;
         self.dispatch(now, &mut effects);
-        self.trim_queue(&mut effects);
+        self.trim_queue(now, &mut effects);
         effects
     }
 
@@ -188,7 +202,7 @@
         self.draining = true;
         let keys: Vec<_> = self.caller_queue.keys().chain(self.internal_queue.keys()).collect();
         for key in keys {
-            self.refuse(key, work::RefusalReason::Draining, &mut effects);
+            self.refuse(now, key, work::RefusalReason::Draining, &mut effects);
         }
         effects
     }
@@ -222,6 +236,9 @@
         remap: impl FnMut(contracts::RouteKey) -> Option<contracts::RouteKey>,
     ) {
         self.routes.remap(remap);
+        self.caller_queue.forget_teams();
+        self.internal_queue.forget_teams();
+        self.needs.clear();
     }
 
     /// Returns the load to report on answers.
@@ -229,17 +246,20 @@
         let load = load::LoadReport {
             in_flight: self.counts.running(),
             queued: u32::try_from(self.waiting()).unwrap_or(u32::MAX),
-            slots: if self.draining { 0 } else { self.slots(now) },
+            slots: if self.draining { 0 } else { self.limits.slots_at(self.ramp, now) },
             service_time: time::Duration::from_micros(self.routes.overall_mean()),
             queued_calls: u32::try_from(self.internal_queue.len()).unwrap_or(u32::MAX),
             caller_time: time::Duration::from_micros(self.caller_times.get().unwrap_or(0)),
             call_time: time::Duration::from_micros(self.call_times.get().unwrap_or(0)),
+            pressure: self.losses.pressure(now),
         };
+        // Senders know the announced slots; those that are not usable have to look taken.
+        let usable = self.slots(now);
         match &self.rate {
             Some(rate) => load
-                .with_free_slots(rate.busy_slots(load.service_time))
+                .with_free_slots(rate.busy_slots(load.service_time).min(usable))
                 .with_wait(rate.wait(now, self.waiting())),
-            None => load,
+            None => load.with_free_slots(usable),
         }
     }
 
@@ -248,13 +268,28 @@
         self.counts.slow
     }
 
+    /// Returns the number of waiting requests of the same team, route, rank and class.
+    pub fn waiting_beside(&self, work: &work::Work) -> usize {
+        let Some(route) = self.routes.find(work.route) else {
+            return 0;
+        };
+        let flow = queue::FlowId { rank: work.rank, team: work.team, route };
+        self.queue(work.class).waiting(flow)
+    }
+
+    /// Returns the number of flows that are kept: those with waiting requests, and a bounded number
+    /// of idle ones.
+    pub fn kept_flows(&self) -> usize {
+        self.caller_queue.kept_flows() + self.internal_queue.kept_flows()
+    }
+
     /// Returns whether no request runs or waits. Draining is then complete.
     pub fn is_idle(&self) -> bool {
         self.counts.running() == 0 && self.waiting() == 0
     }
 
     pub(crate) fn slots(&self, now: Time) -> u32 {
-        self.limits.slots_at(self.ramp, now)
+        self.shedding.usable(now, self.limits.slots_at(self.ramp, now))
     }
 
     /// Returns the number of slots that long requests and stragglers may hold.
@@ -279,95 +314,51 @@
     /// Refuses a waiting request.
     pub(crate) fn refuse(
         &mut self,
+        now: Time,
         key: work::RequestKey,
         reason: work::RefusalReason,
         effects: &mut Vec<work::Effect>,
     ) {
+        let work = self.requests.get(key).map(|it| it.work);
+        if let Some(work) = work.filter(|_| reason != work::RefusalReason::Draining) {
+            self.losses.record_refusal(now, &work);
+        }
         self.remove(key);
         effects.push(work::Effect::Refuse(key, reason));
     }
 
-    fn admit(
-        &mut self,
-        now: Time,
-        work: work::Work,
-        effects: &mut Vec<work::Effect>,
-    ) -> work::Decision {
-        if self.draining {
-            return work::Decision::Refuse(work::RefusalReason::Draining);
-        }
-        let flow = self.routes.flow(work.route);
-        let latest = self.routes.latest_start(flow, work.deadline);
-        if self.toggles.deadlines && now > latest {
-            return work::Decision::Refuse(work::RefusalReason::Deadline);
-        }
-        if work.class == Class::Internal {
-            self.last_internal = Some(now);
-        }
-        let wait = self.expected_wait(now, flow, work.class);
-        let blocked = work.movable && self.is_blocked(flow, wait);
-        let key = self.enqueue(work, flow, latest);
-        self.dispatch(now, effects);
-        if self.is_waiting(key) && self.toggles.deadlines && now + wait > latest {
-            self.refuse(key, work::RefusalReason::Deadline, effects);
-        }
-        if self.is_waiting(key) && self.toggles.objectives {
-            let latest = self.routes.latest_start(flow, work.objective);
-            // An internal call is exempt: the request that makes it already holds a slot, and all
-            // its work would be lost with the call. Only the deadline ends the wait of a call.
-            let exceeds_objective = work.class == Class::Caller
-                && (now + wait > latest
-                    || wait > work.objective.since(now).mul_f32(MAX_WAIT_SHARE));
-            let exceeds_max_wait = work.movable && work.max_wait.is_some_and(|it| wait > it);
-            if exceeds_objective || exceeds_max_wait {
-                self.refuse(key, work::RefusalReason::Busy, effects);
+    /// Records whether the backend server took a request. Of one that failed, this is not known.
+    fn record_taken(&mut self, now: Time, run: requests::Run, outcome: work::Outcome) {
+        let slots = self.limits.slots_at(self.ramp, now);
+        match outcome {
+            work::Outcome::Answered | work::Outcome::TimedOut => {
+                self.shedding.record_taken(now, run.level, slots);
             }
+            work::Outcome::Shed => {
+                let running = self.running_above(now, run);
+                self.shedding.record_shed(now, run.level, running, slots);
+            }
+            work::Outcome::Failed => {}
         }
-        if self.is_waiting(key) && blocked {
-            self.refuse(key, work::RefusalReason::Blocked, effects);
-        }
-        self.trim_queue(effects);
-        take_decision(key, effects)
     }
 
-    fn enqueue(
-        &mut self,
-        work: work::Work,
-        flow: routes::FlowKey,
-        latest: Time,
-    ) -> work::RequestKey {
-        let key = self.requests.insert(work, flow);
-        self.routes.add_request(flow);
-        let cost = self.routes.mean(flow);
-        self.queue_mut(work.class).push(flow, work.weight, key, cost);
-        if self.toggles.deadlines && work.deadline < Time::MAX {
-            self.requests.set_timer(key, Some(latest));
-        }
-        key
+    /// Returns how many requests run that started at the level of this one, which was shed, or at a
+    /// higher one, and that run for so long that the backend server would have shed them by now.
+    fn running_above(&self, now: Time, shed: requests::Run) -> u32 {
+        let answer_time = now.since(shed.started);
+        let taken = self.requests.iter().filter(|(_, it)| match it.state {
+            requests::State::Running(run) => {
+                run.level >= shed.level && now.since(run.started) >= 2 * answer_time
+            }
+            requests::State::Waiting => false,
+        });
+        u32::try_from(taken.count()).unwrap_or(u32::MAX)
     }
 
-    fn is_waiting(&self, key: work::RequestKey) -> bool {
+    pub(crate) fn is_waiting(&self, key: work::RequestKey) -> bool {
         self.requests.get(key).is_some_and(|it| matches!(it.state, requests::State::Waiting))
     }
 
-    /// Refuses waiting requests beyond the queue's limit: first callers' requests beyond their
-    /// guaranteed part of the queue, then internal calls.
-    fn trim_queue(&mut self, effects: &mut Vec<work::Effect>) {
-        while self.waiting() > self.limits.queue as usize {
-            let callers = self.caller_queue.len() > self.limits.min_caller_queue();
-            let (first, second) = match callers {
-                true => (&self.caller_queue, &self.internal_queue),
-                false => (&self.internal_queue, &self.caller_queue),
-            };
-            let order = self.order();
-            let Some(key) = first.drop_candidate(order).or_else(|| second.drop_candidate(order))
-            else {
-                return;
-            };
-            self.refuse(key, work::RefusalReason::QueueFull, effects);
-        }
-    }
-
     fn advance(&mut self, now: Time) -> Vec<work::Effect> {
         let mut effects = Vec::new();
         self.fire_timers(now, &mut effects);
@@ -381,7 +372,7 @@
     fn fire_timers(&mut self, now: Time, effects: &mut Vec<work::Effect>) {
         while let Some(key) = self.requests.pop_timer(now) {
             if self.is_waiting(key) {
-                self.refuse(key, work::RefusalReason::Deadline, effects);
+                self.refuse(now, key, work::RefusalReason::Deadline, effects);
                 continue;
             }
             let Some(it) = self.requests.get_mut(key) else {
@@ -395,7 +386,7 @@
         }
     }
 
-    fn waiting(&self) -> usize {
+    pub(crate) fn waiting(&self) -> usize {
         self.caller_queue.len() + self.internal_queue.len()
     }
 
@@ -411,11 +402,11 @@
     fn remove(&mut self, key: work::RequestKey) -> Option<(routes::FlowKey, Class, requests::Run)> {
         let it = self.requests.remove(key)?;
         let requests::State::Running(run) = it.state else {
-            self.queue_mut(it.work.class).remove(it.flow, key);
+            self.queue_mut(it.work.class).remove(it.flow_id(), key);
             self.routes.remove_request(it.flow);
             return None;
         };
-        self.counts.stop(it.work.class, run);
+        self.counts.stop(&it.work, run);
         self.suspects.remove(it.work.suspect);
         self.routes.stop(it.flow);
         Some((it.flow, it.work.class, run))
@@ -425,7 +416,7 @@
         let micros = service_times::as_micros(elapsed);
         let counts = match outcome {
             work::Outcome::Answered => true,
-            work::Outcome::Failed => false,
+            work::Outcome::Failed | work::Outcome::Shed => false,
             work::Outcome::TimedOut => self.routes.median(flow).is_some_and(|it| micros > it),
         };
         if !counts || !self.routes.record(flow, micros) {
@@ -439,15 +430,3 @@
         }
     }
 }
-
-/// Takes the effect on the offered request out of `effects` and returns it as the decision. Without
-/// one, the request waits.
-fn take_decision(key: work::RequestKey, effects: &mut Vec<work::Effect>) -> work::Decision {
-    let Some(index) = effects.iter().position(|it| it.key() == key) else {
-        return work::Decision::Wait(key);
-    };
-    match effects.remove(index) {
-        work::Effect::Start(key) => work::Decision::Run(key),
-        work::Effect::Refuse(_, reason) => work::Decision::Refuse(reason),
-    }
-}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,17 +6,23 @@
 //! straggler once it has run much longer than its own route usually does. Long requests and
 //! stragglers together are called slow; they may hold only a part of the slots.
 
+mod admit;
+pub mod answer_sizes;
+pub mod callees;
 pub mod controller;
 mod dispatch;
 pub mod downlink;
 mod forecast;
 pub mod limits;
 pub mod load;
+mod losses;
+mod needs;
 mod queue;
 mod rate;
 mod requests;
 mod routes;
 mod service_times;
+mod shedding;
 mod short_load;
 mod suspects;
 pub mod uplink;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! versions to nodes and serves the operators' HTTP interface.
 
 mod attaching;
+pub mod configuration;
 mod controls;
 pub mod dialect;
 mod directory;
@@ -11,10 +12,13 @@
 mod http;
 pub mod instruments;
 mod operators;
+mod ordering;
 mod peers;
 mod proposing;
+mod quotas;
 mod registering;
 mod replica;
+mod rollouts;
 pub mod running;
 pub mod settings;
 mod state;
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     attaching, controls, directory, distributing, groups, http, instruments, peers, proposing,
-    registering, replica, settings, state,
+    quotas, registering, replica, rollouts, settings, state,
 };
 
 /// Interval between ticks of the groups, well below their heartbeat interval of 200 ms.
@@ -112,6 +112,7 @@
         let (new_peers, peers) = mpsc::unbounded_channel();
         let links = pool::LinkPool::new(endpoint.clone());
         let state = sync::Arc::new(state::State::open(settings, links, new_peers, instruments)?);
+        quotas::follow(&state);
         controls::follow(&state);
         let operators = bind_operators(&state).await?;
         let mut tasks = task::JoinSet::new();
@@ -123,6 +124,7 @@
         }));
         tasks.spawn(tick_groups(sync::Arc::clone(&state)));
         tasks.spawn(run_maintenance(sync::Arc::clone(&state)));
+        tasks.spawn(rollouts::run(sync::Arc::clone(&state)));
         let location = &state.location;
         log::info!("control {} of {} listens on {listen}", location.host, location.data_centre);
         Ok(Control { state, endpoint, operators, tasks })
@@ -259,7 +261,7 @@
 }
 
 /// Proposes a claim or evidence for a node. Refuses patches, since only operators may change the
-/// configuration, and changes of the controls.
+/// configuration, and changes of the controls and of rollouts.
 async fn propose_for_node(
     state: &sync::Arc<state::State>,
     host: &str,
@@ -273,6 +275,10 @@
         log::warn!("refused a change of the controls that node {host} proposed");
         return proposals::Outcome::Unavailable;
     }
+    if matches!(request, proposals::Proposal::Rollout(_)) {
+        log::warn!("refused a change of a rollout that node {host} proposed");
+        return proposals::Outcome::Unavailable;
+    }
     let is_claim = matches!(
         &request,
         proposals::Proposal::Claim(it) if matches!(it.action, claims::Action::Claim { .. })
@@ -318,6 +324,7 @@
             registering::tick(&shared);
             registering::send_report(&shared);
             registering::record_metrics(&shared);
+            quotas::record_metrics(&shared);
             distributing::tick(&shared);
             distributing::publish_statuses(&shared);
             groups::expire_claims(&shared);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,7 +12,8 @@
 use world::{hosts, time};
 
 use crate::{
-    directory, distributing, instruments, replica, settings, state_machines, unknown_values,
+    configuration, directory, distributing, instruments, quotas, replica, rollouts, settings,
+    state_machines, unknown_values,
 };
 
 // The lock order: a thread locks these tables in increasing rank only.
@@ -24,7 +25,9 @@
 const CLAIMS_STATE_RANK: rank::Rank = rank::Rank(40);
 const EVIDENCE_RANK: rank::Rank = rank::Rank(45);
 const REGISTRY_RANK: rank::Rank = rank::Rank(50);
+const ROLLOUTS_RANK: rank::Rank = rank::Rank(55);
 const DISTRIBUTOR_RANK: rank::Rank = rank::Rank(60);
+const QUOTAS_RANK: rank::Rank = rank::Rank(65);
 const DIRECTORY_RANK: rank::Rank = rank::Rank(70);
 const UNKNOWN_VALUES_RANK: rank::Rank = rank::Rank(80);
 
@@ -43,11 +46,15 @@
     /// This host's replica of its region's claims log; none when no host of the region votes on it.
     pub(crate) claims_replica: Option<table::Table<replica::Replica>>,
     pub(crate) claims_queue: table::Table<Vec<QueuedProposal>>,
-    pub(crate) configuration_state: table::Table<state_machines::ConfigurationState>,
+    pub(crate) configuration_state: table::Table<configuration::State>,
     pub(crate) claims_state: table::Table<claims::Claims>,
     pub(crate) evidence: table::Table<overlay::Overlay>,
     pub(crate) registry: table::Table<registry::Registry>,
+    /// What is known of the rollouts in progress.
+    pub(crate) rollouts: table::Table<rollouts::Rollouts>,
     pub(crate) distributor: table::Table<distributing::Distributor>,
+    /// The tokens of the quotas of teams.
+    pub(crate) quotas: table::Table<quotas::Quotas>,
     pub(crate) directory: table::Table<directory::Directory>,
     /// The unknown values of documents that were logged.
     pub(crate) unknown_values: table::Table<unknown_values::UnknownValues>,
@@ -73,7 +80,7 @@
         instruments: instruments::Instruments,
     ) -> replica::Result<State> {
         let location = Location::from_settings(&settings);
-        let mut configuration_state = state_machines::ConfigurationState::default();
+        let mut configuration_state = configuration::State::default();
         let configuration_replica = replica::Replica::open(
             &settings.data_folder.join("configuration"),
             "configuration",
@@ -130,7 +137,9 @@
             claims_state: table::Table::new(CLAIMS_STATE_RANK, "claims state", claims_state),
             evidence: table::Table::new(EVIDENCE_RANK, "evidence", overlay::Overlay::default()),
             registry: table::Table::new(REGISTRY_RANK, "registry", registry),
+            rollouts: table::Table::new(ROLLOUTS_RANK, "rollouts", rollouts::Rollouts::default()),
             distributor: table::Table::new(DISTRIBUTOR_RANK, "distributor", distributor),
+            quotas: table::Table::new(QUOTAS_RANK, "quotas", quotas::Quotas::new(clock.now())),
             directory: table::Table::new(
                 DIRECTORY_RANK,
                 "directory",
@@ -226,6 +235,11 @@
     Some(group)
 }
 
+/// The number of controls in the settings.
+pub(crate) fn control_count(settings: &settings::Settings) -> usize {
+    control_hosts(settings).count()
+}
+
 fn control_hosts(
     settings: &settings::Settings,
 ) -> impl Iterator<Item = (hosts::HostKey, &hosts::Host)> {
--- a/crates/control/src/state_machines.rs
+++ b/crates/control/src/state_machines.rs
@@ -3,18 +3,10 @@
 use agreement::entries;
 use bytes::Bytes;
 use protocol::proposals;
-use replicated::{claims, controls, quarantine, versions};
+use replicated::{claims, controls, quarantine, rollouts, versions};
 use serde::{Deserialize, Serialize};
 
-use crate::replica;
-
-/// The state that the commands of the configuration log are applied to.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub(crate) struct ConfigurationState {
-    pub(crate) versions: versions::Versions,
-    pub(crate) quarantine: quarantine::Quarantine,
-    pub(crate) controls: controls::Controls,
-}
+use crate::{configuration, replica};
 
 /// A command in the configuration log. It is stored as postcard, so the order of the variants is
 /// part of the format on disk.
@@ -23,17 +15,19 @@
     Evidence(quarantine::Command),
     Patch(versions::Command),
     Controls(controls::Command),
+    Rollout(rollouts::Command),
 }
 
 /// The state machine of the configuration log.
-pub(crate) const CONFIGURATION: replica::StateMachine<ConfigurationState> = replica::StateMachine {
-    apply: apply_configuration,
-    encode: |state| encode(state),
-    install: |state, data| {
-        *state = decode_configuration(data)?;
-        Ok(())
-    },
-};
+pub(crate) const CONFIGURATION: replica::StateMachine<configuration::State> =
+    replica::StateMachine {
+        apply: apply_configuration,
+        encode: |state| encode(state),
+        install: |state, data| {
+            *state = configuration::State::decode(data)?;
+            Ok(())
+        },
+    };
 
 /// The state machine of a region's claims log.
 pub(crate) const CLAIMS: replica::StateMachine<claims::Claims> = replica::StateMachine {
@@ -53,18 +47,8 @@
     Ok(postcard::to_stdvec(value)?.into())
 }
 
-/// Decodes a snapshot. One that was written before the controls were part of the state ends after
-/// the quarantine.
-fn decode_configuration(data: &[u8]) -> replica::Result<ConfigurationState> {
-    let (versions, rest) = postcard::take_from_bytes(data)?;
-    let (quarantine, rest) = postcard::take_from_bytes(rest)?;
-    let controls =
-        if rest.is_empty() { controls::Controls::default() } else { postcard::from_bytes(rest)? };
-    Ok(ConfigurationState { versions, quarantine, controls })
-}
-
 fn apply_configuration(
-    state: &mut ConfigurationState,
+    state: &mut configuration::State,
     index: entries::Index,
     payload: &[u8],
 ) -> replica::Result<proposals::Answer> {
@@ -72,5 +56,6 @@
         Command::Evidence(it) => proposals::Answer::Evidence(state.quarantine.apply(index.0, &it)),
         Command::Patch(it) => proposals::Answer::Patch(state.versions.apply(index.0, &it)),
         Command::Controls(it) => proposals::Answer::Controls(state.controls.apply(&it)),
+        Command::Rollout(it) => proposals::Answer::Rollout(state.rollouts.apply(index.0, &it)),
     })
 }
--- a/crates/heatherwalk/tests/metrics.rs
+++ b/crates/heatherwalk/tests/metrics.rs
@@ -15,7 +15,7 @@
     node.count_request(node::instruments::Outcome::Answered, ms(30), ms(1));
     node.count_request(node::instruments::Outcome::NotRun, ms(1), ms(1));
     node.count_attempt(true);
-    node.count_refusal(forwarding::NotRun::Full);
+    node.count_refusal(forwarding::NotRun::Full, 2);
     node.count_links(transport::pool::Counts { started: 3, opened: 2, failed: 1 });
     node.count_traffic(transport::links::Traffic {
         sent: 4_096,
@@ -35,6 +35,7 @@
     });
     node.count_probe(true);
     node.count_probe(false);
+    node.record_promised((180_000, 90_000));
     node.record_version(document::Version(7), ms(250));
     let control = control::instruments::Instruments::new(&metrics.meter());
     control.count_patch(&operators::PatchAnswer::Accepted { version: document::Version(7) });
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -2,13 +2,14 @@
 
 use std::{sync, time as std_time};
 
+use admission::load;
 use compact_str::CompactString;
 use membership::directory;
 use protocol::forwarding;
-use routing::{balancer, estimates};
+use routing::{balancer, estimates, senders};
 use world::{mesh, requests, targets, time};
 
-use crate::{linking, reaching, state, working};
+use crate::{linking, reaching, rollouts, state, working};
 
 /// A result of choosing a target.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
@@ -51,16 +52,26 @@
     /// The expected latency of the link to the target's data centre.
     link: std_time::Duration,
     class: requests::Class,
+    team: CompactString,
+    rank: u32,
     /// Whether the target is on another host.
     remote: bool,
+    /// What the attempt counts for in a rollout of the service.
+    counted: Option<rollouts::Counted>,
     pending: bool,
 }
 
 impl AttemptGuard {
     /// Records that the head of an answer arrived, and the time that it took.
-    pub(crate) fn answered(mut self, node_status: &forwarding::NodeStatus) {
+    pub(crate) fn answered(
+        mut self,
+        node_status: &forwarding::NodeStatus,
+        status: http::StatusCode,
+    ) {
+        let ending = ending_of(node_status, status);
         let load = to_load(&node_status.load);
         let half_free = node_status.load.is_half_free();
+        let pressure = node_status.load.pressure;
         self.pending = false;
         let elapsed = self.state.now().since(self.sent_at);
         let state = sync::Arc::clone(&self.state);
@@ -69,11 +80,20 @@
                 estimates::Sample { elapsed, link: self.link, load: Some(load), trial: self.trial };
             let now = self.state.now();
             let peers = self.service_targets();
-            let mut routing = self.state.routing.lock();
+            let shared = sync::Arc::clone(&self.state);
+            let mut routing = shared.routing.lock();
+            self.end_count(&mut routing, ending);
             self.record_admission(&mut routing, now, true);
+            self.record_pressure(now, pressure);
             if self.remote && half_free {
                 routing.throttle(&self.service).clear();
             }
+            if self.class == requests::Class::Caller {
+                routing.returns(&self.service).record_admitted(now);
+            }
+            if half_free {
+                routing.returns(&self.service).record_room(now);
+            }
             let estimates = &mut routing.balancer.estimates;
             let change = estimates.record_answer(now, self.target, &sample, peers.into_iter());
             self.log_change(change);
@@ -86,7 +106,16 @@
         let estimates = &mut routing.balancer.estimates;
         estimates.record_admission(now, self.target, self.class, admitted);
         if self.remote && self.class == requests::Class::Caller {
-            routing.throttle(&self.service).record(now, admitted);
+            let sender = senders::Sender { team: &self.team, rank: self.rank };
+            routing.throttle(&self.service).record(now, sender, admitted);
+        }
+    }
+
+    /// Records the pressure that the target of a call reported: this node may refuse requests which
+    /// make such calls.
+    fn record_pressure(&self, now: time::Time, pressure: load::Pressure) {
+        if self.class == requests::Class::Internal {
+            self.state.callees.lock().record_report(now, &self.service, pressure);
         }
     }
 
@@ -94,7 +123,9 @@
     fn refused(mut self, load: estimates::Load) {
         self.pending = false;
         let now = self.state.now();
-        let mut routing = self.state.routing.lock();
+        let state = sync::Arc::clone(&self.state);
+        let mut routing = state.routing.lock();
+        self.end_count(&mut routing, rollouts::Ending::Other);
         routing.balancer.estimates.record_refusal(now, self.target, load, self.trial);
     }
 
@@ -103,7 +134,16 @@
         self.pending = false;
         let now = self.state.now();
         let peers = self.service_targets();
-        let mut routing = self.state.routing.lock();
+        let state = sync::Arc::clone(&self.state);
+        let mut routing = state.routing.lock();
+        let ending = match failure {
+            estimates::Failure::Broken => rollouts::Ending::Bad { loaded: false },
+            estimates::Failure::TimedOut => {
+                rollouts::Ending::Answered { elapsed: now.since(self.sent_at), loaded: false }
+            }
+            _ => rollouts::Ending::Other,
+        };
+        self.end_count(&mut routing, ending);
         let estimates = &mut routing.balancer.estimates;
         let change =
             estimates.record_failure(now, self.target, failure, self.trial, peers.into_iter());
@@ -119,6 +159,13 @@
         }
     }
 
+    /// Ends what the attempt counts for in a rollout.
+    fn end_count(&mut self, routing: &mut state::Routing, ending: rollouts::Ending) {
+        if let Some(counted) = self.counted.take() {
+            routing.rollouts.end(counted, ending);
+        }
+    }
+
     fn service_targets(&self) -> Vec<targets::TargetKey> {
         let directory = self.state.directory.lock();
         directory.of_service(&self.service).map(|it| it.0).collect()
@@ -138,8 +185,13 @@
             return;
         }
         let (state, target, trial) = (sync::Arc::clone(&self.state), self.target, self.trial);
+        let counted = self.counted.take();
         self.state.pool.submit_or_run(move || {
-            state.routing.lock().balancer.estimates.record_cancel(target, trial);
+            let mut routing = state.routing.lock();
+            routing.balancer.estimates.record_cancel(target, trial);
+            if let Some(counted) = counted {
+                routing.rollouts.end(counted, rollouts::Ending::Other);
+            }
         });
     }
 }
@@ -190,7 +242,13 @@
     let penalty_share =
         if adaptive { spillover.penalty_share(now, request.body.len()) } else { 1.0 };
     let criteria = balancer::Request { penalty_share, ..criteria };
-    let choice = routing.balancer.choose(now, &criteria, &mut routing.rng).inspect_err(|err| {
+    let versioned: Vec<_> = match routing.rollouts.follows(service) {
+        true => candidates.iter().filter_map(|it| versioned(&directory, it)).collect(),
+        false => Vec::new(),
+    };
+    let first = tried.is_empty();
+    let choice = rollouts::choose(now, routing, service, &versioned, criteria, first);
+    let choice = choice.inspect_err(|err| {
         let id = &request.head.id;
         log::info!(
             target: "decision",
@@ -200,10 +258,13 @@
         );
     })?;
     if let Some(pressure) = choice.home_pressure {
-        spillover.record(now, pressure);
+        routing.spillovers.entry(service.clone()).or_default().record(now, pressure);
     }
     // A call is not held back: the work of the request that it is made for would be lost.
     let caller = request.head.class == requests::Class::Caller;
+    if caller && tried.is_empty() {
+        routing.returns(service).record_offered(now);
+    }
     let remote = own != Some(choice.target);
     if caller && remote && !paid {
         let candidate = candidates.iter().find(|it| it.key == choice.target);
@@ -214,7 +275,15 @@
     routing.balancer.estimates.record_send(choice.target, trial);
     if tried.is_empty() {
         let limiter = routing.retry_limiter(service);
-        if request.head.repeat { limiter.record_repeat(now) } else { limiter.record_first(now) }
+        let mut limiter = limiter.team(&request.head.context.team);
+        if request.head.repeat {
+            limiter.record_repeat(now);
+        } else {
+            limiter.record_first(now);
+            if !caller {
+                limiter.record_call(now);
+            }
+        }
     }
     let Some(target) = directory.get(choice.target) else {
         return Err(balancer::Error::NoTargets.into());
@@ -230,6 +299,11 @@
         choice.max_wait,
         choice.reason,
     );
+    let idempotent = request.head.idempotent;
+    let counted = routing.rollouts.begin(entry, &request.head.route, idempotent);
+    if let Some(counted) = &counted {
+        state.instruments.count_rollout_attempt(counted.is_candidate());
+    }
     let guard = AttemptGuard {
         state: sync::Arc::clone(state),
         target: choice.target,
@@ -238,7 +312,10 @@
         sent_at: now,
         link: link.unwrap_or_default(),
         class: request.head.class,
+        team: request.head.context.team.clone(),
+        rank: request.head.context.rank,
         remote,
+        counted,
         pending: true,
     };
     let target = Target {
@@ -281,6 +358,16 @@
     directory.of_service(service).map(candidate).collect()
 }
 
+/// A target with its software version.
+fn versioned<'a>(
+    directory: &'a directory::Directory,
+    candidate: &balancer::Candidate,
+) -> Option<rollouts::Versioned<'a>> {
+    let entry = &directory.get(candidate.key)?.entry;
+    let (host, version) = (&entry.host, &entry.version);
+    Some(rollouts::Versioned { candidate: *candidate, host, version })
+}
+
 /// Refuses a part of the requests to a service whose targets refuse most of them, unless the chosen
 /// target has just reported a free slot.
 fn check_throttle(
@@ -291,17 +378,22 @@
     again: bool,
 ) -> Result<()> {
     let service = &request.head.service;
+    let context = &request.head.context;
+    let sender = senders::Sender { team: &context.team, rank: context.rank };
     let estimate = routing.balancer.estimates.get(target);
     let throttle = routing.throttles.entry(service.clone()).or_default();
     if estimate.is_some_and(|it| it.has_room(now, slots))
-        || throttle.try_send(now, again, &mut routing.rng)
+        || throttle.try_send(now, sender, again, &mut routing.rng)
     {
         return Ok(());
     }
     log::info!(
         target: "decision",
-        "held request={} service={service} again={again} reason=\"its targets refuse most requests\"",
+        "held request={} service={service} again={again} reason=\"its targets refuse most requests\" \
+         team={} rank={}",
         request.head.id,
+        sender.team,
+        sender.rank,
     );
     let micros = estimate.map_or(0.0, |it| it.caller_time);
     Err(Error::Full(std_time::Duration::from_secs_f32(micros / 1e6)))
@@ -319,6 +411,10 @@
         && (reason.is_overload() || reason.was_shed())
     {
         guard.record_admission(&mut state.routing.lock(), state.now(), false);
+        if reason.was_shed() {
+            let estimates = &mut state.routing.lock().balancer.estimates;
+            estimates.record_shed(state.now(), guard.target);
+        }
     }
     match failure {
         working::Failure::Silent => guard.failed(estimates::Failure::Silent),
@@ -329,6 +425,7 @@
             guard.failed(estimates::Failure::Unreachable);
         }
         working::Failure::NotRun(_) if has_load(node_status) => {
+            guard.record_pressure(state.now(), node_status.load.pressure);
             guard.refused(to_load(&node_status.load));
         }
         // This node refused the request itself, which says nothing of the target.
@@ -342,7 +439,7 @@
 
 /// Whether a target's node has reported its load.
 pub(crate) fn has_load(node_status: &forwarding::NodeStatus) -> bool {
-    node_status.load != admission::load::LoadReport::default()
+    node_status.load != load::LoadReport::default()
 }
 
 /// Records the latency of an answered request when its route allows hedges. It is measured from
@@ -361,7 +458,18 @@
     routing.latencies.entry(request.route).or_default().record(now, now.since(started_at));
 }
 
-fn to_load(report: &admission::load::LoadReport) -> estimates::Load {
+/// What an answer says of the target's software version.
+fn ending_of(node_status: &forwarding::NodeStatus, status: http::StatusCode) -> rollouts::Ending {
+    let load = &node_status.load;
+    let loaded = load.in_flight * 2 >= load.slots;
+    if status.is_server_error() {
+        return rollouts::Ending::Bad { loaded };
+    }
+    let elapsed = std_time::Duration::from_micros(node_status.backend_us);
+    rollouts::Ending::Answered { elapsed, loaded }
+}
+
+fn to_load(report: &load::LoadReport) -> estimates::Load {
     estimates::Load {
         busy: report.in_flight,
         queued: report.queued,
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -4,6 +4,7 @@
 
 use opentelemetry::{KeyValue, metrics};
 use protocol::forwarding;
+use quotas::stock;
 use transport::{links, pool, wire};
 use world::document;
 
@@ -15,6 +16,11 @@
 const ADDED_BOUNDS_S: [f64; 11] =
     [0.0001, 0.0002, 0.0005, 0.001, 0.00125, 0.0015, 0.002, 0.003, 0.005, 0.01, 0.1];
 
+/// Upper bounds of the histogram of the pauses of refused callers, in seconds.
+const PAUSE_BOUNDS_S: [f64; 8] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0];
+/// Highest rank that is told apart, which bounds the number of time series.
+const MAX_RANK: u32 = 7;
+
 /// How a caller's request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -33,7 +39,9 @@
 pub struct Instruments {
     requests: metrics::Counter<u64>,
     attempts: metrics::Counter<u64>,
+    rollout_attempts: metrics::Counter<u64>,
     refusals: metrics::Counter<u64>,
+    promised_pause: metrics::Histogram<f64>,
     request_time: metrics::Histogram<f64>,
     added_time: metrics::Histogram<f64>,
     control: metrics::Counter<u64>,
@@ -41,8 +49,11 @@
     link_bytes: metrics::Counter<u64>,
     link_parts: metrics::Counter<u64>,
     link_dropped: metrics::Counter<u64>,
+    link_promised: metrics::Gauge<u64>,
     lost_packets: metrics::Counter<u64>,
     probes: metrics::Counter<u64>,
+    quota_refusals: metrics::Counter<u64>,
+    tokens: metrics::Counter<u64>,
     version: metrics::Gauge<u64>,
     version_age: metrics::Gauge<f64>,
 }
@@ -61,7 +72,16 @@
         Instruments {
             requests: counter("node.requests", "Callers' requests by outcome"),
             attempts: counter("node.attempts", "Sends to targets, retries and hedges included"),
-            refusals: counter("node.refusals", "Requests refused as not run, by reason"),
+            rollout_attempts: counter(
+                "node.rollout.attempts",
+                "Sends to targets of services with a rollout in progress, by software version",
+            ),
+            refusals: counter("node.refusals", "Requests refused as not run, by reason and rank"),
+            promised_pause: times(
+                "node.returns.pause",
+                "Pauses after which refused callers were asked to return",
+                &PAUSE_BOUNDS_S,
+            ),
             request_time: times(
                 "node.request.time",
                 "From the head of a request to the end of its answer",
@@ -89,8 +109,15 @@
                 .with_unit("By")
                 .with_description("Bytes of datagrams dropped because the network link was full")
                 .build(),
+            link_promised: meter
+                .u64_gauge("node.link.promised")
+                .with_unit("By")
+                .with_description("Bytes of large answers that the network link is to carry")
+                .build(),
             lost_packets: counter("node.link.lost", "Sent packets that were taken for lost"),
             probes: counter("node.probes", "Probes of unresponsive hosts by result"),
+            quota_refusals: counter("node.quota.refusals", "Refusals by quotas, by reason"),
+            tokens: counter("node.quota.tokens", "Tokens of quotas by state"),
             version: version.with_description("The version that the node runs").build(),
             version_age: age
                 .with_description("Time since a control last confirmed the version as current")
@@ -114,9 +141,23 @@
         self.attempts.add(1, &[KeyValue::new("data_centre", place)]);
     }
 
-    /// Counts a request that this node did not run, by reason.
-    pub fn count_refusal(&self, reason: forwarding::NotRun) {
-        self.refusals.add(1, &[KeyValue::new("reason", refusal_name(reason))]);
+    /// Counts one attempt during a rollout of its service, by whether the target has the new
+    /// version.
+    pub fn count_rollout_attempt(&self, candidate: bool) {
+        let version = if candidate { "new" } else { "old" };
+        self.rollout_attempts.add(1, &[KeyValue::new("version", version)]);
+    }
+
+    /// Counts a request that this node did not run, by reason and rank.
+    pub fn count_refusal(&self, reason: forwarding::NotRun, rank: u32) {
+        let rank = i64::from(rank.min(MAX_RANK));
+        let reason = KeyValue::new("reason", refusal_name(reason));
+        self.refusals.add(1, &[KeyValue::new("rank", rank), reason]);
+    }
+
+    /// Counts a refused caller that is asked to return after this pause.
+    pub fn count_promise(&self, pause: time::Duration) {
+        self.promised_pause.record(pause.as_secs_f64(), &[]);
     }
 
     /// Adds the UDP payload bytes that a link to a control has sent and received since the last
@@ -157,12 +198,38 @@
         self.link_dropped.add(added.dropped, &[]);
     }
 
+    /// Records the bytes of large answers that the network link is to carry: those that running
+    /// requests are expected to make, and those that wait.
+    pub fn record_promised(&self, (running, queued): (u64, u64)) {
+        self.link_promised.record(running, &[KeyValue::new("state", "running")]);
+        self.link_promised.record(queued, &[KeyValue::new("state", "queued")]);
+    }
+
     /// Counts a probe that was answered, or that was not answered in time.
     pub fn count_probe(&self, answered: bool) {
         let result = if answered { "answered" } else { "unanswered" };
         self.probes.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a request that was refused because of its team's quota.
+    pub(crate) fn count_quota_refusal(&self, reason: stock::Reason) {
+        let reason = match reason {
+            stock::Reason::Exhausted => "exhausted",
+            stock::Reason::Unknown => "unknown",
+        };
+        self.quota_refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Adds the tokens that were asked for and given since the last call, and the requests that
+    /// were admitted without one.
+    pub(crate) fn count_tokens(&self, counts: stock::Counts) {
+        for (state, tokens) in
+            [("asked", counts.asked), ("early", counts.early), ("given", counts.given)]
+        {
+            self.tokens.add(tokens, &[KeyValue::new("state", state)]);
+        }
+    }
+
     /// Records the version that the node runs, and the time since a control last confirmed it as
     /// current. A gauge keeps its last value, so this has to be called at regular intervals.
     pub fn record_version(&self, version: document::Version, age: time::Duration) {
@@ -185,9 +252,11 @@
         forwarding::NotRun::Absent => "absent",
         forwarding::NotRun::Blocked => "blocked",
         forwarding::NotRun::Busy => "busy",
+        forwarding::NotRun::Displaced => "displaced",
         forwarding::NotRun::Draining => "draining",
         forwarding::NotRun::Full => "full",
         forwarding::NotRun::Late => "late",
+        forwarding::NotRun::Outranked => "outranked",
         forwarding::NotRun::Quarantined => "quarantined",
         forwarding::NotRun::Refused => "refused",
         forwarding::NotRun::Shed => "shed",
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -8,8 +8,8 @@
 use transport::{endpoint, errors, links, pool, wire};
 
 use crate::{
-    attaching, backend, callers, controls, explaining, instruments, linking, reaching, serving,
-    settings, state,
+    attaching, backend, callers, controls, explaining, instruments, linking, quotas, reaching,
+    rollouts, serving, settings, state,
 };
 
 /// How often the timers of the version updater and of the backend server's lease are checked. Also
@@ -18,6 +18,8 @@
 const TICK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(50);
 /// Ticks between two heartbeats of the registry, which makes one per second.
 const HEARTBEAT_TICKS: u32 = 20;
+/// Ticks between two reports about rollouts, which makes one in 250 ms.
+const ROLLOUT_TICKS: u32 = 5;
 /// Shortest time between two checks of the timers of admission.
 const MIN_ADMISSION_INTERVAL: std_time::Duration = std_time::Duration::from_millis(5);
 /// How often a planned stop checks whether requests are in flight.
@@ -291,9 +293,13 @@
         let job = move || {
             attaching::tick(&shared);
             backend::tick(&shared);
+            quotas::tick(&shared);
             if count.is_multiple_of(HEARTBEAT_TICKS) {
                 attaching::heartbeat(&shared);
             }
+            if count.is_multiple_of(ROLLOUT_TICKS) {
+                rollouts::report(&shared);
+            }
         };
         if state.pool.run(attaching::in_runtime(job)).await.is_err() {
             log::warn!(
@@ -323,11 +329,13 @@
     state.instruments.count_links(attempts.since(recorded.attempts));
     state.instruments.count_traffic(added);
     state.instruments.count_wire(sent);
+    let promised = state.uplink.lock().promised();
+    state.instruments.record_promised(promised);
     log::info!(
         target: "decision",
         "links open={open} sent_bytes={} received_bytes={} datagrams={} answers_bytes={} \
          requests_bytes={} control_bytes={} handshake_bytes={} other_bytes={} dropped_bytes={} resent_bytes={} \
-         lost_packets={} backlog={:?} typical_round_trip={:?}",
+         lost_packets={} backlog={:?} promised={promised:?} typical_round_trip={:?}",
         sent.sent,
         sent.received,
         sent.datagrams,
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -3,15 +3,18 @@
 
 use std::{sync, time as std_time};
 
-use admission::work;
+use admission::{uplink, work};
 use bytes::Bytes;
 use protocol::{forwarding, streams};
 use transport::errors;
 
-use crate::{arrivals, bodies, headers, peer_versions, state, working};
+use crate::{arrivals, bodies, headers, parts, peer_versions, state, working};
 
 /// How long the head of an answer waits for its body, so that both are sent together.
 const MAX_AHEAD_WAIT: std_time::Duration = std_time::Duration::from_millis(20);
+/// The same for a large answer over a network link of known rate, on which it takes longer in any
+/// case. Read to its end, it keeps one place on the link; read in parts, it waits for each.
+const MAX_LARGE_AHEAD_WAIT: std_time::Duration = std_time::Duration::from_millis(100);
 
 /// Serves one stream of another node. An error means that the stream broke.
 pub(crate) async fn serve(
@@ -88,7 +91,7 @@
     if !idempotent {
         // The body is asked for only once a slot is free: until then the sender may still choose
         // another target.
-        admission = working::wait_for_slot(admission).await;
+        admission = working::wait_for_slot(&request.head, admission).await;
     }
     match arrival {
         _ if matches!(admission, working::Admission::Refuse(_)) => {}
@@ -114,7 +117,7 @@
     mut sender: transport::streams::Sender,
 ) -> errors::Result<()> {
     let at = state.instant(request.head.context.deadline + working::ANSWER_GRACE);
-    let id = request.head.id.clone();
+    let (id, rank) = (request.head.id.clone(), request.head.context.rank);
     match working::run(state, request, admission).await {
         Ok(mut answered) => {
             answered.node_status = add_backlog(state, answered.node_status);
@@ -124,7 +127,7 @@
             let node_status = add_backlog(state, node_status);
             let answer = match failure {
                 working::Failure::NotRun(reason) => {
-                    state.instruments.count_refusal(reason);
+                    state.instruments.count_refusal(reason, rank);
                     forwarding::AnswerHead::NotRun { reason, standing: node_status }
                 }
                 working::Failure::Silent => {
@@ -147,7 +150,9 @@
     node_status: forwarding::NodeStatus,
 ) -> forwarding::NodeStatus {
     let arriving = state.downlink.lock().backlog();
-    let load = node_status.load.with_wait(state.links.endpoint().backlog().max(arriving));
+    let answers = state.uplink.lock().expected_wait();
+    let wait = state.links.endpoint().small_backlog().max(arriving).max(answers);
+    let load = node_status.load.with_link_wait(wait);
     forwarding::NodeStatus { load, ..node_status }
 }
 
@@ -167,8 +172,13 @@
 ) -> Ahead {
     let mut kept = Vec::new();
     let length = bodies::content_length(headers);
-    // A body of unknown length may be one that goes on, such as a stream of events.
-    let reservation = length.and_then(|_| state.buffers.reserve(length));
+    let is_limited = state.links.endpoint().paced_rate().is_some();
+    let reservation = match length {
+        Some(it) if is_limited => state.buffers.reserve_held(it),
+        Some(_) => state.buffers.reserve(length),
+        // It may be a body that goes on, such as a stream of events.
+        None => None,
+    };
     let Some(reservation) = reservation else {
         return Ahead { bytes: Bytes::new(), end: None };
     };
@@ -181,7 +191,9 @@
             }
         }
     };
-    let end = tokio::time::timeout(MAX_AHEAD_WAIT, reading).await.ok();
+    let is_large = length.is_some_and(|it| it > uplink::SMALL_BYTES);
+    let wait = if is_limited && is_large { MAX_LARGE_AHEAD_WAIT } else { MAX_AHEAD_WAIT };
+    let end = tokio::time::timeout(wait, reading).await.ok();
     Ahead { bytes: reservation.hold(kept.into()), end }
 }
 
@@ -193,24 +205,30 @@
     id: &str,
     answered: working::Answered,
     at: tokio::time::Instant,
-    mut sender: transport::streams::Sender,
+    sender: transport::streams::Sender,
 ) -> errors::Result<()> {
-    let working::Answered { status, headers, mut body, execution, node_status } = answered;
+    let working::Answered { status, headers, mut body, mut execution, node_status } = answered;
+    let length = bodies::content_length(&headers);
+    let mut promise = execution.take_promise();
+    if let Some(promise) = &mut promise {
+        promise.begin(status, length);
+    }
+    let mut parts = parts::Parts::new(sender, promise, length);
     let head = forwarding::AnswerHead::Answered {
         status: status.as_u16(),
         fields: headers::encode(&headers),
         standing: node_status,
     };
-    let limit = bodies::Limit::begun(at, bodies::content_length(&headers));
+    let limit = bodies::Limit::begun(at, length);
     let ahead = read_ahead(state, &headers, &limit, &mut body).await;
     if let Some(Ok(())) = ahead.end {
         // Frees the slot: the backend server has done its work, and the answer may wait for the
         // link for longer than that took.
         execution.finish(work::Outcome::Answered);
-        sender.send_with(&head, &ahead.bytes).await?;
-        return sender.finish();
+        parts.send_head(&head, &ahead.bytes).await?;
+        return parts.finish();
     }
-    sender.send_with(&head, &ahead.bytes).await?;
+    parts.send_head(&head, &ahead.bytes).await?;
     let mut end = ahead.end;
     loop {
         // A body that broke off may report its end afterwards.
@@ -219,10 +237,10 @@
             _ => limit.read(body.chunk()).await,
         };
         match next {
-            Ok(Some(bytes)) => sender.send_bytes(bytes).await?,
+            Ok(Some(bytes)) => parts.send(bytes).await?,
             Ok(None) => {
                 execution.finish(work::Outcome::Answered);
-                return sender.finish();
+                return parts.finish();
             }
             Err(err) => {
                 log::info!(
@@ -231,7 +249,7 @@
                      forwarding stream\"",
                     state.links.endpoint().backlog(),
                 );
-                sender.reset();
+                parts.reset();
                 execution.abort(matches!(err, bodies::Error::DeadlinePassed)).await;
                 return Ok(());
             }
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 use world::{config, contracts, time};
 
-use crate::state;
+use crate::{promises, state};
 
 /// The outcome of a queued request: a slot, or the reason why it was not run.
 pub(crate) type Verdict = Result<(), forwarding::NotRun>;
@@ -141,6 +141,11 @@
         self.controller.as_ref().map(|it| it.load(now)).unwrap_or_default()
     }
 
+    /// The number of queued requests of the same team, route and rank.
+    pub(crate) fn waiting_beside(&self, work: &work::Work) -> usize {
+        self.controller.as_ref().map_or(0, |it| it.waiting_beside(work))
+    }
+
     fn notify(&mut self, effects: Vec<work::Effect>) {
         for effect in effects {
             let Some(waiter) = self.waiters.remove(effect.key()) else { continue };
@@ -165,12 +170,14 @@
     state: sync::Arc<state::State>,
     key: work::RequestKey,
     done: bool,
+    /// What the answer takes of the host's network link.
+    pub(crate) promise: Option<promises::Promise>,
 }
 
 impl Permit {
     /// Takes ownership of the slot or queue place of offered work.
     pub(crate) fn new(state: sync::Arc<state::State>, key: work::RequestKey) -> Permit {
-        Permit { state, key, done: false }
+        Permit { state, key, done: false, promise: None }
     }
 
     /// Frees the slot and records how the work ended.
@@ -183,6 +190,19 @@
         });
     }
 
+    /// Frees the slot and records how the work ended. Returns when this is done.
+    pub(crate) async fn finish_and_wait(mut self, outcome: work::Outcome) {
+        self.done = true;
+        let (state, key) = (sync::Arc::clone(&self.state), self.key);
+        let (done, finished) = oneshot::channel();
+        self.state.pool.submit_or_run(move || {
+            let now = state.now();
+            state.admission.lock().finish(now, key, outcome);
+            let _ = done.send(());
+        });
+        let _ = finished.await;
+    }
+
     /// Drops the permit without cancelling, after the controller itself has refused the work.
     pub(crate) fn disarm(mut self) {
         self.done = true;
@@ -220,6 +240,7 @@
         work::RefusalReason::Blocked => forwarding::NotRun::Blocked,
         work::RefusalReason::Busy => forwarding::NotRun::Busy,
         work::RefusalReason::Deadline => forwarding::NotRun::Late,
+        work::RefusalReason::Displaced => forwarding::NotRun::Displaced,
         work::RefusalReason::Draining => forwarding::NotRun::Draining,
         work::RefusalReason::QueueFull => forwarding::NotRun::Full,
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -2,19 +2,20 @@
 
 use std::{collections, net, sync};
 
-use admission::downlink;
+use admission::{callees, downlink, uplink};
 use compact_str::CompactString;
 use distribution::{attach, updater};
 use membership::{directory, local_target};
 use protocol::{forwarding, streams};
 use rand::{SeedableRng as _, rngs};
-use routing::{balancer, budget, hedge, prober, spillover, throttle};
+use routing::{balancer, budget, hedge, prober, returns, spillover, throttle};
 use tables::{clock, pool, rank, table};
 use tokio::sync::mpsc;
 use world::{config, contracts, document, log_limits, mesh, requests, time};
 
 use crate::{
-    bodies, controls, dialect, in_flight, instruments, linking, settings, slots, suspects,
+    bodies, controls, dialect, in_flight, instruments, linking, quotas, rollouts, settings, slots,
+    suspects,
 };
 
 // A table may be locked only while all tables that are held have lower ranks.
@@ -24,9 +25,12 @@
 const DIRECTORY: rank::Rank = rank::Rank(20);
 const BACKEND: rank::Rank = rank::Rank(25);
 const ROUTING: rank::Rank = rank::Rank(30);
+const QUOTAS: rank::Rank = rank::Rank(35);
 const ADMISSION: rank::Rank = rank::Rank(40);
 const DOWNLINK: rank::Rank = rank::Rank(45);
+const UPLINK: rank::Rank = rank::Rank(47);
 const IN_FLIGHT: rank::Rank = rank::Rank(50);
+const CALLEES: rank::Rank = rank::Rank(55);
 const SUSPECTS: rank::Rank = rank::Rank(60);
 const SESSIONS: rank::Rank = rank::Rank(70);
 
@@ -48,10 +52,16 @@
     pub(crate) directory: table::Table<directory::Directory>,
     pub(crate) backend: table::Table<Backend>,
     pub(crate) routing: table::Table<Routing>,
+    /// The tokens of the quotas of teams.
+    pub(crate) quotas: table::Table<quotas::Quotas>,
     pub(crate) admission: table::Table<slots::LocalController>,
     /// The bodies that other nodes are sending to this host.
     pub(crate) downlink: table::Table<downlink::Downlink>,
+    /// What answers take of the host's network link.
+    pub(crate) uplink: table::Table<uplink::Uplink>,
     pub(crate) in_flight: table::Table<in_flight::Requests>,
+    /// Which services the requests that run here call, and the pressure there.
+    pub(crate) callees: table::Table<callees::Callees>,
     pub(crate) suspects: table::Table<suspects::Suspects>,
     pub(crate) sessions: table::Table<Sessions>,
     /// Wakes the announcements that wait until a control has recorded the entry of the backend
@@ -59,6 +69,8 @@
     pub(crate) registered: tokio::sync::Notify,
     /// Wakes the requests that wait for a confirmation of the running version.
     pub(crate) acknowledged: tokio::sync::Notify,
+    /// Wakes the requests that wait for a token of their team's quota.
+    pub(crate) tokens_arrived: tokio::sync::Notify,
     /// When requests that are still in progress are answered by the node, once a planned stop has
     /// begun.
     pub(crate) stop_at: tokio::sync::watch::Sender<Option<tokio::time::Instant>>,
@@ -122,8 +134,12 @@
     pub(crate) throttles: collections::HashMap<CompactString, throttle::Throttle>,
     /// How much of each service's load leaves the data centre.
     pub(crate) spillovers: collections::HashMap<CompactString, spillover::Spillover>,
+    /// The recent requests of each service's callers and the returns that were promised to them.
+    pub(crate) returns: collections::HashMap<CompactString, returns::Ledger>,
     /// The latencies of routes that allow hedges.
     pub(crate) latencies: collections::HashMap<contracts::RouteKey, hedge::LatencyHistogram>,
+    /// The software versions that services move to.
+    pub(crate) rollouts: rollouts::Followers,
     /// Counts the requests of routes that are split among services, from a random start.
     pub(crate) split_counter: u64,
     pub(crate) rng: rngs::SmallRng,
@@ -186,7 +202,9 @@
             retry_limiters: collections::HashMap::new(),
             throttles: collections::HashMap::new(),
             spillovers: collections::HashMap::new(),
+            returns: collections::HashMap::new(),
             latencies: collections::HashMap::new(),
+            rollouts: rollouts::Followers::default(),
             split_counter: rand::random(),
             rng: rngs::SmallRng::from_os_rng(),
         };
@@ -203,6 +221,7 @@
         };
         let suspects = suspects::Suspects::default();
         let downlink = downlink::Downlink::new(links.endpoint().message_rate());
+        let uplink = uplink::Uplink::new(links.endpoint().paced_rate());
         State {
             pool: pool::Pool::spawn(settings.workers, 16_384),
             links,
@@ -215,16 +234,20 @@
             directory: table::Table::new(DIRECTORY, "directory", directory),
             backend: table::Table::new(BACKEND, "backend server", backend),
             routing: table::Table::new(ROUTING, "routing", routing),
+            quotas: table::Table::new(QUOTAS, "quotas", quotas::Quotas::default()),
             admission: table::Table::new(ADMISSION, "admission", slots::LocalController::default()),
             downlink: table::Table::new(DOWNLINK, "downlink", downlink),
+            uplink: table::Table::new(UPLINK, "uplink", uplink),
             in_flight: table::Table::new(
                 IN_FLIGHT,
                 "requests in flight",
                 in_flight::Requests::default(),
             ),
+            callees: table::Table::new(CALLEES, "callees", callees::Callees::default()),
             suspects: table::Table::new(SUSPECTS, "suspicion", suspects),
             sessions: table::Table::new(SESSIONS, "sessions", Sessions::default()),
             acknowledged: tokio::sync::Notify::new(),
+            tokens_arrived: tokio::sync::Notify::new(),
             registered: tokio::sync::Notify::new(),
             stop_at: tokio::sync::watch::channel(None).0,
             probe_wakeup: sync::Arc::default(),
@@ -275,6 +298,11 @@
         self.throttles.entry(service.clone()).or_default()
     }
 
+    /// The recent requests of a service's callers, and the returns that were promised to them.
+    pub(crate) fn returns(&mut self, service: &CompactString) -> &mut returns::Ledger {
+        self.returns.entry(service.clone()).or_default()
+    }
+
     /// Moves the latencies of routes to their keys in a new version of the configuration.
     pub(crate) fn remap_routes(
         &mut self,
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -6,9 +6,9 @@
 use compact_str::{CompactString, format_compact};
 use protocol::forwarding;
 use tokio::sync::oneshot;
-use world::{contracts, time};
+use world::{contracts, requests, time};
 
-use crate::{backend, dialect, headers, in_flight, slots, state, suspects};
+use crate::{backend, dialect, headers, in_flight, promises, slots, state, suspects};
 
 /// Limit for the connection that checks whether the backend server is alive after a request's
 /// connection was refused or broke.
@@ -96,7 +96,7 @@
         Some(it) => it,
         None => request_admission(state, &request).await,
     };
-    let permit = await_verdict(admission).await.map_err(refused)?;
+    let permit = await_verdict(&request.head, admission).await.map_err(refused)?;
     let (addr, instance) = {
         let backend = state.backend.lock();
         (backend.addr, backend.instance.clone())
@@ -130,7 +130,7 @@
     {
         received.discard_connection();
     }
-    let node_status = node_status(state, execution.take_attempts(), backend);
+    let mut node_status = node_status(state, execution.take_attempts(), backend);
     let failure = match result {
         Ok(received) => match classify(&received) {
             dialect::AnswerKind::Answered => {
@@ -138,7 +138,9 @@
                 return Ok(Answered { status, headers, body, execution, node_status });
             }
             dialect::AnswerKind::NotRun => {
-                execution.finish(work::Outcome::Failed);
+                execution.finish_shed().await;
+                // The sender is to know at once how many slots are left.
+                node_status.load = state.admission.lock().load(state.now());
                 Failure::NotRun(forwarding::NotRun::Shed)
             }
             dialect::AnswerKind::Foreign => {
@@ -169,8 +171,8 @@
 ) -> Admission {
     let (shared, head) = (sync::Arc::clone(state), request.head.clone());
     let job = move || match check_network_link(&shared, &head) {
-        Some(reason) => Admission::Refuse(reason),
-        None => offer(&shared, &head),
+        Err(reason) => Admission::Refuse(reason),
+        Ok(promise) => offer(&shared, &head).with_promise(promise),
     };
     let offered = state.pool.run(job).await;
     // When the workers' queue is full, the request was neither admitted nor sent.
@@ -178,14 +180,32 @@
 }
 
 /// Waits until a request holds its slot or is refused.
-pub(crate) async fn wait_for_slot(admission: Admission) -> Admission {
-    match await_verdict(admission).await {
+pub(crate) async fn wait_for_slot(
+    head: &forwarding::RequestHead,
+    admission: Admission,
+) -> Admission {
+    match await_verdict(head, admission).await {
         Ok(permit) => Admission::Run(permit),
         Err(reason) => Admission::Refuse(reason),
     }
 }
 
+impl Admission {
+    /// Ties what the answer takes of the host's network link to the slot or the place in the queue.
+    fn with_promise(mut self, promise: Option<promises::Promise>) -> Admission {
+        if let Admission::Run(permit) | Admission::Wait(permit, _) = &mut self {
+            permit.promise = promise;
+        }
+        self
+    }
+}
+
 impl Execution {
+    /// Takes what the answer takes of the host's network link, which outlasts the slot.
+    pub(crate) fn take_promise(&mut self) -> Option<promises::Promise> {
+        self.permit.as_mut()?.promise.take()
+    }
+
     /// Takes the extra attempts that the request's calls have left. They are returned with the head
     /// of the answer, so calls that the request makes later have none.
     fn take_attempts(&self) -> u8 {
@@ -211,6 +231,15 @@
         });
     }
 
+    /// Records that the backend server has shed the request, and returns when its slot is free and
+    /// the admission controller knows of the shed.
+    async fn finish_shed(mut self) {
+        if let Some(permit) = self.permit.take() {
+            permit.finish_and_wait(work::Outcome::Shed).await;
+        }
+        self.finish(work::Outcome::Shed);
+    }
+
     /// Records that the connection broke or the deadline passed before the answer was complete,
     /// and frees the slot. If the connection broke, with the head of the answer or within its body,
     /// the backend server may have crashed, so this checks whether it is alive.
@@ -297,6 +326,9 @@
     if status == suspects::Status::Quarantined {
         return Admission::Refuse(forwarding::NotRun::Quarantined);
     }
+    if is_outranked(state, now, head) {
+        return Admission::Refuse(forwarding::NotRun::Outranked);
+    }
     let work = work::Work {
         route: route_key(state, head),
         team: team_key(state, head),
@@ -310,7 +342,7 @@
         suspect: head.suspect || status == suspects::Status::Suspect,
     };
     let decision = state.admission.lock().offer(now, work);
-    log_admission(state, head, &decision);
+    log_admission(state, head, &work, &decision);
     let permit = |key| slots::Permit::new(sync::Arc::clone(state), key);
     match decision {
         slots::Decision::Run(key) => Admission::Run(permit(key)),
@@ -319,30 +351,56 @@
     }
 }
 
+/// Whether a caller's request is refused because a service that its calls need is full of more
+/// urgent work.
+fn is_outranked(state: &state::State, now: time::Time, head: &forwarding::RequestHead) -> bool {
+    let context = &head.context;
+    if head.class == requests::Class::Internal {
+        return false;
+    }
+    let full = state.callees.lock().refuse(now, &head.route, (context.rank, context.worth));
+    let Some(full) = full else { return false };
+    log::info!(
+        target: "decision",
+        "admission request={} outcome=refuse reason=\"a service that its calls need is full of more \
+         urgent work\" route={} calls={full} team={} rank={}",
+        head.id,
+        head.route,
+        context.team,
+        context.rank,
+    );
+    true
+}
+
 /// Refuses a request whose body or answer would wait too long for this host's network link.
+/// Otherwise returns what the answer takes of it.
 fn check_network_link(
-    state: &state::State,
+    state: &sync::Arc<state::State>,
     head: &forwarding::RequestHead,
-) -> Option<forwarding::NotRun> {
-    let backlog = state.links.endpoint().backlog();
+) -> Result<Option<promises::Promise>, forwarding::NotRun> {
     let now = state.now();
     let objective = head.context.objective.since(now);
     let left = head.context.deadline.since(now);
     let arriving = *state.downlink.lock();
     let has_body = headers::body_length(&head.fields) > 0;
-    let refused = uplink::is_full(backlog, head.class, objective, left)
-        || has_body && arriving.is_full(head.class, objective, left);
-    if !refused {
-        return None;
+    if !has_body || !arriving.is_full(head.class, objective, left) {
+        let request = promises::Request {
+            id: &head.id,
+            place: uplink::Place::Target,
+            route: route_key(state, head),
+            class: head.class,
+            context: &head.context,
+        };
+        return promises::offer(state, &request).map_err(|_| forwarding::NotRun::Busy);
     }
     log::info!(
         target: "decision",
         "admission request={} outcome=refuse reason=\"the host's network link is full\" \
-         backlog={backlog:?} arriving={:?} objective={objective:?}",
+         decided_by=bodies arriving={:?} objective={objective:?}",
         head.id,
         arriving.backlog(),
     );
-    Some(forwarding::NotRun::Busy)
+    Err(forwarding::NotRun::Busy)
 }
 
 fn check_backend(
@@ -360,11 +418,19 @@
     if !entry.state.takes_work() || entry.service != head.service {
         return Some(forwarding::NotRun::Absent);
     }
+    if state.routing.lock().rollouts.retires(&entry.service, &entry.version) {
+        return Some(forwarding::NotRun::Draining);
+    }
     None
 }
 
 /// Logs what admission decided and the load that it decided on.
-fn log_admission(state: &state::State, head: &forwarding::RequestHead, decision: &slots::Decision) {
+fn log_admission(
+    state: &state::State,
+    head: &forwarding::RequestHead,
+    work: &work::Work,
+    decision: &slots::Decision,
+) {
     if !log::log_enabled!(target: "decision", log::Level::Info) {
         return;
     }
@@ -374,11 +440,15 @@
         slots::Decision::Refuse(reason) => ("refuse", Some(reason)),
     };
     let now = state.now();
-    let load = state.admission.lock().load(now);
+    let (load, beside) = {
+        let admission = state.admission.lock();
+        (admission.load(now), admission.waiting_beside(work))
+    };
     log::info!(
         target: "decision",
         "admission request={} outcome={outcome} reason={reason:?} route={} busy={} queued={} \
-         slots={} service_time={:?} movable={} patience_us={:?} objective={:?} team={} rank={}",
+         slots={} service_time={:?} movable={} patience_us={:?} objective={:?} team={} rank={} \
+         flow_queued={beside}",
         head.id,
         head.route,
         load.in_flight,
@@ -407,7 +477,10 @@
     config.and_then(|it| it.find_team(&head.context.team)).unwrap_or_default()
 }
 
-async fn await_verdict(admission: Admission) -> Result<slots::Permit, forwarding::NotRun> {
+async fn await_verdict(
+    head: &forwarding::RequestHead,
+    admission: Admission,
+) -> Result<slots::Permit, forwarding::NotRun> {
     match admission {
         Admission::Refuse(reason) => Err(reason),
         Admission::Run(permit) => Ok(permit),
@@ -415,6 +488,15 @@
             Ok(Ok(())) => Ok(permit),
             Ok(Err(reason)) => {
                 permit.disarm();
+                log::info!(
+                    target: "decision",
+                    "admission request={} outcome=refuse reason={reason:?} route={} queued=true \
+                     team={} rank={}",
+                    head.id,
+                    head.route,
+                    head.context.team,
+                    head.context.rank,
+                );
                 Err(reason)
             }
             Err(_) => Err(forwarding::NotRun::Absent),
@@ -433,11 +515,14 @@
         fingerprint: head.fingerprint,
         budget: head.budget,
         id: head.id.clone(),
+        route: head.route.clone(),
         context: head.context.clone(),
+        idempotent: head.idempotent,
         repeat: head.repeat,
         summary: format_compact!("{} {} of {}", head.method, head.path, head.service),
     };
     let key = state.in_flight.lock().insert(record);
+    state.callees.lock().record_request(&head.route);
     let now = state.now();
     let status = state.suspects.lock().status(now, &head.fingerprint);
     let suspect = head.suspect || status == suspects::Status::Suspect;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod forwarding;
 pub mod operators;
 pub mod proposals;
+pub mod rollouts;
 pub mod streams;
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -11,11 +11,17 @@
 use bytes::Bytes;
 use distribution::{floor, messages as versions};
 use membership::messages as registry;
-use protocol::{forwarding, operators, proposals, streams};
-use replicated::{claims, quarantine, versions as patches};
+use protocol::{forwarding, operators, proposals, rollouts as orders, streams};
+use quotas::messages as quota;
+use replicated::{claims, quarantine, rollouts, versions as patches};
+use routing::tallies;
 use serde::{Serialize, de};
 use transport::codec;
-use world::{document, faults, requests, targets, time};
+use world::{
+    document, faults, requests,
+    rollouts::{Order, OrderId, Stage, State},
+    targets, time,
+};
 
 /// A line of hexadecimal bytes for each message.
 #[derive(Default)]
@@ -71,6 +77,7 @@
         state: targets::State::Draining,
         announced: registry::Announced { incarnation: 299, sequence: 7, leaving: true },
         registrar: "dc".into(),
+        version: "v2".into(),
     };
     registry::Event { entry, age_ms: 1_500 }
 }
@@ -104,6 +111,27 @@
     vec![seed, other]
 }
 
+fn order() -> Order {
+    Order {
+        id: OrderId(300),
+        service: "s".into(),
+        target: "v2".into(),
+        current: Some("v1".into()),
+        rejected: vec!["v0".into()],
+        started_ms: 1_000,
+        over_ms: 12_000,
+        state: State::Running(Stage::Trial),
+    }
+}
+
+fn tally() -> tallies::Tally {
+    let mut tally = tallies::Tally::default();
+    let name = tallies::CellName { route: "r".into(), loaded: true, candidate: true };
+    tally.record(name.clone(), tallies::Answer::Timed(std::time::Duration::from_millis(40)));
+    tally.record(name, tallies::Answer::Bad);
+    tally
+}
+
 fn patch() -> patches::Patch {
     patches::Patch {
         base: document::Version(6),
@@ -131,6 +159,30 @@
     }
 }
 
+fn question() -> quota::Question {
+    let report =
+        quota::Report { team: "t".into(), left: 3, need: 200, early: 1, unused: 4, late: 2 };
+    quota::Question { number: 9, seen: 8, renew: true, teams: vec![report] }
+}
+
+fn quota_answer() -> quota::Answer {
+    let grants = vec![
+        quota::Grant::Unknown,
+        quota::Grant::Given { tokens: 197, open: true },
+        quota::Grant::Exhausted { wait_ms: 100, pace_ms: 40 },
+    ];
+    quota::Answer { question: 9, grants, renewal: true, closed: vec!["u".into()] }
+}
+
+fn shortages() -> quota::Shortages {
+    let team = quota::Shortage { team: "t".into(), tokens: 30, hand: 2 };
+    quota::Shortages { round: 5, teams: vec![team] }
+}
+
+fn loan() -> quota::LoanTeams {
+    quota::LoanTeams { round: 5, teams: vec![("t".into(), 30)] }
+}
+
 fn node_status() -> forwarding::NodeStatus {
     let load = admission::load::LoadReport {
         in_flight: 3,
@@ -140,6 +192,7 @@
         queued_calls: 1,
         caller_time: std::time::Duration::from_millis(20),
         call_time: std::time::Duration::from_millis(4),
+        pressure: admission::load::Pressure { rank: 1, weight: 32, lost: 250 },
     };
     forwarding::NodeStatus { load, attempts: 2, backend_us: 1_500 }
 }
@@ -238,6 +291,24 @@
             claims::Answer::AlreadyApplied,
         ],
     );
+    let service = || "s".into();
+    for action in [
+        rollouts::Action::Start { service: service(), target: "v2".into(), over_ms: 12_000 },
+        rollouts::Action::Advance(OrderId(300), Stage::Half),
+        rollouts::Action::Complete(OrderId(300)),
+        rollouts::Action::RollBack(OrderId(300)),
+    ] {
+        table.all("rollout", slice::from_ref(&action));
+        table.all("Proposal", &[proposals::Proposal::Rollout(action)]);
+    }
+    for answer in [
+        rollouts::Answer::Accepted(order()),
+        rollouts::Answer::Conflict(Order { state: State::Complete, ..order() }),
+        rollouts::Answer::Changed(Order { state: State::RolledBack, ..order() }),
+        rollouts::Answer::Unchanged,
+    ] {
+        table.all("Outcome", &[proposals::Outcome::Answered(proposals::Answer::Rollout(answer))]);
+    }
     let counted = quarantine::Answer::Counted { quarantined: Some(fingerprint()) };
     table.all(
         "Outcome",
@@ -280,6 +351,8 @@
             forwarding::NotRun::Stopping,
             forwarding::NotRun::Unreachable,
             forwarding::NotRun::Busy,
+            forwarding::NotRun::Displaced,
+            forwarding::NotRun::Outranked,
         ],
     );
     let finished = quarantine::Evidence::Finished(fingerprint());
@@ -291,6 +364,14 @@
             streams::NodeMessage::Evidence { sequence: 4, age_ms: 40, evidence: finished },
             streams::NodeMessage::Heartbeat(heartbeat),
             streams::NodeMessage::Parts(vec![part_request()]),
+            streams::NodeMessage::Rollouts(vec![orders::Report {
+                order: OrderId(300),
+                stage: Stage::Whole,
+                tally: tally(),
+                busy: 2,
+                unsafe_busy: 1,
+            }]),
+            streams::NodeMessage::Quota(question()),
         ],
     );
     let stamp = versions::Timestamp { epoch: 9, at: time::Time::ZERO };
@@ -335,6 +416,12 @@
             streams::ControlMessage::Reach(reach),
             streams::ControlMessage::Standings(vec![standing]),
             streams::ControlMessage::Controls(control_records()),
+            streams::ControlMessage::Rollouts(orders::List {
+                orders: vec![order()],
+                held: vec![OrderId(300)],
+                current: true,
+            }),
+            streams::ControlMessage::Quota(quota_answer()),
         ],
     );
     let delta = versions::Delta { to: numbered(), patch: "{}".into() };
@@ -365,6 +452,7 @@
         slots: 6,
         drain: true,
         cold_ms: Some(500),
+        version: "".into(),
     };
     table.add("Announcement", &announcement);
     insta::assert_snapshot!(table.0);
@@ -451,6 +539,13 @@
             streams::PeerMessage::Parts(vec![part()]),
             streams::PeerMessage::PartRequests(vec![part_request()]),
             streams::PeerMessage::Report(report),
+            streams::PeerMessage::Rollouts(vec![orders::Summary {
+                order: OrderId(300),
+                tally: tally(),
+                nodes: vec![orders::NodeState { host: "h1".into(), moved: true, age_ms: 90 }],
+            }]),
+            streams::PeerMessage::Quota(quota::Loan::Ask(shortages())),
+            streams::PeerMessage::Quota(quota::Loan::Give(loan())),
         ],
     );
     insta::assert_snapshot!(table.0);
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -1,6 +1,6 @@
 //! Decides whether a request is sent again after a send has ended.
 
-use world::time::Time;
+use world::{requests, time::Time};
 
 use crate::{budget, toggles};
 
@@ -11,12 +11,31 @@
     Answered,
     /// The request has not run: the target's answer says so, or no byte of it was sent.
     NotRun,
+    /// The backend server received the request, which has this class, and refused it without
+    /// running it.
+    Shed(requests::Class),
     /// There is no answer, and the request may have run.
     Unknown,
     /// The backend server failed while the request was running.
     Failed,
 }
 
+impl Outcome {
+    /// Returns whether the calls of a run at the next target count as repeats: it is not the first
+    /// arrival of the request at a backend server.
+    pub fn calls_repeat(self) -> bool {
+        self.may_have_run() || matches!(self, Outcome::Shed(_))
+    }
+
+    /// Returns whether the request may have run, and thus may have made calls.
+    pub fn may_have_run(self) -> bool {
+        match self {
+            Outcome::NotRun | Outcome::Shed(_) => false,
+            Outcome::Answered | Outcome::Unknown | Outcome::Failed => true,
+        }
+    }
+}
+
 /// What the node does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -59,21 +78,23 @@
     outcome: Outcome,
     request: &Request,
     budget: &mut budget::Budget,
-    limiter: &mut budget::RetryLimiter,
+    limiter: &mut budget::TeamLimiter<'_>,
     toggles: &toggles::Toggles,
 ) -> Decision {
-    let may_run_again = match outcome {
-        Outcome::Answered => return Decision::Done,
-        Outcome::NotRun => true,
-        Outcome::Unknown | Outcome::Failed => request.idempotent || !toggles.idempotency_guard,
-    };
-    if !may_run_again {
+    if outcome == Outcome::Answered {
+        return Decision::Done;
+    }
+    if outcome.may_have_run() && !request.idempotent && toggles.idempotency_guard {
         return Decision::GiveUp(GiveUpReason::MayHaveRun);
     }
     if now + budget::DEADLINE_RESOLUTION >= request.deadline {
         return Decision::GiveUp(GiveUpReason::Deadline);
     }
-    match try_extra_send(now, budget, limiter, toggles) {
+    let refused = match outcome {
+        Outcome::Shed(class) => try_move(now, class, budget, limiter, toggles),
+        _ => try_extra_send(now, budget, limiter, toggles),
+    };
+    match refused {
         Some(reason) => Decision::GiveUp(reason),
         None => Decision::Elsewhere,
     }
@@ -84,7 +105,7 @@
 pub fn try_extra_send(
     now: Time,
     budget: &mut budget::Budget,
-    limiter: &mut budget::RetryLimiter,
+    limiter: &mut budget::TeamLimiter<'_>,
     toggles: &toggles::Toggles,
 ) -> Option<GiveUpReason> {
     if toggles.budget && budget.attempts == 0 {
@@ -96,3 +117,21 @@
     budget.try_spend(toggles);
     None
 }
+
+/// Like [`try_extra_send`], for a request that a target has shed.
+fn try_move(
+    now: Time,
+    class: requests::Class,
+    budget: &mut budget::Budget,
+    limiter: &mut budget::TeamLimiter<'_>,
+    toggles: &toggles::Toggles,
+) -> Option<GiveUpReason> {
+    if toggles.budget && budget.attempts == 0 {
+        return Some(GiveUpReason::Attempts);
+    }
+    if !limiter.try_move(now, class, toggles) {
+        return Some(GiveUpReason::Share);
+    }
+    budget.try_spend(toggles);
+    None
+}
--- a/crates/transport/src/streams.rs
+++ b/crates/transport/src/streams.rs
@@ -30,6 +30,8 @@
     pub(crate) pacer: pacer::LinkPacer,
     pub(crate) wire: sync::Arc<wire::Wire>,
     pub(crate) kind: wire::Kind,
+    /// The place that messages have at least, however short they are.
+    pub(crate) size: pacer::Size,
 }
 
 /// The receiving direction of a stream. Dropping it asks the sender to stop.
@@ -82,15 +84,34 @@
         &mut self,
         message: &T,
         bytes: &[u8],
+    ) -> errors::Result<()> {
+        self.send_counted(message, bytes, |_| {}).await
+    }
+
+    /// Does the same as [`Sender::send_with`], and calls `on_sent` with the size of each piece that
+    /// was passed to the link.
+    pub async fn send_counted<T: Serialize>(
+        &mut self,
+        message: &T,
+        bytes: &[u8],
+        on_sent: impl FnMut(usize),
     ) -> errors::Result<()> {
         let mut frame = BytesMut::from(codec::encode(message)?);
         frame.extend_from_slice(bytes);
-        self.send_bytes(frame.freeze()).await
+        self.send_pieces(frame.freeze(), on_sent).await
     }
 
     /// Sends raw bytes, which the peer reads with [`Receiver::recv_bytes`]. No message may follow
     /// them. A dropped or failed future has the same effect as for [`Sender::send`].
     pub async fn send_bytes(&mut self, bytes: Bytes) -> errors::Result<()> {
+        self.send_pieces(bytes, |_| {}).await
+    }
+
+    async fn send_pieces(
+        &mut self,
+        bytes: Bytes,
+        mut on_sent: impl FnMut(usize),
+    ) -> errors::Result<()> {
         if self.state != State::Open {
             return Err(errors::Error::Partial);
         }
@@ -98,9 +119,15 @@
         match self.outlet.pacer.clone() {
             None => self.write(bytes).await?,
             Some(pacer) => {
-                let mut pieces = pacer.queue(bytes);
+                let size = match self.outlet.size {
+                    pacer::Size::Small => pacer::Size::of(bytes.len()),
+                    pacer::Size::Large => pacer::Size::Large,
+                };
+                let mut pieces = pacer.queue(bytes, size);
                 while let Some(piece) = pieces.next().await {
+                    let length = piece.len();
                     self.write(piece).await?;
+                    on_sent(length);
                 }
             }
         }
@@ -108,6 +135,11 @@
         Ok(())
     }
 
+    /// Gives all that follows the place of large messages, since it is a part of one.
+    pub fn make_large(&mut self) {
+        self.outlet.size = pacer::Size::Large;
+    }
+
     async fn write(&mut self, bytes: Bytes) -> errors::Result<()> {
         let Outlet { wire, kind, .. } = &self.outlet;
         wire.count_message(*kind, bytes.len());
