Hold back no requests of a new team while nothing is refused

A throttle compared the first request of a team with the faded counts of the other teams, also when no request was to be held back.

--- a/crates/routing/src/senders.rs
+++ b/crates/routing/src/senders.rs
@@ -105,6 +105,11 @@
 /// Returns the number of requests of one team above which they are held back, so that `excess` are
 /// held back in total. `requests` are those of each team, highest first.
 fn level(requests: impl Iterator<Item = f32>, excess: f32) -> f32 {
+    // Faded counts are below 1. A level among them would hold back the first request of every team
+    // that is new, although nothing is to be held back.
+    if excess <= 0.0 {
+        return f32::MAX;
+    }
     let (mut level, mut sum) = (f32::MAX, 0.0);
     for (count, it) in (1..).zip(requests) {
         if it <= level && count > 1 {
--- a/crates/routing/tests/throttling.rs
+++ b/crates/routing/tests/throttling.rs
@@ -197,3 +197,23 @@
     }
     insta::assert_snapshot!(out);
 }
+
+/// Guards against requests of a new team that are held back although nothing was refused: the
+/// faded counts of the other teams were below its one request.
+#[test]
+fn a_new_team_is_held_back_without_refusals() {
+    let mut rng = rngs::SmallRng::seed_from_u64(7);
+    let mut throttle = throttle::Throttle::default();
+    let mut held = 0;
+    for step in 0..200 {
+        let now = Time::from_millis(5_000 + step * 130);
+        let team = format!("team-{step}");
+        let sender = senders::Sender { team: &team, rank: 0 };
+        if throttle.try_send(now, sender, false, &mut rng) {
+            throttle.record(now, sender, true);
+        } else {
+            held += 1;
+        }
+    }
+    assert_eq!(held, 0);
+}
