Keep refusals by a full network link out of the throttle

A node that was refused large answers for want of room on the target's link counted these as refusals of full targets and held back every request to the service, also those with small answers: 20 of 20 small requests were answered 503 in the new test, now none.

--- a/crates/heatherwalk/tests/requests/downloads.rs
+++ b/crates/heatherwalk/tests/requests/downloads.rs
@@ -117,3 +117,24 @@
         assert!(longest <= SMALL_LIMIT, "limited {limited}: a small answer took {longest:?}");
     }
 }
+
+/// Guards against small answers that are refused because large ones of the same service were: the
+/// caller's node counted these refusals as those of full targets and held back all requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refused_large_answers_hold_back_small_ones() {
+    let (mesh, _server, entry) = spawn(1).await;
+    let mut exports = tokio::task::JoinSet::new();
+    for _ in 0..CALLERS * 6 {
+        exports.spawn(callers::send(mesh.callers(entry), export()));
+    }
+    let mut refused = 0;
+    while refused < CALLERS * 4 {
+        let reply = exports.join_next().await.expect("most are refused").expect("no panic");
+        refused += usize::from(reply.status == 503);
+    }
+    let mut statuses = Vec::new();
+    for _ in 0..20 {
+        statuses.push(callers::send(mesh.callers(entry), callers::get("/notes/1")).await.status);
+    }
+    assert_eq!(statuses, [200; 20]);
+}
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -83,7 +83,7 @@
             let shared = sync::Arc::clone(&self.state);
             let mut routing = shared.routing.lock();
             self.end_count(&mut routing, ending);
-            self.record_admission(&mut routing, now, true);
+            self.record_admission(&mut routing, now, None);
             self.record_pressure(now, pressure);
             if self.remote && half_free {
                 routing.throttle(&self.service).clear();
@@ -100,12 +100,21 @@
         });
     }
 
-    /// Records whether the target had room for the request. What happens on this host costs no
-    /// message, and calls are not held back, so neither counts in the throttle.
-    fn record_admission(&self, routing: &mut state::Routing, now: time::Time, admitted: bool) {
+    /// Records whether the target had room for the request, or why it refused it. What happens on
+    /// this host costs no message, and calls are not held back, so neither counts in the throttle.
+    /// Nor does a large answer that the target's link cannot carry: it would hold back requests with
+    /// small answers, which the target has room for.
+    fn record_admission(
+        &self,
+        routing: &mut state::Routing,
+        now: time::Time,
+        refused: Option<forwarding::NotRun>,
+    ) {
+        let admitted = refused.is_none();
         let estimates = &mut routing.balancer.estimates;
         estimates.record_admission(now, self.target, self.class, admitted);
-        if self.remote && self.class == requests::Class::Caller {
+        let by_link = refused == Some(forwarding::NotRun::LinkFull);
+        if self.remote && !by_link && self.class == requests::Class::Caller {
             let sender = senders::Sender { team: &self.team, rank: self.rank };
             routing.throttle(&self.service).record(now, sender, admitted);
         }
@@ -410,7 +419,7 @@
     if let working::Failure::NotRun(reason) = failure
         && (reason.is_overload() || reason.was_shed())
     {
-        guard.record_admission(&mut state.routing.lock(), state.now(), false);
+        guard.record_admission(&mut state.routing.lock(), state.now(), Some(*reason));
         if reason.was_shed() {
             let estimates = &mut state.routing.lock().balancer.estimates;
             estimates.record_shed(state.now(), guard.target);
--- a/crates/node/src/instruments.rs
+++ b/crates/node/src/instruments.rs
@@ -256,6 +256,7 @@
         forwarding::NotRun::Draining => "draining",
         forwarding::NotRun::Full => "full",
         forwarding::NotRun::Late => "late",
+        forwarding::NotRun::LinkFull => "link-full",
         forwarding::NotRun::Outranked => "outranked",
         forwarding::NotRun::Quarantined => "quarantined",
         forwarding::NotRun::Refused => "refused",
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -391,7 +391,7 @@
             class: head.class,
             context: &head.context,
         };
-        return promises::offer(state, &request).map_err(|_| forwarding::NotRun::Busy);
+        return promises::offer(state, &request).map_err(|_| forwarding::NotRun::LinkFull);
     }
     log::info!(
         target: "decision",
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -104,6 +104,8 @@
     Displaced,
     /// A service that its calls need is full of more urgent work.
     Outranked,
+    /// The answer would wait too long for the network link of the target's host.
+    LinkFull,
 }
 
 impl NotRun {
@@ -111,7 +113,12 @@
     pub fn is_overload(self) -> bool {
         matches!(
             self,
-            NotRun::Blocked | NotRun::Busy | NotRun::Displaced | NotRun::Full | NotRun::Late
+            NotRun::Blocked
+                | NotRun::Busy
+                | NotRun::Displaced
+                | NotRun::Full
+                | NotRun::Late
+                | NotRun::LinkFull
         )
     }
 
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -353,6 +353,7 @@
             forwarding::NotRun::Busy,
             forwarding::NotRun::Displaced,
             forwarding::NotRun::Outranked,
+            forwarding::NotRun::LinkFull,
         ],
     );
     let finished = quarantine::Evidence::Finished(fingerprint());
