--- a/crates/control/src/quotas.rs
+++ b/crates/control/src/quotas.rs
@@ -58,8 +58,8 @@
     {
         let mut distributor = state.distributor.lock();
         distributor.send(key, streams::ControlMessage::Quota(replies.answer));
-        if let Some(news) = replies.news {
-            distributor.broadcast(&streams::ControlMessage::Quota(news));
+        if let Some(update) = replies.update {
+            distributor.broadcast(&streams::ControlMessage::Quota(update));
         }
     }
     if let Some(ask) = replies.ask {
--- a/crates/quotas/src/ledger.rs
+++ b/crates/quotas/src/ledger.rs
@@ -23,8 +23,8 @@
 pub struct Replies {
     /// The answer to the node.
     pub answer: messages::Answer,
-    /// News for all attached nodes: teams that are not open any more.
-    pub news: Option<messages::Answer>,
+    /// An update for all attached nodes: teams that are not open any more.
+    pub update: Option<messages::Answer>,
     /// A question to the other controls.
     pub ask: Option<messages::Shortages>,
 }
@@ -117,8 +117,9 @@
             answer.renewal = true;
             answer.closed = self.closed(now);
         }
-        let news = (!closed.is_empty()).then(|| messages::Answer { closed, ..Default::default() });
-        Replies { answer, news, ask: self.next_ask(now) }
+        let update =
+            (!closed.is_empty()).then(|| messages::Answer { closed, ..Default::default() });
+        Replies { answer, update, ask: self.next_ask(now) }
     }
 
     /// Lends tokens to another control.
--- a/crates/quotas/src/messages.rs
+++ b/crates/quotas/src/messages.rs
@@ -34,7 +34,7 @@
     pub late: u32,
 }
 
-/// The answer of a control, or news of it without a question.
+/// The answer of a control, or an update that it sends without a question.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Answer {
     /// The number of the question; 0 without one.
--- a/crates/quotas/src/stock.rs
+++ b/crates/quotas/src/stock.rs
@@ -196,7 +196,7 @@
         (since >= due).then(|| self.ask(now, renew))
     }
 
-    /// Takes the answer of the control, or its news.
+    /// Takes the answer of the control, or an update of it.
     pub fn receive(&mut self, now: time::Time, answer: &messages::Answer) {
         if answer.question != 0 {
             let Some(teams) = self.open_question.take_if(|_| answer.question == self.number) else {
--- a/crates/quotas/tests/model/fleet.rs
+++ b/crates/quotas/tests/model/fleet.rs
@@ -168,10 +168,10 @@
                 let Some(ledger) = &mut self.ledgers[control] else { return };
                 let replies = ledger.answer(now, &format!("node-{node}"), &question);
                 self.answer(node, control, replies.answer);
-                if let Some(news) = replies.news {
+                if let Some(update) = replies.update {
                     let attached = |it: &usize| self.nodes[*it].control == control;
                     for node in (0..self.nodes.len()).filter(attached).collect::<Vec<_>>() {
-                        self.answer(node, control, news.clone());
+                        self.answer(node, control, update.clone());
                     }
                 }
                 if let Some(ask) = replies.ask {
