--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
+PYTHONDONTWRITEBYTECODE=1 exec python3 "$(dirname "$0")/case.py"
