--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A request runs at a target of another service, which got the address of the target that admitted it."""
+"""Requests get no answer after status reports were late and the target was believed lost for a moment."""
 
 import asyncio
 import os
@@ -8,46 +8,66 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "harness-2"))
 import stand
 
-HOST = "consent.example"
-LIMIT_MS = 3000  # the time limit and the timeout of `withdraw`
-LINK_MBPS = "1.75"  # the link of a `sidecar` machine
-REUSE_AFTER_S = 2.0
-BODY_BYTES = 530_000  # takes about 2.7 s on such a link; `maxBodyBytes` is 67,108,864
+HOST = "launch.example"
+TIMEOUT_S = 1.0  # the route's timeout; the requesters themselves wait for longer
 ROUNDS = 3
+LEASE_S = 5.0
+
+
+async def late_reports(target, at):
+    """Sends reports every heartbeat until `at`; they arrive together then, each of them seconds late."""
+    target.stop_beats()
+    await target.send(target.report())
+    held = []
+    while target.mesh.record.now() + stand.HEARTBEAT_S < at:
+        await asyncio.sleep(stand.HEARTBEAT_S)
+        held.append((target.mesh.record.now(), target.report()))
+    await asyncio.sleep(max(0, at - target.mesh.record.now()))
+    for sent, report in held:
+        await target.send(report, note=f" (late by {target.mesh.record.now() - sent:.1f} s)" if stand.TROUBLE else "")
+    target.beats = asyncio.create_task(target.beat_always())
+
+
+async def burst(requesters, count):
+    """Many requests come at once at each node."""
+    sends = [it.send(HOST, "/launch/400", method="POST", body=os.urandom(50).hex().encode(), limit_ms=3000)
+             for it in requesters for _ in range(count)]
+    await asyncio.gather(*sends)
 
 
 async def case(record):
-    mesh = stand.Mesh(record, [(it, "consent") for it in stand.ZONES] + [(it, "rights") for it in stand.ZONES])
-    for it in mesh.nodes:
-        it.fields["limits"] = {"linkMbps": LINK_MBPS}
-    targets = [stand.Target(mesh, it, it.fields["service"], slots=12) for it in mesh.nodes]
-    breaks = []
+    mesh = stand.Mesh(record, [(it, "launchdesk") for it in stand.ZONES])
+    targets = [stand.Target(mesh, it, "launchdesk") for it in mesh.nodes]
+    requesters = [stand.Requester(mesh, it) for it in mesh.nodes]
+    tasks = []
     try:
-        routes = [("r-withdraw", HOST, "/withdraw/", "unsafe", "consent", LIMIT_MS),
-                  ("r-licence", HOST, "/licence/", "unsafe", "rights", LIMIT_MS)]
-        await mesh.start(["consent", "rights"], routes)
-        for number in range(ROUNDS):
-            requesters = [stand.Requester(mesh, it) for it in mesh.nodes[3:]]
-            body = lambda: os.urandom(BODY_BYTES // 2).hex().encode()
-            sends = [asyncio.create_task(it.send(HOST, "/withdraw/50", "POST", body(), LIMIT_MS)) for it in requesters]
-            await asyncio.sleep(0.15)
+        route = ("r-launch", HOST, "/launch/", "unsafe", "launchdesk", int(TIMEOUT_S * 1000))
+        await mesh.start(["launchdesk"], [route])
+        await asyncio.sleep(1)
+        for _ in range(ROUNDS):
+            begin = record.now()
             if stand.TROUBLE:
-                # A target ends, and its address goes to a target of another service.
-                ended = targets[number]
-                await ended.stop()
-                record.write(f"target {ended.id} of consent ends")
-                await asyncio.sleep(REUSE_AFTER_S + random.uniform(0.02, 0.1))
-                other = stand.Target(mesh, ended.node, "rights", slots=12)
-                record.write(f"target {other.id} of rights starts at its address")
-                await other.start()
-            await asyncio.gather(*sends)
-            withdrawals = {name: it for requester in requesters for name, it in requester.results.items()}
-            for it in mesh.targets:
-                breaks += [f"{name} for consent was run by {it.id} of rights; its requester got {withdrawals[name][1]}"
-                           for _, name in it.runs if name in withdrawals and it.service == "rights"]
+                tasks = [asyncio.create_task(late_reports(it, begin + LEASE_S + random.uniform(0.1, 0.25)))
+                         for it in targets]
+            await asyncio.sleep(begin + LEASE_S - 0.45 - record.now())
+            first = asyncio.create_task(burst(requesters, 24))
+            await asyncio.sleep(begin + LEASE_S + 0.28 - record.now())
+            await asyncio.gather(first, burst(requesters, 24), *tasks)
             await asyncio.sleep(1)
-        return breaks
+        results = [(name, *it) for q in requesters for name, it in q.results.items()]
+        # Unanswered at the route's timeout, and of these without an answer half a second later. One
+        # that the requester gave up counts as answered never.
+        slow = [it for it in results if it[4] - it[1] > TIMEOUT_S]
+        never = [it for it in slow if not isinstance(it[2], int) or it[4] - it[1] > TIMEOUT_S + 0.5]
+        counts = {}
+        for it in results:
+            counts[it[2]] = counts.get(it[2], 0) + 1
+        record.write(f"outcomes: {counts}; unanswered at the timeout: {len(slow)}; half a second later: {len(never)}")
+        broken = len(never) >= 8 and len(never) > len(slow) / 2
+        return [f"{name} got no answer: sent {sent:.3f}, {outcome} at {at:.3f}" for name, sent, outcome, _, at in never] if broken else []
     finally:
+        for it in tasks:
+            it.cancel()
         await mesh.end()
 
 
