Keep the admission controller when its backend server returns

Cause: `LocalController` replaced its `admission::Controller`, and with it the arena of requests, when a lost backend server returned. The new arena gives out the same keys as the former one, which the permits of requests from before still hold. The end of such a request removed the request of the new controller with its key: a waiting one without a verdict, a running one with its slot. The same happened when a server resumed after a drain. Besides, the running requests were forgotten, so that the target got more than its slots.

Change: there is one controller for the life of the process, and its arena is emptied for the next process of the backend server, never replaced, so that old keys stay unknown. The return of the same process keeps what runs and what was measured. `finish` leaves a waiting request alone, so each one ends with an effect or by its own cancellation; debug builds check that waiting requests and waiting tasks are the same.

--- a/crates/admission/src/admit.rs
+++ b/crates/admission/src/admit.rs
@@ -19,8 +19,8 @@
         work: work::Work,
         effects: &mut Vec<work::Effect>,
     ) -> work::Decision {
-        if self.draining {
-            return work::Decision::Refuse(work::RefusalReason::Draining);
+        if let Some(reason) = self.shut_reason() {
+            return work::Decision::Refuse(reason);
         }
         let work = self.toggles.reduce(work);
         let route = self.routes.flow(work.route);
--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -18,7 +18,7 @@
 pub struct Controller {
     pub(crate) limits: limits::Limits,
     ramp: Option<limits::Ramp>,
-    pub(crate) draining: bool,
+    intake: Intake,
     /// The limit on the rate of starts; none while the target asks for none.
     pub(crate) rate: Option<rate::Bucket>,
     pub(crate) toggles: limits::Toggles,
@@ -42,6 +42,15 @@
     pub(crate) internal_starts: u32,
 }
 
+/// Whether the target takes requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Intake {
+    Open,
+    Draining,
+    /// There is no backend server that could run them.
+    Closed,
+}
+
 /// Numbers of slots in use.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Counts {
@@ -91,14 +100,29 @@
         limits: limits::Limits,
         ramp: Option<limits::Ramp>,
         toggles: limits::Toggles,
+    ) -> Controller {
+        Controller::with_requests(requests::Requests::default(), limits, ramp, toggles)
+    }
+
+    /// Creates a controller that refuses all requests until [`Controller::restart`].
+    pub fn closed(toggles: limits::Toggles) -> Controller {
+        let limits = limits::Limits { slots: 1, queue: 0 };
+        Controller { intake: Intake::Closed, ..Controller::new(limits, None, toggles) }
+    }
+
+    fn with_requests(
+        requests: requests::Requests,
+        limits: limits::Limits,
+        ramp: Option<limits::Ramp>,
+        toggles: limits::Toggles,
     ) -> Controller {
         Controller {
             limits,
             ramp,
-            draining: false,
+            intake: Intake::Open,
             rate: None,
             toggles,
-            requests: requests::Requests::default(),
+            requests,
             routes: routes::Routes::default(),
             caller_queue: queue::Queue::default(),
             internal_queue: queue::Queue::default(),
@@ -115,6 +139,39 @@
         }
     }
 
+    /// Begins anew for another process of the backend server: refuses all waiting requests, and
+    /// forgets the running ones and all measurements. The keys of forgotten requests are not given
+    /// out again, so their ends have no effect.
+    pub fn restart(
+        &mut self,
+        now: Time,
+        limits: limits::Limits,
+        ramp: Option<limits::Ramp>,
+    ) -> Vec<work::Effect> {
+        let mut effects = self.advance(now);
+        self.refuse_waiting(now, work::RefusalReason::Absent, &mut effects);
+        let mut requests = std::mem::take(&mut self.requests);
+        requests.clear();
+        *self = Controller::with_requests(requests, limits, ramp, self.toggles);
+        effects
+    }
+
+    /// Takes requests again after [`Controller::drain`] or [`Controller::close`]. It is the same
+    /// process of the backend server, so the requests that still run hold their slots.
+    pub fn resume(&mut self, now: Time, limits: limits::Limits) -> Vec<work::Effect> {
+        self.intake = Intake::Open;
+        self.set_limits(now, limits)
+    }
+
+    /// Refuses all waiting and all new requests, because the backend server is gone. Running
+    /// requests continue: it may have been taken for gone by mistake.
+    pub fn close(&mut self, now: Time) -> Vec<work::Effect> {
+        let mut effects = self.advance(now);
+        self.intake = Intake::Closed;
+        self.refuse_waiting(now, work::RefusalReason::Absent, &mut effects);
+        effects
+    }
+
     /// Decides whether a new request runs, waits or is refused.
     pub fn offer(&mut self, now: Time, work: work::Work) -> work::Offered {
         let mut effects = self.advance(now);
@@ -122,8 +179,9 @@
         work::Offered { decision, effects }
     }
 
-    /// Frees the slot of a request that has ended, and measures how long it ran. A waiting request
-    /// is removed without being measured. An unknown key has no effect.
+    /// Frees the slot of a request that has ended, and measures how long it ran. An unknown key and
+    /// that of a waiting request have no effect: a waiting request ends with an [`work::Effect`] or
+    /// by [`Controller::cancel`], so that its owner always gets a verdict.
     pub fn finish(
         &mut self,
         now: Time,
@@ -131,30 +189,45 @@
         outcome: work::Outcome,
     ) -> Vec<work::Effect> {
         let mut effects = self.advance(now);
-        if let Some((flow, class, run)) = self.remove(key) {
-            let elapsed = now.since(run.started);
-            self.record_taken(now, run, outcome);
-            if outcome == work::Outcome::Answered {
-                self.class_times(class).record(service_times::as_micros(elapsed));
-            }
-            if !run.long && !run.straggler && outcome != work::Outcome::Shed {
-                self.short_load.record(now, elapsed);
-            }
-            self.measure(flow, elapsed, outcome);
-            self.routes.remove_request(flow);
+        if !self.is_waiting(key) {
+            self.end(now, key, outcome);
         }
-        // A route's first median may reveal stragglers, which must be counted before the slot is
-        // reassigned.
-        self.fire_timers(now, &mut effects);
-        self.dispatch(now, &mut effects);
+        self.fill_slots(now, &mut effects);
         effects
     }
 
     /// Removes a running or waiting request whose caller no longer waits for the answer. An unknown
     /// key has no effect.
     pub fn cancel(&mut self, now: Time, key: work::RequestKey) -> Vec<work::Effect> {
+        let mut effects = self.advance(now);
         // The elapsed time is a lower bound of the service time, as with a timeout.
-        self.finish(now, key, work::Outcome::TimedOut)
+        self.end(now, key, work::Outcome::TimedOut);
+        self.fill_slots(now, &mut effects);
+        effects
+    }
+
+    /// Removes a request, and measures it if it ran.
+    fn end(&mut self, now: Time, key: work::RequestKey, outcome: work::Outcome) {
+        let Some((flow, class, run)) = self.remove(key) else {
+            return;
+        };
+        let elapsed = now.since(run.started);
+        self.record_taken(now, run, outcome);
+        if outcome == work::Outcome::Answered {
+            self.class_times(class).record(service_times::as_micros(elapsed));
+        }
+        if !run.long && !run.straggler && outcome != work::Outcome::Shed {
+            self.short_load.record(now, elapsed);
+        }
+        self.measure(flow, elapsed, outcome);
+        self.routes.remove_request(flow);
+    }
+
+    /// Starts waiting requests after one has ended. A route's first median may reveal stragglers,
+    /// which must be counted before the slot is reassigned.
+    fn fill_slots(&mut self, now: Time, effects: &mut Vec<work::Effect>) {
+        self.fire_timers(now, effects);
+        self.dispatch(now, effects);
     }
 
     /// Does everything that is due: marks stragglers, refuses waiting requests that can no longer
@@ -199,14 +272,22 @@
     /// Starts draining: refuses all waiting and all new requests. Running requests continue.
     pub fn drain(&mut self, now: Time) -> Vec<work::Effect> {
         let mut effects = self.advance(now);
-        self.draining = true;
-        let keys: Vec<_> = self.caller_queue.keys().chain(self.internal_queue.keys()).collect();
-        for key in keys {
-            self.refuse(now, key, work::RefusalReason::Draining, &mut effects);
+        if self.intake == Intake::Open {
+            self.intake = Intake::Draining;
         }
+        self.refuse_waiting(now, work::RefusalReason::Draining, &mut effects);
         effects
     }
 
+    /// Why no request is taken; none when requests are.
+    pub(crate) fn shut_reason(&self) -> Option<work::RefusalReason> {
+        match self.intake {
+            Intake::Open => None,
+            Intake::Draining => Some(work::RefusalReason::Draining),
+            Intake::Closed => Some(work::RefusalReason::Absent),
+        }
+    }
+
     /// Marks a request as a suspect or clears the mark. Suspects that already run concurrently
     /// continue. An unknown key has no effect.
     pub fn set_suspect(
@@ -241,12 +322,19 @@
         self.needs.clear();
     }
 
-    /// Returns the load to report on answers.
+    /// Returns the load to report on answers; all zero while the controller is closed.
     pub fn load(&self, now: Time) -> load::LoadReport {
+        if self.intake == Intake::Closed {
+            return load::LoadReport::default();
+        }
         let load = load::LoadReport {
             in_flight: self.counts.running(),
             queued: u32::try_from(self.waiting()).unwrap_or(u32::MAX),
-            slots: if self.draining { 0 } else { self.limits.slots_at(self.ramp, now) },
+            slots: if self.intake == Intake::Draining {
+                0
+            } else {
+                self.limits.slots_at(self.ramp, now)
+            },
             service_time: time::Duration::from_micros(self.routes.overall_mean()),
             queued_calls: u32::try_from(self.internal_queue.len()).unwrap_or(u32::MAX),
             caller_time: time::Duration::from_micros(self.caller_times.get().unwrap_or(0)),
@@ -311,6 +399,18 @@
         }
     }
 
+    fn refuse_waiting(
+        &mut self,
+        now: Time,
+        reason: work::RefusalReason,
+        effects: &mut Vec<work::Effect>,
+    ) {
+        let keys: Vec<_> = self.caller_queue.keys().chain(self.internal_queue.keys()).collect();
+        for key in keys {
+            self.refuse(now, key, reason, effects);
+        }
+    }
+
     /// Refuses a waiting request.
     pub(crate) fn refuse(
         &mut self,
@@ -320,7 +420,10 @@
         effects: &mut Vec<work::Effect>,
     ) {
         let work = self.requests.get(key).map(|it| it.work);
-        if let Some(work) = work.filter(|_| reason != work::RefusalReason::Draining) {
+        // A target that is leaving or gone has lost no request by its load.
+        let by_load =
+            !matches!(reason, work::RefusalReason::Absent | work::RefusalReason::Draining);
+        if let Some(work) = work.filter(|_| by_load) {
             self.losses.record_refusal(now, &work);
         }
         self.remove(key);
@@ -386,7 +489,8 @@
         }
     }
 
-    pub(crate) fn waiting(&self) -> usize {
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
         self.caller_queue.len() + self.internal_queue.len()
     }
 
--- a/crates/admission/src/requests.rs
+++ b/crates/admission/src/requests.rs
@@ -54,6 +54,12 @@
         self.arena.insert(Request { work, flow, state: State::Waiting, timer: None })
     }
 
+    /// Removes all requests. None of their keys is given out again.
+    pub(crate) fn clear(&mut self) {
+        self.timers.clear();
+        self.arena.clear();
+    }
+
     pub(crate) fn remove(&mut self, key: work::RequestKey) -> Option<Request> {
         self.set_timer(key, None);
         self.arena.remove(key)
--- a/crates/admission/src/work.rs
+++ b/crates/admission/src/work.rs
@@ -59,6 +59,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
+    /// There is no backend server.
+    Absent,
     /// Long requests and stragglers hold most slots or all, and the sender can try another target.
     Blocked,
     /// It would wait too long for its objective, or longer than its sender accepts.
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -111,6 +111,13 @@
         self.most_slow = self.most_slow.max(self.controller.slow_slots());
     }
 
+    /// Forgets the running requests, whose process is gone.
+    pub fn forget_running(&mut self) {
+        for (_, key) in std::mem::take(&mut self.ends).into_keys() {
+            self.open.remove(&key);
+        }
+    }
+
     pub fn cancel(&mut self, key: work::RequestKey) {
         let job = self.open.remove(&key).expect("only running or waiting requests are cancelled");
         self.ends.retain(|it, ()| it.1 != key);
--- a/crates/heatherwalk/tests/requests/main.rs
+++ b/crates/heatherwalk/tests/requests/main.rs
@@ -20,6 +20,7 @@
 mod ranks;
 mod refusals;
 mod relay;
+mod returning;
 mod rollouts;
 mod servers;
 mod silence;
--- a/crates/heatherwalk/tests/requests/servers.rs
+++ b/crates/heatherwalk/tests/requests/servers.rs
@@ -45,13 +45,21 @@
     pub cancelled: atomic::AtomicUsize,
     /// Bytes of endless answers that the system took from it.
     pub endless: atomic::AtomicUsize,
+    /// Requests that it runs.
+    running: atomic::AtomicUsize,
+    /// Most requests that it has run at the same time.
+    pub most_running: atomic::AtomicUsize,
 }
 
+/// Counts a request as running until it is dropped.
+struct Running(Arc<Counts>);
+
 /// A running server. Dropping it stops it at once.
 pub struct Server {
     pub counts: Arc<Counts>,
+    pub addr: net::SocketAddr,
     listening: task::JoinSet<()>,
-    _announcing: task::JoinSet<()>,
+    announcing: task::JoinSet<()>,
 }
 
 /// An HTTP response with a content length.
@@ -63,6 +71,20 @@
     [head.as_bytes(), body].concat()
 }
 
+impl Running {
+    fn begin(counts: &Arc<Counts>) -> Running {
+        let running = counts.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
+        counts.most_running.fetch_max(running, atomic::Ordering::SeqCst);
+        Running(Arc::clone(counts))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
+
 impl Counts {
     /// The number of requests that it began to run.
     pub fn runs(&self) -> usize {
@@ -105,23 +127,28 @@
         version: &str,
         handle: impl Fn(&str, &[u8]) -> Action + Send + Sync + 'static,
     ) -> Server {
-        let listener = TcpListener::bind(mesh::loopback()).await.expect("binds");
-        let addr = listener.local_addr().expect("has an address");
-        let counts = Arc::new(Counts::default());
-        let mut listening = task::JoinSet::new();
-        listening.spawn(listen(listener, Arc::clone(&counts), Arc::new(handle)));
-        let mut announcing = task::JoinSet::new();
+        let mut server = Server::listen(handle).await;
         let settings =
             example::Settings { service: service.into(), name: service.into(), announce, slots };
         let announcement = node::backend::Announcement {
             version: version.into(),
-            ..example::announcement(settings, addr)
+            ..example::announcement(settings, server.addr)
         };
-        announcing.spawn(async move {
+        server.announcing.spawn(async move {
             let (_keep, drain) = tokio::sync::watch::channel(false);
             example::renew(announce, announcement, drain).await;
         });
-        Server { counts, listening, _announcing: announcing }
+        server
+    }
+
+    /// Starts a server that nobody announces.
+    pub async fn listen(handle: impl Fn(&str, &[u8]) -> Action + Send + Sync + 'static) -> Server {
+        let listener = TcpListener::bind(mesh::loopback()).await.expect("binds");
+        let addr = listener.local_addr().expect("has an address");
+        let counts = Arc::new(Counts::default());
+        let mut listening = task::JoinSet::new();
+        listening.spawn(listen(listener, Arc::clone(&counts), Arc::new(handle)));
+        Server { counts, addr, listening, announcing: task::JoinSet::new() }
     }
 
     /// Refuses connections from now on, but still announces the server.
@@ -155,6 +182,7 @@
     let shed = matches!(action, Action::Shed);
     let count = if shed { &counts.shed } else { &counts.runs };
     count.fetch_add(1, atomic::Ordering::SeqCst);
+    let _running = (!shed).then(|| Running::begin(&counts));
     let bytes = match action {
         Action::Send(bytes) => bytes,
         Action::Slowly(bytes, pieces, pause) => {
--- a/crates/node/src/attaching.rs
+++ b/crates/node/src/attaching.rs
@@ -166,7 +166,7 @@
     admission.remap_routes(new_key);
     if let Some(entry) = entry.filter(|it| it.state.takes_work()) {
         let limits = slots::limits(Some(&config), &entry.service, entry.slots);
-        admission.open(now, limits, None);
+        admission.set_limits(now, limits);
     }
 }
 
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -436,9 +436,7 @@
     let mut admission = state.admission.lock();
     let limits = slots::limits(config.as_deref(), &entry.service, entry.slots);
     match transition {
-        local_target::Transition::Arrived
-        | local_target::Transition::Restarted
-        | local_target::Transition::Returned => {
+        local_target::Transition::Arrived | local_target::Transition::Restarted => {
             // A backend server that announces how long its cold start lasts gets all its slots at
             // once instead of a ramp.
             let ramp = match (entry.state, reports_cold) {
@@ -447,16 +445,22 @@
                 }
                 _ => instant_ramp(now),
             };
-            admission.open(now, limits, Some(ramp));
+            admission.restart(now, limits, ramp);
         }
         local_target::Transition::Draining => admission.drain(now),
-        local_target::Transition::Lost => admission.close(),
-        local_target::Transition::Resumed => admission.open(now, limits, Some(instant_ramp(now))),
+        local_target::Transition::Lost => admission.close(now),
+        local_target::Transition::Resumed | local_target::Transition::Returned
+            if entry.state.takes_work() =>
+        {
+            admission.resume(now, limits);
+        }
         local_target::Transition::Late
         | local_target::Transition::Outdated
+        | local_target::Transition::Resumed
+        | local_target::Transition::Returned
         | local_target::Transition::Warm => {}
     }
-    // A new controller knows no limit.
+    // A restarted controller knows no limit.
     admission.set_rate(now, rate);
 }
 
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -24,21 +24,26 @@
     Refuse(forwarding::NotRun),
 }
 
-/// The admission controller of this host's backend server, and the tasks that wait for a slot. It
-/// is closed while there is no backend server.
-#[derive(Debug, Default)]
+/// The admission controller of this host's backend server, and the tasks that wait for a slot. There
+/// is one controller for the life of the process: permits keep keys of its requests across losses and
+/// restarts of the backend server, and another controller would give the same keys out again.
+#[derive(Debug)]
 pub(crate) struct LocalController {
-    controller: Option<controller::Controller>,
+    controller: controller::Controller,
+    /// The tasks of exactly the requests that wait in the controller.
     waiters: SecondaryMap<work::RequestKey, oneshot::Sender<Verdict>>,
 }
 
 impl LocalController {
+    /// A controller that is closed, since no backend server has announced itself.
+    pub(crate) fn closed() -> LocalController {
+        let controller = controller::Controller::closed(limits::Toggles::default());
+        LocalController { controller, waiters: SecondaryMap::new() }
+    }
+
     /// Asks for a slot. Work is refused while the controller is closed.
     pub(crate) fn offer(&mut self, now: time::Time, work: work::Work) -> Decision {
-        let Some(controller) = &mut self.controller else {
-            return Decision::Refuse(forwarding::NotRun::Absent);
-        };
-        let offered = controller.offer(now, work);
+        let offered = self.controller.offer(now, work);
         let decision = match offered.decision {
             work::Decision::Run(key) => Decision::Run(key),
             work::Decision::Wait(key) => {
@@ -59,71 +64,64 @@
         key: work::RequestKey,
         outcome: work::Outcome,
     ) {
-        let Some(controller) = &mut self.controller else { return };
-        let effects = controller.finish(now, key, outcome);
+        let effects = self.controller.finish(now, key, outcome);
         self.notify(effects);
     }
 
     /// Removes work whose caller has left, and frees its slot if it holds one.
     pub(crate) fn cancel(&mut self, now: time::Time, key: work::RequestKey) {
-        let Some(controller) = &mut self.controller else { return };
-        let effects = controller.cancel(now, key);
+        let effects = self.controller.cancel(now, key);
         self.waiters.remove(key);
         self.notify(effects);
     }
 
     /// Starts and refuses the queued work whose timers have expired.
     pub(crate) fn tick(&mut self, now: time::Time) {
-        let Some(controller) = &mut self.controller else { return };
-        let effects = controller.tick(now);
+        let effects = self.controller.tick(now);
         self.notify(effects);
     }
 
     /// When [`LocalController::tick`] has something to do next; none when no timer is set.
     pub(crate) fn next_deadline(&self, now: time::Time) -> Option<time::Time> {
-        self.controller.as_ref()?.next_tick(now)
+        self.controller.next_tick(now)
     }
 
-    /// Opens the controller for a backend server that has announced itself. With a ramp, a new
-    /// controller replaces an open one and queued work is refused; without one, an open controller
-    /// only changes its limits.
-    pub(crate) fn open(
-        &mut self,
-        now: time::Time,
-        limits: limits::Limits,
-        ramp: Option<limits::Ramp>,
-    ) {
-        match &mut self.controller {
-            Some(controller) if ramp.is_none() => {
-                let effects = controller.set_limits(now, limits);
-                self.notify(effects);
-            }
-            controller => {
-                *controller =
-                    Some(controller::Controller::new(limits, ramp, limits::Toggles::default()));
-                self.refuse_waiting(forwarding::NotRun::Absent);
-            }
-        }
+    /// Opens the controller for a process of the backend server that has just announced itself, and
+    /// refuses the work that waited for the former one.
+    pub(crate) fn restart(&mut self, now: time::Time, limits: limits::Limits, ramp: limits::Ramp) {
+        let effects = self.controller.restart(now, limits, Some(ramp));
+        self.notify(effects);
+    }
+
+    /// Opens the controller for the process that it was drained or closed for. What still runs there
+    /// holds its slots.
+    pub(crate) fn resume(&mut self, now: time::Time, limits: limits::Limits) {
+        let effects = self.controller.resume(now, limits);
+        self.notify(effects);
+    }
+
+    /// Changes the limits, and refuses queued work beyond them.
+    pub(crate) fn set_limits(&mut self, now: time::Time, limits: limits::Limits) {
+        let effects = self.controller.set_limits(now, limits);
+        self.notify(effects);
     }
 
     /// Sets the requests per second that the backend server takes, or ends the limit.
     pub(crate) fn set_rate(&mut self, now: time::Time, rate: Option<f64>) {
-        let Some(controller) = &mut self.controller else { return };
-        let effects = controller.set_rate(now, rate);
+        let effects = self.controller.set_rate(now, rate);
         self.notify(effects);
     }
 
     /// Refuses new and queued work, because the backend server is leaving.
     pub(crate) fn drain(&mut self, now: time::Time) {
-        let Some(controller) = &mut self.controller else { return };
-        let effects = controller.drain(now);
+        let effects = self.controller.drain(now);
         self.notify(effects);
     }
 
     /// Closes the controller and refuses queued work, because the backend server is gone.
-    pub(crate) fn close(&mut self) {
-        self.controller = None;
-        self.refuse_waiting(forwarding::NotRun::Absent);
+    pub(crate) fn close(&mut self, now: time::Time) {
+        let effects = self.controller.close(now);
+        self.notify(effects);
     }
 
     /// Moves the measurements of routes to their keys in a new version of the configuration.
@@ -131,19 +129,17 @@
         &mut self,
         remap: impl FnMut(contracts::RouteKey) -> Option<contracts::RouteKey>,
     ) {
-        if let Some(controller) = &mut self.controller {
-            controller.remap_routes(remap);
-        }
+        self.controller.remap_routes(remap);
     }
 
     /// The load to report to other nodes; all zero while the controller is closed.
     pub(crate) fn load(&self, now: time::Time) -> load::LoadReport {
-        self.controller.as_ref().map(|it| it.load(now)).unwrap_or_default()
+        self.controller.load(now)
     }
 
     /// The number of queued requests of the same team, route and rank.
     pub(crate) fn waiting_beside(&self, work: &work::Work) -> usize {
-        self.controller.as_ref().map_or(0, |it| it.waiting_beside(work))
+        self.controller.waiting_beside(work)
     }
 
     fn notify(&mut self, effects: Vec<work::Effect>) {
@@ -156,12 +152,11 @@
             // A task that was dropped cancels its request through its permit.
             let _ = waiter.send(verdict);
         }
-    }
-
-    fn refuse_waiting(&mut self, reason: forwarding::NotRun) {
-        for (_, waiter) in self.waiters.drain() {
-            let _ = waiter.send(Err(reason));
-        }
+        debug_assert_eq!(
+            self.waiters.len(),
+            self.controller.waiting(),
+            "a waiting request has no task, or a task waits without a request",
+        );
     }
 }
 
@@ -237,6 +232,7 @@
 
 fn to_not_run(reason: work::RefusalReason) -> forwarding::NotRun {
     match reason {
+        work::RefusalReason::Absent => forwarding::NotRun::Absent,
         work::RefusalReason::Blocked => forwarding::NotRun::Blocked,
         work::RefusalReason::Busy => forwarding::NotRun::Busy,
         work::RefusalReason::Deadline => forwarding::NotRun::Late,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -235,7 +235,7 @@
             backend: table::Table::new(BACKEND, "backend server", backend),
             routing: table::Table::new(ROUTING, "routing", routing),
             quotas: table::Table::new(QUOTAS, "quotas", quotas::Quotas::default()),
-            admission: table::Table::new(ADMISSION, "admission", slots::LocalController::default()),
+            admission: table::Table::new(ADMISSION, "admission", slots::LocalController::closed()),
             downlink: table::Table::new(DOWNLINK, "downlink", downlink),
             uplink: table::Table::new(UPLINK, "uplink", uplink),
             in_flight: table::Table::new(
