End the wait for a slot at the request's deadline

`await_verdict` waited without a limit, so that a request whose verdict was lost never got an answer.

Change: the wait ends at the request's deadline, as not run; the dropped permit takes the request out of the queue.

--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -91,7 +91,7 @@
     if !idempotent {
         // The body is asked for only once a slot is free: until then the sender may still choose
         // another target.
-        admission = working::wait_for_slot(&request.head, admission).await;
+        admission = working::wait_for_slot(state, &request.head, admission).await;
     }
     match arrival {
         _ if matches!(admission, working::Admission::Refuse(_)) => {}
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -96,7 +96,7 @@
         Some(it) => it,
         None => request_admission(state, &request).await,
     };
-    let permit = await_verdict(&request.head, admission).await.map_err(refused)?;
+    let permit = await_verdict(state, &request.head, admission).await.map_err(refused)?;
     let (addr, instance) = {
         let backend = state.backend.lock();
         (backend.addr, backend.instance.clone())
@@ -181,10 +181,11 @@
 
 /// Waits until a request holds its slot or is refused.
 pub(crate) async fn wait_for_slot(
+    state: &state::State,
     head: &forwarding::RequestHead,
     admission: Admission,
 ) -> Admission {
-    match await_verdict(head, admission).await {
+    match await_verdict(state, head, admission).await {
         Ok(permit) => Admission::Run(permit),
         Err(reason) => Admission::Refuse(reason),
     }
@@ -477,31 +478,37 @@
     config.and_then(|it| it.find_team(&head.context.team)).unwrap_or_default()
 }
 
+/// Waits until a request holds its slot or is refused, at most until its deadline.
 async fn await_verdict(
+    state: &state::State,
     head: &forwarding::RequestHead,
     admission: Admission,
 ) -> Result<slots::Permit, forwarding::NotRun> {
-    match admission {
-        Admission::Refuse(reason) => Err(reason),
-        Admission::Run(permit) => Ok(permit),
-        Admission::Wait(permit, verdict) => match verdict.await {
-            Ok(Ok(())) => Ok(permit),
-            Ok(Err(reason)) => {
-                permit.disarm();
-                log::info!(
-                    target: "decision",
-                    "admission request={} outcome=refuse reason={reason:?} route={} queued=true \
-                     team={} rank={}",
-                    head.id,
-                    head.route,
-                    head.context.team,
-                    head.context.rank,
-                );
-                Err(reason)
-            }
-            Err(_) => Err(forwarding::NotRun::Absent),
-        },
-    }
+    let (permit, verdict) = match admission {
+        Admission::Refuse(reason) => return Err(reason),
+        Admission::Run(permit) => return Ok(permit),
+        Admission::Wait(permit, verdict) => (permit, verdict),
+    };
+    let deadline = state.instant(head.context.deadline);
+    let reason = match tokio::time::timeout_at(deadline, verdict).await {
+        Ok(Ok(Ok(()))) => return Ok(permit),
+        Ok(Ok(Err(reason))) => {
+            permit.disarm();
+            reason
+        }
+        // Dropping the permit takes the request out of the queue.
+        Ok(Err(_)) => forwarding::NotRun::Absent,
+        Err(_) => forwarding::NotRun::Late,
+    };
+    log::info!(
+        target: "decision",
+        "admission request={} outcome=refuse reason={reason:?} route={} queued=true team={} rank={}",
+        head.id,
+        head.route,
+        head.context.team,
+        head.context.rank,
+    );
+    Err(reason)
 }
 
 fn start_execution(
