Compare the entry of a removed target with its tombstone

Callers see nothing of it; each node gets an event a second for each target that is lost while its node runs, and with departures on disk it would be a sync a second at each control.

Cause: the answer to a heartbeat compares the digest with that of the live target only. A removed one has none, so the control asks for the entry with each heartbeat, and the node sends it with a newer order.

Change: the digest is that of the newest entry that is held, tombstones included.

--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -79,11 +79,11 @@
         heartbeat: &messages::Heartbeat,
     ) -> messages::HeartbeatAnswer {
         let target = self.targets.find_host(&heartbeat.host);
-        let digest = target.map(|it| it.entry.digest());
         if target.is_some_and(|it| it.entry.registrar == self.name) {
             self.leases.insert(heartbeat.host.clone(), now + NODE_LEASE);
         }
         let held = self.targets.held_entry(&heartbeat.host);
+        let digest = held.map(messages::Entry::digest);
         let known = held.map(|it| it.order);
         let agreed = heartbeat.digest.is_some() && heartbeat.digest == digest;
         let wanted = heartbeat.digest.is_some() && !agreed;
--- a/crates/membership/tests/registries/main.rs
+++ b/crates/membership/tests/registries/main.rs
@@ -233,6 +233,40 @@
     insta::assert_snapshot!(out);
 }
 
+/// Guards against a removed target that its node sends again with each heartbeat, and that each
+/// control passes on to all nodes: the registry compared it with live targets only.
+#[test]
+fn a_removed_target_is_sent_again() {
+    let location = local_target::Location {
+        host: "skulte-1".into(),
+        data_centre: "skulte".into(),
+        addr: "127.0.0.1:9000".parse().expect("an address"),
+    };
+    let mut node = local_target::LocalTarget::new(location, "skulte".into(), Default::default());
+    let mut control = registry(Time::ZERO, "skulte");
+    let announcement = messages::Announcement {
+        service: "logbook".into(),
+        addr: "127.0.0.1:8000".parse().expect("an address"),
+        incarnation: 50,
+        sequence: 0,
+        slots: 6,
+        drain: false,
+        cold_ms: None,
+        version: "".into(),
+    };
+    let first = node.announce(Time::ZERO, &announcement).event.expect("an event");
+    control.apply_event(Time::ZERO, &first);
+    let gone = node.backend_lost(Time::from_millis(500)).event.expect("an event");
+    control.apply_event(Time::from_millis(500), &gone);
+    let sent = (1..=5).filter(|second| {
+        let now = Time::from_millis(second * 1_000);
+        let answer = control.heartbeat(now, &node.heartbeat());
+        let event = node.heartbeat_answered(now, &answer).event;
+        event.is_some_and(|it| control.apply_event(now, &it).is_change())
+    });
+    assert_eq!(sent.count(), 0, "of 5 heartbeats");
+}
+
 /// Guards against a partition that removes the other side's targets, against stale marks that
 /// remain after it, and against registries that differ after it, also when both sides changed an
 /// entry. The short partition ends while the tombstone is still kept, the long one after that.
