Tell the tokens of a node's former process from its own

Backend servers that use the project's own front end saw their calls run with the deadline, the team and the extra sends of another request: a server that goes on while its node restarts names the parents of its calls by tokens of the former process.

Change: the token begins with a random number of the process. Others are refused as `bad-parent`, as docs/callers.md says of requests of another node.

Evidence: requests `calls::a_token_of_another_process_names_a_request` failed before (all 4 tokens of another process got 200) and passes (4 times 400 `bad-parent`, the process's own 4 times 200). The front end of the platform names parents by their IDs and is not concerned.

--- a/crates/heatherwalk/tests/requests/calls.rs
+++ b/crates/heatherwalk/tests/requests/calls.rs
@@ -7,6 +7,7 @@
 
 use heatherwalk::example;
 use serde_json::json;
+use tokio::sync::mpsc;
 use world::requests;
 
 use crate::{callers, mesh, servers};
@@ -77,6 +78,49 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Guards against a token of another process that names a request of this one: a backend server that
+/// goes on while its node restarts makes its calls with those of the former process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_token_of_another_process_names_a_request() {
+    let limit = json!({"timeout_ms": 60_000});
+    let services = ["launchdesk", "sondelab"];
+    let entries: Vec<_> = services.iter().map(|it| (*it, json!({}), limit.clone())).collect();
+    let mesh = mesh::Mesh::spawn(3, mesh::document(&entries)).await;
+    let mut running = Vec::new();
+    let mut tokens = Vec::new();
+    for (index, service) in services.iter().enumerate() {
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        let handle = move |head: &str, _: &[u8]| {
+            let token = head.lines().find_map(|it| it.strip_prefix("heatherwalk-parent: "));
+            sender.send(token.expect("the node names the parent").to_owned()).expect("is read");
+            servers::Action::Freeze
+        };
+        let announce = mesh.announce(index + 1);
+        let server = servers::Server::spawn(announce, service, 512, handle).await;
+        mesh.ready(index + 1, &[service]).await;
+        let text = format!("GET /{service}/held HTTP/1.1\r\nhost: held\r\n\r\n");
+        let mut own = Vec::new();
+        let mut held = Vec::new();
+        // The first of them can get the key of an answered request; the others get new ones.
+        for _ in 0..4 {
+            held.push(callers::open(mesh.callers(index + 1), text.as_bytes()).await);
+            own.push(receiver.recv().await.expect("a token"));
+        }
+        running.push((server, held, receiver));
+        tokens.push(own);
+    }
+    let mut lines = Vec::new();
+    for (name, own) in [("another process", &tokens[0]), ("this process", &tokens[1])] {
+        let mut replies = Vec::new();
+        for token in own {
+            let call = callers::get("/sondelab/ready").with("heatherwalk-parent", token);
+            replies.push(callers::send(mesh.callers(2), call).await.to_string());
+        }
+        lines.push(format!("tokens of {name}: {}", replies.join("; ")));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 /// The number of calls that a backend server of the next test makes for one request.
 const CALLS: usize = 6;
 
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -114,12 +114,16 @@
     }
 }
 
-/// Encodes a key in hexadecimal, for the header that names a call's parent.
-pub(crate) fn encode(key: RequestKey) -> CompactString {
-    format_compact!("{:x}", key.data().as_ffi())
+/// Encodes a key in hexadecimal, for the header that names a call's parent. The `epoch` is that of
+/// this process: a backend server can hold tokens of a former process of its node, which has given
+/// out the same keys.
+pub(crate) fn encode(epoch: u32, key: RequestKey) -> CompactString {
+    format_compact!("{epoch:x}-{:x}", key.data().as_ffi())
 }
 
-/// Decodes a key from that header; none when it is not a hexadecimal number of 64 bits.
-pub(crate) fn decode(text: &str) -> Option<RequestKey> {
-    u64::from_str_radix(text, 16).ok().map(|it| KeyData::from_ffi(it).into())
+/// Decodes a key from that header; none when it is not one of the process with this `epoch`.
+pub(crate) fn decode(epoch: u32, text: &str) -> Option<RequestKey> {
+    let (of, key) = text.split_once('-')?;
+    let of = u32::from_str_radix(of, 16).ok().filter(|it| *it == epoch);
+    of.and_then(|_| u64::from_str_radix(key, 16).ok()).map(|it| KeyData::from_ffi(it).into())
 }
--- a/crates/node/src/planning.rs
+++ b/crates/node/src/planning.rs
@@ -179,7 +179,7 @@
     own: Scheduling,
     text: &str,
 ) -> refusals::Result<Scheduling> {
-    let key = in_flight::decode(text).ok_or_else(refusals::bad_parent)?;
+    let key = in_flight::decode(state.epoch, text).ok_or_else(refusals::bad_parent)?;
     let mut requests = state.in_flight.lock();
     // If it is missing, the parent was answered or its caller has left, so nobody waits for this
     // call.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -77,6 +77,8 @@
     /// Wakes the task that probes unresponsive hosts when a probe may be due earlier than it knows.
     pub(crate) probe_wakeup: sync::Arc<tokio::sync::Notify>,
     pub(crate) clock: clock::Clock,
+    /// A random number that tells this process from the former ones of the node.
+    pub(crate) epoch: u32,
 }
 
 /// The node's host and data centre.
@@ -252,6 +254,7 @@
             stop_at: tokio::sync::watch::channel(None).0,
             probe_wakeup: sync::Arc::default(),
             clock,
+            epoch: rand::random(),
             settings,
             location,
         }
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -106,7 +106,7 @@
     };
     let execution = start_execution(state, &request, addr, permit);
     let sent_at = state.now();
-    let parent = in_flight::encode(execution.key);
+    let parent = in_flight::encode(state.epoch, execution.key);
     let context = dialect::RequestContext {
         addr,
         instance: &instance,
