Keep departures on the disks of controls

Cause: the acknowledgement is a promise, and what it rested on stood in memory only. A control that had started answered "nothing held" both when there was nothing and when it did not know yet.

A drain or a leave is acknowledged once it is on two disks, or on one when no other control confirms within 400 ms, so that a data centre that is cut off acknowledges by itself; with no disk that can be written it gets 503. A control that starts, or did not run for 2 s, answers heartbeats only with the departures of the other controls, or after 3 s. An entry names a hash of the process's name, by which a restarted node knows a process without a start. A leave that comes before any announcement since the restart of the node is recorded as well. The messages have changed, so the protocol has version 6.

--- a/crates/control/src/attaching.rs
+++ b/crates/control/src/attaching.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::mpsc, task};
 use transport::links;
 
-use crate::{distributing, proposing, quotas, registering, rollouts, state};
+use crate::{departing, distributing, proposing, quotas, registering, rollouts, state};
 
 /// Most pieces of evidence of one node that are recorded and proposed at the same time. Each waits
 /// for the log; the node sends again what was not acknowledged.
@@ -177,7 +177,7 @@
     match message {
         streams::NodeMessage::Rollouts(reports) => rollouts::record_reports(state, host, reports),
         streams::NodeMessage::Event(event) => registering::receive_node_event(state, &event),
-        streams::NodeMessage::Heartbeat(it) => registering::answer_heartbeat(state, key, &it),
+        streams::NodeMessage::Heartbeat(it) => departing::receive_heartbeat(state, key, &it),
         streams::NodeMessage::Parts(requests) => {
             registering::send_parts_to_node(state, key, &requests)
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 mod attaching;
 pub mod configuration;
 mod controls;
+mod departing;
 pub mod dialect;
 mod directory;
 mod distributing;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -7,7 +7,7 @@
 use rand::Rng as _;
 use tokio::sync::mpsc;
 
-use crate::{groups, quotas, registering, rollouts, state};
+use crate::{departing, groups, quotas, registering, rollouts, state};
 
 /// Upper bound of the random delay before a broken stream is opened again.
 const BACKOFF_CAP: time::Duration = time::Duration::from_millis(1_000);
@@ -80,6 +80,10 @@
     // Messages queued while there was no link are out of date, and the protocols send them again.
     // The queue is bounded and `try_recv` doesn't wait, so this loop ends.
     while queue.try_recv().is_ok() {}
+    // The other control may have started, and nobody sends it these again.
+    for message in departing::messages(state) {
+        sender.send(&message).await?;
+    }
     let mut counted_bytes = link.traffic().sent;
     loop {
         let message = tokio::select! {
@@ -99,6 +103,13 @@
         streams::PeerMessage::Agreement(group, message) => {
             groups::receive(state, host, &group, message);
         }
+        streams::PeerMessage::DepartureRecorded { host: of, digest } => {
+            departing::record_copy(state, &host, &of, digest);
+        }
+        streams::PeerMessage::Departures { events, is_last } => {
+            departing::receive(state, &host, &events, is_last);
+        }
+        streams::PeerMessage::DeparturesRequest => departing::send_to_peer(state, &host),
         streams::PeerMessage::Digests(digests) => {
             registering::compare_digests(state, &host, &digests)
         }
--- a/crates/control/src/registering.rs
+++ b/crates/control/src/registering.rs
@@ -6,7 +6,7 @@
 use protocol::streams;
 use world::bounds;
 
-use crate::{rollouts, state};
+use crate::{departing, rollouts, state};
 
 /// Most lagging nodes in one report to the other controls, which bounds its size.
 const MAX_LAGGING_NODES: usize = 64;
@@ -24,6 +24,7 @@
     log_event(event);
     state.send_peers(&streams::PeerMessage::Event(event.clone()));
     state.distributor.lock().broadcast(&streams::ControlMessage::Event(event.clone()));
+    departing::wake(state);
 }
 
 /// Merges a change that another control reported. Passes it on to all attached nodes, unless the
@@ -34,19 +35,10 @@
     if merge.is_change() {
         log_event(event);
         state.distributor.lock().broadcast(&streams::ControlMessage::Event(event.clone()));
+        departing::wake(state);
     }
 }
 
-/// Renews the lease of an attached node's target and answers the heartbeat.
-pub(crate) fn answer_heartbeat(
-    state: &state::State,
-    key: subscribers::SubscriberKey,
-    heartbeat: &messages::Heartbeat,
-) {
-    let answer = state.registry.lock().heartbeat(state.now(), heartbeat);
-    state.distributor.lock().send(key, streams::ControlMessage::Heartbeat(answer));
-}
-
 /// Sends the controls, the unreachable data centres and the registry's digests to a node that has
 /// just attached. The node then asks for the parts that differ from its own.
 pub(crate) fn send_registry(state: &state::State, key: subscribers::SubscriberKey) {
@@ -121,6 +113,7 @@
 pub(crate) fn resume(state: &state::State, pause: std::time::Duration) {
     log::warn!("this control did not run for {pause:?}; the leases of the nodes begin again");
     state.registry.lock().resume(state.now());
+    departing::resume(state);
 }
 
 /// Removes targets whose leases have ended, marks unreachable controls, and sends the
--- a/crates/control/src/running.rs
+++ b/crates/control/src/running.rs
@@ -9,8 +9,8 @@
 use world::hosts;
 
 use crate::{
-    attaching, controls, directory, distributing, groups, http, instruments, peers, proposing,
-    quotas, registering, replica, rollouts, settings, state,
+    attaching, controls, departing, directory, distributing, groups, http, instruments, peers,
+    proposing, quotas, registering, replica, rollouts, settings, state,
 };
 
 /// Interval between ticks of the groups, well below their heartbeat interval of 200 ms.
@@ -124,6 +124,7 @@
         }));
         tasks.spawn(tick_groups(sync::Arc::clone(&state)));
         tasks.spawn(run_maintenance(sync::Arc::clone(&state)));
+        tasks.spawn(departing::run(sync::Arc::clone(&state)));
         tasks.spawn(rollouts::run(sync::Arc::clone(&state)));
         let location = &state.location;
         log::info!("control {} of {} listens on {listen}", location.host, location.data_centre);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,8 +12,8 @@
 use world::{hosts, time};
 
 use crate::{
-    configuration, directory, distributing, instruments, quotas, replica, rollouts, settings,
-    state_machines, unknown_values,
+    configuration, departing, directory, distributing, instruments, quotas, replica, rollouts,
+    settings, state_machines, unknown_values,
 };
 
 // The lock order: a thread locks these tables in increasing rank only.
@@ -24,6 +24,8 @@
 const CONFIGURATION_STATE_RANK: rank::Rank = rank::Rank(30);
 const CLAIMS_STATE_RANK: rank::Rank = rank::Rank(40);
 const EVIDENCE_RANK: rank::Rank = rank::Rank(45);
+const DEPARTURES_RANK: rank::Rank = rank::Rank(46);
+const HEARTBEATS_RANK: rank::Rank = rank::Rank(48);
 const REGISTRY_RANK: rank::Rank = rank::Rank(50);
 const ROLLOUTS_RANK: rank::Rank = rank::Rank(55);
 const DISTRIBUTOR_RANK: rank::Rank = rank::Rank(60);
@@ -49,6 +51,10 @@
     pub(crate) configuration_state: table::Table<configuration::State>,
     pub(crate) claims_state: table::Table<claims::Claims>,
     pub(crate) evidence: table::Table<overlay::Overlay>,
+    /// The departures of targets on this control's disk.
+    pub(crate) departures: table::Table<departing::Journal>,
+    /// The heartbeats that have not been answered yet.
+    pub(crate) heartbeats: table::Table<departing::Heartbeats>,
     pub(crate) registry: table::Table<registry::Registry>,
     /// What is known of the rollouts in progress.
     pub(crate) rollouts: table::Table<rollouts::Rollouts>,
@@ -58,6 +64,8 @@
     pub(crate) directory: table::Table<directory::Directory>,
     /// The unknown values of documents that were logged.
     pub(crate) unknown_values: table::Table<unknown_values::UnknownValues>,
+    /// Wakes the task that writes departures and answers heartbeats.
+    pub(crate) departures_changed: tokio::sync::Notify,
     /// Wakes the task that keeps the list of controls.
     pub(crate) controls_changed: tokio::sync::Notify,
     pub(crate) clock: clock::Clock,
@@ -102,11 +110,14 @@
             )?),
         };
         let clock = clock::Clock::start();
-        let registry = registry::Registry::new(
-            clock.now(),
-            location.host.clone(),
-            membership::toggles::Toggles::default(),
-        );
+        let now = clock.now();
+        let toggles = membership::toggles::Toggles::default();
+        let mut registry = registry::Registry::new(now, location.host.clone(), toggles);
+        let (departures, events) = departing::Journal::open(&settings.data_folder);
+        for event in &events {
+            registry.restore_departure(now, event);
+            registry.departures_mut().record_written(&event.entry);
+        }
         // A host that lost its disk and joined the group again may still lack versions.
         let caught_up = configuration_replica.is_caught_up();
         let rng = rngs::StdRng::from_os_rng();
@@ -136,6 +147,12 @@
             ),
             claims_state: table::Table::new(CLAIMS_STATE_RANK, "claims state", claims_state),
             evidence: table::Table::new(EVIDENCE_RANK, "evidence", overlay::Overlay::default()),
+            departures: table::Table::new(DEPARTURES_RANK, "departures on disk", departures),
+            heartbeats: table::Table::new(
+                HEARTBEATS_RANK,
+                "heartbeats",
+                departing::Heartbeats::default(),
+            ),
             registry: table::Table::new(REGISTRY_RANK, "registry", registry),
             rollouts: table::Table::new(ROLLOUTS_RANK, "rollouts", rollouts::Rollouts::default()),
             distributor: table::Table::new(DISTRIBUTOR_RANK, "distributor", distributor),
@@ -150,6 +167,7 @@
                 "unknown values",
                 unknown_values::UnknownValues::default(),
             ),
+            departures_changed: tokio::sync::Notify::new(),
             controls_changed: tokio::sync::Notify::new(),
             clock,
             settings,
--- a/crates/heatherwalk/tests/processes/main.rs
+++ b/crates/heatherwalk/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod configuration;
 mod crashes;
+mod departures;
 mod harness;
 mod hosts;
 mod outages;
--- a/crates/heatherwalk/tests/requests/stand_in_controls.rs
+++ b/crates/heatherwalk/tests/requests/stand_in_controls.rs
@@ -107,6 +107,7 @@
                     wanted: it.digest.is_some() && it.digest != digest,
                     digest,
                     held: held.clone().filter(|_| it.digest != digest),
+                    recorded: true,
                 };
                 sender.send(&streams::ControlMessage::Heartbeat(answer)).await?;
                 continue;
--- a/crates/membership/src/local_target.rs
+++ b/crates/membership/src/local_target.rs
@@ -70,8 +70,12 @@
     known_order: messages::Order,
     /// What the registry answered to the first heartbeat of this process, and when.
     first_answer: Option<(Time, Option<messages::Entry>)>,
-    /// The digest of the entry that the registry holds, as of its last answer.
+    /// The digest of the entry that the registry holds and has recorded, as of its last answer.
     held_digest: Option<u64>,
+    /// The last process that left without having announced itself to this process of the node.
+    left: Option<messages::Entry>,
+    /// Whether the registry has recorded that, as of its last answer.
+    left_recorded: bool,
     /// Whether the node itself is stopping, which drains the backend server.
     stopping: bool,
     lease: time::Duration,
@@ -108,6 +112,8 @@
             known_order,
             first_answer: None,
             held_digest: None,
+            left: None,
+            left_recorded: false,
             stopping: false,
             lease: ANNOUNCEMENT_LEASE,
             toggles,
@@ -230,6 +236,46 @@
         Outcome { transition: None, event: self.event(now) }
     }
 
+    /// A backend server shuts down permanently that has not announced itself to this process of the
+    /// node, at `at_us` by the wall clock. Its announcements may still arrive, after a restart of the
+    /// node as well, so the registry is to record the leave, unless another backend server is
+    /// announced.
+    pub fn unannounced_leaving(&mut self, now: Time, instance: u32, at_us: u64) -> Outcome {
+        let known = self.left.as_ref().is_some_and(|it| it.announced.instance == instance);
+        if !known {
+            self.left_recorded = false;
+            self.left = Some(messages::Entry {
+                host: self.location.host.clone(),
+                data_centre: self.location.data_centre.clone(),
+                service: CompactString::const_new(messages::UNANNOUNCED_SERVICE),
+                addr: self.location.addr,
+                order: self.known_order.next(),
+                slots: 1,
+                state: objects::State::Gone,
+                announced: messages::Announced {
+                    incarnation: at_us,
+                    sequence: 0,
+                    leaving: true,
+                    instance,
+                },
+                registrar: self.registrar.clone(),
+                version: CompactString::default(),
+            });
+        }
+        Outcome { transition: None, event: self.left_event(now) }
+    }
+
+    /// Whether the last leave of [`LocalTarget::unannounced_leaving`] needs no record, or has one.
+    pub fn is_left_recorded(&self) -> bool {
+        self.backend.is_some() || self.left.is_none() || self.left_recorded
+    }
+
+    /// The leave that the registry is to record; none before it has told its newest order.
+    fn left_event(&self, now: Time) -> Option<messages::Event> {
+        let left = self.left.as_ref().filter(|_| self.backend.is_none())?;
+        (self.knows_registry() && !self.left_recorded).then(|| targets::event(now, left, now))
+    }
+
     /// The node begins a planned stop: the backend server drains, and no renewal revokes that.
     pub fn node_stopping(&mut self, now: Time) -> Outcome {
         self.stopping = true;
@@ -265,7 +311,16 @@
         self.first_answer.is_some()
     }
 
-    /// Whether the registry holds the entry that the node announces, as of its last answer.
+    /// The incarnation of the process with this name, if it left before it announced itself, or if the
+    /// registry held its entry when the node started.
+    pub fn known_incarnation(&self, instance: u32) -> Option<u64> {
+        let held = self.first_answer.as_ref().and_then(|it| it.1.as_ref());
+        let mut known = self.left.iter().chain(held).map(|it| it.announced);
+        known.find(|it| it.instance == instance).map(|it| it.incarnation)
+    }
+
+    /// Whether the registry holds the entry that the node announces, as of its last answer, and has
+    /// recorded it if it is a departure.
     pub fn is_registered(&self) -> bool {
         self.held_digest.is_some() && self.held_digest == self.entry().map(messages::Entry::digest)
     }
@@ -275,7 +330,7 @@
     /// the node's process announced before its restart. What the backend server announced to that
     /// process and what is later than the announcements since is kept to.
     pub fn heartbeat_answered(&mut self, now: Time, answer: &messages::HeartbeatAnswer) -> Outcome {
-        self.held_digest = answer.digest;
+        self.held_digest = answer.digest.filter(|_| answer.recorded);
         if let Some(known) = answer.known.filter(|it| it.is_valid())
             && self.toggles.known_orders
         {
@@ -285,9 +340,10 @@
         if first {
             self.first_answer = Some((now, answer.held.clone()));
         }
+        self.record_left(answer);
         let transition = answer.held.as_ref().and_then(|held| self.keep_to(now, held, first));
         let Some(backend) = self.backend.as_ref().filter(|_| answer.wanted) else {
-            return Outcome { transition, event: None };
+            return Outcome { transition, event: self.left_event(now) };
         };
         if backend.entry.order <= self.known_order {
             self.raise_order();
@@ -295,6 +351,17 @@
         Outcome { transition, event: self.event(now) }
     }
 
+    /// Compares a leave of [`LocalTarget::unannounced_leaving`] with what the registry holds. If that
+    /// is something else, the leave gets a newer order.
+    fn record_left(&mut self, answer: &messages::HeartbeatAnswer) {
+        let Some(left) = &mut self.left else {
+            return;
+        };
+        let held = answer.held.as_ref().map(|it| it.announced);
+        self.left_recorded = answer.recorded && held == Some(left.announced);
+        left.order = left.order.max(self.known_order.next());
+    }
+
     /// Handles the first announcement since the node started. It may be a late one, which the
     /// registry can tell when it has answered a heartbeat.
     fn announce_first(&mut self, now: Time, announcement: &messages::Announcement) -> Outcome {
@@ -319,12 +386,22 @@
     /// Returns what this changed.
     fn keep_to(&mut self, now: Time, held: &messages::Entry, started: bool) -> Option<Transition> {
         let backend = self.backend.as_mut()?;
-        if held.announced.incarnation != backend.latest.incarnation {
+        let named =
+            backend.latest.instance != 0 && backend.latest.instance == held.announced.instance;
+        if started && named && !backend.latest.dated {
+            backend.latest.incarnation = held.announced.incarnation;
+            backend.entry.announced.incarnation = held.announced.incarnation;
+        }
+        let same = held.announced.incarnation == backend.latest.incarnation;
+        if !same && !held.ends(backend.entry.announced) {
             return None;
         }
         backend.entry.announced.leaving |= held.announced.leaving;
-        let later = held.announced.sequence > backend.latest.sequence;
-        if started && later && held.state == objects::State::Draining {
+        let later = same && held.announced.sequence > backend.latest.sequence;
+        // A removed target may have drained before that; a late announcement does not show that it
+        // takes work.
+        let departed = matches!(held.state, objects::State::Draining | objects::State::Gone);
+        if started && later && departed {
             backend.latest.sequence = held.announced.sequence;
             backend.latest.drain = true;
             backend.entry.announced.sequence = held.announced.sequence;
@@ -356,6 +433,7 @@
                 incarnation: announcement.incarnation,
                 sequence: announcement.sequence,
                 leaving: false,
+                instance: announcement.instance,
             },
             registrar: self.registrar.clone(),
             version: announcement.version.clone(),
@@ -371,6 +449,8 @@
             last_contact: now,
             late_sequence: None,
         };
+        let left = self.left.as_ref().is_some_and(|it| it.ends(backend.entry.announced));
+        backend.entry.announced.leaving = left;
         backend.entry.state = announced_state(now, &backend, self.stopping);
         self.backend = Some(backend);
         self.raise_order();
--- a/crates/membership/src/messages.rs
+++ b/crates/membership/src/messages.rs
@@ -15,6 +15,10 @@
 /// 2255.
 pub const MAX_ORDER: u64 = 1 << 53;
 
+/// The service of the entry of a backend server that left before it had announced itself. The entry
+/// says that it is gone, so nobody looks its service up.
+pub const UNANNOUNCED_SERVICE: &str = "unannounced";
+
 /// Why an entry is refused. It is that of another writer, or of a faulty process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum EntryError {
@@ -76,6 +80,11 @@
     pub cold_ms: Option<u64>,
     /// The version of its software; empty when it names none.
     pub version: CompactString,
+    /// The [`Announced::instance`] of the process.
+    pub instance: u32,
+    /// Whether the process itself names its start. Otherwise `incarnation` is when its node heard of it
+    /// first, and a restarted node gives it another one.
+    pub dated: bool,
 }
 
 /// The announcement that put a target into its state, as the backend server numbered it. The
@@ -91,6 +100,8 @@
     /// Whether the process has said that it shuts down permanently. Nothing that it announced
     /// before revokes that, however late it arrives.
     pub leaving: bool,
+    /// A hash of the name of the process, which does not change while it runs; 0 when it has none.
+    pub instance: u32,
 }
 
 /// The registry's record of one host's backend server.
@@ -153,6 +164,9 @@
     /// is the one that the heartbeat names. A node that restarted learns from it what its former
     /// process announced.
     pub held: Option<Entry>,
+    /// Whether that entry outlasts a restart of all processes, if it is that of a backend server that
+    /// drains or leaves.
+    pub recorded: bool,
 }
 
 /// The hashes of a data centre's entries, one for each part. Removed entries do not count.
@@ -210,7 +224,34 @@
     }
 }
 
+impl Announced {
+    /// The hash of the name of a process. It tells the processes of one host apart, so 32 bits suffice.
+    pub fn hash_instance(name: &str) -> u32 {
+        if name.is_empty() {
+            return 0;
+        }
+        let mut hash = Fnv::new();
+        hash.text(name);
+        // The high bits of FNV-1a are mixed better than the low ones.
+        ((hash.0 >> 32) as u32).max(1)
+    }
+}
+
 impl Entry {
+    /// Whether the backend server drains or shuts down permanently.
+    pub fn is_departing(&self) -> bool {
+        self.announced.leaving || self.state == targets::State::Draining
+    }
+
+    /// Whether this says that the process which made the announcement `other` shuts down permanently.
+    pub fn ends(&self, other: Announced) -> bool {
+        let Announced { incarnation, leaving, instance, .. } = self.announced;
+        // Such a leave is dated by its arrival, so its process had started before.
+        let unannounced = self.service == UNANNOUNCED_SERVICE && instance != 0;
+        let named = unannounced && instance == other.instance && other.incarnation <= incarnation;
+        leaving && (incarnation == other.incarnation || named)
+    }
+
     /// Checks that the entry can be that of a target, since it may come from another writer.
     ///
     /// # Errors
@@ -261,6 +302,7 @@
         hash.number(self.announced.incarnation);
         hash.number(self.announced.sequence);
         hash.number(self.announced.leaving.into());
+        hash.number(self.announced.instance.into());
         hash.text(&self.version);
         hash.0
     }
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use world::{targets as objects, time::Time};
 
-use crate::{messages, targets, toggles};
+use crate::{departures, messages, targets, toggles};
 
 /// How long a node may send no heartbeat before its target is removed.
 pub const NODE_LEASE: time::Duration = time::Duration::from_secs(4);
@@ -15,6 +15,9 @@
 /// Time without a message of a control after which the entries under its leases are stale: three
 /// exchanges. A registry that has run this long is settled.
 pub const STALE_AFTER: time::Duration = time::Duration::from_secs(15);
+/// How long a control that has started waits for the departures that the other controls have recorded.
+/// One that does not send them by then is taken for lost.
+pub const DEPARTURES_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// What a [`Registry::tick`] has to send.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -30,8 +33,9 @@
 /// The registry of a control, with the entries that other controls reported.
 ///
 /// It holds the leases of the nodes that are attached to its control: nodes of its own data centre,
-/// and of others whose home control cannot be reached. It keeps nothing on disk; after a restart,
-/// the nodes' heartbeats and the other controls' digests fill it again.
+/// and of others whose home control cannot be reached. After a restart, the nodes' heartbeats and the
+/// other controls' digests fill it again. Only departures are kept on disk, by the owner of the
+/// registry: no heartbeat would bring a leave back that its node has forgotten, too.
 #[derive(Clone, Debug)]
 pub struct Registry {
     /// The name of the control.
@@ -41,6 +45,9 @@
     leases: collections::BTreeMap<CompactString, Time>,
     /// The other controls, by name.
     peers: collections::BTreeMap<CompactString, Peer>,
+    departures: departures::Departures,
+    /// The other controls that have sent their departures since the start.
+    informed_by: collections::BTreeSet<CompactString>,
     started: Time,
     last_exchange: Time,
     toggles: toggles::Toggles,
@@ -60,6 +67,8 @@
             targets: targets::Targets::new(toggles),
             leases: collections::BTreeMap::new(),
             peers: collections::BTreeMap::new(),
+            departures: departures::Departures::default(),
+            informed_by: collections::BTreeSet::new(),
             started: now,
             last_exchange: now,
             toggles,
@@ -71,35 +80,80 @@
         &self.targets
     }
 
-    /// Handles the heartbeat of an attached node. It renews the node's lease if this registry holds
-    /// that.
-    pub fn heartbeat(
-        &mut self,
+    /// The targets that drain or leave.
+    pub fn departures(&self) -> &departures::Departures {
+        &self.departures
+    }
+
+    /// The targets that drain or leave, to record where they are written.
+    pub fn departures_mut(&mut self) -> &mut departures::Departures {
+        &mut self.departures
+    }
+
+    /// Handles the heartbeat of an attached node: renews the node's lease if this registry holds
+    /// that. [`Registry::answer`] has the answer.
+    pub fn heartbeat(&mut self, now: Time, host: &str) {
+        let target = self.targets.find_host(host);
+        if target.is_some_and(|it| it.entry.registrar == self.name) {
+            self.leases.insert(host.into(), now + NODE_LEASE);
+        }
+    }
+
+    /// The answer to a heartbeat, when the mesh has the controls `others` besides this one. None
+    /// until this registry knows the departures that the others had recorded when it started, and
+    /// while a departure of the node's backend server is being recorded. Call again after each change
+    /// and after [`departures::COPY_TIMEOUT`].
+    pub fn answer(
+        &self,
         now: Time,
         heartbeat: &messages::Heartbeat,
-    ) -> messages::HeartbeatAnswer {
-        let target = self.targets.find_host(&heartbeat.host);
-        if target.is_some_and(|it| it.entry.registrar == self.name) {
-            self.leases.insert(heartbeat.host.clone(), now + NODE_LEASE);
+        others: &[CompactString],
+    ) -> Option<messages::HeartbeatAnswer> {
+        if !self.is_informed(now, others) {
+            return None;
         }
-        let held = self.targets.held_entry(&heartbeat.host);
-        let digest = held.map(messages::Entry::digest);
+        let host = &heartbeat.host;
+        let held = self.held_entry(host);
         let known = held.map(|it| it.order);
+        let digest = self.targets.held_entry(host).map(messages::Entry::digest);
         let agreed = heartbeat.digest.is_some() && heartbeat.digest == digest;
         let wanted = heartbeat.digest.is_some() && !agreed;
+        let standing = held.map(|it| self.departures.standing(now, it, others.len()));
+        let recorded = match standing {
+            Some(departures::Standing::Pending) => return None,
+            Some(it) => it == departures::Standing::Recorded,
+            None => true,
+        };
         let held = held.filter(|_| !agreed).cloned();
-        messages::HeartbeatAnswer { known, wanted, digest, held }
+        Some(messages::HeartbeatAnswer { known, wanted, digest, held, recorded })
+    }
+
+    /// The newest entry of a host that is known, with removed ones and departures from before a
+    /// restart.
+    fn held_entry(&self, host: &str) -> Option<&messages::Entry> {
+        let held = self.targets.held_entry(host);
+        let departed = self.departures.entry(host);
+        match (held, departed) {
+            (Some(held), Some(departed)) if departed.replaces(held) => Some(departed),
+            (None, departed) => departed,
+            (held, _) => held,
+        }
     }
 
     /// Merges an event from an attached node or another control. If the result is a change, the
     /// caller passes the event on: a node's to the other controls and the attached nodes, another
     /// control's to the attached nodes only.
     pub fn apply_event(&mut self, now: Time, event: &messages::Event) -> targets::MergeResult {
+        let entry = &event.entry;
+        let departed = self.departures.entry(&entry.host);
+        if departed.is_some_and(|it| it.replaces(entry)) && entry.check().is_ok() {
+            return targets::MergeResult::NotNewer;
+        }
         let merge = self.targets.merge(now, event);
         if !merge.is_change() {
             return merge;
         }
-        let entry = &event.entry;
+        self.departures.follow(now, entry);
         if entry.registrar != self.name || entry.state == objects::State::Gone {
             self.leases.remove(&entry.host);
             return merge;
@@ -111,6 +165,31 @@
         merge
     }
 
+    /// Takes a departure that this control had written to its disk before it started, or that
+    /// another control has recorded. The entry is not given to nodes: whether the target is still
+    /// there is for its node to say.
+    pub fn restore_departure(&mut self, now: Time, event: &messages::Event) {
+        let entry = &event.entry;
+        let is_newer = self.held_entry(&entry.host).is_none_or(|it| entry.replaces(it));
+        if is_newer && entry.check().is_ok() && entry.is_departing() {
+            let age = time::Duration::from_millis(event.age_ms);
+            let since = now.checked_sub(age).unwrap_or(Time::ZERO);
+            self.departures.follow(since, entry);
+        }
+    }
+
+    /// Records that another control has sent all departures that it knows.
+    pub fn record_informed(&mut self, control: &str) {
+        self.informed_by.insert(control.into());
+    }
+
+    /// Whether this registry knows the departures that the controls `others` had recorded when it
+    /// started, or has waited long enough for them.
+    pub fn is_informed(&self, now: Time, others: &[CompactString]) -> bool {
+        now.since(self.started) >= DEPARTURES_TIMEOUT
+            || others.iter().all(|it| self.informed_by.contains(it))
+    }
+
     /// Records that a message of another control arrived. When that control was unreachable
     /// before, returns what to tell the attached nodes.
     pub fn mark_alive(&mut self, now: Time, name: &str) -> Option<messages::Reachability> {
@@ -144,10 +223,11 @@
     }
 
     /// Renews all leases and contacts after a time in which this control did not run: the silence
-    /// of the others shows nothing then, as their messages wait. The registry may lack entries,
-    /// too, as after a start.
+    /// of the others shows nothing then, as their messages wait. The registry may lack entries and
+    /// departures, too, as after a start.
     pub fn resume(&mut self, now: Time) {
         self.started = now;
+        self.informed_by.clear();
         self.leases.values_mut().for_each(|it| *it = now + NODE_LEASE);
         self.peers.values_mut().for_each(|it| it.last_contact = now);
     }
@@ -156,6 +236,7 @@
     /// of digests when one is due.
     pub fn tick(&mut self, now: Time) -> Due {
         let mut due = Due::default();
+        self.departures.expire(now);
         if self.toggles.leases {
             due.events = self.expire_leases(now);
         }
--- a/crates/membership/tests/node.rs
+++ b/crates/membership/tests/node.rs
@@ -23,6 +23,8 @@
         drain: false,
         cold_ms: None,
         version: "".into(),
+        instance: 0,
+        dated: true,
     }
 }
 
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -18,6 +18,8 @@
 /// How long the answer to a drain or a leave is held back until a control has recorded it. A
 /// backend server takes a second without an answer as a failure.
 const RECORD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(800);
+/// How long after an answer without the record the control is asked again.
+const RECORD_CHECK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// An announcement that a backend server sends to its node as JSON.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -126,8 +128,8 @@
         move || mark_leaving(&state, &instance)
     };
     match state.pool.run(attaching::in_runtime(job)).await {
-        Ok(true) if !await_record(&state).await => not_recorded(),
-        Ok(_) => {
+        Ok(()) if !await_record(&state).await => not_recorded(),
+        Ok(()) => {
             let none = AnnounceAnswer { renew_ms: 0, token: None };
             (state.settings.dialect.write_renewal)(&none)
         }
@@ -144,15 +146,30 @@
             let answered = state.registered.notified();
             tokio::pin!(answered);
             answered.as_mut().enable();
-            if state.backend.lock().local.is_registered() {
+            if is_recorded(state) {
                 return;
             }
             answered.await;
+            if !is_recorded(state) {
+                // The control may have asked for the entry, and has it by now.
+                tokio::time::sleep(RECORD_CHECK_INTERVAL).await;
+                attaching::send_heartbeat(state);
+            }
         }
     };
     tokio::time::timeout(RECORD_TIMEOUT, recorded).await.is_ok()
 }
 
+/// Whether a control has recorded the entry of the backend server, or the leave of one that has not
+/// announced itself.
+fn is_recorded(state: &state::State) -> bool {
+    let backend = state.backend.lock();
+    match backend.local.entry() {
+        Some(_) => backend.local.is_registered(),
+        None => backend.local.is_left_recorded(),
+    }
+}
+
 fn not_recorded() -> web::exchange::Response {
     log::info!(
         target: "decision",
@@ -192,29 +209,30 @@
     }
 }
 
-/// Drains the backend server `instance`, which shuts down permanently. Returns whether it is the
-/// one of this host; otherwise the leave is kept for its announcement.
-fn mark_leaving(state: &state::State, instance: &str) -> bool {
+/// Drains the backend server `instance`, which shuts down permanently. If it is not the one of this
+/// host, the leave is kept for its announcement.
+fn mark_leaving(state: &state::State, instance: &str) {
     let now = state.now();
     let mut backend = state.backend.lock();
-    if backend.instance != instance {
+    let previous = backend.local.entry().cloned();
+    let outcome = if backend.instance == instance {
+        backend.local.backend_leaving(now)
+    } else {
         log::info!(
             target: "decision",
             "leave of {} kept for its announcement: the backend server is {:?}",
             bounds::excerpt(instance),
             backend.instance,
         );
-        if announcements::is_instance(instance) {
-            backend.left = instance.into();
+        if !announcements::is_instance(instance) {
+            return;
         }
-        return false;
-    }
-    let previous = backend.local.entry().cloned();
-    let outcome = backend.local.backend_leaving(now);
+        let hash = messages::Announced::hash_instance(instance);
+        backend.local.unannounced_leaving(now, hash, unix_us())
+    };
     drop(backend);
     apply_outcome(state, now, outcome, previous.as_ref());
     attaching::send_heartbeat(state);
-    previous.is_some()
 }
 
 /// Keeps to what the backend server `instance` said of itself in an answer.
@@ -331,6 +349,8 @@
             drain: announcement.drain,
             cold_ms: announcement.cold_ms,
             version: announcement.version.clone(),
+            instance: messages::Announced::hash_instance(&announcement.instance),
+            dated: announcement.incarnation.is_some(),
         };
         let previous = backend.local.entry().cloned();
         let outcome = backend.local.announce(now, &message);
@@ -363,13 +383,7 @@
     if !late {
         state.in_flight.lock().renew(now, state.settings.lease);
     }
-    let left = {
-        let backend = state.backend.lock();
-        !backend.left.is_empty() && backend.left == backend.instance
-    };
-    if left {
-        mark_leaving(state, &announcement.instance);
-    } else if announcement.drain && !state.backend.lock().local.is_registered() {
+    if announcement.drain && !state.backend.lock().local.is_registered() {
         attaching::send_heartbeat(state);
     }
     let renew_ms = u64::try_from(local_target::RENEWAL_INTERVAL.as_millis()).unwrap_or(u64::MAX);
@@ -390,11 +404,21 @@
     if let Some(it) = announcement.incarnation {
         return it;
     }
-    let known = backend.local.entry().map(|it| it.order.incarnation);
-    match known.filter(|_| backend.instance == announcement.instance) {
-        Some(it) => it,
-        None => u64::try_from(unix_time().as_micros()).unwrap_or(u64::MAX),
-    }
+    let known = backend.local.entry().map(|it| it.announced.incarnation);
+    let known = known.filter(|_| backend.instance == announcement.instance);
+    known.or_else(|| known_incarnation(backend, &announcement.instance)).unwrap_or_else(unix_us)
+}
+
+/// The incarnation of a process that has announced itself to a former process of this node under the
+/// same name, or that left before it announced itself.
+fn known_incarnation(backend: &state::Backend, instance: &str) -> Option<u64> {
+    let hash = messages::Announced::hash_instance(instance);
+    let is_first = backend.instance.is_empty() && hash != 0;
+    is_first.then(|| backend.local.known_incarnation(hash)).flatten()
+}
+
+fn unix_us() -> u64 {
+    u64::try_from(unix_time().as_micros()).unwrap_or(u64::MAX)
 }
 
 /// The time since the Unix epoch by this host's clock.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -107,9 +107,6 @@
     pub(crate) dated: bool,
     /// The name under which it announced itself, or empty.
     pub(crate) instance: CompactString,
-    /// The last process that said that it leaves without being the announced one, or empty. A node
-    /// that has just started may hear of the end of its backend server first.
-    pub(crate) left: CompactString,
     /// What it said of itself in its last answer.
     pub(crate) notice: dialect::Notice,
     /// Limits the log lines about refused announcements.
@@ -215,7 +212,6 @@
             addr: None,
             dated: false,
             instance: "".into(),
-            left: "".into(),
             notice: dialect::Notice::default(),
             refusals: log_limits::LogLimit::default(),
             stop_by: None,
--- a/crates/protocol/src/streams.rs
+++ b/crates/protocol/src/streams.rs
@@ -156,6 +156,23 @@
     Rollouts(Vec<rollouts::Summary>),
     /// Tokens for the quotas of teams, asked for or lent.
     Quota(quota::Loan),
+    /// The targets that drain or leave, as the sender knows them. Sent on each new stream after the
+    /// introduction, and when asked for.
+    Departures {
+        /// The entries.
+        events: Vec<membership::messages::Event>,
+        /// Whether no others follow.
+        is_last: bool,
+    },
+    /// Asks for the receiver's departures, after a pause of the sender.
+    DeparturesRequest,
+    /// The sender has written the departure of the backend server on this host to its disk.
+    DepartureRecorded {
+        /// The name of the host.
+        host: CompactString,
+        /// The [`membership::messages::Entry::digest`] of the entry.
+        digest: u64,
+    },
 }
 
 /// The versions that the nodes attached to a control run.
--- a/crates/storage/src/files.rs
+++ b/crates/storage/src/files.rs
@@ -113,3 +113,22 @@
         Err(error) => Err(io_error("read", path)(error)),
     }
 }
+
+/// Opens a file for appending, after truncating it from `length` to `valid` bytes to remove
+/// an incomplete record.
+pub(crate) fn open_for_append<F: FnMut(faults::Operation) -> faults::Fault>(
+    path: &path::Path,
+    valid: usize,
+    length: usize,
+    faults: &mut F,
+) -> errors::Result<fs::File> {
+    let open = fs::OpenOptions::new().append(true).open(path);
+    let mut file = open.map_err(io_error("open", path))?;
+    if valid < length {
+        log::warn!("{}: removing {} bytes of an incomplete record", path.display(), length - valid);
+        file.set_len(valid as u64).map_err(io_error("truncate", path))?;
+    }
+    // After a crash, records that were read may not be on disk yet. Sync them before they are used.
+    append(&mut file, path, &[], faults)?;
+    Ok(file)
+}
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -58,7 +58,7 @@
         let file = if trimmed {
             write_log(folder, &header, &replay, &mut faults)?
         } else {
-            open_for_append(&path, valid, bytes.len(), &mut faults)?
+            files::open_for_append(&path, valid, bytes.len(), &mut faults)?
         };
         let restored = restore(replay, snapshot);
         let folder = folder.to_path_buf();
@@ -292,22 +292,3 @@
     }
     files::replace(folder, LOG, &bytes, faults)
 }
-
-/// Opens the log file for appending, after truncating it from `length` to `valid` bytes to remove
-/// an incomplete record.
-fn open_for_append<F: FnMut(faults::Operation) -> faults::Fault>(
-    path: &path::Path,
-    valid: usize,
-    length: usize,
-    faults: &mut F,
-) -> errors::Result<fs::File> {
-    let open = fs::OpenOptions::new().append(true).open(path);
-    let mut file = open.map_err(files::io_error("open", path))?;
-    if valid < length {
-        log::warn!("{}: removing {} bytes of an incomplete record", path.display(), length - valid);
-        file.set_len(valid as u64).map_err(files::io_error("truncate", path))?;
-    }
-    // After a crash, records that were read may not be on disk yet. Sync them before they are used.
-    files::append(&mut file, path, &[], faults)?;
-    Ok(file)
-}
--- a/crates/storage/src/records.rs
+++ b/crates/storage/src/records.rs
@@ -21,6 +21,7 @@
 /// The kind of a file, stated by its magic number.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum FileKind {
+    Journal,
     Log,
     Snapshot,
 }
@@ -28,6 +29,7 @@
 impl FileKind {
     fn magic(self) -> &'static [u8; 8] {
         match self {
+            FileKind::Journal => b"HWALKJNL",
             FileKind::Log => b"HWALKLOG",
             FileKind::Snapshot => b"HWALKSNP",
         }
--- a/crates/transport/src/codec.rs
+++ b/crates/transport/src/codec.rs
@@ -10,7 +10,7 @@
 /// fits.
 pub const MAX_LENGTH: usize = 8 * 1024 * 1024;
 /// The only protocol version that this build encodes and decodes.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 
 /// Why a value or frame could not be encoded or decoded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
--- a/xtask/src/bench/footprint/stand_in.rs
+++ b/xtask/src/bench/footprint/stand_in.rs
@@ -190,6 +190,7 @@
             incarnation: 1_790_000_000_000_000,
             sequence: 1,
             leaving: false,
+            instance: messages::Announced::hash_instance(&format_compact!("instance-{index}")),
         },
         registrar: data_centre.clone(),
         version: "".into(),
