--- a/crates/distribution/src/floor.rs
+++ b/crates/distribution/src/floor.rs
@@ -62,7 +62,7 @@
 }
 
 /// The text is not a token of the form `2.VERSION.EPOCH.HOME`, with the numbers in hexadecimal.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("floor token is not of the form 2.VERSION.EPOCH.HOME with hexadecimal numbers")]
 pub struct TokenError;
 
--- a/crates/heatherwalk/src/args/commands.rs
+++ b/crates/heatherwalk/src/args/commands.rs
@@ -8,7 +8,7 @@
 use super::operators;
 
 /// Distributes service mesh configuration and forwards the mesh's requests.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(
     error_code(0, "done"),
     error_code(1, "failed; the message says why"),
@@ -27,7 +27,7 @@
 }
 
 /// A command with its arguments.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand)]
 pub enum Command {
     /// Runs a node beside a backend server.
@@ -95,7 +95,7 @@
 }
 
 /// Explain where a running node would send a request now and why, without sending it.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "explain")]
 pub struct Explain {
     /// address of the node's metrics page, as 127.0.0.1:7002
@@ -119,7 +119,7 @@
 }
 
 /// Run a node beside a backend server.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "node")]
 pub struct Node {
     /// settings file (INI) with role = node; by default the one that HEATHERWALK_CONFIG names
@@ -128,7 +128,7 @@
 }
 
 /// Run a control on a host with a disk.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "control")]
 pub struct Control {
     /// settings file (INI) with role = control; by default the one that HEATHERWALK_CONFIG names
@@ -137,7 +137,7 @@
 }
 
 /// Check a settings file without starting anything.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
     /// settings file (INI)
@@ -146,7 +146,7 @@
 }
 
 /// Run a control, nodes and example backend servers in one process on loopback, without files.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "dev")]
 pub struct Dev {
     /// first of the ports to listen on; by default the system chooses free ones
@@ -155,7 +155,7 @@
 }
 
 /// Create the mesh's certificate authority and issue the certificates of its hosts.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "keys")]
 pub struct Keys {
     /// what to create
@@ -164,7 +164,7 @@
 }
 
 /// What `keys` creates.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand)]
 pub enum KeysCommand {
     /// The mesh's certificate authority.
@@ -174,7 +174,7 @@
 }
 
 /// Create the mesh's certificate authority: authority.pem and authority.key.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "authority")]
 pub struct Authority {
     /// folder for the two files; existing files are not overwritten
@@ -183,7 +183,7 @@
 }
 
 /// Issue a host's certificate: HOST.pem and HOST.key.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "issue")]
 pub struct Issue {
     /// folder of the authority's files
@@ -201,7 +201,7 @@
 }
 
 /// Print the version of the program.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "version")]
 pub struct Version {}
 
--- a/crates/heatherwalk/src/args/operators.rs
+++ b/crates/heatherwalk/src/args/operators.rs
@@ -30,7 +30,7 @@
         $(#[$meta:meta])*
         pub struct $name:ident { $($(#[$option:meta])* pub $field:ident: $($part:ident)::+ $(<$inner:ident>)?,)* }
     ) => {
-        #[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+        #[derive(Clone, Debug, argh::FromArgs, PartialEq)]
         $(#[$meta])*
         pub struct $name {
             $($(#[$option])* pub $field: $($part)::+ $(<$inner>)?,)*
@@ -177,7 +177,7 @@
 }
 
 /// Move a service to targets with another software version, or show how far that is.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand, name = "rollout")]
 pub struct Rollout {
     /// what to do
@@ -186,7 +186,7 @@
 }
 
 /// What `rollout` does.
-#[derive(argh::FromArgs, Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, argh::FromArgs, PartialEq)]
 #[argh(subcommand)]
 pub enum RolloutCommand {
     /// Orders a rollout.
--- a/crates/heatherwalk/src/discovery/records.rs
+++ b/crates/heatherwalk/src/discovery/records.rs
@@ -10,7 +10,7 @@
 pub(super) const MAX_CONTROLS: usize = 1_024;
 
 /// Why the record of a control is refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Error {
     /// An address is not that of one process.
     #[error("one of its addresses cannot be connected to")]
--- a/crates/heatherwalk/src/operators/client.rs
+++ b/crates/heatherwalk/src/operators/client.rs
@@ -44,7 +44,7 @@
 }
 
 /// Why a control did not answer.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum RequestError {
     /// The request was not sent, so the control did not carry it out.
     #[error("not reachable: {0}")]
--- a/crates/membership/src/messages.rs
+++ b/crates/membership/src/messages.rs
@@ -20,7 +20,7 @@
 pub const UNANNOUNCED_SERVICE: &str = "unannounced";
 
 /// Why an entry is refused. It is that of another writer, or of a faulty process.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum EntryError {
     /// The address is not that of one process.
     #[error("its address cannot be connected to")]
--- a/crates/node/src/announcements.rs
+++ b/crates/node/src/announcements.rs
@@ -18,7 +18,7 @@
 const MAX_INSTANCE_BYTES: usize = 256;
 
 /// Why an announcement is refused.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Error {
     /// The address is not that of one process.
     #[error("addr must be an IP address and a port that can be connected to")]
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -108,7 +108,7 @@
 ///
 /// If different errors exclude different targets, the one that comes last in this order is
 /// returned.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, Ord, PartialEq, PartialOrd)]
 pub enum Error {
     /// The service has no targets.
     #[error("the service has no targets")]
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -46,7 +46,7 @@
 }
 
 /// Why a request is refused because of its budget.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Error {
     /// The chain of calls is too long, for example because services call one another in a loop.
     #[error("the request exceeds the maximum call depth of {max}", max = requests::MAX_DEPTH)]
--- a/crates/tables/src/pool.rs
+++ b/crates/tables/src/pool.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 
 /// Why a job did not run, or has no result.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Error {
     /// The job queue is full, because jobs arrive faster than the workers run them.
     #[error("the job queue of the worker pool is full")]
--- a/crates/transport/src/codec.rs
+++ b/crates/transport/src/codec.rs
@@ -13,7 +13,7 @@
 pub const VERSION: u8 = 6;
 
 /// Why a value or frame could not be encoded or decoded.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Error {
     /// The payload is not a value of the expected type, or bytes follow the value or the frame.
     #[error("the frame's payload is malformed")]
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -13,7 +13,7 @@
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Why a body could not be read or sent.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum Error {
     /// The [`Body`] at the other end of the channel was dropped.
     #[error("the reader of the body has stopped reading")]
