--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -5,7 +5,7 @@
 use world::{contracts, requests::Class, time::Time};
 
 use crate::{
-    limits, load, losses, needs, queue, rate, requests, routes, service_times, shedding,
+    counts, limits, load, losses, needs, queue, rate, requests, routes, service_times, shedding,
     short_load, suspects, work,
 };
 
@@ -26,7 +26,7 @@
     pub(crate) routes: routes::Routes,
     pub(crate) caller_queue: queue::Queue,
     pub(crate) internal_queue: queue::Queue,
-    pub(crate) counts: Counts,
+    pub(crate) counts: counts::Counts,
     pub(crate) suspects: suspects::Suspects,
     pub(crate) losses: losses::Losses,
     pub(crate) needs: needs::Needs,
@@ -51,49 +51,6 @@
     Closed,
 }
 
-/// Numbers of slots in use.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Counts {
-    pub(crate) callers: u32,
-    pub(crate) internal: u32,
-    /// Internal calls by rank.
-    calls: [u32; losses::RANKS],
-    /// Slots with a long request or a straggler.
-    pub(crate) slow: u32,
-    pub(crate) stragglers: u32,
-}
-
-impl Counts {
-    pub(crate) fn running(self) -> u32 {
-        self.callers + self.internal
-    }
-
-    /// The number of running internal calls of this rank and the less urgent ones.
-    pub(crate) fn calls_from(&self, rank: u32) -> u32 {
-        self.calls[losses::index(rank)..].iter().sum()
-    }
-
-    pub(crate) fn start(&mut self, work: &work::Work, long: bool) {
-        *self.class_mut(work.class) += 1;
-        self.calls[losses::index(work.rank)] += u32::from(work.class == Class::Internal);
-        self.slow += u32::from(long);
-    }
-
-    fn stop(&mut self, work: &work::Work, run: requests::Run) {
-        *self.class_mut(work.class) -= 1;
-        self.calls[losses::index(work.rank)] -= u32::from(work.class == Class::Internal);
-        self.slow -= u32::from(run.long || run.straggler);
-        self.stragglers -= u32::from(run.straggler);
-    }
-
-    fn class_mut(&mut self, class: Class) -> &mut u32 {
-        match class {
-            Class::Caller => &mut self.callers,
-            Class::Internal => &mut self.internal,
-        }
-    }
-}
-
 impl Controller {
     /// Creates a controller without requests. A backend server that has just started has a `ramp`.
     pub fn new(
@@ -126,7 +83,7 @@
             routes: routes::Routes::default(),
             caller_queue: queue::Queue::default(),
             internal_queue: queue::Queue::default(),
-            counts: Counts::default(),
+            counts: counts::Counts::default(),
             suspects: suspects::Suspects::default(),
             losses: losses::Losses::default(),
             needs: needs::Needs::default(),
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod answer_sizes;
 pub mod callees;
 pub mod controller;
+mod counts;
 mod dispatch;
 pub mod downlink;
 mod forecast;
