Split the largest files of the node by their jobs

No behaviour: `node::leaving` has the leave of the backend server and the wait for its record, which were in `node::backend`, and `node::execution` the request that runs at the backend server, which was in `node::working`.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -11,15 +11,10 @@
 use serde::{Deserialize, Serialize};
 use world::{bounds, targets, time};
 
-use crate::{announcements, attaching, dialect, in_flight, slots, state};
+use crate::{announcements, attaching, dialect, in_flight, leaving, slots, state};
 
 /// Largest body of an announcement, in bytes.
 const MAX_BODY: usize = 64 * 1024;
-/// How long the answer to a drain or a leave is held back until a control has recorded it. A
-/// backend server takes a second without an answer as a failure.
-const RECORD_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(800);
-/// How long after an answer without the record the control is asked again.
-const RECORD_CHECK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// An announcement that a backend server sends to its node as JSON.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -86,7 +81,7 @@
 ) -> web::exchange::Response {
     let instance = CompactString::from(instance_name(request.query.as_deref().unwrap_or_default()));
     if command == Command::Leave {
-        return leave(state, instance).await;
+        return leaving::leave(state, instance).await;
     }
     let body = match request.body.collect(MAX_BODY).await {
         Ok(it) => it,
@@ -111,7 +106,7 @@
     };
     let drain = announcement.drain;
     match state.pool.run(attaching::in_runtime(job)).await {
-        Ok(Some(_)) if drain && !await_record(&state).await => not_recorded(),
+        Ok(Some(_)) if drain && !leaving::await_record(&state).await => leaving::not_recorded(),
         Ok(None) => {
             let text = "a later incarnation of this backend server is announced; stop this \
                         process, or announce again when the other has been silent for 2 s\n";
@@ -122,65 +117,6 @@
     }
 }
 
-async fn leave(state: sync::Arc<state::State>, instance: CompactString) -> web::exchange::Response {
-    let job = {
-        let state = sync::Arc::clone(&state);
-        move || mark_leaving(&state, &instance)
-    };
-    match state.pool.run(attaching::in_runtime(job)).await {
-        Ok(()) if !await_record(&state).await => not_recorded(),
-        Ok(()) => {
-            let none = AnnounceAnswer { renew_ms: 0, token: None };
-            (state.settings.dialect.write_renewal)(&none)
-        }
-        Err(err) => queue_full(&err),
-    }
-}
-
-/// Waits until a control has recorded the entry of the backend server. Returns false when none has
-/// in time. Before that, the entry is known to this process alone, and its restart would bring the
-/// former one back.
-async fn await_record(state: &state::State) -> bool {
-    let recorded = async {
-        loop {
-            let answered = state.registered.notified();
-            tokio::pin!(answered);
-            answered.as_mut().enable();
-            if is_recorded(state) {
-                return;
-            }
-            answered.await;
-            if !is_recorded(state) {
-                // The control may have asked for the entry, and has it by now.
-                tokio::time::sleep(RECORD_CHECK_INTERVAL).await;
-                attaching::send_heartbeat(state);
-            }
-        }
-    };
-    tokio::time::timeout(RECORD_TIMEOUT, recorded).await.is_ok()
-}
-
-/// Whether a control has recorded the entry of the backend server, or the leave of one that has not
-/// announced itself.
-fn is_recorded(state: &state::State) -> bool {
-    let backend = state.backend.lock();
-    match backend.local.entry() {
-        Some(_) => backend.local.is_registered(),
-        None => backend.local.is_left_recorded(),
-    }
-}
-
-fn not_recorded() -> web::exchange::Response {
-    log::info!(
-        target: "decision",
-        "drain of the backend server not acknowledged: no control recorded it within \
-         {RECORD_TIMEOUT:?}",
-    );
-    let text = "the backend server gets no new requests, but no control has recorded that yet; \
-                send this again\n";
-    web::exchange::Response::text(http::StatusCode::SERVICE_UNAVAILABLE, text)
-}
-
 /// Handles the registry's answer to a heartbeat.
 pub(crate) fn registry_answered(state: &state::State, answer: &messages::HeartbeatAnswer) {
     let now = state.now();
@@ -209,36 +145,10 @@
     }
 }
 
-/// Drains the backend server `instance`, which shuts down permanently. If it is not the one of this
-/// host, the leave is kept for its announcement.
-fn mark_leaving(state: &state::State, instance: &str) {
-    let now = state.now();
-    let mut backend = state.backend.lock();
-    let previous = backend.local.entry().cloned();
-    let outcome = if backend.instance == instance {
-        backend.local.backend_leaving(now)
-    } else {
-        log::info!(
-            target: "decision",
-            "leave of {} kept for its announcement: the backend server is {:?}",
-            bounds::excerpt(instance),
-            backend.instance,
-        );
-        if !announcements::is_instance(instance) {
-            return;
-        }
-        let hash = messages::Announced::hash_instance(instance);
-        backend.local.unannounced_leaving(now, hash, unix_us())
-    };
-    drop(backend);
-    apply_outcome(state, now, outcome, previous.as_ref());
-    attaching::send_heartbeat(state);
-}
-
 /// Keeps to what the backend server `instance` said of itself in an answer.
 pub(crate) fn apply_notice(state: &state::State, instance: &str, notice: dialect::Notice) {
     if notice.leaving {
-        mark_leaving(state, instance);
+        leaving::mark_leaving(state, instance);
     }
     let now = state.now();
     let backend = state.backend.lock();
@@ -258,7 +168,7 @@
     web::exchange::Response::text(http::StatusCode::BAD_REQUEST, &format!("{detail}\n"))
 }
 
-fn queue_full(error: &dyn std::fmt::Display) -> web::exchange::Response {
+pub(crate) fn queue_full(error: &dyn std::fmt::Display) -> web::exchange::Response {
     let text = format!("{error}; announce again\n");
     web::exchange::Response::text(http::StatusCode::SERVICE_UNAVAILABLE, &text)
 }
@@ -417,7 +327,7 @@
     is_first.then(|| backend.local.known_incarnation(hash)).flatten()
 }
 
-fn unix_us() -> u64 {
+pub(crate) fn unix_us() -> u64 {
     u64::try_from(unix_time().as_micros()).unwrap_or(u64::MAX)
 }
 
@@ -428,7 +338,7 @@
 
 /// Applies an outcome: logs it, reports a crash, updates admission and informs the registry.
 /// `previous` is the registry entry before the outcome.
-fn apply_outcome(
+pub(crate) fn apply_outcome(
     state: &state::State,
     now: time::Time,
     outcome: local_target::Outcome,
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -7,7 +7,7 @@
 use routing::retry;
 use world::targets;
 
-use crate::{choosing, forward, hedging, returning, state, working};
+use crate::{choosing, execution, forward, hedging, returning, state, working};
 
 /// Attempts that may have crashed their backend server after which a request is not sent again,
 /// whatever its budget. The second attempt runs beside no other suspect request, so its crash is
@@ -49,7 +49,7 @@
 /// Where the rest of an answer's body is read from.
 pub(crate) enum Rest {
     /// The backend server of this host.
-    Local(web::body::Body, working::Execution),
+    Local(web::body::Body, execution::Execution),
     /// Another node, over a stream that is cancelled when dropped.
     Remote(transport::streams::Receiver),
     /// A task that copies the body.
--- a/crates/node/src/working.rs
+++ b/crates/node/src/working.rs
@@ -1,18 +1,14 @@
 //! Admits requests to the backend server of this host and runs them there.
 
-use std::{net, sync, time as std_time};
+use std::{sync, time as std_time};
 
 use admission::{uplink, work};
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use protocol::forwarding;
 use tokio::sync::oneshot;
 use world::{contracts, requests, time};
 
-use crate::{backend, dialect, headers, in_flight, promises, slots, state, suspects};
-
-/// Limit for the connection that checks whether the backend server is alive after a request's
-/// connection was refused or broke.
-const PROBE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(200);
+use crate::{backend, dialect, execution, headers, in_flight, promises, slots, state, suspects};
 
 /// How long an answer's head is waited for past the deadline. The backend server works until the
 /// deadline, and an answer that it made just then is still on its way.
@@ -54,21 +50,10 @@
     pub(crate) status: http::StatusCode,
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: web::body::Body,
-    pub(crate) execution: Execution,
+    pub(crate) execution: execution::Execution,
     pub(crate) node_status: forwarding::NodeStatus,
 }
 
-/// A request that was sent to the backend server. Dropping it before [`Execution::finish`] or
-/// [`Execution::abort`] means that the caller has left.
-pub(crate) struct Execution {
-    state: sync::Arc<state::State>,
-    addr: net::SocketAddr,
-    permit: Option<slots::Permit>,
-    key: in_flight::RequestKey,
-    suspect: bool,
-    done: bool,
-}
-
 /// What admission decided on a request. It owns the slot or the place in the queue from the moment
 /// of the decision, so that both are given back when the request's future is dropped.
 pub(crate) enum Admission {
@@ -104,7 +89,7 @@
     let Some(addr) = addr else {
         return Err(refused(forwarding::NotRun::Absent));
     };
-    let execution = start_execution(state, &request, addr, permit);
+    let execution = execution::start(state, &request, addr, permit);
     let sent_at = state.now();
     let parent = in_flight::encode(state.epoch, execution.key);
     let context = dialect::RequestContext {
@@ -152,7 +137,7 @@
         Err(web::client::Error::NotSent(reason)) => {
             log::info!(target: "decision", "backend_refused request={} addr={addr} reason={reason:?}", request.head.id);
             execution.finish(work::Outcome::Failed);
-            check_alive(state, addr).await;
+            execution::check_alive(state, addr).await;
             Failure::NotRun(forwarding::NotRun::Refused)
         }
         Err(web::client::Error::MaybeSent(reason)) => {
@@ -201,86 +186,6 @@
     }
 }
 
-impl Execution {
-    /// Takes what the answer takes of the host's network link, which outlasts the slot.
-    pub(crate) fn take_promise(&mut self) -> Option<promises::Promise> {
-        self.permit.as_mut()?.promise.take()
-    }
-
-    /// Takes the extra attempts that the request's calls have left. They are returned with the head
-    /// of the answer, so calls that the request makes later have none.
-    fn take_attempts(&self) -> u8 {
-        let mut requests = self.state.in_flight.lock();
-        requests.get_mut(self.key).map_or(0, |it| std::mem::take(&mut it.budget.attempts))
-    }
-
-    /// Records that the request has ended and frees its slot. A suspect that was answered is
-    /// cleared of suspicion.
-    pub(crate) fn finish(mut self, outcome: work::Outcome) {
-        self.done = true;
-        if let Some(permit) = self.permit.take() {
-            permit.finish(outcome);
-        }
-        let state = sync::Arc::clone(&self.state);
-        let cleared = self.suspect && outcome == work::Outcome::Answered;
-        let key = self.key;
-        self.state.pool.submit_or_run(move || {
-            let finished = state.in_flight.lock().remove(key);
-            if let Some(finished) = finished.filter(|_| cleared) {
-                backend::clear_suspect(&state, &finished);
-            }
-        });
-    }
-
-    /// Records that the backend server has shed the request, and returns when its slot is free and
-    /// the admission controller knows of the shed.
-    async fn finish_shed(mut self) {
-        if let Some(permit) = self.permit.take() {
-            permit.finish_and_wait(work::Outcome::Shed).await;
-        }
-        self.finish(work::Outcome::Shed);
-    }
-
-    /// Records that the connection broke or the deadline passed before the answer was complete,
-    /// and frees the slot. If the connection broke, with the head of the answer or within its body,
-    /// the backend server may have crashed, so this checks whether it is alive.
-    pub(crate) async fn abort(mut self, timed_out: bool) {
-        self.done = true;
-        if let Some(permit) = self.permit.take() {
-            let outcome = if timed_out { work::Outcome::TimedOut } else { work::Outcome::Failed };
-            permit.finish(outcome);
-        }
-        self.record_abort(timed_out);
-        if !timed_out {
-            check_alive(&self.state, self.addr).await;
-        }
-    }
-
-    fn record_abort(&self, timed_out: bool) {
-        let state = sync::Arc::clone(&self.state);
-        let key = self.key;
-        self.state.pool.submit_or_run(move || {
-            let now = state.now();
-            let mut requests = state.in_flight.lock();
-            if timed_out {
-                requests.remove(key);
-            } else {
-                requests.remove_broken(now, key);
-            }
-        });
-    }
-}
-
-impl Drop for Execution {
-    fn drop(&mut self) {
-        if !self.done {
-            // The caller has left. The request may still crash the backend server, so it counts
-            // as broken for a while.
-            self.record_abort(false);
-        }
-    }
-}
-
 /// Records what the backend server says of itself in the answer to a request.
 fn record_notice(
     state: &sync::Arc<state::State>,
@@ -511,32 +416,6 @@
     Err(reason)
 }
 
-fn start_execution(
-    state: &sync::Arc<state::State>,
-    request: &LocalRequest,
-    addr: net::SocketAddr,
-    permit: slots::Permit,
-) -> Execution {
-    let head = &request.head;
-    let record = in_flight::Request {
-        fingerprint: head.fingerprint,
-        budget: head.budget,
-        id: head.id.clone(),
-        route: head.route.clone(),
-        context: head.context.clone(),
-        idempotent: head.idempotent,
-        repeat: head.repeat,
-        summary: format_compact!("{} {} of {}", head.method, head.path, head.service),
-    };
-    let key = state.in_flight.lock().insert(record);
-    state.callees.lock().record_request(&head.route);
-    let now = state.now();
-    let status = state.suspects.lock().status(now, &head.fingerprint);
-    let suspect = head.suspect || status == suspects::Status::Suspect;
-    let (state, permit) = (sync::Arc::clone(state), Some(permit));
-    Execution { state, addr, permit, key, suspect, done: false }
-}
-
 fn build_call(
     state: &state::State,
     request: &LocalRequest,
@@ -559,19 +438,3 @@
         reuse,
     }
 }
-
-/// Connects to the backend server after a broken connection and marks it as lost when that fails.
-/// Otherwise a crash would be noticed only when the lease of its announcement ends.
-async fn check_alive(state: &sync::Arc<state::State>, addr: net::SocketAddr) {
-    let connect = tokio::time::timeout(PROBE_TIMEOUT, tokio::net::TcpStream::connect(addr)).await;
-    // A live process accepts a connection from its own host without delay.
-    if !matches!(connect, Ok(Ok(_))) {
-        let shared = sync::Arc::clone(state);
-        if state.pool.run(move || backend::mark_lost(&shared, addr)).await.is_err() {
-            log::warn!(
-                "worker queue is full; the backend server at {addr} did not accept a connection \
-                 and counts as lost only when its lease ends"
-            );
-        }
-    }
-}
