Tell a node of a departure that its control learns late

A leave was not kept to when the node's control had lost its disk and heard of the leave from another control only after 3 s, when it had taken the entry of a late report: the answer to a heartbeat compared the node's entry with the registry's, which were the same, and left the newer departure out. No caller has seen it; it was found by reading.

Change: an entry that is older than a known departure does not count as agreed, so that the answer has the departure and asks for the entry.

Evidence: membership `restarts::a_leave_that_is_learned_late_is_not_kept_to` failed before (the target serves) and passes.

--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -115,7 +115,10 @@
         let host = &heartbeat.host;
         let held = self.held_entry(host);
         let known = held.map(|it| it.order);
-        let digest = self.targets.held_entry(host).map(messages::Entry::digest);
+        // A departure that this control has learned of since is newer than the entry that it holds for
+        // the node.
+        let current = self.targets.held_entry(host).filter(|it| held == Some(*it));
+        let digest = current.map(messages::Entry::digest);
         let agreed = heartbeat.digest.is_some() && heartbeat.digest == digest;
         let wanted = heartbeat.digest.is_some() && !agreed;
         let standing = held.map(|it| self.departures.standing(now, it, others.len()));
--- a/crates/membership/tests/restarts.rs
+++ b/crates/membership/tests/restarts.rs
@@ -363,6 +363,28 @@
     assert!(control.answer(now, &heartbeat, &others).is_none(), "it has missed messages");
 }
 
+/// Guards against a node that is not told of a leave which its control learns of late, after it has
+/// taken the entry of a late report: both agree on that entry.
+#[test]
+fn a_leave_that_is_learned_late_is_not_kept_to() {
+    let mut pair = Pair::start();
+    pair.announce(&announcement(50, 1, false));
+    pair.leave();
+    let left = pair.control.departures().events(pair.now);
+    let toggles = toggles::Toggles::default();
+    pair.control = registry::Registry::new(pair.now, "skulte".into(), toggles);
+    pair.restart_node();
+    pair.beat();
+    pair.announce(&announcement(50, 2, false));
+    pair.beat();
+    assert!(pair.in_use(), "the control has lost its disk and reaches no other");
+    left.iter().for_each(|it| pair.control.restore_departure(pair.now, it));
+    pair.beat();
+    pair.beat();
+    assert!(!pair.in_use(), "{}", pair.summary());
+    assert!(pair.node.is_registered());
+}
+
 /// Guards against a leave that is acknowledged before it outlasts the loss of a disk, and against one
 /// that a control which is cut off never acknowledges.
 #[test]
