--- a/review/harness-3/cases/late_reports.rs
+++ b/review/harness-3/cases/late_reports.rs
@@ -16,11 +16,11 @@
 /// `terms.bounds.drain` of the site.
 const DRAIN_S: f64 = 2.0;
 /// When reports are sent and when they arrive, in seconds from the report that the target drains.
-/// The target sends one each 1.5 s.
-const READY: [(f64, f64); 2] = [(-3.0, 5.6), (-1.5, 5.9)];
-const DRAINING: [(f64, f64); 4] = [(1.5, 9.0), (3.0, 9.2), (4.5, 9.4), (6.0, 9.6)];
+/// The target sends one each 1.5 s, and that one as soon as it drains.
+const READY: [(f64, f64); 2] = [(-1.6, 5.15), (-0.1, 5.3)];
+const DRAINING: [(f64, f64); 4] = [(1.4, 7.4), (2.9, 7.5), (4.4, 7.6), (5.9, 7.7)];
 /// When the target ends, in seconds from the report that it drains.
-const END_S: f64 = 7.0;
+const END_S: f64 = 6.5;
 
 pub fn run(record: &Arc<mesh::Record>, trouble: bool) -> Result<bool, String> {
     let targets = Arc::new(Targets { runs: Mutex::new(Vec::new()) });
@@ -34,7 +34,7 @@
     // From here on the reports of this target follow the two tables.
     target.reports.store(false, Ordering::SeqCst);
     thread::sleep(Duration::from_millis(1600));
-    let start = record.now() + 3.5;
+    let start = record.now() + 2.0;
     let mut late = Vec::new();
     for (at, arrives) in READY {
         wait_until(record, start + at);
--- a/review/harness-3/cases/mod.rs
+++ b/review/harness-3/cases/mod.rs
@@ -1,5 +1,5 @@
-pub mod behind;
 pub mod late_reports;
+pub mod lost_before;
 pub mod old_life;
 pub mod poison;
 pub mod popular;
@@ -35,3 +35,14 @@
 }
 
 pub const SERVICES: [&str; 4] = ["logbook", "launchdesk", "sondelab", "flightrec"];
+
+/// A route that is split among all services in equal parts.
+pub fn split_route(name: &str, prefix: &str, kind: &str, timeout_ms: u32) -> String {
+    let parts = SERVICES.map(|it| format!("{{\"service\":\"{it}\",\"weight\":25}}"));
+    format!(
+        "\"{name}\":{{\"host\":\"jepu9.example\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
+         \"timeout\":\"{timeout_ms}ms\",\"objective\":\"400ms\",\"priority\":1,\
+         \"split\":[{}],\"attempts\":2}}",
+        parts.join(",")
+    )
+}
--- a/review/harness-3/cases/old_life.rs
+++ b/review/harness-3/cases/old_life.rs
@@ -17,11 +17,11 @@
 /// `terms.bounds.drain` of the site.
 const DRAIN_S: f64 = 2.0;
 /// How long the crashed target is away.
-const AWAY: Duration = Duration::from_millis(1000);
+const AWAY: Duration = Duration::from_millis(500);
 /// Times in seconds from the leave: when the report of the former incarnation arrives, and when
 /// the target ends.
-const ARRIVES_S: f64 = 5.5;
-const END_S: f64 = 8.0;
+const ARRIVES_S: f64 = 3.9;
+const END_S: f64 = 6.5;
 
 pub fn run(record: &Arc<mesh::Record>, trouble: bool) -> Result<bool, String> {
     let targets = Arc::new(Targets { runs: Mutex::new(Vec::new()) });
@@ -39,11 +39,12 @@
     ));
     *target.next_id.lock().unwrap() = Some(former.id.clone());
     target.crash(AWAY);
-    thread::sleep(AWAY + Duration::from_secs(1));
+    // It has sent its first report by then, and leaves before the next one is due.
+    thread::sleep(AWAY + Duration::from_millis(100));
+    target.reports.store(false, Ordering::SeqCst);
     let (life, _) = target.next_report().ok_or("the target has not come back")?;
     record.line(&format!("{} has come back, born {}", life.id, life.born));
-    target.reports.store(false, Ordering::SeqCst);
-    thread::sleep(Duration::from_millis(200));
+    thread::sleep(Duration::from_millis(1300));
     let acknowledged = target.leave();
     let acked_at = record.now();
     record.line(&format!("{} leaves, acknowledged: {acknowledged}", life.id));
--- a/review/harness-3/cases/poison.rs
+++ b/review/harness-3/cases/poison.rs
@@ -1,4 +1,5 @@
-//! One request crashes each target that begins to run it, and comes again at any machine.
+//! One request crashes each target that begins to run it, and comes again at any machine of its
+//! caller's service. Its route is split among the services.
 
 use std::{
     sync::{Arc, Mutex},
@@ -6,7 +7,7 @@
     time::Duration,
 };
 
-use super::{config, route};
+use super::{config, split_route};
 use crate::{http, mesh, target};
 
 /// How long a crashed target is away.
@@ -17,7 +18,9 @@
 const STABILITY_S: f64 = 3.0;
 /// The most retries that the rule allows after that.
 const MOST: usize = 3;
-const SENDS: usize = 16;
+const SENDS: usize = 24;
+/// The machines at which the request comes, which have one service.
+const ORIGINS: usize = 3;
 
 struct Targets {
     /// Whether the request crashes them.
@@ -55,8 +58,18 @@
 pub fn run(record: &Arc<mesh::Record>, trouble: bool) -> Result<bool, String> {
     let targets = Arc::new(Targets { crash: trouble, arrivals: Mutex::new(Vec::new()) });
     let behaviour: Arc<dyn target::Behaviour> = targets.clone();
-    let services = ["launchdesk", "logbook", "sondelab", "flightrec", "launchdesk", "launchdesk"];
-    let routes = [route("r-reg", "/reg/", "unsafe", 1000, "launchdesk")];
+    let services = [
+        "launchdesk",
+        "launchdesk",
+        "launchdesk",
+        "logbook",
+        "logbook",
+        "sondelab",
+        "sondelab",
+        "flightrec",
+        "flightrec",
+    ];
+    let routes = [split_route("r-reg", "/reg/", "unsafe", 1000)];
     let mesh = mesh::Mesh::start(record, &services, &behaviour, &config(1, &routes))?;
     // A harmless request is served at each machine before and after.
     let served = |name: &str| {
@@ -77,7 +90,7 @@
     }
     let mut refused = 0;
     for number in 0..SENDS {
-        let sidecar = &mesh.sidecars[number % mesh.sidecars.len()];
+        let sidecar = &mesh.sidecars[number % ORIGINS];
         let id = format!("beef{number:012x}");
         let before = targets.arrivals.lock().unwrap().len();
         record.line(&format!("requester at {} sends {id}", sidecar.name));
@@ -95,7 +108,8 @@
     let after = arrivals
         .get(2)
         .map_or(0, |third| arrivals.iter().filter(|it| **it > third + STABILITY_S).count());
-    let ends = mesh.sidecars.iter().map(|it| it.name.clone()).collect::<Vec<_>>().join(",");
+    let ends =
+        mesh.sidecars.iter().take(ORIGINS).map(|it| it.name.clone()).collect::<Vec<_>>().join(",");
     record.line(&format!("machines {ends}; {refused} of {SENDS} sends reached no target"));
     let effect = if trouble { "crashes each target" } else { "crashes no target" };
     record.line(&format!(
--- a/review/harness-3/cases/popular.rs
+++ b/review/harness-3/cases/popular.rs
@@ -22,8 +22,8 @@
 const BEFORE: Duration = Duration::from_secs(5);
 const AFTER: Duration = Duration::from_secs(60);
 /// Requesters of each kind at each machine, and how often each of them sends.
-const REQUESTERS: usize = 2;
-const INTERVAL: Duration = Duration::from_millis(150);
+const REQUESTERS: usize = 3;
+const INTERVAL: Duration = Duration::from_millis(110);
 
 /// Targets that answer after 76 ms.
 struct Targets;
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -16,9 +16,9 @@
     mesh::watch();
     let record = mesh::Record::create(path);
     let result = match case.as_str() {
-        "behind" => cases::behind::run(&record, trouble),
         "late-reports" => cases::late_reports::run(&record, trouble),
         "old-life" => cases::old_life::run(&record, trouble),
+        "lost-before" => cases::lost_before::run(&record, trouble),
         "popular" => cases::popular::run(&record, trouble),
         "poison" => cases::poison::run(&record, trouble),
         _ => Err(format!("there is no case {case}")),
