Record all requests and runs of case 11

Cause: the record had the first ten late runs only. The harness records the answers of case 15 by the second.

--- a/review/harness-3/cases/popular.rs
+++ b/review/harness-3/cases/popular.rs
@@ -2,9 +2,10 @@
 //! nothing to do with the crashes, and the targets come back.
 
 use std::{
+    collections::BTreeMap,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
-        Arc,
+        Arc, Mutex,
     },
     thread,
     time::{Duration, Instant},
@@ -44,6 +45,8 @@
 /// What became of the requests of one kind.
 #[derive(Default)]
 struct Counts {
+    /// The requests of each second, by the status of the answer; 0 stands for no answer.
+    by_second: Mutex<BTreeMap<(u64, u16), usize>>,
     sent: AtomicUsize,
     served: AtomicUsize,
     sent_after: AtomicUsize,
@@ -89,6 +92,11 @@
     for it in tasks {
         let _ = it.join();
     }
+    for (it, name) in counts.iter().zip(["one path", "many paths"]) {
+        for ((second, status), count) in it.by_second.lock().unwrap().iter() {
+            record.line(&format!("second {second}, {name}: {count} answers with {status}"));
+        }
+    }
     let mut shares = Vec::new();
     for (it, name) in counts.iter().zip(["one path", "many paths"]) {
         let number = |it: &AtomicUsize| it.load(Ordering::SeqCst);
@@ -136,6 +144,9 @@
         let late = after.load(Ordering::SeqCst);
         let sent = Instant::now();
         let answer = http::exchange(addr, request.as_bytes(), Duration::from_millis(800));
+        let status = answer.as_ref().map_or(0, |it| it.status);
+        let second = record.now() as u64;
+        *counts.by_second.lock().unwrap().entry((second, status)).or_default() += 1;
         let served = answer.as_ref().is_ok_and(|it| it.status == 200);
         counts.sent.fetch_add(1, Ordering::SeqCst);
         counts.served.fetch_add(usize::from(served), Ordering::SeqCst);
--- a/review/harness-3/cases/requesters.rs
+++ b/review/harness-3/cases/requesters.rs
@@ -90,6 +90,8 @@
 
 /// Records the runs of the first machine's target later than `bound` after the ack of its leave.
 /// Returns how many there are.
+///
+/// All runs there, and all requests with their answers, are written down.
 pub fn count_late(
     record: &mesh::Record,
     runs: &[(f64, String)],
@@ -97,6 +99,15 @@
     acked_at: f64,
     bound: f64,
 ) -> usize {
+    let mut requests: Vec<_> = sent.iter().collect();
+    requests.sort_by(|a, b| a.1.at.total_cmp(&b.1.at));
+    for (id, it) in requests {
+        let status = it.status.map_or("no answer".into(), |it| it.to_string());
+        record.line(&format!("request {id} sent at {:.3}: {status}", it.at));
+    }
+    for (at, id) in runs {
+        record.line(&format!("run of {id} by the target at {at:.3}"));
+    }
     let late: Vec<_> = runs.iter().filter(|it| it.0 > acked_at + bound).collect();
     for (at, id) in late.iter().take(10) {
         let Some(it) = sent.get(id) else { continue };
